--- /dev/null
+++ b/src/adapters/http_server.cpp
@@ -0,0 +1,179 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "http_server.h"
+
+#include <crosslink/base/error.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/ThreadPool.h>
+
+#include <istream>
+#include <ostream>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr int backlog = 1024;
+constexpr int idle_thread_seconds = 30;
+constexpr int thread_stack_bytes = 512 * 1024;
+
+class RequestHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit RequestHandler(const HttpServer::Handler& handler)
+        : m_handler(handler)
+    {
+    }
+
+    void handleRequest(Poco::Net::HTTPServerRequest& request,
+                       Poco::Net::HTTPServerResponse& answer) override
+    {
+        m_handler(request, answer);
+    }
+
+private:
+    const HttpServer::Handler& m_handler;
+};
+
+class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit HandlerFactory(HttpServer::Handler handler)
+        : m_handler(std::move(handler))
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler*
+    createRequestHandler(const Poco::Net::HTTPServerRequest&) override
+    {
+        return new RequestHandler(m_handler);
+    }
+
+private:
+    const HttpServer::Handler m_handler;
+};
+
+Poco::Net::HTTPServerParams::Ptr
+parameters(const HttpServerRules& rules)
+{
+    Poco::Net::HTTPServerParams::Ptr result = new Poco::Net::HTTPServerParams;
+    result->setMaxThreads(rules.most_threads);
+    result->setMaxQueued(rules.most_queued);
+    result->setTimeout(Poco::Timespan(rules.receive_seconds, 0));
+    result->setKeepAlive(true);
+    result->setKeepAliveTimeout(Poco::Timespan(rules.keep_alive_seconds, 0));
+    return result;
+}
+
+Poco::Net::ServerSocket
+bound_socket(const std::string& address)
+{
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress(address), true);
+    socket.listen(backlog);
+    return socket;
+}
+
+} // namespace
+
+class HttpServer::Impl
+{
+public:
+    Impl(const std::string& address, const HttpServerRules& rules,
+         Handler handler)
+        : pool(2, rules.most_threads, idle_thread_seconds, thread_stack_bytes),
+          socket(bound_socket(address)),
+          server(new HandlerFactory(std::move(handler)), pool, socket,
+                 parameters(rules))
+    {
+        server.start();
+    }
+
+    Poco::ThreadPool pool;
+    Poco::Net::ServerSocket socket;
+    Poco::Net::HTTPServer server;
+};
+
+HttpServer::HttpServer(const std::string& address, HttpServerRules rules,
+                       Handler handler)
+    : m_impl(std::make_unique<Impl>(address, rules, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_impl->server.stopAll(false);
+    m_impl->pool.joinAll();
+}
+
+std::string
+HttpServer::address() const
+{
+    return m_impl->socket.address().toString();
+}
+
+void
+HttpServer::stop_listening()
+{
+    m_impl->server.stop();
+}
+
+int
+HttpServer::connections() const
+{
+    return m_impl->server.currentConnections() +
+           m_impl->server.queuedConnections();
+}
+
+std::string
+read_body(Poco::Net::HTTPServerRequest& request, std::uint64_t most_bytes)
+{
+    const auto length = request.getContentLength64();
+    if (length > 0 && static_cast<std::uint64_t>(length) > most_bytes)
+        throw Error(ErrorCode::BodyTooLarge, "the body is larger than " +
+                                                 std::to_string(most_bytes) +
+                                                 " bytes");
+    std::istream& in = request.stream();
+    std::string body;
+    constexpr std::size_t piece_bytes = 65'536;
+    std::string piece(piece_bytes, '\0');
+    while (in.read(piece.data(), piece_bytes) || in.gcount() > 0) {
+        body.append(piece, 0, static_cast<std::size_t>(in.gcount()));
+        if (body.size() > most_bytes)
+            throw Error(ErrorCode::BodyTooLarge,
+                        "the body is larger than " +
+                            std::to_string(most_bytes) + " bytes");
+    }
+    if (length > 0 && body.size() != static_cast<std::size_t>(length))
+        throw Error(ErrorCode::BadRequest, "the body ended early");
+    return body;
+}
+
+void
+send_answer(Poco::Net::HTTPServerResponse& answer, int status,
+            std::string_view content_type, std::string_view body)
+{
+    answer.setStatusAndReason(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    answer.setContentType(std::string(content_type));
+    answer.sendBuffer(body.data(), body.size());
+}
+
+void
+send_json(Poco::Net::HTTPServerResponse& answer, int status,
+          const Json::Value& body)
+{
+    send_answer(answer, status, "application/json", json_text(body));
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/adapters/http_server.h
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include <crosslink/base/json.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace crosslink
+{
+
+/// Sizes of one HTTP server.
+struct HttpServerRules {
+    int most_threads = 256;      ///< Connections served at once.
+    int most_queued = 256;       ///< Connections that wait.
+    int receive_seconds = 10;    ///< A sender slower than this is cut.
+    int keep_alive_seconds = 15; ///< An idle connection is closed.
+    int most_header_fields = 64; ///< More is refused.
+};
+
+/// An HTTP/1.1 server on one address; all requests go to one handler, which
+/// must not throw.
+class HttpServer
+{
+public:
+    using Handler = std::function<void(Poco::Net::HTTPServerRequest& request,
+                                       Poco::Net::HTTPServerResponse& answer)>;
+
+    /// Binds `address` ("ip:port", port 0 for any) and serves at once.
+    HttpServer(const std::string& address, HttpServerRules rules,
+               Handler handler);
+    /// Stops and waits for the requests that run.
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /// Returns the address bound, with its port.
+    std::string address() const;
+    /// Takes no new connections; those that run go on.
+    void stop_listening();
+    /// Returns the number of connections that are served or wait.
+    int connections() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// Reads a body of up to `most_bytes`. Throws Error(BodyTooLarge), and
+/// Error(BadRequest) where it ends early.
+std::string read_body(Poco::Net::HTTPServerRequest& request,
+                      std::uint64_t most_bytes);
+/// Sends `body` as the whole answer.
+void send_answer(Poco::Net::HTTPServerResponse& answer, int status,
+                 std::string_view content_type, std::string_view body);
+/// Sends JSON as the whole answer.
+void send_json(Poco::Net::HTTPServerResponse& answer, int status,
+               const Json::Value& body);
+
+} // namespace crosslink
--- /dev/null
+++ b/src/adapters/wire.cpp
@@ -0,0 +1,307 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "wire.h"
+
+#include <crosslink/base/error.h>
+
+#include <array>
+
+namespace crosslink::wire
+{
+
+namespace
+{
+
+struct KindName {
+    ListedKind kind;
+    std::string_view name;
+};
+
+constexpr std::array kind_names{
+    KindName{ListedKind::Entry, "entry"},
+    KindName{ListedKind::Engine, "engine"},
+    KindName{ListedKind::Store, "store"},
+    KindName{ListedKind::Plain, "plain"},
+};
+
+ListedKind
+kind_of(std::string_view name)
+{
+    for (const KindName& row : kind_names)
+        if (row.name == name)
+            return row.kind;
+    throw Error(ErrorCode::BadRequest, "not a kind of instance");
+}
+
+std::uint32_t
+small_number(const Json::Value& object, const char* name,
+             std::uint32_t fallback = 0)
+{
+    return static_cast<std::uint32_t>(json_number(object, name, fallback));
+}
+
+Json::Value
+resident_to_json(const ResidentModel& resident)
+{
+    Json::Value value;
+    value["model"] = resident.model;
+    value["version"] = resident.version;
+    value["adapters"] = Json::Value(Json::arrayValue);
+    for (const std::string& adapter : resident.adapters)
+        value["adapters"].append(adapter);
+    return value;
+}
+
+ResidentModel
+resident_from_json(const Json::Value& value)
+{
+    ResidentModel resident;
+    resident.model = json_string(value, "model");
+    resident.version = json_string(value, "version");
+    for (const Json::Value& adapter : value["adapters"])
+        resident.adapters.push_back(adapter.asString());
+    return resident;
+}
+
+} // namespace
+
+Json::Value
+digests_to_json(std::span<const Digest> digests)
+{
+    Json::Value value(Json::arrayValue);
+    for (const Digest& digest : digests)
+        value.append(digest.hex());
+    return value;
+}
+
+std::vector<Digest>
+digests_from_json(const Json::Value& value)
+{
+    std::vector<Digest> digests;
+    for (const Json::Value& item : value)
+        digests.push_back(Digest::from_hex(item.asString()));
+    return digests;
+}
+
+Json::Value
+handle_to_json(const BlockHandle& handle)
+{
+    Json::Value value;
+    value["slot"] = Json::UInt64(handle.slot);
+    value["generation"] = Json::UInt64(handle.generation);
+    value["incarnation"] = Json::UInt64(handle.incarnation);
+    return value;
+}
+
+BlockHandle
+handle_from_json(const Json::Value& value)
+{
+    return {json_number(value, "slot"), json_number(value, "generation"),
+            json_number(value, "incarnation")};
+}
+
+Json::Value
+block_to_json(const SealedBlock& block)
+{
+    Json::Value value = handle_to_json(block.handle);
+    value["key"] = block.key.hex();
+    value["content"] = block.content.hex();
+    value["bytes"] = Json::UInt64(block.bytes);
+    return value;
+}
+
+SealedBlock
+block_from_json(const Json::Value& value)
+{
+    SealedBlock block;
+    block.handle = handle_from_json(value);
+    block.key = Digest::from_hex(json_string(value, "key"));
+    block.content = Digest::from_hex(json_string(value, "content"));
+    block.bytes = json_number(value, "bytes");
+    return block;
+}
+
+Json::Value
+blocks_to_json(std::span<const SealedBlock> blocks)
+{
+    Json::Value value(Json::arrayValue);
+    for (const SealedBlock& block : blocks)
+        value.append(block_to_json(block));
+    return value;
+}
+
+std::vector<SealedBlock>
+blocks_from_json(const Json::Value& value)
+{
+    std::vector<SealedBlock> blocks;
+    for (const Json::Value& item : value)
+        blocks.push_back(block_from_json(item));
+    return blocks;
+}
+
+std::string_view
+kind_name(ListedKind kind)
+{
+    for (const KindName& row : kind_names)
+        if (row.kind == kind)
+            return row.name;
+    return "plain";
+}
+
+Json::Value
+instance_to_json(const ListedInstance& instance)
+{
+    Json::Value value;
+    value["id"] = instance.id;
+    value["kind"] = std::string(kind_name(instance.kind));
+    value["address"] = instance.address;
+    value["zone"] = instance.zone;
+    value["service"] = instance.service;
+    value["leaving"] = instance.leaving;
+    return value;
+}
+
+ListedInstance
+instance_from_json(const Json::Value& value)
+{
+    ListedInstance instance;
+    instance.id = json_string(value, "id");
+    instance.kind = kind_of(json_string(value, "kind"));
+    instance.address = json_string(value, "address");
+    instance.zone = json_string(value, "zone");
+    instance.service = json_string(value, "service");
+    instance.leaving = json_flag(value, "leaving");
+    return instance;
+}
+
+Json::Value
+load_to_json(const EngineLoad& load)
+{
+    Json::Value value;
+    value["engine_id"] = load.engine_id;
+    value["resident"] = Json::Value(Json::arrayValue);
+    for (const ResidentModel& resident : load.resident)
+        value["resident"].append(resident_to_json(resident));
+    value["running"] = load.running;
+    value["waiting"] = load.waiting;
+    value["waiting_tokens"] = Json::UInt64(load.waiting_tokens);
+    value["prefill_tokens_per_second"] = load.prefill_tokens_per_second;
+    value["import_bytes_per_second"] = load.import_bytes_per_second;
+    value["slots"] = load.slots;
+    value["leaving"] = load.leaving;
+    value["last_event"] = Json::UInt64(load.last_event);
+    return value;
+}
+
+EngineLoad
+load_from_json(const Json::Value& value)
+{
+    EngineLoad load;
+    load.engine_id = json_string(value, "engine_id");
+    for (const Json::Value& item : value["resident"])
+        load.resident.push_back(resident_from_json(item));
+    load.running = small_number(value, "running");
+    load.waiting = small_number(value, "waiting");
+    load.waiting_tokens = json_number(value, "waiting_tokens");
+    load.prefill_tokens_per_second =
+        json_real(value, "prefill_tokens_per_second");
+    load.import_bytes_per_second = json_real(value, "import_bytes_per_second");
+    load.slots = small_number(value, "slots", 1);
+    load.leaving = json_flag(value, "leaving");
+    load.last_event = json_number(value, "last_event");
+    return load;
+}
+
+Json::Value
+run_to_json(const EngineRun& run)
+{
+    Json::Value value;
+    value["run_id"] = run.run_id;
+    value["account"] = run.account;
+    value["model"] = run.model;
+    value["version"] = run.version;
+    value["adapter"] = run.adapter;
+    value["prompt"] = run.prompt;
+    value["max_tokens"] = run.max_tokens;
+    value["priority"] = run.priority;
+    value["block_keys"] = digests_to_json(run.block_keys);
+    value["continued_text"] = run.continued_text;
+    value["continued_tokens"] = run.continued_tokens;
+    return value;
+}
+
+EngineRun
+run_from_json(const Json::Value& value)
+{
+    EngineRun run;
+    run.run_id = json_string(value, "run_id");
+    run.account = json_string(value, "account");
+    run.model = json_string(value, "model");
+    run.version = json_string(value, "version");
+    run.adapter = json_string(value, "adapter");
+    run.prompt = json_string(value, "prompt");
+    run.max_tokens = small_number(value, "max_tokens", run.max_tokens);
+    run.priority = small_number(value, "priority", run.priority);
+    run.block_keys = digests_from_json(value["block_keys"]);
+    run.continued_text = json_string(value, "continued_text");
+    run.continued_tokens = small_number(value, "continued_tokens");
+    return run;
+}
+
+Json::Value
+frame_to_json(const EngineFrame& frame)
+{
+    Json::Value value;
+    value["run_id"] = frame.run_id;
+    value["index"] = frame.index;
+    value["text"] = frame.text;
+    value["version"] = frame.version;
+    if (!frame.last)
+        return value;
+    value["last"] = true;
+    value["prompt_tokens"] = frame.prompt_tokens;
+    value["cached_tokens"] = frame.cached_tokens;
+    return value;
+}
+
+EngineFrame
+frame_from_json(const Json::Value& value)
+{
+    EngineFrame frame;
+    frame.run_id = json_string(value, "run_id");
+    frame.index = small_number(value, "index");
+    frame.text = json_string(value, "text");
+    frame.version = json_string(value, "version");
+    frame.last = json_flag(value, "last");
+    frame.prompt_tokens = small_number(value, "prompt_tokens");
+    frame.cached_tokens = small_number(value, "cached_tokens");
+    return frame;
+}
+
+Json::Value
+events_to_json(std::span<const CacheEvent> events)
+{
+    Json::Value value(Json::arrayValue);
+    for (const CacheEvent& event : events) {
+        Json::Value item(Json::arrayValue);
+        item.append(Json::UInt64(event.sequence));
+        item.append(event.key.hex());
+        item.append(event.stored);
+        value.append(item);
+    }
+    return value;
+}
+
+std::vector<CacheEvent>
+events_from_json(const Json::Value& value)
+{
+    std::vector<CacheEvent> events;
+    for (const Json::Value& item : value)
+        events.push_back({item[0].asUInt64(),
+                          Digest::from_hex(item[1].asString()),
+                          item[2].asBool()});
+    return events;
+}
+
+} // namespace crosslink::wire
--- /dev/null
+++ b/src/cmake/dependencies.cmake
@@ -0,0 +1,15 @@
+# SPDX-License-Identifier: Apache-2.0
+# Every library is a Debian package; INSTALL.md lists them.
+find_package(Threads REQUIRED)
+find_package(Poco REQUIRED COMPONENTS Foundation Net)
+find_package(OpenSSL REQUIRED COMPONENTS Crypto)
+find_package(spdlog REQUIRED)
+find_package(CLI11 REQUIRED)
+find_package(Boost REQUIRED)
+find_path(JSONCPP_INCLUDE_DIR json/json.h PATH_SUFFIXES jsoncpp REQUIRED)
+find_library(JSONCPP_LIBRARY jsoncpp REQUIRED)
+find_library(JSONRPC_COMMON_LIBRARY jsonrpccpp-common REQUIRED)
+find_library(JSONRPC_CLIENT_LIBRARY jsonrpccpp-client REQUIRED)
+find_library(JSONRPC_SERVER_LIBRARY jsonrpccpp-server REQUIRED)
+find_package(Catch2 2 REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
--- /dev/null
+++ b/src/cmake/testing.cmake
@@ -0,0 +1,13 @@
+# SPDX-License-Identifier: Apache-2.0
+include(Catch)
+
+# One program of unit tests from the `name_test.cpp` files beside the sources;
+# each test case is a CTest case.
+function(crosslink_unit_tests target)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LIBRARIES" ${ARGN})
+    add_executable(${target} ${ARG_SOURCES}
+                   ${PROJECT_SOURCE_DIR}/src/libcrosslink/test_main.cpp)
+    target_link_libraries(${target} PRIVATE ${ARG_LIBRARIES} Catch2::Catch2
+                          ${RAPIDCHECK_LIBRARY})
+    catch_discover_tests(${target} TEST_PREFIX "unit." PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/src/include/crosslink/base/error.h
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/run_state.h>
+#include <crosslink/base/time.h>
+
+#include <optional>
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace crosslink
+{
+
+/// Every way in which crosslink fails. `docs/OPERATING.md` says for each one
+/// what it means and what to do.
+enum class ErrorCode {
+    BadJson,
+    BadRequest,
+    BodyTooLarge,
+    MissingKey,
+    UnknownKey,
+    UnknownModel,
+    UnknownPath,
+    RateLimited,
+    ConcurrencyLimited,
+    QueueFull,
+    DeadlineUnreachable,
+    NoUpstream,
+    UpstreamRefused,
+    UpstreamFailed,
+    UpstreamTimeout,
+    StreamBroken,
+    WrongWeights,
+    ClaimUnavailable,
+    ClaimInProgress,
+    ClaimOutcomeUnknown,
+    ClaimExpired,
+    UndatedKey,
+    NotReady,
+    PlatformUnavailable,
+    PlatformOutcomeUnknown,
+    PlatformThrottled,
+    RevisionConflict,
+    TemplateInvalid,
+    PeerUnavailable,
+    PeerRefused,
+    StoreUnavailable,
+    StoreFull,
+    BlockGone,
+    LeaseLost,
+    SettingsInvalid,
+    Internal,
+};
+
+/// The fixed properties of one error code.
+struct ErrorInfo {
+    ErrorCode code;
+    std::string_view name; ///< The name on the wire and in logs.
+    int http_status;       ///< The status a caller is answered with.
+};
+
+/// Returns the table of all error codes, in the order of the enumeration.
+std::span<const ErrorInfo> error_table();
+/// Returns the wire name of `code`.
+std::string_view error_name(ErrorCode code);
+/// Returns the HTTP status of `code`.
+int error_status(ErrorCode code);
+
+/// The one exception type of crosslink. It carries what a caller must know:
+/// which failure, whether the request ran, and when to come back.
+class Error : public std::runtime_error
+{
+public:
+    /// `detail` is for people and never holds a key or a prompt.
+    Error(ErrorCode code, const std::string& detail,
+          RunState run_state = RunState::NotDispatched,
+          std::optional<Micros> retry_after = std::nullopt);
+
+    ErrorCode code() const { return m_code; }
+    RunState run_state() const { return m_run_state; }
+    /// When a new try makes sense; empty when none does.
+    std::optional<Micros> retry_after() const { return m_retry_after; }
+    /// Returns this error with another run state.
+    Error with_run_state(RunState state) const;
+
+private:
+    ErrorCode m_code;
+    RunState m_run_state;
+    std::optional<Micros> m_retry_after;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/base/run_state.h
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <string_view>
+
+namespace crosslink
+{
+
+/// What is known of a request that did not end with a whole answer.
+/// Only the first two may be told to a caller as "not run".
+enum class RunState {
+    NotDispatched,    ///< No byte of it was sent to an upstream.
+    RefusedBeforeRun, ///< The upstream said that it did not run it.
+    MayHaveRun,       ///< Anything else: sent, and no whole answer seen.
+};
+
+/// Returns the name used on the wire: "not_dispatched",
+/// "refused_before_run" or "may_have_run".
+std::string_view run_state_name(RunState state);
+
+/// True for the two states in which the request did certainly not run.
+constexpr bool
+is_not_run(RunState state)
+{
+    return state != RunState::MayHaveRun;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/base/time.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace crosslink
+{
+
+/// The clock of the core. It has no now(): the time is always handed in by
+/// the layer round the core, so that a decision is a function of its inputs.
+struct CoreClock {
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<CoreClock>;
+    static constexpr bool is_steady = true;
+};
+
+/// A monotonic instant; only differences mean anything.
+using TimePoint = CoreClock::time_point;
+/// A span of time in microseconds.
+using Micros = std::chrono::microseconds;
+/// Wall-clock time in milliseconds since the Unix epoch. Used for the age of
+/// idempotency keys and for reports, never to order events.
+using UnixMillis = std::uint64_t;
+
+/// Returns `span` in seconds.
+inline double
+seconds(Micros span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+/// Returns `value` seconds as Micros.
+inline Micros
+from_seconds(double value)
+{
+    return Micros(static_cast<Micros::rep>(value * 1e6));
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/configuration/configuration_state.h
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/configuration/configuration.h>
+
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace crosslink
+{
+
+/// Holds the configuration in force in this process. It moves forward only:
+/// an older or equal revision is turned away whoever offers it.
+class ConfigurationState
+{
+public:
+    using Held = std::shared_ptr<const Configuration>;
+
+    /// Puts `candidate` in force when its revision is newer. Returns whether
+    /// it did.
+    bool offer(Held candidate);
+    /// Returns the configuration in force; null before the first.
+    Held current() const;
+    /// Returns the revision in force; 0 before the first.
+    std::uint64_t revision() const;
+
+private:
+    mutable std::mutex m_mutex;
+    Held m_current;
+};
+
+/// Who tells a starting instance about the newest configuration.
+struct StartEvidence {
+    bool platform_answered = false; ///< The platform told its head.
+    std::size_t zone_members = 0;   ///< Other members of the zone, as known.
+    std::size_t zone_answered = 0;  ///< Those that told their revision.
+    Micros waited{0};               ///< Time since the start.
+};
+
+/// Decides whether a starting instance may serve with the newest revision it
+/// has learned. The platform's own answer is enough. Without it every known
+/// member of the zone must have answered: an instance that starts in a cut
+/// must not serve a revision older than what its zone already serves.
+bool may_start_serving(const StartEvidence& evidence, std::uint64_t revision);
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/configuration/template_set.h
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/json.h>
+#include <crosslink/configuration/client_account.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+/// A mistake in a declaration, with the place an operator has to look at.
+struct TemplateMistake {
+    std::string file;  ///< File name, or part name for a stored set.
+    std::string field; ///< Path of the field, like "accounts[3].limits".
+    std::string what;  ///< What is wrong, and the range it must be in.
+};
+
+/// The operators' declarations as written: templates with parameters, and the
+/// client accounts made from them. It is what `template apply` stores.
+class TemplateSet
+{
+public:
+    /// Adds the declarations of one file; mistakes are collected, not thrown.
+    void add(const std::string& file, const Json::Value& document);
+
+    /// Returns every client account with its parameters filled in. Accounts
+    /// with mistakes are left out; see mistakes().
+    std::vector<ClientAccount> accounts();
+    /// Returns the mistakes found by add() and accounts() so far.
+    const std::vector<TemplateMistake>& mistakes() const { return m_mistakes; }
+
+    /// Returns the set cut into named parts, each below `max_part_bytes` for
+    /// the sizes that docs/CAPACITY.md plans for. A change of one account
+    /// changes one part.
+    std::map<std::string, std::string> parts() const;
+
+private:
+    struct Declared {
+        std::string file;
+        std::string place;
+        Json::Value body;
+    };
+
+    void mistake(const Declared& where, const std::string& field,
+                 const std::string& what);
+    void add_list(const std::string& file, const Json::Value& document,
+                  const char* list, std::map<std::string, Declared>& into);
+    bool expand(const Declared& declared, const std::string& name,
+                ClientAccount& account);
+
+    std::map<std::string, Declared> m_templates;
+    std::map<std::string, Declared> m_accounts;
+    std::vector<TemplateMistake> m_mistakes;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/kept/import_check.h
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/ports/engine.h>
+#include <crosslink/ports/store.h>
+
+#include <span>
+#include <vector>
+
+namespace crosslink
+{
+
+/// Returns whether an import may be used: the engine read every block, each
+/// has the bytes that were sealed, and after the read the store still had each
+/// one sealed in the same slot, generation and incarnation. Anything less and
+/// the import is discarded and the prompt recomputed.
+bool import_is_sound(std::span<const SealedBlock> asked,
+                     const ImportResult& read,
+                     const std::vector<bool>& still_sealed);
+
+/// Checks that a store's answer to a lookup is a prefix of what was asked.
+/// Throws through require(Invariant::BlockIdentity) where it is not.
+void check_lookup(std::span<const Digest> asked,
+                  std::span<const SealedBlock> found);
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/ports/engine.h
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/digest.h>
+#include <crosslink/base/time.h>
+#include <crosslink/ports/store.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// A run as it is handed to a model engine.
+struct EngineRun {
+    std::string run_id; ///< Unique for each attempt.
+    std::string account;
+    std::string model;
+    std::string version; ///< Weight version the run must use.
+    std::string adapter; ///< Empty for none.
+    std::string prompt;
+    std::uint32_t max_tokens = 16;
+    std::uint32_t priority = 5;
+    std::vector<Digest> block_keys;     ///< Keys of the prompt's blocks.
+    std::string continued_text;         ///< Output the caller already has.
+    std::uint32_t continued_tokens = 0; ///< Number of tokens of it.
+};
+
+/// One frame of a run's answer.
+struct EngineFrame {
+    std::string run_id;
+    std::uint32_t index = 0; ///< Place of the token in the whole answer.
+    std::string text;
+    std::string version;             ///< Weight version that made the token.
+    bool last = false;               ///< The answer is whole with this frame.
+    std::uint32_t prompt_tokens = 0; ///< On the last frame.
+    std::uint32_t cached_tokens = 0; ///< Prompt tokens that were not computed.
+};
+
+/// What the receiver of a frame wants next.
+enum class FrameVerdict { Continue, Stop };
+
+/// Receives the frames of one run, in the order in which they arrive.
+using FrameSink = std::function<FrameVerdict(const EngineFrame& frame)>;
+
+/// A model with version and adapter that an engine has in memory.
+struct ResidentModel {
+    std::string model;
+    std::string version;
+    std::vector<std::string> adapters;
+};
+
+/// An engine's report of its load. It lags.
+struct EngineLoad {
+    std::string engine_id;
+    std::vector<ResidentModel> resident;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint64_t waiting_tokens = 0; ///< Prompt tokens not computed yet.
+    double prefill_tokens_per_second = 0;
+    double import_bytes_per_second = 0;
+    std::uint32_t slots = 1;      ///< Runs that decode at the same time.
+    bool leaving = false;         ///< The engine's own word that it leaves.
+    std::uint64_t last_event = 0; ///< Sequence number of its newest event.
+};
+
+/// One change of an engine's prefix cache. Events come late and with gaps.
+struct CacheEvent {
+    std::uint64_t sequence = 0; ///< Grows by one; a jump is a gap.
+    Digest key;
+    bool stored = false; ///< False: dropped from memory.
+};
+
+/// Result of an import: what the engine read and holds aside, not in use yet.
+struct ImportResult {
+    std::string staged_id;
+    std::vector<Digest> contents; ///< SHA-256 of each block as read.
+};
+
+/// Asks a store for blocks on behalf of an engine.
+struct ImportOrder {
+    std::string account;
+    std::string model;
+    std::string version;
+    std::string adapter;
+    std::string store_address;
+    std::vector<SealedBlock> blocks;
+};
+
+/// A block that an engine is to write into a store.
+struct ExportBlock {
+    Digest key;
+    BlockHandle handle;
+};
+
+/// An order that changes what an engine is or holds, under a fencing token.
+struct EngineOrder {
+    std::string action; ///< "load", "unload" or "role".
+    std::string model;
+    std::string version;
+    std::string adapter;
+    std::uint64_t fencing_token = 0;
+};
+
+/// One model engine. Calls block. They throw Error whose run_state() says
+/// what is known of the run.
+class Engine
+{
+public:
+    virtual ~Engine() = default;
+
+    /// Runs and feeds `sink` until the last frame or until it says Stop.
+    /// Throws where the answer ended before its last frame.
+    virtual void run(const EngineRun& run, std::string_view staged_id,
+                     const FrameSink& sink) = 0;
+    /// Takes up a broken stream again, from token `from` on.
+    virtual void resume(std::string_view run_id, std::uint32_t from,
+                        const FrameSink& sink) = 0;
+    /// Ends a run. Without effect where it is not known.
+    virtual void cancel(std::string_view run_id) = 0;
+    /// Reads blocks from a store and holds them aside.
+    virtual ImportResult import(const ImportOrder& order) = 0;
+    /// Drops blocks that were imported and are not to be used.
+    virtual void discard(std::string_view staged_id) = 0;
+    /// Writes blocks of its prefix cache into a store. Returns the SHA-256 of
+    /// each as written; shorter where a block was gone.
+    virtual std::vector<Digest>
+    export_blocks(std::string_view store_address,
+                  std::span<const ExportBlock> blocks) = 0;
+    /// Returns the latest load report.
+    virtual EngineLoad load() = 0;
+    /// Returns the cache events after `sequence`.
+    virtual std::vector<CacheEvent> events_after(std::uint64_t sequence) = 0;
+    /// Returns the keys in its prefix cache, after a gap in the events.
+    virtual std::vector<Digest> cached_keys() = 0;
+    /// Gives an order. Throws Error(LeaseLost) where the token is too old.
+    virtual void order(const EngineOrder& order) = 0;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/ports/peer.h
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/claim/claim.h>
+#include <crosslink/configuration/configuration_head.h>
+#include <crosslink/membership/gossip.h>
+#include <crosslink/ports/plain_service.h>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// What a peer knows of a claimed call that it holds.
+struct HeldAnswer {
+    enum class State { Unknown, Running, Finished };
+    State state = State::Unknown;
+    PlainAnswer answer; ///< Where finished.
+};
+
+/// Another entry instance. Calls throw Error(PeerUnavailable).
+class Peer
+{
+public:
+    virtual ~Peer() = default;
+
+    /// Exchanges membership news and revisions.
+    virtual GossipMessage gossip(const GossipMessage& message) = 0;
+    /// Asks the peer to commit claims of a slice that it is preferred for.
+    virtual std::vector<ClaimVerdict>
+    commit_claims(std::uint32_t slice, std::span<const Claim> claims) = 0;
+    /// Asks for the kept answer of a claimed call.
+    virtual HeldAnswer answer_of(const Digest& key) = 0;
+    /// Returns the peer's head of the configuration; nothing before its first.
+    virtual std::optional<ConfigurationHead> configuration_head() = 0;
+    /// Returns one part of the configuration; nothing where it has it not.
+    virtual std::optional<std::string>
+    configuration_part(const Digest& digest) = 0;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/ports/plain_service.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// A header that is passed through.
+struct HeaderField {
+    std::string name;
+    std::string value;
+};
+
+/// A call to a plain service, as the caller made it.
+struct PlainCall {
+    std::string method;
+    std::string path; ///< With its query.
+    std::vector<HeaderField> headers;
+    std::string body;
+};
+
+/// The whole answer of a plain service.
+struct PlainAnswer {
+    int status = 0;
+    std::string content_type;
+    std::string body;
+};
+
+/// One instance of a plain service. Throws Error whose run_state() says what
+/// is known of the call.
+class PlainService
+{
+public:
+    virtual ~PlainService() = default;
+    /// Makes the call once; never repeats it by itself.
+    virtual PlainAnswer call(const PlainCall& call) = 0;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/route/router.h
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/digest.h>
+#include <crosslink/base/time.h>
+#include <crosslink/ports/store.h>
+#include <crosslink/route/engine_table.h>
+#include <crosslink/route/link_table.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace crosslink
+{
+
+/// How an engine is chosen. The simple ones are the baselines of the
+/// measurements; the terms of Priced can be left out one by one.
+enum class RoutePolicy {
+    RoundRobin,     ///< One after the other.
+    LeastLoad,      ///< The least reported and own load.
+    PrefixAffinity, ///< Rendezvous hashing of the prompt's first block.
+    Priced,         ///< The least expected time to first token.
+};
+
+/// The terms of the price, for ablation. All on is what ships.
+struct RouteTerms {
+    bool queue = true;     ///< Count reported waiting work.
+    bool own_sent = true;  ///< Count what was sent since the report.
+    bool cache = true;     ///< Count what the engine's prefix cache saves.
+    bool fetch = true;     ///< Consider fetching kept blocks.
+    bool near_ties = true; ///< Choose among near ties by two random picks.
+};
+
+/// What the choice depends on, for one request.
+struct RouteRequest {
+    std::string_view model;
+    std::string_view version;
+    std::string_view adapter;
+    std::span<const Digest> keys; ///< Whole blocks of the prompt.
+    std::uint64_t prompt_tokens = 0;
+    std::string_view zone;             ///< Availability zone of the instance.
+    std::string_view store;            ///< Store that has kept blocks.
+    std::span<const SealedBlock> kept; ///< Prefix that it has sealed.
+    const std::set<std::string>* avoid = nullptr; ///< Engines tried already.
+    std::uint64_t random = 0;                     ///< Random bits.
+};
+
+/// Where a request runs and what it takes back.
+struct RouteChoice {
+    std::string engine;            ///< Address.
+    std::size_t cached_blocks = 0; ///< Believed in the engine's own cache.
+    std::size_t fetch_to = 0; ///< Blocks cached_blocks..fetch_to are fetched.
+    Micros expected{0};       ///< Expected time to first token.
+    std::uint64_t compute_tokens = 0; ///< Tokens that must be computed.
+};
+
+/// Chooses the engine for a request.
+class Router
+{
+public:
+    Router(RoutePolicy policy, RouteTerms terms);
+
+    /// Returns the choice at `now`, or nothing where no engine takes it.
+    std::optional<RouteChoice> choose(const EngineTable& engines,
+                                      const LinkTable& links,
+                                      const RouteRequest& request,
+                                      TimePoint now);
+
+private:
+    RouteChoice price(const EngineEntry& engine, const LinkTable& links,
+                      const RouteRequest& request) const;
+    Micros queue_time(const EngineEntry& engine) const;
+
+    const RoutePolicy m_policy;
+    const RouteTerms m_terms;
+    std::uint64_t m_turn = 0;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/claim/answer_keeper.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/claim/answer_keeper.h>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// What one kept answer costs beside its body.
+constexpr std::uint64_t overhead = 256;
+
+std::uint64_t
+cost_of(const HeldAnswer& held)
+{
+    return held.answer.body.size() + overhead;
+}
+
+} // namespace
+
+AnswerKeeper::AnswerKeeper(std::uint64_t most_bytes) : m_most_bytes(most_bytes)
+{
+}
+
+void
+AnswerKeeper::begin(const Digest& key)
+{
+    m_answers[key].state = HeldAnswer::State::Running;
+}
+
+void
+AnswerKeeper::finish(const Digest& key, PlainAnswer answer)
+{
+    HeldAnswer& held = m_answers[key];
+    held.state = HeldAnswer::State::Finished;
+    held.answer = std::move(answer);
+    m_bytes += cost_of(held);
+    m_order.push_back(key);
+    while (m_bytes > m_most_bytes && !m_order.empty())
+        drop_oldest();
+}
+
+void
+AnswerKeeper::drop_oldest()
+{
+    const auto found = m_answers.find(m_order.front());
+    m_order.pop_front();
+    if (found == m_answers.end())
+        return;
+    m_bytes -= cost_of(found->second);
+    m_answers.erase(found);
+}
+
+void
+AnswerKeeper::forget(const Digest& key)
+{
+    const auto found = m_answers.find(key);
+    if (found == m_answers.end() ||
+        found->second.state == HeldAnswer::State::Finished)
+        return;
+    m_answers.erase(found);
+}
+
+HeldAnswer
+AnswerKeeper::find(const Digest& key) const
+{
+    const auto found = m_answers.find(key);
+    return found == m_answers.end() ? HeldAnswer{} : found->second;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/claim/claim_committer.cpp
@@ -0,0 +1,170 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/base/error.h>
+#include <crosslink/claim/claim_committer.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Lost races and lost answers that one commit rides out before it gives up.
+constexpr int max_rounds = 8;
+constexpr Micros come_back = std::chrono::seconds(1);
+
+} // namespace
+
+ClaimCommitter::ClaimCommitter(Platform& platform, UnixMillis age_limit)
+    : m_platform(platform), m_age_limit(age_limit)
+{
+}
+
+std::size_t
+ClaimCommitter::held() const
+{
+    std::size_t count = 0;
+    for (const View& view : m_views)
+        count += view ? view->size() : 0;
+    return count;
+}
+
+void
+ClaimCommitter::reload(std::uint32_t slice)
+{
+    View& view = m_views.at(slice);
+    const auto record = m_platform.read(claim_head_key(slice));
+    if (!record) {
+        view = ClaimSlice();
+        return;
+    }
+    ClaimHead head = ClaimHead::from_json(record->value);
+    ClaimSegments segments;
+    for (const ClaimSegment& segment : head.segments) {
+        if (view && view->segments().contains(segment.name)) {
+            segments[segment.name] = view->segments().at(segment.name);
+            continue;
+        }
+        const auto text =
+            m_platform.read(claim_segment_key(slice, segment.name));
+        if (!text)
+            // A later head no longer names it; the next round reads that one.
+            throw Error(ErrorCode::PlatformOutcomeUnknown,
+                        "a segment of claims went away while reading");
+        segments[segment.name] = claims_from_json(text->value);
+    }
+    view = ClaimSlice(record->version, std::move(head), std::move(segments));
+}
+
+bool
+ClaimCommitter::settled(const ClaimSlice& view,
+                        std::span<const Claim> batch) const
+{
+    return std::none_of(
+        batch.begin(), batch.end(),
+        [&view](const Claim& claim) { return view.would_take(claim); });
+}
+
+bool
+ClaimCommitter::swap(std::uint32_t slice, const ClaimSlice::Proposal& proposal)
+{
+    const ClaimSlice before = *m_views.at(slice);
+    if (!proposal.moved.empty()) {
+        ++m_writes;
+        m_platform.write_if(claim_segment_key(slice, proposal.moved_name),
+                            claims_to_json(proposal.moved), 0);
+    }
+    ++m_writes;
+    const SwapOutcome outcome = m_platform.write_if(
+        claim_head_key(slice), proposal.head.to_json(), before.version());
+    if (!outcome.applied) {
+        remove_orphan(slice, proposal, before.version());
+        return false;
+    }
+    m_views.at(slice) = before.after(proposal, outcome.version);
+    remove_dropped(slice, before, *m_views.at(slice));
+    return true;
+}
+
+void
+ClaimCommitter::remove_dropped(std::uint32_t slice, const ClaimSlice& before,
+                               const ClaimSlice& after)
+{
+    for (const auto& [name, claims] : before.segments())
+        if (!after.segments().contains(name))
+            remove_segment(slice, name);
+}
+
+void
+ClaimCommitter::remove_orphan(std::uint32_t slice,
+                              const ClaimSlice::Proposal& proposal,
+                              std::uint64_t expected)
+{
+    if (proposal.moved.empty())
+        return;
+    const auto record = m_platform.read(claim_head_key(slice));
+    if (!record || record->version <= expected)
+        return;
+    const ClaimHead head = ClaimHead::from_json(record->value);
+    const bool named =
+        std::any_of(head.segments.begin(), head.segments.end(),
+                    [&proposal](const ClaimSegment& segment) {
+                        return segment.name == proposal.moved_name;
+                    });
+    if (!named)
+        remove_segment(slice, proposal.moved_name);
+}
+
+void
+ClaimCommitter::remove_segment(std::uint32_t slice, const Digest& name)
+{
+    try {
+        m_platform.remove_if(claim_segment_key(slice, name), 1);
+    } catch (const Error&) {
+        // Left behind it costs room and nothing else.
+        return;
+    }
+}
+
+std::vector<ClaimVerdict>
+ClaimCommitter::commit(std::uint32_t slice, std::span<const Claim> batch,
+                       std::span<const std::string> releases, UnixMillis now)
+{
+    bool wrote = releases.empty();
+    for (int round = 0; round < max_rounds; ++round) {
+        try {
+            View& view = m_views.at(slice);
+            if (!view)
+                reload(slice);
+            const auto proposal =
+                view->propose(batch, releases, now, m_age_limit);
+            if (proposal.changed && !(wrote && settled(*view, batch)))
+                wrote = swap(slice, proposal) || wrote;
+            if (wrote && settled(*view, batch)) {
+                std::vector<ClaimVerdict> verdicts;
+                for (const Claim& claim : batch)
+                    verdicts.push_back(view->verdict(claim));
+                return verdicts;
+            }
+            reload(slice);
+        } catch (const Error& failure) {
+            // Known or not, what is in place is read afresh before the next
+            // decision: the view is worth nothing now.
+            m_views.at(slice).reset();
+            if (failure.code() == ErrorCode::PlatformOutcomeUnknown)
+                continue;
+            throw Error(ErrorCode::ClaimUnavailable,
+                        std::string("claims can't be committed: ") +
+                            failure.what(),
+                        RunState::NotDispatched, come_back);
+        }
+    }
+    throw Error(ErrorCode::ClaimUnavailable,
+                "claims can't be committed: too many lost races",
+                RunState::NotDispatched, come_back);
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/configuration/account_reader.cpp
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "account_reader.h"
+
+#include <crosslink/base/error.h>
+
+#include <limits>
+
+namespace crosslink::pvt
+{
+
+namespace
+{
+
+constexpr double max_rate = 1e5;
+constexpr double max_token_rate = 1e9;
+constexpr std::uint32_t max_concurrent = 100'000;
+constexpr std::uint32_t max_priority = 9;
+constexpr std::uint32_t all_callers = 100;
+constexpr std::uint64_t max_objective_ms = 3'600'000;
+
+void
+read_model(FieldReader& reader, ModelGrant& grant)
+{
+    reader.text("model", grant.model, true);
+    reader.text("version", grant.version, true);
+    reader.texts("adapters", grant.adapters);
+}
+
+void
+read_service(FieldReader& reader, PlainServiceGrant& grant)
+{
+    reader.text("service", grant.service, true);
+    reader.text("path_prefix", grant.path_prefix, true);
+    if (!grant.path_prefix.starts_with('/'))
+        reader.wrong("path_prefix", "must begin with '/'");
+    if (grant.path_prefix.starts_with("/v1/"))
+        reader.wrong("path_prefix", "must not cover crosslink's own /v1/");
+    reader.objects("not_repeatable", [&grant](FieldReader& item) {
+        NotRepeatable& call = grant.not_repeatable.emplace_back();
+        item.text("method", call.method, true);
+        item.text("path_prefix", call.path_prefix, true);
+    });
+}
+
+void
+read_split(FieldReader& reader, TrafficSplit& split)
+{
+    reader.text("call_class", split.call_class, true);
+    reader.text("old_service", split.old_service, true);
+    reader.whole("new_share", split.new_share, 0, all_callers);
+}
+
+void
+read_limits(FieldReader& reader, AccountLimits& limits)
+{
+    reader.real("requests_per_second", limits.requests_per_second, 0.01,
+                max_rate);
+    reader.real("tokens_per_second", limits.tokens_per_second, 1,
+                max_token_rate);
+    reader.whole("concurrent", limits.concurrent, 1, max_concurrent);
+    reader.whole("kept_bytes", limits.kept_bytes, 0,
+                 std::numeric_limits<std::uint64_t>::max());
+}
+
+void
+read_milliseconds(FieldReader& reader, const char* name, Micros& value)
+{
+    std::uint64_t millis = static_cast<std::uint64_t>(value.count()) / 1000;
+    reader.whole(name, millis, 1, max_objective_ms);
+    value = std::chrono::milliseconds(millis);
+}
+
+void
+read_objectives(FieldReader& reader, Objectives& objectives)
+{
+    read_milliseconds(reader, "first_token_ms", objectives.first_token);
+    read_milliseconds(reader, "between_tokens_ms", objectives.between_tokens);
+    reader.real("target_share", objectives.target_share, 0, 1);
+    reader.real("answered_share", objectives.answered_share, 0, 1);
+}
+
+void
+read_undated_keys(FieldReader& reader, UndatedKeys& value)
+{
+    std::string text;
+    reader.text("undated_keys", text);
+    if (text == "remember")
+        value = UndatedKeys::Remember;
+    else if (!text.empty() && text != "refuse")
+        reader.wrong("undated_keys", "must be \"refuse\" or \"remember\"");
+}
+
+} // namespace
+
+void
+read_account_body(FieldReader& reader, ClientAccount& account)
+{
+    reader.objects("models", [&account](FieldReader& item) {
+        read_model(item, account.models.emplace_back());
+    });
+    reader.objects("plain_services", [&account](FieldReader& item) {
+        read_service(item, account.plain_services.emplace_back());
+    });
+    reader.objects("splits", [&account](FieldReader& item) {
+        read_split(item, account.splits.emplace_back());
+    });
+    reader.whole("priority", account.priority, 0, max_priority);
+    reader.real("weight", account.weight, 0.01, 1000);
+    reader.object("limits", [&account](FieldReader& item) {
+        read_limits(item, account.limits);
+    });
+    reader.object("objectives", [&account](FieldReader& item) {
+        read_objectives(item, account.objectives);
+    });
+    read_undated_keys(reader, account.undated_keys);
+}
+
+void
+read_key_hashes(FieldReader& reader, ClientAccount& account)
+{
+    std::vector<std::string> hashes;
+    reader.texts("key_hashes", hashes);
+    for (const std::string& hash : hashes) {
+        try {
+            account.key_hashes.push_back(Digest::from_hex(hash));
+        } catch (const Error&) {
+            reader.wrong("key_hashes",
+                         "must hold SHA-256 hashes of 64 hexadecimal digits");
+        }
+    }
+}
+
+} // namespace crosslink::pvt
--- /dev/null
+++ b/src/libcrosslink/configuration/account_reader.h
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "field_reader.h"
+
+#include <crosslink/configuration/client_account.h>
+
+namespace crosslink::pvt
+{
+
+/// Reads the body of a client account (a template with its parameters filled
+/// in). Mistakes go to the reader's report.
+void read_account_body(FieldReader& reader, ClientAccount& account);
+
+/// Reads `key_hashes`: 64 hexadecimal digits each, SHA-256 of an API key.
+void read_key_hashes(FieldReader& reader, ClientAccount& account);
+
+} // namespace crosslink::pvt
--- /dev/null
+++ b/src/libcrosslink/configuration/field_reader.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/json.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace crosslink::pvt
+{
+
+/// Reads the fields of one JSON object and reports every mistake with its
+/// place. Fields that nobody asked for are mistakes as well.
+class FieldReader
+{
+public:
+    using Report =
+        std::function<void(const std::string& field, const std::string& what)>;
+
+    /// `object` must outlive the reader; `place` is the path of the object.
+    FieldReader(const Json::Value& object, std::string place, Report report);
+
+    /// Each of these leaves `value` as it is where the field is absent.
+    void text(const char* name, std::string& value, bool required = false);
+    void texts(const char* name, std::vector<std::string>& value);
+    void real(const char* name, double& value, double low, double high);
+    void whole(const char* name, std::uint64_t& value, std::uint64_t low,
+               std::uint64_t high);
+    void whole(const char* name, std::uint32_t& value, std::uint32_t low,
+               std::uint32_t high);
+    /// Calls `item` for each object of the list `name`.
+    void objects(const char* name,
+                 const std::function<void(FieldReader& reader)>& item);
+    /// Calls `item` for the object `name`, where there is one.
+    void object(const char* name,
+                const std::function<void(FieldReader& reader)>& item);
+    /// Returns the field without a check, and counts it as asked for.
+    const Json::Value& any(const char* name);
+    /// Reports a mistake in field `name`.
+    void wrong(const std::string& name, const std::string& what) const;
+    /// Reports the fields that nobody asked for.
+    void finish() const;
+
+private:
+    std::string place_of(const std::string& name) const;
+
+    const Json::Value& m_object;
+    const std::string m_place;
+    const Report m_report;
+    std::vector<std::string> m_asked;
+};
+
+} // namespace crosslink::pvt
--- /dev/null
+++ b/src/libcrosslink/membership/member_table.cpp
@@ -0,0 +1,268 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/membership/member_table.h>
+
+#include <algorithm>
+#include <bit>
+
+namespace crosslink
+{
+
+namespace
+{
+
+bool
+may_be_spoken_to(const Member& member)
+{
+    return member.state == MemberState::Alive ||
+           member.state == MemberState::Suspect;
+}
+
+/// How grave a state is. Leaving outranks a suspicion, since it is the
+/// member's own word, and only death outranks both.
+int
+gravity(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return 0;
+    case MemberState::Suspect:
+        return 1;
+    case MemberState::Leaving:
+        return 2;
+    case MemberState::Dead:
+        break;
+    }
+    return 3;
+}
+
+} // namespace
+
+bool
+overrides(const Member& news, const Member& known)
+{
+    if (news.incarnation != known.incarnation)
+        return news.incarnation > known.incarnation;
+    if (news.state != known.state)
+        return gravity(news.state) > gravity(known.state);
+    return news.revision > known.revision;
+}
+
+MemberTable::MemberTable(Member self, MembershipRules rules)
+    : m_self(std::move(self)), m_rules(rules)
+{
+}
+
+std::uint32_t
+MemberTable::tellings_now() const
+{
+    const auto size = std::max<std::size_t>(m_members.size() + 1, 2);
+    return m_rules.retransmit_factor *
+           static_cast<std::uint32_t>(std::bit_width(size));
+}
+
+void
+MemberTable::set_revision(std::uint64_t revision)
+{
+    if (revision <= m_self.revision)
+        return;
+    m_self.revision = revision;
+}
+
+void
+MemberTable::leave()
+{
+    m_self.state = MemberState::Leaving;
+    ++m_self.incarnation;
+}
+
+void
+MemberTable::add_seed(std::string_view address)
+{
+    if (address == m_self.address)
+        return;
+    if (std::find(m_seeds.begin(), m_seeds.end(), address) == m_seeds.end())
+        m_seeds.emplace_back(address);
+}
+
+std::optional<std::string>
+MemberTable::ping_target(std::uint64_t random) const
+{
+    std::vector<std::string> targets;
+    std::vector<std::string> unknown = m_seeds;
+    for (const auto& [id, entry] : m_members) {
+        std::erase(unknown, entry.member.address);
+        if (may_be_spoken_to(entry.member))
+            targets.push_back(entry.member.address);
+    }
+    targets.insert(targets.end(), unknown.begin(), unknown.end());
+    if (targets.empty())
+        return std::nullopt;
+    return targets[random % targets.size()];
+}
+
+GossipMessage
+MemberTable::message_to(std::string_view address)
+{
+    GossipMessage result;
+    result.sender = m_self;
+    std::vector<Entry*> fresh;
+    for (auto& [id, entry] : m_members)
+        if (entry.tellings > 0)
+            fresh.push_back(&entry);
+    // The least told goes first, so that no news starves another.
+    std::stable_sort(fresh.begin(), fresh.end(),
+                     [](const Entry* one, const Entry* other) {
+                         return one->tellings > other->tellings;
+                     });
+    if (fresh.size() > m_rules.news_per_message)
+        fresh.resize(m_rules.news_per_message);
+    for (Entry* entry : fresh) {
+        --entry->tellings;
+        result.news.push_back(entry->member);
+    }
+    for (const auto& [id, entry] : m_members)
+        if (entry.member.address == address &&
+            entry.member.state == MemberState::Suspect)
+            result.news.push_back(entry.member);
+    return result;
+}
+
+void
+MemberTable::receive(const GossipMessage& message, TimePoint now)
+{
+    bury_predecessors(message.sender, now);
+    take(message.sender, now);
+    for (const Member& told : message.news)
+        take(told, now);
+}
+
+void
+MemberTable::bury_predecessors(const Member& sender, TimePoint now)
+{
+    // One address serves one process: whoever had it before is gone.
+    for (auto& [id, entry] : m_members) {
+        const bool same = entry.member.address == sender.address;
+        if (!same || id == sender.id || entry.member.state == MemberState::Dead)
+            continue;
+        entry.member.state = MemberState::Dead;
+        entry.since = now;
+        entry.tellings = tellings_now();
+    }
+}
+
+void
+MemberTable::refute(const Member& told)
+{
+    if (told.incarnation < m_self.incarnation)
+        return;
+    const bool agrees = told.state == m_self.state;
+    if (agrees && told.incarnation == m_self.incarnation)
+        return;
+    m_self.incarnation = told.incarnation + 1;
+}
+
+void
+MemberTable::take(const Member& told, TimePoint now)
+{
+    if (told.id == m_self.id) {
+        refute(told);
+        return;
+    }
+    const auto found = m_members.find(told.id);
+    if (found == m_members.end()) {
+        if (told.state != MemberState::Dead)
+            m_members.emplace(told.id, Entry{told, now, tellings_now()});
+        return;
+    }
+    Entry& entry = found->second;
+    if (!overrides(told, entry.member))
+        return;
+    const std::uint64_t revision =
+        std::max(told.revision, entry.member.revision);
+    if (entry.member.state != told.state)
+        entry.since = now;
+    entry.member = told;
+    entry.member.revision = revision;
+    entry.tellings = tellings_now();
+}
+
+void
+MemberTable::ping_failed(std::string_view address, TimePoint now)
+{
+    for (auto& [id, entry] : m_members) {
+        if (entry.member.address != address)
+            continue;
+        if (entry.member.state != MemberState::Alive)
+            continue;
+        entry.member.state = MemberState::Suspect;
+        entry.since = now;
+        entry.tellings = tellings_now();
+    }
+}
+
+void
+MemberTable::tick(TimePoint now)
+{
+    for (auto& [id, entry] : m_members) {
+        const bool expired = now - entry.since >= m_rules.suspect_time;
+        const bool doubtful = entry.member.state == MemberState::Suspect ||
+                              entry.member.state == MemberState::Leaving;
+        if (!doubtful || !expired)
+            continue;
+        // A leaving member still finishes its answers, but is asked nothing;
+        // after this time it counts as gone.
+        entry.member.state = MemberState::Dead;
+        entry.since = now;
+        entry.tellings = tellings_now();
+    }
+    std::erase_if(m_members, [&](const auto& item) {
+        const Entry& entry = item.second;
+        return entry.member.state == MemberState::Dead &&
+               now - entry.since >= m_rules.dead_memory;
+    });
+}
+
+std::vector<Member>
+MemberTable::live() const
+{
+    std::vector<Member> result{m_self};
+    for (const auto& [id, entry] : m_members)
+        if (may_be_spoken_to(entry.member))
+            result.push_back(entry.member);
+    return result;
+}
+
+std::vector<Member>
+MemberTable::all() const
+{
+    std::vector<Member> result{m_self};
+    for (const auto& [id, entry] : m_members)
+        result.push_back(entry.member);
+    return result;
+}
+
+std::vector<Member>
+MemberTable::live_in(std::string_view zone) const
+{
+    std::vector<Member> result = live();
+    std::erase_if(result,
+                  [zone](const Member& member) { return member.zone != zone; });
+    return result;
+}
+
+std::optional<Member>
+MemberTable::newest_revision() const
+{
+    std::optional<Member> newest;
+    for (const auto& [id, entry] : m_members) {
+        if (!may_be_spoken_to(entry.member))
+            continue;
+        if (!newest || entry.member.revision > newest->revision)
+            newest = entry.member;
+    }
+    return newest;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/relay/relay.cpp
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/base/invariants.h>
+#include <crosslink/relay/relay.h>
+
+namespace crosslink
+{
+
+Relay::Relay(std::string version) : m_version(std::move(version))
+{
+}
+
+void
+Relay::begin_attempt(std::string_view run_id)
+{
+    require(Invariant::AnswerMatchesRequest, !m_finished);
+    m_run_id = run_id;
+}
+
+RelayStep
+Relay::take(const EngineFrame& frame)
+{
+    if (m_finished || frame.run_id != m_run_id)
+        return RelayStep::Drop;
+    if (frame.index < m_next_index)
+        return RelayStep::Drop;
+    if (frame.index > m_next_index)
+        return RelayStep::Gap;
+    if (frame.version != m_version)
+        return RelayStep::WrongWeights;
+    ++m_next_index;
+    m_text += frame.text;
+    if (!frame.last)
+        return RelayStep::Forward;
+    m_finished = true;
+    m_prompt_tokens = frame.prompt_tokens;
+    m_cached_tokens = frame.cached_tokens;
+    return RelayStep::Finish;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/route/cache_index.cpp
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/route/cache_index.h>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Keys remembered for one engine; each takes about 130 bytes.
+constexpr std::size_t max_keys = 20'000;
+
+} // namespace
+
+void
+CacheIndex::add(const Digest& key)
+{
+    if (m_places.contains(key))
+        return;
+    m_order.push_back(key);
+    m_places.emplace(key, std::prev(m_order.end()));
+    if (m_places.size() <= max_keys)
+        return;
+    m_places.erase(m_order.front());
+    m_order.pop_front();
+}
+
+void
+CacheIndex::remove(const Digest& key)
+{
+    const auto found = m_places.find(key);
+    if (found == m_places.end())
+        return;
+    m_order.erase(found->second);
+    m_places.erase(found);
+}
+
+bool
+CacheIndex::apply(std::span<const CacheEvent> events)
+{
+    for (const CacheEvent& event : events) {
+        if (event.sequence <= m_sequence)
+            continue;
+        if (event.sequence != m_sequence + 1)
+            return false;
+        m_sequence = event.sequence;
+        if (event.stored)
+            add(event.key);
+        else
+            remove(event.key);
+    }
+    return true;
+}
+
+void
+CacheIndex::resync(std::span<const Digest> keys, std::uint64_t sequence)
+{
+    clear();
+    m_sequence = sequence;
+    expect(keys);
+}
+
+void
+CacheIndex::expect(std::span<const Digest> keys)
+{
+    for (const Digest& key : keys)
+        add(key);
+}
+
+std::size_t
+CacheIndex::prefix(std::span<const Digest> keys) const
+{
+    std::size_t count = 0;
+    while (count < keys.size() && m_places.contains(keys[count]))
+        ++count;
+    return count;
+}
+
+void
+CacheIndex::clear()
+{
+    m_sequence = 0;
+    m_order.clear();
+    m_places.clear();
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/route/engine_table.cpp
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/route/engine_table.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr Micros leaving_mark = std::chrono::seconds(30);
+constexpr Micros first_ejection = std::chrono::milliseconds(500);
+constexpr std::uint32_t most_doublings = 5;
+
+bool
+holds(const ResidentModel& resident, std::string_view model,
+      std::string_view version, std::string_view adapter)
+{
+    if (resident.model != model || resident.version != version)
+        return false;
+    return adapter.empty() ||
+           std::find(resident.adapters.begin(), resident.adapters.end(),
+                     adapter) != resident.adapters.end();
+}
+
+} // namespace
+
+bool
+EngineEntry::takes_work(TimePoint now) const
+{
+    return reported && !load.leaving && now >= leaving_until &&
+           now >= ejected_until;
+}
+
+std::uint64_t
+EngineEntry::own_waiting_tokens() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [run_id, tokens] : own_tokens)
+        sum += tokens;
+    return sum;
+}
+
+bool
+EngineEntry::has(std::string_view model, std::string_view version,
+                 std::string_view adapter) const
+{
+    return std::any_of(load.resident.begin(), load.resident.end(),
+                       [&](const ResidentModel& resident) {
+                           return holds(resident, model, version, adapter);
+                       });
+}
+
+EngineEntry*
+EngineTable::find(std::string_view address)
+{
+    const auto found = m_entries.find(address);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+void
+EngineTable::sync(std::span<const ListedEngine> listed, TimePoint now)
+{
+    for (const ListedEngine& engine : listed) {
+        EngineEntry& entry = m_entries[engine.address];
+        entry.address = engine.address;
+        entry.zone = engine.zone;
+        if (engine.leaving)
+            mark_leaving(engine.address, now + leaving_mark);
+    }
+    std::erase_if(m_entries, [&listed](const auto& item) {
+        return std::none_of(listed.begin(), listed.end(),
+                            [&item](const ListedEngine& engine) {
+                                return engine.address == item.first;
+                            });
+    });
+}
+
+void
+EngineTable::reported(std::string_view address, const EngineLoad& load,
+                      TimePoint now)
+{
+    EngineEntry* entry = find(address);
+    if (!entry)
+        return;
+    if (entry->load.engine_id != load.engine_id)
+        entry->cache.clear();
+    entry->load = load;
+    entry->reported = true;
+    entry->reported_at = now;
+}
+
+void
+EngineTable::mark_leaving(std::string_view address, TimePoint until)
+{
+    if (EngineEntry* entry = find(address))
+        entry->leaving_until = std::max(entry->leaving_until, until);
+}
+
+void
+EngineTable::sent(std::string_view address, std::string_view run_id,
+                  std::uint64_t tokens)
+{
+    if (EngineEntry* entry = find(address)) {
+        entry->own_tokens.emplace(std::string(run_id), tokens);
+        ++entry->own_running;
+    }
+}
+
+void
+EngineTable::computed(std::string_view address, std::string_view run_id,
+                      std::span<const Digest> keys)
+{
+    EngineEntry* entry = find(address);
+    if (!entry)
+        return;
+    const auto found = entry->own_tokens.find(run_id);
+    if (found != entry->own_tokens.end())
+        entry->own_tokens.erase(found);
+    entry->cache.expect(keys);
+}
+
+void
+EngineTable::ended(std::string_view address, std::string_view run_id)
+{
+    EngineEntry* entry = find(address);
+    if (!entry)
+        return;
+    const auto found = entry->own_tokens.find(run_id);
+    if (found != entry->own_tokens.end())
+        entry->own_tokens.erase(found);
+    if (entry->own_running > 0)
+        --entry->own_running;
+}
+
+void
+EngineTable::failed(std::string_view address, TimePoint now)
+{
+    EngineEntry* entry = find(address);
+    if (!entry)
+        return;
+    const std::uint32_t doublings = std::min(entry->failures, most_doublings);
+    ++entry->failures;
+    entry->ejected_until = now + first_ejection * (1U << doublings);
+}
+
+void
+EngineTable::succeeded(std::string_view address)
+{
+    if (EngineEntry* entry = find(address)) {
+        entry->failures = 0;
+        entry->ejected_until = {};
+    }
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/route/link_table.cpp
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/route/link_table.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Speed taken for a link of which nothing is known: slow enough that the
+/// first fetches are short ones, which then teach the speed.
+constexpr double first_guess = 200e6;
+/// Weight of the newest measurement.
+constexpr double learning_rate = 0.3;
+constexpr double slowest = 1e3;
+
+} // namespace
+
+LinkTable::Link&
+LinkTable::link(std::string_view store)
+{
+    const auto found = m_links.find(store);
+    if (found != m_links.end())
+        return found->second;
+    return m_links.emplace(std::string(store), Link{first_guess}).first->second;
+}
+
+void
+LinkTable::begin(std::string_view store, std::uint64_t bytes)
+{
+    link(store).under_way += bytes;
+}
+
+void
+LinkTable::end(std::string_view store, std::uint64_t bytes, Micros took,
+               bool whole)
+{
+    Link& entry = link(store);
+    const std::uint64_t shared = std::max(entry.under_way, bytes);
+    entry.under_way -= std::min(entry.under_way, bytes);
+    if (!whole || took.count() <= 0)
+        return;
+    entry.fetched += bytes;
+    // What else was under way shared the link, so the link itself was faster
+    // than this one fetch; half of the others is taken as its share.
+    const double carried =
+        static_cast<double>(bytes) + static_cast<double>(shared - bytes) / 2;
+    const double measured = std::max(carried / seconds(took), slowest);
+    entry.bytes_per_second +=
+        learning_rate * (measured - entry.bytes_per_second);
+}
+
+Micros
+LinkTable::expected(std::string_view store, std::uint64_t bytes) const
+{
+    const auto found = m_links.find(store);
+    if (found == m_links.end())
+        return from_seconds(static_cast<double>(bytes) / first_guess);
+    const Link& entry = found->second;
+    const auto ahead = static_cast<double>(entry.under_way + bytes);
+    return from_seconds(ahead / entry.bytes_per_second);
+}
+
+std::uint64_t
+LinkTable::fetched(std::string_view store) const
+{
+    const auto found = m_links.find(store);
+    return found == m_links.end() ? 0 : found->second.fetched;
+}
+
+double
+LinkTable::speed(std::string_view store) const
+{
+    const auto found = m_links.find(store);
+    return found == m_links.end() ? first_guess
+                                  : found->second.bytes_per_second;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/route/router.cpp
@@ -0,0 +1,215 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/kept/block_key.h>
+#include <crosslink/membership/rendezvous.h>
+#include <crosslink/route/router.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Expected times within this share of the least one count as equal.
+constexpr double tie_share = 0.10;
+/// ... and so do those within this span, which is below what load reports
+/// can tell apart.
+constexpr Micros tie_span = std::chrono::milliseconds(2);
+/// Added for an engine in another availability zone: there and back, for the
+/// request and its first token.
+constexpr Micros cross_zone = std::chrono::milliseconds(4);
+/// Cost of a fetch beyond its bytes: import, verify, and their calls.
+constexpr Micros fetch_overhead = std::chrono::milliseconds(3);
+constexpr double slowest_prefill = 1.0;
+
+double
+prefill_rate(const EngineEntry& engine)
+{
+    return std::max(engine.load.prefill_tokens_per_second, slowest_prefill);
+}
+
+Micros
+compute_time(const EngineEntry& engine, std::uint64_t tokens)
+{
+    return from_seconds(static_cast<double>(tokens) / prefill_rate(engine));
+}
+
+std::uint64_t
+bytes_of(std::span<const SealedBlock> blocks)
+{
+    std::uint64_t sum = 0;
+    for (const SealedBlock& block : blocks)
+        sum += block.bytes;
+    return sum;
+}
+
+std::uint64_t
+tokens_left(const RouteRequest& request, std::size_t blocks)
+{
+    const std::uint64_t saved = std::uint64_t{blocks} * block_tokens;
+    return request.prompt_tokens - std::min(request.prompt_tokens, saved);
+}
+
+bool
+is_near(const RouteChoice& choice, const RouteChoice& best)
+{
+    const double bound =
+        static_cast<double>(best.expected.count()) * (1.0 + tie_share);
+    return static_cast<double>(choice.expected.count()) <= bound ||
+           choice.expected <= best.expected + tie_span;
+}
+
+std::uint64_t
+load_of(const EngineTable& engines, const RouteChoice& choice)
+{
+    const EngineEntry& engine = engines.entries().at(choice.engine);
+    return engine.own_waiting_tokens() + engine.own_running;
+}
+
+/// Of the near ties the ones that share the longest cached prefix are kept,
+/// then two are picked at random and the less loaded one wins: instances that
+/// decide on the same stale reports do not all pick the same engine.
+RouteChoice
+pick_among_ties(const EngineTable& engines, std::vector<RouteChoice> ties,
+                std::uint64_t random)
+{
+    const auto longest =
+        std::max_element(ties.begin(), ties.end(),
+                         [](const RouteChoice& one, const RouteChoice& other) {
+                             return one.cached_blocks < other.cached_blocks;
+                         });
+    const std::size_t blocks = longest->cached_blocks;
+    std::erase_if(ties, [blocks](const RouteChoice& choice) {
+        return choice.cached_blocks < blocks;
+    });
+    const RouteChoice& one = ties[random % ties.size()];
+    const RouteChoice& other = ties[(random >> 32U) % ties.size()];
+    return load_of(engines, other) < load_of(engines, one) ? other : one;
+}
+
+std::vector<RouteChoice>::const_iterator
+least_expected(const std::vector<RouteChoice>& choices)
+{
+    return std::min_element(
+        choices.begin(), choices.end(),
+        [](const RouteChoice& one, const RouteChoice& other) {
+            return one.expected < other.expected;
+        });
+}
+
+std::vector<RouteChoice>::const_iterator
+least_loaded(const EngineTable& engines,
+             const std::vector<RouteChoice>& choices)
+{
+    return std::min_element(
+        choices.begin(), choices.end(),
+        [&engines](const RouteChoice& one, const RouteChoice& other) {
+            const auto& first = engines.entries().at(one.engine);
+            const auto& second = engines.entries().at(other.engine);
+            return first.load.running + first.load.waiting + first.own_running <
+                   second.load.running + second.load.waiting +
+                       second.own_running;
+        });
+}
+
+std::vector<RouteChoice>::const_iterator
+by_affinity(const RouteRequest& request,
+            const std::vector<RouteChoice>& choices)
+{
+    const std::string key =
+        request.keys.empty() ? std::string() : request.keys.front().hex();
+    return std::max_element(
+        choices.begin(), choices.end(),
+        [&key](const RouteChoice& one, const RouteChoice& other) {
+            return rendezvous_weight(key, one.engine) <
+                   rendezvous_weight(key, other.engine);
+        });
+}
+
+} // namespace
+
+Router::Router(RoutePolicy policy, RouteTerms terms)
+    : m_policy(policy), m_terms(terms)
+{
+}
+
+Micros
+Router::queue_time(const EngineEntry& engine) const
+{
+    std::uint64_t tokens = 0;
+    if (m_terms.queue)
+        tokens += engine.load.waiting_tokens;
+    // Own work is in a report only once the report is newer than the sending;
+    // the larger of both is the best guess of what lies ahead.
+    if (m_terms.own_sent)
+        tokens = std::max(tokens, engine.own_waiting_tokens());
+    return compute_time(engine, tokens);
+}
+
+RouteChoice
+Router::price(const EngineEntry& engine, const LinkTable& links,
+              const RouteRequest& request) const
+{
+    RouteChoice choice;
+    choice.engine = engine.address;
+    if (m_terms.cache)
+        choice.cached_blocks = engine.cache.prefix(request.keys);
+    choice.fetch_to = choice.cached_blocks;
+    choice.compute_tokens = tokens_left(request, choice.cached_blocks);
+    Micros work = compute_time(engine, choice.compute_tokens);
+    if (m_terms.fetch && request.kept.size() > choice.cached_blocks) {
+        const auto missing = request.kept.subspan(choice.cached_blocks);
+        const std::uint64_t rest = tokens_left(request, request.kept.size());
+        const Micros fetched =
+            links.expected(request.store, bytes_of(missing)) + fetch_overhead +
+            compute_time(engine, rest);
+        if (fetched < work) {
+            work = fetched;
+            choice.fetch_to = request.kept.size();
+            choice.compute_tokens = rest;
+        }
+    }
+    const Micros zone = engine.zone == request.zone ? Micros(0) : cross_zone;
+    choice.expected = queue_time(engine) + work + zone;
+    return choice;
+}
+
+std::optional<RouteChoice>
+Router::choose(const EngineTable& engines, const LinkTable& links,
+               const RouteRequest& request, TimePoint now)
+{
+    std::vector<RouteChoice> choices;
+    for (const auto& [address, engine] : engines.entries()) {
+        const bool avoided = request.avoid && request.avoid->contains(address);
+        if (avoided || !engine.takes_work(now))
+            continue;
+        if (!engine.has(request.model, request.version, request.adapter))
+            continue;
+        choices.push_back(price(engine, links, request));
+    }
+    if (choices.empty())
+        return std::nullopt;
+    switch (m_policy) {
+    case RoutePolicy::RoundRobin:
+        return choices[m_turn++ % choices.size()];
+    case RoutePolicy::LeastLoad:
+        return *least_loaded(engines, choices);
+    case RoutePolicy::PrefixAffinity:
+        return *by_affinity(request, choices);
+    case RoutePolicy::Priced:
+        break;
+    }
+    const RouteChoice best = *least_expected(choices);
+    if (!m_terms.near_ties)
+        return best;
+    std::erase_if(choices, [&best](const RouteChoice& choice) {
+        return !is_near(choice, best);
+    });
+    return pick_among_ties(engines, std::move(choices), request.random);
+}
+
+} // namespace crosslink
