--- a/src/adapters/engine_http.cpp
+++ b/src/adapters/engine_http.cpp
@@ -104,8 +104,8 @@
     body["adapter"] = order.adapter;
     body["store"] = order.store_address;
     body["blocks"] = wire::blocks_to_json(order.blocks);
-    const Json::Value answer =
-        m_transfers.post_json("/kv/import", body, ErrorCode::BlockGone);
+    const Json::Value answer = m_transfers.post_json(
+        "/kv/import", body, ErrorCode::BlockGone, order.give_up);
     return {json_string(answer, "staged_id"),
             wire::digests_from_json(answer["contents"])};
 }
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -122,6 +122,8 @@
     Session session = fresh_connection ? connect() : take();
     // From the first byte on, anything may have happened over there.
     state = RunState::MayHaveRun;
+    const Micros receive = request.receive_timeout.value_or(m_timeouts.receive);
+    session->socket().setReceiveTimeout(timespan(receive));
     Poco::Net::HTTPRequest head(request.method, request.path,
                                 Poco::Net::HTTPMessage::HTTP_1_1);
     for (const HeaderField& field : request.headers)
@@ -165,9 +167,10 @@
 
 Json::Value
 HttpClient::post_json(std::string_view path, const Json::Value& body,
-                      ErrorCode code)
+                      ErrorCode code, std::optional<Micros> receive_timeout)
 {
     HttpRequest request;
+    request.receive_timeout = receive_timeout;
     request.path = path;
     request.headers.push_back({"Content-Type", "application/json"});
     request.body = json_text(body);
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,8 @@
     std::string path;
     std::vector<HeaderField> headers;
     std::string body;
+    /// Time to wait for the answer; empty for the client's own.
+    std::optional<Micros> receive_timeout;
 };
 
 /// A whole answer.
@@ -60,7 +63,8 @@
     /// Sends JSON with POST and returns the JSON of a 2xx answer. Others throw
     /// Error with `code` and, for 4xx and 503, RefusedBeforeRun.
     Json::Value post_json(std::string_view path, const Json::Value& body,
-                          ErrorCode code);
+                          ErrorCode code,
+                          std::optional<Micros> receive_timeout = {});
     /// Sends `request` and feeds `on_line` with each line of a 2xx answer
     /// until it returns false or the answer ends. Other answers are returned.
     using LineSink = std::function<bool(std::string_view line)>;
--- a/src/adapters/peer_wire.cpp
+++ b/src/adapters/peer_wire.cpp
@@ -135,6 +135,7 @@
 {
     Json::Value value;
     value["state"] = static_cast<unsigned>(held.state);
+    value["fingerprint"] = held.fingerprint.hex();
     value["status"] = held.answer.status;
     value["content_type"] = held.answer.content_type;
     value["body"] = held.answer.body;
@@ -146,6 +147,7 @@
 {
     HeldAnswer held;
     held.state = enum_from_json(value, "state", HeldAnswer::State::Finished);
+    held.fingerprint = Digest::from_hex(json_string(value, "fingerprint"));
     held.answer.status = static_cast<int>(json_number(value, "status"));
     held.answer.content_type = json_string(value, "content_type");
     held.answer.body = json_string(value, "body");
--- a/src/adapters/wire.cpp
+++ b/src/adapters/wire.cpp
@@ -188,6 +188,7 @@
     value["waiting_tokens"] = Json::UInt64(load.waiting_tokens);
     value["prefill_tokens_per_second"] = load.prefill_tokens_per_second;
     value["import_bytes_per_second"] = load.import_bytes_per_second;
+    value["block_bytes"] = Json::UInt64(load.block_bytes);
     value["slots"] = load.slots;
     value["leaving"] = load.leaving;
     value["last_event"] = Json::UInt64(load.last_event);
@@ -207,6 +208,7 @@
     load.prefill_tokens_per_second =
         json_real(value, "prefill_tokens_per_second");
     load.import_bytes_per_second = json_real(value, "import_bytes_per_second");
+    load.block_bytes = json_number(value, "block_bytes");
     load.slots = small_number(value, "slots", 1);
     load.leaving = json_flag(value, "leaving");
     load.last_event = json_number(value, "last_event");
--- /dev/null
+++ b/src/crosslink/main.cpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+/// The one shipped program: an entry instance, and the operators' verbs.
+
+#include "verbs.h"
+
+#include <crosslink/base/error.h>
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <string>
+
+namespace
+{
+
+int
+exit_code_of(crosslink::ErrorCode code)
+{
+    switch (code) {
+    case crosslink::ErrorCode::RevisionConflict:
+        return crosslink::ExitConflict;
+    case crosslink::ErrorCode::NotReady:
+        return crosslink::ExitNotInForce;
+    case crosslink::ErrorCode::PlatformUnavailable:
+    case crosslink::ErrorCode::PlatformOutcomeUnknown:
+    case crosslink::ErrorCode::PlatformThrottled:
+    case crosslink::ErrorCode::PeerUnavailable:
+        return crosslink::ExitUnreachable;
+    default:
+        return crosslink::ExitMistakes;
+    }
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    CLI::App tool("crosslink serves prompts that return after long gaps");
+    tool.require_subcommand(1);
+    crosslink::add_serve_verb(tool);
+    crosslink::add_template_verb(tool);
+    crosslink::add_status_verb(tool);
+    crosslink::add_report_verb(tool);
+    crosslink::add_version_verb(tool);
+    try {
+        tool.parse(argc, argv);
+    } catch (const CLI::ParseError& failure) {
+        return tool.exit(failure);
+    } catch (const crosslink::Error& failure) {
+        std::fprintf(stderr, "crosslink: %s: %s\n",
+                     std::string(crosslink::error_name(failure.code())).c_str(),
+                     failure.what());
+        return exit_code_of(failure.code());
+    } catch (const std::exception& failure) {
+        std::fprintf(stderr, "crosslink: %s\n", failure.what());
+        return crosslink::ExitMistakes;
+    }
+    return crosslink::ExitOk;
+}
--- /dev/null
+++ b/src/crosslink/operator_client.cpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "operator_client.h"
+
+#include <adapters/http_client.h>
+#include <adapters/peer_rpc_client.h>
+#include <adapters/peer_wire.h>
+
+#include <crosslink/base/error.h>
+
+#include <fstream>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr int success = 200;
+
+} // namespace
+
+std::string
+read_secret(const std::string& path)
+{
+    std::ifstream file(path);
+    std::string secret;
+    if (!std::getline(file, secret))
+        throw Error(ErrorCode::SettingsInvalid,
+                    "--fleet-secret-file can't be read: \"" + path + "\"");
+    return secret;
+}
+
+Json::Value
+ask_instance(const std::string& address, const std::string& secret,
+             std::string_view path)
+{
+    HttpClient client(address, {});
+    HttpRequest request;
+    request.method = "GET";
+    request.path = path;
+    request.headers.push_back({wire::peer_proof_header, peer_proof(secret)});
+    HttpAnswer answer;
+    try {
+        answer = client.exchange(request);
+    } catch (const Error& failure) {
+        throw Error(ErrorCode::PeerUnavailable,
+                    address + ": " + failure.what());
+    }
+    if (answer.status != success)
+        throw Error(ErrorCode::PeerUnavailable,
+                    address + " answered " + std::to_string(answer.status));
+    return parse_json(answer.body);
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/crosslink/status_verb.cpp
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "operator_client.h"
+#include "verbs.h"
+
+#include <serve/status_report.h>
+
+#include <CLI/CLI.hpp>
+
+#include <cstdio>
+#include <memory>
+
+namespace crosslink
+{
+
+namespace
+{
+
+struct StatusOptions {
+    OperatorAccess access;
+    bool json = false;
+};
+
+void
+show_status(const StatusOptions& options)
+{
+    const std::string secret = read_secret(options.access.secret_file);
+    const Json::Value status =
+        ask_instance(options.access.instance, secret, "/status");
+    const std::string text =
+        options.json ? json_pretty(status) + "\n" : status_text(status);
+    std::fputs(text.c_str(), stdout);
+}
+
+} // namespace
+
+void
+add_status_verb(CLI::App& tool)
+{
+    CLI::App& verb = *tool.add_subcommand(
+        "status", "Show the fleet as one instance sees it");
+    const auto options = std::make_shared<StatusOptions>();
+    verb.add_option("--instance", options->access.instance,
+                    "Peer address of an entry instance")
+        ->envname("CROSSLINK_INSTANCE")
+        ->required();
+    verb.add_option("--fleet-secret-file", options->access.secret_file,
+                    "File with the fleet's secret")
+        ->envname("CROSSLINK_FLEET_SECRET_FILE")
+        ->required();
+    verb.add_flag("--json", options->json, "Print JSON");
+    verb.final_callback([options] { show_status(*options); });
+}
+
+} // namespace crosslink
--- a/src/include/crosslink/base/error.h
+++ b/src/include/crosslink/base/error.h
@@ -40,6 +40,7 @@
     ClaimOutcomeUnknown,
     ClaimExpired,
     UndatedKey,
+    KeyReused,
     NotReady,
     PlatformUnavailable,
     PlatformOutcomeUnknown,
--- a/src/include/crosslink/claim/answer_keeper.h
+++ b/src/include/crosslink/claim/answer_keeper.h
@@ -24,7 +24,7 @@
     explicit AnswerKeeper(std::uint64_t most_bytes);
 
     /// Takes note that the claimed call is being run here.
-    void begin(const Digest& key);
+    void begin(const Digest& key, const Digest& fingerprint);
     /// Keeps the whole answer.
     void finish(const Digest& key, PlainAnswer answer);
     /// Forgets a call whose claim was given back or whose outcome is unknown.
--- a/src/include/crosslink/claim/claim_committer.h
+++ b/src/include/crosslink/claim/claim_committer.h
@@ -47,7 +47,8 @@
     using View = std::optional<ClaimSlice>;
 
     void reload(std::uint32_t slice);
-    bool settled(const ClaimSlice& view, std::span<const Claim> batch) const;
+    static std::vector<ClaimVerdict> verdicts_on(const ClaimSlice& view,
+                                                 std::span<const Claim> batch);
     bool swap(std::uint32_t slice, const ClaimSlice::Proposal& proposal);
     void remove_dropped(std::uint32_t slice, const ClaimSlice& before,
                         const ClaimSlice& after);
--- a/src/include/crosslink/claim/claim_slice.h
+++ b/src/include/crosslink/claim/claim_slice.h
@@ -90,6 +90,9 @@
     /// True where the slice holds nothing of the key and would take it.
     bool would_take(const Claim& claim) const;
 
+    /// True where the claim with this id is in the slice.
+    bool holds_id(std::string_view id) const;
+
     /// Returns the head to swap in so that every claim of the batch that can
     /// be taken is, and every id of `releases` is given back. `now` moves the
     /// floor: keys older than `age_limit` are dropped and refused from then.
--- a/src/include/crosslink/configuration/template_set.h
+++ b/src/include/crosslink/configuration/template_set.h
@@ -28,6 +28,12 @@
     /// Adds the declarations of one file; mistakes are collected, not thrown.
     void add(const std::string& file, const Json::Value& document);
 
+    /// Adds a mistake that was found outside, such as a file that is no JSON.
+    void add_mistake(TemplateMistake mistake)
+    {
+        m_mistakes.push_back(std::move(mistake));
+    }
+
     /// Returns every client account with its parameters filled in. Accounts
     /// with mistakes are left out; see mistakes().
     std::vector<ClientAccount> accounts();
--- a/src/include/crosslink/ports/engine.h
+++ b/src/include/crosslink/ports/engine.h
@@ -66,9 +66,10 @@
     std::uint64_t waiting_tokens = 0; ///< Prompt tokens not computed yet.
     double prefill_tokens_per_second = 0;
     double import_bytes_per_second = 0;
-    std::uint32_t slots = 1;      ///< Runs that decode at the same time.
-    bool leaving = false;         ///< The engine's own word that it leaves.
-    std::uint64_t last_event = 0; ///< Sequence number of its newest event.
+    std::uint64_t block_bytes = 0; ///< KV bytes of one block.
+    std::uint32_t slots = 1;       ///< Runs that decode at the same time.
+    bool leaving = false;          ///< The engine's own word that it leaves.
+    std::uint64_t last_event = 0;  ///< Sequence number of its newest event.
 };
 
 /// One change of an engine's prefix cache. Events come late and with gaps.
@@ -92,6 +93,7 @@
     std::string adapter;
     std::string store_address;
     std::vector<SealedBlock> blocks;
+    Micros give_up = std::chrono::seconds(5); ///< Time it may take.
 };
 
 /// A block that an engine is to write into a store.
--- a/src/include/crosslink/ports/peer.h
+++ b/src/include/crosslink/ports/peer.h
@@ -21,6 +21,9 @@
 struct HeldAnswer {
     enum class State { Unknown, Running, Finished };
     State state = State::Unknown;
+    /// SHA-256 of the call that the key was used for: the same key on another
+    /// call must not get this answer.
+    Digest fingerprint;
     PlainAnswer answer; ///< Where finished.
 };
 
--- a/src/include/crosslink/route/engine_table.h
+++ b/src/include/crosslink/route/engine_table.h
@@ -61,12 +61,15 @@
     /// Takes in a load report.
     void reported(std::string_view address, const EngineLoad& load,
                   TimePoint now);
+    /// Takes note that an engine does not report: it gets no work until it
+    /// does again.
+    void lost(std::string_view address);
     /// Marks an engine as leaving until `until`; a mark expires, so that a
     /// wrong one does no lasting harm.
     void mark_leaving(std::string_view address, TimePoint until);
     /// Takes note of a run that is sent with so many tokens to compute.
     void sent(std::string_view address, std::string_view run_id,
-              std::uint64_t tokens);
+              std::uint64_t tokens, TimePoint now);
     /// Takes note of a run's first token: its prompt is computed.
     void computed(std::string_view address, std::string_view run_id,
                   std::span<const Digest> keys);
--- a/src/libcrosslink/base/error.cpp
+++ b/src/libcrosslink/base/error.cpp
@@ -35,6 +35,7 @@
     ErrorInfo{ErrorCode::ClaimOutcomeUnknown, "claim_outcome_unknown", 409},
     ErrorInfo{ErrorCode::ClaimExpired, "claim_expired", 409},
     ErrorInfo{ErrorCode::UndatedKey, "undated_key", 400},
+    ErrorInfo{ErrorCode::KeyReused, "key_reused", 422},
     ErrorInfo{ErrorCode::NotReady, "not_ready", 503},
     ErrorInfo{ErrorCode::PlatformUnavailable, "platform_unavailable", 503},
     ErrorInfo{ErrorCode::PlatformOutcomeUnknown, "platform_outcome_unknown",
--- a/src/libcrosslink/claim/answer_keeper.cpp
+++ b/src/libcrosslink/claim/answer_keeper.cpp
@@ -25,9 +25,11 @@
 }
 
 void
-AnswerKeeper::begin(const Digest& key)
+AnswerKeeper::begin(const Digest& key, const Digest& fingerprint)
 {
-    m_answers[key].state = HeldAnswer::State::Running;
+    HeldAnswer& held = m_answers[key];
+    held.state = HeldAnswer::State::Running;
+    held.fingerprint = fingerprint;
 }
 
 void
--- a/src/libcrosslink/claim/claim_committer.cpp
+++ b/src/libcrosslink/claim/claim_committer.cpp
@@ -59,13 +59,15 @@
     view = ClaimSlice(record->version, std::move(head), std::move(segments));
 }
 
-bool
-ClaimCommitter::settled(const ClaimSlice& view,
-                        std::span<const Claim> batch) const
+std::vector<ClaimVerdict>
+ClaimCommitter::verdicts_on(const ClaimSlice& view,
+                            std::span<const Claim> batch)
 {
-    return std::none_of(
-        batch.begin(), batch.end(),
-        [&view](const Claim& claim) { return view.would_take(claim); });
+    std::vector<ClaimVerdict> verdicts;
+    verdicts.reserve(batch.size());
+    for (const Claim& claim : batch)
+        verdicts.push_back(view.verdict(claim));
+    return verdicts;
 }
 
 bool
@@ -133,23 +135,20 @@
 ClaimCommitter::commit(std::uint32_t slice, std::span<const Claim> batch,
                        std::span<const std::string> releases, UnixMillis now)
 {
-    bool wrote = releases.empty();
+    // A claim that is given back may have been committed by another instance,
+    // so it is looked for in what is in place now.
+    bool stale = !releases.empty();
     for (int round = 0; round < max_rounds; ++round) {
         try {
             View& view = m_views.at(slice);
-            if (!view)
+            if (!view || stale)
                 reload(slice);
+            stale = true;
             const auto proposal =
                 view->propose(batch, releases, now, m_age_limit);
-            if (proposal.changed && !(wrote && settled(*view, batch)))
-                wrote = swap(slice, proposal) || wrote;
-            if (wrote && settled(*view, batch)) {
-                std::vector<ClaimVerdict> verdicts;
-                for (const Claim& claim : batch)
-                    verdicts.push_back(view->verdict(claim));
-                return verdicts;
-            }
-            reload(slice);
+            if (proposal.changed && !swap(slice, proposal))
+                continue;
+            return verdicts_on(*view, batch);
         } catch (const Error& failure) {
             // Known or not, what is in place is read afresh before the next
             // decision: the view is worth nothing now.
--- a/src/libcrosslink/claim/claim_slice.cpp
+++ b/src/libcrosslink/claim/claim_slice.cpp
@@ -218,6 +218,13 @@
     return {ClaimVerdict::Kind::Held, {}};
 }
 
+bool
+ClaimSlice::holds_id(std::string_view id) const
+{
+    return std::any_of(m_by_key.begin(), m_by_key.end(),
+                       [id](const auto& item) { return item.second.id == id; });
+}
+
 bool
 ClaimSlice::would_take(const Claim& claim) const
 {
@@ -240,9 +247,11 @@
         proposal.changed = true;
     }
     for (const std::string& id : releases) {
+        if (!holds_id(id))
+            continue;
         const auto removed = std::erase_if(
             head.recent, [&id](const Claim& claim) { return claim.id == id; });
-        if (removed == 0 && !head.segments.empty())
+        if (removed == 0)
             head.released.push_back(id);
         proposal.changed = true;
     }
--- /dev/null
+++ b/src/libcrosslink/configuration/configuration_commit.cpp
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/base/error.h>
+#include <crosslink/configuration/configuration_commit.h>
+
+#include <set>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Times that an unclear answer is settled by reading back.
+constexpr int most_rounds = 5;
+
+void
+write_part(Platform& platform, const Digest& digest, const std::string& text)
+{
+    for (int round = 0; round < most_rounds; ++round) {
+        try {
+            // Named by its digest: where it is there already, it is the same.
+            platform.write_if(configuration_part_key(digest), text, 0);
+            return;
+        } catch (const Error& failure) {
+            if (failure.code() != ErrorCode::PlatformOutcomeUnknown)
+                throw;
+        }
+    }
+    throw Error(ErrorCode::PlatformOutcomeUnknown,
+                "a part could not be written for certain");
+}
+
+[[noreturn]] void
+lost_to(const ConfigurationHead& winner)
+{
+    throw Error(ErrorCode::RevisionConflict,
+                "another change was faster: revision " +
+                    std::to_string(winner.revision) +
+                    " is in place; nothing was changed");
+}
+
+} // namespace
+
+HeadRecord
+read_head(Platform& platform)
+{
+    const auto record = platform.read(configuration_head_key);
+    if (!record)
+        return {};
+    return {ConfigurationHead::from_json(record->value), record->version};
+}
+
+ConfigurationHead
+commit_configuration(Platform& platform, const HeadRecord& base,
+                     const std::map<std::string, std::string>& parts,
+                     const ConfigurationChange& change)
+{
+    std::map<std::string, Digest> digests;
+    for (const auto& [name, text] : parts) {
+        digests[name] = sha256(text);
+        write_part(platform, digests[name], text);
+    }
+    const ConfigurationHead next = base.head.next(digests, change);
+    for (int round = 0; round < most_rounds; ++round) {
+        try {
+            const SwapOutcome outcome = platform.write_if(
+                configuration_head_key, next.to_json(), base.version);
+            if (outcome.applied)
+                return next;
+        } catch (const Error& failure) {
+            if (failure.code() != ErrorCode::PlatformOutcomeUnknown)
+                throw;
+        }
+        // Either lost, or won with its answer lost: the change id tells.
+        const HeadRecord now = read_head(platform);
+        if (now.head.has_change(change.change_id))
+            return next;
+        if (now.version != base.version)
+            lost_to(now.head);
+    }
+    throw Error(ErrorCode::PlatformOutcomeUnknown,
+                "it could not be settled whether the change is in place");
+}
+
+void
+remove_old_parts(Platform& platform, const ConfigurationHead& head,
+                 const ConfigurationHead& before)
+{
+    std::set<std::string> wanted;
+    for (const auto* kept : {&head, &before})
+        for (const auto& [name, digest] : kept->parts)
+            wanted.insert(configuration_part_key(digest));
+    for (const NamedRecord& record : platform.list(configuration_part_prefix))
+        if (!wanted.contains(record.key))
+            platform.remove_if(record.key, record.record.version);
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/configuration/parameters.cpp
+++ b/src/libcrosslink/configuration/parameters.cpp
@@ -16,11 +16,15 @@
 bool
 in_range(const Json::Value& rule, const Json::Value& value)
 {
+    // jsoncpp orders numbers of different kinds by their kind, so both are
+    // compared as reals.
     if (!value.isNumeric())
         return false;
-    if (rule.isMember("minimum") && value < rule["minimum"])
+    if (rule.isMember("minimum") &&
+        value.asDouble() < rule["minimum"].asDouble())
         return false;
-    return !rule.isMember("maximum") || value <= rule["maximum"];
+    return !rule.isMember("maximum") ||
+           value.asDouble() <= rule["maximum"].asDouble();
 }
 
 bool
--- a/src/libcrosslink/route/engine_table.cpp
+++ b/src/libcrosslink/route/engine_table.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright Contributors to the crosslink project.
 
+#include <crosslink/base/invariants.h>
 #include <crosslink/route/engine_table.h>
 
 #include <algorithm>
@@ -93,6 +94,13 @@
     entry->reported_at = now;
 }
 
+void
+EngineTable::lost(std::string_view address)
+{
+    if (EngineEntry* entry = find(address))
+        entry->reported = false;
+}
+
 void
 EngineTable::mark_leaving(std::string_view address, TimePoint until)
 {
@@ -102,9 +110,10 @@
 
 void
 EngineTable::sent(std::string_view address, std::string_view run_id,
-                  std::uint64_t tokens)
+                  std::uint64_t tokens, TimePoint now)
 {
     if (EngineEntry* entry = find(address)) {
+        require(Invariant::LeavingGetsNoWork, now >= entry->leaving_until);
         entry->own_tokens.emplace(std::string(run_id), tokens);
         ++entry->own_running;
     }
--- /dev/null
+++ b/src/serve/caller_server.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "instance_state.h"
+#include "request_path.h"
+
+#include <adapters/http_server.h>
+
+#include <atomic>
+#include <memory>
+
+namespace crosslink
+{
+
+/// The HTTP/1.1 interface towards callers. A caller can reach nothing of the
+/// peers' and operators' interface here.
+class CallerServer
+{
+public:
+    CallerServer(InstanceState& state, RequestPath& path);
+
+    std::string address() const { return m_server->address(); }
+    /// Takes no new connections.
+    void stop_listening() { m_server->stop_listening(); }
+    /// Returns the number of requests that are being answered.
+    int running() const { return m_running; }
+
+private:
+    void handle(Poco::Net::HTTPServerRequest& request,
+                Poco::Net::HTTPServerResponse& answer);
+    void handle_caller(Poco::Net::HTTPServerRequest& request,
+                       Poco::Net::HTTPServerResponse& answer);
+    bool handle_health(const std::string& path,
+                       Poco::Net::HTTPServerResponse& answer);
+
+    InstanceState& m_state;
+    RequestPath& m_path;
+    std::atomic<int> m_running{0};
+    std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/canceler.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "instance_state.h"
+
+#include <crosslink/base/bounded_ring.h>
+
+#include <string>
+#include <thread>
+
+namespace crosslink
+{
+
+/// A run that nobody waits for any more.
+struct CancelOrder {
+    std::string engine; ///< Address.
+    std::string run_id;
+};
+
+/// Ends runs at their engines, on a thread of its own, so that a slow engine
+/// holds up nobody.
+class Canceler
+{
+public:
+    explicit Canceler(InstanceState& state);
+    ~Canceler();
+    Canceler(const Canceler&) = delete;
+    Canceler& operator=(const Canceler&) = delete;
+
+    void add(CancelOrder order) { m_ring.push(std::move(order)); }
+
+private:
+    void work();
+
+    InstanceState& m_state;
+    BoundedRing<CancelOrder> m_ring;
+    std::thread m_thread;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/claim_desk.h
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "instance_state.h"
+
+#include <crosslink/admit/token_bucket.h>
+#include <crosslink/base/bounded_ring.h>
+#include <crosslink/claim/claim.h>
+#include <crosslink/claim/claim_committer.h>
+
+#include <array>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace crosslink
+{
+
+/// Decides claims for the requests of this instance, and for peers that take
+/// it for the preferred one of a slice. One thread commits; it gathers what
+/// waits into one write per slice.
+class ClaimDesk
+{
+public:
+    explicit ClaimDesk(InstanceState& state);
+    ~ClaimDesk();
+    ClaimDesk(const ClaimDesk&) = delete;
+    ClaimDesk& operator=(const ClaimDesk&) = delete;
+
+    /// Returns the verdict on `claim`, asking the preferred instance of its
+    /// slice first and committing it here where that one can't be reached.
+    /// Throws Error(ClaimUnavailable): the claim must then not be dispatched,
+    /// and it is given back in case it was committed all the same.
+    ClaimVerdict decide(const Claim& claim);
+    /// Commits claims of one slice here.
+    std::vector<ClaimVerdict> commit_here(std::uint32_t slice,
+                                          std::span<const Claim> claims);
+    /// Gives a claim back that was never dispatched and never will be.
+    void give_back(const Claim& claim);
+    /// Returns the number of claims that this process knows.
+    std::size_t held() const { return m_held; }
+
+private:
+    /// One claim that waits for the committing thread.
+    struct Waiting {
+        Claim claim;
+        bool release = false;
+        std::mutex mutex;
+        std::condition_variable changed;
+        bool done = false;
+        bool abandoned = false; ///< Nobody waits for it any more.
+        ClaimVerdict verdict;
+        std::string failure; ///< Not empty: it could not be decided.
+    };
+    using WaitingPointer = std::shared_ptr<Waiting>;
+
+    std::string preferred(std::uint32_t slice);
+    ClaimVerdict wait_for(Waiting& waiting);
+    void work();
+    void commit(std::uint32_t slice, std::vector<WaitingPointer> group);
+    void pace(std::uint32_t slice);
+    void keep_releases(std::uint32_t slice, std::vector<std::string> releases);
+    static void answer(Waiting& waiting, const ClaimVerdict& verdict,
+                       const std::string& failure);
+
+    InstanceState& m_state;
+    ClaimCommitter m_committer;
+    BoundedRing<WaitingPointer> m_ring;
+    std::array<TokenBucket, claim_slices> m_pace;
+    /// Ids to give back once the platform can be reached; of the committing
+    /// thread alone.
+    std::array<std::vector<std::string>, claim_slices> m_releases_due;
+    std::atomic<std::size_t> m_held{0};
+    std::thread m_thread;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/completion_call.h
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/digest.h>
+#include <crosslink/base/json.h>
+#include <crosslink/configuration/client_account.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// A completion that a caller asked for, checked against its account.
+struct CompletionCall {
+    const ClientAccount* account = nullptr;
+    std::string request_id;
+    std::string model;
+    std::string version; ///< Weight version from the template.
+    std::string adapter;
+    std::string prompt;
+    std::uint32_t max_tokens = 16;
+    bool stream = false;
+    bool chat = false;
+    bool repeatable = true;   ///< False: it must run at most once.
+    std::string caller;       ///< Who asks, for the traffic split.
+    std::vector<Digest> keys; ///< Whole blocks of the prompt.
+    std::uint64_t prompt_tokens = 0;
+};
+
+/// Reads the body of a completion or a chat completion. Throws Error with
+/// BadJson, BadRequest or UnknownModel.
+CompletionCall read_completion(const ClientAccount& account,
+                               std::string_view body, bool chat);
+
+/// The JSON of an answer, in the shape of the usual completions interface.
+class CompletionAnswer
+{
+public:
+    /// `call` must outlive it.
+    explicit CompletionAnswer(const CompletionCall& call);
+
+    /// Returns the event of one token.
+    std::string token_event(std::string_view text) const;
+    /// Returns the last event, with the usage.
+    std::string last_event(std::uint32_t prompt_tokens,
+                           std::uint32_t cached_tokens,
+                           std::uint32_t tokens) const;
+    /// Returns the body of a whole answer.
+    std::string whole(const std::string& text, std::uint32_t prompt_tokens,
+                      std::uint32_t cached_tokens, std::uint32_t tokens) const;
+
+private:
+    Json::Value head(const char* kind) const;
+
+    const CompletionCall& m_call;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/completion_run.cpp
@@ -0,0 +1,317 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "completion_run.h"
+
+#include <adapters/clock.h>
+#include <adapters/random.h>
+#include <crosslink/ports/engine.h>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr Micros leaving_mark = std::chrono::seconds(5);
+constexpr Micros come_back = std::chrono::seconds(1);
+constexpr int most_resumes = 2;
+
+/// Watches the caller for as long as it lives.
+class WatchedCaller
+{
+public:
+    WatchedCaller(CallerWatch& watch, int socket, std::function<void()> gone)
+        : m_watch(watch),
+          m_number(socket < 0 ? 0 : watch.watch(socket, std::move(gone)))
+    {
+    }
+    ~WatchedCaller()
+    {
+        if (m_number != 0)
+            m_watch.forget(m_number);
+    }
+    WatchedCaller(const WatchedCaller&) = delete;
+    WatchedCaller& operator=(const WatchedCaller&) = delete;
+
+private:
+    CallerWatch& m_watch;
+    const std::uint64_t m_number;
+};
+
+} // namespace
+
+CompletionRun::CompletionRun(InstanceState& state, RunDuties& duties,
+                             const CompletionCall& call, TokenSink sink)
+    : m_state(state), m_duties(duties), m_call(call), m_sink(std::move(sink)),
+      m_relay(call.version)
+{
+}
+
+void
+CompletionRun::run(int socket)
+{
+    const WatchedCaller watched(m_duties.watch, socket, [this] {
+        m_caller_gone = true;
+        cancel_current();
+    });
+    m_state.retry_budgets.with([this](RetryBudgets& budgets) {
+        budgets[m_call.account->name].first_try();
+    });
+    m_kept = find_kept(m_state, m_call);
+    for (;;) {
+        try {
+            attempt(route());
+            return;
+        } catch (const Error& failure) {
+            if (m_caller_gone)
+                return;
+            if (!may_try_again(failure))
+                throw failure.with_run_state(
+                    m_dispatched ? RunState::MayHaveRun : failure.run_state());
+        }
+    }
+}
+
+RouteChoice
+CompletionRun::route()
+{
+    RouteRequest request;
+    request.model = m_call.model;
+    request.version = m_call.version;
+    request.adapter = m_call.adapter;
+    request.keys = m_call.keys;
+    request.prompt_tokens = m_call.prompt_tokens;
+    request.zone = m_state.settings.zone;
+    request.store = m_kept.store;
+    request.kept = m_kept.blocks;
+    request.avoid = &m_avoid;
+    request.random = random_bits();
+    const TimePoint now = monotonic_now();
+    const auto choice = m_state.routing.with([&](Routing& routing) {
+        return routing.router.choose(routing.engines, routing.links, request,
+                                     now);
+    });
+    if (!choice)
+        throw Error(ErrorCode::NoUpstream,
+                    "no engine with this model takes work now",
+                    RunState::NotDispatched, come_back);
+    return *choice;
+}
+
+void
+CompletionRun::attempt(const RouteChoice& choice)
+{
+    ++m_attempts;
+    try {
+        const std::string staged = fetch_kept(m_state, m_call, m_kept, choice);
+        dispatch(choice, staged);
+        m_state.routing.with([&](Routing& routing) {
+            routing.engines.succeeded(choice.engine);
+        });
+    } catch (const Error& failure) {
+        settle_failure(choice.engine, failure);
+        throw;
+    }
+}
+
+void
+CompletionRun::dispatch(const RouteChoice& choice, const std::string& staged_id)
+{
+    EngineRun run;
+    run.run_id = m_call.request_id + "-" + std::to_string(m_attempts);
+    run.account = m_call.account->name;
+    run.model = m_call.model;
+    run.version = m_call.version;
+    run.adapter = m_call.adapter;
+    run.prompt = m_call.prompt;
+    run.max_tokens = m_call.max_tokens;
+    run.priority = m_call.account->priority;
+    run.block_keys = m_call.keys;
+    run.continued_text = m_relay.text();
+    run.continued_tokens = m_relay.next_index();
+    if (m_relay.next_index() > 0)
+        ++m_state.metrics.continuations;
+    m_relay.begin_attempt(run.run_id);
+    m_state.routing.with([&](Routing& routing) {
+        // A mark may have come while blocks were fetched.
+        const EngineEntry* engine = routing.engines.find(choice.engine);
+        const TimePoint now = monotonic_now();
+        if (!engine || now < engine->leaving_until)
+            throw Error(ErrorCode::UpstreamRefused, "the engine leaves");
+        routing.engines.sent(choice.engine, run.run_id, choice.compute_tokens,
+                             now);
+    });
+    {
+        const std::lock_guard lock(m_current_mutex);
+        m_current_engine = choice.engine;
+        m_current_run = run.run_id;
+    }
+    ++m_state.metrics.attempts;
+    const auto end = [&] {
+        m_state.routing.with([&](Routing& routing) {
+            routing.engines.ended(choice.engine, run.run_id);
+        });
+    };
+    try {
+        m_state.clients.engine(choice.engine)
+            ->run(run, staged_id, [&](const EngineFrame& frame) {
+                return take(choice.engine, frame);
+            });
+        if (m_gap && !resume(choice.engine, run.run_id))
+            throw Error(ErrorCode::StreamBroken,
+                        "tokens of the stream are "
+                        "missing",
+                        RunState::MayHaveRun);
+    } catch (const Error& failure) {
+        const bool broken = !is_not_run(failure.run_state());
+        if (!(broken && !m_wrong_weights &&
+              resume(choice.engine, run.run_id))) {
+            end();
+            throw;
+        }
+    }
+    end();
+    if (m_wrong_weights && !m_caller_gone) {
+        m_wrong_weights = false;
+        throw Error(ErrorCode::WrongWeights,
+                    "the engine answered with other weights",
+                    RunState::MayHaveRun);
+    }
+}
+
+bool
+CompletionRun::resume(const std::string& address, const std::string& run_id)
+{
+    for (int i = 0; i < most_resumes && !m_caller_gone; ++i) {
+        m_gap = false;
+        ++m_state.metrics.resumes;
+        try {
+            m_state.clients.engine(address)->resume(
+                run_id, m_relay.next_index(),
+                [&](const EngineFrame& frame) { return take(address, frame); });
+        } catch (const Error& failure) {
+            spdlog::debug("resume at {}: {}", address, failure.what());
+            continue;
+        }
+        if (m_relay.finished())
+            return true;
+    }
+    return m_relay.finished() || m_caller_gone;
+}
+
+FrameVerdict
+CompletionRun::take(const std::string& address, const EngineFrame& frame)
+{
+    m_dispatched = true;
+    switch (m_relay.take(frame)) {
+    case RelayStep::Drop:
+        ++m_state.metrics.frames_dropped;
+        return FrameVerdict::Continue;
+    case RelayStep::Gap:
+        m_gap = true;
+        return FrameVerdict::Stop;
+    case RelayStep::WrongWeights:
+        m_wrong_weights = true;
+        cancel_current();
+        return FrameVerdict::Stop;
+    case RelayStep::Forward:
+    case RelayStep::Finish:
+        break;
+    }
+    if (!m_times.first_token)
+        m_state.routing.with([&](Routing& routing) {
+            routing.engines.computed(address, frame.run_id, m_call.keys);
+        });
+    relay_text(frame.text);
+    if (m_relay.finished()) {
+        const std::uint64_t block_bytes =
+            m_state.routing.with([&](Routing& routing) {
+                const EngineEntry* engine = routing.engines.find(address);
+                return engine ? engine->load.block_bytes : std::uint64_t{0};
+            });
+        m_duties.exports.add(
+            {address, m_call.account->name, m_call.keys, block_bytes});
+    }
+    if (m_caller_gone && !m_relay.finished()) {
+        cancel_current();
+        return FrameVerdict::Stop;
+    }
+    return FrameVerdict::Continue;
+}
+
+void
+CompletionRun::relay_text(const std::string& text)
+{
+    const TimePoint now = monotonic_now();
+    if (!m_times.first_token) {
+        m_times.first_token = now;
+    } else {
+        const Micros between = now - m_times.last_token;
+        m_times.slowest_between = std::max(m_times.slowest_between, between);
+        m_state.metrics.between_tokens.add(between);
+    }
+    m_times.last_token = now;
+    if (!m_sink(text))
+        m_caller_gone = true;
+}
+
+bool
+CompletionRun::may_try_again(const Error& failure)
+{
+    // An answer that can't be sent or a broken promise is not mended by
+    // another engine.
+    if (failure.code() == ErrorCode::Internal ||
+        failure.code() == ErrorCode::NoUpstream)
+        return false;
+    if (m_attempts >= m_state.settings.most_attempts)
+        return false;
+    if (!m_call.repeatable && !is_not_run(failure.run_state()))
+        return false;
+    return m_state.retry_budgets.with([this](RetryBudgets& budgets) {
+        return budgets[m_call.account->name].take_retry();
+    });
+}
+
+void
+CompletionRun::settle_failure(const std::string& address, const Error& failure)
+{
+    m_avoid.insert(address);
+    if (!is_not_run(failure.run_state()))
+        m_dispatched = true;
+    const TimePoint now = monotonic_now();
+    spdlog::info("request={} account={} attempt={} engine={} error={} {}",
+                 m_call.request_id, m_call.account->name, m_attempts, address,
+                 error_name(failure.code()), failure.what());
+    m_state.routing.with([&](Routing& routing) {
+        // A refusal counts as the engine's word that it leaves or swaps: it
+        // gets nothing more until its next reports can tell.
+        if (failure.code() == ErrorCode::UpstreamRefused ||
+            failure.code() == ErrorCode::WrongWeights)
+            routing.engines.mark_leaving(address, now + leaving_mark);
+        else
+            routing.engines.failed(address, now);
+    });
+}
+
+void
+CompletionRun::cancel_current()
+{
+    std::string engine;
+    std::string run_id;
+    {
+        const std::lock_guard lock(m_current_mutex);
+        engine = m_current_engine;
+        run_id = m_current_run;
+    }
+    if (engine.empty())
+        return;
+    m_duties.canceler.add({engine, run_id});
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/completion_run.h
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "caller_watch.h"
+#include "canceler.h"
+#include "completion_call.h"
+#include "export_duty.h"
+#include "instance_state.h"
+#include "kept_fetch.h"
+
+#include <crosslink/base/error.h>
+#include <crosslink/relay/relay.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace crosslink
+{
+
+/// Times of one answer, for the report.
+struct AnswerTimes {
+    std::optional<TimePoint> first_token;
+    TimePoint last_token{};
+    Micros slowest_between{0};
+};
+
+/// The duties that a run hands work to.
+struct RunDuties {
+    ExportDuty& exports;
+    CallerWatch& watch;
+    Canceler& canceler;
+};
+
+/// Runs one completion to its end: routes it, fetches kept blocks, sends it to
+/// an engine, and relays the answer; takes a broken stream up again or goes on
+/// elsewhere from what the caller already has.
+class CompletionRun
+{
+public:
+    /// Gives the caller one token. Returns false where the caller went away.
+    using TokenSink = std::function<bool(std::string_view text)>;
+
+    CompletionRun(InstanceState& state, RunDuties& duties,
+                  const CompletionCall& call, TokenSink sink);
+
+    /// Returns once the answer is whole, or the caller went away. Throws Error
+    /// whose run_state() tells what is known of the request as a whole.
+    /// `socket` is the caller's, -1 for none.
+    void run(int socket);
+
+    const Relay& relay() const { return m_relay; }
+    const AnswerTimes& times() const { return m_times; }
+    bool caller_gone() const { return m_caller_gone; }
+
+private:
+    RouteChoice route();
+    void attempt(const RouteChoice& choice);
+    void dispatch(const RouteChoice& choice, const std::string& staged_id);
+    bool resume(const std::string& address, const std::string& run_id);
+    FrameVerdict take(const std::string& address, const EngineFrame& frame);
+    void relay_text(const std::string& text);
+    bool may_try_again(const Error& failure);
+    void settle_failure(const std::string& address, const Error& failure);
+    void cancel_current();
+
+    InstanceState& m_state;
+    RunDuties& m_duties;
+    const CompletionCall& m_call;
+    const TokenSink m_sink;
+    Relay m_relay;
+    AnswerTimes m_times;
+    KeptBlocks m_kept;
+    std::set<std::string> m_avoid;
+    std::uint32_t m_attempts = 0;
+    bool m_dispatched = false; ///< Some attempt may have run.
+    bool m_gap = false;        ///< The last frame left a gap.
+    bool m_wrong_weights = false;
+    std::atomic<bool> m_caller_gone{false};
+    std::mutex m_current_mutex;
+    std::string m_current_engine; ///< Where an attempt runs now.
+    std::string m_current_run;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/configuration_duties.cpp
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "configuration_duties.h"
+
+#include "configuration_source.h"
+
+#include <adapters/random.h>
+#include <crosslink/base/error.h>
+#include <crosslink/membership/rendezvous.h>
+#include <crosslink/ports/peer.h>
+#include <crosslink/ports/platform.h>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Instances of one availability zone that wait at the platform.
+constexpr std::size_t watchers_per_zone = 2;
+constexpr Micros retry_watch = std::chrono::milliseconds(500);
+constexpr Micros look_again = std::chrono::seconds(1);
+constexpr Micros pull_period = std::chrono::seconds(1);
+
+/// Returns between `span` and one and a half times it, so that instances do
+/// not come in step.
+Micros
+jittered(Micros span)
+{
+    const auto half = static_cast<std::uint64_t>(span.count() / 2 + 1);
+    return span + Micros(random_bits() % half);
+}
+
+bool
+take_from_platform(InstanceState& state, const PlatformRecord& record)
+{
+    ConfigurationHead head = ConfigurationHead::from_json(record.value);
+    if (head.revision <= state.configuration.revision())
+        return false;
+    const auto read_part =
+        [&state](const Digest& digest) -> std::optional<std::string> {
+        auto part =
+            state.clients.platform().read(configuration_part_key(digest));
+        if (!part)
+            return std::nullopt;
+        return std::move(part->value);
+    };
+    return state.put_in_force(load_configuration(
+        std::move(head), state.configuration.current(), read_part));
+}
+
+bool
+take_from_peer(InstanceState& state, const std::string& address)
+{
+    const auto peer = state.clients.peer(address);
+    auto head = peer->configuration_head();
+    if (!head || head->revision <= state.configuration.revision())
+        return false;
+    const auto read_part = [&peer](const Digest& digest) {
+        return peer->configuration_part(digest);
+    };
+    return state.put_in_force(load_configuration(
+        std::move(*head), state.configuration.current(), read_part));
+}
+
+/// Returns the peers of this zone that may be known at a start.
+std::vector<std::string>
+zone_peers(InstanceState& state)
+{
+    std::vector<std::string> addresses = state.settings.seeds;
+    for (const Member& member : state.members.with([&](MemberTable& table) {
+             return table.live_in(state.settings.zone);
+         }))
+        addresses.push_back(member.address);
+    std::erase(addresses, state.self_address());
+    std::sort(addresses.begin(), addresses.end());
+    addresses.erase(std::unique(addresses.begin(), addresses.end()),
+                    addresses.end());
+    return addresses;
+}
+
+} // namespace
+
+ConfigurationDuties::ConfigurationDuties(InstanceState& state)
+    : m_state(state),
+      m_watch("configuration-watch", [this] { return watch_round(); }),
+      m_pull("configuration-pull", [this] { return pull_round(); })
+{
+    m_state.configuration_pull.set(&m_pull);
+}
+
+ConfigurationDuties::~ConfigurationDuties()
+{
+    m_state.configuration_pull.set(nullptr);
+}
+
+bool
+ConfigurationDuties::is_watcher() const
+{
+    std::vector<std::string> ids;
+    const auto members = m_state.members.with([this](MemberTable& table) {
+        return table.live_in(m_state.settings.zone);
+    });
+    for (const Member& member : members)
+        ids.push_back(member.id);
+    const auto order = rendezvous_order("configuration-watch", ids);
+    const auto last =
+        order.begin() +
+        static_cast<std::ptrdiff_t>(std::min(watchers_per_zone, order.size()));
+    const std::string self = m_state.members.with(
+        [](MemberTable& table) { return table.self().id; });
+    return std::find(order.begin(), last, self) != last;
+}
+
+Micros
+ConfigurationDuties::watch_round()
+{
+    Platform& platform = m_state.clients.platform();
+    std::optional<PlatformRecord> record;
+    bool watched = false;
+    try {
+        // What is in force says nothing of the record's version at the
+        // platform, so the version is read first and then waited above.
+        record = platform.read(configuration_head_key);
+        if (record)
+            take_from_platform(m_state, *record);
+        watched = is_watcher() && !m_state.stopping;
+        if (watched) {
+            const std::uint64_t seen = record ? record->version : 0;
+            record = m_state.clients.watching_platform().watch(
+                configuration_head_key, seen, watch_time);
+            if (record)
+                take_from_platform(m_state, *record);
+        }
+    } catch (const Error& failure) {
+        spdlog::debug("configuration watch: {}", failure.what());
+        return jittered(retry_watch);
+    }
+    return watched ? Micros(0) : jittered(m_state.settings.poll_period);
+}
+
+Micros
+ConfigurationDuties::pull_round()
+{
+    const auto newest = m_state.members.with(
+        [](MemberTable& table) { return table.newest_revision(); });
+    if (!newest || newest->revision <= m_state.configuration.revision())
+        return pull_period;
+    take_from_peer(m_state, newest->address);
+    return look_again;
+}
+
+bool
+ConfigurationDuties::learn_at_start(InstanceState& state, Micros waited)
+{
+    StartEvidence evidence;
+    evidence.waited = waited;
+    try {
+        const auto record =
+            state.clients.platform().read(configuration_head_key);
+        if (record)
+            take_from_platform(state, *record);
+        evidence.platform_answered = true;
+    } catch (const Error& failure) {
+        spdlog::info("start: the platform can't be reached: {}",
+                     failure.what());
+    }
+    for (const std::string& address : zone_peers(state)) {
+        if (evidence.platform_answered && state.configuration.revision() > 0)
+            break;
+        ++evidence.zone_members;
+        try {
+            take_from_peer(state, address);
+            ++evidence.zone_answered;
+        } catch (const Error& failure) {
+            // Nobody listens there any more: it serves nothing, so it holds
+            // nothing back.
+            if (failure.run_state() == RunState::NotDispatched)
+                --evidence.zone_members;
+        }
+    }
+    return may_start_serving(evidence, state.configuration.revision());
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/entry_instance.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "entry_instance.h"
+
+#include <adapters/clock.h>
+#include <adapters/random.h>
+#include <crosslink/base/error.h>
+
+#include <spdlog/spdlog.h>
+
+#include <thread>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr Micros step = std::chrono::milliseconds(20);
+constexpr Micros learn_again = std::chrono::milliseconds(200);
+/// After a planned stop was told, balancers and peers need this long until
+/// they send nothing more.
+constexpr Micros linger = std::chrono::milliseconds(500);
+
+Settings
+with_advertise(Settings settings)
+{
+    if (settings.advertise.empty())
+        settings.advertise = settings.peer_bind;
+    return settings;
+}
+
+Member
+self_of(const Settings& settings)
+{
+    Member self;
+    self.id = random_name();
+    self.address =
+        settings.advertise.empty() ? settings.peer_bind : settings.advertise;
+    self.zone = settings.zone;
+    return self;
+}
+
+} // namespace
+
+EntryInstance::EntryInstance(Settings settings)
+    : m_state(with_advertise(settings), self_of(settings)), m_desk(m_state),
+      m_exports(m_state), m_canceler(m_state),
+      m_path(m_state, m_desk, {m_exports, m_watch, m_canceler}),
+      m_upstreams(m_state), m_gossip(m_state), m_configuration(m_state),
+      m_peers(m_state, m_desk, m_gossip, m_path.gate()),
+      m_callers(m_state, m_path)
+{
+    m_state.members.with([this](MemberTable& table) {
+        for (const std::string& seed : m_state.settings.seeds)
+            table.add_seed(seed);
+    });
+}
+
+EntryInstance::~EntryInstance() = default;
+
+void
+EntryInstance::serve(const std::function<bool()>& stop_asked)
+{
+    learn_configuration(stop_asked);
+    while (!stop_asked())
+        std::this_thread::sleep_for(step);
+    stop();
+}
+
+void
+EntryInstance::learn_configuration(const std::function<bool()>& stop_asked)
+{
+    const TimePoint began = monotonic_now();
+    while (!stop_asked()) {
+        const Micros waited = monotonic_now() - began;
+        if (ConfigurationDuties::learn_at_start(m_state, waited)) {
+            m_state.ready = true;
+            spdlog::info("ready revision={}", m_state.configuration.revision());
+            return;
+        }
+        std::this_thread::sleep_for(learn_again);
+    }
+}
+
+void
+EntryInstance::stop()
+{
+    spdlog::info("a planned stop begins");
+    m_state.stopping = true;
+    m_gossip.tell_leaving();
+    try {
+        UpstreamDuties::announce(m_state, true);
+    } catch (const Error& failure) {
+        spdlog::info("the platform's list could not be told: {}",
+                     failure.what());
+    }
+    const TimePoint began = monotonic_now();
+    const TimePoint last = began + m_state.settings.stop_grace;
+    // Whoever has not learned of the stop yet is still served.
+    while (monotonic_now() < began + linger ||
+           (m_callers.running() > 0 && monotonic_now() < last))
+        std::this_thread::sleep_for(step);
+    m_callers.stop_listening();
+    while (m_callers.running() > 0 && monotonic_now() < last)
+        std::this_thread::sleep_for(step);
+    spdlog::info("stopped, {} answers cut", m_callers.running());
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/export_duty.cpp
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "export_duty.h"
+
+#include <adapters/clock.h>
+#include <crosslink/base/error.h>
+#include <crosslink/ports/engine.h>
+#include <crosslink/ports/store.h>
+
+#include <spdlog/spdlog.h>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr std::size_t ring_capacity = 256;
+
+/// Gives up the reservations of the blocks from `first` on.
+void
+abandon_from(Store& store, const std::vector<ExportBlock>& blocks,
+             std::size_t first)
+{
+    for (std::size_t i = first; i < blocks.size(); ++i) {
+        try {
+            store.abandon(blocks[i].key, blocks[i].handle);
+        } catch (const Error&) {
+            // The store ends a reservation by itself when it needs the room.
+            continue;
+        }
+    }
+}
+
+} // namespace
+
+ExportDuty::ExportDuty(InstanceState& state)
+    : m_state(state), m_ring(ring_capacity), m_thread([this] { work(); })
+{
+}
+
+ExportDuty::~ExportDuty()
+{
+    m_ring.close();
+    m_thread.join();
+}
+
+void
+ExportDuty::add(ExportJob job)
+{
+    if (!job.keys.empty())
+        m_ring.push(std::move(job));
+}
+
+void
+ExportDuty::work()
+{
+    while (const auto job = m_ring.pop()) {
+        try {
+            keep(*job);
+        } catch (const Error& failure) {
+            ++m_state.metrics.exports_failed;
+            spdlog::debug("export: {}", failure.what());
+        }
+    }
+}
+
+void
+ExportDuty::keep(const ExportJob& job)
+{
+    const auto stores =
+        m_state.directory.with([&](UpstreamDirectory& directory) {
+            return directory.stores_for(job.keys.front().hex(),
+                                        monotonic_now());
+        });
+    if (!stores.empty())
+        keep_in(stores.front(), job);
+}
+
+void
+ExportDuty::keep_in(const std::string& store_address, const ExportJob& job)
+{
+    const auto store = m_state.clients.store(store_address);
+    const auto engine = m_state.clients.engine(job.engine);
+    const std::size_t kept = store->lookup(job.keys).size();
+    std::vector<ExportBlock> blocks;
+    for (std::size_t i = kept; i < job.keys.size(); ++i) {
+        const auto handle =
+            store->reserve(job.keys[i], job.account, job.block_bytes);
+        // Somebody else writes it now; what follows is of use only after it.
+        if (!handle)
+            break;
+        blocks.push_back({job.keys[i], *handle});
+    }
+    if (blocks.empty())
+        return;
+    std::size_t sealed = 0;
+    try {
+        const auto contents = engine->export_blocks(store_address, blocks);
+        // A block is listed only from its seal on, and the seal only follows
+        // the engine's word that all of it is written.
+        for (; sealed < contents.size() && sealed < blocks.size(); ++sealed)
+            store->seal(blocks[sealed].key, blocks[sealed].handle,
+                        contents[sealed]);
+    } catch (const Error&) {
+        abandon_from(*store, blocks, sealed);
+        throw;
+    }
+    abandon_from(*store, blocks, sealed);
+    m_state.metrics.blocks_exported += sealed;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/export_duty.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "instance_state.h"
+
+#include <crosslink/base/bounded_ring.h>
+#include <crosslink/base/digest.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace crosslink
+{
+
+/// Blocks of one prompt that were just computed and may be asked for again.
+struct ExportJob {
+    std::string engine; ///< Address of the engine that has them.
+    std::string account;
+    std::vector<Digest> keys;
+    std::uint64_t block_bytes = 0; ///< KV bytes of each block.
+};
+
+/// Puts computed blocks into the stores, after the answer is out. A full ring
+/// drops jobs: kept work saves time, it is never owed.
+class ExportDuty
+{
+public:
+    explicit ExportDuty(InstanceState& state);
+    ~ExportDuty();
+    ExportDuty(const ExportDuty&) = delete;
+    ExportDuty& operator=(const ExportDuty&) = delete;
+
+    void add(ExportJob job);
+
+private:
+    void work();
+    void keep(const ExportJob& job);
+    void keep_in(const std::string& store_address, const ExportJob& job);
+
+    InstanceState& m_state;
+    BoundedRing<ExportJob> m_ring;
+    std::thread m_thread;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/gossip_duty.cpp
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "gossip_duty.h"
+
+#include <adapters/clock.h>
+#include <adapters/random.h>
+#include <crosslink/base/error.h>
+#include <crosslink/ports/peer.h>
+
+#include <utility>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Exchanges made at once for news that must spread.
+constexpr int spread_exchanges = 3;
+constexpr Micros period = std::chrono::seconds(1);
+
+} // namespace
+
+GossipDuty::GossipDuty(InstanceState& state)
+    : m_state(state), m_duty("gossip", [this] { return round(); })
+{
+    m_state.gossip_now.set(&m_duty);
+}
+
+GossipDuty::~GossipDuty()
+{
+    m_state.gossip_now.set(nullptr);
+}
+
+Micros
+GossipDuty::round()
+{
+    m_state.members.with(
+        [](MemberTable& table) { table.tick(monotonic_now()); });
+    exchange();
+    const std::uint64_t revision = m_state.configuration.revision();
+    if (std::exchange(m_spread_revision, revision) != revision)
+        for (int i = 1; i < spread_exchanges; ++i)
+            exchange();
+    // Up to a quarter is added, so that instances do not come in step.
+    return period + Micros(random_bits() % (period.count() / 4));
+}
+
+void
+GossipDuty::exchange()
+{
+    const auto target = m_state.members.with(
+        [](MemberTable& table) { return table.ping_target(random_bits()); });
+    if (!target)
+        return;
+    const GossipMessage message = m_state.members.with(
+        [&target](MemberTable& table) { return table.message_to(*target); });
+    ++m_state.metrics.gossip_rounds;
+    try {
+        take(m_state.clients.peer(*target)->gossip(message));
+    } catch (const Error&) {
+        m_state.members.with([&target](MemberTable& table) {
+            table.ping_failed(*target, monotonic_now());
+        });
+    }
+}
+
+void
+GossipDuty::take(const GossipMessage& message)
+{
+    const auto newest = m_state.members.with([&](MemberTable& table) {
+        table.receive(message, monotonic_now());
+        return table.newest_revision();
+    });
+    const TimePoint now = monotonic_now();
+    m_state.routing.with([&](Routing& routing) {
+        for (const UpstreamMark& mark : message.marks)
+            routing.engines.mark_leaving(
+                mark.upstream,
+                now + std::chrono::milliseconds(mark.expires_in_ms));
+    });
+    if (newest && newest->revision > m_state.configuration.revision())
+        m_state.configuration_pull.nudge();
+}
+
+GossipMessage
+GossipDuty::answer(const GossipMessage& message)
+{
+    take(message);
+    return m_state.members.with([&message](MemberTable& table) {
+        return table.message_to(message.sender.address);
+    });
+}
+
+void
+GossipDuty::tell_leaving()
+{
+    const auto members = m_state.members.with([](MemberTable& table) {
+        table.leave();
+        return table.live();
+    });
+    for (const Member& member : members) {
+        if (member.address == m_state.self_address())
+            continue;
+        const GossipMessage message =
+            m_state.members.with([&member](MemberTable& table) {
+                return table.message_to(member.address);
+            });
+        try {
+            m_state.clients.peer(member.address)->gossip(message);
+        } catch (const Error&) {
+            // It learns it from others, or from the list.
+            continue;
+        }
+    }
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/kept_fetch.cpp
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "kept_fetch.h"
+
+#include "completion_call.h"
+
+#include <adapters/clock.h>
+#include <crosslink/base/error.h>
+#include <crosslink/kept/import_check.h>
+#include <crosslink/ports/engine.h>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// A fetch may take this many times as long as it was expected to, and no
+/// less than the floor; then recomputing overtakes it.
+constexpr int patience = 3;
+constexpr Micros least_patience = std::chrono::milliseconds(250);
+
+std::uint64_t
+bytes_of(std::span<const SealedBlock> blocks)
+{
+    std::uint64_t sum = 0;
+    for (const SealedBlock& block : blocks)
+        sum += block.bytes;
+    return sum;
+}
+
+/// Notes a fetch in the link table for as long as it is under way.
+class LinkUse
+{
+public:
+    LinkUse(InstanceState& state, const std::string& store, std::uint64_t bytes)
+        : m_state(state), m_store(store), m_bytes(bytes),
+          m_began(monotonic_now())
+    {
+        m_expected = m_state.routing.with([&](Routing& routing) {
+            routing.links.begin(m_store, m_bytes);
+            return routing.links.expected(m_store, 0);
+        });
+    }
+
+    ~LinkUse()
+    {
+        m_state.routing.with([&](Routing& routing) {
+            routing.links.end(m_store, m_bytes, monotonic_now() - m_began,
+                              m_whole);
+        });
+    }
+
+    LinkUse(const LinkUse&) = delete;
+    LinkUse& operator=(const LinkUse&) = delete;
+
+    Micros expected() const { return m_expected; }
+    void whole() { m_whole = true; }
+
+private:
+    InstanceState& m_state;
+    const std::string m_store;
+    const std::uint64_t m_bytes;
+    const TimePoint m_began;
+    Micros m_expected{0};
+    bool m_whole = false;
+};
+
+ImportOrder
+import_order(const CompletionCall& call, const KeptBlocks& kept,
+             const RouteChoice& choice)
+{
+    ImportOrder order;
+    order.account = call.account->name;
+    order.model = call.model;
+    order.version = call.version;
+    order.adapter = call.adapter;
+    order.store_address = kept.store;
+    order.blocks.assign(
+        kept.blocks.begin() + static_cast<std::ptrdiff_t>(choice.cached_blocks),
+        kept.blocks.begin() + static_cast<std::ptrdiff_t>(choice.fetch_to));
+    return order;
+}
+
+} // namespace
+
+KeptBlocks
+find_kept(InstanceState& state, const CompletionCall& call)
+{
+    KeptBlocks kept;
+    if (call.keys.empty())
+        return kept;
+    const auto stores = state.directory.with([&](UpstreamDirectory& directory) {
+        return directory.stores_for(call.keys.front().hex(), monotonic_now());
+    });
+    if (stores.empty())
+        return kept;
+    try {
+        kept.blocks = state.clients.store(stores.front())->lookup(call.keys);
+        check_lookup(call.keys, kept.blocks);
+        kept.store = stores.front();
+        state.directory.with([&](UpstreamDirectory& directory) {
+            directory.succeeded(stores.front());
+        });
+    } catch (const Error& failure) {
+        kept.blocks.clear();
+        spdlog::debug("lookup at {}: {}", stores.front(), failure.what());
+        state.directory.with([&](UpstreamDirectory& directory) {
+            directory.failed(stores.front(), monotonic_now());
+        });
+    }
+    return kept;
+}
+
+std::string
+fetch_kept(InstanceState& state, const CompletionCall& call,
+           const KeptBlocks& kept, const RouteChoice& choice)
+{
+    if (choice.fetch_to <= choice.cached_blocks)
+        return {};
+    ImportOrder order = import_order(call, kept, choice);
+    const std::uint64_t bytes = bytes_of(order.blocks);
+    const auto engine = state.clients.engine(choice.engine);
+    ++state.metrics.fetches;
+    try {
+        LinkUse use(state, kept.store, bytes);
+        order.give_up = std::max(use.expected() * patience, least_patience);
+        const ImportResult read = engine->import(order);
+        const auto sealed =
+            state.clients.store(kept.store)->verify(order.blocks);
+        if (!import_is_sound(order.blocks, read, sealed)) {
+            ++state.metrics.fetches_unsound;
+            engine->discard(read.staged_id);
+            return {};
+        }
+        use.whole();
+        state.metrics.fetched_bytes += bytes;
+        return read.staged_id;
+    } catch (const Error& failure) {
+        ++state.metrics.fetches_failed;
+        spdlog::debug("fetch from {}: {}", kept.store, failure.what());
+        return {};
+    }
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/once.cpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "once.h"
+
+#include <adapters/clock.h>
+#include <adapters/random.h>
+#include <crosslink/base/error.h>
+#include <crosslink/base/invariants.h>
+#include <crosslink/claim/claim_slice.h>
+#include <crosslink/claim/key_time.h>
+#include <crosslink/ports/peer.h>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// A key may be made by a clock that is ahead by this much; one that is
+/// further ahead would be remembered for too long.
+constexpr UnixMillis clock_slack_ms = 5 * 60 * 1000;
+constexpr Micros come_back = std::chrono::seconds(1);
+
+} // namespace
+
+Once::Once(InstanceState& state, ClaimDesk& desk) : m_state(state), m_desk(desk)
+{
+}
+
+Claim
+Once::claim_for(const OnceCall& call) const
+{
+    const UnixMillis now = unix_now();
+    Claim claim;
+    claim.key =
+        claim_key(call.account->name, call.service, call.idempotency_key);
+    claim.id = random_name();
+    claim.holder = m_state.self_address();
+    const auto key_time = key_time_of(call.idempotency_key);
+    if (!key_time && call.account->undated_keys == UndatedKeys::Refuse)
+        throw Error(ErrorCode::UndatedKey,
+                    "an Idempotency-Key must be a UUID of version 7 "
+                    "(RFC 9562), so that its age is known");
+    claim.key_time = key_time.value_or(now);
+    if (claim.key_time > now + clock_slack_ms)
+        throw Error(ErrorCode::UndatedKey,
+                    "the Idempotency-Key is from the future");
+    return claim;
+}
+
+Once::Result
+Once::run(const OnceCall& call, const Dispatch& dispatch)
+{
+    const Claim claim = claim_for(call);
+    const TimePoint began = monotonic_now();
+    ClaimVerdict verdict;
+    try {
+        verdict = m_desk.decide(claim);
+    } catch (const Error&) {
+        ++m_state.metrics.claims_unavailable;
+        throw;
+    }
+    m_state.metrics.claim.add(monotonic_now() - began);
+    if (verdict.kind == ClaimVerdict::Kind::Expired) {
+        ++m_state.metrics.claims_expired;
+        throw Error(ErrorCode::ClaimExpired,
+                    "the key is older than the age limit; this request was "
+                    "not run, an earlier one may have been",
+                    RunState::MayHaveRun);
+    }
+    if (verdict.kind == ClaimVerdict::Kind::Held) {
+        ++m_state.metrics.claims_held;
+        return replay(call, claim, verdict.holder);
+    }
+    require(Invariant::ClaimBeforeDispatch,
+            verdict.kind == ClaimVerdict::Kind::Granted &&
+                verdict.holder == m_state.self_address());
+    ++m_state.metrics.claims_granted;
+    m_state.answers.with([&](AnswerKeeper& answers) {
+        answers.begin(claim.key, call.fingerprint);
+    });
+    try {
+        PlainAnswer answer = dispatch();
+        m_state.answers.with(
+            [&](AnswerKeeper& answers) { answers.finish(claim.key, answer); });
+        return {std::move(answer), false};
+    } catch (const Error& failure) {
+        m_state.answers.with(
+            [&](AnswerKeeper& answers) { answers.forget(claim.key); });
+        if (!is_not_run(failure.run_state()))
+            throw Error(ErrorCode::ClaimOutcomeUnknown,
+                        std::string("it may have run: ") + failure.what(),
+                        RunState::MayHaveRun);
+        m_desk.give_back(claim);
+        throw;
+    }
+}
+
+Once::Result
+Once::replay(const OnceCall& call, const Claim& claim,
+             const std::string& holder)
+{
+    HeldAnswer held;
+    if (holder == m_state.self_address()) {
+        held = m_state.answers.with(
+            [&](AnswerKeeper& answers) { return answers.find(claim.key); });
+    } else {
+        try {
+            held = m_state.clients.peer(holder)->answer_of(claim.key);
+        } catch (const Error&) {
+            // The holder is gone or cut off: what became of it is not known.
+            held.state = HeldAnswer::State::Unknown;
+        }
+    }
+    if (held.state == HeldAnswer::State::Unknown)
+        throw Error(ErrorCode::ClaimOutcomeUnknown,
+                    "an earlier request with this key may have run; its "
+                    "outcome is not known",
+                    RunState::MayHaveRun);
+    if (held.fingerprint != call.fingerprint)
+        throw Error(ErrorCode::KeyReused,
+                    "the Idempotency-Key was used for another call");
+    if (held.state == HeldAnswer::State::Running)
+        throw Error(ErrorCode::ClaimInProgress,
+                    "an earlier request with this key is being run",
+                    RunState::MayHaveRun, come_back);
+    return {std::move(held.answer), true};
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/peer_server.cpp
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "peer_server.h"
+
+#include "status_report.h"
+
+#include <adapters/clock.h>
+#include <adapters/peer_rpc_client.h>
+#include <adapters/peer_wire.h>
+#include <peer_rpc/rpc.h>
+
+#include <crosslink/base/error.h>
+
+#include <openssl/crypto.h>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr int success = 200;
+constexpr std::uint64_t most_body_bytes = 16U << 20U;
+constexpr int most_threads = 64;
+
+HttpServerRules
+rules()
+{
+    HttpServerRules result;
+    result.most_threads = most_threads;
+    return result;
+}
+
+/// Compares in a time that does not depend on where the texts differ.
+bool
+same_secret(const std::string& one, const std::string& other)
+{
+    return one.size() == other.size() &&
+           CRYPTO_memcmp(one.data(), other.data(), one.size()) == 0;
+}
+
+} // namespace
+
+PeerServer::PeerServer(InstanceState& state, ClaimDesk& desk,
+                       GossipDuty& gossip, AdmissionGate& gate)
+    : m_state(state), m_proof(peer_proof(state.settings.fleet_secret)),
+      m_rpc(std::make_unique<RpcServer>()), m_gate(gate), m_desk(desk)
+{
+    add_methods(gossip);
+    m_server = std::make_unique<HttpServer>(
+        state.settings.peer_bind, rules(), [this](auto& request, auto& answer) {
+            try {
+                handle(request, answer);
+            } catch (const std::exception&) {
+                // The peer's connection broke.
+                return;
+            }
+        });
+}
+
+PeerServer::~PeerServer() = default;
+
+void
+PeerServer::add_methods(GossipDuty& gossip)
+{
+    namespace method = wire::peer_method;
+    m_rpc->add(method::gossip, [&gossip](const Json::Value& parameters) {
+        return wire::gossip_to_json(
+            gossip.answer(wire::gossip_from_json(parameters)));
+    });
+    m_rpc->add(method::commit_claims, [this](const Json::Value& parameters) {
+        const auto slice =
+            static_cast<std::uint32_t>(json_number(parameters, "slice"));
+        const auto claims = wire::claims_from_json(parameters["claims"]);
+        Json::Value result;
+        result["verdicts"] =
+            wire::verdicts_to_json(m_desk.commit_here(slice, claims));
+        return result;
+    });
+    m_rpc->add(method::answer_of, [this](const Json::Value& parameters) {
+        const Digest key = Digest::from_hex(json_string(parameters, "key"));
+        return wire::answer_to_json(m_state.answers.with(
+            [&key](AnswerKeeper& answers) { return answers.find(key); }));
+    });
+    m_rpc->add(method::configuration_head, [this](const Json::Value&) {
+        Json::Value result(Json::objectValue);
+        if (const auto held = m_state.configuration.current())
+            result["head"] = held->head().to_json();
+        return result;
+    });
+    m_rpc->add(method::configuration_part,
+               [this](const Json::Value& parameters) {
+                   const Digest digest =
+                       Digest::from_hex(json_string(parameters, "digest"));
+                   Json::Value result;
+                   const auto held = m_state.configuration.current();
+                   const bool found = held && held->texts().contains(digest);
+                   result["found"] = found;
+                   if (found)
+                       result["text"] = *held->texts().at(digest);
+                   return result;
+               });
+}
+
+void
+PeerServer::handle(Poco::Net::HTTPServerRequest& request,
+                   Poco::Net::HTTPServerResponse& answer)
+{
+    const std::string body = read_body(request, most_body_bytes);
+    if (!same_secret(request.get(wire::peer_proof_header, ""), m_proof)) {
+        send_answer(answer, error_status(ErrorCode::PeerRefused), "text/plain",
+                    "the fleet's proof is missing or wrong\n");
+        return;
+    }
+    const std::string& path = request.getURI();
+    if (path == wire::peer_path) {
+        send_answer(answer, success, "application/json", m_rpc->handle(body));
+    } else if (path == "/status") {
+        send_json(answer, success, status());
+    } else if (path == "/report") {
+        send_json(answer, success, m_state.burn.with([](BurnReport& report) {
+            return report.rows(monotonic_now());
+        }));
+    } else {
+        send_answer(answer, error_status(ErrorCode::UnknownPath), "text/plain",
+                    "no such path\n");
+    }
+}
+
+Json::Value
+PeerServer::status() const
+{
+    Json::Value value = status_report(m_state);
+    value["requests"]["running"] = Json::UInt64(m_gate.running());
+    value["requests"]["waiting"] = Json::UInt64(m_gate.waiting());
+    value["claims_in_memory"] = Json::UInt64(m_desk.held());
+    return value;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/peer_server.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "claim_desk.h"
+#include "gossip_duty.h"
+#include "instance_state.h"
+#include "request_path.h"
+
+#include <adapters/http_server.h>
+
+#include <memory>
+
+namespace crosslink
+{
+
+class RpcServer;
+
+/// The interface towards peers (JSON-RPC 2.0) and operators (/status, /report).
+/// Every request must carry the fleet's proof.
+class PeerServer
+{
+public:
+    /// Binds and answers at once. All arguments must outlive it.
+    PeerServer(InstanceState& state, ClaimDesk& desk, GossipDuty& gossip,
+               AdmissionGate& gate);
+    ~PeerServer();
+
+    std::string address() const { return m_server->address(); }
+
+private:
+    void handle(Poco::Net::HTTPServerRequest& request,
+                Poco::Net::HTTPServerResponse& answer);
+    void add_methods(GossipDuty& gossip);
+    Json::Value status() const;
+
+    InstanceState& m_state;
+    const std::string m_proof;
+    std::unique_ptr<RpcServer> m_rpc;
+    AdmissionGate& m_gate;
+    ClaimDesk& m_desk;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/request_path.cpp
@@ -0,0 +1,277 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "request_path.h"
+
+#include <adapters/clock.h>
+#include <crosslink/authenticate/authenticator.h>
+#include <crosslink/base/error.h>
+#include <crosslink/kept/block_key.h>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr Micros come_back = std::chrono::seconds(1);
+constexpr int success = 200;
+constexpr std::string_view completions_class = "completions";
+constexpr const char* json_type = "application/json";
+constexpr const char* done_event = "[DONE]";
+
+Digest
+fingerprint_of(const CallerRequest& request)
+{
+    return sha256(request.method + "\n" + request.path + "\n" + request.body);
+}
+
+std::string
+error_event(const Error& failure)
+{
+    Json::Value body;
+    body["error"]["type"] = std::string(error_name(failure.code()));
+    body["error"]["message"] = failure.what();
+    body["error"]["run_state"] =
+        std::string(run_state_name(failure.run_state()));
+    return json_text(body);
+}
+
+std::string
+path_only(const std::string& path)
+{
+    return path.substr(0, path.find('?'));
+}
+
+/// Who a returning caller is: the one it names, else its whole account.
+const std::string&
+caller_of(const CompletionCall& call, const ClientAccount& account)
+{
+    return call.caller.empty() ? account.name : call.caller;
+}
+
+} // namespace
+
+RequestPath::RequestPath(InstanceState& state, ClaimDesk& desk,
+                         RunDuties duties)
+    : m_state(state), m_once(state, desk), m_plain(state), m_gate(state),
+      m_duties(duties)
+{
+}
+
+void
+RequestPath::serve(const CallerRequest& request, CallerReply& reply)
+{
+    // One revision from start to end: a change takes hold with the next one.
+    const Held configuration = m_state.configuration.current();
+    if (!m_state.ready || !configuration)
+        throw Error(ErrorCode::NotReady, "this instance does not serve now",
+                    RunState::NotDispatched, come_back);
+    const ClientAccount& account =
+        authenticate(*configuration, request.authorization);
+    const std::string path = path_only(request.path);
+    if (path == "/v1/models" && request.method == "GET")
+        serve_models(account, reply);
+    else if (path == "/v1/completions" && request.method == "POST")
+        serve_completion(account, request, reply, false);
+    else if (path == "/v1/chat/completions" && request.method == "POST")
+        serve_completion(account, request, reply, true);
+    else
+        serve_plain(account, request, reply);
+}
+
+void
+RequestPath::serve_models(const ClientAccount& account, CallerReply& reply)
+{
+    Json::Value body;
+    body["object"] = "list";
+    body["data"] = Json::Value(Json::arrayValue);
+    const auto add = [&body](const std::string& id) {
+        Json::Value item;
+        item["id"] = id;
+        item["object"] = "model";
+        body["data"].append(item);
+    };
+    for (const ModelGrant& grant : account.models) {
+        add(grant.model);
+        for (const std::string& adapter : grant.adapters)
+            add(grant.model + ":" + adapter);
+    }
+    reply.answer({success, json_type, json_text(body)}, {});
+}
+
+void
+RequestPath::serve_completion(const ClientAccount& account,
+                              const CallerRequest& request, CallerReply& reply,
+                              bool chat)
+{
+    CompletionCall call = read_completion(account, request.body, chat);
+    const TrafficSplit* split = account.split_for(completions_class);
+    if (split && !goes_to_new_fleet(*split, caller_of(call, account))) {
+        serve_by_old(*split, account, request, reply);
+        return;
+    }
+    call.request_id = request.id;
+    call.repeatable = request.idempotency_key.empty();
+    call.keys = block_keys(
+        m_state.settings.fleet_secret,
+        {account.name, call.model, call.version, call.adapter}, call.prompt);
+    call.prompt_tokens = token_estimate(call.prompt);
+    const auto place =
+        m_gate.enter(account, call.prompt_tokens + call.max_tokens);
+    if (call.repeatable) {
+        const PlainAnswer answer = run_completion(call, request, reply);
+        if (!reply.streaming())
+            reply.answer(answer, {});
+        return;
+    }
+    const OnceCall once{&account, path_only(request.path),
+                        request.idempotency_key, fingerprint_of(request)};
+    const Once::Result result =
+        m_once.run(once, [&] { return run_completion(call, request, reply); });
+    if (!reply.streaming())
+        reply.answer(result.answer, {{"Idempotency-Replayed",
+                                      result.replayed ? "true" : "false"}});
+}
+
+PlainAnswer
+RequestPath::run_completion(const CompletionCall& call,
+                            const CallerRequest& request, CallerReply& reply)
+{
+    const CompletionAnswer shape(call);
+    CompletionRun run(m_state, m_duties, call, [&](std::string_view text) {
+        if (!call.stream)
+            return true;
+        if (!reply.streaming()) {
+            m_state.metrics.first_token.add(monotonic_now() -
+                                            request.received_at);
+            reply.begin_stream();
+        }
+        const bool sent = reply.send_event(shape.token_event(text));
+        // A claimed answer is kept for the caller's retry, so the run
+        // goes on when the caller went away.
+        return sent || !call.repeatable;
+    });
+    try {
+        run.run(call.repeatable ? reply.socket() : -1);
+        const PlainAnswer answer = relay_completion(run, call, reply);
+        settle(run, call, request);
+        return answer;
+    } catch (const Error& failure) {
+        settle(run, call, request);
+        if (!reply.streaming())
+            throw;
+        // The answer has begun: it ends with a typed error, never silently.
+        reply.send_event(error_event(failure));
+        if (!call.repeatable)
+            throw;
+    }
+    return {};
+}
+
+PlainAnswer
+RequestPath::relay_completion(CompletionRun& run, const CompletionCall& call,
+                              CallerReply& reply)
+{
+    const CompletionAnswer shape(call);
+    const Relay& relay = run.relay();
+    if (!relay.finished()) {
+        ++m_state.metrics.callers_gone;
+        throw Error(ErrorCode::StreamBroken, "the caller went away",
+                    RunState::MayHaveRun);
+    }
+    if (reply.streaming()) {
+        reply.send_event(shape.last_event(
+            relay.prompt_tokens(), relay.cached_tokens(), relay.next_index()));
+        reply.send_event(done_event);
+    }
+    return {success, json_type,
+            shape.whole(relay.text(), relay.prompt_tokens(),
+                        relay.cached_tokens(), relay.next_index())};
+}
+
+void
+RequestPath::settle(const CompletionRun& run, const CompletionCall& call,
+                    const CallerRequest& request)
+{
+    const Relay& relay = run.relay();
+    if (run.caller_gone() && !relay.finished())
+        return;
+    RequestOutcome outcome;
+    outcome.account = call.account->name;
+    outcome.model = call.model;
+    outcome.zone = m_state.settings.zone;
+    outcome.objectives = call.account->objectives;
+    outcome.answered = relay.finished();
+    if (run.times().first_token)
+        outcome.first_token = *run.times().first_token - request.received_at;
+    outcome.slowest_between = run.times().slowest_between;
+    if (relay.finished()) {
+        outcome.prompt_tokens = relay.prompt_tokens();
+        outcome.computed_tokens = relay.prompt_tokens() - relay.cached_tokens();
+        m_state.metrics.prompt_tokens += relay.prompt_tokens();
+        m_state.metrics.reused_tokens += relay.cached_tokens();
+    }
+    m_state.burn.with([&outcome](BurnReport& report) {
+        report.add(outcome, monotonic_now());
+    });
+}
+
+void
+RequestPath::serve_plain(const ClientAccount& account,
+                         const CallerRequest& request, CallerReply& reply)
+{
+    const std::string path = path_only(request.path);
+    const PlainServiceGrant* grant = account.service_for(path);
+    if (!grant)
+        throw Error(ErrorCode::UnknownPath,
+                    "this client account has no service at this path");
+    const bool marked = is_not_repeatable(*grant, request.method, path);
+    std::string service = grant->service;
+    const TrafficSplit* split = account.split_for(service);
+    if (split && !goes_to_new_fleet(*split, account.name))
+        service = split->old_service;
+    const auto place = m_gate.enter(account, token_estimate(request.body) + 1);
+    call_plain(service, account, request, reply, marked);
+}
+
+void
+RequestPath::serve_by_old(const TrafficSplit& split,
+                          const ClientAccount& account,
+                          const CallerRequest& request, CallerReply& reply)
+{
+    const auto place = m_gate.enter(account, token_estimate(request.body) + 1);
+    call_plain(split.old_service, account, request, reply, false);
+}
+
+void
+RequestPath::call_plain(const std::string& service,
+                        const ClientAccount& account,
+                        const CallerRequest& request, CallerReply& reply,
+                        bool marked)
+{
+    const PlainCall call = plain_call_of(request, account.name);
+    const bool once = !request.idempotency_key.empty();
+    const bool repeatable =
+        !marked && !once && is_idempotent_method(request.method);
+    const auto dispatch = [&] {
+        return m_plain.run(service, account.name, call, repeatable);
+    };
+    if (!once) {
+        reply.answer(dispatch(), {});
+        return;
+    }
+    // The claim is on the caller's service name, not on where it runs, so that
+    // a change of the split does not open the way for a second run.
+    const OnceCall named{&account, path_only(request.path),
+                         request.idempotency_key, fingerprint_of(request)};
+    const Once::Result result = m_once.run(named, dispatch);
+    reply.answer(result.answer, {{"Idempotency-Replayed",
+                                  result.replayed ? "true" : "false"}});
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/request_path.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "admission_gate.h"
+#include "caller.h"
+#include "claim_desk.h"
+#include "completion_run.h"
+#include "instance_state.h"
+#include "once.h"
+#include "plain_calls.h"
+
+#include <string_view>
+
+namespace crosslink
+{
+
+/// The way of one request, in order: authenticate, admit, claim, route, fetch
+/// kept KV, dispatch, relay, settle.
+class RequestPath
+{
+public:
+    RequestPath(InstanceState& state, ClaimDesk& desk, RunDuties duties);
+
+    /// Serves one request of a caller. Throws Error where nothing was sent to
+    /// the caller yet; a failure after that ends the stream with an error.
+    void serve(const CallerRequest& request, CallerReply& reply);
+
+    AdmissionGate& gate() { return m_gate; }
+
+private:
+    using Held = ConfigurationState::Held;
+
+    void serve_models(const ClientAccount& account, CallerReply& reply);
+    void serve_completion(const ClientAccount& account,
+                          const CallerRequest& request, CallerReply& reply,
+                          bool chat);
+    void serve_plain(const ClientAccount& account, const CallerRequest& request,
+                     CallerReply& reply);
+    void serve_by_old(const TrafficSplit& split, const ClientAccount& account,
+                      const CallerRequest& request, CallerReply& reply);
+    /// `marked`: the template says that this call may not be repeated.
+    void call_plain(const std::string& service, const ClientAccount& account,
+                    const CallerRequest& request, CallerReply& reply,
+                    bool marked);
+    PlainAnswer run_completion(const CompletionCall& call,
+                               const CallerRequest& request,
+                               CallerReply& reply);
+    PlainAnswer relay_completion(CompletionRun& run, const CompletionCall& call,
+                                 CallerReply& reply);
+    void settle(const CompletionRun& run, const CompletionCall& call,
+                const CallerRequest& request);
+
+    InstanceState& m_state;
+    Once m_once;
+    PlainCalls m_plain;
+    AdmissionGate m_gate;
+    RunDuties m_duties;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/status_report.h
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/json.h>
+
+#include <string>
+
+namespace crosslink
+{
+
+struct InstanceState;
+
+/// Returns the fleet as this instance sees it, for `crosslink status`.
+Json::Value status_report(InstanceState& state);
+/// Returns a status as text for a terminal.
+std::string status_text(const Json::Value& status);
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/upstream_directory.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "upstream_directory.h"
+
+#include <crosslink/membership/rendezvous.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr Micros first_time_out = std::chrono::milliseconds(500);
+constexpr std::uint32_t most_doublings = 5;
+
+} // namespace
+
+void
+UpstreamDirectory::sync(std::span<const ListedInstance> listed)
+{
+    m_listed.assign(listed.begin(), listed.end());
+    std::erase_if(m_troubles, [this](const auto& item) {
+        return std::none_of(m_listed.begin(), m_listed.end(),
+                            [&item](const ListedInstance& instance) {
+                                return instance.address == item.first;
+                            });
+    });
+}
+
+bool
+UpstreamDirectory::usable(const ListedInstance& instance, TimePoint now) const
+{
+    if (instance.leaving)
+        return false;
+    const auto found = m_troubles.find(instance.address);
+    return found == m_troubles.end() || now >= found->second.out_until;
+}
+
+std::vector<std::string>
+UpstreamDirectory::stores_for(std::string_view key, TimePoint now) const
+{
+    std::vector<std::string> stores;
+    for (const ListedInstance& instance : m_listed)
+        if (instance.kind == ListedKind::Store && usable(instance, now))
+            stores.push_back(instance.address);
+    return rendezvous_order(key, stores);
+}
+
+std::vector<std::string>
+UpstreamDirectory::plain_for(std::string_view service, std::string_view zone,
+                             std::uint64_t random, TimePoint now) const
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const ListedInstance& instance : m_listed) {
+        const bool fits =
+            instance.kind == ListedKind::Plain && instance.service == service;
+        if (!fits || !usable(instance, now))
+            continue;
+        (instance.zone == zone ? near : far).push_back(instance.address);
+    }
+    for (auto* part : {&near, &far})
+        if (!part->empty())
+            std::rotate(part->begin(), part->begin() + random % part->size(),
+                        part->end());
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+void
+UpstreamDirectory::failed(std::string_view address, TimePoint now)
+{
+    Trouble& trouble = m_troubles[std::string(address)];
+    const std::uint32_t doublings = std::min(trouble.failures, most_doublings);
+    ++trouble.failures;
+    trouble.out_until = now + first_time_out * (1U << doublings);
+}
+
+void
+UpstreamDirectory::succeeded(std::string_view address)
+{
+    const auto found = m_troubles.find(address);
+    if (found != m_troubles.end())
+        m_troubles.erase(found);
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/upstream_directory.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/ports/platform.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// The stores and plain services of the platform's list, with what this
+/// instance learned of them: leaving ones get no new work, and one that fails
+/// is kept out for a time that doubles.
+class UpstreamDirectory
+{
+public:
+    /// Takes over the list.
+    void sync(std::span<const ListedInstance> listed);
+    /// Returns the stores to use for blocks whose first key is `key`, the
+    /// preferred one first. The order is the same at every instance of every
+    /// zone, since a prompt may return to any of them.
+    std::vector<std::string> stores_for(std::string_view key,
+                                        TimePoint now) const;
+    /// Returns the instances of a plain service that take work, those of
+    /// `zone` first, in an order turned by `random`.
+    std::vector<std::string> plain_for(std::string_view service,
+                                       std::string_view zone,
+                                       std::uint64_t random,
+                                       TimePoint now) const;
+    void failed(std::string_view address, TimePoint now);
+    void succeeded(std::string_view address);
+
+    const std::vector<ListedInstance>& listed() const { return m_listed; }
+
+private:
+    struct Trouble {
+        std::uint32_t failures = 0;
+        TimePoint out_until{};
+    };
+
+    bool usable(const ListedInstance& instance, TimePoint now) const;
+
+    std::vector<ListedInstance> m_listed;
+    std::map<std::string, Trouble, std::less<>> m_troubles;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/upstream_duties.cpp
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "upstream_duties.h"
+
+#include <adapters/clock.h>
+#include <crosslink/base/error.h>
+#include <crosslink/ports/engine.h>
+
+#include <spdlog/spdlog.h>
+
+#include <vector>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Engines of other zones are asked for their load only every so many rounds.
+constexpr std::uint64_t far_rounds = 5;
+
+std::vector<ListedEngine>
+engines_of(const std::vector<ListedInstance>& listed)
+{
+    std::vector<ListedEngine> engines;
+    for (const ListedInstance& instance : listed)
+        if (instance.kind == ListedKind::Engine)
+            engines.push_back(
+                {instance.address, instance.zone, instance.leaving});
+    return engines;
+}
+
+} // namespace
+
+UpstreamDuties::UpstreamDuties(InstanceState& state)
+    : m_state(state), m_list("list", [this] { return list_round(); }),
+      m_load("load", [this] { return load_round(); })
+{
+}
+
+void
+UpstreamDuties::read_list(InstanceState& state)
+{
+    const auto listed = state.clients.platform().instances();
+    const auto engines = engines_of(listed);
+    state.routing.with([&engines](Routing& routing) {
+        routing.engines.sync(engines, monotonic_now());
+    });
+    state.directory.with(
+        [&listed](UpstreamDirectory& directory) { directory.sync(listed); });
+    state.members.with([&listed](MemberTable& table) {
+        for (const ListedInstance& instance : listed)
+            if (instance.kind == ListedKind::Entry && !instance.leaving)
+                table.add_seed(instance.address);
+    });
+}
+
+void
+UpstreamDuties::announce(InstanceState& state, bool leaving)
+{
+    ListedInstance self;
+    self.id =
+        state.members.with([](MemberTable& table) { return table.self().id; });
+    self.kind = ListedKind::Entry;
+    self.address = state.self_address();
+    self.zone = state.settings.zone;
+    self.leaving = leaving;
+    state.clients.platform().announce(self);
+}
+
+Micros
+UpstreamDuties::list_round()
+{
+    try {
+        announce(m_state, m_state.stopping);
+        read_list(m_state);
+    } catch (const Error& failure) {
+        // The last list stays: what it names is served as long as it answers.
+        spdlog::debug("list: {}", failure.what());
+    }
+    return m_state.settings.list_period;
+}
+
+Micros
+UpstreamDuties::load_round()
+{
+    const bool all = m_load_rounds++ % far_rounds == 0;
+    std::vector<std::string> addresses;
+    m_state.routing.with([&](Routing& routing) {
+        for (const auto& [address, engine] : routing.engines.entries())
+            if (all || !engine.reported || engine.zone == m_state.settings.zone)
+                addresses.push_back(address);
+    });
+    for (const std::string& address : addresses)
+        report(address);
+    return m_state.settings.load_period;
+}
+
+void
+UpstreamDuties::report(const std::string& address)
+{
+    try {
+        const EngineLoad load = m_state.clients.engine(address)->load();
+        m_state.routing.with([&](Routing& routing) {
+            routing.engines.reported(address, load, monotonic_now());
+        });
+        follow_events(address, load);
+    } catch (const Error& failure) {
+        spdlog::debug("load of {}: {}", address, failure.what());
+        m_state.routing.with(
+            [&](Routing& routing) { routing.engines.lost(address); });
+    }
+}
+
+void
+UpstreamDuties::follow_events(const std::string& address,
+                              const EngineLoad& load)
+{
+    std::uint64_t seen = 0;
+    m_state.routing.with([&](Routing& routing) {
+        if (const EngineEntry* engine = routing.engines.find(address))
+            seen = engine->cache.sequence();
+    });
+    if (seen >= load.last_event)
+        return;
+    const auto engine = m_state.clients.engine(address);
+    const auto events = engine->events_after(seen);
+    bool whole = true;
+    m_state.routing.with([&](Routing& routing) {
+        if (EngineEntry* entry = routing.engines.find(address))
+            whole = entry->cache.apply(events);
+    });
+    if (whole)
+        return;
+    // Events were lost: the engine's own listing replaces the belief.
+    const auto keys = engine->cached_keys();
+    m_state.routing.with([&](Routing& routing) {
+        if (EngineEntry* entry = routing.engines.find(address))
+            entry->cache.resync(keys, load.last_event);
+    });
+}
+
+} // namespace crosslink
--- a/src/standins/engine_standin.cpp
+++ b/src/standins/engine_standin.cpp
@@ -399,6 +399,7 @@
         for (const auto& [place, tokens] : m_waiting)
             load.waiting_tokens += tokens;
         load.prefill_tokens_per_second = m_settings.prefill_tokens_per_second;
+        load.block_bytes = m_settings.block_bytes;
         load.slots = m_settings.slots;
         load.leaving = m_leaving;
         load.last_event = m_cache.last_event();
--- a/src/standins/standin_server.cpp
+++ b/src/standins/standin_server.cpp
@@ -7,6 +7,7 @@
 #include <crosslink/base/error.h>
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <chrono>
 #include <csignal>
