Test the core's decisions, with random interleavings for the promises

Cause: nothing held the decisions to the promises. Unit tests stand beside the sources; rapidcheck interleaves pauses, lost and late platform writes, restarts and clock jumps.

--- /dev/null
+++ b/src/libcrosslink/claim/claim_committer_test.cpp
@@ -0,0 +1,313 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "../testing/fake_platform.h"
+
+#include <crosslink/claim/claim_committer.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace crosslink
+{
+
+namespace
+{
+
+using testing::FakePlatform;
+using testing::Fate;
+
+constexpr UnixMillis start = 1'000'000;
+constexpr UnixMillis age_limit = 10'000;
+
+Claim
+make_claim(const std::string& key, const std::string& id,
+           UnixMillis key_time = start)
+{
+    return {sha256(key), id, "holder-" + id, key_time};
+}
+
+ClaimVerdict::Kind
+decide(ClaimCommitter& committer, const Claim& claim, UnixMillis now = start)
+{
+    return committer.commit(claim_slice_of(claim.key), {&claim, 1}, {}, now)
+        .front()
+        .kind;
+}
+
+/// A fleet of committers on one platform. Each step pauses in the middle of a
+/// platform call while others run, and calls meet random fates.
+class RandomFleet
+{
+public:
+    static constexpr int instances = 3;
+    static constexpr int keys = 4;
+
+    RandomFleet()
+    {
+        for (int i = 0; i < instances; ++i)
+            restart(i);
+        m_platform.before_call = [this] { interrupt(); };
+        m_platform.next_fate = [this] { return fate(); };
+    }
+
+    /// One request of a caller for a random key, maybe a retry of an old one.
+    void request()
+    {
+        const int key = *rc::gen::inRange(0, keys);
+        const UnixMillis age =
+            *rc::gen::element<UnixMillis>(0, 0, 0, 9000, 15'000);
+        Claim claim = make_claim("key" + std::to_string(key),
+                                 "id" + std::to_string(++m_ids), m_now - age);
+        // A key has one time for ever.
+        claim.key_time =
+            m_key_times.try_emplace(key, claim.key_time).first->second;
+        // The preferred instance may commit it and its answer be lost; then
+        // the same claim is decided again by another one.
+        if (*rc::gen::inRange(0, 4) == 0)
+            ask(*rc::gen::inRange(0, instances), claim);
+        if (ask(*rc::gen::inRange(0, instances), claim))
+            dispatch_or_give_back(key, claim);
+    }
+
+    void random_step()
+    {
+        switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+            m_platform.deliver_delayed();
+            break;
+        case 1:
+            restart(*rc::gen::inRange(0, instances));
+            break;
+        case 2:
+            m_now += *rc::gen::element<UnixMillis>(1, 1000, 20'000);
+            break;
+        default:
+            request();
+        }
+    }
+
+    int most_runs_of_one_key() const
+    {
+        int most = 0;
+        for (const auto& [key, runs] : m_runs)
+            most = std::max(most, runs);
+        return most;
+    }
+    int runs() const
+    {
+        int sum = 0;
+        for (const auto& [key, count] : m_runs)
+            sum += count;
+        return sum;
+    }
+
+private:
+    void restart(int number)
+    {
+        if (!m_busy.contains(number))
+            m_committers[number] =
+                std::make_unique<ClaimCommitter>(m_platform, age_limit);
+    }
+
+    /// True where the verdict was Granted and arrived.
+    bool ask(int number, const Claim& claim)
+    {
+        if (!m_busy.insert(number).second)
+            return false;
+        bool granted = false;
+        try {
+            granted = decide(*m_committers[number], claim, m_now) ==
+                      ClaimVerdict::Kind::Granted;
+        } catch (const Error& failure) {
+            RC_ASSERT(failure.code() == ErrorCode::ClaimUnavailable);
+        }
+        m_busy.erase(number);
+        return granted;
+    }
+
+    void dispatch_or_give_back(int key, const Claim& claim)
+    {
+        if (*rc::gen::inRange(0, 4) != 0) {
+            ++m_runs[key];
+            return;
+        }
+        const int number = *rc::gen::inRange(0, instances);
+        if (!m_busy.insert(number).second)
+            return;
+        try {
+            const std::string id = claim.id;
+            m_committers[number]->commit(claim_slice_of(claim.key), {},
+                                         {&id, 1}, m_now);
+        } catch (const Error& failure) {
+            RC_ASSERT(failure.code() == ErrorCode::ClaimUnavailable);
+        }
+        m_busy.erase(number);
+    }
+
+    void interrupt()
+    {
+        constexpr int deepest = 2;
+        if (m_depth >= deepest || *rc::gen::inRange(0, 3) != 0)
+            return;
+        ++m_depth;
+        random_step();
+        --m_depth;
+    }
+
+    Fate fate()
+    {
+        return *rc::gen::weightedElement<Fate>({{12, Fate::Answer},
+                                                {1, Fate::Refuse},
+                                                {1, Fate::LoseRequest},
+                                                {2, Fate::LoseAnswer},
+                                                {2, Fate::DelayPastAnswer}});
+    }
+
+    FakePlatform m_platform;
+    std::map<int, std::unique_ptr<ClaimCommitter>> m_committers;
+    std::set<int> m_busy;
+    std::map<int, UnixMillis> m_key_times;
+    std::map<int, int> m_runs;
+    UnixMillis m_now = start;
+    int m_ids = 0;
+    int m_depth = 0;
+};
+
+} // namespace
+
+TEST_CASE("a key is granted to the first claim only")
+{
+    FakePlatform platform;
+    ClaimCommitter one(platform, age_limit);
+    ClaimCommitter other(platform, age_limit);
+    CHECK(decide(one, make_claim("k", "a")) == ClaimVerdict::Kind::Granted);
+    CHECK(decide(one, make_claim("k", "a")) == ClaimVerdict::Kind::Granted);
+    CHECK(decide(one, make_claim("k", "b")) == ClaimVerdict::Kind::Held);
+    CHECK(decide(other, make_claim("k", "c")) == ClaimVerdict::Kind::Held);
+}
+
+TEST_CASE("many claims of a slice are committed by one write")
+{
+    FakePlatform platform;
+    ClaimCommitter committer(platform, age_limit);
+    std::vector<Claim> batch;
+    for (int i = 0; batch.size() < 50; ++i) {
+        const Claim claim =
+            make_claim(std::to_string(i), "id" + std::to_string(i));
+        if (claim_slice_of(claim.key) == 3)
+            batch.push_back(claim);
+    }
+    const auto verdicts = committer.commit(3, batch, {}, start);
+    CHECK(std::all_of(verdicts.begin(), verdicts.end(), [](const auto& v) {
+        return v.kind == ClaimVerdict::Kind::Granted;
+    }));
+    CHECK(platform.writes == 1);
+}
+
+TEST_CASE("a lost answer is settled by reading back")
+{
+    FakePlatform platform;
+    ClaimCommitter committer(platform, age_limit);
+    int calls = 0;
+    platform.next_fate = [&calls] {
+        return ++calls == 2 ? Fate::LoseAnswer : Fate::Answer;
+    };
+    CHECK(decide(committer, make_claim("k", "a")) ==
+          ClaimVerdict::Kind::Granted);
+}
+
+TEST_CASE("without the platform no claim is granted")
+{
+    FakePlatform platform;
+    ClaimCommitter committer(platform, age_limit);
+    platform.next_fate = [] { return Fate::Refuse; };
+    CHECK_THROWS_AS(decide(committer, make_claim("k", "a")), Error);
+}
+
+TEST_CASE("a claim that was given back can be taken again")
+{
+    FakePlatform platform;
+    ClaimCommitter one(platform, age_limit);
+    ClaimCommitter other(platform, age_limit);
+    const Claim claim = make_claim("k", "a");
+    REQUIRE(decide(one, claim) == ClaimVerdict::Kind::Granted);
+    const std::string id = "a";
+    other.commit(claim_slice_of(claim.key), {}, {&id, 1}, start);
+    CHECK(decide(other, make_claim("k", "b")) == ClaimVerdict::Kind::Granted);
+    CHECK(decide(one, make_claim("k", "c")) == ClaimVerdict::Kind::Held);
+}
+
+TEST_CASE("a key older than the age limit is refused after it was cleared")
+{
+    FakePlatform platform;
+    ClaimCommitter committer(platform, age_limit);
+    const Claim old = make_claim("old", "a", start);
+    REQUIRE(decide(committer, old) == ClaimVerdict::Kind::Granted);
+    // A later claim of the same slice moves the floor past the old one.
+    const UnixMillis later = start + 2 * age_limit;
+    for (int i = 0;; ++i) {
+        const Claim next = make_claim("n" + std::to_string(i), "n", later);
+        if (claim_slice_of(next.key) != claim_slice_of(old.key))
+            continue;
+        REQUIRE(decide(committer, next, later) == ClaimVerdict::Kind::Granted);
+        break;
+    }
+    CHECK(decide(committer, make_claim("old", "b", start), later) ==
+          ClaimVerdict::Kind::Expired);
+}
+
+TEST_CASE("a clock that jumps ahead does not refuse fresh keys")
+{
+    FakePlatform platform;
+    ClaimCommitter ahead(platform, age_limit);
+    ClaimCommitter right(platform, age_limit);
+    const UnixMillis year_ahead = start + 365ULL * 24 * 3600 * 1000;
+    CHECK(decide(ahead, make_claim("a", "a"), year_ahead) ==
+          ClaimVerdict::Kind::Granted);
+    CHECK(decide(right, make_claim("b", "b")) == ClaimVerdict::Kind::Granted);
+}
+
+TEST_CASE("older claims move into segments and still hold their keys")
+{
+    FakePlatform platform;
+    ClaimCommitter committer(platform, age_limit);
+    std::vector<Claim> claims;
+    for (int i = 0; claims.size() < 1200; ++i) {
+        const Claim claim =
+            make_claim(std::to_string(i), "id" + std::to_string(i));
+        if (claim_slice_of(claim.key) == 0)
+            claims.push_back(claim);
+    }
+    for (std::size_t i = 0; i < claims.size(); i += 100)
+        committer.commit(0, std::span(claims).subspan(i, 100), {}, start);
+    CHECK(platform.list("crosslink/claims/0/segment/").size() == 2);
+    ClaimCommitter fresh(platform, age_limit);
+    for (Claim claim : claims) {
+        claim.id = "other";
+        REQUIRE(decide(fresh, claim) == ClaimVerdict::Kind::Held);
+    }
+}
+
+TEST_CASE("no key runs twice, whatever is lost, late, paused or restarted")
+{
+    int runs = 0;
+    const bool held = rc::check("at most one run a key", [&runs] {
+        RandomFleet fleet;
+        const int steps = *rc::gen::inRange(1, 60);
+        for (int i = 0; i < steps; ++i)
+            fleet.random_step();
+        runs += fleet.runs();
+        RC_ASSERT(fleet.most_runs_of_one_key() <= 1);
+    });
+    CHECK(held);
+    // The property says nothing where nothing ever runs.
+    CHECK(runs > 100);
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/configuration/configuration_commit.cpp
+++ b/src/libcrosslink/configuration/configuration_commit.cpp
@@ -62,7 +62,7 @@
         digests[name] = sha256(text);
         write_part(platform, digests[name], text);
     }
-    const ConfigurationHead next = base.head.next(digests, change);
+    ConfigurationHead next = base.head.next(digests, change);
     for (int round = 0; round < most_rounds; ++round) {
         try {
             const SwapOutcome outcome = platform.write_if(
--- a/src/libcrosslink/report/burn_page.cpp
+++ b/src/libcrosslink/report/burn_page.cpp
@@ -129,6 +129,7 @@
         }
     }
     std::vector<Json::Value> ordered;
+    ordered.reserve(merged.size());
     for (auto& [name, row] : merged)
         ordered.push_back(std::move(row));
     std::stable_sort(ordered.begin(), ordered.end(),
--- /dev/null
+++ b/src/libcrosslink/report/burn_report_test.cpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/report/burn_report.h>
+
+#include <catch2/catch.hpp>
+
+namespace crosslink
+{
+
+namespace
+{
+
+RequestOutcome
+outcome(bool late)
+{
+    RequestOutcome result;
+    result.account = "cooks<1>";
+    result.model = "m";
+    result.zone = "z";
+    result.answered = true;
+    result.first_token =
+        late ? std::chrono::seconds(3) : std::chrono::seconds(1);
+    result.prompt_tokens = 100;
+    result.computed_tokens = 40;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("late answers burn the budget in both windows")
+{
+    BurnReport report;
+    const TimePoint now{std::chrono::hours(5)};
+    for (int i = 0; i < 10; ++i)
+        report.add(outcome(i == 0), now);
+    const Json::Value rows = report.rows(now);
+    REQUIRE(rows.size() == 1);
+    CHECK(rows[0]["fast"]["late_first"].asUInt64() == 1);
+    CHECK(rows[0]["slow"]["requests"].asUInt64() == 10);
+    // One in ten is late where one in twenty may be: a burn of two.
+    CHECK(burn_text(rows).find("2.00") != std::string::npos);
+    CHECK(burn_text(rows).find("40%") != std::string::npos);
+    const Json::Value later = report.rows(now + std::chrono::minutes(10));
+    CHECK(later[0]["fast"]["requests"].asUInt64() == 0);
+    CHECK(later[0]["slow"]["requests"].asUInt64() == 10);
+}
+
+TEST_CASE("reports of several instances add up, and pages escape names")
+{
+    BurnReport report;
+    const TimePoint now{std::chrono::hours(5)};
+    report.add(outcome(true), now);
+    const Json::Value merged =
+        merge_burn_rows({report.rows(now), report.rows(now)});
+    REQUIRE(merged.size() == 1);
+    CHECK(merged[0]["fast"]["requests"].asUInt64() == 2);
+    CHECK(burn_html(merged).find("cooks&lt;1&gt;") != std::string::npos);
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/route/router_test.cpp
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/base/error.h>
+#include <crosslink/kept/block_key.h>
+#include <crosslink/route/router.h>
+
+#include <catch2/catch.hpp>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr int blocks = 20;
+const TimePoint now{std::chrono::seconds(100)};
+
+EngineLoad
+load(std::uint64_t waiting_tokens = 0)
+{
+    EngineLoad result;
+    result.engine_id = "e";
+    result.resident.push_back({"m", "v1", {}});
+    result.prefill_tokens_per_second = 1000;
+    result.slots = 8;
+    result.waiting_tokens = waiting_tokens;
+    return result;
+}
+
+/// Two engines, a prompt of twenty blocks, and a store that has all of them.
+struct Scene {
+    Scene()
+    {
+        const std::vector<ListedEngine> listed{{"one", "z", false},
+                                               {"two", "z", false}};
+        engines.sync(listed, now);
+        engines.reported("one", load(), now);
+        engines.reported("two", load(), now);
+        for (int i = 0; i < blocks; ++i) {
+            keys.push_back(sha256(std::to_string(i)));
+            kept.push_back({keys.back(), {}, {}, 1'000'000});
+        }
+    }
+
+    std::optional<RouteChoice> choose(bool with_kept = false)
+    {
+        RouteRequest request;
+        request.model = "m";
+        request.version = "v1";
+        request.keys = keys;
+        request.prompt_tokens = blocks * block_tokens;
+        request.zone = "z";
+        request.store = "s";
+        if (with_kept)
+            request.kept = kept;
+        Router router(RoutePolicy::Priced, {});
+        return router.choose(engines, links, request, now);
+    }
+
+    EngineTable engines;
+    LinkTable links;
+    std::vector<Digest> keys;
+    std::vector<SealedBlock> kept;
+};
+
+} // namespace
+
+TEST_CASE("the engine that has the prefix is chosen")
+{
+    Scene scene;
+    scene.engines.find("two")->cache.expect(scene.keys);
+    const auto choice = scene.choose();
+    CHECK(choice->engine == "two");
+    CHECK(choice->cached_blocks == blocks);
+    CHECK(choice->compute_tokens == 0);
+}
+
+TEST_CASE("a long queue outweighs a cached prefix")
+{
+    Scene scene;
+    scene.engines.find("two")->cache.expect(scene.keys);
+    scene.engines.reported("two", load(100'000), now);
+    CHECK(scene.choose()->engine == "one");
+}
+
+TEST_CASE("kept blocks are fetched where the link is faster than computing")
+{
+    Scene scene;
+    CHECK(scene.choose(true)->fetch_to == blocks);
+    // A link that turned out slow makes recomputing the better choice.
+    for (int i = 0; i < 30; ++i) {
+        scene.links.begin("s", 1'000'000);
+        scene.links.end("s", 1'000'000, std::chrono::seconds(1), true);
+    }
+    CHECK(scene.choose(true)->fetch_to == 0);
+}
+
+TEST_CASE("no work goes to an engine that leaves or lacks the weights")
+{
+    Scene scene;
+    scene.engines.mark_leaving("one", now + std::chrono::seconds(5));
+    CHECK(scene.choose()->engine == "two");
+    EngineLoad swapped = load();
+    swapped.resident.front().version = "v2";
+    scene.engines.reported("two", swapped, now);
+    CHECK_FALSE(scene.choose());
+    CHECK_THROWS_AS(scene.engines.sent("one", "r", 1, now), Error);
+}
+
+TEST_CASE("an engine that fails is kept out for a time, then tried again")
+{
+    Scene scene;
+    scene.engines.failed("one", now);
+    CHECK_FALSE(scene.engines.find("one")->takes_work(now));
+    CHECK(scene.engines.find("one")->takes_work(now + std::chrono::seconds(1)));
+}
+
+TEST_CASE("own work that no report shows yet counts")
+{
+    Scene scene;
+    scene.engines.sent("one", "r", 50'000, now);
+    CHECK(scene.choose()->engine == "two");
+}
+
+} // namespace crosslink
