--- a/src/libcrosslink/configuration/configuration_commit.cpp
+++ b/src/libcrosslink/configuration/configuration_commit.cpp
@@ -27,6 +27,8 @@
             if (failure.code() != ErrorCode::PlatformOutcomeUnknown)
                 throw;
         }
+        if (platform.read(configuration_part_key(digest)))
+            return;
     }
     throw Error(ErrorCode::PlatformOutcomeUnknown,
                 "a part could not be written for certain");
--- a/src/serve/caller.h
+++ b/src/serve/caller.h
@@ -34,7 +34,8 @@
     /// Sends a whole answer.
     virtual void answer(const PlainAnswer& answer,
                         const std::vector<HeaderField>& headers) = 0;
-    /// Begins an answer of server-sent events.
+    /// Begins an answer of server-sent events; send_event() tells whether the
+    /// caller is still there.
     virtual void begin_stream() = 0;
     /// Sends one event of it. Returns false where the caller went away.
     virtual bool send_event(std::string_view data) = 0;
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -7,6 +7,7 @@
 #include <adapters/random.h>
 #include <crosslink/base/error.h>
 
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/StreamSocket.h>
 
@@ -52,11 +53,17 @@
         m_answer.setContentType("text/event-stream");
         m_answer.set("Cache-Control", "no-store");
         m_answer.setChunkedTransferEncoding(true);
-        m_out = &m_answer.send();
+        try {
+            m_out = &m_answer.send();
+        } catch (const Poco::Exception&) {
+            m_gone = true;
+        }
     }
 
     bool send_event(std::string_view data) override
     {
+        if (m_gone || m_out == nullptr)
+            return false;
         // One write for each event, so that no half of it waits.
         m_event.assign("data: ");
         m_event += data;
@@ -67,13 +74,14 @@
         return m_out->good();
     }
 
-    bool streaming() const override { return m_out != nullptr; }
+    bool streaming() const override { return m_out != nullptr || m_gone; }
     int socket() const override { return m_socket; }
 
 private:
     Poco::Net::HTTPServerResponse& m_answer;
     const int m_socket;
     std::ostream* m_out = nullptr;
+    bool m_gone = false; ///< The caller's connection broke.
     std::string m_event;
 };
 
--- a/src/serve/request_path.cpp
+++ b/src/serve/request_path.cpp
@@ -163,14 +163,11 @@
         return answer;
     } catch (const Error& failure) {
         settle(run, call, request);
-        if (!reply.streaming())
-            throw;
         // The answer has begun: it ends with a typed error, never silently.
-        reply.send_event(error_event(failure));
-        if (!call.repeatable)
-            throw;
+        if (reply.streaming())
+            reply.send_event(error_event(failure));
+        throw;
     }
-    return {};
 }
 
 PlainAnswer
--- a/src/standins/engine_standin.cpp
+++ b/src/standins/engine_standin.cpp
@@ -130,10 +130,8 @@
     {
         const std::lock_guard lock(m_mutex);
         const auto found = m_runs.find(json_string(body, "run_id"));
-        if (found != m_runs.end()) {
-            found->second->canceled = true;
+        if (found != m_runs.end() && !found->second->canceled.exchange(true))
             ++m_canceled;
-        }
         m_turn.notify_all();
         return Json::Value(Json::objectValue);
     }
--- a/src/standins/plain_standin.cpp
+++ b/src/standins/plain_standin.cpp
@@ -29,7 +29,8 @@
                Poco::Net::HTTPServerResponse& answer)
     {
         const std::string body = read_body(request, most_body_bytes);
-        const std::string key = request.get("Idempotency-Key", "");
+        const std::string key = request.get("X-Client-Account", "") + "/" +
+                                request.get("Idempotency-Key", "");
         std::uint64_t run = 0;
         {
             const std::lock_guard lock(m_mutex);
@@ -59,7 +60,7 @@
         std::uint64_t most = 0;
         for (const auto& [key, runs] : m_runs) {
             result["runs"][key] = Json::UInt64(runs);
-            if (!key.empty())
+            if (!key.ends_with('/'))
                 most = std::max(most, runs);
         }
         result["most_runs_of_one_key"] = Json::UInt64(most);
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -14,6 +14,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import uuid
 
@@ -235,10 +236,11 @@
         return self._standin("plain", "--platform", self.platform.address,
                              "--zone", zone, *words)
 
-    def start_entry(self, zone="zone-a", *words, platform=None):
+    def start_entry(self, zone="zone-a", *words, platform=None,
+                    peer_port=None):
         program = os.path.join(self.programs, "crosslink", "crosslink")
         command = [program, "serve", "--bind", "127.0.0.1:0",
-                   "--peer-bind", "127.0.0.1:%d" % free_port(),
+                   "--peer-bind", "127.0.0.1:%d" % (peer_port or free_port()),
                    "--zone", zone,
                    "--platform", platform or self.platform.address,
                    "--fleet-secret-file", self.secret_file,
@@ -345,3 +347,73 @@
     text = "".join(event["choices"][0]["text"] for event in events
                    if isinstance(event, dict) and "choices" in event)
     return text, bool(events) and events[-1] == "[DONE]"
+
+
+def expected_text(prompt, count, version="v1", model="andes-7b", adapter=""):
+    """Returns the whole answer that the engine stand-in gives."""
+    text = ""
+    for index in range(count):
+        seed = "\n".join([model, version, adapter, prompt, str(index)])
+        text += " w" + hashlib.sha256(seed.encode()).hexdigest()[:5]
+    return text
+
+
+class Link:
+    """A cuttable TCP link to an address: what a zone's network is made of."""
+
+    def __init__(self, target):
+        self.target = target
+        self.cut_now = False
+        self.sockets = set()
+        self.lock = threading.Lock()
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(128)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self):
+        """Breaks what is connected and refuses what comes."""
+        with self.lock:
+            self.cut_now = True
+            for one in self.sockets:
+                try:
+                    one.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+    def mend(self):
+        self.cut_now = False
+
+    def _accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            if self.cut_now:
+                near.close()
+                continue
+            host, port = self.target.split(":")
+            try:
+                far = socket.create_connection((host, int(port)))
+            except OSError:
+                near.close()
+                continue
+            with self.lock:
+                self.sockets.update([near, far])
+            for one, other in ((near, far), (far, near)):
+                threading.Thread(target=self._carry, args=(one, other),
+                                 daemon=True).start()
+
+    def _carry(self, one, other):
+        try:
+            while True:
+                data = one.recv(65536)
+                if not data:
+                    break
+                other.sendall(data)
+        except OSError:
+            pass
+        for end in (one, other):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
