--- a/src/libcrosslink/route/router_test.cpp
+++ b/src/libcrosslink/route/router_test.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr int blocks = 20;
+constexpr std::size_t blocks = 20;
 const TimePoint now{std::chrono::seconds(100)};
 
 EngineLoad
@@ -37,7 +37,7 @@
         engines.sync(listed, now);
         engines.reported("one", load(), now);
         engines.reported("two", load(), now);
-        for (int i = 0; i < blocks; ++i) {
+        for (std::size_t i = 0; i < blocks; ++i) {
             keys.push_back(sha256(std::to_string(i)));
             kept.push_back({keys.back(), {}, {}, 1'000'000});
         }
@@ -49,7 +49,7 @@
         request.model = "m";
         request.version = "v1";
         request.keys = keys;
-        request.prompt_tokens = blocks * block_tokens;
+        request.prompt_tokens = std::uint64_t{blocks} * block_tokens;
         request.zone = "z";
         request.store = "s";
         if (with_kept)
--- a/src/serve/claim_desk.cpp
+++ b/src/serve/claim_desk.cpp
@@ -101,6 +101,7 @@
             throw unavailable("too many claims wait");
     }
     std::vector<ClaimVerdict> verdicts;
+    verdicts.reserve(all.size());
     for (const WaitingPointer& waiting : all)
         verdicts.push_back(wait_for(*waiting));
     return verdicts;
@@ -156,7 +157,7 @@
                 break;
         }
         for (auto& [slice, group] : groups)
-            commit(slice, std::move(group));
+            commit(slice, group);
     }
 }
 
@@ -179,7 +180,7 @@
 }
 
 void
-ClaimDesk::commit(std::uint32_t slice, std::vector<WaitingPointer> group)
+ClaimDesk::commit(std::uint32_t slice, const std::vector<WaitingPointer>& group)
 {
     pace(slice);
     std::vector<Claim> batch;
--- a/src/serve/claim_desk.h
+++ b/src/serve/claim_desk.h
@@ -63,7 +63,7 @@
     std::string preferred(std::uint32_t slice);
     ClaimVerdict wait_for(Waiting& waiting);
     void work();
-    void commit(std::uint32_t slice, std::vector<WaitingPointer> group);
+    void commit(std::uint32_t slice, const std::vector<WaitingPointer>& group);
     void pace(std::uint32_t slice);
     void keep_releases(std::uint32_t slice, std::vector<std::string> releases);
     static void answer(Waiting& waiting, const ClaimVerdict& verdict,
--- a/src/serve/configuration_duties.cpp
+++ b/src/serve/configuration_duties.cpp
@@ -106,6 +106,7 @@
     const auto members = m_state.members.with([this](MemberTable& table) {
         return table.live_in(m_state.settings.zone);
     });
+    ids.reserve(members.size());
     for (const Member& member : members)
         ids.push_back(member.id);
     const auto order = rendezvous_order("configuration-watch", ids);
--- a/src/serve/entry_instance.cpp
+++ b/src/serve/entry_instance.cpp
@@ -44,7 +44,7 @@
 
 } // namespace
 
-EntryInstance::EntryInstance(Settings settings)
+EntryInstance::EntryInstance(const Settings& settings)
     : m_state(with_advertise(settings), self_of(settings)), m_desk(m_state),
       m_exports(m_state), m_canceler(m_state),
       m_path(m_state, m_desk, {m_exports, m_watch, m_canceler}),
--- a/src/serve/entry_instance.h
+++ b/src/serve/entry_instance.h
@@ -24,7 +24,7 @@
 {
 public:
     /// Binds both addresses. Throws where one can't be had.
-    explicit EntryInstance(Settings settings);
+    explicit EntryInstance(const Settings& settings);
     ~EntryInstance();
     EntryInstance(const EntryInstance&) = delete;
     EntryInstance& operator=(const EntryInstance&) = delete;
--- a/src/serve/metrics.cpp
+++ b/src/serve/metrics.cpp
@@ -5,6 +5,11 @@
 
 #include <crosslink/base/invariants.h>
 
+// g++ takes an accumulator's own members for uninitialized here.
+#pragma GCC diagnostic push
+#if defined(__GNUC__) && !defined(__clang__)
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
--- a/src/serve/once.cpp
+++ b/src/serve/once.cpp
@@ -19,7 +19,7 @@
 
 /// A key may be made by a clock that is ahead by this much; one that is
 /// further ahead would be remembered for too long.
-constexpr UnixMillis clock_slack_ms = 5 * 60 * 1000;
+constexpr UnixMillis clock_slack_ms = 300'000;
 constexpr Micros come_back = std::chrono::seconds(1);
 
 } // namespace
--- a/src/serve/request_path.cpp
+++ b/src/serve/request_path.cpp
@@ -158,7 +158,7 @@
     });
     try {
         run.run(call.repeatable ? reply.socket() : -1);
-        const PlainAnswer answer = relay_completion(run, call, reply);
+        PlainAnswer answer = relay_completion(run, call, reply);
         settle(run, call, request);
         return answer;
     } catch (const Error& failure) {
--- a/src/serve/upstream_directory.cpp
+++ b/src/serve/upstream_directory.cpp
@@ -64,7 +64,9 @@
     }
     for (auto* part : {&near, &far})
         if (!part->empty())
-            std::rotate(part->begin(), part->begin() + random % part->size(),
+            std::rotate(part->begin(),
+                        part->begin() +
+                            static_cast<std::ptrdiff_t>(random % part->size()),
                         part->end());
     near.insert(near.end(), far.begin(), far.end());
     return near;
--- a/testsuite/settings/run.py
+++ b/testsuite/settings/run.py
@@ -4,6 +4,7 @@
 its variable, its value and its range."""
 
 import os
+import re
 import subprocess
 import sys
 
@@ -11,6 +12,25 @@
 import fleet as f  # noqa: E402
 
 
+def check_page(fleet):
+    """The operators' page names every setting and every error."""
+    root = os.path.dirname(os.path.dirname(os.path.dirname(
+        os.path.abspath(__file__))))
+    page = open(os.path.join(root, "docs", "OPERATING.md")).read()
+    flags = re.findall(r"^  (--[a-z-]+)", fleet.tool("serve", "--help").stdout,
+                       re.M)
+    assert len(flags) > 20
+    source = open(os.path.join(root, "src", "libcrosslink", "base",
+                               "error.cpp")).read()
+    errors = re.findall(r'ErrorInfo\{ErrorCode::\w+,\s*"(\w+)",\s*(\d+)',
+                        source)
+    assert len(errors) > 30
+    for flag in flags:
+        assert "| `%s` |" % flag in page, flag
+    for name, status in errors:
+        assert "| `%s` | %s |" % (name, status) in page, name
+
+
 def main():
     with f.Fleet() as fleet:
         program = os.path.join(fleet.programs, "crosslink", "crosslink")
@@ -27,6 +47,7 @@
                      "be 1 to 4096", "--fleet-secret-file"):
             assert part in done.stderr, (part, done.stderr)
         assert "crosslink 0." in fleet.tool("version").stdout
+        check_page(fleet)
 
 
 main()
