--- /dev/null
+++ b/src/build-scripts/mutate.py
@@ -0,0 +1,110 @@
+# SPDX-License-Identifier: Apache-2.0
+# Copyright Contributors to the crosslink project.
+"""Takes each mechanism out, in a copy of the tree, and tells which tests catch
+it:  mutate.py FOLDER [NAME ...]
+
+FOLDER is a new or earlier folder for the copy. Every mutation must be caught.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+
+# name, file, text that is there, text that takes its place, tests to run
+MUTATIONS = [
+    ("dispatch before claim", "src/serve/once.cpp",
+     "verdict.kind == ClaimVerdict::Kind::Held", "false",
+     "claim|dispatch|settle"),
+    ("take a lost race for a win", "src/libcrosslink/claim/claim_committer.cpp",
+     "if (!outcome.applied) {", "if (false) {", "unit.*key|unit.*race"),
+    ("decide claims on a stale view", "src/libcrosslink/claim/claim_slice.cpp",
+     "!m_by_key.contains(claim.key)", "true", "unit"),
+    ("clear claims without a floor", "src/libcrosslink/claim/claim_slice.cpp",
+     "return claim.key_time >= m_head.floor && ", "return ", "unit"),
+    ("skip the seal check", "src/libcrosslink/kept/import_check.cpp",
+     "if (!still_sealed[i] || read.contents[i] != asked[i].content)",
+     "if (false)", "unit.*import|fetch"),
+    ("skip the check after the read", "src/libcrosslink/kept/import_check.cpp",
+     "!still_sealed[i] || ", "", "unit.*import|fetch"),
+    ("skip the content check", "src/libcrosslink/kept/import_check.cpp",
+     " || read.contents[i] != asked[i].content", "", "unit.*import|fetch"),
+    ("drop the account from the key", "src/libcrosslink/kept/block_key.cpp",
+     "append_field(text, owner.account);\n", "\n", "unit.*key"),
+    ("drop the weight version from the key",
+     "src/libcrosslink/kept/block_key.cpp",
+     "append_field(text, owner.version);\n", "\n", "unit.*key|engine-swapped"),
+    ("accept an older revision",
+     "src/libcrosslink/configuration/configuration_state.cpp",
+     "if (m_current && candidate->revision() <= m_current->revision())",
+     "if (false)", "unit"),
+    ("retry after a timeout", "src/serve/plain_calls.cpp",
+     "!last && (not_run || repeatable)", "!last", "matrix"),
+    ("tell a lost answer as not run", "src/adapters/http_client.cpp",
+     "    state = RunState::MayHaveRun;", "", "dispatch"),
+    ("relay frames of older attempts", "src/libcrosslink/relay/relay.cpp",
+     "m_finished || frame.run_id != m_run_id", "m_finished", "unit"),
+    ("relay past a gap", "src/libcrosslink/relay/relay.cpp",
+     "frame.index > m_next_index", "false", "unit"),
+    ("end a broken stream silently", "src/serve/request_path.cpp",
+     "if (reply.streaming())\n            reply.send_event(error_event",
+     "if (false)\n            reply.send_event(error_event", "relay"),
+    ("swap the head without comparing",
+     "src/libcrosslink/configuration/configuration_commit.cpp",
+     "next.to_json(), base.version", "next.to_json(),\n"
+     "                platform.read(configuration_head_key)\n"
+     "                    .value_or(PlatformRecord{}).version",
+     "unit|apply"),
+]
+
+
+def run(words, folder):
+    return subprocess.run(words, cwd=folder, capture_output=True, text=True)
+
+
+def prepare(folder):
+    os.makedirs(folder, exist_ok=True)
+    for name in ("src", "testsuite", "docs"):
+        target = os.path.join(folder, name)
+        shutil.rmtree(target, ignore_errors=True)
+        shutil.copytree(os.path.join(ROOT, name), target)
+    shutil.copy(os.path.join(ROOT, "CMakeLists.txt"), folder)
+
+
+def caught_by(folder, pattern):
+    """Builds and returns the names of the tests that failed."""
+    for words in (["cmake", "-S", ".", "-B", "build", "-G", "Ninja"],
+                  ["ninja", "-C", "build"]):
+        done = run(words, folder)
+        if done.returncode != 0:
+            raise SystemExit("does not build:\n" + done.stdout[-3000:])
+    done = run(["ctest", "--test-dir", "build", "-j", "4", "-R", pattern],
+               folder)
+    return [line.split("- ")[1].split(" (")[0]
+            for line in done.stdout.split("\n")
+            if "(Failed)" in line or "(Timeout)" in line]
+
+
+def main():
+    folder, names = sys.argv[1], sys.argv[2:]
+    missed = 0
+    for name, path, old, new, pattern in MUTATIONS:
+        if names and name not in names:
+            continue
+        prepare(folder)
+        target = os.path.join(folder, path)
+        text = open(target).read()
+        if text.count(old) < 1:
+            raise SystemExit("nothing to take out: " + name)
+        open(target, "w").write(text.replace(old, new, 1))
+        caught = caught_by(folder, pattern)
+        missed += not caught
+        print("%-40s %s" % (name, ", ".join(caught) or "NOT CAUGHT"),
+              flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
