Take only a service's own word for not run; tell of leaving engines

Cause: a plain service's bare 503 was taken for a refusal before running, but a service can answer it after the effect; the claim was given back and a retry ran the call again. Now 429 or 503 with Retry-After is the refusal, and any other answer is passed on and kept. Cell dispatch.upstream-fails-late fails before (the second instance ran it: 2 runs) and passes after.

Also: marks of leaving engines travel with gossip; a planned stop closes the port after a quiet time in place of a fixed half second; each request is logged with account, revision and attempts; beliefs about caches take 8 bytes a key in place of 32. ctest: all passed.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -150,6 +150,7 @@
         HttpAnswer answer;
         answer.status = response.getStatus();
         answer.content_type = response.getContentType();
+        answer.has_retry_after = response.has("Retry-After");
         Poco::StreamCopier::copyToString(in, answer.body);
         const bool chunked = response.getChunkedTransferEncoding();
         const auto length = response.getContentLength64();
--- a/src/adapters/plain_http.cpp
+++ b/src/adapters/plain_http.cpp
@@ -6,6 +6,14 @@
 namespace crosslink
 {
 
+namespace
+{
+
+constexpr int too_many_requests = 429;
+constexpr int unavailable = 503;
+
+} // namespace
+
 PlainHttp::PlainHttp(const std::string& address, HttpTimeouts timeouts)
     : m_client(address, timeouts)
 {
@@ -21,8 +29,10 @@
     request.headers = call.headers;
     request.body = call.body;
     HttpAnswer answer = m_client.exchange(request, fresh_connection);
+    const bool refusal =
+        answer.status == too_many_requests || answer.status == unavailable;
     return {answer.status, std::move(answer.content_type),
-            std::move(answer.body)};
+            std::move(answer.body), refusal && answer.has_retry_after};
 }
 
 } // namespace crosslink
--- a/src/build-scripts/mutate.py
+++ b/src/build-scripts/mutate.py
@@ -13,15 +13,22 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
-# name, file, text that is there, text that takes its place, tests to run
+ACCOUNT_SECRET = "hmac_sha256(fleet_secret, owner.account);\n"
+
+# name, file, text that is there, text that takes its place, tests to run; two
+# texts each where it takes two edits
 MUTATIONS = [
     ("dispatch before claim", "src/serve/once.cpp",
      "verdict.kind == ClaimVerdict::Kind::Held", "false",
      "claim|dispatch|settle"),
     ("take a lost race for a win", "src/libcrosslink/claim/claim_committer.cpp",
      "if (!outcome.applied) {", "if (false) {", "unit.*key|unit.*race"),
-    ("decide claims on a stale view", "src/libcrosslink/claim/claim_slice.cpp",
-     "!m_by_key.contains(claim.key)", "true", "unit"),
+    ("grant a key to the latest claim",
+     "src/libcrosslink/claim/claim_slice.cpp",
+     ("!m_by_key.contains(claim.key)",
+      "for (const Claim& claim : m_head.recent)\n        m_by_key.emplace("),
+     ("true", "for (const Claim& claim : m_head.recent)\n"
+      "        m_by_key.insert_or_assign("), "unit"),
     ("clear claims without a floor", "src/libcrosslink/claim/claim_slice.cpp",
      "return claim.key_time >= m_head.floor && ", "return ", "unit"),
     ("skip the seal check", "src/libcrosslink/kept/import_check.cpp",
@@ -32,7 +39,8 @@
     ("skip the content check", "src/libcrosslink/kept/import_check.cpp",
      " || read.contents[i] != asked[i].content", "", "unit.*import|fetch"),
     ("drop the account from the key", "src/libcrosslink/kept/block_key.cpp",
-     "append_field(text, owner.account);\n", "\n", "unit.*key"),
+     ("append_field(text, owner.account);\n", ACCOUNT_SECRET),
+     ("\n", "hmac_sha256(fleet_secret, {});\n"), "unit.*key"),
     ("drop the weight version from the key",
      "src/libcrosslink/kept/block_key.cpp",
      "append_field(text, owner.version);\n", "\n", "unit.*key|engine-swapped"),
@@ -64,13 +72,21 @@
     return subprocess.run(words, cwd=folder, capture_output=True, text=True)
 
 
+def copy_changed(source, target):
+    """Copies a file where its text differs; only those are built again."""
+    text = open(source, "rb").read()
+    if not os.path.exists(target) or open(target, "rb").read() != text:
+        shutil.copyfile(source, target)
+        shutil.copymode(source, target)
+
+
 def prepare(folder):
     os.makedirs(folder, exist_ok=True)
     for name in ("src", "testsuite", "docs"):
-        target = os.path.join(folder, name)
-        shutil.rmtree(target, ignore_errors=True)
-        shutil.copytree(os.path.join(ROOT, name), target)
-    shutil.copy(os.path.join(ROOT, "CMakeLists.txt"), folder)
+        shutil.copytree(os.path.join(ROOT, name), os.path.join(folder, name),
+                        copy_function=copy_changed, dirs_exist_ok=True)
+    copy_changed(os.path.join(ROOT, "CMakeLists.txt"),
+                 os.path.join(folder, "CMakeLists.txt"))
 
 
 def caught_by(folder, pattern):
@@ -96,9 +112,12 @@
         prepare(folder)
         target = os.path.join(folder, path)
         text = open(target).read()
-        if text.count(old) < 1:
-            raise SystemExit("nothing to take out: " + name)
-        open(target, "w").write(text.replace(old, new, 1))
+        edits = [(old, new)] if isinstance(old, str) else zip(old, new)
+        for there, instead in edits:
+            if there not in text:
+                raise SystemExit("nothing to take out: " + name)
+            text = text.replace(there, instead, 1)
+        open(target, "w").write(text)
         caught = caught_by(folder, pattern)
         missed += not caught
         print("%-40s %s" % (name, ", ".join(caught) or "NOT CAUGHT"),
--- a/src/include/crosslink/ports/plain_service.h
+++ b/src/include/crosslink/ports/plain_service.h
@@ -29,6 +29,9 @@
     int status = 0;
     std::string content_type;
     std::string body;
+    /// The service's own word that it did not run the call: 429 or 503 with
+    /// Retry-After (RFC 9110, 10.2.3). A bare 503 says nothing of the kind.
+    bool refused_before_run = false;
 };
 
 /// One instance of a plain service. Throws Error whose run_state() says what
--- a/src/include/crosslink/route/cache_index.h
+++ b/src/include/crosslink/route/cache_index.h
@@ -35,12 +35,15 @@
     void clear();
 
 private:
-    void add(const Digest& key);
-    void remove(const Digest& key);
+    void add(std::uint64_t key);
+    void remove(std::uint64_t key);
 
     std::uint64_t m_sequence = 0;
-    std::list<Digest> m_order; ///< Oldest first, to stay bounded.
-    std::unordered_map<Digest, std::list<Digest>::iterator> m_places;
+    /// Keys by their first eight bytes: two that are the same there only make
+    /// a belief wrong, and beliefs may be wrong.
+    std::list<std::uint64_t> m_order; ///< Oldest first, to stay bounded.
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
+        m_places;
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/route/engine_table.h
+++ b/src/include/crosslink/route/engine_table.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace crosslink
@@ -67,6 +68,9 @@
     /// Marks an engine as leaving until `until`; a mark expires, so that a
     /// wrong one does no lasting harm.
     void mark_leaving(std::string_view address, TimePoint until);
+    /// Returns the engines that are marked as leaving at `now`, with the time
+    /// that the marks last.
+    std::vector<std::pair<std::string, Micros>> marks(TimePoint now) const;
     /// Takes note of a run that is sent with so many tokens to compute.
     void sent(std::string_view address, std::string_view run_id,
               std::uint64_t tokens, TimePoint now);
--- a/src/libcrosslink/route/cache_index.cpp
+++ b/src/libcrosslink/route/cache_index.cpp
@@ -9,13 +9,13 @@
 namespace
 {
 
-/// Keys remembered for one engine; each takes about 130 bytes.
+/// Keys remembered for one engine; each takes about 80 bytes.
 constexpr std::size_t max_keys = 20'000;
 
 } // namespace
 
 void
-CacheIndex::add(const Digest& key)
+CacheIndex::add(std::uint64_t key)
 {
     if (m_places.contains(key))
         return;
@@ -28,7 +28,7 @@
 }
 
 void
-CacheIndex::remove(const Digest& key)
+CacheIndex::remove(std::uint64_t key)
 {
     const auto found = m_places.find(key);
     if (found == m_places.end())
@@ -47,9 +47,9 @@
             return false;
         m_sequence = event.sequence;
         if (event.stored)
-            add(event.key);
+            add(event.key.prefix());
         else
-            remove(event.key);
+            remove(event.key.prefix());
     }
     return true;
 }
@@ -66,14 +66,14 @@
 CacheIndex::expect(std::span<const Digest> keys)
 {
     for (const Digest& key : keys)
-        add(key);
+        add(key.prefix());
 }
 
 std::size_t
 CacheIndex::prefix(std::span<const Digest> keys) const
 {
     std::size_t count = 0;
-    while (count < keys.size() && m_places.contains(keys[count]))
+    while (count < keys.size() && m_places.contains(keys[count].prefix()))
         ++count;
     return count;
 }
--- a/src/libcrosslink/route/engine_table.cpp
+++ b/src/libcrosslink/route/engine_table.cpp
@@ -108,6 +108,16 @@
         entry->leaving_until = std::max(entry->leaving_until, until);
 }
 
+std::vector<std::pair<std::string, Micros>>
+EngineTable::marks(TimePoint now) const
+{
+    std::vector<std::pair<std::string, Micros>> result;
+    for (const auto& [address, engine] : m_entries)
+        if (now < engine.leaving_until)
+            result.emplace_back(address, engine.leaving_until - now);
+    return result;
+}
+
 void
 EngineTable::sent(std::string_view address, std::string_view run_id,
                   std::uint64_t tokens, TimePoint now)
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -203,6 +203,7 @@
                             Poco::Net::HTTPServerResponse& answer)
 {
     ++m_state.metrics.requests;
+    m_latest = monotonic_now();
     HttpReply reply(request, answer);
     std::string id;
     try {
--- a/src/serve/caller_server.h
+++ b/src/serve/caller_server.h
@@ -26,6 +26,8 @@
     void stop_listening() { m_server->stop_listening(); }
     /// Returns the number of requests that are being answered.
     int running() const { return m_running; }
+    /// Returns when the latest request came.
+    TimePoint latest_request() const { return m_latest.load(); }
 
 private:
     void handle(Poco::Net::HTTPServerRequest& request,
@@ -37,6 +39,7 @@
 
     InstanceState& m_state;
     RequestPath& m_path;
+    std::atomic<TimePoint> m_latest{TimePoint{}};
     std::atomic<int> m_running{0};
     std::unique_ptr<HttpServer> m_server;
 };
--- a/src/serve/completion_call.h
+++ b/src/serve/completion_call.h
@@ -5,6 +5,7 @@
 
 #include <crosslink/base/digest.h>
 #include <crosslink/base/json.h>
+#include <crosslink/base/time.h>
 #include <crosslink/configuration/client_account.h>
 
 #include <cstdint>
@@ -19,6 +20,7 @@
 struct CompletionCall {
     const ClientAccount* account = nullptr;
     std::string request_id;
+    TimePoint received_at; ///< When the caller's request came in.
     std::string model;
     std::string version; ///< Weight version from the template.
     std::string adapter;
--- a/src/serve/completion_run.cpp
+++ b/src/serve/completion_run.cpp
@@ -153,6 +153,7 @@
         m_current_run = run.run_id;
     }
     ++m_state.metrics.attempts;
+    m_state.metrics.decision.add(monotonic_now() - m_call.received_at);
     const auto end = [&] {
         m_state.routing.with([&](Routing& routing) {
             routing.engines.ended(choice.engine, run.run_id);
--- a/src/serve/completion_run.h
+++ b/src/serve/completion_run.h
@@ -56,6 +56,7 @@
 
     const Relay& relay() const { return m_relay; }
     const AnswerTimes& times() const { return m_times; }
+    std::uint32_t attempts() const { return m_attempts; }
     bool caller_gone() const { return m_caller_gone; }
 
 private:
--- a/src/serve/entry_instance.cpp
+++ b/src/serve/entry_instance.cpp
@@ -9,6 +9,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <thread>
 
 namespace crosslink
@@ -19,9 +20,6 @@
 
 constexpr Micros step = std::chrono::milliseconds(20);
 constexpr Micros learn_again = std::chrono::milliseconds(200);
-/// After a planned stop was told, balancers and peers need this long until
-/// they send nothing more.
-constexpr Micros linger = std::chrono::milliseconds(500);
 
 Settings
 with_advertise(Settings settings)
@@ -98,9 +96,14 @@
     }
     const TimePoint began = monotonic_now();
     const TimePoint last = began + m_state.settings.stop_grace;
-    // Whoever has not learned of the stop yet is still served.
-    while (monotonic_now() < began + linger ||
-           (m_callers.running() > 0 && monotonic_now() < last))
+    // Balancers lag: whoever has not learned of the stop yet is still served,
+    // and the port is closed only after a time in which nobody came.
+    const auto quiet = [&] {
+        const TimePoint latest = std::max(m_callers.latest_request(), began);
+        return m_callers.running() == 0 &&
+               monotonic_now() >= latest + m_state.settings.stop_quiet;
+    };
+    while (!quiet() && monotonic_now() < last)
         std::this_thread::sleep_for(step);
     m_callers.stop_listening();
     while (m_callers.running() > 0 && monotonic_now() < last)
--- a/src/serve/gossip_duty.cpp
+++ b/src/serve/gossip_duty.cpp
@@ -18,6 +18,8 @@
 
 /// Exchanges made at once for news that must spread.
 constexpr int spread_exchanges = 3;
+/// Marks told in one message.
+constexpr std::size_t most_marks = 16;
 constexpr Micros period = std::chrono::seconds(1);
 
 } // namespace
@@ -47,6 +49,23 @@
     return period + Micros(random_bits() % (period.count() / 4));
 }
 
+GossipMessage
+GossipDuty::message_to(const std::string& address)
+{
+    GossipMessage message = m_state.members.with(
+        [&address](MemberTable& table) { return table.message_to(address); });
+    const auto marks = m_state.routing.with([](Routing& routing) {
+        return routing.engines.marks(monotonic_now());
+    });
+    for (const auto& [upstream, left] : marks) {
+        if (message.marks.size() == most_marks)
+            break;
+        message.marks.push_back(
+            {upstream, static_cast<std::uint64_t>(left.count()) / 1000});
+    }
+    return message;
+}
+
 void
 GossipDuty::exchange()
 {
@@ -54,8 +73,7 @@
         [](MemberTable& table) { return table.ping_target(random_bits()); });
     if (!target)
         return;
-    const GossipMessage message = m_state.members.with(
-        [&target](MemberTable& table) { return table.message_to(*target); });
+    const GossipMessage message = message_to(*target);
     ++m_state.metrics.gossip_rounds;
     try {
         take(m_state.clients.peer(*target)->gossip(message));
@@ -88,9 +106,7 @@
 GossipDuty::answer(const GossipMessage& message)
 {
     take(message);
-    return m_state.members.with([&message](MemberTable& table) {
-        return table.message_to(message.sender.address);
-    });
+    return message_to(message.sender.address);
 }
 
 void
@@ -103,10 +119,7 @@
     for (const Member& member : members) {
         if (member.address == m_state.self_address())
             continue;
-        const GossipMessage message =
-            m_state.members.with([&member](MemberTable& table) {
-                return table.message_to(member.address);
-            });
+        const GossipMessage message = message_to(member.address);
         try {
             m_state.clients.peer(member.address)->gossip(message);
         } catch (const Error&) {
--- a/src/serve/gossip_duty.h
+++ b/src/serve/gossip_duty.h
@@ -28,6 +28,7 @@
 
 private:
     Micros round();
+    GossipMessage message_to(const std::string& address);
     void exchange();
     void take(const GossipMessage& message);
 
--- a/src/serve/plain_calls.cpp
+++ b/src/serve/plain_calls.cpp
@@ -18,15 +18,12 @@
 namespace
 {
 
-constexpr int unavailable = 503;
 constexpr Micros come_back = std::chrono::seconds(1);
 
-/// A plain service that answers 503 did not run the call (RFC 9110, 15.6.4,
-/// read strictly: "currently unable to handle the request").
 void
 check_refusal(const PlainAnswer& answer, const std::string& address)
 {
-    if (answer.status == unavailable)
+    if (answer.refused_before_run)
         throw Error(ErrorCode::UpstreamRefused, address + " refused the call",
                     RunState::RefusedBeforeRun, come_back);
 }
--- a/src/serve/request_path.cpp
+++ b/src/serve/request_path.cpp
@@ -116,6 +116,7 @@
         return;
     }
     call.request_id = request.id;
+    call.received_at = request.received_at;
     call.repeatable = request.idempotency_key.empty();
     call.keys = block_keys(
         m_state.settings.fleet_secret,
@@ -213,6 +214,12 @@
         m_state.metrics.prompt_tokens += relay.prompt_tokens();
         m_state.metrics.reused_tokens += relay.cached_tokens();
     }
+    spdlog::info("request={} account={} revision={} attempts={} model={} "
+                 "whole={} prompt={} reused={} tokens={}",
+                 request.id, outcome.account, m_state.configuration.revision(),
+                 run.attempts(), call.model, outcome.answered,
+                 relay.prompt_tokens(), relay.cached_tokens(),
+                 relay.next_index());
     m_state.burn.with([&outcome](BurnReport& report) {
         report.add(outcome, monotonic_now());
     });
--- a/src/serve/settings.cpp
+++ b/src/serve/settings.cpp
@@ -208,6 +208,12 @@
      [](Settings& s, const std::string& t) {
          return put_milliseconds(s.stop_grace, t, 0, 3'600'000);
      }},
+    {"--stop-quiet-ms",
+     "Time without a new request after which a stop closes the port", "2000",
+     "0 to 60000",
+     [](Settings& s, const std::string& t) {
+         return put_milliseconds(s.stop_quiet, t, 0, 60'000);
+     }},
     {"--most-body-bytes", "Largest request body", "8388608",
      "1024 to 1073741824",
      [](Settings& s, const std::string& t) {
--- a/src/serve/settings.h
+++ b/src/serve/settings.h
@@ -33,6 +33,7 @@
     Micros list_period{0};
     Micros load_period{0};
     Micros poll_period{0}; ///< Slow poll for the configuration.
+    Micros stop_quiet{0};  ///< At a stop: time without a new request.
     Micros stop_grace{0};  ///< Longest wait for running answers at a stop.
     std::uint64_t most_body_bytes = 0;
     std::uint32_t most_running = 0;
--- a/src/standins/fault_switch.cpp
+++ b/src/standins/fault_switch.cpp
@@ -26,6 +26,7 @@
     KindName{"refuse", FaultKind::Refuse},
     KindName{"drop_request", FaultKind::DropRequest},
     KindName{"drop_answer", FaultKind::DropAnswer},
+    KindName{"fail_after", FaultKind::FailAfter},
     KindName{"cut_answer", FaultKind::CutAnswer},
 };
 
--- a/src/standins/fault_switch.h
+++ b/src/standins/fault_switch.h
@@ -22,6 +22,7 @@
     Refuse,      ///< Answer 503 without any effect.
     DropRequest, ///< Close the connection without any effect.
     DropAnswer,  ///< Take effect, then close the connection.
+    FailAfter,   ///< Take effect, then answer a bare 503.
     CutAnswer,   ///< Take effect, then send half of the answer.
 };
 
--- a/src/standins/plain_standin.cpp
+++ b/src/standins/plain_standin.cpp
@@ -43,6 +43,10 @@
             cut_connection(request);
             return;
         }
+        if (request.has("X-Standin-Fail-After")) {
+            send_json(answer, 503, Json::Value(Json::objectValue));
+            return;
+        }
         Json::Value result;
         result["service"] = m_settings.service;
         result["path"] = request.getURI();
--- a/src/standins/standin_server.cpp
+++ b/src/standins/standin_server.cpp
@@ -141,12 +141,14 @@
         m_faults.wait_for_clear();
         return false;
     case FaultKind::Refuse:
+        answer.set("Retry-After", "1");
         send_json(answer, unavailable, error_body("refused by order"));
         return true;
     case FaultKind::DropRequest:
         cut_connection(request);
         return true;
     case FaultKind::DropAnswer:
+    case FaultKind::FailAfter:
     case FaultKind::CutAnswer:
         break;
     }
@@ -172,6 +174,8 @@
     if (fault && apply_before(*fault, request, answer))
         return;
     const bool drop = fault && fault->kind == FaultKind::DropAnswer;
+    if (fault && fault->kind == FaultKind::FailAfter)
+        request.set("X-Standin-Fail-After", "1");
     const auto found = m_calls.find(uri);
     if (found == m_calls.end()) {
         dispatch(uri, request, answer, drop);
--- a/testsuite/fault-matrix/cells.py
+++ b/testsuite/fault-matrix/cells.py
@@ -31,7 +31,8 @@
 FAULTS = ["platform-down", "platform-slow", "platform-answer-lost",
           "entry-killed", "entry-paused", "zone-cut", "engine-killed",
           "engine-refuses", "engine-swapped", "upstream-drops-request",
-          "upstream-answer-lost", "upstream-answer-cut", "upstream-gone",
+          "upstream-answer-lost", "upstream-answer-cut", "upstream-fails-late",
+          "upstream-gone",
           "store-dead", "store-full", "store-slow", "block-freed",
           "block-reused", "late-writer", "events-lost", "caller-gone",
           "operators-race"]
@@ -514,6 +515,19 @@
     assert s.runs(key) == 1
 
 
+@cell("dispatch", "upstream-fails-late")
+@scene(plains=2)
+def dispatch_fails_late(s):
+    # A bare 503 does not say that the call did not run.
+    for plain in s.plains:
+        plain.fault("/bookings", "fail_after", count=1)
+    key = f.uuid7()
+    for entry in s.entries:
+        answer = f.book(entry, KEY, key)
+        assert answer.status == 503 and "error" not in answer.json()
+    assert s.runs(key) == 1
+
+
 @cell("dispatch", "entry-killed")
 @scene(plain_words=("--work-ms", 400))
 def dispatch_entry_killed(s):
