Count the prompt of a continued answer once

Cause: an engine that goes on from another's text counts that text as prompt, and the usage told to the caller grew by it. Relay subtracts what the attempt continued from; a unit case fails before and passes after.

--- a/src/bench/capacity.py
+++ b/src/bench/capacity.py
@@ -13,7 +13,7 @@
 import time
 
 from measure import (accounts, cpu_seconds, f, load, loopback_bytes,
-                     resident_mb, slope)
+                     resident_mb, slope, start_shipped)
 
 ZONES = ["zone-a", "zone-b", "zone-c"]
 SPAN_SECONDS = 10
@@ -26,15 +26,8 @@
         fleet.start_engine(ZONES[number % 3])
     for number in range(plains):
         fleet.start_plain(ZONES[number % 3])
-    shipped = ("--list-period-ms", 1000, "--load-period-ms", 200)
     for number in range(entries):
-        command = [os.path.join(fleet.programs, "crosslink", "crosslink"),
-                   "serve", "--bind", "127.0.0.1:0", "--peer-bind",
-                   "127.0.0.1:%d" % f.free_port(), "--zone", ZONES[number % 3],
-                   "--platform", fleet.platform.address,
-                   "--fleet-secret-file", fleet.secret_file]
-        fleet.entries.append(fleet._start(
-            f.Entry, command + [str(word) for word in shipped + words]))
+        start_shipped(fleet, ZONES[number % 3], *words)
     fleet.apply(f.declarations(accounts(count)))
     fleet.wait_ready(engines, plains)
     fleet.wait_members(entries)
@@ -160,7 +153,7 @@
         with f.Fleet(programs) as fleet:
             fleet.start_platform()
             engine = fleet.start_engine("zone-a", *fast)
-            entry = fleet.start_entry()
+            entry = start_shipped(fleet, "zone-a")
             fleet.apply(f.declarations(accounts(10)))
             fleet.wait_ready(engines=1)
             shape = {"rate": rate, "seconds": 8, "prompts": 100,
--- a/src/bench/measure.py
+++ b/src/bench/measure.py
@@ -54,6 +54,18 @@
     return json.loads(done.stdout)
 
 
+def start_shipped(fleet, zone, *words):
+    """Starts an entry instance with the settings that ship."""
+    command = [os.path.join(fleet.programs, "crosslink", "crosslink"), "serve",
+               "--bind", "127.0.0.1:0", "--peer-bind",
+               "127.0.0.1:%d" % f.free_port(), "--zone", zone, "--platform",
+               fleet.platform.address, "--fleet-secret-file",
+               fleet.secret_file, "--log-level", "warn"]
+    entry = fleet._start(f.Entry, command + list(words))
+    fleet.entries.append(entry)
+    return entry
+
+
 def accounts(count):
     return [f.account("account-%d" % number, "key-%d" % number)
             for number in range(count)]
--- a/src/include/crosslink/relay/relay.h
+++ b/src/include/crosslink/relay/relay.h
@@ -39,7 +39,8 @@
     /// Returns the text relayed so far.
     const std::string& text() const { return m_text; }
     bool finished() const { return m_finished; }
-    /// Returns the prompt tokens and those not computed, once finished.
+    /// Returns the prompt tokens and those not computed, once finished. What
+    /// an attempt continued from counts as output, not as prompt.
     std::uint32_t prompt_tokens() const { return m_prompt_tokens; }
     std::uint32_t cached_tokens() const { return m_cached_tokens; }
 
@@ -47,6 +48,7 @@
     std::string m_version;
     std::string m_run_id;
     std::uint32_t m_next_index = 0;
+    std::uint32_t m_continued_from = 0; ///< Where this attempt began.
     std::string m_text;
     bool m_finished = false;
     std::uint32_t m_prompt_tokens = 0;
--- a/src/libcrosslink/relay/relay.cpp
+++ b/src/libcrosslink/relay/relay.cpp
@@ -4,6 +4,8 @@
 #include <crosslink/base/invariants.h>
 #include <crosslink/relay/relay.h>
 
+#include <algorithm>
+
 namespace crosslink
 {
 
@@ -16,6 +18,7 @@
 {
     require(Invariant::AnswerMatchesRequest, !m_finished);
     m_run_id = run_id;
+    m_continued_from = m_next_index;
 }
 
 RelayStep
@@ -34,8 +37,9 @@
     if (!frame.last)
         return RelayStep::Forward;
     m_finished = true;
-    m_prompt_tokens = frame.prompt_tokens;
-    m_cached_tokens = frame.cached_tokens;
+    m_prompt_tokens =
+        frame.prompt_tokens - std::min(frame.prompt_tokens, m_continued_from);
+    m_cached_tokens = std::min(frame.cached_tokens, m_prompt_tokens);
     return RelayStep::Finish;
 }
 
--- a/src/libcrosslink/relay/relay_test.cpp
+++ b/src/libcrosslink/relay/relay_test.cpp
@@ -47,6 +47,21 @@
     CHECK(relay.text() == "<0><1>");
 }
 
+TEST_CASE("a continued answer counts the prompt once")
+{
+    Relay relay("v1");
+    relay.begin_attempt("r-1");
+    relay.take(frame("r-1", 0, 3));
+    relay.take(frame("r-1", 1, 3));
+    relay.begin_attempt("r-2");
+    EngineFrame last = frame("r-2", 2, 3);
+    last.prompt_tokens = 102;
+    last.cached_tokens = 102;
+    CHECK(relay.take(last) == RelayStep::Finish);
+    CHECK(relay.prompt_tokens() == 100);
+    CHECK(relay.cached_tokens() == 100);
+}
+
 TEST_CASE("a frame of other weights is not relayed")
 {
     Relay relay("v2");
