Give the lost answer a second instance to be tried at

Cause: mutate.py took the check before a retry out and no test failed: the cells had one service instance, so there was nowhere to retry. They have two now.

--- a/testsuite/fault-matrix/cells.py
+++ b/testsuite/fault-matrix/cells.py
@@ -494,9 +494,10 @@
 
 
 @cell("dispatch", "upstream-drops-request")
-@scene()
+@scene(plains=2)
 def dispatch_request_dropped(s):
-    s.plains[0].fault("/bookings", "drop_request", count=1)
+    for plain in s.plains:
+        plain.fault("/bookings", "drop_request", count=1)
     key = f.uuid7()
     answer = s.book(s.entries[0], key)
     # Nobody can know, so it must not be told as not run, nor run again.
@@ -506,9 +507,11 @@
 
 
 @cell("dispatch", "upstream-answer-lost")
-@scene()
+@scene(plains=2)
 def dispatch_answer_lost(s):
-    s.plains[0].fault("/bookings", "drop_answer", count=1)
+    # There is another instance to try, and it must not be tried.
+    for plain in s.plains:
+        plain.fault("/bookings", "drop_answer", count=1)
     key = f.uuid7()
     assert s.book(s.entries[0], key).error() == "claim_outcome_unknown"
     assert s.book(s.entries[1], key).error() == "claim_outcome_unknown"
