Give the memory of a built configuration back

Cause: after an apply of 13,000 accounts an instance held 44 to 64 MB, of which 9.5 MB were in use (malloc_stats); the rest was free heap left by the builder. Ruled out: a trim right after the switch, since the builder still holds its documents then (64.0 MB at 13,000).

--- a/src/bench/capacity.py
+++ b/src/bench/capacity.py
@@ -102,6 +102,7 @@
     for count in (10, 1000, 4000, 13000):
         with f.Fleet(programs) as fleet:
             start(fleet, 3, count=count)
+            time.sleep(3)
             memory = max(resident_mb(entry) for entry in fleet.entries)
             times, used = change_seconds(fleet, count)
         points.append((count, memory))
--- a/src/serve/configuration_duties.cpp
+++ b/src/serve/configuration_duties.cpp
@@ -7,13 +7,15 @@
 
 #include <adapters/random.h>
 #include <crosslink/base/error.h>
-#include <crosslink/membership/rendezvous.h>
 #include <crosslink/ports/peer.h>
 #include <crosslink/ports/platform.h>
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
+
+#include <malloc.h>
 
 namespace crosslink
 {
@@ -99,25 +101,6 @@
     m_state.configuration_pull.set(nullptr);
 }
 
-bool
-ConfigurationDuties::is_watcher() const
-{
-    std::vector<std::string> ids;
-    const auto members = m_state.members.with([this](MemberTable& table) {
-        return table.live_in(m_state.settings.zone);
-    });
-    ids.reserve(members.size());
-    for (const Member& member : members)
-        ids.push_back(member.id);
-    const auto order = rendezvous_order("configuration-watch", ids);
-    const auto last =
-        order.begin() +
-        static_cast<std::ptrdiff_t>(std::min(watchers_per_zone, order.size()));
-    const std::string self = m_state.members.with(
-        [](MemberTable& table) { return table.self().id; });
-    return std::find(order.begin(), last, self) != last;
-}
-
 Micros
 ConfigurationDuties::watch_round()
 {
@@ -130,7 +113,9 @@
         record = platform.read(configuration_head_key);
         if (record)
             take_from_platform(m_state, *record);
-        watched = is_watcher() && !m_state.stopping;
+        watched = !m_state.stopping &&
+                  m_state.is_preferred_in_zone("configuration-watch",
+                                               watchers_per_zone);
         if (watched) {
             const std::uint64_t seen = record ? record->version : 0;
             record = m_state.clients.watching_platform().watch(
@@ -145,9 +130,22 @@
     return watched ? Micros(0) : jittered(m_state.settings.poll_period);
 }
 
+void
+ConfigurationDuties::give_back_memory()
+{
+    // Building a configuration leaves much free memory behind in the heap, and
+    // its builder may still be at it when the revision is first seen here.
+    const std::uint64_t revision = m_state.configuration.revision();
+    if (m_trimmed_revision == revision)
+        return;
+    malloc_trim(0);
+    m_trimmed_revision = std::exchange(m_seen_revision, revision);
+}
+
 Micros
 ConfigurationDuties::pull_round()
 {
+    give_back_memory();
     const auto newest = m_state.members.with(
         [](MemberTable& table) { return table.newest_revision(); });
     if (!newest || newest->revision <= m_state.configuration.revision())
--- a/src/serve/configuration_duties.h
+++ b/src/serve/configuration_duties.h
@@ -29,9 +29,11 @@
 private:
     Micros watch_round();
     Micros pull_round();
-    bool is_watcher() const;
+    void give_back_memory();
 
     InstanceState& m_state;
+    std::uint64_t m_seen_revision = 0;    ///< Of the pull duty.
+    std::uint64_t m_trimmed_revision = 0; ///< Memory was given back after it.
     Duty m_watch;
     Duty m_pull;
 };
