Read the platform's list by two instances of a zone, and ask them

Cause: every instance read the whole list every second: 167 bytes a second and instance for each instance in the fleet (11.8 KB/s at 60; budget 5 KB/s), and 390 such calls a second at the target. Ruled out: gossip (2 KB/s, the same at every size).

--- a/src/adapters/peer_rpc_client.cpp
+++ b/src/adapters/peer_rpc_client.cpp
@@ -118,4 +118,13 @@
     return json_string(answer, "text");
 }
 
+UpstreamList
+PeerRpcClient::upstream_list(const Digest& have)
+{
+    Json::Value parameters;
+    parameters["have"] = have.hex();
+    return wire::list_from_json(
+        call(wire::peer_method::upstream_list, parameters));
+}
+
 } // namespace crosslink
--- a/src/adapters/peer_rpc_client.h
+++ b/src/adapters/peer_rpc_client.h
@@ -31,6 +31,7 @@
     std::optional<ConfigurationHead> configuration_head() override;
     std::optional<std::string>
     configuration_part(const Digest& digest) override;
+    UpstreamList upstream_list(const Digest& have) override;
 
     std::uint64_t bytes() const { return m_client.bytes(); }
 
--- a/src/adapters/peer_wire.cpp
+++ b/src/adapters/peer_wire.cpp
@@ -3,6 +3,8 @@
 
 #include "peer_wire.h"
 
+#include "wire.h"
+
 #include <crosslink/base/error.h>
 
 namespace crosslink::wire
@@ -130,6 +132,30 @@
     return verdicts;
 }
 
+Json::Value
+list_to_json(const UpstreamList& list, const Digest& have)
+{
+    Json::Value value;
+    value["digest"] = list.digest.hex();
+    value["age_ms"] = Json::UInt64(list.age.count() / 1000);
+    value["upstreams"] = Json::Value(Json::arrayValue);
+    if (have != list.digest)
+        for (const ListedInstance& instance : list.upstreams)
+            value["upstreams"].append(instance_to_json(instance));
+    return value;
+}
+
+UpstreamList
+list_from_json(const Json::Value& value)
+{
+    UpstreamList list;
+    list.digest = Digest::from_hex(json_string(value, "digest"));
+    list.age = std::chrono::milliseconds(json_number(value, "age_ms"));
+    for (const Json::Value& item : value["upstreams"])
+        list.upstreams.push_back(instance_from_json(item));
+    return list;
+}
+
 Json::Value
 answer_to_json(const HeldAnswer& held)
 {
--- a/src/include/crosslink/ports/peer.h
+++ b/src/include/crosslink/ports/peer.h
@@ -7,6 +7,7 @@
 #include <crosslink/configuration/configuration_head.h>
 #include <crosslink/membership/gossip.h>
 #include <crosslink/ports/plain_service.h>
+#include <crosslink/ports/platform.h>
 
 #include <optional>
 #include <span>
@@ -27,6 +28,13 @@
     PlainAnswer answer; ///< Where finished.
 };
 
+/// The upstreams of the platform's list, as an instance knows them.
+struct UpstreamList {
+    std::vector<ListedInstance> upstreams; ///< Ordered by address.
+    Digest digest; ///< Of the upstreams; all zero before the first list.
+    Micros age{0}; ///< Since the list was read at the platform.
+};
+
 /// Another entry instance. Calls throw Error(PeerUnavailable).
 class Peer
 {
@@ -45,6 +53,9 @@
     /// Returns one part of the configuration; nothing where it has it not.
     virtual std::optional<std::string>
     configuration_part(const Digest& digest) = 0;
+    /// Returns the peer's list of upstreams; without the rows where they have
+    /// the digest `have`.
+    virtual UpstreamList upstream_list(const Digest& have) = 0;
 };
 
 } // namespace crosslink
--- a/src/serve/instance_state.cpp
+++ b/src/serve/instance_state.cpp
@@ -3,8 +3,12 @@
 
 #include "instance_state.h"
 
+#include <crosslink/membership/rendezvous.h>
+
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace crosslink
 {
 
@@ -15,6 +19,30 @@
 {
 }
 
+std::vector<Member>
+InstanceState::preferred_in_zone(std::string_view duty)
+{
+    std::vector<Member> result = members.with(
+        [this](MemberTable& table) { return table.live_in(settings.zone); });
+    std::sort(result.begin(), result.end(),
+              [duty](const Member& one, const Member& other) {
+                  return rendezvous_weight(duty, one.id) >
+                         rendezvous_weight(duty, other.id);
+              });
+    return result;
+}
+
+bool
+InstanceState::is_preferred_in_zone(std::string_view duty, std::size_t count)
+{
+    std::vector<Member> first = preferred_in_zone(duty);
+    first.resize(std::min(first.size(), count));
+    return std::any_of(first.begin(), first.end(),
+                       [this](const Member& member) {
+                           return member.address == self_address();
+                       });
+}
+
 double
 InstanceState::limit_share()
 {
--- a/src/serve/instance_state.h
+++ b/src/serve/instance_state.h
@@ -23,6 +23,8 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace crosslink
 {
@@ -62,6 +64,12 @@
     std::atomic<bool> ready{false};    ///< It may serve.
     std::atomic<bool> stopping{false}; ///< A planned stop has begun.
 
+    /// Returns the live members of this instance's zone, the preferred one for
+    /// `duty` first, by rendezvous hashing. All of them agree on it while they
+    /// know the same members; where they do not, more or fewer do the duty.
+    std::vector<Member> preferred_in_zone(std::string_view duty);
+    /// True where this instance is among the first `count` of them.
+    bool is_preferred_in_zone(std::string_view duty, std::size_t count);
     /// Returns the peer address of this instance.
     const std::string& self_address() const { return settings.advertise; }
     /// Returns the part of the accounts' limits that this instance gives out.
--- a/src/serve/peer_server.cpp
+++ b/src/serve/peer_server.cpp
@@ -83,6 +83,15 @@
         return wire::answer_to_json(m_state.answers.with(
             [&key](AnswerKeeper& answers) { return answers.find(key); }));
     });
+    m_rpc->add(method::upstream_list, [this](const Json::Value& parameters) {
+        const Digest have = Digest::from_hex(json_string(parameters, "have"));
+        const TimePoint now = monotonic_now();
+        return wire::list_to_json(
+            m_state.directory.with([now](UpstreamDirectory& directory) {
+                return directory.list(now);
+            }),
+            have);
+    });
     m_rpc->add(method::configuration_head, [this](const Json::Value&) {
         Json::Value result(Json::objectValue);
         if (const auto held = m_state.configuration.current())
--- a/src/serve/upstream_directory.cpp
+++ b/src/serve/upstream_directory.cpp
@@ -16,12 +16,36 @@
 constexpr Micros first_time_out = std::chrono::milliseconds(500);
 constexpr std::uint32_t most_doublings = 5;
 
+/// Two lists of the same rows have the same digest, wherever they were read.
+Digest
+digest_of(std::span<const ListedInstance> upstreams)
+{
+    std::string text;
+    for (const ListedInstance& one : upstreams) {
+        text += one.address + " " + one.zone + " " + one.service + " ";
+        text += std::to_string(static_cast<int>(one.kind));
+        text += one.leaving ? " leaving\n" : "\n";
+    }
+    return sha256(text);
+}
+
 } // namespace
 
 void
-UpstreamDirectory::sync(std::span<const ListedInstance> listed)
+UpstreamDirectory::sync(std::span<const ListedInstance> listed,
+                        TimePoint read_at)
 {
-    m_listed.assign(listed.begin(), listed.end());
+    m_listed.clear();
+    std::copy_if(listed.begin(), listed.end(), std::back_inserter(m_listed),
+                 [](const ListedInstance& instance) {
+                     return instance.kind != ListedKind::Entry;
+                 });
+    std::sort(m_listed.begin(), m_listed.end(),
+              [](const ListedInstance& one, const ListedInstance& other) {
+                  return one.address < other.address;
+              });
+    m_digest = digest_of(m_listed);
+    m_read_at = read_at;
     std::erase_if(m_troubles, [this](const auto& item) {
         return std::none_of(m_listed.begin(), m_listed.end(),
                             [&item](const ListedInstance& instance) {
@@ -30,6 +54,18 @@
     });
 }
 
+void
+UpstreamDirectory::confirm(TimePoint read_at)
+{
+    m_read_at = std::max(m_read_at, read_at);
+}
+
+UpstreamList
+UpstreamDirectory::list(TimePoint now) const
+{
+    return {m_listed, m_digest, now - m_read_at};
+}
+
 bool
 UpstreamDirectory::usable(const ListedInstance& instance, TimePoint now) const
 {
--- a/src/serve/upstream_directory.h
+++ b/src/serve/upstream_directory.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/ports/peer.h>
 #include <crosslink/ports/platform.h>
 
 #include <map>
@@ -23,8 +24,12 @@
 class UpstreamDirectory
 {
 public:
-    /// Takes over the list.
-    void sync(std::span<const ListedInstance> listed);
+    /// Takes over the upstreams of a list that was read at `read_at`.
+    void sync(std::span<const ListedInstance> listed, TimePoint read_at);
+    /// Takes note that the list in place was still right at `read_at`.
+    void confirm(TimePoint read_at);
+    /// Returns the list in place.
+    UpstreamList list(TimePoint now) const;
     /// Returns the stores to use for blocks whose first key is `key`, the
     /// preferred one first. The order is the same at every instance of every
     /// zone, since a prompt may return to any of them.
@@ -49,7 +54,9 @@
 
     bool usable(const ListedInstance& instance, TimePoint now) const;
 
-    std::vector<ListedInstance> m_listed;
+    std::vector<ListedInstance> m_listed; ///< Ordered by address.
+    Digest m_digest;
+    TimePoint m_read_at{};
     std::map<std::string, Trouble, std::less<>> m_troubles;
 };
 
--- a/src/serve/upstream_duties.cpp
+++ b/src/serve/upstream_duties.cpp
@@ -9,6 +9,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace crosslink
@@ -19,9 +20,17 @@
 
 /// Engines of other zones are asked for their load only every so many rounds.
 constexpr std::uint64_t far_rounds = 5;
+/// This instance is announced every so many rounds.
+constexpr std::uint64_t announce_rounds = 2;
+/// Instances of one zone that read the platform's list; the others ask them.
+constexpr std::size_t list_readers = 2;
+constexpr std::string_view list_duty = "upstream-list";
+/// A reader whose list is older than this has lost the platform; another one
+/// may still reach it.
+constexpr Micros oldest_list = std::chrono::seconds(10);
 
 std::vector<ListedEngine>
-engines_of(const std::vector<ListedInstance>& listed)
+engines_of(std::span<const ListedInstance> listed)
 {
     std::vector<ListedEngine> engines;
     for (const ListedInstance& instance : listed)
@@ -40,15 +49,24 @@
 }
 
 void
-UpstreamDuties::read_list(InstanceState& state)
+UpstreamDuties::take_list(InstanceState& state,
+                          std::span<const ListedInstance> listed,
+                          TimePoint read_at)
 {
-    const auto listed = state.clients.platform().instances();
     const auto engines = engines_of(listed);
-    state.routing.with([&engines](Routing& routing) {
+    state.routing.with([&](Routing& routing) {
         routing.engines.sync(engines, monotonic_now());
     });
     state.directory.with(
-        [&listed](UpstreamDirectory& directory) { directory.sync(listed); });
+        [&](UpstreamDirectory& directory) { directory.sync(listed, read_at); });
+}
+
+void
+UpstreamDuties::read_list(InstanceState& state)
+{
+    const TimePoint now = monotonic_now();
+    const auto listed = state.clients.platform().instances();
+    take_list(state, listed, now);
     state.members.with([&listed](MemberTable& table) {
         for (const ListedInstance& instance : listed)
             if (instance.kind == ListedKind::Entry && !instance.leaving)
@@ -56,6 +74,41 @@
     });
 }
 
+bool
+UpstreamDuties::take_list_of_reader()
+{
+    std::vector<Member> readers = m_state.preferred_in_zone(list_duty);
+    readers.resize(std::min(readers.size(), list_readers));
+    for (const Member& reader : readers) {
+        try {
+            if (take_list_of(reader.address))
+                return true;
+        } catch (const Error& failure) {
+            spdlog::debug("list of {}: {}", reader.address, failure.what());
+        }
+    }
+    return false;
+}
+
+bool
+UpstreamDuties::take_list_of(const std::string& address)
+{
+    const TimePoint now = monotonic_now();
+    const UpstreamList own = m_state.directory.with(
+        [now](UpstreamDirectory& directory) { return directory.list(now); });
+    const UpstreamList theirs =
+        m_state.clients.peer(address)->upstream_list(own.digest);
+    if (theirs.age > oldest_list)
+        return false;
+    if (theirs.digest != own.digest)
+        take_list(m_state, theirs.upstreams, now - theirs.age);
+    else
+        m_state.directory.with([&](UpstreamDirectory& directory) {
+            directory.confirm(now - theirs.age);
+        });
+    return true;
+}
+
 void
 UpstreamDuties::announce(InstanceState& state, bool leaving)
 {
@@ -73,8 +126,12 @@
 UpstreamDuties::list_round()
 {
     try {
-        announce(m_state, m_state.stopping);
-        read_list(m_state);
+        if (m_list_rounds++ % announce_rounds == 0 || m_state.stopping)
+            announce(m_state, m_state.stopping);
+        const bool reads =
+            m_state.is_preferred_in_zone(list_duty, list_readers);
+        if (reads || !take_list_of_reader())
+            read_list(m_state);
     } catch (const Error& failure) {
         // The last list stays: what it names is served as long as it answers.
         spdlog::debug("list: {}", failure.what());
--- a/src/serve/upstream_duties.h
+++ b/src/serve/upstream_duties.h
@@ -6,14 +6,15 @@
 #include "duty.h"
 #include "instance_state.h"
 
-#include <map>
+#include <span>
 #include <string>
 
 namespace crosslink
 {
 
 /// Keeps what is known of the upstreams: the platform's lagging list, load
-/// reports and cache events of the engines.
+/// reports and cache events of the engines. Two instances of a zone read the
+/// list; the others ask those for what changed.
 class UpstreamDuties
 {
 public:
@@ -26,11 +27,17 @@
 
 private:
     Micros list_round();
+    static void take_list(InstanceState& state,
+                          std::span<const ListedInstance> listed,
+                          TimePoint read_at);
+    bool take_list_of_reader();
+    bool take_list_of(const std::string& address);
     Micros load_round();
     void report(const std::string& address);
     void follow_events(const std::string& address, const EngineLoad& load);
 
     InstanceState& m_state;
+    std::uint64_t m_list_rounds = 0;
     std::uint64_t m_load_rounds = 0;
     Duty m_list;
     Duty m_load;
