Let a slice of claims wait for its turn without holding up the others

Cause: the committing thread slept until a slice's write budget was there, while claims of other slices waited behind it. Ruled out: the platform (3 ms a write) and the budget itself (61 writes/s in both runs). Slices that must wait are kept aside now. capacity.py claims at 200 calls/s over 9 instances, before and after: p50 727 to 125 ms, p95 1176 to 256 ms, 171 to 196 calls/s done, 61.4 to 66.4 writes/s; no key ran twice.

--- a/src/include/crosslink/base/bounded_ring.h
+++ b/src/include/crosslink/base/bounded_ring.h
@@ -45,6 +45,26 @@
         return item;
     }
 
+    /// Waits for an item for at most `wait`. Returns nothing where none came.
+    template<typename Duration> std::optional<T> pop_for(Duration wait)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, wait,
+                           [this] { return m_closed || !m_items.empty(); });
+        if (m_items.empty())
+            return std::nullopt;
+        T item = std::move(m_items.front());
+        m_items.pop_front();
+        return item;
+    }
+
+    /// Returns whether the ring was closed and is drained.
+    bool ended()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_closed && m_items.empty();
+    }
+
     /// Takes an item if one is waiting.
     std::optional<T> try_pop()
     {
--- a/src/serve/claim_desk.cpp
+++ b/src/serve/claim_desk.cpp
@@ -10,7 +10,7 @@
 
 #include <spdlog/spdlog.h>
 
-#include <map>
+#include <algorithm>
 #include <utility>
 
 namespace crosslink
@@ -20,12 +20,13 @@
 {
 
 constexpr std::size_t ring_capacity = 4096;
-constexpr std::size_t most_in_one_write = 256;
 /// Writes a second that all claims of the fleet may take of the platform's
 /// hundred; the rest is for operators, who go first.
 constexpr double fleet_writes_per_second = 60;
 constexpr double writes_per_slice = fleet_writes_per_second / claim_slices;
 constexpr double write_burst = 4;
+/// How long the committing thread sleeps where nothing waits.
+constexpr Micros idle_wait = std::chrono::seconds(1);
 constexpr Micros longest_wait = std::chrono::seconds(3);
 constexpr Micros come_back = std::chrono::seconds(1);
 
@@ -148,26 +149,37 @@
 void
 ClaimDesk::work()
 {
-    while (auto first = m_ring.pop()) {
-        std::map<std::uint32_t, std::vector<WaitingPointer>> groups;
-        std::size_t count = 0;
-        for (auto next = std::move(first); next; next = m_ring.try_pop()) {
+    Groups groups;
+    Micros wait = idle_wait;
+    while (!m_ring.ended()) {
+        for (auto next = m_ring.pop_for(wait); next; next = m_ring.try_pop())
             groups[claim_slice_of((*next)->claim.key)].push_back(*next);
-            if (++count >= most_in_one_write)
-                break;
-        }
-        for (auto& [slice, group] : groups)
-            commit(slice, group);
+        wait = commit_ready(groups);
     }
+    for (const auto& [slice, group] : groups)
+        for (const WaitingPointer& waiting : group)
+            answer(*waiting, {}, "this instance stops");
 }
 
-void
-ClaimDesk::pace(std::uint32_t slice)
+Micros
+ClaimDesk::commit_ready(Groups& groups)
 {
-    TokenBucket& bucket = m_pace.at(slice);
-    while (!bucket.take(1, writes_per_slice, write_burst, monotonic_now()))
-        std::this_thread::sleep_for(
-            bucket.wait_for(1, writes_per_slice, write_burst) + Micros(1));
+    Micros wait = idle_wait;
+    for (auto at = groups.begin(); at != groups.end();) {
+        const auto& [slice, group] = *at;
+        TokenBucket& bucket = m_pace.at(slice);
+        if (bucket.take(1, writes_per_slice, write_burst, monotonic_now())) {
+            commit(slice, group);
+            at = groups.erase(at);
+            continue;
+        }
+        // Its turn comes later; the other slices need not wait for it.
+        wait =
+            std::min(wait, bucket.wait_for(1, writes_per_slice, write_burst) +
+                               Micros(1));
+        ++at;
+    }
+    return wait;
 }
 
 void
@@ -182,7 +194,6 @@
 void
 ClaimDesk::commit(std::uint32_t slice, const std::vector<WaitingPointer>& group)
 {
-    pace(slice);
     std::vector<Claim> batch;
     std::vector<WaitingPointer> asked;
     std::vector<std::string> releases =
--- a/src/serve/claim_desk.h
+++ b/src/serve/claim_desk.h
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <condition_variable>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <span>
@@ -62,9 +63,12 @@
 
     std::string preferred(std::uint32_t slice);
     ClaimVerdict wait_for(Waiting& waiting);
+    using Groups = std::map<std::uint32_t, std::vector<WaitingPointer>>;
+
     void work();
+    /// Commits the slices whose turn it is; returns when the next one's is.
+    Micros commit_ready(Groups& groups);
     void commit(std::uint32_t slice, const std::vector<WaitingPointer>& group);
-    void pace(std::uint32_t slice);
     void keep_releases(std::uint32_t slice, std::vector<std::string> releases);
     static void answer(Waiting& waiting, const ClaimVerdict& verdict,
                        const std::string& failure);
