Free a prompt from its end in the engine stand-in; keep no gossip connections

Engines free a prompt from its end. Ruled out: the price (a fetch was preferred wherever blocks were kept).

--- a/src/adapters/peer_rpc_client.cpp
+++ b/src/adapters/peer_rpc_client.cpp
@@ -33,14 +33,15 @@
 }
 
 std::string
-PeerRpcClient::carry(const std::string& request)
+PeerRpcClient::carry(const std::string& request, Connection connection)
 {
     HttpRequest http;
     http.path = wire::peer_path;
     http.headers.push_back({"Content-Type", "application/json"});
     http.headers.push_back({wire::peer_proof_header, m_proof});
     http.body = request;
-    const HttpAnswer answer = m_client.exchange(http);
+    const HttpAnswer answer =
+        m_client.exchange(http, connection == Connection::Fresh);
     if (answer.status != success)
         throw Error(ErrorCode::PeerRefused, m_client.address() + " answered " +
                                                 std::to_string(answer.status));
@@ -48,11 +49,13 @@
 }
 
 Json::Value
-PeerRpcClient::call(const char* method, const Json::Value& parameters)
+PeerRpcClient::call(const char* method, const Json::Value& parameters,
+                    Connection connection)
 {
     try {
-        RpcClient client(
-            [this](const std::string& request) { return carry(request); });
+        RpcClient client([this, connection](const std::string& request) {
+            return carry(request, connection);
+        });
         return client.call(method, parameters);
     } catch (const RpcError& failure) {
         throw Error(ErrorCode::PeerUnavailable, failure.what(),
@@ -66,8 +69,11 @@
 GossipMessage
 PeerRpcClient::gossip(const GossipMessage& message)
 {
-    return wire::gossip_from_json(
-        call(wire::peer_method::gossip, wire::gossip_to_json(message)));
+    // Each exchange goes to another member: kept connections would pile up at
+    // both ends, one for each member of the fleet.
+    return wire::gossip_from_json(call(wire::peer_method::gossip,
+                                       wire::gossip_to_json(message),
+                                       Connection::Fresh));
 }
 
 std::vector<ClaimVerdict>
--- a/src/adapters/peer_rpc_client.h
+++ b/src/adapters/peer_rpc_client.h
@@ -36,8 +36,12 @@
     std::uint64_t bytes() const { return m_client.bytes(); }
 
 private:
-    Json::Value call(const char* method, const Json::Value& parameters);
-    std::string carry(const std::string& request);
+    /// Whether a connection is kept for the next call.
+    enum class Connection { Kept, Fresh };
+
+    Json::Value call(const char* method, const Json::Value& parameters,
+                     Connection connection = Connection::Kept);
+    std::string carry(const std::string& request, Connection connection);
 
     HttpClient m_client;
     const std::string m_proof;
--- a/src/bench/capacity.py
+++ b/src/bench/capacity.py
@@ -2,7 +2,8 @@
 # Copyright Contributors to the crosslink project.
 """Measures the slopes of docs/CAPACITY.md:
 
-    capacity.py BUILD [fleet] [accounts] [claims] [requests] [engines]
+    capacity.py BUILD [fleet] [accounts] [claims] [requests] [tokens]
+                    [engines]
 
 All on loopback, bounded in count and time.
 """
@@ -174,6 +175,34 @@
           slope(points))
 
 
+def measure_tokens(programs):
+    print("\ntokens (one instance, 20 requests/s, a token each 10 ms)\n| tokens "
+          "a request | answered | wrong | cpu of a core | slowest between, p95 "
+          "ms |\n|---|---|---|---|---|")
+    points = []
+    fast = ("--prefill-tokens-per-second", 1e9, "--token-ms", 10, "--slots",
+            512, "--cache-blocks", 4096)
+    for tokens in (8, 32, 128, 256):
+        with f.Fleet(programs) as fleet:
+            fleet.start_platform()
+            fleet.start_engine("zone-a", *fast)
+            entry = start_shipped(fleet, "zone-a")
+            fleet.apply(f.declarations(accounts(10)))
+            fleet.wait_ready(engines=1)
+            before, began = cpu_seconds(entry), time.monotonic()
+            figures = load(programs, [entry], rate=20, seconds=8, prompts=50,
+                           prompt_bytes=2000, tokens=tokens)
+            span = time.monotonic() - began
+            used = cpu_seconds(entry) - before
+        points.append((tokens * figures["answered"] / span, used / span))
+        print("| %d | %d of %d | %d | %.1f%% | %.1f |" % (
+            tokens, figures["answered"], figures["requests"],
+            figures["wrong_or_short"], 100 * used / span,
+            figures["slowest_between_ms"]["p95"]), flush=True)
+    print("cores: %.4g + %.4g x tokens/s (worst residual %.2g)" %
+          slope(points))
+
+
 def measure_engines(programs):
     print("\nengines known (3 instances, no load)\n| engines | cpu of a core | "
           "MB | wire bytes/s an instance |\n|---|---|---|---|")
@@ -194,7 +223,7 @@
 
 PARTS = {"fleet": measure_fleet, "accounts": measure_accounts,
          "claims": measure_claims, "requests": measure_requests,
-         "engines": measure_engines}
+         "tokens": measure_tokens, "engines": measure_engines}
 
 
 def main():
--- a/src/bench/policies.py
+++ b/src/bench/policies.py
@@ -31,7 +31,7 @@
     "priced without near-ties": ("--route-without", "near-ties"),
 }
 # Mean prompt in bytes, distinct prompts, requests a second.
-DEPLOYMENTS = {"brno": (40000, 60, 12), "recetario": (8000, 200, 60)}
+DEPLOYMENTS = {"brno": (40000, 160, 12), "recetario": (8000, 240, 60)}
 
 
 def run_policy(programs, words, options):
@@ -106,7 +106,7 @@
     parser.add_argument("--rate", type=float, default=0)
     parser.add_argument("--html")
     parser.add_argument("policies", nargs="*")
-    options = parser.parse_args()
+    options = parser.parse_intermixed_args()
     programs = os.path.join(os.path.abspath(options.build), "src")
     print("| " + " | ".join(HEAD) + " |\n" + "|---" * len(HEAD) + "|")
     results = []
--- a/src/standins/prefix_cache.h
+++ b/src/standins/prefix_cache.h
@@ -37,14 +37,16 @@
 
     bool contains(const Digest& key) const { return m_places.contains(key); }
 
+    /// Stores the blocks of one prompt. Its last block becomes the first to
+    /// go, as engines free a prompt from its end: a prefix stays useful.
     void store(std::span<const Digest> keys)
     {
-        for (const Digest& key : keys) {
-            if (touch(key))
+        for (auto key = keys.rbegin(); key != keys.rend(); ++key) {
+            if (touch(*key))
                 continue;
-            m_order.push_back(key);
-            m_places[key] = std::prev(m_order.end());
-            event(key, true);
+            m_order.push_back(*key);
+            m_places[*key] = std::prev(m_order.end());
+            event(*key, true);
         }
         while (m_places.size() > m_most_blocks)
             drop(m_order.front());
