Leave a silent engine at once for another

Cause: after an upstream's time-out the stream was taken up again twice at the same engine, so that the caller waited for three time-outs before another engine was tried. Ruled out: the route, which avoids the engine from then on. A time-out now goes straight to the next engine; cell dispatch.engine-frozen fails before and passes after. Clients of addresses that nobody asked for in ten minutes are dropped, so that replaced instances leave no connections behind.

--- a/src/serve/clients.cpp
+++ b/src/serve/clients.cpp
@@ -5,6 +5,7 @@
 
 #include "settings.h"
 
+#include <adapters/clock.h>
 #include <adapters/engine_http.h>
 #include <adapters/peer_rpc_client.h>
 #include <adapters/plain_http.h>
@@ -20,16 +21,25 @@
 /// Longest wait for the short calls: load reports, lookups, peers.
 constexpr Micros short_call = std::chrono::milliseconds(1000);
 
+/// A client unused for so long belongs to an instance that is gone.
+constexpr Micros unused_time = std::chrono::minutes(10);
+
 template<typename Pool, typename Make>
 auto
 find_or_make(std::mutex& mutex, Pool& pool, const std::string& address,
              const Make& make)
 {
+    const TimePoint now = monotonic_now();
     const std::lock_guard lock(mutex);
-    auto& client = pool[address];
-    if (!client)
-        client = make();
-    return client;
+    if (!pool.contains(address))
+        std::erase_if(pool, [now](const auto& item) {
+            return now - item.second.at > unused_time;
+        });
+    auto& used = pool[address];
+    used.at = now;
+    if (!used.client)
+        used.client = make();
+    return used.client;
 }
 
 } // namespace
--- a/src/serve/clients.h
+++ b/src/serve/clients.h
@@ -21,7 +21,8 @@
 class Store;
 struct Settings;
 
-/// Makes and keeps one client for each outside party. This is the one place
+/// Makes and keeps one client for each outside party; those that nobody asked
+/// for in ten minutes go when a new one is made. This is the one place
 /// where the adapters are chosen. Safe for many threads.
 class Clients
 {
@@ -38,8 +39,12 @@
     std::shared_ptr<Peer> peer(const std::string& address);
 
 private:
-    template<typename Client>
-    using Pool = std::map<std::string, std::shared_ptr<Client>>;
+    /// A client with the time when it was last asked for.
+    template<typename Client> struct Used {
+        std::shared_ptr<Client> client;
+        TimePoint at{};
+    };
+    template<typename Client> using Pool = std::map<std::string, Used<Client>>;
 
     const Settings& m_settings;
     const std::string m_proof;
--- a/src/serve/completion_run.cpp
+++ b/src/serve/completion_run.cpp
@@ -138,6 +138,7 @@
     if (m_relay.next_index() > 0)
         ++m_state.metrics.continuations;
     m_relay.begin_attempt(run.run_id);
+    m_gap = false;
     m_state.routing.with([&](Routing& routing) {
         // A mark may have come while blocks were fetched.
         const EngineEntry* engine = routing.engines.find(choice.engine);
@@ -170,9 +171,7 @@
                         "missing",
                         RunState::MayHaveRun);
     } catch (const Error& failure) {
-        const bool broken = !is_not_run(failure.run_state());
-        if (!(broken && !m_wrong_weights &&
-              resume(choice.engine, run.run_id))) {
+        if (!may_resume(failure) || !resume(choice.engine, run.run_id)) {
             end();
             throw;
         }
@@ -186,6 +185,14 @@
     }
 }
 
+bool
+CompletionRun::may_resume(const Error& failure) const
+{
+    // An engine that was silent for so long would only be silent again.
+    return !is_not_run(failure.run_state()) && !m_wrong_weights &&
+           failure.code() != ErrorCode::UpstreamTimeout;
+}
+
 bool
 CompletionRun::resume(const std::string& address, const std::string& run_id)
 {
--- a/src/serve/completion_run.h
+++ b/src/serve/completion_run.h
@@ -63,6 +63,7 @@
     RouteChoice route();
     void attempt(const RouteChoice& choice);
     void dispatch(const RouteChoice& choice, const std::string& staged_id);
+    bool may_resume(const Error& failure) const;
     bool resume(const std::string& address, const std::string& run_id);
     FrameVerdict take(const std::string& address, const EngineFrame& frame);
     void relay_text(const std::string& text);
--- a/testsuite/fault-matrix/cells.py
+++ b/testsuite/fault-matrix/cells.py
@@ -30,7 +30,7 @@
          "relay", "settle", "apply"]
 FAULTS = ["platform-down", "platform-slow", "platform-answer-lost",
           "entry-killed", "entry-paused", "zone-cut", "engine-killed",
-          "engine-refuses", "engine-swapped", "upstream-drops-request",
+          "engine-refuses", "engine-frozen", "engine-swapped", "upstream-drops-request",
           "upstream-answer-lost", "upstream-answer-cut", "upstream-fails-late",
           "upstream-gone",
           "store-dead", "store-full", "store-slow", "block-freed",
@@ -559,6 +559,18 @@
     assert replay.status == 200 and s.runs(key) == 1
 
 
+@cell("dispatch", "engine-frozen")
+@scene(engines=2, entry_words=("--upstream-timeout-ms", 300))
+def dispatch_engine_frozen(s):
+    # The first engine that gets it is silent; which one that is is random.
+    s.engines[0].fault("/runs", "freeze")
+    for number in range(6):
+        s.complete(s.entries[0], "prompt %d" % number)
+    # It was given up for the other engine, not asked again.
+    assert s.entries[0].metric("resumes_total") == 0
+    s.engines[0].clear_faults()
+
+
 @cell("dispatch", "platform-down")
 @scene(engines=1, plain_words=("--work-ms", 300))
 def dispatch_platform_down(s):
