End what still runs at an engine that was left; send nothing for nobody

Cause: read as a newcomer, the run's steps showed two holes: an attempt that was given up with its outcome open went on at its engine, and a caller that went away before the dispatch still had its run sent. Both are cancelled or not sent now. The dispatch is cut into its steps.

--- a/src/serve/completion_run.cpp
+++ b/src/serve/completion_run.cpp
@@ -110,6 +110,9 @@
     ++m_attempts;
     try {
         const std::string staged = fetch_kept(m_state, m_call, m_kept, choice);
+        // Nobody waits for it any more: nothing is sent.
+        if (m_caller_gone)
+            return;
         dispatch(choice, staged);
         m_state.routing.with([&](Routing& routing) {
             routing.engines.succeeded(choice.engine);
@@ -120,8 +123,8 @@
     }
 }
 
-void
-CompletionRun::dispatch(const RouteChoice& choice, const std::string& staged_id)
+EngineRun
+CompletionRun::next_run() const
 {
     EngineRun run;
     run.run_id = m_call.request_id + "-" + std::to_string(m_attempts);
@@ -135,8 +138,12 @@
     run.block_keys = m_call.keys;
     run.continued_text = m_relay.text();
     run.continued_tokens = m_relay.next_index();
-    if (m_relay.next_index() > 0)
-        ++m_state.metrics.continuations;
+    return run;
+}
+
+void
+CompletionRun::begin_run(const RouteChoice& choice, const EngineRun& run)
+{
     m_relay.begin_attempt(run.run_id);
     m_gap = false;
     m_state.routing.with([&](Routing& routing) {
@@ -154,7 +161,16 @@
         m_current_run = run.run_id;
     }
     ++m_state.metrics.attempts;
+    if (run.continued_tokens > 0)
+        ++m_state.metrics.continuations;
     m_state.metrics.decision.add(monotonic_now() - m_call.received_at);
+}
+
+void
+CompletionRun::dispatch(const RouteChoice& choice, const std::string& staged_id)
+{
+    const EngineRun run = next_run();
+    begin_run(choice, run);
     const auto end = [&] {
         m_state.routing.with([&](Routing& routing) {
             routing.engines.ended(choice.engine, run.run_id);
@@ -167,8 +183,7 @@
             });
         if (m_gap && !resume(choice.engine, run.run_id))
             throw Error(ErrorCode::StreamBroken,
-                        "tokens of the stream are "
-                        "missing",
+                        "tokens of the stream are missing",
                         RunState::MayHaveRun);
     } catch (const Error& failure) {
         if (!may_resume(failure) || !resume(choice.engine, run.run_id)) {
@@ -290,8 +305,11 @@
 CompletionRun::settle_failure(const std::string& address, const Error& failure)
 {
     m_avoid.insert(address);
-    if (!is_not_run(failure.run_state()))
+    if (!is_not_run(failure.run_state())) {
         m_dispatched = true;
+        // It may still run there, for nobody.
+        cancel_current();
+    }
     const TimePoint now = monotonic_now();
     spdlog::info("request={} account={} attempt={} engine={} error={} {}",
                  m_call.request_id, m_call.account->name, m_attempts, address,
--- a/src/serve/completion_run.h
+++ b/src/serve/completion_run.h
@@ -62,6 +62,9 @@
 private:
     RouteChoice route();
     void attempt(const RouteChoice& choice);
+    EngineRun next_run() const;
+    /// Notes the attempt everywhere before its first byte goes out.
+    void begin_run(const RouteChoice& choice, const EngineRun& run);
     void dispatch(const RouteChoice& choice, const std::string& staged_id);
     bool may_resume(const Error& failure) const;
     bool resume(const std::string& address, const std::string& run_id);
