Show link use in the report and limits in use in the status

Cause: the users weigh link use, and the report had none; status did not tell who uses the limits. Links add up over the fleet by store. The case returning-prompt checks the bytes fetched against the blocks of its prompt; it failed at first because it asked before the members knew each other, and waits for that now.

--- a/src/crosslink/report_verb.cpp
+++ b/src/crosslink/report_verb.cpp
@@ -26,40 +26,52 @@
     std::string html;
 };
 
+/// What the whole fleet tells.
+struct FleetReport {
+    Json::Value rows;
+    Json::Value links;
+};
+
 /// Asks every live instance that `access.instance` knows, and adds up.
-Json::Value
-fleet_rows(const OperatorAccess& access)
+FleetReport
+fleet_report(const OperatorAccess& access)
 {
     const std::string secret = read_secret(access.secret_file);
     const Json::Value status = ask_instance(access.instance, secret, "/status");
     std::vector<Json::Value> reports;
+    std::vector<Json::Value> links;
     for (const Json::Value& member : status["members"]) {
         const std::string address = json_string(member, "address");
         if (json_string(member, "state") == "dead")
             continue;
         try {
             reports.push_back(ask_instance(address, secret, "/report"));
+            links.push_back(ask_instance(address, secret, "/status")["links"]);
         } catch (const Error& failure) {
             std::fprintf(stderr, "left out: %s\n", failure.what());
         }
     }
-    return merge_burn_rows(reports);
+    return {merge_burn_rows(reports), merge_links(links)};
 }
 
 void
 show_report(const ReportOptions& options)
 {
-    const Json::Value rows = fleet_rows(options.access);
+    const FleetReport report = fleet_report(options.access);
     if (!options.html.empty()) {
         std::ofstream file(options.html);
-        file << burn_html(rows);
+        file << burn_html(report.rows, report.links);
         if (!file.flush())
             throw Error(ErrorCode::SettingsInvalid,
                         "--html can't be written: \"" + options.html + "\"");
         return;
     }
+    Json::Value whole;
+    whole["burn"] = report.rows;
+    whole["links"] = report.links;
     const std::string text =
-        options.json ? json_pretty(rows) + "\n" : burn_text(rows);
+        options.json ? json_pretty(whole) + "\n"
+                     : burn_text(report.rows) + "\n" + links_text(report.links);
     std::fputs(text.c_str(), stdout);
 }
 
--- a/src/include/crosslink/admit/admission.h
+++ b/src/include/crosslink/admit/admission.h
@@ -31,6 +31,12 @@
     bool admitted = false; ///< False: it waits for its turn.
 };
 
+/// How many requests an account has running and waiting.
+struct AccountUse {
+    std::string account;
+    std::uint32_t open = 0;
+};
+
 /// Admits requests: limits per client account, a bounded number at once, and
 /// weighted fair queueing (virtual finish times) for the places, so that an
 /// account that floods waits behind its own requests.
@@ -50,6 +56,8 @@
     /// admitted in its place.
     std::vector<std::uint64_t> release(std::uint64_t ticket);
 
+    /// Returns the accounts that have requests open.
+    std::vector<AccountUse> in_use() const;
     std::size_t running() const { return m_running.size(); }
     std::size_t waiting() const { return m_waiting; }
 
--- a/src/include/crosslink/report/burn_report.h
+++ b/src/include/crosslink/report/burn_report.h
@@ -80,9 +80,14 @@
 
 /// Returns rows of several instances added up, worst burn first.
 Json::Value merge_burn_rows(const std::vector<Json::Value>& reports);
+/// Returns the links of several instances added up by store: each has the
+/// fields "store", "bytes_per_second" and "fetched".
+Json::Value merge_links(const std::vector<Json::Value>& links);
 /// Returns the report as text for a terminal.
 std::string burn_text(const Json::Value& rows);
+/// Returns the use of the stores' links as text for a terminal.
+std::string links_text(const Json::Value& links);
 /// Returns the report as one self-contained HTML page with plots.
-std::string burn_html(const Json::Value& rows);
+std::string burn_html(const Json::Value& rows, const Json::Value& links);
 
 } // namespace crosslink
--- a/src/include/crosslink/route/cache_index.h
+++ b/src/include/crosslink/route/cache_index.h
@@ -19,6 +19,8 @@
 class CacheIndex
 {
 public:
+    /// Sets how many keys may be remembered; the oldest go first.
+    void set_capacity(std::size_t most_keys);
     /// Takes `events` in. Returns false where a sequence number was jumped:
     /// then resync() is due. Doubled events are passed over.
     bool apply(std::span<const CacheEvent> events);
@@ -38,6 +40,11 @@
     void add(std::uint64_t key);
     void remove(std::uint64_t key);
 
+    void shrink();
+
+    static constexpr std::size_t most_keys_at_first = 20'000;
+
+    std::size_t m_most_keys = most_keys_at_first;
     std::uint64_t m_sequence = 0;
     /// Keys by their first eight bytes: two that are the same there only make
     /// a belief wrong, and beliefs may be wrong.
--- a/src/include/crosslink/route/link_table.h
+++ b/src/include/crosslink/route/link_table.h
@@ -9,10 +9,19 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace crosslink
 {
 
+/// One link as it is known.
+struct LinkState {
+    std::string store;
+    double bytes_per_second = 0; ///< As learned.
+    std::uint64_t under_way = 0; ///< Bytes being fetched.
+    std::uint64_t fetched = 0;   ///< Bytes fetched whole so far.
+};
+
 /// What is known of the links over which kept KV is fetched, one per store:
 /// their speed as measured, and the bytes that are on their way.
 class LinkTable
@@ -28,6 +37,8 @@
     Micros expected(std::string_view store, std::uint64_t bytes) const;
     /// Returns the bytes fetched whole from `store` so far.
     std::uint64_t fetched(std::string_view store) const;
+    /// Returns all links.
+    std::vector<LinkState> states() const;
     /// Returns the learned speed in bytes a second.
     double speed(std::string_view store) const;
 
--- a/src/libcrosslink/admit/admission.cpp
+++ b/src/libcrosslink/admit/admission.cpp
@@ -136,4 +136,14 @@
     return admitted;
 }
 
+std::vector<AccountUse>
+Admission::in_use() const
+{
+    std::vector<AccountUse> result;
+    for (const auto& [name, state] : m_accounts)
+        if (state.open > 0)
+            result.push_back({name, state.open});
+    return result;
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/report/burn_page.cpp
+++ b/src/libcrosslink/report/burn_page.cpp
@@ -14,6 +14,7 @@
 namespace
 {
 
+constexpr double megabyte = 1e6;
 constexpr const char* windows[] = {"fast", "slow"};
 constexpr const char* count_names[] = {"requests",      "unanswered",
                                        "late_first",    "late_between",
@@ -142,6 +143,43 @@
     return result;
 }
 
+Json::Value
+merge_links(const std::vector<Json::Value>& links)
+{
+    std::map<std::string, Json::Value> merged;
+    for (const Json::Value& list : links) {
+        for (const Json::Value& link : list) {
+            Json::Value& sum = merged[json_string(link, "store")];
+            sum["store"] = link["store"];
+            sum["fetched"] = Json::UInt64(json_number(sum, "fetched") +
+                                          json_number(link, "fetched"));
+            // Instances learn different speeds; the fastest met least others.
+            sum["bytes_per_second"] =
+                std::max(json_real(sum, "bytes_per_second"),
+                         json_real(link, "bytes_per_second"));
+        }
+    }
+    Json::Value result(Json::arrayValue);
+    for (auto& [store, sum] : merged)
+        result.append(std::move(sum));
+    return result;
+}
+
+std::string
+links_text(const Json::Value& links)
+{
+    std::string text = "link of store              fetched MB   MB/s\n";
+    for (const Json::Value& link : links) {
+        char line[96];
+        std::snprintf(line, sizeof line, "%-24s %12.1f %6.0f\n",
+                      json_string(link, "store").c_str(),
+                      json_real(link, "fetched") / megabyte,
+                      json_real(link, "bytes_per_second") / megabyte);
+        text += line;
+    }
+    return text;
+}
+
 std::string
 burn_text(const Json::Value& rows)
 {
@@ -167,7 +205,7 @@
 }
 
 std::string
-burn_html(const Json::Value& rows)
+burn_html(const Json::Value& rows, const Json::Value& links)
 {
     constexpr double full_bar = 2;
     std::string page =
@@ -193,6 +231,13 @@
                     number(recomputed_share(row) * 100) + "%</tr>";
         }
     }
+    page += "</table><h2>Link use</h2><table><tr><th>Store<th>Fetched MB<th>"
+            "MB/s</tr>";
+    for (const Json::Value& link : links)
+        page += "<tr><td>" + escaped(json_string(link, "store")) + "<td>" +
+                number(json_real(link, "fetched") / megabyte) + "<td>" +
+                number(json_real(link, "bytes_per_second") / megabyte) +
+                "</tr>";
     return page + "</table>\n";
 }
 
--- a/src/libcrosslink/report/burn_report_test.cpp
+++ b/src/libcrosslink/report/burn_report_test.cpp
@@ -55,7 +55,22 @@
         merge_burn_rows({report.rows(now), report.rows(now)});
     REQUIRE(merged.size() == 1);
     CHECK(merged[0]["fast"]["requests"].asUInt64() == 2);
-    CHECK(burn_html(merged).find("cooks&lt;1&gt;") != std::string::npos);
+    CHECK(burn_html(merged, Json::Value()).find("cooks&lt;1&gt;") !=
+          std::string::npos);
+}
+
+TEST_CASE("link use of several instances adds up by store")
+{
+    const Json::Value one = parse_json(
+        R"([{"store": "s", "fetched": 2000000, "bytes_per_second": 5e6}])");
+    const Json::Value other = parse_json(
+        R"([{"store": "s", "fetched": 1000000, "bytes_per_second": 9e6},
+            {"store": "t", "fetched": 0, "bytes_per_second": 1e6}])");
+    const Json::Value merged = merge_links({one, other});
+    REQUIRE(merged.size() == 2);
+    CHECK(merged[0]["fetched"].asUInt64() == 3'000'000);
+    CHECK(merged[0]["bytes_per_second"].asDouble() == 9e6);
+    CHECK(links_text(merged).find("3.0") != std::string::npos);
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/route/cache_index.cpp
+++ b/src/libcrosslink/route/cache_index.cpp
@@ -6,13 +6,21 @@
 namespace crosslink
 {
 
-namespace
+void
+CacheIndex::set_capacity(std::size_t most_keys)
 {
+    m_most_keys = most_keys;
+    shrink();
+}
 
-/// Keys remembered for one engine; each takes about 80 bytes.
-constexpr std::size_t max_keys = 20'000;
-
-} // namespace
+void
+CacheIndex::shrink()
+{
+    while (m_places.size() > m_most_keys) {
+        m_places.erase(m_order.front());
+        m_order.pop_front();
+    }
+}
 
 void
 CacheIndex::add(std::uint64_t key)
@@ -21,10 +29,7 @@
         return;
     m_order.push_back(key);
     m_places.emplace(key, std::prev(m_order.end()));
-    if (m_places.size() <= max_keys)
-        return;
-    m_places.erase(m_order.front());
-    m_order.pop_front();
+    shrink();
 }
 
 void
@@ -65,8 +70,10 @@
 void
 CacheIndex::expect(std::span<const Digest> keys)
 {
-    for (const Digest& key : keys)
-        add(key.prefix());
+    // The last block first: where there is no room for all of a prompt, it is
+    // its beginning that is worth remembering.
+    for (auto key = keys.rbegin(); key != keys.rend(); ++key)
+        add(key->prefix());
 }
 
 std::size_t
--- a/src/libcrosslink/route/cache_index_test.cpp
+++ b/src/libcrosslink/route/cache_index_test.cpp
@@ -32,6 +32,18 @@
     CHECK(index.sequence() == 3);
 }
 
+TEST_CASE("beyond its capacity the ends of older prompts go first")
+{
+    CacheIndex index;
+    const std::vector<Digest> prompt{key(1), key(2), key(3)};
+    index.expect(prompt);
+    index.set_capacity(2);
+    CHECK(index.prefix(prompt) == 2);
+    index.expect(std::vector<Digest>{key(4)});
+    CHECK(index.size() == 2);
+    CHECK(index.prefix(prompt) == 1);
+}
+
 TEST_CASE("doubled and overlapping events give the engine's own picture")
 {
     CHECK(rc::check("the belief is the cache once all events are in", [] {
--- a/src/libcrosslink/route/engine_table.cpp
+++ b/src/libcrosslink/route/engine_table.cpp
@@ -15,6 +15,9 @@
 constexpr Micros leaving_mark = std::chrono::seconds(30);
 constexpr Micros first_ejection = std::chrono::milliseconds(500);
 constexpr std::uint32_t most_doublings = 5;
+/// Keys believed cached at all engines together, about 80 bytes each; the more
+/// engines there are the fewer are kept of each.
+constexpr std::size_t most_believed_keys = 131'072;
 
 bool
 holds(const ResidentModel& resident, std::string_view model,
@@ -87,6 +90,11 @@
                                 return engine.address == item.first;
                             });
     });
+    if (m_entries.empty())
+        return;
+    const std::size_t share = most_believed_keys / m_entries.size();
+    for (auto& [address, entry] : m_entries)
+        entry.cache.set_capacity(share);
 }
 
 void
--- a/src/libcrosslink/route/link_table.cpp
+++ b/src/libcrosslink/route/link_table.cpp
@@ -80,4 +80,14 @@
                                   : found->second.bytes_per_second;
 }
 
+std::vector<LinkState>
+LinkTable::states() const
+{
+    std::vector<LinkState> result;
+    for (const auto& [store, link] : m_links)
+        result.push_back(
+            {store, link.bytes_per_second, link.under_way, link.fetched});
+    return result;
+}
+
 } // namespace crosslink
--- a/src/serve/admission_gate.cpp
+++ b/src/serve/admission_gate.cpp
@@ -76,4 +76,11 @@
     return m_admission.waiting();
 }
 
+std::vector<AccountUse>
+AdmissionGate::in_use()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_admission.in_use();
+}
+
 } // namespace crosslink
--- a/src/serve/admission_gate.h
+++ b/src/serve/admission_gate.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <mutex>
 #include <set>
+#include <vector>
 
 namespace crosslink
 {
@@ -44,6 +45,8 @@
     /// wait.
     std::unique_ptr<Place> enter(const ClientAccount& account,
                                  std::uint64_t tokens);
+    /// Returns the accounts that have requests open.
+    std::vector<AccountUse> in_use();
     /// Returns the number of requests that run and that wait.
     std::size_t running();
     std::size_t waiting();
--- a/src/serve/peer_server.cpp
+++ b/src/serve/peer_server.cpp
@@ -143,6 +143,10 @@
     Json::Value value = status_report(m_state);
     value["requests"]["running"] = Json::UInt64(m_gate.running());
     value["requests"]["waiting"] = Json::UInt64(m_gate.waiting());
+    value["limit_share"] = m_state.limit_share();
+    value["limits_in_use"] = Json::Value(Json::objectValue);
+    for (const AccountUse& use : m_gate.in_use())
+        value["limits_in_use"][use.account] = use.open;
     value["claims_in_memory"] = Json::UInt64(m_desk.held());
     return value;
 }
--- a/src/serve/status_report.cpp
+++ b/src/serve/status_report.cpp
@@ -62,6 +62,17 @@
     return value;
 }
 
+Json::Value
+link_json(const LinkState& link)
+{
+    Json::Value value;
+    value["store"] = link.store;
+    value["bytes_per_second"] = link.bytes_per_second;
+    value["under_way"] = Json::UInt64(link.under_way);
+    value["fetched"] = Json::UInt64(link.fetched);
+    return value;
+}
+
 Json::Value
 invariants_json()
 {
@@ -93,6 +104,10 @@
         for (const auto& [address, engine] : routing.engines.entries())
             value["engines"].append(engine_json(engine, now));
     });
+    value["links"] = Json::Value(Json::arrayValue);
+    for (const LinkState& link : state.routing.with(
+             [](Routing& routing) { return routing.links.states(); }))
+        value["links"].append(link_json(link));
     value["stores"] = Json::Value(Json::arrayValue);
     value["plain"] = Json::Value(Json::arrayValue);
     const auto listed = state.directory.with(
--- a/testsuite/returning-prompt/run.py
+++ b/testsuite/returning-prompt/run.py
@@ -4,6 +4,7 @@
 an entry instance, an engine and the platform in mid-run leaves the others
 serving."""
 
+import json
 import os
 import sys
 
@@ -67,6 +68,12 @@
         whole_blocks = len(PROMPT) // 1024 * 256
         assert cached(f.complete(entries[1], KEY, PROMPT)) == whole_blocks
         assert entries[1].metric("fetched_bytes_total") > 0
+        fleet.wait_members(3)
+        report = json.loads(fleet.tool(
+            "report", "--json", "--instance", entries[0].peers,
+            "--fleet-secret-file", fleet.secret_file).stdout)
+        assert report["links"][0]["fetched"] == len(PROMPT) // 1024 << 20
+        assert report["burn"][0]["account"] == "cooks"
 
         entries[0].kill()
         assert f.complete(entries[1], KEY, PROMPT).status == 200
