Make two waits of the fetch cells certain

Cause: fetch.late-writer failed once in some ten runs of all tests: it let the store forget while the writer was still reserving, so that the late bytes fell into the writer's own new slots and harmed nobody. It waits for all reservations now. The cells that let engines forget also wait first until the events of what was cached are told, so that these cannot be taken for news afterwards.

--- a/testsuite/fault-matrix/cells.py
+++ b/testsuite/fault-matrix/cells.py
@@ -124,16 +124,19 @@
         want = before + len(prompt) // 1024
         f.wait_until(lambda: entry.metric("blocks_exported_total") >= want,
                      "the blocks to be kept")
+        # The events that tell of the blocks are behind us, so that none of
+        # them can be taken for news after the engines forgot.
+        for other in self.entries:
+            f.wait_until(lambda other=other: other.believed_blocks() >=
+                         len(prompt) // 1024, "the events to be told")
 
     def forget(self):
         for engine in self.engines:
             engine.post("/adjust", {"forget": True})
         # The belief of the instances follows the engines' events.
         for entry in self.entries:
-            f.wait_until(lambda entry=entry: all(
-                engine["believed_cached_blocks"] == 0
-                for engine in entry.status()["engines"]),
-                "the instances to learn that the engines forgot")
+            f.wait_until(lambda entry=entry: entry.believed_blocks() == 0,
+                         "the instances to learn that the engines forgot")
 
     def finish(self):
         for entry in self.entries:
@@ -421,8 +424,10 @@
     store = s.stores[0]
     store.fault("/blocks/write", "freeze", count=1)
     s.complete(s.entries[0])
-    f.wait_until(lambda: store.stats()["writing"] > 0, "a paused writer")
-    reserved = store.stats()["writing"]
+    # All of its slots are reserved, so that none is taken after the store
+    # forgot them.
+    f.wait_until(lambda: store.stats()["writing"] == len(PROMPT) // 1024,
+                 "a paused writer")
     store.post("/adjust", {"forget": True})
     other = "Another sheet for another lane. " * 300
     before = s.entries[1].metric("blocks_exported_total")
@@ -432,7 +437,6 @@
     store.clear_faults()
     f.wait_until(lambda: s.entries[0].metric("exports_failed_total") > 0,
                  "the late writer's seal to be turned away")
-    assert reserved > 0
     s.forget()
     s.complete(s.entries[1], other)
     assert s.entries[1].metric("fetches_unsound_total") >= 1
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -141,6 +141,11 @@
                 return float(line.split()[1])
         raise AssertionError("no such metric: " + name)
 
+    def believed_blocks(self):
+        """Returns the blocks that it believes cached at all engines."""
+        return sum(engine["believed_cached_blocks"]
+                   for engine in self.status()["engines"])
+
     def breaches(self):
         return sum(self.status()["invariant_breaches"].values())
 
--- a/testsuite/returning-prompt/run.py
+++ b/testsuite/returning-prompt/run.py
@@ -63,8 +63,12 @@
         assert cached(f.complete(entries[0], KEY, PROMPT)) == 0
         f.wait_until(lambda: entries[0].metric("blocks_exported_total") >=
                      before + len(PROMPT) // 1024, "the blocks to be kept")
+        f.wait_until(lambda: entries[1].believed_blocks() > 0,
+                     "the events to be told")
         for engine in engines:
             engine.post("/adjust", {"forget": True})
+        f.wait_until(lambda: entries[1].believed_blocks() == 0,
+                     "the instance to learn that the engines forgot")
         whole_blocks = len(PROMPT) // 1024 * 256
         assert cached(f.complete(entries[1], KEY, PROMPT)) == whole_blocks
         assert entries[1].metric("fetched_bytes_total") > 0
