Take out an index by name and a counter that nobody asks

Cause: read once more, the change kept a map of all client accounts by name in every configuration, filled at each build and never looked into, and the HTTP server counted connections for nobody. Both are gone; behaviour is as before. The memory that the map took was not measured apart.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -128,13 +128,6 @@
     m_impl->server.stop();
 }
 
-int
-HttpServer::connections() const
-{
-    return m_impl->server.currentConnections() +
-           m_impl->server.queuedConnections();
-}
-
 std::string
 read_body(Poco::Net::HTTPServerRequest& request, std::uint64_t most_bytes)
 {
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -46,8 +46,6 @@
     std::string address() const;
     /// Takes no new connections; those that run go on.
     void stop_listening();
-    /// Returns the number of connections that are served or wait.
-    int connections() const;
 
 private:
     class Impl;
--- a/src/include/crosslink/configuration/configuration.h
+++ b/src/include/crosslink/configuration/configuration.h
@@ -36,15 +36,12 @@
     const std::vector<ClientAccount>& accounts() const { return m_accounts; }
     /// Returns the account whose key has this SHA-256, or null.
     const ClientAccount* account_by_key_hash(const Digest& hash) const;
-    /// Returns the account of this name, or null.
-    const ClientAccount* account_by_name(std::string_view name) const;
 
 private:
     ConfigurationHead m_head;
     PartTexts m_texts;
     std::vector<ClientAccount> m_accounts;
     std::unordered_map<Digest, std::size_t> m_by_key_hash;
-    std::unordered_map<std::string, std::size_t> m_by_name;
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/configuration/configuration.cpp
+++ b/src/libcrosslink/configuration/configuration.cpp
@@ -36,7 +36,6 @@
         throw Error(ErrorCode::TemplateInvalid,
                     describe(set.mistakes().front()));
     for (std::size_t i = 0; i < m_accounts.size(); ++i) {
-        m_by_name.emplace(m_accounts[i].name, i);
         for (const Digest& hash : m_accounts[i].key_hashes)
             m_by_key_hash.emplace(hash, i);
     }
@@ -49,11 +48,4 @@
     return found == m_by_key_hash.end() ? nullptr : &m_accounts[found->second];
 }
 
-const ClientAccount*
-Configuration::account_by_name(std::string_view name) const
-{
-    const auto found = m_by_name.find(std::string(name));
-    return found == m_by_name.end() ? nullptr : &m_accounts[found->second];
-}
-
 } // namespace crosslink
