--- /dev/null
+++ b/src/adapters/call_connection.h
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/ports/plain_service.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+struct OutgoingCall;
+
+/// Head of a runner's answer as it came in.
+struct RawHead {
+    int status = 0;
+    std::vector<HeaderField> headers;
+};
+
+/// One connection to a runner that carries one call at a time and is read
+/// as its answer arrives, while the caller's own connection is watched.
+/// Everything here throws Poco::Exception where the connection fails.
+class CallConnection
+{
+public:
+    /// Connects to "ip:port".
+    CallConnection(const std::string& address, Micros connect_timeout);
+    ~CallConnection();
+    CallConnection(const CallConnection&) = delete;
+    CallConnection& operator=(const CallConnection&) = delete;
+
+    /// Sends a call with its body.
+    void send(const OutgoingCall& call, std::string_view body);
+
+    enum class Wait { Ready, CallerGone, TimedOut };
+    /// Waits up to `longest` for bytes of the answer. `caller_socket` is
+    /// watched meanwhile; -1 for none.
+    Wait wait(int caller_socket, Micros longest);
+    /// Reads the head of the answer.
+    RawHead receive_head();
+    /// Returns some bytes of the body; none at its end.
+    std::string read_some();
+    /// True where no more of the body is to be waited for.
+    bool ended() const { return m_length >= 0 && m_read >= m_length; }
+    /// After the end: true where the body came whole.
+    bool whole() const;
+
+    /// True where nothing came and the other side has not closed, so that an
+    /// idle connection can carry a call.
+    bool quiet() const;
+    /// When it may be used for another call no more.
+    TimePoint usable_until{};
+
+private:
+    class Session;
+
+    std::unique_ptr<Session> m_session;
+    std::istream* m_body = nullptr;
+    bool m_chunked = false;
+    long long m_length = -1; ///< Told length of the body; -1: not told.
+    long long m_read = 0;
+    bool m_broken = false;
+    bool m_watch_caller = true;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/adapters/call_connections.h
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+class CallConnection;
+
+/// Idle connections to runners, kept for the next call. Safe for many
+/// threads.
+class CallConnections
+{
+public:
+    CallConnections();
+    ~CallConnections();
+    CallConnections(const CallConnections&) = delete;
+    CallConnections& operator=(const CallConnections&) = delete;
+
+    /// Returns an idle connection to `address` that is still usable, or null.
+    std::unique_ptr<CallConnection> take(const std::string& address);
+    /// Keeps a connection whose answer was read to its end, for `idle_time`.
+    void put_back(const std::string& address,
+                  std::unique_ptr<CallConnection> connection, Micros idle_time);
+
+private:
+    using Idle = std::vector<std::unique_ptr<CallConnection>>;
+
+    std::mutex m_mutex;
+    std::map<std::string, Idle> m_idle;
+};
+
+} // namespace crosslink
--- a/src/crosslink/main.cpp
+++ b/src/crosslink/main.cpp
@@ -5,6 +5,8 @@
 
 #include "verbs.h"
 
+#include <platform/front_verb.h>
+
 #include <crosslink/base/error.h>
 
 #include <CLI/CLI.hpp>
@@ -44,6 +46,7 @@
     CLI::App tool("crosslink serves prompts that return after long gaps");
     tool.require_subcommand(1);
     crosslink::add_serve_verb(tool);
+    crosslink::platform::add_front_verb(tool);
     crosslink::add_template_verb(tool);
     crosslink::add_status_verb(tool);
     crosslink::add_report_verb(tool);
--- a/src/include/crosslink/base/error.h
+++ b/src/include/crosslink/base/error.h
@@ -21,6 +21,7 @@
     BadJson,
     BadRequest,
     BodyTooLarge,
+    HeadersTooLarge,
     MissingKey,
     UnknownKey,
     UnknownModel,
--- /dev/null
+++ b/src/include/crosslink/forward/forwarded_call.h
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/ports/plain_service.h>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+/// One part of a prompt. Parts with the same id have the same content, so
+/// their KV can be shared.
+struct PromptPart {
+    std::string id;
+    std::uint32_t tokens = 0;
+
+    bool operator==(const PromptPart&) const = default;
+};
+
+/// What a call asks of a model engine, as far as routing needs it.
+struct Generation {
+    std::string model;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t most_tokens = 0; ///< The most that it generates.
+    /// In order; the last one belongs to the caller's session alone.
+    std::vector<PromptPart> parts;
+
+    /// Returns the parts that other calls may share.
+    std::span<const PromptPart> shared_parts() const
+    {
+        const std::size_t own = parts.empty() ? 0 : 1;
+        return std::span(parts).first(parts.size() - own);
+    }
+};
+
+/// A call that is passed on without a look into its body.
+struct ForwardedCall {
+    std::string id; ///< The caller's, unique for each of its attempts.
+    std::string method;
+    std::string target; ///< Path and query.
+    std::string host;
+    std::string api_key;
+    /// Headers that travel with the call, in the caller's order.
+    std::vector<HeaderField> headers;
+    std::string body;
+    Micros time_allowed{0}; ///< How long the caller waits from received_at.
+    TimePoint received_at{};
+    std::optional<Generation> generation;
+    /// Number of the last event that the caller has of a broken stream.
+    std::string last_event;
+
+    /// Returns the path without the query.
+    std::string_view path() const
+    {
+        return std::string_view(target).substr(0, target.find('?'));
+    }
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/forward/runner_table.h
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// A model with the version of its weights that a runner has in memory.
+struct LoadedModel {
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+/// One process that runs calls of a service, as the platform lists it.
+struct ListedRunner {
+    std::string id; ///< New with each start.
+    std::string service;
+    std::string address; ///< "ip:port"; may be used again by another one.
+    std::string zone;
+    std::uint32_t slots = 1; ///< Calls that it works on at once.
+    bool leaving = false;    ///< It said that it will end.
+    std::vector<LoadedModel> models;
+};
+
+/// A runner with what this instance knows from its own calls.
+struct RunnerEntry {
+    ListedRunner listed;
+    std::uint32_t own_calls = 0;  ///< Calls of this instance under way.
+    std::uint64_t own_tokens = 0; ///< Of them, prompt tokens not read yet.
+    std::uint32_t failures = 0;   ///< In a row.
+    TimePoint held_until{};       ///< It gets nothing before.
+
+    /// Returns the version of `model` that it is believed to have; 0 where
+    /// it has it not.
+    std::uint64_t version_of(std::string_view model) const;
+};
+
+/// What the choice of a runner depends on.
+struct RunnerQuery {
+    std::string_view service;
+    std::string_view zone; ///< Of this instance.
+    /// Calls with the same text share KV and go to the same runner while its
+    /// load permits; empty for none.
+    std::string_view affinity;
+    std::string_view model;          ///< Empty for plain services.
+    std::uint64_t newest_version = 0; ///< Named weights; 0 where none are.
+    const std::set<std::string>* avoid = nullptr; ///< Runners tried already.
+    std::size_t instances = 1; ///< Of the fleet, for the share of slots.
+    std::uint64_t random = 0;  ///< Random bits.
+    TimePoint now{};
+};
+
+/// The runner that was chosen.
+struct RunnerPick {
+    std::string id;
+    std::string address;
+    std::uint64_t version = 0; ///< Of the model, as believed.
+};
+
+/// The runners of all services, and the choice among them.
+class RunnerTable
+{
+public:
+    using Entries = std::map<std::string, RunnerEntry, std::less<>>;
+
+    /// Replaces the whole list; what is known of those that stay is kept.
+    void sync(std::span<const ListedRunner> listed);
+    /// Takes over one entry of the list.
+    void put(const ListedRunner& listed);
+    /// Takes note that a runner is no longer listed.
+    void remove(std::string_view id);
+
+    /// Returns the runner for a call, or nothing where none takes work.
+    std::optional<RunnerPick> choose(const RunnerQuery& query) const;
+    /// Takes note of a call that is sent, with its prompt tokens.
+    void sent(std::string_view id, std::uint64_t tokens);
+    /// Takes note that a call's prompt was read.
+    void prompt_read(std::string_view id, std::uint64_t tokens);
+    /// Takes note of a call's end.
+    void ended(std::string_view id);
+    /// Takes note of a refusal: nothing goes there for `hold`.
+    void refused(std::string_view id, TimePoint now, Micros hold);
+    /// Takes note of a failure: it gets nothing for a time that doubles.
+    void failed(std::string_view id, TimePoint now);
+    void succeeded(std::string_view id);
+    /// Takes note of the weights that a runner's own answer named, or that
+    /// it is expected to have next.
+    void has_version(std::string_view id, std::string_view model,
+                     std::uint64_t version);
+
+    const Entries& entries() const { return m_entries; }
+
+private:
+    RunnerEntry* find(std::string_view id);
+
+    Entries m_entries;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/forward/service_map.h
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// What may be repeated of a call.
+enum class CallKind {
+    Safe,   ///< It may run more than once.
+    Once,   ///< It runs at most once.
+    Stream, ///< A series of events; as Once unless the route is resumable.
+};
+
+/// A service that a route sends a share of its calls to.
+struct WeightedService {
+    std::string service;
+    std::uint32_t weight = 1;
+};
+
+/// Where calls of one host and path prefix go.
+struct ServiceRoute {
+    std::string name;
+    std::string host;
+    std::string path_prefix; ///< Begins and ends with a slash.
+    CallKind kind = CallKind::Once;
+    Micros timeout{0};   ///< Longest time that a call is held.
+    Micros objective{0}; ///< To the answer, or to its first event.
+    std::uint32_t priority = 5;
+    std::vector<WeightedService> services; ///< At least one.
+    /// Greatest number of runners that one call may run on; at least 1.
+    std::uint32_t most_attempts = 1;
+    bool open = false;      ///< Needs no key.
+    bool resumable = false; ///< A broken stream may go on elsewhere.
+
+    /// True where a call may run more than once.
+    bool repeatable() const
+    {
+        return kind == CallKind::Safe ||
+               (kind == CallKind::Stream && resumable);
+    }
+    /// Returns the service for `random` bits, by weight.
+    const std::string& pick_service(std::uint64_t random) const;
+};
+
+/// The engines behind a service.
+struct EngineTraits {
+    std::uint64_t kv_tokens = 0;       ///< Memory of one engine.
+    std::uint64_t kv_token_bytes = 0;  ///< KV of one token.
+    double link_bytes_per_second = 0;
+    bool managed_stores = false; ///< Save and fetch name one place a part.
+    std::vector<std::string> models;
+};
+
+/// A store of kept KV, as the operator set it up.
+struct KeptStoreInfo {
+    std::string name;
+    std::string address; ///< "ip:port".
+    std::string zone;
+    std::uint64_t capacity_tokens = 0;
+    double link_bytes_per_second = 0;
+    bool managed = false; ///< It drops nothing by itself.
+};
+
+/// A service of the configuration.
+struct ServiceInfo {
+    std::string name;
+    std::uint32_t most_connections = 0; ///< To one runner, of all callers.
+    bool has_engine = false;
+    EngineTraits engine;
+};
+
+/// What callers may send, and how long they may take.
+struct CallerLimits {
+    std::uint64_t header_bytes = 16'384;
+    std::uint64_t body_bytes = 4'194'304;
+    Micros header_time = std::chrono::seconds(3);
+    Micros idle_time = std::chrono::seconds(15);
+};
+
+/// A client account with what its keys open.
+struct KeyHolder {
+    std::string name;
+    bool has_priority = false; ///< Its priority goes before the route's.
+    std::uint32_t priority = 5;
+    bool isolated = false; ///< Shares no kept KV with any other account.
+};
+
+/// One version of the operator's routes, services and keys. Immutable once
+/// built; swapped as a whole.
+class ServiceMap
+{
+public:
+    std::uint64_t version = 0;
+    CallerLimits limits;
+    std::vector<KeptStoreInfo> stores;
+    std::map<std::string, ServiceInfo, std::less<>> services;
+    std::vector<KeyHolder> accounts;
+    bool needs_key = false; ///< Calls carry a key, open routes excepted.
+
+    /// Adds a route; only before the map is shared.
+    void add_route(ServiceRoute route);
+    /// Lets `key` open the account at `index` of accounts.
+    void add_key(std::string key, std::size_t index);
+
+    /// Returns the route of `host` with the longest prefix of `path`, or
+    /// null where there is none.
+    const ServiceRoute* find_route(std::string_view host,
+                                   std::string_view path) const;
+    /// Returns the account that `key` opens, or null.
+    const KeyHolder* holder_of(std::string_view key) const;
+    /// Returns the service, or null.
+    const ServiceInfo* find_service(std::string_view name) const;
+    std::size_t route_count() const { return m_routes; }
+
+private:
+    using ByPrefix = std::map<std::string, ServiceRoute, std::less<>>;
+
+    std::map<std::string, ByPrefix, std::less<>> m_hosts;
+    std::map<std::string, std::size_t, std::less<>> m_keys;
+    std::size_t m_routes = 0;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/forward/service_map.h>
+#include <crosslink/kept/kept_part.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace crosslink
+{
+
+/// Parts that a store is to free. The store refuses it after `until` or
+/// under another boot.
+struct KeptFree {
+    std::string store; ///< Address.
+    std::uint64_t boot = 0;
+    std::vector<KeptPart> parts;
+};
+
+/// Where each shared part of a prompt lies in the stores, which drop nothing
+/// by themselves. Kept by the one instance that has the duty.
+///
+/// A part is never read while it is not whole:
+///  - each part is saved by one call at a time, which was told so here, and
+///    is not told again before that call must have ended;
+///  - it is told as kept only after the store listed it as whole;
+///  - what is told holds until a time of the runners' clock, which ends the
+///    fetch too; a part is freed, and a store that started anew is written
+///    to, only after all that was told before has run out;
+///  - a new holder of the duty tells nothing to save until every call that
+///    an earlier one told to save must have ended.
+class KeptDirectory
+{
+public:
+    /// Takes over the stores of the configuration.
+    void set_stores(std::span<const KeptStoreInfo> stores);
+    /// Begins anew: nothing is saved before `save_from`.
+    void begin(TimePoint save_from);
+
+    /// Takes in what a store lists.
+    void listed(std::string_view store, const KeptListing& listing,
+                TimePoint now);
+    /// Takes in changes. Returns false where it must be listed anew.
+    bool changed(std::string_view store, const KeptChanges& changes,
+                 TimePoint now);
+    /// Takes note that a store does not answer.
+    void unreachable(std::string_view store);
+
+    /// Returns what a call may do with `part`. A save must have ended or
+    /// failed after `longest`.
+    KeptPlace ask(const KeptPart& part, Micros longest, TimePoint now);
+    /// Takes note that the call which was to save `part` never ran.
+    void not_saved(const KeptPart& part);
+    /// Lets go of the parts whose space `obsolete` says so of, and of those
+    /// asked for least lately where a store is full. Returns what is to be
+    /// freed now.
+    std::vector<KeptFree>
+    due(const std::function<bool(const KeptSpace&)>& obsolete, TimePoint now);
+    /// Returns true where `store` has saves that should have ended: only a
+    /// new listing tells what became of them.
+    bool wants_listing(std::string_view store, TimePoint now) const;
+
+    /// Returns the runners' clock at `now`; 0 where no store told it yet.
+    RunnerMillis runner_clock(TimePoint now) const;
+    /// Returns the number of parts that are told as kept.
+    std::size_t held() const;
+
+    /// How long an answer holds.
+    static constexpr Micros answer_time = std::chrono::seconds(4);
+
+private:
+    enum class State { Saving, Held, LetGo };
+    struct Entry {
+        State state = State::Saving;
+        std::string store;
+        std::uint32_t tokens = 0; ///< Room that it takes.
+        TimePoint asked{};        ///< When it was last asked for.
+        TimePoint due{}; ///< Saving: must have ended. LetGo: may be freed.
+        bool told_free = false; ///< The store was asked to free it.
+    };
+    struct StoreState {
+        KeptStoreInfo info;
+        bool reachable = false;
+        std::uint64_t boot = 0;
+        std::uint64_t used_tokens = 0;
+        TimePoint write_from{}; ///< Answers on its earlier boot have run out.
+        TimePoint listed_at{};
+    };
+    using Key = std::pair<std::string, std::string>; ///< Space and id.
+    using Parts = std::map<Key, Entry>;
+
+    void restarted(const std::string& store, StoreState& state,
+                   std::uint64_t boot, TimePoint now);
+    void take_clock(RunnerMillis clock, TimePoint now);
+    void hold(const std::string& store, const KeptPart& part, TimePoint now);
+    void drop(Parts::iterator entry);
+    void let_go(Entry& entry, TimePoint now);
+    std::string place_for(std::uint32_t tokens, TimePoint now);
+    KeptPlace place_of(const Entry& entry, TimePoint now) const;
+    void make_room(TimePoint now);
+
+    std::map<std::string, StoreState, std::less<>> m_stores; ///< By address.
+    Parts m_parts;
+    TimePoint m_save_from{};
+    bool m_full = false; ///< A part found no room.
+    RunnerMillis m_clock = 0;
+    TimePoint m_clock_at{};
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/kept/kept_part.h
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// The time of the clock that runners and stores of kept KV share, in
+/// milliseconds. Never compared with any other clock.
+using RunnerMillis = std::uint64_t;
+
+/// What separates kept KV that must not mix: parts are found only under the
+/// same space.
+struct KeptSpace {
+    std::string wall; ///< Empty for all accounts that share; else the account.
+    std::string model;
+    std::uint64_t version = 0; ///< Of the weights that made the KV.
+
+    /// Returns the text that runners and stores keep parts under.
+    std::string text() const;
+    /// Reads text() back; nothing where it is not from here.
+    static std::optional<KeptSpace> parse(std::string_view text);
+
+    bool operator==(const KeptSpace&) const = default;
+};
+
+/// A part of a prompt as a store names it.
+struct KeptPart {
+    std::string space; ///< KeptSpace::text().
+    std::string id;
+    std::uint32_t tokens = 0;
+};
+
+/// A change that a store tells of itself. Changes come late, and some never.
+struct KeptChange {
+    KeptPart part; ///< With the tokens that are kept now.
+    bool stored = false;
+};
+
+/// What a store tells that it holds.
+struct KeptListing {
+    std::uint64_t boot = 0; ///< Changes when it starts anew, empty.
+    std::uint64_t next = 0; ///< Where its changes go on.
+    RunnerMillis clock = 0;
+    std::vector<KeptPart> whole;
+    std::vector<KeptPart> broken; ///< Writing broke off; they take room.
+};
+
+/// The changes of a store after a place.
+struct KeptChanges {
+    std::uint64_t boot = 0;
+    std::uint64_t next = 0;
+    RunnerMillis clock = 0;
+    bool lost = false; ///< Some are missing: list it anew.
+    std::vector<KeptChange> changes;
+};
+
+/// What a call may do with one part of its prompt.
+struct KeptPlace {
+    enum class Kind {
+        None,  ///< Read it; it is neither kept nor to be saved now.
+        Fetch, ///< It lies whole at `store` until `until`.
+        Save,  ///< This call, and no other, saves it to `store`.
+    };
+    Kind kind = Kind::None;
+    std::string store; ///< Address.
+    RunnerMillis until = 0;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/membership/duty_lease.h
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace crosslink
+{
+
+/// The lease of a duty that one instance of the fleet has at a time, as its
+/// holder sees it by its own steady clock. The holder stops well before the
+/// lease can lapse at the platform, and begins only after the time in which
+/// an earlier holder's last act may still be on its way.
+class DutyLease
+{
+public:
+    /// `settle` is the time between taking the lease and the first act.
+    explicit DutyLease(Micros settle) : m_settle(settle) {}
+
+    /// Takes note of a lease: asked for at `asked`, granted for `span` from
+    /// then on under `token`. Called for extensions too.
+    void granted(std::uint64_t token, TimePoint asked, Micros span);
+    /// Takes note that the lease is over, or that another holds it.
+    void lost() { m_token.reset(); }
+
+    /// True where the duty is this instance's at `now`.
+    bool held(TimePoint now) const;
+    /// True where it is, and acts may be done.
+    bool may_act(TimePoint now) const;
+    /// Returns how long acts may still be done; zero where they may not.
+    Micros time_left(TimePoint now) const;
+    /// Returns the fencing token; grows with each new holder. 0 before the
+    /// first lease.
+    std::uint64_t token() const { return m_token.value_or(0); }
+
+private:
+    const Micros m_settle;
+    std::optional<std::uint64_t> m_token;
+    TimePoint m_since{};
+    TimePoint m_until{};
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/ports/duty_registry.h
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace crosslink
+{
+
+/// A lease as the platform granted or extended it.
+struct GrantedLease {
+    std::uint64_t token = 0; ///< Grows with each new holder.
+    Micros span{0};          ///< From the arrival of the call on.
+    /// True where nobody ever held it before. Told when it is taken, not
+    /// when it is extended.
+    bool first = false;
+};
+
+/// Leases on duties, and the presence of instances, at the platform. Calls
+/// block. They throw Error with PlatformUnavailable, PlatformThrottled or
+/// PlatformOutcomeUnknown.
+class DutyRegistry
+{
+public:
+    virtual ~DutyRegistry() = default;
+
+    /// Takes the lease of `duty` for this instance at `address`, or extends
+    /// it where this instance holds it. Nothing where another one does.
+    virtual std::optional<GrantedLease>
+    hold(std::string_view duty, std::string_view address, Micros span) = 0;
+    /// Gives the lease back, where this instance holds it.
+    virtual void release(std::string_view duty) = 0;
+    /// Lists this instance as present for `span`, or extends that.
+    virtual void present(std::string_view id, std::string_view address,
+                         Micros span) = 0;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/weights/weights_plan.h
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/forward/runner_table.h>
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// What became of an order to a runner.
+enum class OrderOutcome {
+    Accepted, ///< It is being carried out.
+    InForce,  ///< The runner has the weights already.
+    Busy,     ///< Another order is under way, or the state was another.
+    Refused,  ///< It will not be carried out.
+    Unknown,  ///< No answer: it may be carried out, also later.
+};
+
+/// An order to load new weights.
+struct WeightsOrder {
+    std::string runner;
+    std::string address;
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+/// Brings all runners to the newest weights that were named, a part of them
+/// at a time, so that the others serve meanwhile. Kept by the instance that
+/// has the duty; a new holder begins with an empty plan and learns from the
+/// runners' own versions.
+class WeightsPlan
+{
+public:
+    /// Takes note of weights that were named. Older ones are passed over.
+    void named(std::string_view model, std::uint64_t version);
+    /// Returns the newest version of `model`; 0 where none was named.
+    std::uint64_t newest(std::string_view model) const;
+
+    /// Returns the orders that are due at `now`. They count as given.
+    std::vector<WeightsOrder> due(const RunnerTable& runners, TimePoint now);
+    /// Takes note of an order's outcome.
+    void ordered(const WeightsOrder& order, OrderOutcome outcome,
+                 TimePoint now);
+    /// Returns the orders whose runners are to be asked for their state.
+    std::vector<WeightsOrder> open() const;
+    /// Takes in a runner's own word on the weights that it has.
+    void reported(std::string_view runner, std::uint64_t version, bool busy,
+                  TimePoint now);
+    /// True where every listed runner has the newest weights of each model.
+    bool complete(const RunnerTable& runners) const;
+
+private:
+    struct Open {
+        WeightsOrder order;
+        TimePoint given;
+        bool accepted = false;
+    };
+
+    std::map<std::string, std::uint64_t, std::less<>> m_newest;
+    std::map<std::string, Open, std::less<>> m_open; ///< By runner.
+    /// Runners that are not ordered again before a time.
+    std::map<std::string, TimePoint, std::less<>> m_again_at;
+};
+
+} // namespace crosslink
--- a/src/libcrosslink/base/error.cpp
+++ b/src/libcrosslink/base/error.cpp
@@ -16,6 +16,7 @@
     ErrorInfo{ErrorCode::BadJson, "bad_json", 400},
     ErrorInfo{ErrorCode::BadRequest, "bad_request", 400},
     ErrorInfo{ErrorCode::BodyTooLarge, "body_too_large", 413},
+    ErrorInfo{ErrorCode::HeadersTooLarge, "headers_too_large", 431},
     ErrorInfo{ErrorCode::MissingKey, "missing_key", 401},
     ErrorInfo{ErrorCode::UnknownKey, "unknown_key", 401},
     ErrorInfo{ErrorCode::UnknownModel, "unknown_model", 404},
--- /dev/null
+++ b/src/libcrosslink/forward/retry_window.cpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/retry_window.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Part of the budget that is given out; see the class.
+constexpr double part_given = 0.5;
+
+} // namespace
+
+RetryWindow::Counts&
+RetryWindow::advance(std::string_view service, TimePoint now)
+{
+    const auto found = m_services.find(service);
+    Counts& counts = found != m_services.end()
+                         ? found->second
+                         : m_services[std::string(service)];
+    const auto slot_time = m_rules.window / static_cast<int>(slots);
+    const std::int64_t slot = now.time_since_epoch() / slot_time;
+    const std::int64_t first =
+        std::max(counts.slot + 1, slot - static_cast<std::int64_t>(slots) + 1);
+    for (std::int64_t i = first; i <= slot; ++i) {
+        const auto place = static_cast<std::size_t>(i) % slots;
+        counts.calls[place] = 0;
+        counts.repeats[place] = 0;
+    }
+    counts.slot = std::max(counts.slot, slot);
+    return counts;
+}
+
+void
+RetryWindow::called(std::string_view service, TimePoint now)
+{
+    Counts& counts = advance(service, now);
+    ++counts.calls[static_cast<std::size_t>(counts.slot) % slots];
+}
+
+bool
+RetryWindow::take(std::string_view service, std::size_t instances,
+                  TimePoint now)
+{
+    Counts& counts = advance(service, now);
+    const auto sum = [](const auto& values) {
+        return std::accumulate(values.begin(), values.end(), 0.0);
+    };
+    const double share = 1.0 / static_cast<double>(std::max<std::size_t>(
+                                   instances, 1));
+    const double budget =
+        part_given *
+        (m_rules.ratio * sum(counts.calls) + m_rules.allowance * share);
+    if (sum(counts.repeats) + 1 > budget)
+        return false;
+    ++counts.repeats[static_cast<std::size_t>(counts.slot) % slots];
+    return true;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/forward/service_map.cpp
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/service_map.h>
+
+namespace crosslink
+{
+
+const std::string&
+ServiceRoute::pick_service(std::uint64_t random) const
+{
+    std::uint64_t total = 0;
+    for (const WeightedService& item : services)
+        total += item.weight;
+    if (total == 0)
+        return services.front().service;
+    std::uint64_t point = random % total;
+    for (const WeightedService& item : services) {
+        if (point < item.weight)
+            return item.service;
+        point -= item.weight;
+    }
+    return services.back().service;
+}
+
+void
+ServiceMap::add_route(ServiceRoute route)
+{
+    ByPrefix& prefixes = m_hosts[route.host];
+    const std::string prefix = route.path_prefix;
+    if (prefixes.insert_or_assign(prefix, std::move(route)).second)
+        ++m_routes;
+}
+
+void
+ServiceMap::add_key(std::string key, std::size_t index)
+{
+    m_keys.insert_or_assign(std::move(key), index);
+}
+
+const ServiceRoute*
+ServiceMap::find_route(std::string_view host, std::string_view path) const
+{
+    const auto prefixes = m_hosts.find(host);
+    if (prefixes == m_hosts.end())
+        return nullptr;
+    // Prefixes end with a slash: only the parts of the path up to one can
+    // be a prefix, and the longest is asked for first.
+    std::size_t slash = path.rfind('/');
+    while (slash != std::string_view::npos) {
+        const auto found = prefixes->second.find(path.substr(0, slash + 1));
+        if (found != prefixes->second.end())
+            return &found->second;
+        if (slash == 0)
+            break;
+        slash = path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+const KeyHolder*
+ServiceMap::holder_of(std::string_view key) const
+{
+    const auto found = m_keys.find(key);
+    return found == m_keys.end() ? nullptr : &accounts[found->second];
+}
+
+const ServiceInfo*
+ServiceMap::find_service(std::string_view name) const
+{
+    const auto found = services.find(name);
+    return found == services.end() ? nullptr : &found->second;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -0,0 +1,369 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/kept/kept_directory.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// KV memory is given out in blocks of so many tokens.
+constexpr std::uint32_t block_tokens = 16;
+/// Part of a store that is filled; the rest is for saves that broke off.
+constexpr double filled_part = 0.97;
+/// Beyond answer_time: the runners' clock as told here may lag by one answer
+/// of a store on its way.
+constexpr Micros clock_slack = std::chrono::seconds(1);
+/// A part asked for within this time is not let go for another one.
+constexpr Micros in_use_time = std::chrono::seconds(20);
+/// Parts that are let go at once where a store is full.
+constexpr std::size_t let_go_at_once = 8;
+/// A store is not listed more often than this for saves that are overdue.
+constexpr Micros listing_pause = std::chrono::seconds(3);
+
+std::uint32_t
+room_of(std::uint32_t tokens)
+{
+    return (tokens + block_tokens - 1) / block_tokens * block_tokens;
+}
+
+} // namespace
+
+void
+KeptDirectory::set_stores(std::span<const KeptStoreInfo> stores)
+{
+    std::map<std::string, StoreState, std::less<>> next;
+    for (const KeptStoreInfo& info : stores) {
+        if (!info.managed)
+            continue;
+        const auto known = m_stores.find(info.address);
+        if (known != m_stores.end())
+            next[info.address] = known->second;
+        next[info.address].info = info;
+    }
+    m_stores = std::move(next);
+    std::erase_if(m_parts, [this](const auto& item) {
+        return !m_stores.contains(item.second.store);
+    });
+}
+
+void
+KeptDirectory::begin(TimePoint save_from)
+{
+    m_parts.clear();
+    m_save_from = save_from;
+    m_full = false;
+    m_clock = 0;
+    for (auto& [address, state] : m_stores)
+        state = StoreState{state.info};
+}
+
+void
+KeptDirectory::take_clock(RunnerMillis clock, TimePoint now)
+{
+    if (clock <= m_clock)
+        return;
+    m_clock = clock;
+    m_clock_at = now;
+}
+
+RunnerMillis
+KeptDirectory::runner_clock(TimePoint now) const
+{
+    if (m_clock == 0)
+        return 0;
+    const auto since =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - m_clock_at);
+    return m_clock + static_cast<RunnerMillis>(since.count());
+}
+
+void
+KeptDirectory::restarted(const std::string& store, StoreState& state,
+                         std::uint64_t boot, TimePoint now)
+{
+    if (state.boot != 0 && state.boot != boot) {
+        for (auto entry = m_parts.begin(); entry != m_parts.end();) {
+            const auto next = std::next(entry);
+            if (entry->second.store == store)
+                m_parts.erase(entry);
+            entry = next;
+        }
+        state.used_tokens = 0;
+        state.write_from = now + answer_time + clock_slack;
+    }
+    state.boot = boot;
+}
+
+void
+KeptDirectory::hold(const std::string& store, const KeptPart& part,
+                    TimePoint now)
+{
+    StoreState& state = m_stores.find(store)->second;
+    const auto [place, added] = m_parts.try_emplace({part.space, part.id});
+    Entry& entry = place->second;
+    // A part that is let go, or that lies elsewhere, stays as it is.
+    if (!added && (entry.state == State::LetGo || entry.store != store))
+        return;
+    if (added) {
+        entry.asked = now;
+        entry.store = store;
+        entry.tokens = room_of(part.tokens);
+        state.used_tokens += entry.tokens;
+    }
+    entry.state = State::Held;
+}
+
+void
+KeptDirectory::drop(Parts::iterator entry)
+{
+    const auto state = m_stores.find(entry->second.store);
+    if (state != m_stores.end()) {
+        std::uint64_t& used = state->second.used_tokens;
+        used -= std::min<std::uint64_t>(used, entry->second.tokens);
+    }
+    m_parts.erase(entry);
+}
+
+void
+KeptDirectory::let_go(Entry& entry, TimePoint now)
+{
+    entry.state = State::LetGo;
+    entry.due = now + answer_time + clock_slack;
+    entry.told_free = false;
+}
+
+void
+KeptDirectory::listed(std::string_view store, const KeptListing& listing,
+                      TimePoint now)
+{
+    const auto found = m_stores.find(store);
+    if (found == m_stores.end())
+        return;
+    StoreState& state = found->second;
+    restarted(found->first, state, listing.boot, now);
+    take_clock(listing.clock, now);
+    state.reachable = true;
+    state.listed_at = now;
+    std::map<Key, bool> there;
+    for (const KeptPart& part : listing.whole) {
+        const Key key{part.space, part.id};
+        there[key] = true;
+        hold(found->first, part, now);
+        Entry& entry = m_parts.find(key)->second;
+        if (entry.told_free && now >= entry.due + listing_pause)
+            entry.told_free = false;
+    }
+    for (const KeptPart& part : listing.broken) {
+        there[{part.space, part.id}] = true;
+        const auto [place, added] = m_parts.try_emplace({part.space, part.id});
+        Entry& entry = place->second;
+        if (added) {
+            entry.store = found->first;
+            entry.tokens = room_of(part.tokens);
+            state.used_tokens += entry.tokens;
+        }
+        const bool ended = added || now >= entry.due;
+        if (entry.store == found->first && entry.state != State::LetGo && ended)
+            let_go(entry, now);
+    }
+    for (auto entry = m_parts.begin(); entry != m_parts.end();) {
+        const auto next = std::next(entry);
+        const bool here = entry->second.store == store;
+        const bool may_be_under_way =
+            entry->second.state == State::Saving && now < entry->second.due;
+        if (here && !may_be_under_way && !there.contains(entry->first))
+            drop(entry);
+        entry = next;
+    }
+}
+
+bool
+KeptDirectory::changed(std::string_view store, const KeptChanges& changes,
+                       TimePoint now)
+{
+    const auto found = m_stores.find(store);
+    if (found == m_stores.end())
+        return true;
+    StoreState& state = found->second;
+    if (changes.boot != state.boot || changes.lost)
+        return false;
+    take_clock(changes.clock, now);
+    state.reachable = true;
+    for (const KeptChange& change : changes.changes) {
+        if (change.stored) {
+            hold(found->first, change.part, now);
+            continue;
+        }
+        const auto entry = m_parts.find({change.part.space, change.part.id});
+        if (entry != m_parts.end() && entry->second.store == store &&
+            entry->second.state != State::Saving)
+            drop(entry);
+    }
+    return true;
+}
+
+void
+KeptDirectory::unreachable(std::string_view store)
+{
+    const auto found = m_stores.find(store);
+    if (found != m_stores.end())
+        found->second.reachable = false;
+}
+
+KeptPlace
+KeptDirectory::place_of(const Entry& entry, TimePoint now) const
+{
+    const auto state = m_stores.find(entry.store);
+    if (entry.state != State::Held || state == m_stores.end() ||
+        !state->second.reachable || m_clock == 0)
+        return {};
+    const auto span =
+        std::chrono::duration_cast<std::chrono::milliseconds>(answer_time);
+    return {KeptPlace::Kind::Fetch, entry.store,
+            runner_clock(now) + static_cast<RunnerMillis>(span.count())};
+}
+
+std::string
+KeptDirectory::place_for(std::uint32_t tokens, TimePoint now)
+{
+    // Reads spread over the stores in proportion to their links while the
+    // filling of each is in proportion to its link.
+    std::string best;
+    double best_filling = 0;
+    bool waits = false;
+    for (const auto& [address, state] : m_stores) {
+        if (!state.reachable || state.boot == 0)
+            continue;
+        if (now < state.write_from) {
+            waits = true;
+            continue;
+        }
+        const double capacity =
+            filled_part * static_cast<double>(state.info.capacity_tokens);
+        if (static_cast<double>(state.used_tokens + tokens) > capacity)
+            continue;
+        const double filling =
+            static_cast<double>(state.used_tokens + tokens) /
+            std::max(state.info.link_bytes_per_second, 1.0);
+        if (best.empty() || filling < best_filling) {
+            best = address;
+            best_filling = filling;
+        }
+    }
+    if (best.empty() && !waits)
+        m_full = true;
+    return best;
+}
+
+KeptPlace
+KeptDirectory::ask(const KeptPart& part, Micros longest, TimePoint now)
+{
+    const auto known = m_parts.find({part.space, part.id});
+    if (known != m_parts.end()) {
+        known->second.asked = now;
+        return place_of(known->second, now);
+    }
+    if (now < m_save_from)
+        return {};
+    const std::uint32_t room = room_of(part.tokens);
+    const std::string store = place_for(room, now);
+    if (store.empty())
+        return {};
+    Entry entry;
+    entry.store = store;
+    entry.tokens = room;
+    entry.asked = now;
+    entry.due = now + longest;
+    m_parts[{part.space, part.id}] = entry;
+    m_stores.find(store)->second.used_tokens += room;
+    return {KeptPlace::Kind::Save, store, 0};
+}
+
+void
+KeptDirectory::not_saved(const KeptPart& part)
+{
+    const auto entry = m_parts.find({part.space, part.id});
+    if (entry != m_parts.end() && entry->second.state == State::Saving)
+        drop(entry);
+}
+
+void
+KeptDirectory::make_room(TimePoint now)
+{
+    if (!m_full)
+        return;
+    m_full = false;
+    std::vector<Entry*> oldest;
+    for (auto& [key, entry] : m_parts)
+        if (entry.state == State::Held && now - entry.asked > in_use_time)
+            oldest.push_back(&entry);
+    const std::size_t count = std::min(let_go_at_once, oldest.size());
+    std::partial_sort(oldest.begin(),
+                      oldest.begin() + static_cast<std::ptrdiff_t>(count),
+                      oldest.end(), [](const Entry* one, const Entry* other) {
+                          return one->asked < other->asked;
+                      });
+    for (std::size_t i = 0; i < count; ++i)
+        let_go(*oldest[i], now);
+}
+
+std::vector<KeptFree>
+KeptDirectory::due(const std::function<bool(const KeptSpace&)>& obsolete,
+                   TimePoint now)
+{
+    make_room(now);
+    std::map<std::string, KeptFree> frees;
+    for (auto& [key, entry] : m_parts) {
+        if (entry.state == State::Held) {
+            const auto space = KeptSpace::parse(key.first);
+            if (!space || obsolete(*space))
+                let_go(entry, now);
+        }
+        if (entry.state != State::LetGo || entry.told_free || now < entry.due)
+            continue;
+        const StoreState& state = m_stores.find(entry.store)->second;
+        if (!state.reachable)
+            continue;
+        entry.told_free = true;
+        KeptFree& free = frees[entry.store];
+        free.store = entry.store;
+        free.boot = state.boot;
+        free.parts.push_back({key.first, key.second, entry.tokens});
+    }
+    std::vector<KeptFree> result;
+    for (auto& [store, free] : frees)
+        result.push_back(std::move(free));
+    return result;
+}
+
+bool
+KeptDirectory::wants_listing(std::string_view store, TimePoint now) const
+{
+    const auto state = m_stores.find(store);
+    if (state == m_stores.end() ||
+        now < state->second.listed_at + listing_pause)
+        return false;
+    return std::any_of(m_parts.begin(), m_parts.end(), [&](const auto& item) {
+        const Entry& entry = item.second;
+        const bool overdue = entry.state == State::Saving && now >= entry.due;
+        // A store tells nothing of a free whose event was lost.
+        const bool unfreed = entry.state == State::LetGo && entry.told_free &&
+                             now >= entry.due + listing_pause;
+        return entry.store == store && (overdue || unfreed);
+    });
+}
+
+std::size_t
+KeptDirectory::held() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_parts.begin(), m_parts.end(), [](const auto& item) {
+            return item.second.state == State::Held;
+        }));
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/membership/duty_lease.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/membership/duty_lease.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Part of the lease that is not used: clocks run alike within a percent,
+/// the rest is for acts that are already on their way.
+constexpr double unused_part = 0.25;
+
+} // namespace
+
+void
+DutyLease::granted(std::uint64_t token, TimePoint asked, Micros span)
+{
+    if (m_token != token)
+        m_since = asked;
+    m_token = token;
+    m_until = std::max(m_until, asked + Micros(static_cast<Micros::rep>(
+                                            static_cast<double>(span.count()) *
+                                            (1 - unused_part))));
+}
+
+bool
+DutyLease::held(TimePoint now) const
+{
+    return m_token && now < m_until;
+}
+
+bool
+DutyLease::may_act(TimePoint now) const
+{
+    return held(now) && now >= m_since + m_settle;
+}
+
+Micros
+DutyLease::time_left(TimePoint now) const
+{
+    return may_act(now) ? m_until - now : Micros{0};
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/feed_duty.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "feed_duty.h"
+
+#include <serve/log_line.h>
+
+#include <crosslink/base/error.h>
+#include <crosslink/ports/duty_registry.h>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Longest wait of one question; each answer and each wait is a priced call.
+constexpr Micros longest_wait = std::chrono::seconds(10);
+/// Pause between two questions, so that changes in quick succession come
+/// together.
+constexpr Micros between = std::chrono::milliseconds(60);
+constexpr Micros after_failure = std::chrono::milliseconds(250);
+/// An instance that is gone is listed for this long at most.
+constexpr Micros presence_span = std::chrono::seconds(9);
+constexpr Micros presence_pause = std::chrono::seconds(3);
+
+} // namespace
+
+FeedDuty::FeedDuty(ForwardState& state)
+    : m_state(state), m_feed("feed", [this] { return feed_round(); }),
+      m_presence("presence", [this] { return presence_round(); })
+{
+}
+
+Micros
+FeedDuty::feed_round()
+{
+    try {
+        const FleetNews news =
+            m_place ? m_state.ports.feed.wait(*m_place, longest_wait)
+                    : m_state.ports.feed.read();
+        m_place = news.place;
+        m_state.take(news);
+        if (m_lost)
+            LogLine("platform_regained").field("place", news.place);
+        m_lost = false;
+        return between;
+    } catch (const Error& failure) {
+        if (!m_lost)
+            LogLine("platform_lost").field("error", failure.what());
+        m_lost = true;
+        return after_failure;
+    }
+}
+
+Micros
+FeedDuty::presence_round()
+{
+    if (m_state.stopping)
+        return presence_pause;
+    m_state.ports.duties.present(m_state.settings.name,
+                                 m_state.settings.peer_address(),
+                                 presence_span);
+    return presence_pause;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/feed_duty.h
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "forward_state.h"
+
+#include <serve/duty.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace crosslink
+{
+
+/// Follows what the platform tells the fleet, and keeps this instance listed
+/// as present.
+class FeedDuty
+{
+public:
+    explicit FeedDuty(ForwardState& state);
+
+private:
+    Micros feed_round();
+    Micros presence_round();
+
+    ForwardState& m_state;
+    std::optional<std::uint64_t> m_place; ///< Nothing before the first read.
+    bool m_lost = false;                  ///< The platform does not answer.
+    Duty m_feed;
+    Duty m_presence;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/fleet_calls.h
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "steward.h"
+
+#include <adapters/http_client.h>
+#include <adapters/http_server.h>
+
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+
+namespace crosslink
+{
+
+class RpcServer;
+
+/// Answers the calls of the other instances of the fleet, by JSON-RPC.
+class FleetServer
+{
+public:
+    FleetServer(ForwardState& state, Steward& steward);
+    ~FleetServer();
+
+private:
+    std::unique_ptr<RpcServer> m_rpc;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+/// Calls to another instance. Throws Error(PeerUnavailable).
+class FleetClient
+{
+public:
+    explicit FleetClient(const std::string& address);
+
+    /// See Steward::ask_kept().
+    KeptAnswer ask_kept(const std::string& space,
+                        std::span<const PromptPart> parts, Micros longest);
+    /// See Steward::not_saved().
+    void not_saved(const std::string& space, std::span<const PromptPart> parts);
+
+private:
+    Json::Value call(const char* method, const Json::Value& parameters);
+
+    HttpClient m_client;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_instance.cpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "forward_instance.h"
+
+#include <adapters/clock.h>
+#include <serve/log_line.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr Micros step = std::chrono::milliseconds(50);
+/// The balancer asks every second, and takes an instance out after two
+/// questions without success; callers come until then.
+constexpr Micros balancer_lag = std::chrono::milliseconds(2500);
+/// Then this long without a call ends the stop.
+constexpr Micros quiet_time = std::chrono::milliseconds(400);
+/// The stop ends so long before the platform would kill the process.
+constexpr Micros kill_margin = std::chrono::milliseconds(500);
+
+} // namespace
+
+ForwardInstance::ForwardInstance(const ForwardSettings& settings,
+                                 ForwardPorts ports)
+    : m_state(settings, ports), m_steward(m_state), m_kept(m_state, m_steward),
+      m_path(m_state, m_kept), m_fleet(m_state, m_steward), m_feed(m_state),
+      m_server(m_state, m_path)
+{
+}
+
+void
+ForwardInstance::serve(const std::function<bool()>& stop_asked)
+{
+    LogLine("started")
+        .field("name", m_state.settings.name)
+        .field("zone", m_state.settings.zone)
+        .field("bind", m_state.settings.bind);
+    while (!stop_asked())
+        std::this_thread::sleep_for(step);
+    stop();
+}
+
+void
+ForwardInstance::stop()
+{
+    LogLine("stop_began").field("open", m_state.open_calls.load());
+    m_state.stopping = true;
+    m_steward.give_up();
+    const TimePoint began = monotonic_now();
+    const TimePoint last =
+        began + std::max(m_state.settings.stop_grace() - kill_margin,
+                         Micros{0});
+    const auto quiet = [&] {
+        const TimePoint now = monotonic_now();
+        return m_state.open_calls == 0 && now >= began + balancer_lag &&
+               now >= m_server.latest_call() + quiet_time;
+    };
+    while (!quiet() && monotonic_now() < last)
+        std::this_thread::sleep_for(step);
+    m_server.stop_listening();
+    while (m_state.open_calls > 0 && monotonic_now() < last)
+        std::this_thread::sleep_for(step);
+    LogLine("stopped").field("open", m_state.open_calls.load());
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_instance.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "feed_duty.h"
+#include "fleet_calls.h"
+#include "forward_path.h"
+#include "forward_server.h"
+#include "forward_state.h"
+#include "kept_asker.h"
+#include "steward.h"
+
+#include <functional>
+
+namespace crosslink
+{
+
+/// One instance that forwards calls: its state, threads and servers.
+class ForwardInstance
+{
+public:
+    ForwardInstance(const ForwardSettings& settings, ForwardPorts ports);
+
+    /// Serves until `stop_asked` returns true, then stops in order: no
+    /// readiness first, then no new connections, and the end once no call is
+    /// open or the time for a stop is over.
+    void serve(const std::function<bool()>& stop_asked);
+
+private:
+    void stop();
+
+    ForwardState m_state;
+    Steward m_steward;
+    KeptAsker m_kept;
+    ForwardPath m_path;
+    FleetServer m_fleet;
+    FeedDuty m_feed;
+    ForwardServer m_server;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_path.cpp
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "forward_path.h"
+
+#include "forward_run.h"
+
+#include <adapters/clock.h>
+#include <serve/log_line.h>
+
+#include <crosslink/base/error.h>
+
+#include <cstdio>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr Micros come_back = std::chrono::milliseconds(500);
+
+/// Returns `span` as a Retry-After value: seconds with fractions.
+std::string
+retry_after(Micros span)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", seconds(span));
+    return text.data();
+}
+
+} // namespace
+
+void
+answer_failure(CallerLink& link, const Error& failure)
+{
+    std::vector<HeaderField> headers{{"Content-Type", "text/plain"}};
+    if (failure.retry_after())
+        headers.push_back({"Retry-After", retry_after(*failure.retry_after())});
+    const std::string body = std::string(error_name(failure.code())) + "\n";
+    link.answer(error_status(failure.code()), headers, body);
+}
+
+ForwardPath::ForwardPath(ForwardState& state, KeptAsker& kept)
+    : m_state(state), m_kept(kept)
+{
+}
+
+void
+ForwardPath::serve(const ForwardedCall& call, CallerLink& link)
+{
+    ++m_state.counters.calls;
+    try {
+        forward(call, link);
+    } catch (const Error& failure) {
+        ++(is_not_run(failure.run_state()) ? m_state.counters.refused
+                                           : m_state.counters.failed);
+        LogLine("call_failed")
+            .field("request", call.id)
+            .field("error", error_name(failure.code()))
+            .field("run_state", run_state_name(failure.run_state()))
+            .field("why", failure.what())
+            .span("took", monotonic_now() - call.received_at);
+        answer_failure(link, failure);
+    }
+}
+
+void
+ForwardPath::forward(const ForwardedCall& call, CallerLink& link)
+{
+    // One version from start to end: a change takes hold with the next call.
+    const auto map = m_state.map();
+    if (!map || !m_state.fleet.with([](FleetView& v) { return v.listed; }))
+        throw Error(ErrorCode::NotReady, "this instance knows no configuration",
+                    RunState::NotDispatched, come_back);
+    const ServiceRoute* route = map->find_route(call.host, call.path());
+    if (!route)
+        throw Error(ErrorCode::UnknownPath, "no route");
+    const KeyHolder* holder = map->holder_of(call.api_key);
+    if (!holder && map->needs_key && !route->open)
+        throw Error(ErrorCode::UnknownKey, "no account has this key");
+    ForwardRun run(m_state, m_kept, call, *route, holder);
+    run.run(link);
+    ++(run.caller_gone() ? m_state.counters.callers_gone
+                         : m_state.counters.answered);
+    m_state.counters.whole_answer.add(monotonic_now() - call.received_at);
+    LogLine("call_ended")
+        .field("request", call.id)
+        .field("route", route->name)
+        .field("map", map->version)
+        .field("runner", run.runner())
+        .field("sends", run.sends())
+        .field("kept", run.kept_summary())
+        .field("caller_gone", run.caller_gone())
+        .span("took", monotonic_now() - call.received_at);
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_ports.h
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+namespace crosslink
+{
+
+class CallWire;
+class DutyRegistry;
+class FleetFeed;
+class KeptStores;
+class RunnerOrders;
+
+/// The outside parties of an instance that forwards calls. All of them
+/// outlive it.
+struct ForwardPorts {
+    const CallWire& wire;
+    FleetFeed& feed;
+    DutyRegistry& duties;
+    RunnerOrders& orders;
+    KeptStores& stores;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_run.cpp
@@ -0,0 +1,506 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "forward_run.h"
+
+#include <adapters/call_connection.h>
+#include <adapters/clock.h>
+#include <adapters/random.h>
+#include <serve/log_line.h>
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <charconv>
+#include <thread>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// A runner that takes no connection in this time is passed over.
+constexpr Micros connect_time = std::chrono::milliseconds(400);
+/// Idle connections whose end the runner does not tell are used this long.
+constexpr Micros idle_untold = std::chrono::seconds(4);
+/// An idle connection is given up so long before the runner closes it.
+constexpr Micros idle_margin = std::chrono::milliseconds(1200);
+/// A runner that refused has no room: it gets nothing for this time.
+constexpr Micros refusal_hold = std::chrono::milliseconds(120);
+/// A runner that refuses while new weights are out is loading them.
+constexpr Micros loading_hold = std::chrono::milliseconds(700);
+/// Part of the objective for which a call waits for a runner that takes
+/// work, before it is refused early enough to be tried elsewhere in time.
+constexpr int part_waited = 5;
+constexpr Micros wait_step = std::chrono::milliseconds(15);
+/// A caller that was refused comes back after this time.
+constexpr Micros come_back = std::chrono::milliseconds(250);
+/// A fetch must end in this part of the objective; else the prompt is read.
+constexpr double part_for_fetch = 0.5;
+/// Surplus answers of earlier calls that are read past.
+constexpr int most_surplus = 3;
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+constexpr std::size_t most_body_bytes = 16U << 20U;
+
+std::optional<std::uint64_t>
+number_in(const std::string& text)
+{
+    std::uint64_t number = 0;
+    const auto result =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || result.ec != std::errc())
+        return std::nullopt;
+    return number;
+}
+
+std::string
+last_shared_part(const ForwardedCall& call)
+{
+    if (!call.generation || call.generation->shared_parts().empty())
+        return {};
+    return call.generation->shared_parts().back().id;
+}
+
+bool
+is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+} // namespace
+
+ForwardRun::ForwardRun(ForwardState& state, KeptAsker& kept,
+                       const ForwardedCall& call, const ServiceRoute& route,
+                       const KeyHolder* holder)
+    : m_state(state), m_kept(kept), m_call(call), m_route(route),
+      m_holder(holder), m_service(route.pick_service(random_bits())),
+      m_deadline(call.received_at +
+                 std::min(call.time_allowed, route.timeout)),
+      m_affinity(last_shared_part(call)), m_events(number_in(call.last_event))
+{
+}
+
+ForwardRun::~ForwardRun() = default;
+
+Micros
+ForwardRun::time_left() const
+{
+    return std::max(m_deadline - monotonic_now(), Micros{0});
+}
+
+void
+ForwardRun::run(CallerLink& link)
+{
+    m_state.retries.with([this](RetryWindow& window) {
+        window.called(m_service, monotonic_now());
+    });
+    for (;;) {
+        if (!choose() && !wait_for_runner()) {
+            fail(m_runs > 0 ? Outcome::Broken : Outcome::NotSent);
+        }
+        const Outcome outcome = attempt(link);
+        settle(outcome);
+        if (outcome == Outcome::Done)
+            return;
+        if (outcome == Outcome::CallerGone) {
+            m_caller_gone = true;
+            return;
+        }
+        if (!may_go_on(outcome)) {
+            if (!link.begun())
+                fail(outcome);
+            link.break_off();
+            return;
+        }
+    }
+}
+
+bool
+ForwardRun::choose()
+{
+    const std::string model =
+        m_call.generation ? m_call.generation->model : std::string();
+    m_newest = model.empty() ? 0 : m_state.newest_weights(model);
+    RunnerQuery query;
+    query.service = m_service;
+    query.zone = m_state.settings.zone;
+    query.affinity = m_affinity;
+    query.model = model;
+    query.newest_version = m_newest;
+    query.avoid = &m_avoid;
+    query.instances = m_state.instance_count();
+    query.random = random_bits();
+    query.now = monotonic_now();
+    const auto pick = m_state.runners.with(
+        [&query](RunnerTable& table) { return table.choose(query); });
+    if (!pick)
+        return false;
+    m_pick = *pick;
+    return true;
+}
+
+bool
+ForwardRun::wait_for_runner()
+{
+    const TimePoint end =
+        std::min(m_deadline, monotonic_now() + m_route.objective / part_waited);
+    while (monotonic_now() < end) {
+        std::this_thread::sleep_for(wait_step);
+        // A runner that refused before may have room by now.
+        if (m_runs == 0)
+            m_avoid.clear();
+        if (choose())
+            return true;
+    }
+    return false;
+}
+
+ForwardRun::Outcome
+ForwardRun::attempt(CallerLink& link)
+{
+    const std::uint64_t tokens =
+        m_call.generation ? m_call.generation->prompt_tokens : 0;
+    bool reused = false;
+    if (!connect(reused))
+        return Outcome::NotSent;
+    const SendTerms sent = terms();
+    m_prompt_read = false;
+    m_state.runners.with(
+        [&](RunnerTable& table) { table.sent(m_pick.id, tokens); });
+    ++m_sends;
+    ++m_state.counters.sends;
+    Outcome outcome = Outcome::Broken;
+    try {
+        outcome = exchange(link, sent);
+    } catch (const Poco::Exception& failure) {
+        LogLine("answer_broken")
+            .field("request", m_call.id)
+            .field("runner", m_pick.id)
+            .field("reused", reused)
+            .field("error", failure.displayText());
+    }
+    m_connection.reset();
+    m_state.runners.with([&](RunnerTable& table) {
+        if (!m_prompt_read)
+            table.prompt_read(m_pick.id, tokens);
+        table.ended(m_pick.id);
+    });
+    if (outcome == Outcome::NotRun && m_call.generation)
+        m_kept.not_saved(m_space, m_call.generation->shared_parts(), m_places);
+    return outcome;
+}
+
+bool
+ForwardRun::connect(bool& reused)
+{
+    m_connection = m_state.connections.take(m_pick.address);
+    reused = m_connection != nullptr;
+    if (reused)
+        return true;
+    try {
+        m_connection = std::make_unique<CallConnection>(
+            m_pick.address, std::min(connect_time, time_left()));
+        return true;
+    } catch (const Poco::Exception& failure) {
+        LogLine("not_connected")
+            .field("request", m_call.id)
+            .field("runner", m_pick.id)
+            .field("error", failure.displayText());
+        return false;
+    }
+}
+
+SendTerms
+ForwardRun::terms()
+{
+    SendTerms terms;
+    terms.runner = m_pick.id;
+    terms.time_left = time_left();
+    if (m_holder)
+        terms.account = m_holder->name;
+    if (!m_call.generation)
+        return terms;
+    terms.priority = m_holder && m_holder->has_priority ? m_holder->priority
+                                                        : m_route.priority;
+    terms.version = m_pick.version;
+    if (const auto last = m_events.last_event())
+        terms.after_event = std::to_string(*last);
+    KeptSpace space;
+    space.model = m_call.generation->model;
+    space.version = m_pick.version;
+    if (m_holder && m_holder->isolated)
+        space.wall = m_holder->name;
+    m_space = space.text();
+    terms.space = m_space;
+    ask_kept(terms);
+    return terms;
+}
+
+void
+ForwardRun::ask_kept(SendTerms& terms)
+{
+    const auto parts = m_call.generation->shared_parts();
+    m_places.clear();
+    if (parts.empty())
+        return;
+    const KeptAnswer answer = m_kept.ask(m_space, parts, time_left());
+    m_places = answer.places;
+    terms.places = answer.places;
+    const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_route.objective * part_for_fetch);
+    RunnerMillis until =
+        answer.clock + static_cast<RunnerMillis>(patience.count());
+    for (const KeptPlace& place : answer.places) {
+        if (place.kind == KeptPlace::Kind::Fetch) {
+            until = std::min(until, place.until);
+            terms.fetch_until = until;
+            ++m_state.counters.parts_fetched;
+        } else if (place.kind == KeptPlace::Kind::Save) {
+            ++m_state.counters.parts_saved;
+        } else {
+            ++m_state.counters.parts_read;
+        }
+    }
+}
+
+ForwardRun::Outcome
+ForwardRun::exchange(CallerLink& link, const SendTerms& terms)
+{
+    m_connection->send(m_state.ports.wire.encode_call(m_call, terms),
+                       m_call.body);
+    for (int i = 0; i < most_surplus; ++i) {
+        if (const auto ended = await_answer(link))
+            return *ended;
+        const auto head = next_head();
+        if (!head)
+            continue;
+        return take_answer(link, *head);
+    }
+    return Outcome::Broken;
+}
+
+std::optional<ForwardRun::Outcome>
+ForwardRun::await_answer(CallerLink& link)
+{
+    switch (m_connection->wait(link.socket(), time_left())) {
+    case CallConnection::Wait::CallerGone:
+        return Outcome::CallerGone;
+    case CallConnection::Wait::TimedOut:
+        return Outcome::TimedOut;
+    case CallConnection::Wait::Ready:
+        break;
+    }
+    return std::nullopt;
+}
+
+/// Returns the head of the answer to this call; nothing where it was the
+/// answer to an earlier one on the same connection, which is read past.
+std::optional<AnswerHead>
+ForwardRun::next_head()
+{
+    const RawHead raw = m_connection->receive_head();
+    AnswerHead head =
+        m_state.ports.wire.decode_answer(raw.status, raw.headers);
+    if (head.call_id.empty() || head.call_id == m_call.id)
+        return head;
+    LogLine("surplus_answer")
+        .field("request", m_call.id)
+        .field("runner", m_pick.id)
+        .field("of_request", head.call_id);
+    while (!m_connection->read_some().empty()) {
+    }
+    return std::nullopt;
+}
+
+ForwardRun::Outcome
+ForwardRun::take_answer(CallerLink& link, const AnswerHead& head)
+{
+    learn(head);
+    if (head.not_run)
+        return Outcome::NotRun;
+    const bool success = is_success(head.status);
+    if (success && (!head.genuine || head.encoded))
+        return Outcome::Broken;
+    return success && head.event_stream ? relay_events(link, head)
+                                        : relay_whole(link, head);
+}
+
+void
+ForwardRun::learn(const AnswerHead& head)
+{
+    if (!m_call.generation || head.version == 0)
+        return;
+    m_state.runners.with([&](RunnerTable& table) {
+        table.has_version(m_pick.id, m_call.generation->model, head.version);
+    });
+}
+
+ForwardRun::Outcome
+ForwardRun::relay_whole(CallerLink& link, const AnswerHead& head)
+{
+    std::string body;
+    while (!m_connection->ended()) {
+        if (const auto ended = await_answer(link))
+            return *ended;
+        const std::string bytes = m_connection->read_some();
+        if (bytes.empty())
+            break;
+        body += bytes;
+        if (body.size() > most_body_bytes)
+            return Outcome::Broken;
+    }
+    if (!m_connection->whole())
+        return Outcome::Broken;
+    keep_connection(head);
+    link.answer(head.status, head.headers, body);
+    return Outcome::Done;
+}
+
+ForwardRun::Outcome
+ForwardRun::relay_events(CallerLink& link, const AnswerHead& head)
+{
+    const std::uint64_t tokens = m_call.generation
+                                     ? m_call.generation->prompt_tokens
+                                     : std::uint64_t{0};
+    m_events.begin_run();
+    while (!m_connection->ended()) {
+        if (const auto ended = await_answer(link))
+            return *ended;
+        const std::string bytes = m_connection->read_some();
+        if (bytes.empty())
+            break;
+        const std::string events = m_events.take(bytes);
+        if (m_events.gap())
+            return Outcome::Broken;
+        if (events.empty())
+            continue;
+        if (!m_prompt_read) {
+            m_prompt_read = true;
+            m_state.runners.with([&](RunnerTable& table) {
+                table.prompt_read(m_pick.id, tokens);
+            });
+        }
+        if (!link.begun()) {
+            m_state.counters.first_event.add(monotonic_now() -
+                                             m_call.received_at);
+            link.begin(head.status, head.headers);
+        }
+        if (!link.send(events))
+            return Outcome::CallerGone;
+    }
+    if (!m_connection->whole() || m_events.within_event())
+        return Outcome::Broken;
+    keep_connection(head);
+    if (!link.begun())
+        link.begin(head.status, head.headers);
+    link.finish();
+    return Outcome::Done;
+}
+
+void
+ForwardRun::keep_connection(const AnswerHead& head)
+{
+    if (!head.keep_alive)
+        return;
+    const Micros idle = head.keep_alive->count() > 0
+                            ? *head.keep_alive - idle_margin
+                            : idle_untold;
+    if (idle.count() > 0)
+        m_state.connections.put_back(m_pick.address, std::move(m_connection),
+                                     idle);
+}
+
+void
+ForwardRun::settle(Outcome outcome)
+{
+    const TimePoint now = monotonic_now();
+    const bool loading = m_call.generation && m_newest > m_pick.version;
+    m_state.runners.with([&](RunnerTable& table) {
+        switch (outcome) {
+        case Outcome::Done:
+            table.succeeded(m_pick.id);
+            break;
+        case Outcome::NotRun:
+            table.refused(m_pick.id, now,
+                          loading ? loading_hold : refusal_hold);
+            // It was told to load: the next call expects that it has.
+            if (loading)
+                table.has_version(m_pick.id, m_call.generation->model,
+                                  m_newest);
+            break;
+        case Outcome::NotSent:
+        case Outcome::Broken:
+            table.failed(m_pick.id, now);
+            break;
+        case Outcome::CallerGone:
+        case Outcome::TimedOut:
+            break;
+        }
+    });
+}
+
+bool
+ForwardRun::may_go_on(Outcome outcome)
+{
+    if (outcome == Outcome::Broken)
+        ++m_runs;
+    m_avoid.insert(m_pick.id);
+    const bool repeatable = m_route.repeatable();
+    if (outcome == Outcome::TimedOut || time_left().count() == 0)
+        return false;
+    if (outcome == Outcome::Broken &&
+        (!repeatable || m_runs >= m_route.most_attempts))
+        return false;
+    if (outcome == Outcome::NotSent)
+        return true;
+    const bool granted = m_state.retries.with([this](RetryWindow& window) {
+        return window.take(m_service, m_state.instance_count(),
+                           monotonic_now());
+    });
+    if (granted)
+        ++m_state.counters.repeats;
+    return granted;
+}
+
+void
+ForwardRun::fail(Outcome outcome)
+{
+    if (m_runs > 0)
+        throw Error(ErrorCode::UpstreamFailed, "the answer broke off",
+                    RunState::MayHaveRun);
+    switch (outcome) {
+    case Outcome::TimedOut:
+        throw Error(ErrorCode::UpstreamTimeout, "no answer in time",
+                    RunState::MayHaveRun);
+    case Outcome::NotRun:
+        throw Error(ErrorCode::UpstreamRefused, "runners have no room",
+                    RunState::RefusedBeforeRun, come_back);
+    default:
+        throw Error(ErrorCode::NoUpstream, "no runner takes work",
+                    RunState::NotDispatched, come_back);
+    }
+}
+
+std::string
+ForwardRun::kept_summary() const
+{
+    std::string text;
+    for (const KeptPlace& place : m_places) {
+        switch (place.kind) {
+        case KeptPlace::Kind::None:
+            text += 'r';
+            break;
+        case KeptPlace::Kind::Fetch:
+            text += 'f';
+            break;
+        case KeptPlace::Kind::Save:
+            text += 's';
+            break;
+        }
+    }
+    return text;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_run.h
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "caller_link.h"
+#include "forward_state.h"
+#include "kept_asker.h"
+
+#include <crosslink/base/error.h>
+#include <crosslink/forward/event_tracker.h>
+#include <crosslink/forward/forwarded_call.h>
+#include <crosslink/forward/service_map.h>
+#include <crosslink/ports/call_wire.h>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+class CallConnection;
+
+/// Carries one call to a runner, and to others where that is allowed, and
+/// its answer back.
+class ForwardRun
+{
+public:
+    /// All of them outlive it. `holder` is null on open routes.
+    ForwardRun(ForwardState& state, KeptAsker& kept, const ForwardedCall& call,
+               const ServiceRoute& route, const KeyHolder* holder);
+    ~ForwardRun();
+
+    /// Returns once the answer is out or the caller went away. Throws Error
+    /// where nothing was sent to the caller.
+    void run(CallerLink& link);
+
+    /// Runners that the call was sent to, and the last of them.
+    std::uint32_t sends() const { return m_sends; }
+    const std::string& runner() const { return m_pick.id; }
+    bool caller_gone() const { return m_caller_gone; }
+    /// What was done with the shared parts of the prompt, for the log.
+    std::string kept_summary() const;
+
+private:
+    /// What became of the call at one runner.
+    enum class Outcome {
+        Done,       ///< The answer is out.
+        CallerGone, ///< There is nobody to answer.
+        NotSent,    ///< No byte of it reached the runner.
+        NotRun,     ///< The runner's own word.
+        Broken,     ///< It may have run, and there is no whole answer.
+        TimedOut,   ///< As Broken, and no time is left.
+    };
+
+    bool choose();
+    bool wait_for_runner();
+    Outcome attempt(CallerLink& link);
+    bool may_go_on(Outcome outcome);
+    void settle(Outcome outcome);
+    SendTerms terms();
+    void ask_kept(SendTerms& terms);
+    bool connect(bool& reused);
+    Outcome exchange(CallerLink& link, const SendTerms& terms);
+    std::optional<Outcome> await_answer(CallerLink& link);
+    std::optional<AnswerHead> next_head();
+    Outcome take_answer(CallerLink& link, const AnswerHead& head);
+    Outcome relay_whole(CallerLink& link, const AnswerHead& head);
+    Outcome relay_events(CallerLink& link, const AnswerHead& head);
+    void learn(const AnswerHead& head);
+    void keep_connection(const AnswerHead& head);
+    [[noreturn]] void fail(Outcome outcome);
+    Micros time_left() const;
+
+    ForwardState& m_state;
+    KeptAsker& m_kept;
+    const ForwardedCall& m_call;
+    const ServiceRoute& m_route;
+    const KeyHolder* m_holder;
+    const std::string m_service;
+    const TimePoint m_deadline;
+    std::string m_affinity; ///< The last shared part of the prompt.
+    EventTracker m_events;
+    RunnerPick m_pick;
+    std::set<std::string> m_avoid;
+    std::unique_ptr<CallConnection> m_connection;
+    std::string m_space;
+    std::vector<KeptPlace> m_places;
+    std::uint64_t m_newest = 0; ///< Weights named at the last choice.
+    std::uint32_t m_sends = 0;
+    std::uint32_t m_runs = 0; ///< Sends that may have run.
+    bool m_prompt_read = false;
+    bool m_caller_gone = false;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_server.cpp
@@ -0,0 +1,189 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "forward_server.h"
+
+#include "http_caller_link.h"
+
+#include <adapters/clock.h>
+#include <serve/log_line.h>
+
+#include <crosslink/base/error.h>
+#include <crosslink/forward/forwarded_call.h>
+#include <crosslink/ports/call_wire.h>
+
+#include <Poco/Buffer.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr int success = 200;
+constexpr int unavailable = 503;
+constexpr int small_server_threads = 8;
+/// Memory of one connection with its thread, measured at about 60 KB.
+constexpr std::uint64_t connections_per_mb = 8;
+constexpr std::uint64_t most_threads = 2000;
+/// Part of the descriptors for callers; runners take the rest.
+constexpr std::uint64_t part_for_callers = 2;
+
+HttpServerRules
+small_rules()
+{
+    HttpServerRules rules;
+    rules.most_threads = small_server_threads;
+    return rules;
+}
+
+HttpServerRules
+caller_rules(const ForwardSettings& settings)
+{
+    HttpServerRules rules;
+    rules.most_threads = static_cast<int>(
+        std::min({settings.memory_mb * connections_per_mb,
+                  settings.descriptors / part_for_callers, most_threads}));
+    rules.most_queued = rules.most_threads;
+    return rules;
+}
+
+Poco::Net::HTTPServerRequestImpl&
+implementation(Poco::Net::HTTPServerRequest& request)
+{
+    return static_cast<Poco::Net::HTTPServerRequestImpl&>(request);
+}
+
+CallHead
+head_of(const Poco::Net::HTTPServerRequest& request, std::uint64_t most_bytes)
+{
+    CallHead head;
+    head.method = request.getMethod();
+    head.target = request.getURI();
+    head.host = request.get("Host", "");
+    std::uint64_t bytes = head.method.size() + head.target.size();
+    for (const auto& [name, value] : request) {
+        bytes += name.size() + value.size();
+        head.headers.push_back({name, value});
+    }
+    if (bytes > most_bytes)
+        throw Error(ErrorCode::HeadersTooLarge, "the head is too large");
+    return head;
+}
+
+/// A request whose length can be read in two ways could hide another one.
+void
+check_framing(const Poco::Net::HTTPServerRequest& request)
+{
+    const bool chunked = request.getChunkedTransferEncoding();
+    const auto count = [&request](const std::string& name) {
+        return std::distance(request.find(name), request.end()) == 0
+                   ? 0
+                   : std::count_if(request.begin(), request.end(),
+                                   [&name](const auto& field) {
+                                       return Poco::icompare(field.first,
+                                                             name) == 0;
+                                   });
+    };
+    const auto lengths = count("Content-Length");
+    const auto encodings = count("Transfer-Encoding");
+    if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0) ||
+        (encodings > 0 && !chunked))
+        throw Error(ErrorCode::BadRequest, "the length is ambiguous");
+    if (lengths == 1) {
+        const std::string& text = request.get("Content-Length");
+        if (text.empty() ||
+            text.find_first_not_of("0123456789") != std::string::npos)
+            throw Error(ErrorCode::BadRequest, "the length is no number");
+    }
+}
+
+/// POCO takes chunks that break off or are malformed for the end of a body.
+/// Then bytes are left over, or the caller has gone.
+void
+check_chunked_end(Poco::Net::HTTPServerRequest& request)
+{
+    auto& session = implementation(request).session();
+    Poco::Buffer<char> left(0);
+    session.drainBuffer(left);
+    char byte = 0;
+    const auto more = ::recv(
+        static_cast<int>(session.socket().impl()->sockfd()), &byte, 1,
+        MSG_PEEK | MSG_DONTWAIT);
+    if (!left.empty() || more >= 0)
+        throw Error(ErrorCode::BadRequest, "the body is not whole");
+}
+
+} // namespace
+
+ForwardServer::ForwardServer(ForwardState& state, ForwardPath& path)
+    : m_state(state), m_path(path)
+{
+    const ForwardSettings& settings = state.settings;
+    m_ready = std::make_unique<HttpServer>(
+        settings.ready_bind, small_rules(),
+        [this](auto&, auto& answer) { handle_ready(answer); });
+    if (!settings.metrics_bind.empty())
+        m_metrics = std::make_unique<HttpServer>(
+            settings.metrics_bind, small_rules(), [this](auto&, auto& answer) {
+                send_answer(answer, success, "text/plain; version=0.0.4",
+                            m_state.counters.text());
+            });
+    m_callers = std::make_unique<HttpServer>(
+        settings.bind, caller_rules(settings),
+        [this](auto& request, auto& answer) { handle(request, answer); });
+}
+
+ForwardServer::~ForwardServer() = default;
+
+void
+ForwardServer::stop_listening()
+{
+    m_callers->stop_listening();
+}
+
+void
+ForwardServer::handle_ready(Poco::Net::HTTPServerResponse& answer)
+{
+    const bool ready = m_state.ready();
+    send_answer(answer, ready ? success : unavailable, "text/plain",
+                ready ? "ready\n" : "not ready\n");
+}
+
+void
+ForwardServer::handle(Poco::Net::HTTPServerRequest& request,
+                      Poco::Net::HTTPServerResponse& answer)
+{
+    const OpenCall open(m_state.open_calls);
+    m_latest = monotonic_now();
+    HttpCallerLink link(request, answer);
+    if (m_state.stopping)
+        answer.setKeepAlive(false);
+    try {
+        const auto map = m_state.map();
+        const CallerLimits limits = map ? map->limits : CallerLimits{};
+        check_framing(request);
+        ForwardedCall call =
+            m_state.ports.wire.decode_call(head_of(request, limits.header_bytes));
+        call.received_at = monotonic_now();
+        call.body = read_body(request, limits.body_bytes);
+        if (request.getChunkedTransferEncoding())
+            check_chunked_end(request);
+        m_path.serve(call, link);
+    } catch (const Error& failure) {
+        LogLine("request_refused")
+            .field("error", error_name(failure.code()))
+            .field("why", failure.what());
+        // What follows on this connection may be the rest of the request.
+        answer.setKeepAlive(false);
+        answer_failure(link, failure);
+    } catch (const std::exception& failure) {
+        LogLine("caller_connection").field("error", failure.what());
+    }
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_server.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "forward_path.h"
+#include "forward_state.h"
+
+#include <adapters/http_server.h>
+
+#include <memory>
+
+namespace crosslink
+{
+
+/// The servers of one instance: for callers, for the balancer's question,
+/// and for metrics.
+class ForwardServer
+{
+public:
+    ForwardServer(ForwardState& state, ForwardPath& path);
+    ~ForwardServer();
+
+    /// Takes no new connections of callers.
+    void stop_listening();
+    /// When the latest call came in.
+    TimePoint latest_call() const { return m_latest; }
+
+private:
+    void handle(Poco::Net::HTTPServerRequest& request,
+                Poco::Net::HTTPServerResponse& answer);
+    void handle_ready(Poco::Net::HTTPServerResponse& answer);
+
+    ForwardState& m_state;
+    ForwardPath& m_path;
+    std::atomic<TimePoint> m_latest{TimePoint{}};
+    std::unique_ptr<HttpServer> m_ready;
+    std::unique_ptr<HttpServer> m_metrics;
+    std::unique_ptr<HttpServer> m_callers;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_settings.cpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "forward_settings.h"
+
+#include <serve/settings.h>
+
+#include <CLI/CLI.hpp>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Adds an option whose variable has the flag's name.
+template<typename Value>
+CLI::Option*
+add(CLI::App& verb, const std::string& flag, Value& value,
+    const std::string& description)
+{
+    return verb.add_option(flag, value, description)
+        ->envname(variable_of(flag));
+}
+
+void
+add_addresses(CLI::App& verb, ForwardSettings& settings)
+{
+    add(verb, "--name", settings.name, "Name of this instance")->required();
+    add(verb, "--zone", settings.zone, "Availability zone")->required();
+    add(verb, "--bind", settings.bind, "ip:port for callers")->required();
+    add(verb, "--ready-bind", settings.ready_bind,
+        "ip:port for the balancer's question")
+        ->required();
+    add(verb, "--peer-ip", settings.peer_ip, "Address for other instances")
+        ->required();
+    add(verb, "--peer-port", settings.peer_port, "Port for other instances")
+        ->required()
+        ->check(CLI::Range(1, 65'535));
+    add(verb, "--platform", settings.platform, "ip:port of the store")
+        ->required();
+    add(verb, "--seeds", settings.seeds, "Instances to begin with")
+        ->delimiter(',');
+    add(verb, "--metrics-bind", settings.metrics_bind,
+        "ip:port of the metrics");
+}
+
+void
+add_limits(CLI::App& verb, ForwardSettings& settings)
+{
+    add(verb, "--memory-mb", settings.memory_mb, "Memory limit, MB")
+        ->default_val(256)
+        ->check(CLI::Range(32, 1 << 20));
+    add(verb, "--descriptors", settings.descriptors, "Descriptor limit")
+        ->default_val(4096)
+        ->check(CLI::Range(256, 1 << 20));
+    add(verb, "--stop-ms", settings.stop_ms, "Time for a planned stop, ms")
+        ->default_val(8000)
+        ->check(CLI::Range(500, 600'000));
+    add(verb, "--lease-ms", settings.lease_ms, "Lease of duties, ms")
+        ->default_val(3000)
+        ->check(CLI::Range(1000, 600'000));
+    add(verb, "--retry-ratio", settings.retry_ratio, "Repeats for each call")
+        ->default_val(0.2)
+        ->check(CLI::Range(0.0, 1.0));
+    add(verb, "--retry-allowance", settings.retry_allowance,
+        "Repeats beside the ratio, whole fleet and window")
+        ->default_val(50)
+        ->check(CLI::Range(0.0, 1e6));
+    add(verb, "--retry-window-ms", settings.retry_window_ms,
+        "Window of the retry budget, ms")
+        ->default_val(10'000)
+        ->check(CLI::Range(1000, 600'000));
+    add(verb, "--log-level", settings.log_level, "Level of the log")
+        ->default_val("info")
+        ->check(CLI::IsMember({"debug", "info", "warn", "err"}));
+}
+
+} // namespace
+
+void
+add_forward_options(CLI::App& verb, ForwardSettings& settings)
+{
+    add_addresses(verb, settings);
+    add_limits(verb, settings);
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_settings.h
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/forward/retry_window.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace CLI
+{
+class App;
+}
+
+namespace crosslink
+{
+
+/// Everything that an instance which forwards calls is told at its start.
+/// Each field is a flag with an environment variable; see
+/// docs/OPERATIONS.md.
+struct ForwardSettings {
+    std::string name;       ///< Of this instance; unique in the fleet.
+    std::string zone;       ///< Availability zone.
+    std::string bind;       ///< "ip:port" for callers.
+    std::string ready_bind; ///< "ip:port" for the balancer's question.
+    std::string peer_ip;    ///< Address for the other instances.
+    std::uint32_t peer_port = 0;
+    std::string platform;           ///< "ip:port" of the platform's store.
+    std::vector<std::string> seeds; ///< Hosts of instances to begin with.
+    std::string metrics_bind;       ///< "ip:port"; empty for none.
+    std::uint64_t memory_mb = 0;    ///< Limit of the process.
+    std::uint64_t descriptors = 0;  ///< Limit of the process.
+    std::uint64_t stop_ms = 0;  ///< From the signal to the end of a stop.
+    std::uint64_t lease_ms = 0; ///< Of duties.
+    double retry_ratio = 0;
+    double retry_allowance = 0;
+    std::uint64_t retry_window_ms = 0;
+    std::string log_level;
+
+    Micros stop_grace() const { return std::chrono::milliseconds(stop_ms); }
+    Micros lease() const { return std::chrono::milliseconds(lease_ms); }
+    RetryRules retry_rules() const
+    {
+        return {retry_ratio, retry_allowance,
+                std::chrono::milliseconds(retry_window_ms)};
+    }
+    std::string peer_address() const
+    {
+        return peer_ip + ":" + std::to_string(peer_port);
+    }
+};
+
+/// Adds an option with its variable and check to `verb` for each field. A
+/// value out of range ends the program with a message that names it.
+void add_forward_options(CLI::App& verb, ForwardSettings& settings);
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_state.cpp
@@ -0,0 +1,200 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "forward_state.h"
+
+#include <serve/log_line.h>
+
+#include <crosslink/base/error.h>
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Time between taking the duty's lease and the first act. An act of an
+/// earlier holder is on its way for less than this after its lease ended.
+constexpr Micros duty_settle = std::chrono::milliseconds(1500);
+
+/// Takes one change after the other into the state.
+class ChangeTaker
+{
+public:
+    ChangeTaker(ForwardState& state, bool whole)
+        : m_state(state), m_whole(whole)
+    {
+    }
+
+    void operator()(const MapNamed& change)
+    {
+        const bool newer = m_state.fleet.with([&](FleetView& view) {
+            if (view.map && view.map->version >= change.map->version)
+                return false;
+            view.map = change.map;
+            return true;
+        });
+        if (newer)
+            LogLine("configuration_in_force")
+                .field("version", change.map->version)
+                .field("routes",
+                       static_cast<std::uint64_t>(change.map->route_count()));
+    }
+
+    void operator()(const WeightsNamed& change)
+    {
+        m_state.fleet.with([&](FleetView& view) {
+            auto& newest = view.newest_weights[change.model];
+            newest = std::max(newest, change.version);
+        });
+        LogLine("weights_named")
+            .field("model", change.model)
+            .field("version", change.version);
+    }
+
+    void operator()(const RunnerListed& change)
+    {
+        m_runners.push_back(change.runner);
+        if (!m_whole)
+            m_state.runners.with(
+                [&](RunnerTable& table) { table.put(change.runner); });
+        if (change.runner.leaving)
+            LogLine("runner_leaving").field("runner", change.runner.id);
+    }
+
+    void operator()(const RunnerGone& change)
+    {
+        m_state.runners.with(
+            [&](RunnerTable& table) { table.remove(change.id); });
+        LogLine("runner_gone").field("runner", change.id);
+    }
+
+    void operator()(const InstanceListed& change)
+    {
+        m_instances.insert(change.id);
+        m_state.fleet.with([&](FleetView& view) {
+            if (change.address.empty())
+                view.instances.erase(change.id);
+            else
+                view.instances[change.id] = change.address;
+        });
+    }
+
+    void operator()(const DutyHolder& change)
+    {
+        m_holder_named = true;
+        m_state.fleet.with(
+            [&](FleetView& view) { view.steward = change.address; });
+        LogLine("duty_holder")
+            .field("duty", change.duty)
+            .field("address", change.address);
+    }
+
+    /// Drops what a whole reading did not name.
+    void finish()
+    {
+        if (!m_whole)
+            return;
+        m_state.runners.with(
+            [this](RunnerTable& table) { table.sync(m_runners); });
+        m_state.fleet.with([this](FleetView& view) {
+            view.listed = true;
+            if (!m_holder_named)
+                view.steward.clear();
+            std::erase_if(view.instances, [this](const auto& item) {
+                return !m_instances.contains(item.first);
+            });
+        });
+    }
+
+private:
+    ForwardState& m_state;
+    const bool m_whole;
+    std::vector<ListedRunner> m_runners;
+    std::set<std::string> m_instances;
+    bool m_holder_named = false;
+};
+
+} // namespace
+
+ForwardState::ForwardState(const ForwardSettings& settings_in,
+                           ForwardPorts ports_in)
+    : settings(settings_in), ports(ports_in),
+      retries(settings_in.retry_rules()),
+      steward_lease(settings_in.lease() + duty_settle)
+{
+}
+
+std::shared_ptr<const ServiceMap>
+ForwardState::map()
+{
+    return fleet.with([](FleetView& view) { return view.map; });
+}
+
+std::uint64_t
+ForwardState::newest_weights(std::string_view model)
+{
+    return fleet.with([model](FleetView& view) {
+        const auto found = view.newest_weights.find(model);
+        return found == view.newest_weights.end() ? std::uint64_t{0}
+                                                  : found->second;
+    });
+}
+
+std::size_t
+ForwardState::instance_count()
+{
+    return fleet.with([](FleetView& view) {
+        return std::max<std::size_t>(view.instances.size(), 1);
+    });
+}
+
+bool
+ForwardState::ready()
+{
+    return !stopping && fleet.with([](FleetView& view) {
+        return view.map != nullptr && view.listed;
+    });
+}
+
+void
+ForwardState::take(const FleetNews& news)
+{
+    ChangeTaker taker(*this, news.whole);
+    for (const FleetChange& change : news.changes)
+        std::visit(taker, change);
+    taker.finish();
+}
+
+std::string
+ForwardCounters::text() const
+{
+    std::ostringstream out;
+    const auto counter = [&out](const char* name, const Counter& value) {
+        out << "# TYPE crosslink_" << name << " counter\ncrosslink_" << name
+            << ' ' << value.load() << '\n';
+    };
+    counter("calls_total", calls);
+    counter("calls_answered_total", answered);
+    counter("calls_refused_total", refused);
+    counter("calls_failed_total", failed);
+    counter("callers_gone_total", callers_gone);
+    counter("sends_total", sends);
+    counter("repeats_total", repeats);
+    counter("parts_fetched_total", parts_fetched);
+    counter("parts_saved_total", parts_saved);
+    counter("parts_read_total", parts_read);
+    out << first_event.text("crosslink_first_event_seconds",
+                            "From a call's arrival to its first event")
+        << whole_answer.text("crosslink_whole_answer_seconds",
+                             "From a call's arrival to its whole answer")
+        << kept_question.text("crosslink_kept_question_seconds",
+                              "To learn where the parts of a prompt lie");
+    return out.str();
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_state.h
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "forward_ports.h"
+#include "forward_settings.h"
+
+#include <adapters/call_connections.h>
+#include <serve/guarded.h>
+#include <serve/metrics.h>
+
+#include <crosslink/base/time.h>
+#include <crosslink/forward/retry_window.h>
+#include <crosslink/forward/runner_table.h>
+#include <crosslink/forward/service_map.h>
+#include <crosslink/membership/duty_lease.h>
+#include <crosslink/ports/fleet_feed.h>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace crosslink
+{
+
+/// What the platform told of the fleet.
+struct FleetView {
+    std::shared_ptr<const ServiceMap> map; ///< Null before the first one.
+    bool listed = false; ///< The runners were read at least once.
+    std::map<std::string, std::uint64_t, std::less<>> newest_weights;
+    std::map<std::string, std::string, std::less<>> instances; ///< Addresses.
+    std::string steward; ///< Peer address of the duty's holder; or empty.
+};
+
+/// Counters of forwarded calls.
+struct ForwardCounters {
+    using Counter = std::atomic<std::uint64_t>;
+
+    Counter calls{0};
+    Counter answered{0};
+    Counter refused{0};
+    Counter failed{0};
+    Counter callers_gone{0};
+    Counter sends{0};
+    Counter repeats{0};
+    Counter parts_fetched{0};
+    Counter parts_saved{0};
+    Counter parts_read{0};
+    TimeSummary first_event;
+    TimeSummary whole_answer;
+    TimeSummary kept_question;
+
+    /// Returns all of them as Prometheus text.
+    std::string text() const;
+};
+
+/// Everything that the threads of one instance share. All of it is in memory
+/// and may be lost at any time.
+struct ForwardState {
+    ForwardState(const ForwardSettings& settings_in, ForwardPorts ports_in);
+
+    const ForwardSettings settings;
+    const ForwardPorts ports;
+    Guarded<FleetView> fleet;
+    Guarded<RunnerTable> runners;
+    Guarded<RetryWindow> retries;
+    Guarded<DutyLease> steward_lease;
+    CallConnections connections;
+    ForwardCounters counters;
+    std::atomic<bool> stopping{false}; ///< A planned stop has begun.
+    std::atomic<std::uint32_t> open_calls{0};
+
+    std::shared_ptr<const ServiceMap> map();
+    /// Returns the newest named version of `model`; 0 where none is known.
+    std::uint64_t newest_weights(std::string_view model);
+    /// Returns the number of instances of the fleet, at least 1.
+    std::size_t instance_count();
+    /// True where calls can be served.
+    bool ready();
+    /// Takes in what the platform told.
+    void take(const FleetNews& news);
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/http_caller_link.cpp
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "http_caller_link.h"
+
+#include <serve/log_line.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/StreamSocket.h>
+
+namespace crosslink
+{
+
+HttpCallerLink::HttpCallerLink(Poco::Net::HTTPServerRequest& request,
+                               Poco::Net::HTTPServerResponse& answer)
+    : m_request(static_cast<Poco::Net::HTTPServerRequestImpl&>(request)),
+      m_answer(answer)
+{
+}
+
+int
+HttpCallerLink::socket() const
+{
+    return static_cast<int>(m_request.socket().impl()->sockfd());
+}
+
+void
+HttpCallerLink::set_head(int status, std::span<const HeaderField> headers)
+{
+    m_answer.setStatusAndReason(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    for (const HeaderField& field : headers)
+        m_answer.add(field.name, field.value);
+}
+
+void
+HttpCallerLink::answer(int status, std::span<const HeaderField> headers,
+                       std::string_view body)
+{
+    m_begun = true;
+    try {
+        set_head(status, headers);
+        m_answer.sendBuffer(body.data(), body.size());
+    } catch (const Poco::Exception& failure) {
+        LogLine("caller_gone").field("error", failure.displayText());
+        break_off();
+    }
+}
+
+void
+HttpCallerLink::begin(int status, std::span<const HeaderField> headers)
+{
+    m_begun = true;
+    try {
+        set_head(status, headers);
+        m_answer.setChunkedTransferEncoding(true);
+        m_out = &m_answer.send();
+    } catch (const Poco::Exception& failure) {
+        LogLine("caller_gone").field("error", failure.displayText());
+    }
+}
+
+bool
+HttpCallerLink::send(std::string_view piece)
+{
+    if (!m_out)
+        return false;
+    m_out->write(piece.data(), static_cast<std::streamsize>(piece.size()));
+    m_out->flush();
+    return m_out->good();
+}
+
+void
+HttpCallerLink::finish()
+{
+    if (m_out)
+        m_out->flush();
+}
+
+void
+HttpCallerLink::break_off()
+{
+    // POCO ends a chunked answer as complete when it is destroyed; once the
+    // connection is shut down that end can't reach the caller.
+    m_answer.setKeepAlive(false);
+    try {
+        m_request.socket().shutdown();
+    } catch (const Poco::Exception& failure) {
+        LogLine("caller_gone").field("error", failure.displayText());
+    }
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/http_caller_link.h
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "caller_link.h"
+
+#include <atomic>
+#include <cstdint>
+#include <ostream>
+
+namespace Poco::Net
+{
+class HTTPServerRequest;
+class HTTPServerResponse;
+class HTTPServerRequestImpl;
+} // namespace Poco::Net
+
+namespace crosslink
+{
+
+/// The way back over one HTTP connection of a caller.
+class HttpCallerLink : public CallerLink
+{
+public:
+    /// Both outlive it.
+    HttpCallerLink(Poco::Net::HTTPServerRequest& request,
+                   Poco::Net::HTTPServerResponse& answer);
+
+    void answer(int status, std::span<const HeaderField> headers,
+                std::string_view body) override;
+    void begin(int status, std::span<const HeaderField> headers) override;
+    bool send(std::string_view piece) override;
+    void finish() override;
+    void break_off() override;
+    bool begun() const override { return m_begun; }
+    int socket() const override;
+
+private:
+    void set_head(int status, std::span<const HeaderField> headers);
+
+    Poco::Net::HTTPServerRequestImpl& m_request;
+    Poco::Net::HTTPServerResponse& m_answer;
+    std::ostream* m_out = nullptr;
+    bool m_begun = false;
+};
+
+/// Counts a call for as long as it lives.
+class OpenCall
+{
+public:
+    explicit OpenCall(std::atomic<std::uint32_t>& count) : m_count(count)
+    {
+        ++m_count;
+    }
+    ~OpenCall() { --m_count; }
+    OpenCall(const OpenCall&) = delete;
+    OpenCall& operator=(const OpenCall&) = delete;
+
+private:
+    std::atomic<std::uint32_t>& m_count;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/kept_asker.h
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "fleet_calls.h"
+#include "forward_state.h"
+#include "steward.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+/// Learns where the parts of a prompt lie: from its own memory while that
+/// holds, else from the instance that has the duty. Safe for many threads.
+class KeptAsker
+{
+public:
+    KeptAsker(ForwardState& state, Steward& steward);
+
+    /// Returns a place for each of `parts`, for a call that ends within
+    /// `longest`. Where nobody can be asked, all are None.
+    KeptAnswer ask(const std::string& space, std::span<const PromptPart> parts,
+                   Micros longest);
+    /// Gives back saves of a call that did certainly not run.
+    void not_saved(const std::string& space, std::span<const PromptPart> parts,
+                   std::span<const KeptPlace> places);
+
+private:
+    using Key = std::pair<std::string, std::string>;
+    struct Memory {
+        std::map<Key, KeptPlace> places; ///< Of kind Fetch only.
+        RunnerMillis clock = 0;
+        TimePoint clock_at{};
+        TimePoint ask_again{}; ///< Nobody is asked before.
+    };
+
+    bool remembered(const std::string& space,
+                    std::span<const PromptPart> parts, KeptAnswer& answer);
+    void remember(const std::string& space, std::span<const PromptPart> parts,
+                  const KeptAnswer& answer, TimePoint asked);
+    std::shared_ptr<FleetClient> steward_client();
+
+    ForwardState& m_state;
+    Steward& m_steward;
+    Guarded<Memory> m_memory;
+    std::mutex m_client_mutex;
+    std::string m_client_address;
+    std::shared_ptr<FleetClient> m_client;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/steward.cpp
@@ -0,0 +1,356 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "steward.h"
+
+#include <adapters/clock.h>
+#include <serve/log_line.h>
+
+#include <crosslink/base/error.h>
+#include <crosslink/ports/duty_registry.h>
+#include <crosslink/ports/kept_stores.h>
+#include <crosslink/ports/runner_orders.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr const char* duty_name = "steward";
+/// The lease is extended this often in its span.
+constexpr int extensions_per_lease = 4;
+/// Rounds of the weights plan while it has something to do: a runner's load
+/// takes most of a second.
+constexpr Micros weights_pause = std::chrono::milliseconds(150);
+/// Rounds of duties that have nothing to do.
+constexpr Micros idle_pause = std::chrono::milliseconds(700);
+constexpr Micros free_pause = std::chrono::milliseconds(500);
+/// Pause between two questions for a store's changes, so that several come
+/// together. A part is fetched that much later after its save at most.
+constexpr Micros changes_pause = std::chrono::milliseconds(40);
+constexpr Micros changes_wait = std::chrono::milliseconds(900);
+constexpr Micros store_failed_pause = std::chrono::milliseconds(300);
+/// An order must reach its runner well before the lease can lapse.
+constexpr Micros order_time = std::chrono::milliseconds(700);
+/// Beyond a call's own time, for the last bytes of a save.
+constexpr Micros save_slack = std::chrono::seconds(1);
+/// Longest call, where no configuration tells.
+constexpr Micros longest_call = std::chrono::seconds(15);
+
+} // namespace
+
+Steward::Steward(ForwardState& state) : m_state(state)
+{
+    m_weights_duty =
+        std::make_unique<Duty>("weights", [this] { return weights_round(); });
+    m_free_duty =
+        std::make_unique<Duty>("kept_free", [this] { return free_round(); });
+    m_lease_duty = std::make_unique<Duty>("steward_lease",
+                                          [this] { return lease_round(); });
+}
+
+Steward::~Steward()
+{
+    m_lease_duty.reset();
+    m_store_duties.clear();
+}
+
+bool
+Steward::acting() const
+{
+    return m_state.steward_lease.with([](DutyLease& lease) {
+        return lease.time_left(monotonic_now()) > order_time;
+    });
+}
+
+Micros
+Steward::lease_round()
+{
+    const Micros span = m_state.settings.lease();
+    const Micros pause = span / extensions_per_lease;
+    if (m_state.stopping)
+        return pause;
+    const TimePoint asked = monotonic_now();
+    // While another instance holds the duty, only its end is waited for.
+    const bool held = m_state.steward_lease.with(
+        [asked](DutyLease& lease) { return lease.held(asked); });
+    const bool taken = m_state.fleet.with(
+        [](FleetView& view) { return !view.steward.empty(); });
+    if (!held && taken)
+        return pause;
+    const auto lease = m_state.ports.duties.hold(
+        duty_name, m_state.settings.peer_address(), span);
+    if (!lease) {
+        m_state.steward_lease.with([](DutyLease& mine) { mine.lost(); });
+        return pause;
+    }
+    if (lease->token != m_last_token) {
+        m_last_token = lease->token;
+        took_duty(lease->first);
+    }
+    m_state.steward_lease.with([&](DutyLease& mine) {
+        mine.granted(lease->token, asked, lease->span);
+    });
+    follow_map();
+    return pause;
+}
+
+void
+Steward::took_duty(bool first)
+{
+    LogLine("duty_taken")
+        .field("duty", duty_name)
+        .field("token", m_last_token)
+        .field("first", first);
+    const TimePoint now = monotonic_now();
+    m_plan.with([](WeightsPlan& plan) { plan = WeightsPlan(); });
+    m_kept.with([&](Kept& kept) {
+        // What an earlier holder told to save may be under way until the
+        // longest call of that time has ended.
+        kept.directory.begin(first ? now : now + longest_call + save_slack);
+        kept.next.clear();
+    });
+}
+
+void
+Steward::follow_map()
+{
+    const auto map = m_state.map();
+    if (!map)
+        return;
+    const bool changed = m_kept.with([&](Kept& kept) {
+        if (kept.map_version == map->version)
+            return false;
+        kept.map_version = map->version;
+        kept.directory.set_stores(map->stores);
+        return true;
+    });
+    if (!changed)
+        return;
+    std::map<std::string, std::unique_ptr<Duty>> duties;
+    for (const KeptStoreInfo& store : map->stores) {
+        if (!store.managed)
+            continue;
+        auto& duty = duties[store.address];
+        const auto known = m_store_duties.find(store.address);
+        if (known != m_store_duties.end())
+            duty = std::move(known->second);
+        else
+            duty = std::make_unique<Duty>(
+                "kept_store",
+                [this, address = store.address] { return store_round(address); });
+    }
+    m_store_duties = std::move(duties);
+}
+
+Micros
+Steward::weights_round()
+{
+    if (!acting())
+        return idle_pause;
+    const auto newest = m_state.fleet.with(
+        [](FleetView& view) { return view.newest_weights; });
+    const RunnerTable runners =
+        m_state.runners.with([](RunnerTable& table) { return table; });
+    const TimePoint now = monotonic_now();
+    std::vector<WeightsOrder> open;
+    const auto due = m_plan.with([&](WeightsPlan& plan) {
+        for (const auto& [model, version] : newest)
+            plan.named(model, version);
+        open = plan.open();
+        return plan.due(runners, now);
+    });
+    for (const WeightsOrder& order : due)
+        give_order(order);
+    for (const WeightsOrder& order : open)
+        ask_runner(order);
+    return due.empty() && open.empty() ? idle_pause : weights_pause;
+}
+
+void
+Steward::give_order(const WeightsOrder& order)
+{
+    const auto report =
+        m_state.ports.orders.report(order.address, order.model);
+    OrderOutcome outcome = OrderOutcome::Refused;
+    if (report && report->busy) {
+        outcome = OrderOutcome::Busy;
+    } else if (report && report->version >= order.version) {
+        outcome = OrderOutcome::InForce;
+        m_state.runners.with([&](RunnerTable& table) {
+            table.has_version(order.runner, order.model, report->version);
+        });
+    } else if (report && acting()) {
+        const std::uint64_t token = m_state.steward_lease.with(
+            [](DutyLease& lease) { return lease.token(); });
+        outcome = m_state.ports.orders.give(order, token, report->orders);
+    }
+    LogLine("weights_order")
+        .field("runner", order.runner)
+        .field("version", order.version)
+        .field("outcome", static_cast<int>(outcome));
+    m_plan.with([&](WeightsPlan& plan) {
+        plan.ordered(order, outcome, monotonic_now());
+    });
+}
+
+void
+Steward::ask_runner(const WeightsOrder& order)
+{
+    const auto report =
+        m_state.ports.orders.report(order.address, order.model);
+    if (!report)
+        return;
+    if (!report->busy && report->version >= order.version) {
+        m_state.runners.with([&](RunnerTable& table) {
+            table.has_version(order.runner, order.model, report->version);
+        });
+        LogLine("weights_loaded")
+            .field("runner", order.runner)
+            .field("version", report->version);
+    }
+    m_plan.with([&](WeightsPlan& plan) {
+        plan.reported(order.runner, report->version, report->busy,
+                      monotonic_now());
+    });
+}
+
+Micros
+Steward::free_round()
+{
+    if (!acting())
+        return idle_pause;
+    const auto newest = m_state.fleet.with(
+        [](FleetView& view) { return view.newest_weights; });
+    const auto oldest = m_state.runners.with([](RunnerTable& table) {
+        std::map<std::string, std::uint64_t, std::less<>> versions;
+        for (const auto& [id, entry] : table.entries())
+            for (const LoadedModel& loaded : entry.listed.models) {
+                const auto place =
+                    versions.try_emplace(loaded.model, loaded.version).first;
+                place->second = std::min(place->second, loaded.version);
+            }
+        return versions;
+    });
+    const auto obsolete = [&oldest](const KeptSpace& space) {
+        const auto found = oldest.find(space.model);
+        return found != oldest.end() && space.version < found->second;
+    };
+    RunnerMillis clock = 0;
+    const auto frees = m_kept.with([&](Kept& kept) {
+        const TimePoint now = monotonic_now();
+        clock = kept.directory.runner_clock(now);
+        return kept.directory.due(obsolete, now);
+    });
+    const Micros left = m_state.steward_lease.with(
+        [](DutyLease& lease) { return lease.time_left(monotonic_now()); });
+    const RunnerMillis until = clock + static_cast<RunnerMillis>(
+                                           left / std::chrono::milliseconds(1));
+    for (const KeptFree& free : frees) {
+        LogLine("kept_free")
+            .field("store", free.store)
+            .field("parts", static_cast<std::uint64_t>(free.parts.size()));
+        m_state.ports.stores.free(free, until);
+    }
+    return free_pause;
+}
+
+Micros
+Steward::store_round(const std::string& address)
+{
+    const bool held = m_state.steward_lease.with(
+        [](DutyLease& lease) { return lease.held(monotonic_now()); });
+    if (!held)
+        return idle_pause;
+    std::uint64_t after = 0;
+    const bool list = m_kept.with([&](Kept& kept) {
+        const auto next = kept.next.find(address);
+        if (next == kept.next.end())
+            return true;
+        after = next->second;
+        return kept.directory.wants_listing(address, monotonic_now());
+    });
+    try {
+        if (list) {
+            const KeptListing listing = m_state.ports.stores.list(address);
+            m_kept.with([&](Kept& kept) {
+                kept.directory.listed(address, listing, monotonic_now());
+                kept.next[address] = listing.next;
+            });
+            LogLine("kept_listed")
+                .field("store", address)
+                .field("whole", static_cast<std::uint64_t>(listing.whole.size()))
+                .field("broken",
+                       static_cast<std::uint64_t>(listing.broken.size()));
+            return changes_pause;
+        }
+        const KeptChanges changes =
+            m_state.ports.stores.changes(address, after, changes_wait);
+        m_kept.with([&](Kept& kept) {
+            if (kept.directory.changed(address, changes, monotonic_now()))
+                kept.next[address] = changes.next;
+            else
+                kept.next.erase(address);
+        });
+        return changes_pause;
+    } catch (const Error& failure) {
+        LogLine("kept_store_unreachable")
+            .field("store", address)
+            .field("error", failure.what());
+        m_kept.with([&](Kept& kept) {
+            kept.directory.unreachable(address);
+            kept.next.erase(address);
+        });
+        return store_failed_pause;
+    }
+}
+
+KeptAnswer
+Steward::ask_kept(const std::string& space, std::span<const PromptPart> parts,
+                  Micros longest)
+{
+    const TimePoint now = monotonic_now();
+    const bool held = m_state.steward_lease.with(
+        [now](DutyLease& lease) { return lease.held(now); });
+    if (!held)
+        throw Error(ErrorCode::LeaseLost, "another instance has the duty");
+    return m_kept.with([&](Kept& kept) {
+        KeptAnswer answer;
+        answer.clock = kept.directory.runner_clock(now);
+        for (const PromptPart& part : parts)
+            answer.places.push_back(kept.directory.ask(
+                {space, part.id, part.tokens}, longest + save_slack, now));
+        return answer;
+    });
+}
+
+void
+Steward::not_saved(const std::string& space, std::span<const PromptPart> parts)
+{
+    m_kept.with([&](Kept& kept) {
+        for (const PromptPart& part : parts)
+            kept.directory.not_saved({space, part.id, part.tokens});
+    });
+}
+
+void
+Steward::give_up()
+{
+    const bool held = m_state.steward_lease.with([](DutyLease& lease) {
+        const bool mine = lease.held(monotonic_now());
+        lease.lost();
+        return mine;
+    });
+    if (!held)
+        return;
+    try {
+        m_state.ports.duties.release(duty_name);
+    } catch (const Error& failure) {
+        LogLine("duty_not_released").field("error", failure.what());
+    }
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/steward.h
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "forward_state.h"
+
+#include <serve/duty.h>
+
+#include <crosslink/forward/forwarded_call.h>
+#include <crosslink/kept/kept_directory.h>
+#include <crosslink/weights/weights_plan.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+/// Where the shared parts of a prompt lie, as the steward tells it.
+struct KeptAnswer {
+    std::vector<KeptPlace> places; ///< One for each part asked for.
+    RunnerMillis clock = 0;        ///< The runners' clock at the answer.
+};
+
+/// The duties that one instance of the fleet has at a time, under a lease at
+/// the platform: it orders new weights, and it keeps the directory of kept
+/// KV. Every instance runs one of these; all but the holder's are idle.
+class Steward
+{
+public:
+    explicit Steward(ForwardState& state);
+    ~Steward();
+    Steward(const Steward&) = delete;
+    Steward& operator=(const Steward&) = delete;
+
+    /// Answers where parts lie, for a call that ends within `longest`. Throws
+    /// Error(LeaseLost) where another instance has the duty.
+    KeptAnswer ask_kept(const std::string& space,
+                        std::span<const PromptPart> parts, Micros longest);
+    /// Takes note of parts that were told to be saved by a call that did not
+    /// run.
+    void not_saved(const std::string& space, std::span<const PromptPart> parts);
+    /// Gives the duty back, at a planned stop.
+    void give_up();
+
+private:
+    /// What the threads of the duty share.
+    struct Kept {
+        KeptDirectory directory;
+        std::uint64_t map_version = 0; ///< The stores are from this one.
+        std::map<std::string, std::uint64_t, std::less<>> next; ///< By store.
+    };
+
+    Micros lease_round();
+    Micros weights_round();
+    Micros free_round();
+    Micros store_round(const std::string& address);
+    void took_duty(bool first);
+    void follow_map();
+    void give_order(const WeightsOrder& order);
+    void ask_runner(const WeightsOrder& order);
+    bool acting() const;
+
+    ForwardState& m_state;
+    std::uint64_t m_last_token = 0;
+    Guarded<WeightsPlan> m_plan;
+    Guarded<Kept> m_kept;
+    std::map<std::string, std::unique_ptr<Duty>> m_store_duties;
+    std::unique_ptr<Duty> m_weights_duty;
+    std::unique_ptr<Duty> m_free_duty;
+    std::unique_ptr<Duty> m_lease_duty;
+};
+
+} // namespace crosslink
