Replace the oldest weights first

Ruled out: orders lost or refused (28 orders, 0 refused in the log). The test fails on the order before.

--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -63,9 +63,14 @@
         }
         const auto at_once = static_cast<std::size_t>(
             std::max(1.0, part_at_once * static_cast<double>(all) + 0.5));
-        std::sort(behind.begin(), behind.end(), [](auto* one, auto* other) {
-            return one->own_calls < other->own_calls;
-        });
+        // The oldest weights first: they are the first to be forbidden.
+        const auto rank = [&model](const RunnerEntry* entry) {
+            return std::pair(entry->version_of(model), entry->own_calls);
+        };
+        std::sort(behind.begin(), behind.end(),
+                  [&rank](const RunnerEntry* one, const RunnerEntry* other) {
+                      return rank(one) < rank(other);
+                  });
         for (const RunnerEntry* entry : behind) {
             if (m_open.size() >= at_once)
                 break;
--- /dev/null
+++ b/src/libcrosslink/weights/weights_plan_test.cpp
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/weights/weights_plan.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr const char* model = "m";
+
+ListedRunner
+runner(int number, std::uint64_t version)
+{
+    ListedRunner listed;
+    listed.id = "r" + std::to_string(number);
+    listed.service = "s";
+    listed.address = "127.0.0.1:" + std::to_string(number);
+    listed.slots = 64;
+    listed.models = {{model, version}};
+    return listed;
+}
+
+RunnerTable
+runners_with(const std::vector<std::uint64_t>& versions)
+{
+    RunnerTable table;
+    for (std::size_t i = 0; i < versions.size(); ++i)
+        table.put(runner(static_cast<int>(i), versions[i]));
+    return table;
+}
+
+TimePoint
+at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+} // namespace
+
+TEST_CASE("a part of the runners loads new weights at once")
+{
+    WeightsPlan plan;
+    const RunnerTable table = runners_with(std::vector<std::uint64_t>(16, 1));
+    CHECK(plan.due(table, at(0)).empty());
+    plan.named(model, 2);
+    const auto orders = plan.due(table, at(0));
+    CHECK(orders.size() == 4);
+    CHECK(plan.due(table, at(1)).empty());
+    for (const WeightsOrder& order : orders)
+        plan.ordered(order, OrderOutcome::Accepted, at(2));
+    plan.reported(orders.front().runner, 2, false, at(900));
+    RunnerTable later = table;
+    later.has_version(orders.front().runner, model, 2);
+    CHECK(plan.due(later, at(901)).size() == 1);
+}
+
+TEST_CASE("the oldest weights are replaced first when a newer version is named")
+{
+    WeightsPlan plan;
+    plan.named(model, 3);
+    RunnerTable table = runners_with({2, 2, 1, 2, 1, 2, 2, 2});
+    // The runners with the oldest weights are the busiest.
+    table.sent("r2", 0);
+    table.sent("r4", 0);
+    std::set<std::string> first;
+    for (const WeightsOrder& order : plan.due(table, at(0)))
+        first.insert(order.runner);
+    CHECK(first == std::set<std::string>{"r2", "r4"});
+}
+
+TEST_CASE("an order without an answer is given again, an accepted one is not")
+{
+    WeightsPlan plan;
+    plan.named(model, 2);
+    const RunnerTable table = runners_with({1});
+    const auto orders = plan.due(table, at(0));
+    REQUIRE(orders.size() == 1);
+    SECTION("unknown")
+    {
+        plan.ordered(orders[0], OrderOutcome::Unknown, at(10));
+        CHECK(plan.due(table, at(100)).empty());
+        CHECK(plan.due(table, at(800)).size() == 1);
+    }
+    SECTION("accepted")
+    {
+        plan.ordered(orders[0], OrderOutcome::Accepted, at(10));
+        plan.reported("r0", 1, true, at(500));
+        CHECK(plan.due(table, at(800)).empty());
+    }
+    SECTION("accepted by a runner that then started anew")
+    {
+        plan.ordered(orders[0], OrderOutcome::Accepted, at(10));
+        plan.reported("r0", 1, false, at(900));
+        CHECK(plan.due(table, at(901)).size() == 1);
+    }
+}
+
+TEST_CASE("a plan is complete when no runner is behind")
+{
+    WeightsPlan plan;
+    plan.named(model, 2);
+    CHECK_FALSE(plan.complete(runners_with({2, 1})));
+    CHECK(plan.complete(runners_with({2, 2})));
+    plan.named(model, 1);
+    CHECK(plan.newest(model) == 2);
+}
+
+} // namespace crosslink
