--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -4,12 +4,14 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/service_map.h>
 #include <crosslink/kept/kept_part.h>
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,6 +29,13 @@
     std::vector<KeptPart> parts;
 };
 
+/// Where the shared parts of a prompt lie.
+struct KeptAnswer {
+    std::string space; ///< Under which the call runs.
+    std::vector<KeptPlace> places; ///< One for each part asked for.
+    RunnerMillis clock = 0;        ///< The runners' clock at the answer.
+};
+
 /// Where each shared part of a prompt lies in the stores, which drop nothing
 /// by themselves. Kept by the one instance that has the duty.
 ///
@@ -37,15 +46,15 @@
 ///  - what is told holds until a time of the runners' clock, which ends the
 ///    fetch too; a part is freed, and a store that started anew is written
 ///    to, only after all that was told before has run out;
-///  - a new holder of the duty tells nothing to save until every call that
-///    an earlier one told to save must have ended.
+///  - each holder of the duty lets parts be saved under a space of its own,
+///    and goes on telling those that earlier holders let be saved.
 class KeptDirectory
 {
 public:
     /// Takes over the stores of the configuration.
     void set_stores(std::span<const KeptStoreInfo> stores);
-    /// Begins anew: nothing is saved before `save_from`.
-    void begin(TimePoint save_from);
+    /// Begins anew, for a holder of the duty with the token `term`.
+    void begin(std::uint64_t term);
 
     /// Takes in what a store lists.
     void listed(std::string_view store, const KeptListing& listing,
@@ -56,9 +65,11 @@
     /// Takes note that a store does not answer.
     void unreachable(std::string_view store);
 
-    /// Returns what a call may do with `part`. A save must have ended or
-    /// failed after `longest`.
-    KeptPlace ask(const KeptPart& part, Micros longest, TimePoint now);
+    /// Returns what a call may do with `parts`, the shared parts of its
+    /// prompt in order, whose KV is of `space`; the term there is passed
+    /// over. A save must have ended or failed after `longest`.
+    KeptAnswer ask(const KeptSpace& space, std::span<const PromptPart> parts,
+                   Micros longest, TimePoint now);
     /// Takes note that the call which was to save `part` never ran.
     void not_saved(const KeptPart& part);
     /// Lets go of the parts whose space `obsolete` says so of, and of those
@@ -106,12 +117,15 @@
     void drop(Parts::iterator entry);
     void let_go(Entry& entry, TimePoint now);
     std::string place_for(std::uint32_t tokens, TimePoint now);
+    KeptSpace space_of(const KeptSpace& wanted, const PromptPart& last) const;
+    KeptPlace ask_part(const KeptPart& part, Micros longest, TimePoint now);
     KeptPlace place_of(const Entry& entry, TimePoint now) const;
     void make_room(TimePoint now);
 
     std::map<std::string, StoreState, std::less<>> m_stores; ///< By address.
     Parts m_parts;
-    TimePoint m_save_from{};
+    std::uint64_t m_term = 0;
+    std::set<std::uint64_t> m_terms; ///< Of all parts that are told.
     bool m_full = false; ///< A part found no room.
     RunnerMillis m_clock = 0;
     TimePoint m_clock_at{};
--- a/src/include/crosslink/kept/kept_part.h
+++ b/src/include/crosslink/kept/kept_part.h
@@ -22,7 +22,17 @@
     std::string wall; ///< Empty for all accounts that share; else the account.
     std::string model;
     std::uint64_t version = 0; ///< Of the weights that made the KV.
+    /// Token of the duty under which its parts are saved. No two holders of
+    /// the duty let calls save under the same space, so that what one of them
+    /// lets be written can't overlap with what another one does.
+    std::uint64_t term = 0;
 
+    /// True where `other` differs in the term at most.
+    bool same_but_term(const KeptSpace& other) const
+    {
+        return wall == other.wall && model == other.model &&
+               version == other.version;
+    }
     /// Returns the text that runners and stores keep parts under.
     std::string text() const;
     /// Reads text() back; nothing where it is not from here.
--- a/src/include/crosslink/ports/duty_registry.h
+++ b/src/include/crosslink/ports/duty_registry.h
@@ -16,9 +16,6 @@
 struct GrantedLease {
     std::uint64_t token = 0; ///< Grows with each new holder.
     Micros span{0};          ///< From the arrival of the call on.
-    /// True where nobody ever held it before. Told when it is taken, not
-    /// when it is extended.
-    bool first = false;
 };
 
 /// Leases on duties, and the presence of instances, at the platform. Calls
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -52,10 +52,11 @@
 }
 
 void
-KeptDirectory::begin(TimePoint save_from)
+KeptDirectory::begin(std::uint64_t term)
 {
     m_parts.clear();
-    m_save_from = save_from;
+    m_term = term;
+    m_terms = {term};
     m_full = false;
     m_clock = 0;
     for (auto& [address, state] : m_stores)
@@ -109,6 +110,8 @@
     if (!added && (entry.state == State::LetGo || entry.store != store))
         return;
     if (added) {
+        if (const auto space = KeptSpace::parse(part.space))
+            m_terms.insert(space->term);
         entry.asked = now;
         entry.store = store;
         entry.tokens = room_of(part.tokens);
@@ -259,15 +262,46 @@
     return best;
 }
 
+KeptSpace
+KeptDirectory::space_of(const KeptSpace& wanted, const PromptPart& last) const
+{
+    KeptSpace space = wanted;
+    for (const std::uint64_t term : m_terms) {
+        space.term = term;
+        const auto found = m_parts.find({space.text(), last.id});
+        if (found != m_parts.end() && found->second.state == State::Held)
+            return space;
+    }
+    space.term = m_term;
+    return space;
+}
+
+KeptAnswer
+KeptDirectory::ask(const KeptSpace& space, std::span<const PromptPart> parts,
+                   Micros longest, TimePoint now)
+{
+    KeptAnswer answer;
+    answer.clock = runner_clock(now);
+    if (parts.empty())
+        return answer;
+    answer.space = space_of(space, parts.back()).text();
+    for (const PromptPart& part : parts)
+        answer.places.push_back(
+            ask_part({answer.space, part.id, part.tokens}, longest, now));
+    return answer;
+}
+
 KeptPlace
-KeptDirectory::ask(const KeptPart& part, Micros longest, TimePoint now)
+KeptDirectory::ask_part(const KeptPart& part, Micros longest, TimePoint now)
 {
     const auto known = m_parts.find({part.space, part.id});
     if (known != m_parts.end()) {
         known->second.asked = now;
         return place_of(known->second, now);
     }
-    if (now < m_save_from)
+    // Only this holder's own space is written to.
+    const auto space = KeptSpace::parse(part.space);
+    if (!space || space->term != m_term)
         return {};
     const std::uint32_t room = room_of(part.tokens);
     const std::string store = place_for(room, now);
--- a/src/libcrosslink/kept/kept_part.cpp
+++ b/src/libcrosslink/kept/kept_part.cpp
@@ -3,6 +3,7 @@
 
 #include <crosslink/kept/kept_part.h>
 
+#include <array>
 #include <charconv>
 
 namespace crosslink
@@ -12,32 +13,46 @@
 {
 
 constexpr char separator = '|';
+/// Model, version and term; the wall is what remains.
+constexpr std::size_t leading_fields = 3;
+
+std::optional<std::uint64_t>
+whole_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, number);
+    if (result.ec != std::errc() || result.ptr != end)
+        return std::nullopt;
+    return number;
+}
 
 } // namespace
 
 std::string
 KeptSpace::text() const
 {
-    return model + separator + std::to_string(version) + separator + wall;
+    return model + separator + std::to_string(version) + separator +
+           std::to_string(term) + separator + wall;
 }
 
 std::optional<KeptSpace>
 KeptSpace::parse(std::string_view text)
 {
-    const std::size_t first = text.find(separator);
-    if (first == std::string_view::npos)
-        return std::nullopt;
-    const std::size_t second = text.find(separator, first + 1);
-    if (second == std::string_view::npos)
-        return std::nullopt;
-    KeptSpace space;
-    space.model = text.substr(0, first);
-    space.wall = text.substr(second + 1);
-    const auto result = std::from_chars(text.data() + first + 1,
-                                        text.data() + second, space.version);
-    if (result.ec != std::errc() || result.ptr != text.data() + second)
+    std::array<std::string_view, leading_fields> fields;
+    for (std::string_view& field : fields) {
+        const std::size_t end = text.find(separator);
+        if (end == std::string_view::npos)
+            return std::nullopt;
+        field = text.substr(0, end);
+        text.remove_prefix(end + 1);
+    }
+    const auto version = whole_number(fields[1]);
+    const auto term = whole_number(fields[2]);
+    if (!version || !term)
         return std::nullopt;
-    return space;
+    return KeptSpace{std::string(text), std::string(fields[0]), *version,
+                     *term};
 }
 
 } // namespace crosslink
--- a/src/serve/forward/fleet_calls.cpp
+++ b/src/serve/forward/fleet_calls.cpp
@@ -51,10 +51,20 @@
     return parts;
 }
 
+KeptSpace
+space_of(const Json::Value& parameters)
+{
+    const auto space = KeptSpace::parse(json_string(parameters, "space"));
+    if (!space)
+        throw Error(ErrorCode::BadRequest, "no kept space");
+    return *space;
+}
+
 Json::Value
 answer_to_json(const KeptAnswer& answer)
 {
     Json::Value value;
+    value["space"] = answer.space;
     value["clock"] = Json::UInt64(answer.clock);
     value["places"] = Json::Value(Json::arrayValue);
     for (const KeptPlace& place : answer.places) {
@@ -71,6 +81,7 @@
 answer_from_json(const Json::Value& value)
 {
     KeptAnswer answer;
+    answer.space = json_string(value, "space");
     answer.clock = json_number(value, "clock");
     for (const Json::Value& item : value["places"]) {
         KeptPlace place;
@@ -95,8 +106,8 @@
         const auto parts = parts_from_json(parameters);
         const Micros longest(
             static_cast<Micros::rep>(json_number(parameters, "longest_us")));
-        return answer_to_json(steward.ask_kept(
-            json_string(parameters, "space"), parts, longest));
+        return answer_to_json(
+            steward.ask_kept(space_of(parameters), parts, longest));
     });
     m_rpc->add(not_saved_method, [&steward](const Json::Value& parameters) {
         steward.not_saved(json_string(parameters, "space"),
@@ -144,10 +155,10 @@
 }
 
 KeptAnswer
-FleetClient::ask_kept(const std::string& space,
+FleetClient::ask_kept(const KeptSpace& space,
                       std::span<const PromptPart> parts, Micros longest)
 {
-    Json::Value parameters = question_to_json(space, parts);
+    Json::Value parameters = question_to_json(space.text(), parts);
     parameters["longest_us"] = Json::Int64(longest.count());
     KeptAnswer answer = answer_from_json(call(ask_kept_method, parameters));
     if (answer.places.size() != parts.size())
--- a/src/serve/forward/fleet_calls.h
+++ b/src/serve/forward/fleet_calls.h
@@ -37,7 +37,7 @@
     explicit FleetClient(const std::string& address);
 
     /// See Steward::ask_kept().
-    KeptAnswer ask_kept(const std::string& space,
+    KeptAnswer ask_kept(const KeptSpace& space,
                         std::span<const PromptPart> parts, Micros longest);
     /// See Steward::not_saved().
     void not_saved(const std::string& space, std::span<const PromptPart> parts);
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -232,21 +232,22 @@
     space.version = m_pick.version;
     if (m_holder && m_holder->isolated)
         space.wall = m_holder->name;
-    m_space = space.text();
-    terms.space = m_space;
-    ask_kept(terms);
+    ask_kept(space, terms);
     return terms;
 }
 
 void
-ForwardRun::ask_kept(SendTerms& terms)
+ForwardRun::ask_kept(const KeptSpace& space, SendTerms& terms)
 {
     const auto parts = m_call.generation->shared_parts();
     m_places.clear();
+    terms.space = space.text();
     if (parts.empty())
         return;
-    const KeptAnswer answer = m_kept.ask(m_space, parts, time_left());
+    const KeptAnswer answer = m_kept.ask(space, parts, time_left());
     m_places = answer.places;
+    m_space = answer.space;
+    terms.space = answer.space;
     terms.places = answer.places;
     const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_route.objective * part_for_fetch);
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -62,7 +62,7 @@
     bool may_go_on(Outcome outcome);
     void settle(Outcome outcome);
     SendTerms terms();
-    void ask_kept(SendTerms& terms);
+    void ask_kept(const KeptSpace& space, SendTerms& terms);
     bool connect(bool& reused);
     Outcome exchange(CallerLink& link, const SendTerms& terms);
     std::optional<Outcome> await_answer(CallerLink& link);
--- a/src/serve/forward/kept_asker.cpp
+++ b/src/serve/forward/kept_asker.cpp
@@ -40,42 +40,43 @@
 {
 }
 
-bool
-KeptAsker::remembered(const std::string& space,
-                      std::span<const PromptPart> parts, KeptAnswer& answer)
+std::optional<KeptAnswer>
+KeptAsker::remembered(const Key& key)
 {
-    return m_memory.with([&](Memory& memory) {
-        const TimePoint now = monotonic_now();
-        if (memory.clock == 0)
-            return false;
-        answer.clock = clock_now(memory.clock, memory.clock_at, now);
-        for (const PromptPart& part : parts) {
-            const auto found = memory.places.find({space, part.id});
-            if (found == memory.places.end())
-                return false;
-            if (found->second.until < answer.clock + least_left_ms) {
-                memory.places.erase(found);
-                return false;
-            }
-            answer.places.push_back(found->second);
-        }
-        return true;
+    return m_memory.with([&](Memory& memory) -> std::optional<KeptAnswer> {
+        const auto found = memory.answers.find(key);
+        if (found == memory.answers.end())
+            return std::nullopt;
+        KeptAnswer answer = found->second;
+        answer.clock =
+            clock_now(memory.clock, memory.clock_at, monotonic_now());
+        const bool holds = std::all_of(
+            answer.places.begin(), answer.places.end(),
+            [&answer](const KeptPlace& place) {
+                return place.until >= answer.clock + least_left_ms;
+            });
+        if (holds)
+            return answer;
+        memory.answers.erase(found);
+        return std::nullopt;
     });
 }
 
 void
-KeptAsker::remember(const std::string& space, std::span<const PromptPart> parts,
-                    const KeptAnswer& answer, TimePoint asked)
+KeptAsker::remember(const Key& key, const KeptAnswer& answer, TimePoint asked)
 {
+    const bool all_kept = std::all_of(
+        answer.places.begin(), answer.places.end(), [](const KeptPlace& place) {
+            return place.kind == KeptPlace::Kind::Fetch;
+        });
     m_memory.with([&](Memory& memory) {
         // Counted from the question on, the clock is never told too early.
         memory.clock = answer.clock;
         memory.clock_at = asked;
-        if (memory.places.size() > most_remembered)
-            memory.places.clear();
-        for (std::size_t i = 0; i < parts.size(); ++i)
-            if (answer.places[i].kind == KeptPlace::Kind::Fetch)
-                memory.places[{space, parts[i].id}] = answer.places[i];
+        if (memory.answers.size() > most_remembered)
+            memory.answers.clear();
+        if (all_kept)
+            memory.answers[key] = answer;
     });
 }
 
@@ -94,39 +95,49 @@
 }
 
 KeptAnswer
-KeptAsker::ask(const std::string& space, std::span<const PromptPart> parts,
+KeptAsker::ask(const KeptSpace& space, std::span<const PromptPart> parts,
                Micros longest)
 {
-    KeptAnswer answer;
-    if (remembered(space, parts, answer))
-        return answer;
-    answer = {};
-    answer.places.resize(parts.size());
+    const Key key{space.text(), parts.back().id};
+    if (auto answer = remembered(key))
+        return *answer;
     const TimePoint asked = monotonic_now();
-    if (m_memory.with([asked](Memory& memory) {
-            return asked < memory.ask_again;
-        }))
-        return answer;
+    const bool pausing = m_memory.with(
+        [asked](Memory& memory) { return asked < memory.ask_again; });
+    if (!pausing) {
+        if (auto answer = ask_steward(space, parts, longest, asked)) {
+            remember(key, *answer, asked);
+            return *answer;
+        }
+    }
+    KeptAnswer nothing;
+    nothing.space = space.text();
+    nothing.places.resize(parts.size());
+    return nothing;
+}
+
+std::optional<KeptAnswer>
+KeptAsker::ask_steward(const KeptSpace& space,
+                       std::span<const PromptPart> parts, Micros longest,
+                       TimePoint asked)
+{
     try {
         const bool mine = m_state.steward_lease.with(
             [asked](DutyLease& lease) { return lease.held(asked); });
-        if (mine) {
-            answer = m_steward.ask_kept(space, parts, longest);
-        } else if (const auto client = steward_client()) {
-            answer = client->ask_kept(space, parts, longest);
-            m_state.counters.kept_question.add(monotonic_now() - asked);
-        } else {
-            return answer;
-        }
-        remember(space, parts, answer, asked);
+        if (mine)
+            return m_steward.ask_kept(space, parts, longest);
+        const auto client = steward_client();
+        if (!client)
+            return std::nullopt;
+        KeptAnswer answer = client->ask_kept(space, parts, longest);
+        m_state.counters.kept_question.add(monotonic_now() - asked);
+        return answer;
     } catch (const Error& failure) {
         LogLine("kept_question_failed").field("error", failure.what());
         m_memory.with(
             [&](Memory& memory) { memory.ask_again = asked + after_failure; });
-        answer = {};
-        answer.places.resize(parts.size());
+        return std::nullopt;
     }
-    return answer;
 }
 
 void
--- a/src/serve/forward/kept_asker.h
+++ b/src/serve/forward/kept_asker.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -24,27 +25,28 @@
 public:
     KeptAsker(ForwardState& state, Steward& steward);
 
-    /// Returns a place for each of `parts`, for a call that ends within
-    /// `longest`. Where nobody can be asked, all are None.
-    KeptAnswer ask(const std::string& space, std::span<const PromptPart> parts,
+    /// Returns a place for each of `parts` of a prompt, for a call that ends
+    /// within `longest`. Where nobody can be asked, all are None.
+    KeptAnswer ask(const KeptSpace& space, std::span<const PromptPart> parts,
                    Micros longest);
     /// Gives back saves of a call that did certainly not run.
     void not_saved(const std::string& space, std::span<const PromptPart> parts,
                    std::span<const KeptPlace> places);
 
 private:
-    using Key = std::pair<std::string, std::string>;
+    using Key = std::pair<std::string, std::string>; ///< Space, last part.
     struct Memory {
-        std::map<Key, KeptPlace> places; ///< Of kind Fetch only.
+        std::map<Key, KeptAnswer> answers; ///< With all parts kept.
         RunnerMillis clock = 0;
         TimePoint clock_at{};
         TimePoint ask_again{}; ///< Nobody is asked before.
     };
 
-    bool remembered(const std::string& space,
-                    std::span<const PromptPart> parts, KeptAnswer& answer);
-    void remember(const std::string& space, std::span<const PromptPart> parts,
-                  const KeptAnswer& answer, TimePoint asked);
+    std::optional<KeptAnswer> remembered(const Key& key);
+    void remember(const Key& key, const KeptAnswer& answer, TimePoint asked);
+    std::optional<KeptAnswer> ask_steward(const KeptSpace& space,
+                                          std::span<const PromptPart> parts,
+                                          Micros longest, TimePoint asked);
     std::shared_ptr<FleetClient> steward_client();
 
     ForwardState& m_state;
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -37,8 +37,6 @@
 constexpr Micros order_time = std::chrono::milliseconds(700);
 /// Beyond a call's own time, for the last bytes of a save.
 constexpr Micros save_slack = std::chrono::seconds(1);
-/// Longest call, where no configuration tells.
-constexpr Micros longest_call = std::chrono::seconds(15);
 
 } // namespace
 
@@ -89,7 +87,7 @@
     }
     if (lease->token != m_last_token) {
         m_last_token = lease->token;
-        took_duty(lease->first);
+        took_duty();
     }
     m_state.steward_lease.with([&](DutyLease& mine) {
         mine.granted(lease->token, asked, lease->span);
@@ -99,18 +97,12 @@
 }
 
 void
-Steward::took_duty(bool first)
+Steward::took_duty()
 {
-    LogLine("duty_taken")
-        .field("duty", duty_name)
-        .field("token", m_last_token)
-        .field("first", first);
-    const TimePoint now = monotonic_now();
+    LogLine("duty_taken").field("duty", duty_name).field("token", m_last_token);
     m_plan.with([](WeightsPlan& plan) { plan = WeightsPlan(); });
-    m_kept.with([&](Kept& kept) {
-        // What an earlier holder told to save may be under way until the
-        // longest call of that time has ended.
-        kept.directory.begin(first ? now : now + longest_call + save_slack);
+    m_kept.with([this](Kept& kept) {
+        kept.directory.begin(m_last_token);
         kept.next.clear();
     });
 }
@@ -309,7 +301,7 @@
 }
 
 KeptAnswer
-Steward::ask_kept(const std::string& space, std::span<const PromptPart> parts,
+Steward::ask_kept(const KeptSpace& space, std::span<const PromptPart> parts,
                   Micros longest)
 {
     const TimePoint now = monotonic_now();
@@ -318,12 +310,7 @@
     if (!held)
         throw Error(ErrorCode::LeaseLost, "another instance has the duty");
     return m_kept.with([&](Kept& kept) {
-        KeptAnswer answer;
-        answer.clock = kept.directory.runner_clock(now);
-        for (const PromptPart& part : parts)
-            answer.places.push_back(kept.directory.ask(
-                {space, part.id, part.tokens}, longest + save_slack, now));
-        return answer;
+        return kept.directory.ask(space, parts, longest + save_slack, now);
     });
 }
 
--- a/src/serve/forward/steward.h
+++ b/src/serve/forward/steward.h
@@ -21,12 +21,6 @@
 namespace crosslink
 {
 
-/// Where the shared parts of a prompt lie, as the steward tells it.
-struct KeptAnswer {
-    std::vector<KeptPlace> places; ///< One for each part asked for.
-    RunnerMillis clock = 0;        ///< The runners' clock at the answer.
-};
-
 /// The duties that one instance of the fleet has at a time, under a lease at
 /// the platform: it orders new weights, and it keeps the directory of kept
 /// KV. Every instance runs one of these; all but the holder's are idle.
@@ -40,7 +34,7 @@
 
     /// Answers where parts lie, for a call that ends within `longest`. Throws
     /// Error(LeaseLost) where another instance has the duty.
-    KeptAnswer ask_kept(const std::string& space,
+    KeptAnswer ask_kept(const KeptSpace& space,
                         std::span<const PromptPart> parts, Micros longest);
     /// Takes note of parts that were told to be saved by a call that did not
     /// run.
@@ -60,7 +54,7 @@
     Micros weights_round();
     Micros free_round();
     Micros store_round(const std::string& address);
-    void took_duty(bool first);
+    void took_duty();
     void follow_map();
     void give_order(const WeightsOrder& order);
     void ask_runner(const WeightsOrder& order);
