--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -37,7 +37,7 @@
 /// A caller that was refused comes back after this time.
 constexpr Micros come_back = std::chrono::milliseconds(250);
 /// A fetch must end in this part of the objective; else the prompt is read.
-constexpr double part_for_fetch = 0.5;
+constexpr double part_for_fetch = 2.0;
 /// Surplus answers of earlier calls that are read past.
 constexpr int most_surplus = 3;
 constexpr int first_success = 200;
