Choose the runner by its price in milliseconds

Cause: bounded-load hashing by the last shared part counted calls, not prompt tokens that wait to be read, and sent all calls to the few runners with new weights until their slots were filled. A runner keeps a part for about two seconds only (25 k tokens free, 25 k a second read), so that affinity gains little.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -51,13 +51,13 @@
 struct RunnerQuery {
     std::string_view service;
     std::string_view zone; ///< Of this instance.
-    /// Calls with the same text share KV and go to the same runner while its
-    /// load permits; empty for none.
+    /// Calls with the same text share KV and go to the same runner where it
+    /// is not dearer than others; empty for none.
     std::string_view affinity;
     std::string_view model;          ///< Empty for plain services.
     std::uint64_t newest_version = 0; ///< Named weights; 0 where none are.
     const std::set<std::string>* avoid = nullptr; ///< Runners tried already.
-    std::size_t instances = 1; ///< Of the fleet, for the share of slots.
+    std::size_t instances = 1; ///< Of the fleet.
     std::uint64_t random = 0;  ///< Random bits.
     TimePoint now{};
 };
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -13,80 +13,96 @@
 namespace
 {
 
-/// A runner's load may be above the mean by this part before the next one
-/// in the order of affinity is taken. 1.25 is the usual choice of consistent
-/// hashing with bounded loads.
-constexpr double load_above_mean = 1.25;
-/// Calls that a runner may always have, so that small loads spread little.
-constexpr double load_always = 2;
-/// The load that one prompt token stands for, in calls: a prompt of 4,000
-/// tokens that waits to be read weighs as one more call.
-constexpr double load_of_token = 1.0 / 4000;
-/// Part of a runner's slots that all instances together should fill before
-/// another zone or older weights are taken instead.
-constexpr double part_of_slots = 0.6;
+// The price of a runner is the time, in milliseconds, by which a call is
+// expected to be answered later there than at an idle runner that is best for
+// it in all else. The figures below are in that unit.
+
+/// Prompt tokens that a runner reads in a millisecond; engines of today read
+/// 40 to 60.
+constexpr double tokens_per_ms = 50;
+/// What a runner that works on as many calls as it has slots adds.
+constexpr double full_slots_ms = 100;
+/// Calls of other instances are not seen. Each instance sends mostly to the
+/// runners of its zone, so the load there is about that of the instances of
+/// one zone; zones are taken as three, the least that the fleet runs in.
+constexpr double zones = 3;
+/// Weights that were replaced: a call that begins on them loses a fifth of
+/// its worth.
+constexpr double old_weights_ms = 120;
+/// Another zone: two milliseconds on the way, and bytes between zones, which
+/// are dear. The runners of the own zone should be well filled first.
+constexpr double other_zone_ms = 60;
+/// The runner that calls with the same shared parts prefer: it may still
+/// have them in memory, which saves a fetch.
+constexpr double affinity_ms = 20;
+
 /// First time for which a failing runner is left alone, and the longest.
 constexpr Micros first_hold = std::chrono::milliseconds(500);
 constexpr std::uint32_t most_doublings = 4;
 
+using Candidates = std::vector<const RunnerEntry*>;
+
 double
-load_of(const RunnerEntry& entry)
+load_ms(const RunnerEntry& entry, const RunnerQuery& query)
 {
-    return entry.own_calls +
-           load_of_token * static_cast<double>(entry.own_tokens);
+    const double seen_part =
+        std::max(1.0, static_cast<double>(query.instances) / zones);
+    const double slots = std::max<double>(entry.listed.slots, 1);
+    return seen_part *
+           (static_cast<double>(entry.own_tokens) / tokens_per_ms +
+            full_slots_ms * entry.own_calls / slots);
 }
 
-using Candidates = std::vector<const RunnerEntry*>;
-
-/// Returns the share of `entry`'s slots that this instance may fill.
 double
-slot_share(const RunnerEntry& entry, const RunnerQuery& query)
+price_ms(const RunnerEntry& entry, const RunnerQuery& query)
 {
-    const double instances =
-        static_cast<double>(std::max<std::size_t>(query.instances, 1));
-    return std::max(1.0, part_of_slots * entry.listed.slots / instances);
+    double price = load_ms(entry, query);
+    if (!query.model.empty() &&
+        entry.version_of(query.model) < query.newest_version)
+        price += old_weights_ms;
+    if (entry.listed.zone != query.zone)
+        price += other_zone_ms;
+    return price;
 }
 
+/// Returns the candidate that calls with the same affinity prefer.
 const RunnerEntry*
-least_loaded(const Candidates& candidates, const RunnerQuery& query)
+preferred_by_affinity(const Candidates& candidates, const RunnerQuery& query)
 {
-    const auto start = candidates.empty() ? 0 : query.random % candidates.size();
     const RunnerEntry* best = nullptr;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto* entry = candidates[(start + i) % candidates.size()];
-        if (!best || load_of(*entry) < load_of(*best))
+    std::uint64_t best_weight = 0;
+    for (const RunnerEntry* entry : candidates) {
+        const std::uint64_t weight =
+            rendezvous_weight(query.affinity, entry->listed.id);
+        if (!best || weight > best_weight) {
             best = entry;
+            best_weight = weight;
+        }
     }
     return best;
 }
 
-/// Returns the first of `candidates` in the order of affinity whose load is
-/// in bounds; the least loaded one where none is.
 const RunnerEntry*
-nearest_in_bounds(Candidates candidates, const RunnerQuery& query)
-{
-    if (query.affinity.empty())
-        return least_loaded(candidates, query);
-    double sum = 0;
-    for (const RunnerEntry* entry : candidates)
-        sum += load_of(*entry);
-    const double mean = sum / static_cast<double>(candidates.size());
-    const double bound = std::max(load_always, load_above_mean * mean + 1);
-    const auto weight = [&query](const RunnerEntry* entry) {
-        return rendezvous_weight(query.affinity, entry->listed.id);
-    };
+cheapest(const Candidates& candidates, const RunnerQuery& query)
+{
+    const RunnerEntry* preferred =
+        query.affinity.empty() ? nullptr
+                               : preferred_by_affinity(candidates, query);
+    // Ties are broken by where the search begins.
+    const std::size_t start = query.random % candidates.size();
     const RunnerEntry* best = nullptr;
-    std::uint64_t best_weight = 0;
-    for (const RunnerEntry* entry : candidates) {
-        if (load_of(*entry) >= bound)
-            continue;
-        const std::uint64_t own = weight(entry);
-        if (!best || own > best_weight) {
+    double best_price = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto* entry = candidates[(start + i) % candidates.size()];
+        double price = price_ms(*entry, query);
+        if (entry == preferred)
+            price -= affinity_ms;
+        if (!best || price < best_price) {
             best = entry;
-            best_weight = own;
+            best_price = price;
         }
     }
-    return best ? best : least_loaded(candidates, query);
+    return best;
 }
 
 bool
@@ -98,26 +114,6 @@
            (query.model.empty() || entry.version_of(query.model) > 0);
 }
 
-bool
-has_room(const RunnerEntry& entry, const RunnerQuery& query)
-{
-    return load_of(entry) < slot_share(entry, query);
-}
-
-/// Keeps those of `candidates` that have room and fulfil `wanted`; all of
-/// them stay where none does.
-template<typename Wanted>
-void
-prefer(Candidates& candidates, const RunnerQuery& query, const Wanted& wanted)
-{
-    Candidates kept;
-    for (const RunnerEntry* entry : candidates)
-        if (wanted(*entry) && has_room(*entry, query))
-            kept.push_back(entry);
-    if (!kept.empty())
-        candidates = std::move(kept);
-}
-
 } // namespace
 
 std::uint64_t
@@ -172,14 +168,7 @@
             candidates.push_back(&entry);
     if (candidates.empty())
         return std::nullopt;
-    if (query.newest_version > 0)
-        prefer(candidates, query, [&query](const RunnerEntry& entry) {
-            return entry.version_of(query.model) >= query.newest_version;
-        });
-    prefer(candidates, query, [&query](const RunnerEntry& entry) {
-        return entry.listed.zone == query.zone;
-    });
-    const RunnerEntry* chosen = nearest_in_bounds(std::move(candidates), query);
+    const RunnerEntry* chosen = cheapest(candidates, query);
     return RunnerPick{chosen->listed.id, chosen->listed.address,
                       chosen->version_of(query.model)};
 }
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -160,15 +160,13 @@
 ForwardRun::Outcome
 ForwardRun::attempt(CallerLink& link)
 {
-    const std::uint64_t tokens =
-        m_call.generation ? m_call.generation->prompt_tokens : 0;
     bool reused = false;
     if (!connect(reused))
         return Outcome::NotSent;
     const SendTerms sent = terms();
     m_prompt_read = false;
     m_state.runners.with(
-        [&](RunnerTable& table) { table.sent(m_pick.id, tokens); });
+        [this](RunnerTable& table) { table.sent(m_pick.id, m_tokens_to_read); });
     ++m_sends;
     ++m_state.counters.sends;
     Outcome outcome = Outcome::Broken;
@@ -184,7 +182,7 @@
     m_connection.reset();
     m_state.runners.with([&](RunnerTable& table) {
         if (!m_prompt_read)
-            table.prompt_read(m_pick.id, tokens);
+            table.prompt_read(m_pick.id, m_tokens_to_read);
         table.ended(m_pick.id);
     });
     if (outcome == Outcome::NotRun && m_call.generation)
@@ -241,6 +239,7 @@
 {
     const auto parts = m_call.generation->shared_parts();
     m_places.clear();
+    m_tokens_to_read = m_call.generation->prompt_tokens;
     terms.space = space.text();
     if (parts.empty())
         return;
@@ -253,8 +252,11 @@
         m_route.objective * part_for_fetch);
     RunnerMillis until =
         answer.clock + static_cast<RunnerMillis>(patience.count());
-    for (const KeptPlace& place : answer.places) {
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const KeptPlace& place = answer.places[i];
         if (place.kind == KeptPlace::Kind::Fetch) {
+            m_tokens_to_read -=
+                std::min<std::uint64_t>(m_tokens_to_read, parts[i].tokens);
             until = std::min(until, place.until);
             terms.fetch_until = until;
             ++m_state.counters.parts_fetched;
@@ -362,9 +364,6 @@
 ForwardRun::Outcome
 ForwardRun::relay_events(CallerLink& link, const AnswerHead& head)
 {
-    const std::uint64_t tokens = m_call.generation
-                                     ? m_call.generation->prompt_tokens
-                                     : std::uint64_t{0};
     m_events.begin_run();
     while (!m_connection->ended()) {
         if (const auto ended = await_answer(link))
@@ -380,7 +379,7 @@
         if (!m_prompt_read) {
             m_prompt_read = true;
             m_state.runners.with([&](RunnerTable& table) {
-                table.prompt_read(m_pick.id, tokens);
+                table.prompt_read(m_pick.id, m_tokens_to_read);
             });
         }
         if (!link.begun()) {
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -92,6 +92,7 @@
     std::uint64_t m_newest = 0; ///< Weights named at the last choice.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
+    std::uint64_t m_tokens_to_read = 0; ///< Of the prompt, at this runner.
     bool m_prompt_read = false;
     bool m_caller_gone = false;
 };
