--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -87,7 +87,7 @@
     std::size_t held() const;
 
     /// How long an answer holds.
-    static constexpr Micros answer_time = std::chrono::seconds(4);
+    static constexpr Micros answer_time = std::chrono::seconds(2);
 
 private:
     enum class State { Saving, Held, LetGo };
@@ -107,6 +107,13 @@
         TimePoint write_from{}; ///< Answers on its earlier boot have run out.
         TimePoint listed_at{};
     };
+    /// A part that may be let go for another one.
+    struct Dispensable {
+        std::string model;
+        std::uint64_t version = 0;
+        bool replaced = false; ///< Newer weights have parts already.
+        Entry* entry = nullptr;
+    };
     using Key = std::pair<std::string, std::string>; ///< Space and id.
     using Parts = std::map<Key, Entry>;
 
@@ -120,6 +127,7 @@
     KeptSpace space_of(const KeptSpace& wanted, const PromptPart& last) const;
     KeptPlace ask_part(const KeptPart& part, Micros longest, TimePoint now);
     KeptPlace place_of(const Entry& entry, TimePoint now) const;
+    std::vector<Dispensable> dispensable(TimePoint now);
     void make_room(TimePoint now);
 
     std::map<std::string, StoreState, std::less<>> m_stores; ///< By address.
--- a/src/include/crosslink/membership/duty_lease.h
+++ b/src/include/crosslink/membership/duty_lease.h
@@ -27,6 +27,10 @@
     /// Takes note that the lease is over, or that another holds it.
     void lost() { m_token.reset(); }
 
+    /// Part of the lease that its holder uses. Clocks run alike within a
+    /// percent; the rest is for acts that are already on their way.
+    static constexpr double used_part = 0.65;
+
     /// True where the duty is this instance's at `now`.
     bool held(TimePoint now) const;
     /// True where it is, and acts may be done.
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -17,11 +17,13 @@
 constexpr double filled_part = 0.97;
 /// Beyond answer_time: the runners' clock as told here may lag by one answer
 /// of a store on its way.
-constexpr Micros clock_slack = std::chrono::seconds(1);
+constexpr Micros clock_slack = std::chrono::milliseconds(500);
 /// A part asked for within this time is not let go for another one.
 constexpr Micros in_use_time = std::chrono::seconds(20);
-/// Parts that are let go at once where a store is full.
-constexpr std::size_t let_go_at_once = 8;
+/// Part of all room that is let go at once where a store is full. At two
+/// rounds a second, all room is given anew in ten seconds, which is about the
+/// time in which new weights reach all runners.
+constexpr double let_go_part = 0.05;
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
 
@@ -325,24 +327,49 @@
         drop(entry);
 }
 
+std::vector<KeptDirectory::Dispensable>
+KeptDirectory::dispensable(TimePoint now)
+{
+    std::map<std::string, std::uint64_t> newest;
+    std::vector<Dispensable> result;
+    for (auto& [key, entry] : m_parts) {
+        const auto space = KeptSpace::parse(key.first);
+        if (entry.state != State::Held || !space)
+            continue;
+        auto& version = newest[space->model];
+        version = std::max(version, space->version);
+        result.push_back({space->model, space->version, false, &entry});
+    }
+    for (Dispensable& item : result)
+        item.replaced = item.version < newest[item.model];
+    std::erase_if(result, [now](const Dispensable& item) {
+        return !item.replaced && now - item.entry->asked <= in_use_time;
+    });
+    // Parts of replaced weights first, then those asked for least lately.
+    std::sort(result.begin(), result.end(),
+              [](const Dispensable& one, const Dispensable& other) {
+                  if (one.replaced != other.replaced)
+                      return one.replaced;
+                  return one.entry->asked < other.entry->asked;
+              });
+    return result;
+}
+
 void
 KeptDirectory::make_room(TimePoint now)
 {
     if (!m_full)
         return;
     m_full = false;
-    std::vector<Entry*> oldest;
-    for (auto& [key, entry] : m_parts)
-        if (entry.state == State::Held && now - entry.asked > in_use_time)
-            oldest.push_back(&entry);
-    const std::size_t count = std::min(let_go_at_once, oldest.size());
-    std::partial_sort(oldest.begin(),
-                      oldest.begin() + static_cast<std::ptrdiff_t>(count),
-                      oldest.end(), [](const Entry* one, const Entry* other) {
-                          return one->asked < other->asked;
-                      });
-    for (std::size_t i = 0; i < count; ++i)
-        let_go(*oldest[i], now);
+    double wanted = 0;
+    for (const auto& [address, state] : m_stores)
+        wanted += let_go_part * static_cast<double>(state.info.capacity_tokens);
+    for (const Dispensable& item : dispensable(now)) {
+        if (wanted <= 0)
+            break;
+        wanted -= item.entry->tokens;
+        let_go(*item.entry, now);
+    }
 }
 
 std::vector<KeptFree>
--- a/src/libcrosslink/membership/duty_lease.cpp
+++ b/src/libcrosslink/membership/duty_lease.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Part of the lease that is not used: clocks run alike within a percent,
-/// the rest is for acts that are already on their way.
-constexpr double unused_part = 0.25;
 
 } // namespace
 
@@ -25,7 +22,7 @@
     m_token = token;
     m_until = std::max(m_until, asked + Micros(static_cast<Micros::rep>(
                                             static_cast<double>(span.count()) *
-                                            (1 - unused_part))));
+                                            used_part)));
 }
 
 bool
--- a/src/serve/forward/feed_duty.cpp
+++ b/src/serve/forward/feed_duty.cpp
@@ -26,8 +26,8 @@
 
 } // namespace
 
-FeedDuty::FeedDuty(ForwardState& state)
-    : m_state(state), m_feed("feed", [this] { return feed_round(); }),
+FeedDuty::FeedDuty(ForwardState& state, Steward& steward)
+    : m_state(state), m_steward(steward), m_feed("feed", [this] { return feed_round(); }),
       m_presence("presence", [this] { return presence_round(); })
 {
 }
@@ -41,6 +41,7 @@
                     : m_state.ports.feed.read();
         m_place = news.place;
         m_state.take(news);
+        m_steward.fleet_changed();
         if (m_lost)
             LogLine("platform_regained").field("place", news.place);
         m_lost = false;
--- a/src/serve/forward/feed_duty.h
+++ b/src/serve/forward/feed_duty.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "forward_state.h"
+#include "steward.h"
 
 #include <serve/duty.h>
 
@@ -18,13 +19,14 @@
 class FeedDuty
 {
 public:
-    explicit FeedDuty(ForwardState& state);
+    FeedDuty(ForwardState& state, Steward& steward);
 
 private:
     Micros feed_round();
     Micros presence_round();
 
     ForwardState& m_state;
+    Steward& m_steward;
     std::optional<std::uint64_t> m_place; ///< Nothing before the first read.
     bool m_lost = false;                  ///< The platform does not answer.
     Duty m_feed;
--- a/src/serve/forward/forward_settings.cpp
+++ b/src/serve/forward/forward_settings.cpp
@@ -58,6 +58,10 @@
         ->default_val(8000)
         ->check(CLI::Range(500, 600'000));
     add(verb, "--lease-ms", settings.lease_ms, "Lease of duties, ms")
+        ->default_val(2000)
+        ->check(CLI::Range(1000, 600'000));
+    add(verb, "--order-spacing-ms", settings.order_spacing_ms,
+        "Least time between orders of two holders of a duty, ms")
         ->default_val(3000)
         ->check(CLI::Range(1000, 600'000));
     add(verb, "--retry-ratio", settings.retry_ratio, "Repeats for each call")
--- a/src/serve/forward/forward_settings.h
+++ b/src/serve/forward/forward_settings.h
@@ -35,6 +35,8 @@
     std::uint64_t descriptors = 0;  ///< Limit of the process.
     std::uint64_t stop_ms = 0;  ///< From the signal to the end of a stop.
     std::uint64_t lease_ms = 0; ///< Of duties.
+    /// Least time between the acts of two holders of a duty.
+    std::uint64_t order_spacing_ms = 0;
     double retry_ratio = 0;
     double retry_allowance = 0;
     std::uint64_t retry_window_ms = 0;
@@ -42,6 +44,10 @@
 
     Micros stop_grace() const { return std::chrono::milliseconds(stop_ms); }
     Micros lease() const { return std::chrono::milliseconds(lease_ms); }
+    Micros order_spacing() const
+    {
+        return std::chrono::milliseconds(order_spacing_ms);
+    }
     RetryRules retry_rules() const
     {
         return {retry_ratio, retry_allowance,
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -17,9 +17,20 @@
 namespace
 {
 
-/// Time between taking the duty's lease and the first act. An act of an
-/// earlier holder is on its way for less than this after its lease ended.
-constexpr Micros duty_settle = std::chrono::milliseconds(1500);
+/// An act of an earlier holder is on its way for less than this.
+constexpr Micros act_on_its_way = std::chrono::milliseconds(400);
+
+/// Returns the time between taking the duty's lease and the first act, so
+/// that acts of two holders are at least the spacing apart: the earlier one
+/// stopped in the unused part of its lease.
+Micros
+settle_time(const ForwardSettings& settings)
+{
+    const Micros unused(static_cast<Micros::rep>(
+        static_cast<double>(settings.lease().count()) *
+        (1 - DutyLease::used_part)));
+    return settings.order_spacing() - unused + act_on_its_way;
+}
 
 /// Takes one change after the other into the state.
 class ChangeTaker
@@ -125,7 +136,7 @@
                            ForwardPorts ports_in)
     : settings(settings_in), ports(ports_in),
       retries(settings_in.retry_rules()),
-      steward_lease(settings_in.lease() + duty_settle)
+      steward_lease(settle_time(settings_in))
 {
 }
 
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -7,11 +7,13 @@
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
+#include <crosslink/membership/rendezvous.h>
 #include <crosslink/ports/duty_registry.h>
 #include <crosslink/ports/kept_stores.h>
 #include <crosslink/ports/runner_orders.h>
 
 #include <algorithm>
+#include <thread>
 
 namespace crosslink
 {
@@ -21,7 +23,11 @@
 
 constexpr const char* duty_name = "steward";
 /// The lease is extended this often in its span.
-constexpr int extensions_per_lease = 4;
+constexpr int extensions_per_lease = 5;
+/// Between the tries of two instances for a duty that became free.
+constexpr Micros takeover_step = std::chrono::milliseconds(40);
+/// Instances beyond this one try at the same time.
+constexpr std::size_t last_rank = 6;
 /// Rounds of the weights plan while it has something to do: a runner's load
 /// takes most of a second.
 constexpr Micros weights_pause = std::chrono::milliseconds(150);
@@ -71,14 +77,22 @@
     const Micros pause = span / extensions_per_lease;
     if (m_state.stopping)
         return pause;
-    const TimePoint asked = monotonic_now();
+    const TimePoint began = monotonic_now();
     // While another instance holds the duty, only its end is waited for.
+    // Instances try one after the other, so that few calls are made.
     const bool held = m_state.steward_lease.with(
-        [asked](DutyLease& lease) { return lease.held(asked); });
+        [began](DutyLease& lease) { return lease.held(began); });
     const bool taken = m_state.fleet.with(
         [](FleetView& view) { return !view.steward.empty(); });
     if (!held && taken)
         return pause;
+    if (!held && m_state.fleet.with([](FleetView& v) { return v.listed; })) {
+        std::this_thread::sleep_for(takeover_step *
+                                    static_cast<int>(takeover_rank()));
+        if (m_state.fleet.with([](FleetView& v) { return !v.steward.empty(); }))
+            return pause;
+    }
+    const TimePoint asked = monotonic_now();
     const auto lease = m_state.ports.duties.hold(
         duty_name, m_state.settings.peer_address(), span);
     if (!lease) {
@@ -96,6 +110,21 @@
     return pause;
 }
 
+std::size_t
+Steward::takeover_rank()
+{
+    return m_state.fleet.with([this](FleetView& view) {
+        std::vector<std::string> names;
+        for (const auto& [name, address] : view.instances)
+            names.push_back(name);
+        const auto order = rendezvous_order(duty_name, names);
+        const auto own =
+            std::find(order.begin(), order.end(), m_state.settings.name);
+        return std::min(static_cast<std::size_t>(own - order.begin()),
+                        last_rank);
+    });
+}
+
 void
 Steward::took_duty()
 {
@@ -323,6 +352,19 @@
     });
 }
 
+void
+Steward::fleet_changed()
+{
+    const auto [free, newest] = m_state.fleet.with([](FleetView& view) {
+        return std::pair(view.steward.empty(), view.newest_weights);
+    });
+    if (free)
+        m_lease_duty->nudge();
+    if (newest != m_seen_weights)
+        m_weights_duty->nudge();
+    m_seen_weights = newest;
+}
+
 void
 Steward::give_up()
 {
--- a/src/serve/forward/steward.h
+++ b/src/serve/forward/steward.h
@@ -39,6 +39,8 @@
     /// Takes note of parts that were told to be saved by a call that did not
     /// run.
     void not_saved(const std::string& space, std::span<const PromptPart> parts);
+    /// Looks at once at what the platform told anew.
+    void fleet_changed();
     /// Gives the duty back, at a planned stop.
     void give_up();
 
@@ -54,6 +56,7 @@
     Micros weights_round();
     Micros free_round();
     Micros store_round(const std::string& address);
+    std::size_t takeover_rank();
     void took_duty();
     void follow_map();
     void give_order(const WeightsOrder& order);
@@ -62,6 +65,7 @@
 
     ForwardState& m_state;
     std::uint64_t m_last_token = 0;
+    std::map<std::string, std::uint64_t, std::less<>> m_seen_weights;
     Guarded<WeightsPlan> m_plan;
     Guarded<Kept> m_kept;
     std::map<std::string, std::unique_ptr<Duty>> m_store_duties;
