Tell the load that instances give to runners, over the duty's holder

Cause: each instance saw its own calls only, so that all of them sent cold prompts to the few runners with new weights, and tried runners that were loading.

--- /dev/null
+++ b/src/include/crosslink/forward/load_board.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/forward/runner_table.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// What an instance learns from the holder of the duty.
+struct FleetLoad {
+    std::map<std::string, RunnerLoad> others; ///< By runner, without its own.
+    std::vector<std::string> loading; ///< Runners that were told to load.
+};
+
+/// The load that each instance gives to each runner, as the instances tell it
+/// a few times a second.
+class LoadBoard
+{
+public:
+    /// Takes in what `instance` has under way.
+    void told(std::string_view instance,
+              const std::map<std::string, RunnerLoad>& own, TimePoint now);
+    /// Returns the sum of what all others told lately, by runner.
+    std::map<std::string, RunnerLoad> others(std::string_view instance,
+                                             TimePoint now) const;
+
+private:
+    struct Told {
+        std::map<std::string, RunnerLoad> load;
+        TimePoint at{};
+    };
+
+    std::map<std::string, Told, std::less<>> m_instances;
+};
+
+} // namespace crosslink
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -34,11 +34,17 @@
     std::vector<LoadedModel> models;
 };
 
+/// Calls under way at a runner.
+struct RunnerLoad {
+    std::uint32_t calls = 0;
+    std::uint64_t tokens = 0; ///< Of their prompts, not read yet.
+};
+
 /// A runner with what this instance knows from its own calls.
 struct RunnerEntry {
     ListedRunner listed;
-    std::uint32_t own_calls = 0;  ///< Calls of this instance under way.
-    std::uint64_t own_tokens = 0; ///< Of them, prompt tokens not read yet.
+    RunnerLoad own;    ///< Calls of this instance.
+    RunnerLoad others; ///< Of all other instances, as they told it.
     std::uint32_t failures = 0;   ///< In a row.
     TimePoint held_until{};       ///< It gets nothing before.
 
@@ -100,12 +106,20 @@
     void has_version(std::string_view id, std::string_view model,
                      std::uint64_t version);
 
+    /// Returns the load that this instance gives to each runner.
+    std::map<std::string, RunnerLoad> own_load() const;
+    /// Takes in the load that all other instances give, as of `now`.
+    void others_told(const std::map<std::string, RunnerLoad>& load,
+                     TimePoint now);
+
     const Entries& entries() const { return m_entries; }
 
 private:
     RunnerEntry* find(std::string_view id);
 
     Entries m_entries;
+    TimePoint m_others_at{}; ///< When the others' load was told last.
+    bool m_others_known = false;
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -128,6 +128,7 @@
     KeptPlace ask_part(const KeptPart& part, Micros longest, TimePoint now);
     KeptPlace place_of(const Entry& entry, TimePoint now) const;
     std::vector<Dispensable> dispensable(TimePoint now);
+    double free_part() const;
     void make_room(TimePoint now);
 
     std::map<std::string, StoreState, std::less<>> m_stores; ///< By address.
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -22,10 +22,12 @@
 constexpr double tokens_per_ms = 50;
 /// What a runner that works on as many calls as it has slots adds.
 constexpr double full_slots_ms = 100;
-/// Calls of other instances are not seen. Each instance sends mostly to the
+/// Where the others' load is not known: each instance sends mostly to the
 /// runners of its zone, so the load there is about that of the instances of
 /// one zone; zones are taken as three, the least that the fleet runs in.
 constexpr double zones = 3;
+/// The others' load is used for so long after it was told.
+constexpr Micros told_holds = std::chrono::milliseconds(1200);
 /// Weights that were replaced: a call that begins on them loses a fifth of
 /// its worth.
 constexpr double old_weights_ms = 120;
@@ -43,20 +45,21 @@
 using Candidates = std::vector<const RunnerEntry*>;
 
 double
-load_ms(const RunnerEntry& entry, const RunnerQuery& query)
+load_ms(const RunnerLoad& load, const RunnerEntry& entry)
 {
-    const double seen_part =
-        std::max(1.0, static_cast<double>(query.instances) / zones);
     const double slots = std::max<double>(entry.listed.slots, 1);
-    return seen_part *
-           (static_cast<double>(entry.own_tokens) / tokens_per_ms +
-            full_slots_ms * entry.own_calls / slots);
+    return static_cast<double>(load.tokens) / tokens_per_ms +
+           full_slots_ms * load.calls / slots;
 }
 
 double
-price_ms(const RunnerEntry& entry, const RunnerQuery& query)
+price_ms(const RunnerEntry& entry, const RunnerQuery& query, bool others_known)
 {
-    double price = load_ms(entry, query);
+    double price = load_ms(entry.own, entry);
+    if (others_known)
+        price += load_ms(entry.others, entry);
+    else
+        price *= std::max(1.0, static_cast<double>(query.instances) / zones);
     if (!query.model.empty() &&
         entry.version_of(query.model) < query.newest_version)
         price += old_weights_ms;
@@ -83,7 +86,8 @@
 }
 
 const RunnerEntry*
-cheapest(const Candidates& candidates, const RunnerQuery& query)
+cheapest(const Candidates& candidates, const RunnerQuery& query,
+         bool others_known)
 {
     const RunnerEntry* preferred =
         query.affinity.empty() ? nullptr
@@ -94,7 +98,7 @@
     double best_price = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto* entry = candidates[(start + i) % candidates.size()];
-        double price = price_ms(*entry, query);
+        double price = price_ms(*entry, query, others_known);
         if (entry == preferred)
             price -= affinity_ms;
         if (!best || price < best_price) {
@@ -168,7 +172,9 @@
             candidates.push_back(&entry);
     if (candidates.empty())
         return std::nullopt;
-    const RunnerEntry* chosen = cheapest(candidates, query);
+    const RunnerEntry* chosen =
+        cheapest(candidates, query,
+                 m_others_known && query.now - m_others_at < told_holds);
     return RunnerPick{chosen->listed.id, chosen->listed.address,
                       chosen->version_of(query.model)};
 }
@@ -177,8 +183,8 @@
 RunnerTable::sent(std::string_view id, std::uint64_t tokens)
 {
     if (RunnerEntry* entry = find(id)) {
-        ++entry->own_calls;
-        entry->own_tokens += tokens;
+        ++entry->own.calls;
+        entry->own.tokens += tokens;
     }
 }
 
@@ -186,14 +192,14 @@
 RunnerTable::prompt_read(std::string_view id, std::uint64_t tokens)
 {
     if (RunnerEntry* entry = find(id))
-        entry->own_tokens -= std::min(entry->own_tokens, tokens);
+        entry->own.tokens -= std::min(entry->own.tokens, tokens);
 }
 
 void
 RunnerTable::ended(std::string_view id)
 {
-    if (RunnerEntry* entry = find(id); entry && entry->own_calls > 0)
-        --entry->own_calls;
+    if (RunnerEntry* entry = find(id); entry && entry->own.calls > 0)
+        --entry->own.calls;
 }
 
 void
@@ -234,6 +240,28 @@
             loaded.version = version;
 }
 
+std::map<std::string, RunnerLoad>
+RunnerTable::own_load() const
+{
+    std::map<std::string, RunnerLoad> load;
+    for (const auto& [id, entry] : m_entries)
+        if (entry.own.calls > 0)
+            load[id] = entry.own;
+    return load;
+}
+
+void
+RunnerTable::others_told(const std::map<std::string, RunnerLoad>& load,
+                         TimePoint now)
+{
+    m_others_at = now;
+    m_others_known = true;
+    for (auto& [id, entry] : m_entries) {
+        const auto found = load.find(id);
+        entry.others = found == load.end() ? RunnerLoad{} : found->second;
+    }
+}
+
 RunnerEntry*
 RunnerTable::find(std::string_view id)
 {
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -24,6 +24,10 @@
 /// rounds a second, all room is given anew in ten seconds, which is about the
 /// time in which new weights reach all runners.
 constexpr double let_go_part = 0.05;
+/// Part of all room that is kept free while there are parts of replaced
+/// weights: a part is freed seconds after it was let go, and until then the
+/// saves of those seconds need room.
+constexpr double reserve_part = 0.3;
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
 
@@ -355,21 +359,37 @@
     return result;
 }
 
+double
+KeptDirectory::free_part() const
+{
+    double room = 0;
+    double used = 0;
+    for (const auto& [address, state] : m_stores) {
+        room += static_cast<double>(state.info.capacity_tokens);
+        used += static_cast<double>(state.used_tokens);
+    }
+    for (const auto& [key, entry] : m_parts)
+        if (entry.state == State::LetGo)
+            used -= entry.tokens;
+    return room > 0 ? 1 - used / room : 1;
+}
+
 void
 KeptDirectory::make_room(TimePoint now)
 {
-    if (!m_full)
+    const bool low = free_part() < reserve_part;
+    if (!m_full && !low)
         return;
-    m_full = false;
     double wanted = 0;
     for (const auto& [address, state] : m_stores)
         wanted += let_go_part * static_cast<double>(state.info.capacity_tokens);
     for (const Dispensable& item : dispensable(now)) {
-        if (wanted <= 0)
+        if (wanted <= 0 || (!m_full && !item.replaced))
             break;
         wanted -= item.entry->tokens;
         let_go(*item.entry, now);
     }
+    m_full = false;
 }
 
 std::vector<KeptFree>
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -66,7 +66,7 @@
             std::max(1.0, part_at_once * static_cast<double>(all) + 0.5));
         // The oldest weights first: they are the first to be forbidden.
         const auto rank = [&model](const RunnerEntry* entry) {
-            return std::pair(entry->version_of(model), entry->own_calls);
+            return std::pair(entry->version_of(model), entry->own.calls + entry->others.calls);
         };
         std::sort(behind.begin(), behind.end(),
                   [&rank](const RunnerEntry* one, const RunnerEntry* other) {
--- a/src/serve/forward/fleet_calls.cpp
+++ b/src/serve/forward/fleet_calls.cpp
@@ -16,6 +16,7 @@
 
 constexpr const char* ask_kept_method = "ask_kept";
 constexpr const char* not_saved_method = "not_saved";
+constexpr const char* exchange_load_method = "exchange_load";
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
 constexpr int server_threads = 64;
@@ -97,6 +98,49 @@
     return answer;
 }
 
+Json::Value
+load_to_json(const std::map<std::string, RunnerLoad>& load)
+{
+    Json::Value value(Json::objectValue);
+    for (const auto& [runner, item] : load) {
+        Json::Value row(Json::arrayValue);
+        row.append(item.calls);
+        row.append(Json::UInt64(item.tokens));
+        value[runner] = row;
+    }
+    return value;
+}
+
+std::map<std::string, RunnerLoad>
+load_from_json(const Json::Value& value)
+{
+    std::map<std::string, RunnerLoad> load;
+    for (const std::string& runner : value.getMemberNames())
+        load[runner] = {value[runner][0].asUInt(), value[runner][1].asUInt64()};
+    return load;
+}
+
+Json::Value
+fleet_load_to_json(const FleetLoad& load)
+{
+    Json::Value value;
+    value["others"] = load_to_json(load.others);
+    value["loading"] = Json::Value(Json::arrayValue);
+    for (const std::string& runner : load.loading)
+        value["loading"].append(runner);
+    return value;
+}
+
+FleetLoad
+fleet_load_from_json(const Json::Value& value)
+{
+    FleetLoad load;
+    load.others = load_from_json(value["others"]);
+    for (const Json::Value& runner : value["loading"])
+        load.loading.push_back(runner.asString());
+    return load;
+}
+
 } // namespace
 
 FleetServer::FleetServer(ForwardState& state, Steward& steward)
@@ -114,6 +158,11 @@
                           parts_from_json(parameters));
         return Json::Value(Json::objectValue);
     });
+    m_rpc->add(exchange_load_method, [&steward](const Json::Value& parameters) {
+        return fleet_load_to_json(
+            steward.exchange_load(json_string(parameters, "instance"),
+                                  load_from_json(parameters["load"])));
+    });
     HttpServerRules rules;
     rules.most_threads = server_threads;
     m_server = std::make_unique<HttpServer>(
@@ -173,4 +222,14 @@
     call(not_saved_method, question_to_json(space, parts));
 }
 
+FleetLoad
+FleetClient::exchange_load(const std::string& instance,
+                           const std::map<std::string, RunnerLoad>& own)
+{
+    Json::Value parameters;
+    parameters["instance"] = instance;
+    parameters["load"] = load_to_json(own);
+    return fleet_load_from_json(call(exchange_load_method, parameters));
+}
+
 } // namespace crosslink
--- a/src/serve/forward/forward_instance.h
+++ b/src/serve/forward/forward_instance.h
@@ -9,6 +9,7 @@
 #include "forward_server.h"
 #include "forward_state.h"
 #include "kept_asker.h"
+#include "load_duty.h"
 #include "steward.h"
 
 #include <functional>
@@ -32,10 +33,12 @@
 
     ForwardState m_state;
     Steward m_steward;
+    StewardLink m_steward_link;
     KeptAsker m_kept;
     ForwardPath m_path;
     FleetServer m_fleet;
     FeedDuty m_feed;
+    LoadDuty m_load;
     ForwardServer m_server;
 };
 
--- a/src/serve/forward/kept_asker.cpp
+++ b/src/serve/forward/kept_asker.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-KeptAsker::KeptAsker(ForwardState& state, Steward& steward)
+KeptAsker::KeptAsker(ForwardState& state, StewardLink& steward)
     : m_state(state), m_steward(steward)
 {
 }
@@ -80,20 +80,6 @@
     });
 }
 
-std::shared_ptr<FleetClient>
-KeptAsker::steward_client()
-{
-    const std::string address = m_state.fleet.with(
-        [](FleetView& view) { return view.steward; });
-    const std::lock_guard lock(m_client_mutex);
-    if (address != m_client_address) {
-        m_client_address = address;
-        m_client = address.empty() ? nullptr
-                                   : std::make_shared<FleetClient>(address);
-    }
-    return m_client;
-}
-
 KeptAnswer
 KeptAsker::ask(const KeptSpace& space, std::span<const PromptPart> parts,
                Micros longest)
@@ -122,14 +108,9 @@
                        TimePoint asked)
 {
     try {
-        const bool mine = m_state.steward_lease.with(
-            [asked](DutyLease& lease) { return lease.held(asked); });
-        if (mine)
-            return m_steward.ask_kept(space, parts, longest);
-        const auto client = steward_client();
-        if (!client)
-            return std::nullopt;
-        KeptAnswer answer = client->ask_kept(space, parts, longest);
+        KeptAnswer answer = m_steward.with([&](auto& steward) {
+            return steward.ask_kept(space, parts, longest);
+        });
         m_state.counters.kept_question.add(monotonic_now() - asked);
         return answer;
     } catch (const Error& failure) {
@@ -152,13 +133,7 @@
     if (unsaved.empty())
         return;
     try {
-        const TimePoint now = monotonic_now();
-        const bool mine = m_state.steward_lease.with(
-            [now](DutyLease& lease) { return lease.held(now); });
-        if (mine)
-            m_steward.not_saved(space, unsaved);
-        else if (const auto client = steward_client())
-            client->not_saved(space, unsaved);
+        m_steward.with([&](auto& steward) { steward.not_saved(space, unsaved); });
     } catch (const Error& failure) {
         // The directory learns of it when the save is overdue.
         LogLine("kept_return_failed").field("error", failure.what());
--- a/src/serve/forward/kept_asker.h
+++ b/src/serve/forward/kept_asker.h
@@ -3,13 +3,10 @@
 
 #pragma once
 
-#include "fleet_calls.h"
 #include "forward_state.h"
-#include "steward.h"
+#include "steward_link.h"
 
 #include <map>
-#include <memory>
-#include <mutex>
 #include <optional>
 #include <span>
 #include <string>
@@ -23,7 +20,7 @@
 class KeptAsker
 {
 public:
-    KeptAsker(ForwardState& state, Steward& steward);
+    KeptAsker(ForwardState& state, StewardLink& steward);
 
     /// Returns a place for each of `parts` of a prompt, for a call that ends
     /// within `longest`. Where nobody can be asked, all are None.
@@ -47,14 +44,10 @@
     std::optional<KeptAnswer> ask_steward(const KeptSpace& space,
                                           std::span<const PromptPart> parts,
                                           Micros longest, TimePoint asked);
-    std::shared_ptr<FleetClient> steward_client();
 
     ForwardState& m_state;
-    Steward& m_steward;
+    StewardLink& m_steward;
     Guarded<Memory> m_memory;
-    std::mutex m_client_mutex;
-    std::string m_client_address;
-    std::shared_ptr<FleetClient> m_client;
 };
 
 } // namespace crosslink
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -70,6 +70,13 @@
     });
 }
 
+bool
+Steward::holds_duty() const
+{
+    return m_state.steward_lease.with(
+        [](DutyLease& lease) { return lease.held(monotonic_now()); });
+}
+
 Micros
 Steward::lease_round()
 {
@@ -77,11 +84,9 @@
     const Micros pause = span / extensions_per_lease;
     if (m_state.stopping)
         return pause;
-    const TimePoint began = monotonic_now();
     // While another instance holds the duty, only its end is waited for.
     // Instances try one after the other, so that few calls are made.
-    const bool held = m_state.steward_lease.with(
-        [began](DutyLease& lease) { return lease.held(began); });
+    const bool held = holds_duty();
     const bool taken = m_state.fleet.with(
         [](FleetView& view) { return !view.steward.empty(); });
     if (!held && taken)
@@ -171,7 +176,7 @@
 Steward::weights_round()
 {
     if (!acting())
-        return idle_pause;
+        return holds_duty() ? weights_pause : idle_pause;
     const auto newest = m_state.fleet.with(
         [](FleetView& view) { return view.newest_weights; });
     const RunnerTable runners =
@@ -282,9 +287,7 @@
 Micros
 Steward::store_round(const std::string& address)
 {
-    const bool held = m_state.steward_lease.with(
-        [](DutyLease& lease) { return lease.held(monotonic_now()); });
-    if (!held)
+    if (!holds_duty())
         return idle_pause;
     std::uint64_t after = 0;
     const bool list = m_kept.with([&](Kept& kept) {
@@ -334,15 +337,32 @@
                   Micros longest)
 {
     const TimePoint now = monotonic_now();
-    const bool held = m_state.steward_lease.with(
-        [now](DutyLease& lease) { return lease.held(now); });
-    if (!held)
+    if (!holds_duty())
         throw Error(ErrorCode::LeaseLost, "another instance has the duty");
     return m_kept.with([&](Kept& kept) {
         return kept.directory.ask(space, parts, longest + save_slack, now);
     });
 }
 
+FleetLoad
+Steward::exchange_load(const std::string& instance,
+                       const std::map<std::string, RunnerLoad>& own)
+{
+    if (!holds_duty())
+        throw Error(ErrorCode::LeaseLost, "another instance has the duty");
+    FleetLoad load;
+    load.others = m_loads.with([&](LoadBoard& board) {
+        const TimePoint now = monotonic_now();
+        board.told(instance, own, now);
+        return board.others(instance, now);
+    });
+    m_plan.with([&load](WeightsPlan& plan) {
+        for (const WeightsOrder& order : plan.open())
+            load.loading.push_back(order.runner);
+    });
+    return load;
+}
+
 void
 Steward::not_saved(const std::string& space, std::span<const PromptPart> parts)
 {
--- a/src/serve/forward/steward.h
+++ b/src/serve/forward/steward.h
@@ -8,6 +8,7 @@
 #include <serve/duty.h>
 
 #include <crosslink/forward/forwarded_call.h>
+#include <crosslink/forward/load_board.h>
 #include <crosslink/kept/kept_directory.h>
 #include <crosslink/weights/weights_plan.h>
 
@@ -32,6 +33,8 @@
     Steward(const Steward&) = delete;
     Steward& operator=(const Steward&) = delete;
 
+    /// True where this instance has the duty now.
+    bool holds_duty() const;
     /// Answers where parts lie, for a call that ends within `longest`. Throws
     /// Error(LeaseLost) where another instance has the duty.
     KeptAnswer ask_kept(const KeptSpace& space,
@@ -39,6 +42,10 @@
     /// Takes note of parts that were told to be saved by a call that did not
     /// run.
     void not_saved(const std::string& space, std::span<const PromptPart> parts);
+    /// Takes in the load that `instance` gives to runners, and returns that of
+    /// all others. Throws Error(LeaseLost).
+    FleetLoad exchange_load(const std::string& instance,
+                            const std::map<std::string, RunnerLoad>& own);
     /// Looks at once at what the platform told anew.
     void fleet_changed();
     /// Gives the duty back, at a planned stop.
@@ -68,6 +75,7 @@
     std::map<std::string, std::uint64_t, std::less<>> m_seen_weights;
     Guarded<WeightsPlan> m_plan;
     Guarded<Kept> m_kept;
+    Guarded<LoadBoard> m_loads;
     std::map<std::string, std::unique_ptr<Duty>> m_store_duties;
     std::unique_ptr<Duty> m_weights_duty;
     std::unique_ptr<Duty> m_free_duty;
--- /dev/null
+++ b/src/serve/forward/steward_link.cpp
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "steward_link.h"
+
+#include <crosslink/base/error.h>
+
+namespace crosslink
+{
+
+StewardLink::StewardLink(ForwardState& state, Steward& steward)
+    : m_state(state), m_steward(steward)
+{
+}
+
+std::shared_ptr<FleetClient>
+StewardLink::client()
+{
+    const std::string address = m_state.fleet.with(
+        [](FleetView& view) { return view.steward; });
+    if (address.empty())
+        throw Error(ErrorCode::LeaseLost, "no instance has the duty");
+    const std::lock_guard lock(m_mutex);
+    if (address != m_address) {
+        m_address = address;
+        m_client = std::make_shared<FleetClient>(address);
+    }
+    return m_client;
+}
+
+} // namespace crosslink
