Read parts that lie in a slow store, and keep parts of the weights in use

Cause: while the links of one store were slow (15 to 20 s) calls went on fetching from it and waited; ruled out: busy runners, since calls that fetched from the other stores were answered in time.

--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -72,11 +72,14 @@
                    Micros longest, TimePoint now);
     /// Takes note that the call which was to save `part` never ran.
     void not_saved(const KeptPart& part);
-    /// Lets go of the parts whose space `obsolete` says so of, and of those
-    /// asked for least lately where a store is full. Returns what is to be
+    /// Lets go of the parts whose space `obsolete` says so of, of those asked
+    /// for least lately where a store is full, and of parts of replaced
+    /// weights, to have room in proportion to `changed_part`: the part of the
+    /// runners, 0 to 1, that have the newest weights. Returns what is to be
     /// freed now.
     std::vector<KeptFree>
-    due(const std::function<bool(const KeptSpace&)>& obsolete, TimePoint now);
+    due(const std::function<bool(const KeptSpace&)>& obsolete,
+        double changed_part, TimePoint now);
     /// Returns true where `store` has saves that should have ended: only a
     /// new listing tells what became of them.
     bool wants_listing(std::string_view store, TimePoint now) const;
@@ -129,7 +132,7 @@
     KeptPlace place_of(const Entry& entry, TimePoint now) const;
     std::vector<Dispensable> dispensable(TimePoint now);
     double free_part() const;
-    void make_room(TimePoint now);
+    void make_room(double changed_part, TimePoint now);
 
     std::map<std::string, StoreState, std::less<>> m_stores; ///< By address.
     Parts m_parts;
--- a/src/include/crosslink/weights/weights_plan.h
+++ b/src/include/crosslink/weights/weights_plan.h
@@ -55,8 +55,9 @@
     /// Takes in a runner's own word on the weights that it has.
     void reported(std::string_view runner, std::uint64_t version, bool busy,
                   TimePoint now);
-    /// True where every listed runner has the newest weights of each model.
-    bool complete(const RunnerTable& runners) const;
+    /// Returns the part, 0 to 1, of the listed runners that have the newest
+    /// weights of each model.
+    double changed_part(const RunnerTable& runners) const;
 
 private:
     struct Open {
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -24,10 +24,10 @@
 /// rounds a second, all room is given anew in ten seconds, which is about the
 /// time in which new weights reach all runners.
 constexpr double let_go_part = 0.05;
-/// Part of all room that is kept free while there are parts of replaced
-/// weights: a part is freed seconds after it was let go, and until then the
+/// Part of all room that is kept free, once all runners have new weights,
+/// while there are parts of replaced ones: a part is freed seconds after it was let go, and until then the
 /// saves of those seconds need room.
-constexpr double reserve_part = 0.3;
+constexpr double reserve_part = 0.4;
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
 
@@ -375,9 +375,9 @@
 }
 
 void
-KeptDirectory::make_room(TimePoint now)
+KeptDirectory::make_room(double changed_part, TimePoint now)
 {
-    const bool low = free_part() < reserve_part;
+    const bool low = free_part() < reserve_part * changed_part;
     if (!m_full && !low)
         return;
     double wanted = 0;
@@ -394,9 +394,9 @@
 
 std::vector<KeptFree>
 KeptDirectory::due(const std::function<bool(const KeptSpace&)>& obsolete,
-                   TimePoint now)
+                   double changed_part, TimePoint now)
 {
-    make_room(now);
+    make_room(changed_part, now);
     std::map<std::string, KeptFree> frees;
     for (auto& [key, entry] : m_parts) {
         if (entry.state == State::Held) {
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -132,18 +132,20 @@
     }
 }
 
-bool
-WeightsPlan::complete(const RunnerTable& runners) const
+double
+WeightsPlan::changed_part(const RunnerTable& runners) const
 {
-    return std::all_of(
-        runners.entries().begin(), runners.entries().end(),
-        [this](const auto& item) {
-            return std::all_of(
-                m_newest.begin(), m_newest.end(), [&](const auto& named) {
-                    const auto has = item.second.version_of(named.first);
-                    return has == 0 || has >= named.second;
-                });
-        });
+    std::size_t all = 0;
+    std::size_t changed = 0;
+    for (const auto& [id, entry] : runners.entries()) {
+        for (const auto& [model, version] : m_newest) {
+            const std::uint64_t has = entry.version_of(model);
+            all += has > 0 ? 1 : 0;
+            changed += has >= version ? 1 : 0;
+        }
+    }
+    return all == 0 ? 1
+                    : static_cast<double>(changed) / static_cast<double>(all);
 }
 
 } // namespace crosslink
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -167,6 +167,7 @@
     m_prompt_read = false;
     m_state.runners.with(
         [this](RunnerTable& table) { table.sent(m_pick.id, m_tokens_to_read); });
+    m_sent_at = monotonic_now();
     ++m_sends;
     ++m_state.counters.sends;
     Outcome outcome = Outcome::Broken;
@@ -246,14 +247,15 @@
     const KeptAnswer answer = m_kept.ask(space, parts, time_left());
     m_places = answer.places;
     m_space = answer.space;
+    skip_slow_stores();
     terms.space = answer.space;
-    terms.places = answer.places;
+    terms.places = m_places;
     const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_route.objective * part_for_fetch);
     RunnerMillis until =
         answer.clock + static_cast<RunnerMillis>(patience.count());
     for (std::size_t i = 0; i < parts.size(); ++i) {
-        const KeptPlace& place = answer.places[i];
+        const KeptPlace& place = m_places[i];
         if (place.kind == KeptPlace::Kind::Fetch) {
             m_tokens_to_read -=
                 std::min<std::uint64_t>(m_tokens_to_read, parts[i].tokens);
@@ -340,6 +342,51 @@
     });
 }
 
+void
+ForwardRun::saw_first_event()
+{
+    m_prompt_read = true;
+    m_state.runners.with([this](RunnerTable& table) {
+        table.prompt_read(m_pick.id, m_tokens_to_read);
+    });
+    const bool all_fetched =
+        !m_places.empty() &&
+        std::all_of(m_places.begin(), m_places.end(),
+                    [](const KeptPlace& place) {
+                        return place.kind == KeptPlace::Kind::Fetch;
+                    });
+    if (!all_fetched)
+        return;
+    const auto parts = m_call.generation->shared_parts();
+    const auto largest = std::max_element(
+        parts.begin(), parts.end(),
+        [](const PromptPart& one, const PromptPart& other) {
+            return one.tokens < other.tokens;
+        });
+    const std::string& store =
+        m_places[static_cast<std::size_t>(largest - parts.begin())].store;
+    const TimePoint now = monotonic_now();
+    m_state.fetches.with([&](FetchWatch& watch) {
+        watch.first_event(store, now - m_sent_at, now);
+    });
+}
+
+/// Lets the prompt's parts be read that lie in a store which is slow now.
+void
+ForwardRun::skip_slow_stores()
+{
+    const TimePoint now = monotonic_now();
+    for (KeptPlace& place : m_places) {
+        const bool skipped =
+            place.kind == KeptPlace::Kind::Fetch &&
+            !m_state.fetches.with([&](FetchWatch& watch) {
+                return watch.should_fetch(place.store, random_bits(), now);
+            });
+        if (skipped)
+            place = KeptPlace{};
+    }
+}
+
 ForwardRun::Outcome
 ForwardRun::relay_whole(CallerLink& link, const AnswerHead& head)
 {
@@ -376,12 +423,8 @@
             return Outcome::Broken;
         if (events.empty())
             continue;
-        if (!m_prompt_read) {
-            m_prompt_read = true;
-            m_state.runners.with([&](RunnerTable& table) {
-                table.prompt_read(m_pick.id, m_tokens_to_read);
-            });
-        }
+        if (!m_prompt_read)
+            saw_first_event();
         if (!link.begun()) {
             m_state.counters.first_event.add(monotonic_now() -
                                              m_call.received_at);
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -71,6 +71,8 @@
     Outcome relay_whole(CallerLink& link, const AnswerHead& head);
     Outcome relay_events(CallerLink& link, const AnswerHead& head);
     void learn(const AnswerHead& head);
+    void saw_first_event();
+    void skip_slow_stores();
     void keep_connection(const AnswerHead& head);
     [[noreturn]] void fail(Outcome outcome);
     Micros time_left() const;
@@ -92,6 +94,7 @@
     std::uint64_t m_newest = 0; ///< Weights named at the last choice.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
+    TimePoint m_sent_at{};
     std::uint64_t m_tokens_to_read = 0; ///< Of the prompt, at this runner.
     bool m_prompt_read = false;
     bool m_caller_gone = false;
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -14,6 +14,7 @@
 #include <crosslink/forward/retry_window.h>
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/forward/service_map.h>
+#include <crosslink/kept/fetch_watch.h>
 #include <crosslink/membership/duty_lease.h>
 #include <crosslink/ports/fleet_feed.h>
 
@@ -68,6 +69,7 @@
     Guarded<FleetView> fleet;
     Guarded<RunnerTable> runners;
     Guarded<RetryWindow> retries;
+    Guarded<FetchWatch> fetches;
     Guarded<DutyLease> steward_lease;
     CallConnections connections;
     ForwardCounters counters;
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -249,8 +249,6 @@
 {
     if (!acting())
         return idle_pause;
-    const auto newest = m_state.fleet.with(
-        [](FleetView& view) { return view.newest_weights; });
     const auto oldest = m_state.runners.with([](RunnerTable& table) {
         std::map<std::string, std::uint64_t, std::less<>> versions;
         for (const auto& [id, entry] : table.entries())
@@ -265,11 +263,15 @@
         const auto found = oldest.find(space.model);
         return found != oldest.end() && space.version < found->second;
     };
+    const RunnerTable runners =
+        m_state.runners.with([](RunnerTable& table) { return table; });
+    const double changed = m_plan.with(
+        [&](WeightsPlan& plan) { return plan.changed_part(runners); });
     RunnerMillis clock = 0;
     const auto frees = m_kept.with([&](Kept& kept) {
         const TimePoint now = monotonic_now();
         clock = kept.directory.runner_clock(now);
-        return kept.directory.due(obsolete, now);
+        return kept.directory.due(obsolete, changed, now);
     });
     const Micros left = m_state.steward_lease.with(
         [](DutyLease& lease) { return lease.time_left(monotonic_now()); });
