--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -62,6 +62,8 @@
     std::string_view affinity;
     std::string_view model;          ///< Empty for plain services.
     std::uint64_t newest_version = 0; ///< Named weights; 0 where none are.
+    /// Older weights are taken only while most runners have them.
+    std::uint64_t least_version = 0;
     const std::set<std::string>* avoid = nullptr; ///< Runners tried already.
     std::size_t instances = 1; ///< Of the fleet.
     std::uint64_t random = 0;  ///< Random bits.
--- a/src/include/crosslink/weights/weights_plan.h
+++ b/src/include/crosslink/weights/weights_plan.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,6 +34,32 @@
     std::uint64_t version = 0;
 };
 
+/// Weights that were named, and when.
+struct NamedWeights {
+    std::uint64_t version = 0;
+    TimePoint at{};
+};
+
+/// The versions of one model that were named, and the time in which a version
+/// must have given way to newer ones.
+class WeightsHistory
+{
+public:
+    /// Takes note of weights named at `now`. Older ones are passed over.
+    void named(std::uint64_t version, TimePoint now);
+    /// Returns the newest version; 0 where none was named.
+    std::uint64_t newest() const;
+    /// Returns when the first version above `version` was named; nothing
+    /// where none was.
+    std::optional<TimePoint> replaced_at(std::uint64_t version) const;
+    /// Returns the least version that a call may begin on, where one must
+    /// have given way `bound` after a newer one was named.
+    std::uint64_t least(Micros bound, TimePoint now) const;
+
+private:
+    std::vector<NamedWeights> m_named; ///< In rising order.
+};
+
 /// Brings all runners to the newest weights that were named, a part of them
 /// at a time, so that the others serve meanwhile. Kept by the instance that
 /// has the duty; a new holder begins with an empty plan and learns from the
@@ -40,10 +67,11 @@
 class WeightsPlan
 {
 public:
-    /// Takes note of weights that were named. Older ones are passed over.
-    void named(std::string_view model, std::uint64_t version);
-    /// Returns the newest version of `model`; 0 where none was named.
-    std::uint64_t newest(std::string_view model) const;
+    /// All runners are to have weights `bound` after they were named.
+    explicit WeightsPlan(Micros bound) : m_bound(bound) {}
+
+    /// Takes over the versions of `model` that were named.
+    void follow(std::string_view model, const WeightsHistory& history);
 
     /// Returns the orders that are due at `now`. They count as given.
     std::vector<WeightsOrder> due(const RunnerTable& runners, TimePoint now);
@@ -66,7 +94,11 @@
         bool accepted = false;
     };
 
-    std::map<std::string, std::uint64_t, std::less<>> m_newest;
+    std::size_t at_once(std::string_view model, const RunnerTable& runners,
+                        TimePoint now) const;
+
+    Micros m_bound;
+    std::map<std::string, WeightsHistory, std::less<>> m_models;
     std::map<std::string, Open, std::less<>> m_open; ///< By runner.
     /// Runners that are not ordered again before a time.
     std::map<std::string, TimePoint, std::less<>> m_again_at;
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -118,6 +118,24 @@
            (query.model.empty() || entry.version_of(query.model) > 0);
 }
 
+/// Drops runners whose weights must have given way. Where that would leave
+/// less than half of them, the rollout has not been possible, and serving on
+/// replaced weights is better than not serving.
+void
+drop_forbidden(Candidates& candidates, const RunnerQuery& query)
+{
+    const auto allowed = [&query](const RunnerEntry* entry) {
+        return entry->version_of(query.model) >= query.least_version;
+    };
+    const auto count =
+        std::count_if(candidates.begin(), candidates.end(), allowed);
+    if (2 * static_cast<std::size_t>(count) < candidates.size())
+        return;
+    std::erase_if(candidates, [&allowed](const RunnerEntry* entry) {
+        return !allowed(entry);
+    });
+}
+
 } // namespace
 
 std::uint64_t
@@ -170,6 +188,7 @@
     for (const auto& [id, entry] : m_entries)
         if (takes_work(entry, query))
             candidates.push_back(&entry);
+    drop_forbidden(candidates, query);
     if (candidates.empty())
         return std::nullopt;
     const RunnerEntry* chosen =
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -4,6 +4,7 @@
 #include <crosslink/weights/weights_plan.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace crosslink
 {
@@ -15,6 +16,14 @@
 /// a prompt on new weights is read whole: five in six serve meanwhile
 /// (docs/MEASUREMENTS.md has the figures).
 constexpr double part_at_once = 1.0 / 6;
+/// Most of the runners that load at once, however little time is left.
+constexpr double most_at_once = 0.4;
+/// Time of one order: runs end, then the weights are loaded. Measured at 1.1
+/// to 2.6 s.
+constexpr Micros order_time = std::chrono::milliseconds(1900);
+/// All runners should be done so long before the bound.
+constexpr Micros finish_margin = std::chrono::milliseconds(2500);
+constexpr double least_left_s = 0.5;
 /// An order whose runner says neither that it is busy nor that it is done is
 /// given again after this time; one that is under way ends by itself.
 constexpr Micros unheard_time = std::chrono::milliseconds(700);
@@ -27,17 +36,73 @@
 } // namespace
 
 void
-WeightsPlan::named(std::string_view model, std::uint64_t version)
+WeightsHistory::named(std::uint64_t version, TimePoint now)
 {
-    auto& newest = m_newest[std::string(model)];
-    newest = std::max(newest, version);
+    if (version > newest())
+        m_named.push_back({version, now});
 }
 
 std::uint64_t
-WeightsPlan::newest(std::string_view model) const
+WeightsHistory::newest() const
 {
-    const auto found = m_newest.find(model);
-    return found == m_newest.end() ? 0 : found->second;
+    return m_named.empty() ? 0 : m_named.back().version;
+}
+
+std::optional<TimePoint>
+WeightsHistory::replaced_at(std::uint64_t version) const
+{
+    for (const NamedWeights& named : m_named)
+        if (named.version > version)
+            return named.at;
+    return std::nullopt;
+}
+
+std::uint64_t
+WeightsHistory::least(Micros bound, TimePoint now) const
+{
+    std::uint64_t version = 0;
+    for (const NamedWeights& named : m_named)
+        if (now >= named.at + bound)
+            version = named.version;
+    return version;
+}
+
+void
+WeightsPlan::follow(std::string_view model, const WeightsHistory& history)
+{
+    m_models[std::string(model)] = history;
+}
+
+/// Returns how many runners should load at once: a part of them, and more
+/// where those with the oldest weights would not be done in time.
+std::size_t
+WeightsPlan::at_once(std::string_view model, const RunnerTable& runners,
+                     TimePoint now) const
+{
+    const WeightsHistory& history = m_models.find(model)->second;
+    double all = 0;
+    double needed = 0;
+    std::map<std::uint64_t, std::uint32_t> behind; ///< Runners by version.
+    for (const auto& [id, entry] : runners.entries()) {
+        const std::uint64_t has = entry.version_of(model);
+        if (has == 0 || entry.listed.leaving)
+            continue;
+        ++all;
+        if (has < history.newest())
+            ++behind[has];
+    }
+    double before = 0;
+    for (const auto& [version, count] : behind) {
+        before += count;
+        const TimePoint end =
+            *history.replaced_at(version) + m_bound - finish_margin;
+        const double left = std::max(seconds(end - now), least_left_s);
+        needed = std::max(needed, before * seconds(order_time) / left);
+    }
+    const double usual = std::max(1.0, part_at_once * all);
+    const double most = std::max(1.0, most_at_once * all);
+    return static_cast<std::size_t>(
+        std::lround(std::clamp(needed, usual, most)));
 }
 
 std::vector<WeightsOrder>
@@ -49,34 +114,31 @@
                now >= item.second.given + limit;
     });
     std::vector<WeightsOrder> orders;
-    for (const auto& [model, version] : m_newest) {
+    for (const auto& [model, history] : m_models) {
         std::vector<const RunnerEntry*> behind;
-        std::size_t all = 0;
         for (const auto& [id, entry] : runners.entries()) {
             const std::uint64_t has = entry.version_of(model);
-            if (has == 0 || entry.listed.leaving)
-                continue;
-            ++all;
             const auto again = m_again_at.find(id);
             const bool waits = again != m_again_at.end() && now < again->second;
-            if (has < version && !m_open.contains(id) && !waits)
+            if (has > 0 && has < history.newest() && !entry.listed.leaving &&
+                !m_open.contains(id) && !waits)
                 behind.push_back(&entry);
         }
-        const auto at_once = static_cast<std::size_t>(
-            std::max(1.0, part_at_once * static_cast<double>(all) + 0.5));
         // The oldest weights first: they are the first to be forbidden.
-        const auto rank = [&model](const RunnerEntry* entry) {
-            return std::pair(entry->version_of(model), entry->own.calls + entry->others.calls);
+        const auto rank = [&model = model](const RunnerEntry* entry) {
+            return std::pair(entry->version_of(model),
+                             entry->own.calls + entry->others.calls);
         };
         std::sort(behind.begin(), behind.end(),
                   [&rank](const RunnerEntry* one, const RunnerEntry* other) {
                       return rank(one) < rank(other);
                   });
+        const std::size_t most = at_once(model, runners, now);
         for (const RunnerEntry* entry : behind) {
-            if (m_open.size() >= at_once)
+            if (m_open.size() >= most)
                 break;
             WeightsOrder order{entry->listed.id, entry->listed.address, model,
-                               version};
+                               history.newest()};
             m_open[order.runner] = {order, now};
             orders.push_back(std::move(order));
         }
@@ -138,10 +200,10 @@
     std::size_t all = 0;
     std::size_t changed = 0;
     for (const auto& [id, entry] : runners.entries()) {
-        for (const auto& [model, version] : m_newest) {
+        for (const auto& [model, history] : m_models) {
             const std::uint64_t has = entry.version_of(model);
             all += has > 0 ? 1 : 0;
-            changed += has >= version ? 1 : 0;
+            changed += has >= std::max<std::uint64_t>(history.newest(), 1) ? 1 : 0;
         }
     }
     return all == 0 ? 1
--- a/src/libcrosslink/weights/weights_plan_test.cpp
+++ b/src/libcrosslink/weights/weights_plan_test.cpp
@@ -37,22 +37,34 @@
     return table;
 }
 
+constexpr Micros bound = std::chrono::seconds(10);
+
 TimePoint
 at(int millis)
 {
     return TimePoint(std::chrono::milliseconds(millis));
 }
 
+/// All versions were named at time 0.
+WeightsHistory
+history(const std::vector<std::uint64_t>& versions)
+{
+    WeightsHistory result;
+    for (const std::uint64_t version : versions)
+        result.named(version, at(0));
+    return result;
+}
+
 } // namespace
 
 TEST_CASE("a part of the runners loads new weights at once")
 {
-    WeightsPlan plan;
-    const RunnerTable table = runners_with(std::vector<std::uint64_t>(16, 1));
+    WeightsPlan plan(bound);
+    const RunnerTable table = runners_with(std::vector<std::uint64_t>(18, 1));
     CHECK(plan.due(table, at(0)).empty());
-    plan.named(model, 2);
+    plan.follow(model, history({2}));
     const auto orders = plan.due(table, at(0));
-    CHECK(orders.size() == 4);
+    CHECK(orders.size() == 5);
     CHECK(plan.due(table, at(1)).empty());
     for (const WeightsOrder& order : orders)
         plan.ordered(order, OrderOutcome::Accepted, at(2));
@@ -64,8 +76,8 @@
 
 TEST_CASE("the oldest weights are replaced first when a newer version is named")
 {
-    WeightsPlan plan;
-    plan.named(model, 3);
+    WeightsPlan plan(bound);
+    plan.follow(model, history({2, 3}));
     RunnerTable table = runners_with({2, 2, 1, 2, 1, 2, 2, 2});
     // The runners with the oldest weights are the busiest.
     table.sent("r2", 0);
@@ -76,10 +88,37 @@
     CHECK(first == std::set<std::string>{"r2", "r4"});
 }
 
+TEST_CASE("more runners load at once where the bound is near")
+{
+    WeightsPlan plan(bound);
+    plan.follow(model, history({2}));
+    const RunnerTable table = runners_with(std::vector<std::uint64_t>(18, 1));
+    const std::size_t early = plan.due(table, at(0)).size();
+    WeightsPlan late(bound);
+    late.follow(model, history({2}));
+    CHECK(late.due(table, at(5000)).size() > early);
+}
+
+TEST_CASE("a version must have given way when its bound has passed")
+{
+    WeightsHistory weights;
+    CHECK(weights.newest() == 0);
+    weights.named(2, at(1000));
+    weights.named(1, at(2000));
+    weights.named(5, at(4000));
+    CHECK(weights.newest() == 5);
+    CHECK(weights.least(bound, at(10'999)) == 0);
+    CHECK(weights.least(bound, at(11'000)) == 2);
+    CHECK(weights.least(bound, at(14'000)) == 5);
+    CHECK(weights.replaced_at(1) == at(1000));
+    CHECK(weights.replaced_at(2) == at(4000));
+    CHECK_FALSE(weights.replaced_at(5));
+}
+
 TEST_CASE("an order without an answer is given again, an accepted one is not")
 {
-    WeightsPlan plan;
-    plan.named(model, 2);
+    WeightsPlan plan(bound);
+    plan.follow(model, history({2}));
     const RunnerTable table = runners_with({1});
     const auto orders = plan.due(table, at(0));
     REQUIRE(orders.size() == 1);
@@ -105,12 +144,10 @@
 
 TEST_CASE("a plan tells which part of the runners has the newest weights")
 {
-    WeightsPlan plan;
-    plan.named(model, 2);
+    WeightsPlan plan(bound);
+    plan.follow(model, history({2}));
     CHECK(plan.changed_part(runners_with({2, 1, 1, 1})) == 0.25);
     CHECK(plan.changed_part(runners_with({2, 2})) == 1);
-    plan.named(model, 1);
-    CHECK(plan.newest(model) == 2);
 }
 
 } // namespace crosslink
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -38,6 +38,9 @@
 constexpr Micros come_back = std::chrono::milliseconds(250);
 /// A fetch must end in this part of the objective; else the prompt is read.
 constexpr double part_for_fetch = 2.0;
+/// A call may wait at its runner before it begins: it is sent to replaced
+/// weights only until so long before they are forbidden.
+constexpr Micros begin_margin = std::chrono::milliseconds(1500);
 /// Surplus answers of earlier calls that are read past.
 constexpr int most_surplus = 3;
 constexpr int first_success = 200;
@@ -122,7 +125,9 @@
 {
     const std::string model =
         m_call.generation ? m_call.generation->model : std::string();
-    m_newest = model.empty() ? 0 : m_state.newest_weights(model);
+    const WeightsHistory weights =
+        model.empty() ? WeightsHistory() : m_state.weights(model);
+    m_newest = weights.newest();
     RunnerQuery query;
     query.service = m_service;
     query.zone = m_state.settings.zone;
@@ -133,6 +138,8 @@
     query.instances = m_state.instance_count();
     query.random = random_bits();
     query.now = monotonic_now();
+    query.least_version = weights.least(
+        m_state.settings.weights_bound() - begin_margin, query.now);
     const auto pick = m_state.runners.with(
         [&query](RunnerTable& table) { return table.choose(query); });
     if (!pick)
--- a/src/serve/forward/forward_settings.cpp
+++ b/src/serve/forward/forward_settings.cpp
@@ -64,6 +64,10 @@
         "Least time between orders of two holders of a duty, ms")
         ->default_val(3000)
         ->check(CLI::Range(1000, 600'000));
+    add(verb, "--weights-ms", settings.weights_ms,
+        "Time in which named weights reach all runners, ms")
+        ->default_val(10'000)
+        ->check(CLI::Range(1000, 3'600'000));
     add(verb, "--retry-ratio", settings.retry_ratio, "Repeats for each call")
         ->default_val(0.2)
         ->check(CLI::Range(0.0, 1.0));
--- a/src/serve/forward/forward_settings.h
+++ b/src/serve/forward/forward_settings.h
@@ -37,6 +37,8 @@
     std::uint64_t lease_ms = 0; ///< Of duties.
     /// Least time between the acts of two holders of a duty.
     std::uint64_t order_spacing_ms = 0;
+    /// Time after which all runners have weights that were named.
+    std::uint64_t weights_ms = 0;
     double retry_ratio = 0;
     double retry_allowance = 0;
     std::uint64_t retry_window_ms = 0;
@@ -48,6 +50,10 @@
     {
         return std::chrono::milliseconds(order_spacing_ms);
     }
+    Micros weights_bound() const
+    {
+        return std::chrono::milliseconds(weights_ms);
+    }
     RetryRules retry_rules() const
     {
         return {retry_ratio, retry_allowance,
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -3,6 +3,7 @@
 
 #include "forward_state.h"
 
+#include <adapters/clock.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
@@ -59,8 +60,7 @@
     void operator()(const WeightsNamed& change)
     {
         m_state.fleet.with([&](FleetView& view) {
-            auto& newest = view.newest_weights[change.model];
-            newest = std::max(newest, change.version);
+            view.weights[change.model].named(change.version, monotonic_now());
         });
         LogLine("weights_named")
             .field("model", change.model)
@@ -146,13 +146,12 @@
     return fleet.with([](FleetView& view) { return view.map; });
 }
 
-std::uint64_t
-ForwardState::newest_weights(std::string_view model)
+WeightsHistory
+ForwardState::weights(std::string_view model)
 {
     return fleet.with([model](FleetView& view) {
-        const auto found = view.newest_weights.find(model);
-        return found == view.newest_weights.end() ? std::uint64_t{0}
-                                                  : found->second;
+        const auto found = view.weights.find(model);
+        return found == view.weights.end() ? WeightsHistory() : found->second;
     });
 }
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -17,6 +17,7 @@
 #include <crosslink/kept/fetch_watch.h>
 #include <crosslink/membership/duty_lease.h>
 #include <crosslink/ports/fleet_feed.h>
+#include <crosslink/weights/weights_plan.h>
 
 #include <atomic>
 #include <cstdint>
@@ -32,7 +33,7 @@
 struct FleetView {
     std::shared_ptr<const ServiceMap> map; ///< Null before the first one.
     bool listed = false; ///< The runners were read at least once.
-    std::map<std::string, std::uint64_t, std::less<>> newest_weights;
+    std::map<std::string, WeightsHistory, std::less<>> weights; ///< By model.
     std::map<std::string, std::string, std::less<>> instances; ///< Addresses.
     std::string steward; ///< Peer address of the duty's holder; or empty.
 };
@@ -77,8 +78,8 @@
     std::atomic<std::uint32_t> open_calls{0};
 
     std::shared_ptr<const ServiceMap> map();
-    /// Returns the newest named version of `model`; 0 where none is known.
-    std::uint64_t newest_weights(std::string_view model);
+    /// Returns the versions of `model` that were named.
+    WeightsHistory weights(std::string_view model);
     /// Returns the number of instances of the fleet, at least 1.
     std::size_t instance_count();
     /// True where calls can be served.
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -46,7 +46,8 @@
 
 } // namespace
 
-Steward::Steward(ForwardState& state) : m_state(state)
+Steward::Steward(ForwardState& state)
+    : m_state(state), m_plan(state.settings.weights_bound())
 {
     m_weights_duty =
         std::make_unique<Duty>("weights", [this] { return weights_round(); });
@@ -134,7 +135,9 @@
 Steward::took_duty()
 {
     LogLine("duty_taken").field("duty", duty_name).field("token", m_last_token);
-    m_plan.with([](WeightsPlan& plan) { plan = WeightsPlan(); });
+    m_plan.with([this](WeightsPlan& plan) {
+        plan = WeightsPlan(m_state.settings.weights_bound());
+    });
     m_kept.with([this](Kept& kept) {
         kept.directory.begin(m_last_token);
         kept.next.clear();
@@ -177,15 +180,15 @@
 {
     if (!acting())
         return holds_duty() ? weights_pause : idle_pause;
-    const auto newest = m_state.fleet.with(
-        [](FleetView& view) { return view.newest_weights; });
+    const auto weights =
+        m_state.fleet.with([](FleetView& view) { return view.weights; });
     const RunnerTable runners =
         m_state.runners.with([](RunnerTable& table) { return table; });
     const TimePoint now = monotonic_now();
     std::vector<WeightsOrder> open;
     const auto due = m_plan.with([&](WeightsPlan& plan) {
-        for (const auto& [model, version] : newest)
-            plan.named(model, version);
+        for (const auto& [model, history] : weights)
+            plan.follow(model, history);
         open = plan.open();
         return plan.due(runners, now);
     });
@@ -377,8 +380,12 @@
 void
 Steward::fleet_changed()
 {
-    const auto [free, newest] = m_state.fleet.with([](FleetView& view) {
-        return std::pair(view.steward.empty(), view.newest_weights);
+    bool free = false;
+    std::map<std::string, std::uint64_t> newest;
+    m_state.fleet.with([&](FleetView& view) {
+        free = view.steward.empty();
+        for (const auto& [model, history] : view.weights)
+            newest[model] = history.newest();
     });
     if (free)
         m_lease_duty->nudge();
--- a/src/serve/forward/steward.h
+++ b/src/serve/forward/steward.h
@@ -72,7 +72,7 @@
 
     ForwardState& m_state;
     std::uint64_t m_last_token = 0;
-    std::map<std::string, std::uint64_t, std::less<>> m_seen_weights;
+    std::map<std::string, std::uint64_t> m_seen_weights;
     Guarded<WeightsPlan> m_plan;
     Guarded<Kept> m_kept;
     Guarded<LoadBoard> m_loads;
