--- a/src/include/crosslink/forward/load_board.h
+++ b/src/include/crosslink/forward/load_board.h
@@ -14,12 +14,6 @@
 namespace crosslink
 {
 
-/// What an instance learns from the holder of the duty.
-struct FleetLoad {
-    std::map<std::string, RunnerLoad> others; ///< By runner, without its own.
-    std::vector<std::string> loading; ///< Runners that were told to load.
-};
-
 /// The load that each instance gives to each runner, as the instances tell it
 /// a few times a second.
 class LoadBoard
--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -7,8 +7,10 @@
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/service_map.h>
 #include <crosslink/kept/kept_part.h>
+#include <crosslink/kept/kept_replica.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -29,13 +31,6 @@
     std::vector<KeptPart> parts;
 };
 
-/// Where the shared parts of a prompt lie.
-struct KeptAnswer {
-    std::string space; ///< Under which the call runs.
-    std::vector<KeptPlace> places; ///< One for each part asked for.
-    RunnerMillis clock = 0;        ///< The runners' clock at the answer.
-};
-
 /// Where each shared part of a prompt lies in the stores, which drop nothing
 /// by themselves. Kept by the one instance that has the duty.
 ///
@@ -54,7 +49,7 @@
     /// Takes over the stores of the configuration.
     void set_stores(std::span<const KeptStoreInfo> stores);
     /// Begins anew, for a holder of the duty with the token `term`.
-    void begin(std::uint64_t term);
+    void begin(std::uint64_t term, TimePoint now);
 
     /// Takes in what a store lists.
     void listed(std::string_view store, const KeptListing& listing,
@@ -70,6 +65,9 @@
     /// over. A save must have ended or failed after `longest`.
     KeptAnswer ask(const KeptSpace& space, std::span<const PromptPart> parts,
                    Micros longest, TimePoint now);
+    /// Returns what changed since `place` of the holder with `term`.
+    KeptUpdate update_since(std::uint64_t term, std::uint64_t place,
+                            TimePoint now) const;
     /// Takes note that the call which was to save `part` never ran.
     void not_saved(const KeptPart& part);
     /// Lets go of the parts whose space `obsolete` says so of, of those asked
@@ -89,9 +87,6 @@
     /// Returns the number of parts that are told as kept.
     std::size_t held() const;
 
-    /// How long an answer holds.
-    static constexpr Micros answer_time = std::chrono::seconds(2);
-
 private:
     enum class State { Saving, Held, LetGo };
     struct Entry {
@@ -110,14 +105,15 @@
         TimePoint write_from{}; ///< Answers on its earlier boot have run out.
         TimePoint listed_at{};
     };
+    using Key = std::pair<std::string, std::string>; ///< Space and id.
     /// A part that may be let go for another one.
     struct Dispensable {
         std::string model;
         std::uint64_t version = 0;
         bool replaced = false; ///< Newer weights have parts already.
+        const Key* key = nullptr;
         Entry* entry = nullptr;
     };
-    using Key = std::pair<std::string, std::string>; ///< Space and id.
     using Parts = std::map<Key, Entry>;
 
     void restarted(const std::string& store, StoreState& state,
@@ -125,7 +121,8 @@
     void take_clock(RunnerMillis clock, TimePoint now);
     void hold(const std::string& store, const KeptPart& part, TimePoint now);
     void drop(Parts::iterator entry);
-    void let_go(Entry& entry, TimePoint now);
+    void note(const Key& key, const Entry& entry);
+    void let_go(const Key& key, Entry& entry, TimePoint now);
     std::string place_for(std::uint32_t tokens, TimePoint now);
     KeptSpace space_of(const KeptSpace& wanted, const PromptPart& last) const;
     KeptPlace ask_part(const KeptPart& part, Micros longest, TimePoint now);
@@ -139,6 +136,9 @@
     std::uint64_t m_term = 0;
     std::set<std::uint64_t> m_terms; ///< Of all parts that are told.
     bool m_full = false; ///< A part found no room.
+    std::deque<KeptEntry> m_history; ///< Changes of what is told.
+    std::uint64_t m_place = 0;       ///< Number of the newest change.
+    TimePoint m_began{};
     RunnerMillis m_clock = 0;
     TimePoint m_clock_at{};
 };
--- a/src/include/crosslink/kept/kept_part.h
+++ b/src/include/crosslink/kept/kept_part.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,6 +17,10 @@
 /// milliseconds. Never compared with any other clock.
 using RunnerMillis = std::uint64_t;
 
+/// How long what the directory of kept parts says holds. Longer than the duty
+/// passes from one holder to the next; shorter than new weights take.
+inline constexpr std::chrono::milliseconds kept_answer_time{3000};
+
 /// What separates kept KV that must not mix: parts are found only under the
 /// same space.
 struct KeptSpace {
--- a/src/libcrosslink/kept/fetch_watch.cpp
+++ b/src/libcrosslink/kept/fetch_watch.cpp
@@ -18,6 +18,9 @@
 /// part of 5,000 tokens is read in about 100 ms, and reading it anew has a
 /// price of its own.
 constexpr double slow_ms = 120;
+/// First events within this time are in time for most calls, however much
+/// faster another store is.
+constexpr double in_time_ms = 350;
 /// Least part of the calls that fetch from a slow store, to see when it is
 /// fast again.
 constexpr double least_part = 0.1;
@@ -51,7 +54,8 @@
     for (const auto& [name, seen] : m_stores)
         if (name != store && now - seen.at <= sample_holds)
             fastest = std::min(fastest.value_or(seen.took_ms), seen.took_ms);
-    if (!fastest || own->second.took_ms <= *fastest + slow_ms)
+    if (!fastest || own->second.took_ms <= in_time_ms ||
+        own->second.took_ms <= *fastest + slow_ms)
         return true;
     const double part = std::max(
         least_part, slow_ms / (own->second.took_ms - *fastest));
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -15,19 +15,25 @@
 constexpr std::uint32_t block_tokens = 16;
 /// Part of a store that is filled; the rest is for saves that broke off.
 constexpr double filled_part = 0.97;
-/// Beyond answer_time: the runners' clock as told here may lag by one answer
+/// Beyond kept_answer_time: the runners' clock as told here may lag by one answer
 /// of a store on its way.
 constexpr Micros clock_slack = std::chrono::milliseconds(500);
 /// A part asked for within this time is not let go for another one.
 constexpr Micros in_use_time = std::chrono::seconds(20);
 /// Part of all room that is let go at once where a store is full. At two
-/// rounds a second, all room is given anew in ten seconds, which is about the
-/// time in which new weights reach all runners.
-constexpr double let_go_part = 0.05;
-/// Part of all room that is kept free, once all runners have new weights,
-/// while there are parts of replaced ones: a part is freed seconds after it was let go, and until then the
+/// rounds a second, all room is given anew in five seconds: half the time in
+/// which new weights reach all runners.
+constexpr double let_go_part = 0.1;
+/// Part of all room that is kept free while there are parts of replaced
+/// weights, at the beginning and what comes to it until all runners changed: a part is freed seconds after it was let go, and until then the
 /// saves of those seconds need room.
-constexpr double reserve_part = 0.4;
+constexpr double first_reserve = 0.25;
+constexpr double later_reserve = 0.35;
+/// Changes that are remembered; an instance asks several times a second.
+constexpr std::size_t most_history = 2000;
+/// A new holder of the duty tells nothing before it listed the stores, or
+/// found them out of reach.
+constexpr Micros learning_time = std::chrono::milliseconds(1500);
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
 
@@ -58,8 +64,11 @@
 }
 
 void
-KeptDirectory::begin(std::uint64_t term)
+KeptDirectory::begin(std::uint64_t term, TimePoint now)
 {
+    m_began = now;
+    m_history.clear();
+    m_place = 0;
     m_parts.clear();
     m_term = term;
     m_terms = {term};
@@ -95,12 +104,15 @@
     if (state.boot != 0 && state.boot != boot) {
         for (auto entry = m_parts.begin(); entry != m_parts.end();) {
             const auto next = std::next(entry);
-            if (entry->second.store == store)
+            if (entry->second.store == store) {
+                entry->second.store.clear();
+                note(entry->first, entry->second);
                 m_parts.erase(entry);
+            }
             entry = next;
         }
         state.used_tokens = 0;
-        state.write_from = now + answer_time + clock_slack;
+        state.write_from = now + kept_answer_time + clock_slack;
     }
     state.boot = boot;
 }
@@ -123,7 +135,50 @@
         entry.tokens = room_of(part.tokens);
         state.used_tokens += entry.tokens;
     }
-    entry.state = State::Held;
+    if (entry.state != State::Held) {
+        entry.state = State::Held;
+        note(place->first, entry);
+    }
+}
+
+/// Takes note of what is told of a part from now on.
+void
+KeptDirectory::note(const Key& key, const Entry& entry)
+{
+    const bool told = entry.state == State::Held;
+    m_history.push_back(
+        {key.first, key.second, told ? entry.store : std::string()});
+    ++m_place;
+    if (m_history.size() > most_history)
+        m_history.pop_front();
+}
+
+KeptUpdate
+KeptDirectory::update_since(std::uint64_t term, std::uint64_t place,
+                            TimePoint now) const
+{
+    KeptUpdate update;
+    const bool all_listed = std::all_of(
+        m_stores.begin(), m_stores.end(),
+        [](const auto& item) { return item.second.boot != 0; });
+    update.ready = m_clock != 0 && (all_listed || now > m_began + learning_time);
+    update.term = m_term;
+    update.place = m_place;
+    update.clock = runner_clock(now);
+    if (!update.ready)
+        return update;
+    const std::uint64_t first = m_place - m_history.size();
+    update.whole = term != m_term || place < first || place > m_place;
+    if (!update.whole) {
+        update.entries.assign(
+            m_history.begin() + static_cast<std::ptrdiff_t>(place - first),
+            m_history.end());
+        return update;
+    }
+    for (const auto& [key, entry] : m_parts)
+        if (entry.state == State::Held)
+            update.entries.push_back({key.first, key.second, entry.store});
+    return update;
 }
 
 void
@@ -134,14 +189,19 @@
         std::uint64_t& used = state->second.used_tokens;
         used -= std::min<std::uint64_t>(used, entry->second.tokens);
     }
+    if (entry->second.state == State::Held) {
+        entry->second.state = State::LetGo;
+        note(entry->first, entry->second);
+    }
     m_parts.erase(entry);
 }
 
 void
-KeptDirectory::let_go(Entry& entry, TimePoint now)
+KeptDirectory::let_go(const Key& key, Entry& entry, TimePoint now)
 {
     entry.state = State::LetGo;
-    entry.due = now + answer_time + clock_slack;
+    note(key, entry);
+    entry.due = now + kept_answer_time + clock_slack;
     entry.told_free = false;
 }
 
@@ -177,7 +237,7 @@
         }
         const bool ended = added || now >= entry.due;
         if (entry.store == found->first && entry.state != State::LetGo && ended)
-            let_go(entry, now);
+            let_go(place->first, entry, now);
     }
     for (auto entry = m_parts.begin(); entry != m_parts.end();) {
         const auto next = std::next(entry);
@@ -230,10 +290,9 @@
     if (entry.state != State::Held || state == m_stores.end() ||
         !state->second.reachable || m_clock == 0)
         return {};
-    const auto span =
-        std::chrono::duration_cast<std::chrono::milliseconds>(answer_time);
     return {KeptPlace::Kind::Fetch, entry.store,
-            runner_clock(now) + static_cast<RunnerMillis>(span.count())};
+            runner_clock(now) +
+                static_cast<RunnerMillis>(kept_answer_time.count())};
 }
 
 std::string
@@ -342,7 +401,7 @@
             continue;
         auto& version = newest[space->model];
         version = std::max(version, space->version);
-        result.push_back({space->model, space->version, false, &entry});
+        result.push_back({space->model, space->version, false, &key, &entry});
     }
     for (Dispensable& item : result)
         item.replaced = item.version < newest[item.model];
@@ -377,7 +436,8 @@
 void
 KeptDirectory::make_room(double changed_part, TimePoint now)
 {
-    const bool low = free_part() < reserve_part * changed_part;
+    const bool low =
+        free_part() < first_reserve + later_reserve * changed_part;
     if (!m_full && !low)
         return;
     double wanted = 0;
@@ -387,7 +447,7 @@
         if (wanted <= 0 || (!m_full && !item.replaced))
             break;
         wanted -= item.entry->tokens;
-        let_go(*item.entry, now);
+        let_go(*item.key, *item.entry, now);
     }
     m_full = false;
 }
@@ -402,7 +462,7 @@
         if (entry.state == State::Held) {
             const auto space = KeptSpace::parse(key.first);
             if (!space || obsolete(*space))
-                let_go(entry, now);
+                let_go(key, entry, now);
         }
         if (entry.state != State::LetGo || entry.told_free || now < entry.due)
             continue;
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -19,10 +19,13 @@
 /// Most of the runners that load at once, however little time is left.
 constexpr double most_at_once = 0.4;
 /// Time of one order: runs end, then the weights are loaded. Measured at 1.1
-/// to 2.6 s.
-constexpr Micros order_time = std::chrono::milliseconds(1900);
-/// All runners should be done so long before the bound.
-constexpr Micros finish_margin = std::chrono::milliseconds(2500);
+/// to 2.6 s, mostly 1.6 s.
+constexpr Micros order_time = std::chrono::milliseconds(1600);
+/// So long before the bound nothing is sent to the oldest weights any more;
+/// then this part of the runners that have them should be done. The rest
+/// loads without calls.
+constexpr Micros finish_margin = std::chrono::milliseconds(1500);
+constexpr double done_part = 0.55;
 constexpr double least_left_s = 0.5;
 /// An order whose runner says neither that it is busy nor that it is done is
 /// given again after this time; one that is under way ends by itself.
@@ -97,7 +100,8 @@
         const TimePoint end =
             *history.replaced_at(version) + m_bound - finish_margin;
         const double left = std::max(seconds(end - now), least_left_s);
-        needed = std::max(needed, before * seconds(order_time) / left);
+        needed = std::max(needed,
+                          done_part * before * seconds(order_time) / left);
     }
     const double usual = std::max(1.0, part_at_once * all);
     const double most = std::max(1.0, most_at_once * all);
--- /dev/null
+++ b/src/serve/forward/exchange.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/forward/runner_table.h>
+#include <crosslink/kept/kept_replica.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+/// What an instance tells the holder of the duty a few times a second.
+struct ExchangeQuestion {
+    std::string instance;
+    std::map<std::string, RunnerLoad> load; ///< That it gives to runners.
+    std::uint64_t kept_term = 0;  ///< Position of its copy of the directory.
+    std::uint64_t kept_place = 0;
+};
+
+/// What it learns in return.
+struct ExchangeAnswer {
+    std::map<std::string, RunnerLoad> others; ///< Of all other instances.
+    std::vector<std::string> loading; ///< Runners that were told to load.
+    KeptUpdate kept;
+};
+
+} // namespace crosslink
--- a/src/serve/forward/load_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright Contributors to the crosslink project.
 
-#include "load_duty.h"
+#include "exchange_duty.h"
 
 #include <adapters/clock.h>
 
@@ -9,6 +9,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <tuple>
+
 namespace crosslink
 {
 
@@ -24,32 +26,39 @@
 
 } // namespace
 
-LoadDuty::LoadDuty(ForwardState& state, StewardLink& steward)
-    : m_state(state), m_steward(steward), m_duty("load", [this] {
+ExchangeDuty::ExchangeDuty(ForwardState& state, StewardLink& steward)
+    : m_state(state), m_steward(steward), m_duty("exchange", [this] {
           return round();
       })
 {
 }
 
 Micros
-LoadDuty::round()
+ExchangeDuty::round()
 {
-    const auto own = m_state.runners.with(
+    ExchangeQuestion question;
+    question.instance = m_state.settings.name;
+    question.load = m_state.runners.with(
         [](RunnerTable& table) { return table.own_load(); });
+    std::tie(question.kept_term, question.kept_place) = m_state.kept.with(
+        [](KeptReplica& replica) { return replica.position(); });
+    const TimePoint asked = monotonic_now();
     try {
-        const FleetLoad load = m_steward.with([&](auto& steward) {
-            return steward.exchange_load(m_state.settings.name, own);
-        });
+        const ExchangeAnswer answer = m_steward.with(
+            [&](auto& steward) { return steward.exchange(question); });
         const TimePoint now = monotonic_now();
         m_state.runners.with([&](RunnerTable& table) {
-            table.others_told(load.others, now);
-            for (const std::string& runner : load.loading)
+            table.others_told(answer.others, now);
+            for (const std::string& runner : answer.loading)
                 table.refused(runner, now, loading_hold);
         });
+        m_state.kept.with([&](KeptReplica& replica) {
+            replica.take(answer.kept, asked);
+        });
         return exchange_pause;
     } catch (const Error& failure) {
         // Without the duty's holder the own load is all that is known.
-        spdlog::debug("load exchange: {}", failure.what());
+        spdlog::debug("exchange: {}", failure.what());
         return after_failure;
     }
 }
--- a/src/serve/forward/load_duty.h
+++ b/src/serve/forward/exchange_duty.h
@@ -11,12 +11,13 @@
 namespace crosslink
 {
 
-/// Tells the load that this instance gives to runners, and learns that of
-/// the others and which runners load new weights.
-class LoadDuty
+/// Tells the holder of the duty which load this instance gives to runners.
+/// Learns that of the others, which runners load new weights, and where parts
+/// of prompts are kept.
+class ExchangeDuty
 {
 public:
-    LoadDuty(ForwardState& state, StewardLink& steward);
+    ExchangeDuty(ForwardState& state, StewardLink& steward);
 
 private:
     Micros round();
--- a/src/serve/forward/fleet_calls.cpp
+++ b/src/serve/forward/fleet_calls.cpp
@@ -16,7 +16,7 @@
 
 constexpr const char* ask_kept_method = "ask_kept";
 constexpr const char* not_saved_method = "not_saved";
-constexpr const char* exchange_load_method = "exchange_load";
+constexpr const char* exchange_method = "exchange";
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
 constexpr int server_threads = 64;
@@ -121,24 +121,79 @@
 }
 
 Json::Value
-fleet_load_to_json(const FleetLoad& load)
+update_to_json(const KeptUpdate& update)
 {
     Json::Value value;
-    value["others"] = load_to_json(load.others);
+    value["ready"] = update.ready;
+    value["term"] = Json::UInt64(update.term);
+    value["place"] = Json::UInt64(update.place);
+    value["whole"] = update.whole;
+    value["clock"] = Json::UInt64(update.clock);
+    value["entries"] = Json::Value(Json::arrayValue);
+    for (const KeptEntry& entry : update.entries) {
+        Json::Value row(Json::arrayValue);
+        row.append(entry.space);
+        row.append(entry.id);
+        row.append(entry.store);
+        value["entries"].append(row);
+    }
+    return value;
+}
+
+KeptUpdate
+update_from_json(const Json::Value& value)
+{
+    KeptUpdate update;
+    update.ready = json_flag(value, "ready");
+    update.term = json_number(value, "term");
+    update.place = json_number(value, "place");
+    update.whole = json_flag(value, "whole");
+    update.clock = json_number(value, "clock");
+    for (const Json::Value& row : value["entries"])
+        update.entries.push_back(
+            {row[0].asString(), row[1].asString(), row[2].asString()});
+    return update;
+}
+
+Json::Value
+question_to_json(const ExchangeQuestion& question)
+{
+    Json::Value value;
+    value["instance"] = question.instance;
+    value["load"] = load_to_json(question.load);
+    value["kept_term"] = Json::UInt64(question.kept_term);
+    value["kept_place"] = Json::UInt64(question.kept_place);
+    return value;
+}
+
+ExchangeQuestion
+question_from_json(const Json::Value& value)
+{
+    return {json_string(value, "instance"), load_from_json(value["load"]),
+            json_number(value, "kept_term"), json_number(value, "kept_place")};
+}
+
+Json::Value
+answer_to_json(const ExchangeAnswer& answer)
+{
+    Json::Value value;
+    value["others"] = load_to_json(answer.others);
     value["loading"] = Json::Value(Json::arrayValue);
-    for (const std::string& runner : load.loading)
+    for (const std::string& runner : answer.loading)
         value["loading"].append(runner);
+    value["kept"] = update_to_json(answer.kept);
     return value;
 }
 
-FleetLoad
-fleet_load_from_json(const Json::Value& value)
+ExchangeAnswer
+exchange_answer_from_json(const Json::Value& value)
 {
-    FleetLoad load;
-    load.others = load_from_json(value["others"]);
+    ExchangeAnswer answer;
+    answer.others = load_from_json(value["others"]);
     for (const Json::Value& runner : value["loading"])
-        load.loading.push_back(runner.asString());
-    return load;
+        answer.loading.push_back(runner.asString());
+    answer.kept = update_from_json(value["kept"]);
+    return answer;
 }
 
 } // namespace
@@ -158,10 +213,9 @@
                           parts_from_json(parameters));
         return Json::Value(Json::objectValue);
     });
-    m_rpc->add(exchange_load_method, [&steward](const Json::Value& parameters) {
-        return fleet_load_to_json(
-            steward.exchange_load(json_string(parameters, "instance"),
-                                  load_from_json(parameters["load"])));
+    m_rpc->add(exchange_method, [&steward](const Json::Value& parameters) {
+        return answer_to_json(
+            steward.exchange(question_from_json(parameters)));
     });
     HttpServerRules rules;
     rules.most_threads = server_threads;
@@ -222,14 +276,11 @@
     call(not_saved_method, question_to_json(space, parts));
 }
 
-FleetLoad
-FleetClient::exchange_load(const std::string& instance,
-                           const std::map<std::string, RunnerLoad>& own)
+ExchangeAnswer
+FleetClient::exchange(const ExchangeQuestion& question)
 {
-    Json::Value parameters;
-    parameters["instance"] = instance;
-    parameters["load"] = load_to_json(own);
-    return fleet_load_from_json(call(exchange_load_method, parameters));
+    return exchange_answer_from_json(
+        call(exchange_method, question_to_json(question)));
 }
 
 } // namespace crosslink
--- a/src/serve/forward/fleet_calls.h
+++ b/src/serve/forward/fleet_calls.h
@@ -41,9 +41,8 @@
                         std::span<const PromptPart> parts, Micros longest);
     /// See Steward::not_saved().
     void not_saved(const std::string& space, std::span<const PromptPart> parts);
-    /// See Steward::exchange_load().
-    FleetLoad exchange_load(const std::string& instance,
-                            const std::map<std::string, RunnerLoad>& own);
+    /// See Steward::exchange().
+    ExchangeAnswer exchange(const ExchangeQuestion& question);
 
 private:
     Json::Value call(const char* method, const Json::Value& parameters);
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -31,7 +31,7 @@
     : m_state(settings, ports), m_steward(m_state), m_steward_link(m_state, m_steward),
       m_kept(m_state, m_steward_link),
       m_path(m_state, m_kept), m_fleet(m_state, m_steward), m_feed(m_state, m_steward),
-      m_load(m_state, m_steward_link),
+      m_exchange(m_state, m_steward_link),
       m_server(m_state, m_path)
 {
 }
--- a/src/serve/forward/forward_instance.h
+++ b/src/serve/forward/forward_instance.h
@@ -9,7 +9,7 @@
 #include "forward_server.h"
 #include "forward_state.h"
 #include "kept_asker.h"
-#include "load_duty.h"
+#include "exchange_duty.h"
 #include "steward.h"
 
 #include <functional>
@@ -38,7 +38,7 @@
     ForwardPath m_path;
     FleetServer m_fleet;
     FeedDuty m_feed;
-    LoadDuty m_load;
+    ExchangeDuty m_exchange;
     ForwardServer m_server;
 };
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -15,6 +15,7 @@
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/forward/service_map.h>
 #include <crosslink/kept/fetch_watch.h>
+#include <crosslink/kept/kept_replica.h>
 #include <crosslink/membership/duty_lease.h>
 #include <crosslink/ports/fleet_feed.h>
 #include <crosslink/weights/weights_plan.h>
@@ -71,6 +72,7 @@
     Guarded<RunnerTable> runners;
     Guarded<RetryWindow> retries;
     Guarded<FetchWatch> fetches;
+    Guarded<KeptReplica> kept;
     Guarded<DutyLease> steward_lease;
     CallConnections connections;
     ForwardCounters counters;
--- a/src/serve/forward/kept_asker.cpp
+++ b/src/serve/forward/kept_asker.cpp
@@ -19,19 +19,6 @@
 /// Pause after a question that failed: calls must not wait for a holder of
 /// the duty that is gone.
 constexpr Micros after_failure = std::chrono::milliseconds(400);
-/// A remembered place is used only while it holds for this long, so that a
-/// fetch has time to end.
-constexpr RunnerMillis least_left_ms = 500;
-/// Remembered places; about 200 bytes each.
-constexpr std::size_t most_remembered = 20'000;
-
-RunnerMillis
-clock_now(RunnerMillis clock, TimePoint at, TimePoint now)
-{
-    const auto since =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - at);
-    return clock + static_cast<RunnerMillis>(since.count());
-}
 
 } // namespace
 
@@ -40,62 +27,23 @@
 {
 }
 
-std::optional<KeptAnswer>
-KeptAsker::remembered(const Key& key)
-{
-    return m_memory.with([&](Memory& memory) -> std::optional<KeptAnswer> {
-        const auto found = memory.answers.find(key);
-        if (found == memory.answers.end())
-            return std::nullopt;
-        KeptAnswer answer = found->second;
-        answer.clock =
-            clock_now(memory.clock, memory.clock_at, monotonic_now());
-        const bool holds = std::all_of(
-            answer.places.begin(), answer.places.end(),
-            [&answer](const KeptPlace& place) {
-                return place.until >= answer.clock + least_left_ms;
-            });
-        if (holds)
-            return answer;
-        memory.answers.erase(found);
-        return std::nullopt;
-    });
-}
-
-void
-KeptAsker::remember(const Key& key, const KeptAnswer& answer, TimePoint asked)
-{
-    const bool all_kept = std::all_of(
-        answer.places.begin(), answer.places.end(), [](const KeptPlace& place) {
-            return place.kind == KeptPlace::Kind::Fetch;
-        });
-    m_memory.with([&](Memory& memory) {
-        // Counted from the question on, the clock is never told too early.
-        memory.clock = answer.clock;
-        memory.clock_at = asked;
-        if (memory.answers.size() > most_remembered)
-            memory.answers.clear();
-        if (all_kept)
-            memory.answers[key] = answer;
-    });
-}
-
 KeptAnswer
 KeptAsker::ask(const KeptSpace& space, std::span<const PromptPart> parts,
                Micros longest)
 {
-    const Key key{space.text(), parts.back().id};
-    if (auto answer = remembered(key))
+    const TimePoint now = monotonic_now();
+    const auto find = [&](bool best_effort) {
+        return m_state.kept.with([&](KeptReplica& replica) {
+            return replica.find(space, parts, best_effort, now);
+        });
+    };
+    if (auto answer = find(false))
         return *answer;
-    const TimePoint asked = monotonic_now();
-    const bool pausing = m_memory.with(
-        [asked](Memory& memory) { return asked < memory.ask_again; });
-    if (!pausing) {
-        if (auto answer = ask_steward(space, parts, longest, asked)) {
-            remember(key, *answer, asked);
+    if (now >= m_ask_again.load())
+        if (auto answer = ask_steward(space, parts, longest, now))
             return *answer;
-        }
-    }
+    if (auto answer = find(true))
+        return *answer;
     KeptAnswer nothing;
     nothing.space = space.text();
     nothing.places.resize(parts.size());
@@ -115,8 +63,7 @@
         return answer;
     } catch (const Error& failure) {
         LogLine("kept_question_failed").field("error", failure.what());
-        m_memory.with(
-            [&](Memory& memory) { memory.ask_again = asked + after_failure; });
+        m_ask_again = asked + after_failure;
         return std::nullopt;
     }
 }
--- a/src/serve/forward/kept_asker.h
+++ b/src/serve/forward/kept_asker.h
@@ -6,7 +6,7 @@
 #include "forward_state.h"
 #include "steward_link.h"
 
-#include <map>
+#include <atomic>
 #include <optional>
 #include <span>
 #include <string>
@@ -15,8 +15,9 @@
 namespace crosslink
 {
 
-/// Learns where the parts of a prompt lie: from its own memory while that
-/// holds, else from the instance that has the duty. Safe for many threads.
+/// Learns where the parts of a prompt lie: from this instance's copy of the
+/// directory, or from the instance that has the duty where it may be that
+/// this call should save some. Safe for many threads.
 class KeptAsker
 {
 public:
@@ -31,23 +32,14 @@
                    std::span<const KeptPlace> places);
 
 private:
-    using Key = std::pair<std::string, std::string>; ///< Space, last part.
-    struct Memory {
-        std::map<Key, KeptAnswer> answers; ///< With all parts kept.
-        RunnerMillis clock = 0;
-        TimePoint clock_at{};
-        TimePoint ask_again{}; ///< Nobody is asked before.
-    };
-
-    std::optional<KeptAnswer> remembered(const Key& key);
-    void remember(const Key& key, const KeptAnswer& answer, TimePoint asked);
     std::optional<KeptAnswer> ask_steward(const KeptSpace& space,
                                           std::span<const PromptPart> parts,
                                           Micros longest, TimePoint asked);
 
     ForwardState& m_state;
     StewardLink& m_steward;
-    Guarded<Memory> m_memory;
+    /// Nobody is asked before.
+    std::atomic<TimePoint> m_ask_again{TimePoint{}};
 };
 
 } // namespace crosslink
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -139,7 +139,7 @@
         plan = WeightsPlan(m_state.settings.weights_bound());
     });
     m_kept.with([this](Kept& kept) {
-        kept.directory.begin(m_last_token);
+        kept.directory.begin(m_last_token, monotonic_now());
         kept.next.clear();
     });
 }
@@ -349,23 +349,26 @@
     });
 }
 
-FleetLoad
-Steward::exchange_load(const std::string& instance,
-                       const std::map<std::string, RunnerLoad>& own)
+ExchangeAnswer
+Steward::exchange(const ExchangeQuestion& question)
 {
     if (!holds_duty())
         throw Error(ErrorCode::LeaseLost, "another instance has the duty");
-    FleetLoad load;
-    load.others = m_loads.with([&](LoadBoard& board) {
-        const TimePoint now = monotonic_now();
-        board.told(instance, own, now);
-        return board.others(instance, now);
+    const TimePoint now = monotonic_now();
+    ExchangeAnswer answer;
+    answer.others = m_loads.with([&](LoadBoard& board) {
+        board.told(question.instance, question.load, now);
+        return board.others(question.instance, now);
     });
-    m_plan.with([&load](WeightsPlan& plan) {
+    m_plan.with([&answer](WeightsPlan& plan) {
         for (const WeightsOrder& order : plan.open())
-            load.loading.push_back(order.runner);
+            answer.loading.push_back(order.runner);
+    });
+    answer.kept = m_kept.with([&](Kept& kept) {
+        return kept.directory.update_since(question.kept_term,
+                                           question.kept_place, now);
     });
-    return load;
+    return answer;
 }
 
 void
--- a/src/serve/forward/steward.h
+++ b/src/serve/forward/steward.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "exchange.h"
 #include "forward_state.h"
 
 #include <serve/duty.h>
@@ -42,10 +43,9 @@
     /// Takes note of parts that were told to be saved by a call that did not
     /// run.
     void not_saved(const std::string& space, std::span<const PromptPart> parts);
-    /// Takes in the load that `instance` gives to runners, and returns that of
-    /// all others. Throws Error(LeaseLost).
-    FleetLoad exchange_load(const std::string& instance,
-                            const std::map<std::string, RunnerLoad>& own);
+    /// Takes in what an instance tells of itself, and returns what it needs to
+    /// know of the fleet. Throws Error(LeaseLost).
+    ExchangeAnswer exchange(const ExchangeQuestion& question);
     /// Looks at once at what the platform told anew.
     void fleet_changed();
     /// Gives the duty back, at a planned stop.
