--- /dev/null
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/runner_table.h>
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr const char* model = "m";
+
+ListedRunner
+runner(const std::string& id, const std::string& zone,
+       std::uint64_t version = 1)
+{
+    ListedRunner listed;
+    listed.id = id;
+    listed.service = "s";
+    listed.address = "127.0.0.1:1";
+    listed.zone = zone;
+    listed.slots = 64;
+    listed.models = {{model, version}};
+    return listed;
+}
+
+TimePoint
+at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+RunnerQuery
+query(int millis = 0)
+{
+    RunnerQuery query;
+    query.service = "s";
+    query.zone = "a";
+    query.model = model;
+    query.newest_version = 1;
+    query.now = at(millis);
+    return query;
+}
+
+std::string
+chosen(const RunnerTable& table, const RunnerQuery& asked)
+{
+    const auto pick = table.choose(asked);
+    return pick ? pick->id : "";
+}
+
+} // namespace
+
+TEST_CASE("a leaving runner, another service's and a tried one get nothing")
+{
+    RunnerTable table;
+    CHECK(chosen(table, query()).empty());
+    ListedRunner leaving = runner("r1", "a");
+    leaving.leaving = true;
+    table.put(leaving);
+    ListedRunner other = runner("r2", "a");
+    other.service = "t";
+    table.put(other);
+    CHECK(chosen(table, query()).empty());
+    table.put(runner("r3", "a"));
+    CHECK(chosen(table, query()) == "r3");
+    RunnerQuery again = query();
+    const std::set<std::string> avoid{"r3"};
+    again.avoid = &avoid;
+    CHECK(chosen(table, again).empty());
+}
+
+TEST_CASE("the own zone is preferred until its runners are loaded")
+{
+    RunnerTable table;
+    table.put(runner("near", "a"));
+    table.put(runner("far", "b"));
+    CHECK(chosen(table, query()) == "near");
+    table.sent("near", 9000);
+    CHECK(chosen(table, query()) == "far");
+    table.prompt_read("near", 9000);
+    CHECK(chosen(table, query()) == "near");
+    table.ended("near");
+    CHECK(table.entries().at("near").own.calls == 0);
+}
+
+TEST_CASE("the load of other instances counts while it is fresh")
+{
+    RunnerTable table;
+    table.put(runner("near", "a"));
+    table.put(runner("far", "b"));
+    table.others_told({{"near", {3, 20'000}}}, at(0));
+    CHECK(chosen(table, query(100)) == "far");
+    CHECK(chosen(table, query(5000)) == "near");
+}
+
+TEST_CASE("newer weights are preferred, and older ones end by their bound")
+{
+    RunnerTable table;
+    table.put(runner("old", "a", 1));
+    table.put(runner("new", "a", 2));
+    RunnerQuery asked = query();
+    asked.newest_version = 2;
+    CHECK(chosen(table, asked) == "new");
+    table.sent("new", 50'000);
+    CHECK(chosen(table, asked) == "old");
+    asked.least_version = 2;
+    CHECK(chosen(table, asked) == "new");
+}
+
+TEST_CASE("where most runners could not change, older weights go on serving")
+{
+    RunnerTable table;
+    table.put(runner("o1", "a", 1));
+    table.put(runner("o2", "a", 1));
+    table.put(runner("new", "a", 2));
+    table.sent("new", 50'000);
+    RunnerQuery asked = query();
+    asked.newest_version = 2;
+    asked.least_version = 2;
+    CHECK(chosen(table, asked) != "new");
+}
+
+TEST_CASE("a failing runner is left alone for a time that grows")
+{
+    RunnerTable table;
+    table.put(runner("r", "a"));
+    table.failed("r", at(0));
+    CHECK(chosen(table, query(100)).empty());
+    CHECK(chosen(table, query(600)) == "r");
+    table.failed("r", at(600));
+    CHECK(chosen(table, query(1200)).empty());
+    CHECK(chosen(table, query(1700)) == "r");
+    table.refused("r", at(2000), std::chrono::milliseconds(50));
+    CHECK(chosen(table, query(2010)).empty());
+}
+
+TEST_CASE("a late list does not bring older weights back")
+{
+    RunnerTable table;
+    table.put(runner("r", "a", 1));
+    table.has_version("r", model, 2);
+    table.put(runner("r", "a", 1));
+    CHECK(table.choose(query())->version == 2);
+}
+
+TEST_CASE("a whole list drops those that it does not name")
+{
+    RunnerTable table;
+    table.put(runner("r1", "a"));
+    table.put(runner("r2", "a"));
+    const std::vector<ListedRunner> list{runner("r2", "a")};
+    table.sync(list);
+    CHECK(table.entries().size() == 1);
+    table.remove("r2");
+    table.remove("r2");
+    CHECK(table.entries().empty());
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/kept/kept_directory_test.cpp
@@ -0,0 +1,332 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/kept/kept_directory.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr const char* fast = "127.0.0.1:1";
+constexpr const char* big = "127.0.0.1:2";
+constexpr Micros call_time = std::chrono::seconds(4);
+
+TimePoint
+at(std::int64_t millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+KeptStoreInfo
+store(const std::string& address, std::uint64_t tokens, double speed)
+{
+    KeptStoreInfo info;
+    info.address = address;
+    info.capacity_tokens = tokens;
+    info.link_bytes_per_second = speed;
+    info.managed = true;
+    return info;
+}
+
+KeptSpace
+space(std::uint64_t version = 1, const std::string& wall = "")
+{
+    return {wall, "m", version, 0};
+}
+
+KeptListing
+empty_listing(std::uint64_t boot, RunnerMillis clock)
+{
+    KeptListing listing;
+    listing.boot = boot;
+    listing.next = 1;
+    listing.clock = clock;
+    return listing;
+}
+
+KeptDirectory
+directory_with_stores(std::uint64_t term = 7)
+{
+    KeptDirectory directory;
+    const std::vector<KeptStoreInfo> stores{store(fast, 1600, 100),
+                                            store(big, 16'000, 10)};
+    directory.set_stores(stores);
+    directory.begin(term, at(0));
+    directory.listed(fast, empty_listing(1, 1000), at(0));
+    directory.listed(big, empty_listing(1, 1000), at(0));
+    return directory;
+}
+
+KeptAnswer
+ask(KeptDirectory& directory, const std::string& id, std::int64_t now,
+    const KeptSpace& wanted = space())
+{
+    const std::vector<PromptPart> parts{{id, 160}};
+    return directory.ask(wanted, parts, call_time, at(now));
+}
+
+KeptChanges
+stored(const std::string& space_text, const std::string& id,
+       RunnerMillis clock)
+{
+    KeptChanges changes;
+    changes.boot = 1;
+    changes.next = 2;
+    changes.clock = clock;
+    changes.changes.push_back({{space_text, id, 160}, true});
+    return changes;
+}
+
+const auto never = [](const KeptSpace&) { return false; };
+
+} // namespace
+
+TEST_CASE("one call saves a part, and others read it until it is whole")
+{
+    KeptDirectory directory = directory_with_stores();
+    const KeptAnswer first = ask(directory, "p", 0);
+    REQUIRE(first.places.size() == 1);
+    CHECK(first.places[0].kind == KeptPlace::Kind::Save);
+    CHECK(ask(directory, "p", 10).places[0].kind == KeptPlace::Kind::None);
+    directory.changed(first.places[0].store, stored(first.space, "p", 1100),
+                      at(100));
+    const KeptAnswer later = ask(directory, "p", 110);
+    CHECK(later.places[0].kind == KeptPlace::Kind::Fetch);
+    CHECK(later.places[0].store == first.places[0].store);
+    CHECK(later.places[0].until > later.clock);
+}
+
+TEST_CASE("a save that never ran is told to another call")
+{
+    KeptDirectory directory = directory_with_stores();
+    const KeptAnswer first = ask(directory, "p", 0);
+    directory.not_saved({first.space, "p", 160});
+    CHECK(ask(directory, "p", 10).places[0].kind == KeptPlace::Kind::Save);
+}
+
+TEST_CASE("a new holder saves under another space and tells what it found")
+{
+    KeptDirectory directory = directory_with_stores(7);
+    const KeptAnswer old = ask(directory, "p", 0);
+    KeptListing listing = empty_listing(1, 2000);
+    listing.whole.push_back({old.space, "p", 160});
+    directory.begin(9, at(1000));
+    directory.listed(fast, listing, at(1000));
+    directory.listed(big, empty_listing(1, 2000), at(1000));
+    const KeptAnswer kept = ask(directory, "p", 1100);
+    CHECK(kept.space == old.space);
+    CHECK(kept.places[0].kind == KeptPlace::Kind::Fetch);
+    const KeptAnswer fresh = ask(directory, "q", 1100);
+    CHECK(fresh.space != old.space);
+    CHECK(fresh.places[0].kind == KeptPlace::Kind::Save);
+}
+
+TEST_CASE("parts of other weights and of other walls are never told")
+{
+    KeptDirectory directory = directory_with_stores();
+    const KeptAnswer first = ask(directory, "p", 0);
+    directory.changed(first.places[0].store, stored(first.space, "p", 1100),
+                      at(100));
+    CHECK(ask(directory, "p", 110, space(2)).places[0].kind !=
+          KeptPlace::Kind::Fetch);
+    CHECK(ask(directory, "p", 110, space(1, "alone")).places[0].kind !=
+          KeptPlace::Kind::Fetch);
+}
+
+TEST_CASE("a part is freed only after all that was told has run out")
+{
+    KeptDirectory directory = directory_with_stores();
+    const KeptAnswer first = ask(directory, "p", 0);
+    directory.changed(first.places[0].store, stored(first.space, "p", 1100),
+                      at(100));
+    const KeptAnswer told = ask(directory, "p", 200);
+    REQUIRE(told.places[0].kind == KeptPlace::Kind::Fetch);
+    const auto all = [](const KeptSpace&) { return true; };
+    CHECK(directory.due(all, 1, at(200)).empty());
+    CHECK(ask(directory, "p", 210).places[0].kind == KeptPlace::Kind::None);
+    const std::int64_t holds = 200 + kept_answer_time.count();
+    CHECK(directory.due(never, 1, at(holds)).empty());
+    const auto frees = directory.due(never, 1, at(holds + 1000));
+    REQUIRE(frees.size() == 1);
+    CHECK(frees[0].parts.size() == 1);
+    CHECK(frees[0].boot == 1);
+}
+
+TEST_CASE("a store that started anew is not written to while answers hold")
+{
+    KeptDirectory directory = directory_with_stores();
+    directory.listed(fast, empty_listing(2, 1500), at(500));
+    directory.listed(big, empty_listing(2, 1500), at(500));
+    CHECK(ask(directory, "p", 600).places[0].kind == KeptPlace::Kind::None);
+    const std::int64_t later = 500 + kept_answer_time.count() + 600;
+    CHECK(ask(directory, "p", later).places[0].kind == KeptPlace::Kind::Save);
+}
+
+TEST_CASE("a save that broke off is freed, and its part is saved anew later")
+{
+    KeptDirectory directory = directory_with_stores();
+    const KeptAnswer first = ask(directory, "p", 0);
+    const std::string where = first.places[0].store;
+    CHECK_FALSE(directory.wants_listing(where, at(3500)));
+    CHECK(directory.wants_listing(where, at(5000)));
+    KeptListing listing = empty_listing(1, 6000);
+    listing.broken.push_back({first.space, "p", 160});
+    directory.listed(where, listing, at(5000));
+    CHECK(ask(directory, "p", 5010).places[0].kind == KeptPlace::Kind::None);
+    const auto frees = directory.due(never, 1, at(9000));
+    REQUIRE(frees.size() == 1);
+    directory.listed(where, empty_listing(1, 10'100), at(9100));
+    CHECK(ask(directory, "p", 9200).places[0].kind == KeptPlace::Kind::Save);
+}
+
+TEST_CASE("a copy says what the directory says, for as long as it holds")
+{
+    KeptDirectory directory = directory_with_stores();
+    const KeptAnswer first = ask(directory, "p", 0);
+    directory.changed(first.places[0].store, stored(first.space, "p", 1100),
+                      at(100));
+    KeptReplica replica;
+    replica.take(directory.update_since(0, 0, at(200)), at(200));
+    const std::vector<PromptPart> parts{{"p", 160}};
+    const auto found = replica.find(space(), parts, false, at(210));
+    REQUIRE(found);
+    CHECK(found->places[0].kind == KeptPlace::Kind::Fetch);
+    CHECK(found->space == first.space);
+    CHECK_FALSE(replica.find(space(2), parts, true, at(210)));
+    CHECK_FALSE(replica.find(space(), parts, true,
+                             at(200 + kept_answer_time.count())));
+    directory.due([](const KeptSpace&) { return true; }, 1, at(300));
+    const auto [term, place] = replica.position();
+    replica.take(directory.update_since(term, place, at(310)), at(310));
+    CHECK_FALSE(replica.find(space(), parts, false, at(320)));
+}
+
+namespace
+{
+
+/// Stores as they really are, with calls that save and fetch, for the random
+/// runs below. It reports a fetch of a part that is not whole.
+class World
+{
+public:
+    explicit World(KeptDirectory& directory) : m_directory(directory) {}
+
+    void call(const std::string& id, std::int64_t now, std::int64_t length)
+    {
+        const KeptAnswer answer = ask(m_directory, id, now);
+        const KeptPlace& place = answer.places[0];
+        const Key key{place.store, answer.space, id};
+        if (place.kind == KeptPlace::Kind::Save) {
+            RC_ASSERT(!m_writing.contains(key));
+            RC_ASSERT(!m_whole.contains(key));
+            m_writing[key] = now + length;
+        } else if (place.kind == KeptPlace::Kind::Fetch) {
+            m_fetches.push_back({key, static_cast<std::int64_t>(place.until)});
+        }
+    }
+
+    void advance(std::int64_t now, bool tell)
+    {
+        for (auto item = m_writing.begin(); item != m_writing.end();) {
+            if (now < item->second) {
+                ++item;
+                continue;
+            }
+            const auto& [where, text, id] = item->first;
+            m_whole.insert(item->first);
+            if (tell)
+                m_directory.changed(
+                    where, stored(text, id, clock(now)), at(now));
+            item = m_writing.erase(item);
+        }
+        std::erase_if(m_fetches, [&](const Fetch& fetch) {
+            return static_cast<std::int64_t>(clock(now)) > fetch.until;
+        });
+    }
+
+    void free_due(std::int64_t now)
+    {
+        for (const KeptFree& free : m_directory.due(never, 1, at(now)))
+            for (const KeptPart& part : free.parts) {
+                const Key key{free.store, part.space, part.id};
+                for (const Fetch& fetch : m_fetches)
+                    RC_ASSERT(fetch.key != key);
+                RC_ASSERT(!m_writing.contains(key));
+                m_whole.erase(key);
+            }
+    }
+
+    void list(const std::string& where, std::int64_t now)
+    {
+        KeptListing listing = empty_listing(1, clock(now));
+        for (const auto& [place, text, id] : m_whole)
+            if (place == where)
+                listing.whole.push_back({text, id, 160});
+        m_directory.listed(where, listing, at(now));
+    }
+
+    static RunnerMillis clock(std::int64_t now)
+    {
+        return static_cast<RunnerMillis>(now + 1000);
+    }
+
+private:
+    using Key = std::tuple<std::string, std::string, std::string>;
+    struct Fetch {
+        Key key;
+        std::int64_t until;
+    };
+
+    KeptDirectory& m_directory;
+    std::map<Key, std::int64_t> m_writing;
+    std::set<Key> m_whole;
+    std::vector<Fetch> m_fetches;
+};
+
+} // namespace
+
+TEST_CASE("whatever is told, lost and freed, no fetch meets a write or a free")
+{
+    rc::check("no fetch of what is not whole", [] {
+        KeptDirectory directory = directory_with_stores();
+        World world(directory);
+        std::int64_t now = 0;
+        const auto steps = *rc::gen::inRange(1, 200);
+        for (int i = 0; i < steps; ++i) {
+            now += *rc::gen::inRange<std::int64_t>(1, 1500);
+            world.advance(now, *rc::gen::inRange(0, 4) > 0);
+            const auto id = std::to_string(*rc::gen::inRange(0, 150));
+            switch (*rc::gen::inRange(0, 8)) {
+            case 0:
+                world.free_due(now);
+                break;
+            case 1:
+                world.list(fast, now);
+                world.list(big, now);
+                break;
+            default:
+                world.call(id, now, *rc::gen::inRange<std::int64_t>(1, 3900));
+            }
+        }
+    });
+}
+
+TEST_CASE("a kept space is read back as it was written")
+{
+    const KeptSpace one{"wall|with|bars", "model", 3, 12};
+    CHECK(KeptSpace::parse(one.text()) == one);
+    CHECK_FALSE(KeptSpace::parse(""));
+    CHECK_FALSE(KeptSpace::parse("m|x|1|"));
+    CHECK_FALSE(KeptSpace::parse("m|1|"));
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/membership/duty_lease_test.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/membership/duty_lease.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace crosslink
+{
+
+namespace
+{
+
+TimePoint
+at(std::int64_t millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+constexpr Micros span = std::chrono::seconds(2);
+
+} // namespace
+
+TEST_CASE("a holder stops well before its lease can lapse")
+{
+    DutyLease lease(std::chrono::seconds(1));
+    CHECK_FALSE(lease.held(at(0)));
+    lease.granted(7, at(0), span);
+    CHECK(lease.held(at(1299)));
+    CHECK_FALSE(lease.held(at(1301)));
+    CHECK(lease.token() == 7);
+}
+
+TEST_CASE("a new holder waits before its first act, and not after extensions")
+{
+    DutyLease lease(std::chrono::seconds(1));
+    lease.granted(7, at(0), span);
+    CHECK_FALSE(lease.may_act(at(999)));
+    lease.granted(7, at(900), span);
+    CHECK(lease.may_act(at(1000)));
+    lease.lost();
+    CHECK_FALSE(lease.held(at(1001)));
+    lease.granted(9, at(1100), span);
+    CHECK_FALSE(lease.may_act(at(1200)));
+}
+
+TEST_CASE("acts of two holders are never nearer than the spacing")
+{
+    rc::check("spacing", [] {
+        constexpr std::int64_t spacing = 3000;
+        const auto unused = static_cast<std::int64_t>(
+            2000 * (1 - DutyLease::used_part));
+        const Micros settle = std::chrono::milliseconds(spacing - unused);
+        DutyLease first(settle);
+        DutyLease second(settle);
+        // The first is extended a few times and then cut off or frozen: the
+        // platform ends its lease a span after the last call that arrived.
+        std::int64_t now = 0;
+        const auto extensions = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < extensions; ++i) {
+            first.granted(1, at(now), span);
+            now += *rc::gen::inRange<std::int64_t>(200, 900);
+            if (!first.held(at(now)))
+                break;
+        }
+        std::int64_t last_act = -1;
+        for (std::int64_t t = 0; t < 20'000; t += 50)
+            if (first.may_act(at(t)))
+                last_act = t;
+        const std::int64_t lapse = now + 2000;
+        second.granted(2, at(lapse), span);
+        std::int64_t first_act = -1;
+        for (std::int64_t t = lapse; t < lapse + 8000 && first_act < 0; t += 50) {
+            second.granted(2, at(t), span);
+            if (second.may_act(at(t)))
+                first_act = t;
+        }
+        RC_ASSERT(first_act >= 0);
+        RC_ASSERT(last_act < 0 || first_act - last_act >= spacing);
+    });
+}
+
+} // namespace crosslink
