--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -156,8 +156,8 @@
         if (left.count() <= 0)
             return Wait::TimedOut;
         const bool watch = caller_socket >= 0 && m_watch_caller;
-        std::array<pollfd, 2> polled{{{m_session->descriptor(), POLLIN, 0},
-                                      {caller_socket, POLLIN, 0}}};
+        std::array<pollfd, 2> polled{
+            {{m_session->descriptor(), POLLIN, 0}, {caller_socket, POLLIN, 0}}};
         const int count = ::poll(polled.data(), watch ? 2 : 1,
                                  static_cast<int>(left.count()));
         if (count < 0 && errno != EINTR)
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -126,6 +126,8 @@
 HttpServer::stop_listening()
 {
     m_impl->server.stop();
+    // Else the kernel goes on taking connections that nobody serves.
+    m_impl->socket.close();
 }
 
 std::string
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -43,10 +43,10 @@
 /// A runner with what this instance knows from its own calls.
 struct RunnerEntry {
     ListedRunner listed;
-    RunnerLoad own;    ///< Calls of this instance.
-    RunnerLoad others; ///< Of all other instances, as they told it.
-    std::uint32_t failures = 0;   ///< In a row.
-    TimePoint held_until{};       ///< It gets nothing before.
+    RunnerLoad own;             ///< Calls of this instance.
+    RunnerLoad others;          ///< Of all other instances, as they told it.
+    std::uint32_t failures = 0; ///< In a row.
+    TimePoint held_until{};     ///< It gets nothing before.
 
     /// Returns the version of `model` that it is believed to have; 0 where
     /// it has it not.
@@ -60,13 +60,13 @@
     /// Calls with the same text share KV and go to the same runner where it
     /// is not dearer than others; empty for none.
     std::string_view affinity;
-    std::string_view model;          ///< Empty for plain services.
+    std::string_view model;           ///< Empty for plain services.
     std::uint64_t newest_version = 0; ///< Named weights; 0 where none are.
     /// Older weights are taken only while most runners have them.
     std::uint64_t least_version = 0;
     const std::set<std::string>* avoid = nullptr; ///< Runners tried already.
-    std::size_t instances = 1; ///< Of the fleet.
-    std::uint64_t random = 0;  ///< Random bits.
+    std::size_t instances = 1;                    ///< Of the fleet.
+    std::uint64_t random = 0;                     ///< Random bits.
     TimePoint now{};
 };
 
--- a/src/include/crosslink/forward/service_map.h
+++ b/src/include/crosslink/forward/service_map.h
@@ -54,8 +54,8 @@
 
 /// The engines behind a service.
 struct EngineTraits {
-    std::uint64_t kv_tokens = 0;       ///< Memory of one engine.
-    std::uint64_t kv_token_bytes = 0;  ///< KV of one token.
+    std::uint64_t kv_tokens = 0;      ///< Memory of one engine.
+    std::uint64_t kv_token_bytes = 0; ///< KV of one token.
     double link_bytes_per_second = 0;
     bool managed_stores = false; ///< Save and fetch name one place a part.
     std::vector<std::string> models;
--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -135,7 +135,7 @@
     Parts m_parts;
     std::uint64_t m_term = 0;
     std::set<std::uint64_t> m_terms; ///< Of all parts that are told.
-    bool m_full = false; ///< A part found no room.
+    bool m_full = false;             ///< A part found no room.
     std::deque<KeptEntry> m_history; ///< Changes of what is told.
     std::uint64_t m_place = 0;       ///< Number of the newest change.
     TimePoint m_began{};
--- a/src/include/crosslink/kept/kept_replica.h
+++ b/src/include/crosslink/kept/kept_replica.h
@@ -21,7 +21,7 @@
 
 /// Where the shared parts of a prompt lie.
 struct KeptAnswer {
-    std::string space; ///< Under which the call runs.
+    std::string space;             ///< Under which the call runs.
     std::vector<KeptPlace> places; ///< One for each part asked for.
     RunnerMillis clock = 0;        ///< The runners' clock at the answer.
 };
--- a/src/include/crosslink/ports/call_wire.h
+++ b/src/include/crosslink/ports/call_wire.h
@@ -26,16 +26,16 @@
 
 /// What this instance adds to a call that it sends to a runner.
 struct SendTerms {
-    std::string runner;        ///< Any other runner must refuse the call.
-    std::string account;       ///< Empty where the route needs no key.
-    Micros time_left{0};       ///< The runner stops work after it.
+    std::string runner;  ///< Any other runner must refuse the call.
+    std::string account; ///< Empty where the route needs no key.
+    Micros time_left{0}; ///< The runner stops work after it.
     std::optional<std::uint32_t> priority; ///< 0 is the most urgent.
     /// Weights that the call must run on; 0 for plain services.
     std::uint64_t version = 0;
     std::string space;             ///< Text of the kept space.
     std::vector<KeptPlace> places; ///< One for each shared part, or none.
     RunnerMillis fetch_until = 0;  ///< Fetches end by then; 0 for none.
-    std::string after_event; ///< The stream goes on after this event.
+    std::string after_event;       ///< The stream goes on after this event.
 };
 
 /// A call as it goes out to a runner.
@@ -49,12 +49,12 @@
 struct AnswerHead {
     int status = 0;
     std::vector<HeaderField> headers; ///< Those that travel to the caller.
-    bool not_run = false;   ///< The runner's own word that it did not run.
-    bool genuine = false;   ///< It carries a runner's signature.
-    std::string call_id;    ///< Of the call that it answers; may be empty.
+    bool not_run = false;      ///< The runner's own word that it did not run.
+    bool genuine = false;      ///< It carries a runner's signature.
+    std::string call_id;       ///< Of the call that it answers; may be empty.
     std::uint64_t version = 0; ///< Weights that it is made on; 0: not told.
     bool event_stream = false;
-    bool encoded = false;   ///< The body is not as the runner made it.
+    bool encoded = false; ///< The body is not as the runner made it.
     std::optional<Micros> keep_alive; ///< How long an idle connection lives.
 };
 
--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -57,7 +57,7 @@
 struct FleetNews {
     std::vector<FleetChange> changes;
     std::uint64_t place = 0; ///< Where the next wait() goes on.
-    bool whole = false; ///< What is not named here is gone.
+    bool whole = false;      ///< What is not named here is gone.
 };
 
 /// What the platform tells every instance: the operator's configuration, the
--- a/src/libcrosslink/forward/retry_window.cpp
+++ b/src/libcrosslink/forward/retry_window.cpp
@@ -52,11 +52,10 @@
     const auto sum = [](const auto& values) {
         return std::accumulate(values.begin(), values.end(), 0.0);
     };
-    const double share = 1.0 / static_cast<double>(std::max<std::size_t>(
-                                   instances, 1));
-    const double budget =
-        part_given *
-        (m_rules.ratio * sum(counts.calls) + m_rules.allowance * share);
+    const double share =
+        1.0 / static_cast<double>(std::max<std::size_t>(instances, 1));
+    const double budget = part_given * (m_rules.ratio * sum(counts.calls) +
+                                        m_rules.allowance * share);
     if (sum(counts.repeats) + 1 > budget)
         return false;
     ++counts.repeats[static_cast<std::size_t>(counts.slot) % slots];
--- a/src/libcrosslink/kept/fetch_watch.cpp
+++ b/src/libcrosslink/kept/fetch_watch.cpp
@@ -57,8 +57,8 @@
     if (!fastest || own->second.took_ms <= in_time_ms ||
         own->second.took_ms <= *fastest + slow_ms)
         return true;
-    const double part = std::max(
-        least_part, slow_ms / (own->second.took_ms - *fastest));
+    const double part =
+        std::max(least_part, slow_ms / (own->second.took_ms - *fastest));
     constexpr std::uint64_t steps = 1000;
     return static_cast<double>(random % steps) < part * steps;
 }
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -15,8 +15,8 @@
 constexpr std::uint32_t block_tokens = 16;
 /// Part of a store that is filled; the rest is for saves that broke off.
 constexpr double filled_part = 0.97;
-/// Beyond kept_answer_time: the runners' clock as told here may lag by one answer
-/// of a store on its way.
+/// Beyond kept_answer_time: the runners' clock as told here may lag by one
+/// answer of a store on its way.
 constexpr Micros clock_slack = std::chrono::milliseconds(500);
 /// A part asked for within this time is not let go for another one.
 constexpr Micros in_use_time = std::chrono::seconds(20);
@@ -25,8 +25,9 @@
 /// which new weights reach all runners.
 constexpr double let_go_part = 0.1;
 /// Part of all room that is kept free while there are parts of replaced
-/// weights, at the beginning and what comes to it until all runners changed: a part is freed seconds after it was let go, and until then the
-/// saves of those seconds need room.
+/// weights, at the beginning and what comes to it until all runners changed: a
+/// part is freed seconds after it was let go, and until then the saves of those
+/// seconds need room.
 constexpr double first_reserve = 0.25;
 constexpr double later_reserve = 0.35;
 /// Changes that are remembered; an instance asks several times a second.
@@ -158,10 +159,11 @@
                             TimePoint now) const
 {
     KeptUpdate update;
-    const bool all_listed = std::all_of(
-        m_stores.begin(), m_stores.end(),
-        [](const auto& item) { return item.second.boot != 0; });
-    update.ready = m_clock != 0 && (all_listed || now > m_began + learning_time);
+    const bool all_listed =
+        std::all_of(m_stores.begin(), m_stores.end(),
+                    [](const auto& item) { return item.second.boot != 0; });
+    update.ready =
+        m_clock != 0 && (all_listed || now > m_began + learning_time);
     update.term = m_term;
     update.place = m_place;
     update.clock = runner_clock(now);
@@ -170,9 +172,9 @@
     const std::uint64_t first = m_place - m_history.size();
     update.whole = term != m_term || place < first || place > m_place;
     if (!update.whole) {
-        update.entries.assign(
-            m_history.begin() + static_cast<std::ptrdiff_t>(place - first),
-            m_history.end());
+        update.entries.assign(m_history.begin() +
+                                  static_cast<std::ptrdiff_t>(place - first),
+                              m_history.end());
         return update;
     }
     for (const auto& [key, entry] : m_parts)
@@ -314,9 +316,8 @@
             filled_part * static_cast<double>(state.info.capacity_tokens);
         if (static_cast<double>(state.used_tokens + tokens) > capacity)
             continue;
-        const double filling =
-            static_cast<double>(state.used_tokens + tokens) /
-            std::max(state.info.link_bytes_per_second, 1.0);
+        const double filling = static_cast<double>(state.used_tokens + tokens) /
+                               std::max(state.info.link_bytes_per_second, 1.0);
         if (best.empty() || filling < best_filling) {
             best = address;
             best_filling = filling;
@@ -436,8 +437,7 @@
 void
 KeptDirectory::make_room(double changed_part, TimePoint now)
 {
-    const bool low =
-        free_part() < first_reserve + later_reserve * changed_part;
+    const bool low = free_part() < first_reserve + later_reserve * changed_part;
     if (!m_full && !low)
         return;
     double wanted = 0;
--- a/src/libcrosslink/kept/kept_directory_test.cpp
+++ b/src/libcrosslink/kept/kept_directory_test.cpp
@@ -75,8 +75,7 @@
 }
 
 KeptChanges
-stored(const std::string& space_text, const std::string& id,
-       RunnerMillis clock)
+stored(const std::string& space_text, const std::string& id, RunnerMillis clock)
 {
     KeptChanges changes;
     changes.boot = 1;
@@ -202,8 +201,8 @@
     CHECK(found->places[0].kind == KeptPlace::Kind::Fetch);
     CHECK(found->space == first.space);
     CHECK_FALSE(replica.find(space(2), parts, true, at(210)));
-    CHECK_FALSE(replica.find(space(), parts, true,
-                             at(200 + kept_answer_time.count())));
+    CHECK_FALSE(
+        replica.find(space(), parts, true, at(200 + kept_answer_time.count())));
     directory.due([](const KeptSpace&) { return true; }, 1, at(300));
     const auto [term, place] = replica.position();
     replica.take(directory.update_since(term, place, at(310)), at(310));
@@ -244,8 +243,8 @@
             const auto& [where, text, id] = item->first;
             m_whole.insert(item->first);
             if (tell)
-                m_directory.changed(
-                    where, stored(text, id, clock(now)), at(now));
+                m_directory.changed(where, stored(text, id, clock(now)),
+                                    at(now));
             item = m_writing.erase(item);
         }
         std::erase_if(m_fetches, [&](const Fetch& fetch) {
--- a/src/libcrosslink/membership/duty_lease.cpp
+++ b/src/libcrosslink/membership/duty_lease.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-
 } // namespace
 
 void
@@ -20,9 +19,9 @@
     if (m_token != token)
         m_since = asked;
     m_token = token;
-    m_until = std::max(m_until, asked + Micros(static_cast<Micros::rep>(
-                                            static_cast<double>(span.count()) *
-                                            used_part)));
+    m_until = std::max(
+        m_until, asked + Micros(static_cast<Micros::rep>(
+                             static_cast<double>(span.count()) * used_part)));
 }
 
 bool
--- a/src/libcrosslink/membership/duty_lease_test.cpp
+++ b/src/libcrosslink/membership/duty_lease_test.cpp
@@ -49,8 +49,8 @@
 {
     rc::check("spacing", [] {
         constexpr std::int64_t spacing = 3000;
-        const auto unused = static_cast<std::int64_t>(
-            2000 * (1 - DutyLease::used_part));
+        const auto unused =
+            static_cast<std::int64_t>(2000 * (1 - DutyLease::used_part));
         const Micros settle = std::chrono::milliseconds(spacing - unused);
         DutyLease first(settle);
         DutyLease second(settle);
@@ -71,7 +71,8 @@
         const std::int64_t lapse = now + 2000;
         second.granted(2, at(lapse), span);
         std::int64_t first_act = -1;
-        for (std::int64_t t = lapse; t < lapse + 8000 && first_act < 0; t += 50) {
+        for (std::int64_t t = lapse; t < lapse + 8000 && first_act < 0;
+             t += 50) {
             second.granted(2, at(t), span);
             if (second.may_act(at(t)))
                 first_act = t;
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -100,8 +100,8 @@
         const TimePoint end =
             *history.replaced_at(version) + m_bound - finish_margin;
         const double left = std::max(seconds(end - now), least_left_s);
-        needed = std::max(needed,
-                          done_part * before * seconds(order_time) / left);
+        needed =
+            std::max(needed, done_part * before * seconds(order_time) / left);
     }
     const double usual = std::max(1.0, part_at_once * all);
     const double most = std::max(1.0, most_at_once * all);
@@ -113,7 +113,8 @@
 WeightsPlan::due(const RunnerTable& runners, TimePoint now)
 {
     std::erase_if(m_open, [&](const auto& item) {
-        const Micros limit = item.second.accepted ? longest_order : unheard_time;
+        const Micros limit =
+            item.second.accepted ? longest_order : unheard_time;
         return !runners.entries().contains(item.first) ||
                now >= item.second.given + limit;
     });
@@ -207,7 +208,8 @@
         for (const auto& [model, history] : m_models) {
             const std::uint64_t has = entry.version_of(model);
             all += has > 0 ? 1 : 0;
-            changed += has >= std::max<std::uint64_t>(history.newest(), 1) ? 1 : 0;
+            changed +=
+                has >= std::max<std::uint64_t>(history.newest(), 1) ? 1 : 0;
         }
     }
     return all == 0 ? 1
--- a/src/serve/forward/exchange.h
+++ b/src/serve/forward/exchange.h
@@ -18,7 +18,7 @@
 struct ExchangeQuestion {
     std::string instance;
     std::map<std::string, RunnerLoad> load; ///< That it gives to runners.
-    std::uint64_t kept_term = 0;  ///< Position of its copy of the directory.
+    std::uint64_t kept_term = 0; ///< Position of its copy of the directory.
     std::uint64_t kept_place = 0;
 };
 
--- a/src/serve/forward/exchange_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -27,9 +27,8 @@
 } // namespace
 
 ExchangeDuty::ExchangeDuty(ForwardState& state, StewardLink& steward)
-    : m_state(state), m_steward(steward), m_duty("exchange", [this] {
-          return round();
-      })
+    : m_state(state), m_steward(steward),
+      m_duty("exchange", [this] { return round(); })
 {
 }
 
@@ -52,9 +51,8 @@
             for (const std::string& runner : answer.loading)
                 table.refused(runner, now, loading_hold);
         });
-        m_state.kept.with([&](KeptReplica& replica) {
-            replica.take(answer.kept, asked);
-        });
+        m_state.kept.with(
+            [&](KeptReplica& replica) { replica.take(answer.kept, asked); });
         return exchange_pause;
     } catch (const Error& failure) {
         // Without the duty's holder the own load is all that is known.
--- a/src/serve/forward/feed_duty.cpp
+++ b/src/serve/forward/feed_duty.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 FeedDuty::FeedDuty(ForwardState& state, Steward& steward)
-    : m_state(state), m_steward(steward), m_feed("feed", [this] { return feed_round(); }),
+    : m_state(state), m_steward(steward),
+      m_feed("feed", [this] { return feed_round(); }),
       m_presence("presence", [this] { return presence_round(); })
 {
 }
@@ -59,9 +60,8 @@
 {
     if (m_state.stopping)
         return presence_pause;
-    m_state.ports.duties.present(m_state.settings.name,
-                                 m_state.settings.peer_address(),
-                                 presence_span);
+    m_state.ports.duties.present(
+        m_state.settings.name, m_state.settings.peer_address(), presence_span);
     return presence_pause;
 }
 
--- a/src/serve/forward/fleet_calls.cpp
+++ b/src/serve/forward/fleet_calls.cpp
@@ -214,8 +214,7 @@
         return Json::Value(Json::objectValue);
     });
     m_rpc->add(exchange_method, [&steward](const Json::Value& parameters) {
-        return answer_to_json(
-            steward.exchange(question_from_json(parameters)));
+        return answer_to_json(steward.exchange(question_from_json(parameters)));
     });
     HttpServerRules rules;
     rules.most_threads = server_threads;
@@ -258,8 +257,8 @@
 }
 
 KeptAnswer
-FleetClient::ask_kept(const KeptSpace& space,
-                      std::span<const PromptPart> parts, Micros longest)
+FleetClient::ask_kept(const KeptSpace& space, std::span<const PromptPart> parts,
+                      Micros longest)
 {
     Json::Value parameters = question_to_json(space.text(), parts);
     parameters["longest_us"] = Json::Int64(longest.count());
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -17,9 +17,11 @@
 
 constexpr Micros step = std::chrono::milliseconds(50);
 /// The balancer asks every second, and takes an instance out after two
-/// questions without success; callers come until then.
-constexpr Micros balancer_lag = std::chrono::milliseconds(2500);
-/// Then this long without a call ends the stop.
+/// questions without success; callers come until then, and longer where too
+/// few instances of the zone are left.
+constexpr Micros balancer_lag = std::chrono::milliseconds(2600);
+/// Then calls that come on kept connections are refused, and the stop ends
+/// after this time without one.
 constexpr Micros quiet_time = std::chrono::milliseconds(400);
 /// The stop ends so long before the platform would kill the process.
 constexpr Micros kill_margin = std::chrono::milliseconds(500);
@@ -28,10 +30,10 @@
 
 ForwardInstance::ForwardInstance(const ForwardSettings& settings,
                                  ForwardPorts ports)
-    : m_state(settings, ports), m_steward(m_state), m_steward_link(m_state, m_steward),
-      m_kept(m_state, m_steward_link),
-      m_path(m_state, m_kept), m_fleet(m_state, m_steward), m_feed(m_state, m_steward),
-      m_exchange(m_state, m_steward_link),
+    : m_state(settings, ports), m_steward(m_state),
+      m_steward_link(m_state, m_steward), m_kept(m_state, m_steward_link),
+      m_path(m_state, m_kept), m_fleet(m_state, m_steward),
+      m_feed(m_state, m_steward), m_exchange(m_state, m_steward_link),
       m_server(m_state, m_path)
 {
 }
@@ -56,18 +58,20 @@
     m_steward.give_up();
     const TimePoint began = monotonic_now();
     const TimePoint last =
-        began + std::max(m_state.settings.stop_grace() - kill_margin,
-                         Micros{0});
+        began +
+        std::max(m_state.settings.stop_grace() - kill_margin, Micros{0});
+    const TimePoint last_taken = std::min(began + balancer_lag, last);
+    while (monotonic_now() < last_taken)
+        std::this_thread::sleep_for(step);
+    // What is taken from here on might not end in time.
+    m_state.refusing = true;
+    m_server.stop_listening();
     const auto quiet = [&] {
-        const TimePoint now = monotonic_now();
-        return m_state.open_calls == 0 && now >= began + balancer_lag &&
-               now >= m_server.latest_call() + quiet_time;
+        return m_state.open_calls == 0 &&
+               monotonic_now() >= m_server.latest_call() + quiet_time;
     };
     while (!quiet() && monotonic_now() < last)
         std::this_thread::sleep_for(step);
-    m_server.stop_listening();
-    while (m_state.open_calls > 0 && monotonic_now() < last)
-        std::this_thread::sleep_for(step);
     LogLine("stopped").field("open", m_state.open_calls.load());
 }
 
--- a/src/serve/forward/forward_instance.h
+++ b/src/serve/forward/forward_instance.h
@@ -3,13 +3,13 @@
 
 #pragma once
 
+#include "exchange_duty.h"
 #include "feed_duty.h"
 #include "fleet_calls.h"
 #include "forward_path.h"
 #include "forward_server.h"
 #include "forward_state.h"
 #include "kept_asker.h"
-#include "exchange_duty.h"
 #include "steward.h"
 
 #include <functional>
--- a/src/serve/forward/forward_path.cpp
+++ b/src/serve/forward/forward_path.cpp
@@ -19,6 +19,8 @@
 {
 
 constexpr Micros come_back = std::chrono::milliseconds(500);
+/// Another instance takes the call at once.
+constexpr Micros at_once = std::chrono::milliseconds(50);
 
 /// Returns `span` as a Retry-After value: seconds with fractions.
 std::string
@@ -68,6 +70,9 @@
 void
 ForwardPath::forward(const ForwardedCall& call, CallerLink& link)
 {
+    if (m_state.refusing)
+        throw Error(ErrorCode::NotReady, "this instance stops",
+                    RunState::NotDispatched, at_once);
     // One version from start to end: a change takes hold with the next call.
     const auto map = m_state.map();
     if (!map || !m_state.fleet.with([](FleetView& v) { return v.listed; }))
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -79,8 +79,7 @@
                        const KeyHolder* holder)
     : m_state(state), m_kept(kept), m_call(call), m_route(route),
       m_holder(holder), m_service(route.pick_service(random_bits())),
-      m_deadline(call.received_at +
-                 std::min(call.time_allowed, route.timeout)),
+      m_deadline(call.received_at + std::min(call.time_allowed, route.timeout)),
       m_affinity(last_shared_part(call)), m_events(number_in(call.last_event))
 {
 }
@@ -172,8 +171,9 @@
         return Outcome::NotSent;
     const SendTerms sent = terms();
     m_prompt_read = false;
-    m_state.runners.with(
-        [this](RunnerTable& table) { table.sent(m_pick.id, m_tokens_to_read); });
+    m_state.runners.with([this](RunnerTable& table) {
+        table.sent(m_pick.id, m_tokens_to_read);
+    });
     m_sent_at = monotonic_now();
     ++m_sends;
     ++m_state.counters.sends;
@@ -313,8 +313,7 @@
 ForwardRun::next_head()
 {
     const RawHead raw = m_connection->receive_head();
-    AnswerHead head =
-        m_state.ports.wire.decode_answer(raw.status, raw.headers);
+    AnswerHead head = m_state.ports.wire.decode_answer(raw.status, raw.headers);
     if (head.call_id.empty() || head.call_id == m_call.id)
         return head;
     LogLine("surplus_answer")
@@ -365,11 +364,11 @@
     if (!all_fetched)
         return;
     const auto parts = m_call.generation->shared_parts();
-    const auto largest = std::max_element(
-        parts.begin(), parts.end(),
-        [](const PromptPart& one, const PromptPart& other) {
-            return one.tokens < other.tokens;
-        });
+    const auto largest =
+        std::max_element(parts.begin(), parts.end(),
+                         [](const PromptPart& one, const PromptPart& other) {
+                             return one.tokens < other.tokens;
+                         });
     const std::string& store =
         m_places[static_cast<std::size_t>(largest - parts.begin())].store;
     const TimePoint now = monotonic_now();
--- a/src/serve/forward/forward_server.cpp
+++ b/src/serve/forward/forward_server.cpp
@@ -111,9 +111,9 @@
     Poco::Buffer<char> left(0);
     session.drainBuffer(left);
     char byte = 0;
-    const auto more = ::recv(
-        static_cast<int>(session.socket().impl()->sockfd()), &byte, 1,
-        MSG_PEEK | MSG_DONTWAIT);
+    const auto more =
+        ::recv(static_cast<int>(session.socket().impl()->sockfd()), &byte, 1,
+               MSG_PEEK | MSG_DONTWAIT);
     if (!left.empty() || more >= 0)
         throw Error(ErrorCode::BadRequest, "the body is not whole");
 }
@@ -167,8 +167,8 @@
         const auto map = m_state.map();
         const CallerLimits limits = map ? map->limits : CallerLimits{};
         check_framing(request);
-        ForwardedCall call =
-            m_state.ports.wire.decode_call(head_of(request, limits.header_bytes));
+        ForwardedCall call = m_state.ports.wire.decode_call(
+            head_of(request, limits.header_bytes));
         call.received_at = monotonic_now();
         call.body = read_body(request, limits.body_bytes);
         if (request.getChunkedTransferEncoding())
--- a/src/serve/forward/forward_settings.h
+++ b/src/serve/forward/forward_settings.h
@@ -33,8 +33,8 @@
     std::string metrics_bind;       ///< "ip:port"; empty for none.
     std::uint64_t memory_mb = 0;    ///< Limit of the process.
     std::uint64_t descriptors = 0;  ///< Limit of the process.
-    std::uint64_t stop_ms = 0;  ///< From the signal to the end of a stop.
-    std::uint64_t lease_ms = 0; ///< Of duties.
+    std::uint64_t stop_ms = 0;      ///< From the signal to the end of a stop.
+    std::uint64_t lease_ms = 0;     ///< Of duties.
     /// Least time between the acts of two holders of a duty.
     std::uint64_t order_spacing_ms = 0;
     /// Time after which all runners have weights that were named.
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -27,9 +27,9 @@
 Micros
 settle_time(const ForwardSettings& settings)
 {
-    const Micros unused(static_cast<Micros::rep>(
-        static_cast<double>(settings.lease().count()) *
-        (1 - DutyLease::used_part)));
+    const Micros unused(
+        static_cast<Micros::rep>(static_cast<double>(settings.lease().count()) *
+                                 (1 - DutyLease::used_part)));
     return settings.order_spacing() - unused + act_on_its_way;
 }
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -35,7 +35,7 @@
     std::shared_ptr<const ServiceMap> map; ///< Null before the first one.
     bool listed = false; ///< The runners were read at least once.
     std::map<std::string, WeightsHistory, std::less<>> weights; ///< By model.
-    std::map<std::string, std::string, std::less<>> instances; ///< Addresses.
+    std::map<std::string, std::string, std::less<>> instances;  ///< Addresses.
     std::string steward; ///< Peer address of the duty's holder; or empty.
 };
 
@@ -77,6 +77,7 @@
     CallConnections connections;
     ForwardCounters counters;
     std::atomic<bool> stopping{false}; ///< A planned stop has begun.
+    std::atomic<bool> refusing{false}; ///< No further call is taken.
     std::atomic<std::uint32_t> open_calls{0};
 
     std::shared_ptr<const ServiceMap> map();
--- a/src/serve/forward/kept_asker.cpp
+++ b/src/serve/forward/kept_asker.cpp
@@ -80,7 +80,8 @@
     if (unsaved.empty())
         return;
     try {
-        m_steward.with([&](auto& steward) { steward.not_saved(space, unsaved); });
+        m_steward.with(
+            [&](auto& steward) { steward.not_saved(space, unsaved); });
     } catch (const Error& failure) {
         // The directory learns of it when the save is overdue.
         LogLine("kept_return_failed").field("error", failure.what());
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -168,9 +168,10 @@
         if (known != m_store_duties.end())
             duty = std::move(known->second);
         else
-            duty = std::make_unique<Duty>(
-                "kept_store",
-                [this, address = store.address] { return store_round(address); });
+            duty = std::make_unique<Duty>("kept_store",
+                                          [this, address = store.address] {
+                                              return store_round(address);
+                                          });
     }
     m_store_duties = std::move(duties);
 }
@@ -202,8 +203,7 @@
 void
 Steward::give_order(const WeightsOrder& order)
 {
-    const auto report =
-        m_state.ports.orders.report(order.address, order.model);
+    const auto report = m_state.ports.orders.report(order.address, order.model);
     OrderOutcome outcome = OrderOutcome::Refused;
     if (report && report->busy) {
         outcome = OrderOutcome::Busy;
@@ -229,8 +229,7 @@
 void
 Steward::ask_runner(const WeightsOrder& order)
 {
-    const auto report =
-        m_state.ports.orders.report(order.address, order.model);
+    const auto report = m_state.ports.orders.report(order.address, order.model);
     if (!report)
         return;
     if (!report->busy && report->version >= order.version) {
@@ -278,8 +277,8 @@
     });
     const Micros left = m_state.steward_lease.with(
         [](DutyLease& lease) { return lease.time_left(monotonic_now()); });
-    const RunnerMillis until = clock + static_cast<RunnerMillis>(
-                                           left / std::chrono::milliseconds(1));
+    const RunnerMillis until =
+        clock + static_cast<RunnerMillis>(left / std::chrono::milliseconds(1));
     for (const KeptFree& free : frees) {
         LogLine("kept_free")
             .field("store", free.store)
@@ -311,7 +310,8 @@
             });
             LogLine("kept_listed")
                 .field("store", address)
-                .field("whole", static_cast<std::uint64_t>(listing.whole.size()))
+                .field("whole",
+                       static_cast<std::uint64_t>(listing.whole.size()))
                 .field("broken",
                        static_cast<std::uint64_t>(listing.broken.size()));
             return changes_pause;
