--- a/src/include/crosslink/base/error.h
+++ b/src/include/crosslink/base/error.h
@@ -15,7 +15,7 @@
 namespace crosslink
 {
 
-/// Every way in which crosslink fails. `docs/OPERATING.md` says for each one
+/// Every way in which crosslink fails. `docs/OPERATIONS.md` says for each one
 /// what it means and what to do.
 enum class ErrorCode {
     BadJson,
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -476,6 +476,7 @@
         free.parts.push_back({key.first, key.second, entry.tokens});
     }
     std::vector<KeptFree> result;
+    result.reserve(frees.size());
     for (auto& [store, free] : frees)
         result.push_back(std::move(free));
     return result;
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -189,14 +189,16 @@
     const auto open = m_open.find(runner);
     if (open == m_open.end())
         return;
-    if (busy)
+    if (busy) {
         open->second.accepted = true;
-    else if (version >= open->second.order.version)
-        m_open.erase(open);
-    else if (open->second.accepted && now > open->second.given + unheard_time) {
-        // It was accepted and is gone: the runner started anew meanwhile.
-        m_open.erase(open);
+        return;
     }
+    const bool done = version >= open->second.order.version;
+    // It was accepted and is gone: the runner started anew meanwhile.
+    const bool forgotten = open->second.accepted &&
+                           now > open->second.given + unheard_time;
+    if (done || forgotten)
+        m_open.erase(open);
 }
 
 double
--- a/testsuite/settings/run.py
+++ b/testsuite/settings/run.py
@@ -16,7 +16,7 @@
     """The operators' page names every setting and every error."""
     root = os.path.dirname(os.path.dirname(os.path.dirname(
         os.path.abspath(__file__))))
-    page = open(os.path.join(root, "docs", "OPERATING.md")).read()
+    page = open(os.path.join(root, "docs", "OPERATIONS.md")).read()
     flags = re.findall(r"^  (--[a-z-]+)", fleet.tool("serve", "--help").stdout,
                        re.M)
     assert len(flags) > 20
