--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -28,8 +28,8 @@
 /// weights, at the beginning and what comes to it until all runners changed: a
 /// part is freed seconds after it was let go, and until then the saves of those
 /// seconds need room.
-constexpr double first_reserve = 0.25;
-constexpr double later_reserve = 0.35;
+constexpr double first_reserve = 0;
+constexpr double later_reserve = 0.45;
 /// Changes that are remembered; an instance asks several times a second.
 constexpr std::size_t most_history = 2000;
 /// A new holder of the duty tells nothing before it listed the stores, or
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -52,6 +52,7 @@
         CallerGone, ///< There is nobody to answer.
         NotSent,    ///< No byte of it reached the runner.
         NotRun,     ///< The runner's own word.
+        RunFailed,  ///< It ran and failed; another runner is to try.
         Broken,     ///< It may have run, and there is no whole answer.
         TimedOut,   ///< As Broken, and no time is left.
     };
@@ -60,6 +61,8 @@
     bool wait_for_runner();
     Outcome attempt(CallerLink& link);
     bool may_go_on(Outcome outcome);
+    bool take_repeat();
+    bool is_worth_repeating(const AnswerHead& head);
     void settle(Outcome outcome);
     SendTerms terms();
     void ask_kept(const KeptSpace& space, SendTerms& terms);
