--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -45,7 +45,6 @@
 constexpr int most_surplus = 3;
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
-constexpr int first_server_error = 500;
 constexpr std::size_t most_body_bytes = 16U << 20U;
 
 std::optional<std::uint64_t>
@@ -411,22 +410,10 @@
     if (!m_connection->whole())
         return Outcome::Broken;
     keep_connection(head);
-    if (is_worth_repeating(head))
-        return Outcome::RunFailed;
     link.answer(head.status, head.headers, body);
     return Outcome::Done;
 }
 
-/// Returns whether another runner should try what this one ran and failed.
-/// Then the repeat is taken from the budget.
-bool
-ForwardRun::is_worth_repeating(const AnswerHead& head)
-{
-    return head.status >= first_server_error && m_route.repeatable() &&
-           m_runs + 1 < m_route.most_attempts &&
-           time_left() > m_route.objective && take_repeat();
-}
-
 ForwardRun::Outcome
 ForwardRun::relay_events(CallerLink& link, const AnswerHead& head)
 {
@@ -496,7 +483,6 @@
         case Outcome::Broken:
             table.failed(m_pick.id, now);
             break;
-        case Outcome::RunFailed:
         case Outcome::CallerGone:
         case Outcome::TimedOut:
             break;
@@ -507,11 +493,9 @@
 bool
 ForwardRun::may_go_on(Outcome outcome)
 {
-    if (outcome == Outcome::Broken || outcome == Outcome::RunFailed)
+    if (outcome == Outcome::Broken)
         ++m_runs;
     m_avoid.insert(m_pick.id);
-    if (outcome == Outcome::RunFailed)
-        return true;
     const bool repeatable = m_route.repeatable();
     if (outcome == Outcome::TimedOut || time_left().count() == 0)
         return false;
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -52,7 +52,6 @@
         CallerGone, ///< There is nobody to answer.
         NotSent,    ///< No byte of it reached the runner.
         NotRun,     ///< The runner's own word.
-        RunFailed,  ///< It ran and failed; another runner is to try.
         Broken,     ///< It may have run, and there is no whole answer.
         TimedOut,   ///< As Broken, and no time is left.
     };
@@ -62,7 +61,6 @@
     Outcome attempt(CallerLink& link);
     bool may_go_on(Outcome outcome);
     bool take_repeat();
-    bool is_worth_repeating(const AnswerHead& head);
     void settle(Outcome outcome);
     SendTerms terms();
     void ask_kept(const KeptSpace& space, SendTerms& terms);
