--- a/src/include/crosslink/kept/fetch_watch.h
+++ b/src/include/crosslink/kept/fetch_watch.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -19,9 +20,13 @@
 class FetchWatch
 {
 public:
-    /// Takes note of a call that fetched its largest part from `store` and
-    /// had its first event after `took`.
-    void first_event(std::string_view store, Micros took, TimePoint now);
+    /// Takes note of a call, sent at `now`, that fetches its largest part from
+    /// `store`.
+    void sent(std::string_view store, TimePoint now);
+    /// Takes note that the first event of a call sent at `sent` came.
+    void first_event(std::string_view store, TimePoint sent, TimePoint now);
+    /// Takes note that a call sent at `sent` ended without an event.
+    void ended(std::string_view store, TimePoint sent);
     /// Returns whether a call should fetch from `store`. From a slow store
     /// only as many calls fetch as it may answer in time; `random` bits
     /// choose them.
@@ -30,10 +35,14 @@
 
 private:
     struct Seen {
-        double took_ms = 0; ///< Smoothed.
+        double took_ms = 0; ///< Smoothed; 0 before the first sample.
         TimePoint at{};
+        std::multiset<TimePoint> open; ///< Calls without an event yet.
     };
 
+    static bool is_known(const Seen& seen, TimePoint now);
+    static double took_ms(const Seen& seen, TimePoint now);
+
     std::map<std::string, Seen, std::less<>> m_stores;
 };
 
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -175,6 +175,7 @@
         table.sent(m_pick.id, m_tokens_to_read);
     });
     m_sent_at = monotonic_now();
+    watch_fetch();
     ++m_sends;
     ++m_state.counters.sends;
     Outcome outcome = Outcome::Broken;
@@ -188,6 +189,10 @@
             .field("error", failure.displayText());
     }
     m_connection.reset();
+    if (!m_prompt_read && !m_watched_store.empty())
+        m_state.fetches.with([this](FetchWatch& watch) {
+            watch.ended(m_watched_store, m_sent_at);
+        });
     m_state.runners.with([&](RunnerTable& table) {
         if (!m_prompt_read)
             table.prompt_read(m_pick.id, m_tokens_to_read);
@@ -355,6 +360,19 @@
     m_state.runners.with([this](RunnerTable& table) {
         table.prompt_read(m_pick.id, m_tokens_to_read);
     });
+    if (m_watched_store.empty())
+        return;
+    m_state.fetches.with([this](FetchWatch& watch) {
+        watch.first_event(m_watched_store, m_sent_at, monotonic_now());
+    });
+}
+
+/// Lets the time of this call count for the store of its largest part, where
+/// it reads none of its shared parts.
+void
+ForwardRun::watch_fetch()
+{
+    m_watched_store.clear();
     const bool all_fetched =
         !m_places.empty() &&
         std::all_of(m_places.begin(), m_places.end(),
@@ -364,16 +382,15 @@
     if (!all_fetched)
         return;
     const auto parts = m_call.generation->shared_parts();
-    const auto largest =
-        std::max_element(parts.begin(), parts.end(),
-                         [](const PromptPart& one, const PromptPart& other) {
-                             return one.tokens < other.tokens;
-                         });
-    const std::string& store =
+    const auto largest = std::max_element(
+        parts.begin(), parts.end(),
+        [](const PromptPart& one, const PromptPart& other) {
+            return one.tokens < other.tokens;
+        });
+    m_watched_store =
         m_places[static_cast<std::size_t>(largest - parts.begin())].store;
-    const TimePoint now = monotonic_now();
-    m_state.fetches.with([&](FetchWatch& watch) {
-        watch.first_event(store, now - m_sent_at, now);
+    m_state.fetches.with([this](FetchWatch& watch) {
+        watch.sent(m_watched_store, m_sent_at);
     });
 }
 
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -74,6 +74,7 @@
     void learn(const AnswerHead& head);
     void saw_first_event();
     void skip_slow_stores();
+    void watch_fetch();
     void keep_connection(const AnswerHead& head);
     [[noreturn]] void fail(Outcome outcome);
     Micros time_left() const;
@@ -92,6 +93,7 @@
     std::unique_ptr<CallConnection> m_connection;
     std::string m_space;
     std::vector<KeptPlace> m_places;
+    std::string m_watched_store; ///< Of the largest part; empty for none.
     std::uint64_t m_newest = 0; ///< Weights named at the last choice.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
