--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -73,6 +74,12 @@
     /// Waits up to `longest` for changes after `place`. Where the platform
     /// has forgotten them, returns all there is, with `whole`.
     virtual FleetNews wait(std::uint64_t place, Micros longest) = 0;
+    /// Returns what is known as a text for another instance's load(); empty
+    /// before the first reading.
+    virtual std::string snapshot() = 0;
+    /// Returns all there is in another instance's snapshot(). It may be old:
+    /// read() is still due. Throws Error(BadJson).
+    virtual FleetNews load(std::string_view snapshot) = 0;
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -195,8 +195,8 @@
     }
     const bool done = version >= open->second.order.version;
     // It was accepted and is gone: the runner started anew meanwhile.
-    const bool forgotten = open->second.accepted &&
-                           now > open->second.given + unheard_time;
+    const bool forgotten =
+        open->second.accepted && now > open->second.given + unheard_time;
     if (done || forgotten)
         m_open.erase(open);
 }
--- a/src/serve/forward/feed_duty.cpp
+++ b/src/serve/forward/feed_duty.cpp
@@ -3,6 +3,8 @@
 
 #include "feed_duty.h"
 
+#include "fleet_calls.h"
+
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
@@ -53,10 +55,38 @@
         if (!m_lost)
             LogLine("platform_lost").field("error", failure.what());
         m_lost = true;
+        if (!m_state.map())
+            ask_seeds();
         return after_failure;
     }
 }
 
+/// At a start while the platform is away: what another instance knows is old
+/// at worst, and the configuration never goes back.
+void
+FeedDuty::ask_seeds()
+{
+    for (const std::string& seed : m_state.settings.seeds) {
+        const std::string ip = seed.substr(0, seed.rfind(':'));
+        const std::string address =
+            ip + ":" + std::to_string(m_state.settings.peer_port);
+        if (address == m_state.settings.peer_address())
+            continue;
+        try {
+            const std::string snapshot = FleetClient(address).snapshot();
+            if (snapshot.empty())
+                continue;
+            m_state.take(m_state.ports.feed.load(snapshot));
+            LogLine("learned_from_instance").field("address", address);
+            return;
+        } catch (const Error& failure) {
+            LogLine("seed_unanswered")
+                .field("address", address)
+                .field("error", failure.what());
+        }
+    }
+}
+
 Micros
 FeedDuty::presence_round()
 {
--- a/src/serve/forward/feed_duty.h
+++ b/src/serve/forward/feed_duty.h
@@ -23,6 +23,7 @@
 
 private:
     Micros feed_round();
+    void ask_seeds();
     Micros presence_round();
 
     ForwardState& m_state;
--- a/src/serve/forward/fleet_calls.cpp
+++ b/src/serve/forward/fleet_calls.cpp
@@ -7,6 +7,7 @@
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
+#include <crosslink/ports/fleet_feed.h>
 
 namespace crosslink
 {
@@ -17,6 +18,7 @@
 constexpr const char* ask_kept_method = "ask_kept";
 constexpr const char* not_saved_method = "not_saved";
 constexpr const char* exchange_method = "exchange";
+constexpr const char* snapshot_method = "snapshot";
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
 constexpr int server_threads = 64;
@@ -216,6 +218,11 @@
     m_rpc->add(exchange_method, [&steward](const Json::Value& parameters) {
         return answer_to_json(steward.exchange(question_from_json(parameters)));
     });
+    m_rpc->add(snapshot_method, [&state](const Json::Value&) {
+        Json::Value result;
+        result["text"] = state.ports.feed.snapshot();
+        return result;
+    });
     HttpServerRules rules;
     rules.most_threads = server_threads;
     m_server = std::make_unique<HttpServer>(
@@ -275,6 +282,13 @@
     call(not_saved_method, question_to_json(space, parts));
 }
 
+std::string
+FleetClient::snapshot()
+{
+    return json_string(call(snapshot_method, Json::Value(Json::objectValue)),
+                       "text");
+}
+
 ExchangeAnswer
 FleetClient::exchange(const ExchangeQuestion& question)
 {
--- a/src/serve/forward/fleet_calls.h
+++ b/src/serve/forward/fleet_calls.h
@@ -41,6 +41,8 @@
                         std::span<const PromptPart> parts, Micros longest);
     /// See Steward::not_saved().
     void not_saved(const std::string& space, std::span<const PromptPart> parts);
+    /// See FleetFeed::snapshot().
+    std::string snapshot();
     /// See Steward::exchange().
     ExchangeAnswer exchange(const ExchangeQuestion& question);
 
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -382,16 +382,15 @@
     if (!all_fetched)
         return;
     const auto parts = m_call.generation->shared_parts();
-    const auto largest = std::max_element(
-        parts.begin(), parts.end(),
-        [](const PromptPart& one, const PromptPart& other) {
-            return one.tokens < other.tokens;
-        });
+    const auto largest =
+        std::max_element(parts.begin(), parts.end(),
+                         [](const PromptPart& one, const PromptPart& other) {
+                             return one.tokens < other.tokens;
+                         });
     m_watched_store =
         m_places[static_cast<std::size_t>(largest - parts.begin())].store;
-    m_state.fetches.with([this](FetchWatch& watch) {
-        watch.sent(m_watched_store, m_sent_at);
-    });
+    m_state.fetches.with(
+        [this](FetchWatch& watch) { watch.sent(m_watched_store, m_sent_at); });
 }
 
 /// Lets the prompt's parts be read that lie in a store which is slow now.
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -94,7 +94,7 @@
     std::string m_space;
     std::vector<KeptPlace> m_places;
     std::string m_watched_store; ///< Of the largest part; empty for none.
-    std::uint64_t m_newest = 0; ///< Weights named at the last choice.
+    std::uint64_t m_newest = 0;  ///< Weights named at the last choice.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
     TimePoint m_sent_at{};
