Put the JSON forms of instances' calls into a file of their own

The server and the client of the calls between instances stood behind 160 lines of encoding and decoding, with names that did not tell the two kinds of questions and answers apart. The forms are now fleet_json; the names say what is decoded. Members of the JSON and behaviour stay.

--- a/src/serve/forward/fleet_calls.h
+++ b/src/serve/forward/fleet_calls.h
@@ -9,7 +9,6 @@
 #include <adapters/http_server.h>
 
 #include <memory>
-#include <mutex>
 #include <span>
 #include <string>
 
--- /dev/null
+++ b/src/serve/forward/fleet_json.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "exchange.h"
+
+#include <crosslink/base/json.h>
+#include <crosslink/forward/forwarded_call.h>
+#include <crosslink/kept/kept_part.h>
+#include <crosslink/kept/kept_replica.h>
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+// The JSON forms of what the instances of the fleet tell each other. A member
+// that is missing reads as 0, false or empty.
+
+/// Encodes the parts of a prompt, and the space that they belong to.
+Json::Value to_json(const std::string& space,
+                    std::span<const PromptPart> parts);
+/// Decodes the parts out of `value`.
+std::vector<PromptPart> parts_from_json(const Json::Value& value);
+/// Decodes the space out of `value`. Throws Error(BadRequest) where it is none.
+KeptSpace kept_space_from_json(const Json::Value& value);
+
+/// Encodes where the parts of a prompt lie.
+Json::Value to_json(const KeptAnswer& answer);
+/// Decodes it. A kind that is not known reads as KeptPlace::Kind::None.
+KeptAnswer kept_answer_from_json(const Json::Value& value);
+
+/// Encodes what an instance tells the holder of the duty.
+Json::Value to_json(const ExchangeQuestion& question);
+/// Decodes it.
+ExchangeQuestion exchange_question_from_json(const Json::Value& value);
+
+/// Encodes what it learns in return.
+Json::Value to_json(const ExchangeAnswer& answer);
+/// Decodes it.
+ExchangeAnswer exchange_answer_from_json(const Json::Value& value);
+
+} // namespace crosslink
