Give the runners' clock and the directory's history classes of their own

The directory of kept parts and its copy in each instance both carried the runners' clock on by hand; both use RunnerClock now. The numbered changes that the copies follow are KeptHistory. Removed: two counts that nothing asked for. The doc comment of the copy names the constant as it is. Behaviour stays.

--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -6,11 +6,12 @@
 #include <crosslink/base/time.h>
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/service_map.h>
+#include <crosslink/kept/kept_history.h>
 #include <crosslink/kept/kept_part.h>
 #include <crosslink/kept/kept_replica.h>
+#include <crosslink/kept/runner_clock.h>
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -83,9 +84,7 @@
     bool wants_listing(std::string_view store, TimePoint now) const;
 
     /// Returns the runners' clock at `now`; 0 where no store told it yet.
-    RunnerMillis runner_clock(TimePoint now) const;
-    /// Returns the number of parts that are told as kept.
-    std::size_t held() const;
+    RunnerMillis runner_clock(TimePoint now) const { return m_clock.at(now); }
 
 private:
     enum class State { Saving, Held, LetGo };
@@ -118,7 +117,6 @@
 
     void restarted(const std::string& store, StoreState& state,
                    std::uint64_t boot, TimePoint now);
-    void take_clock(RunnerMillis clock, TimePoint now);
     void hold(const std::string& store, const KeptPart& part, TimePoint now);
     void drop(Parts::iterator entry);
     void note(const Key& key, const Entry& entry);
@@ -136,11 +134,9 @@
     std::uint64_t m_term = 0;
     std::set<std::uint64_t> m_terms; ///< Of all parts that are told.
     bool m_full = false;             ///< A part found no room.
-    std::deque<KeptEntry> m_history; ///< Changes of what is told.
-    std::uint64_t m_place = 0;       ///< Number of the newest change.
+    KeptHistory m_history;           ///< Changes of what is told.
     TimePoint m_began{};
-    RunnerMillis m_clock = 0;
-    TimePoint m_clock_at{};
+    RunnerClock m_clock;
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/kept/kept_part.h
+++ b/src/include/crosslink/kept/kept_part.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <crosslink/kept/runner_clock.h>
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -13,10 +15,6 @@
 namespace crosslink
 {
 
-/// The time of the clock that runners and stores of kept KV share, in
-/// milliseconds. Never compared with any other clock.
-using RunnerMillis = std::uint64_t;
-
 /// How long what the directory of kept parts says holds. Longer than the duty
 /// passes from one holder to the next; shorter than new weights take.
 inline constexpr std::chrono::milliseconds kept_answer_time{3000};
--- a/src/include/crosslink/kept/kept_replica.h
+++ b/src/include/crosslink/kept/kept_replica.h
@@ -6,6 +6,7 @@
 #include <crosslink/base/time.h>
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/kept/kept_part.h>
+#include <crosslink/kept/runner_clock.h>
 
 #include <cstdint>
 #include <map>
@@ -44,7 +45,7 @@
 };
 
 /// A copy of the directory's kept parts in each instance. What it says holds
-/// until answer_time after the update, on the runners' clock, as what the
+/// until kept_answer_time after the update, on the runners' clock, as what the
 /// directory itself says.
 class KeptReplica
 {
@@ -63,15 +64,12 @@
                                    std::span<const PromptPart> parts,
                                    bool best_effort, TimePoint now) const;
 
-    std::size_t size() const { return m_places.size(); }
-
 private:
     using Key = std::pair<std::string, std::string>; ///< Space and id.
 
     std::uint64_t m_term = 0;
     std::uint64_t m_place = 0;
-    RunnerMillis m_clock = 0;
-    TimePoint m_clock_at{};
+    RunnerClock m_clock;
     std::map<Key, std::string> m_places; ///< Store addresses.
     std::set<std::uint64_t> m_terms;     ///< Of all spaces.
 };
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -30,8 +30,6 @@
 /// seconds need room.
 constexpr double first_reserve = 0;
 constexpr double later_reserve = 0.45;
-/// Changes that are remembered; an instance asks several times a second.
-constexpr std::size_t most_history = 2000;
 /// A new holder of the duty tells nothing before it listed the stores, or
 /// found them out of reach.
 constexpr Micros learning_time = std::chrono::milliseconds(1500);
@@ -68,36 +66,16 @@
 KeptDirectory::begin(std::uint64_t term, TimePoint now)
 {
     m_began = now;
-    m_history.clear();
-    m_place = 0;
+    m_history = {};
     m_parts.clear();
     m_term = term;
     m_terms = {term};
     m_full = false;
-    m_clock = 0;
+    m_clock = {};
     for (auto& [address, state] : m_stores)
         state = StoreState{state.info};
 }
 
-void
-KeptDirectory::take_clock(RunnerMillis clock, TimePoint now)
-{
-    if (clock <= m_clock)
-        return;
-    m_clock = clock;
-    m_clock_at = now;
-}
-
-RunnerMillis
-KeptDirectory::runner_clock(TimePoint now) const
-{
-    if (m_clock == 0)
-        return 0;
-    const auto since =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - m_clock_at);
-    return m_clock + static_cast<RunnerMillis>(since.count());
-}
-
 void
 KeptDirectory::restarted(const std::string& store, StoreState& state,
                          std::uint64_t boot, TimePoint now)
@@ -147,11 +125,7 @@
 KeptDirectory::note(const Key& key, const Entry& entry)
 {
     const bool told = entry.state == State::Held;
-    m_history.push_back(
-        {key.first, key.second, told ? entry.store : std::string()});
-    ++m_place;
-    if (m_history.size() > most_history)
-        m_history.pop_front();
+    m_history.add({key.first, key.second, told ? entry.store : std::string()});
 }
 
 KeptUpdate
@@ -163,20 +137,17 @@
         std::all_of(m_stores.begin(), m_stores.end(),
                     [](const auto& item) { return item.second.boot != 0; });
     update.ready =
-        m_clock != 0 && (all_listed || now > m_began + learning_time);
+        m_clock.is_known() && (all_listed || now > m_began + learning_time);
     update.term = m_term;
-    update.place = m_place;
+    update.place = m_history.place();
     update.clock = runner_clock(now);
     if (!update.ready)
         return update;
-    const std::uint64_t first = m_place - m_history.size();
-    update.whole = term != m_term || place < first || place > m_place;
-    if (!update.whole) {
-        update.entries.assign(m_history.begin() +
-                                  static_cast<std::ptrdiff_t>(place - first),
-                              m_history.end());
+    if (auto changes = m_history.since(place); changes && term == m_term) {
+        update.entries = std::move(*changes);
         return update;
     }
+    update.whole = true;
     for (const auto& [key, entry] : m_parts)
         if (entry.state == State::Held)
             update.entries.push_back({key.first, key.second, entry.store});
@@ -216,7 +187,7 @@
         return;
     StoreState& state = found->second;
     restarted(found->first, state, listing.boot, now);
-    take_clock(listing.clock, now);
+    m_clock.advance(listing.clock, now);
     state.reachable = true;
     state.listed_at = now;
     std::map<Key, bool> there;
@@ -262,7 +233,7 @@
     StoreState& state = found->second;
     if (changes.boot != state.boot || changes.lost)
         return false;
-    take_clock(changes.clock, now);
+    m_clock.advance(changes.clock, now);
     state.reachable = true;
     for (const KeptChange& change : changes.changes) {
         if (change.stored) {
@@ -290,7 +261,7 @@
 {
     const auto state = m_stores.find(entry.store);
     if (entry.state != State::Held || state == m_stores.end() ||
-        !state->second.reachable || m_clock == 0)
+        !state->second.reachable || !m_clock.is_known())
         return {};
     return {KeptPlace::Kind::Fetch, entry.store,
             runner_clock(now) +
@@ -499,13 +470,4 @@
     });
 }
 
-std::size_t
-KeptDirectory::held() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_parts.begin(), m_parts.end(), [](const auto& item) {
-            return item.second.state == State::Held;
-        }));
-}
-
 } // namespace crosslink
--- a/src/libcrosslink/kept/kept_replica.cpp
+++ b/src/libcrosslink/kept/kept_replica.cpp
@@ -30,8 +30,7 @@
     m_term = update.term;
     m_place = update.place;
     // Counted from the question on, the clock is never told too early.
-    m_clock = update.clock;
-    m_clock_at = asked;
+    m_clock.set(update.clock, asked);
     for (const KeptEntry& entry : update.entries) {
         const Key key{entry.space, entry.id};
         if (entry.store.empty()) {
@@ -48,13 +47,12 @@
 KeptReplica::find(const KeptSpace& space, std::span<const PromptPart> parts,
                   bool best_effort, TimePoint now) const
 {
-    const auto since =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - m_clock_at);
     const auto holds = static_cast<RunnerMillis>(kept_answer_time.count());
     KeptAnswer answer;
-    answer.clock = m_clock + static_cast<RunnerMillis>(since.count());
-    const RunnerMillis until = m_clock + holds;
-    if (m_clock == 0 || parts.empty() || answer.clock + least_left > until)
+    answer.clock = m_clock.at(now);
+    const RunnerMillis until = m_clock.told() + holds;
+    if (!m_clock.is_known() || parts.empty() ||
+        answer.clock + least_left > until)
         return std::nullopt;
     KeptSpace wanted = space;
     for (const std::uint64_t term : m_terms) {
