Take the prompt's part out of the run of a forwarded call

forward_run.cpp had 577 lines, a third of them about where the parts of the prompt lie, which stores are slow and how much is left to read. That is CallPrompt now; the run asks it and tells it of sends, events and ends. The figure that bounds a fetch was called a part, and is a multiple. Behaviour stays.

--- /dev/null
+++ b/src/serve/forward/call_prompt.cpp
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "call_prompt.h"
+
+#include <adapters/clock.h>
+#include <adapters/random.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// A fetch must end within so many times the objective; else the prompt is
+/// read.
+constexpr int objectives_for_fetch = 2;
+
+} // namespace
+
+CallPrompt::CallPrompt(ForwardState& state, KeptAsker& kept,
+                       const ForwardedCall& call, Micros objective)
+    : m_state(state), m_kept(kept), m_call(call), m_objective(objective)
+{
+}
+
+void
+CallPrompt::ask(const KeptSpace& space, Micros time_left, SendTerms& terms)
+{
+    const auto parts = m_call.generation->shared_parts();
+    m_places.clear();
+    m_tokens_to_read = m_call.generation->prompt_tokens;
+    terms.space = space.text();
+    if (parts.empty())
+        return;
+    const KeptAnswer answer = m_kept.ask(space, parts, time_left);
+    m_places = answer.places;
+    m_space = answer.space;
+    skip_slow_stores();
+    terms.space = answer.space;
+    terms.places = m_places;
+    fetch_or_read(answer, terms);
+}
+
+/// Lets the parts be read that lie in a store which is slow now.
+void
+CallPrompt::skip_slow_stores()
+{
+    const TimePoint now = monotonic_now();
+    for (KeptPlace& place : m_places) {
+        const bool skipped =
+            place.kind == KeptPlace::Kind::Fetch &&
+            !m_state.fetches.with([&](FetchWatch& watch) {
+                return watch.should_fetch(place.store, random_bits(), now);
+            });
+        if (skipped)
+            place = KeptPlace{};
+    }
+}
+
+/// Counts what is fetched, saved and read, and bounds the fetches.
+void
+CallPrompt::fetch_or_read(const KeptAnswer& answer, SendTerms& terms)
+{
+    const auto parts = m_call.generation->shared_parts();
+    const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_objective * objectives_for_fetch);
+    RunnerMillis until =
+        answer.clock + static_cast<RunnerMillis>(patience.count());
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const KeptPlace& place = m_places[i];
+        switch (place.kind) {
+        case KeptPlace::Kind::Fetch:
+            m_tokens_to_read -=
+                std::min<std::uint64_t>(m_tokens_to_read, parts[i].tokens);
+            until = std::min(until, place.until);
+            terms.fetch_until = until;
+            ++m_state.counters.parts_fetched;
+            break;
+        case KeptPlace::Kind::Save:
+            ++m_state.counters.parts_saved;
+            break;
+        case KeptPlace::Kind::None:
+            ++m_state.counters.parts_read;
+            break;
+        }
+    }
+}
+
+bool
+CallPrompt::fetches_all() const
+{
+    return !m_places.empty() &&
+           std::all_of(m_places.begin(), m_places.end(),
+                       [](const KeptPlace& place) {
+                           return place.kind == KeptPlace::Kind::Fetch;
+                       });
+}
+
+const std::string&
+CallPrompt::store_of_largest() const
+{
+    const auto parts = m_call.generation->shared_parts();
+    const auto largest =
+        std::max_element(parts.begin(), parts.end(),
+                         [](const PromptPart& one, const PromptPart& other) {
+                             return one.tokens < other.tokens;
+                         });
+    return m_places[static_cast<std::size_t>(largest - parts.begin())].store;
+}
+
+void
+CallPrompt::sent(TimePoint now)
+{
+    m_read = false;
+    m_sent_at = now;
+    m_watched_store.clear();
+    // The time of a call tells of a store where the call reads none of its
+    // shared parts.
+    if (!fetches_all())
+        return;
+    m_watched_store = store_of_largest();
+    m_state.fetches.with(
+        [this](FetchWatch& watch) { watch.sent(m_watched_store, m_sent_at); });
+}
+
+void
+CallPrompt::first_event()
+{
+    m_read = true;
+    if (m_watched_store.empty())
+        return;
+    m_state.fetches.with([this](FetchWatch& watch) {
+        watch.first_event(m_watched_store, m_sent_at, monotonic_now());
+    });
+}
+
+void
+CallPrompt::ended()
+{
+    if (m_read || m_watched_store.empty())
+        return;
+    m_state.fetches.with(
+        [this](FetchWatch& watch) { watch.ended(m_watched_store, m_sent_at); });
+}
+
+void
+CallPrompt::not_run()
+{
+    if (m_call.generation)
+        m_kept.not_saved(m_space, m_call.generation->shared_parts(), m_places);
+}
+
+std::string
+CallPrompt::summary() const
+{
+    std::string text;
+    for (const KeptPlace& place : m_places) {
+        switch (place.kind) {
+        case KeptPlace::Kind::None:
+            text += 'r';
+            break;
+        case KeptPlace::Kind::Fetch:
+            text += 'f';
+            break;
+        case KeptPlace::Kind::Save:
+            text += 's';
+            break;
+        }
+    }
+    return text;
+}
+
+} // namespace crosslink
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -30,14 +30,13 @@
 constexpr Micros refusal_hold = std::chrono::milliseconds(120);
 /// A runner that refuses while new weights are out is loading them.
 constexpr Micros loading_hold = std::chrono::milliseconds(700);
-/// Part of the objective for which a call waits for a runner that takes
-/// work, before it is refused early enough to be tried elsewhere in time.
+/// A call waits for a runner that takes work for the objective over this; then
+/// it is refused, early enough to be tried elsewhere in time.
 constexpr int part_waited = 5;
+/// Between two looks for a runner.
 constexpr Micros wait_step = std::chrono::milliseconds(15);
 /// A caller that was refused comes back after this time.
 constexpr Micros come_back = std::chrono::milliseconds(250);
-/// A fetch must end in this part of the objective; else the prompt is read.
-constexpr double part_for_fetch = 2.0;
 /// A call may wait at its runner before it begins: it is sent to replaced
 /// weights only until so long before they are forbidden.
 constexpr Micros begin_margin = std::chrono::milliseconds(1500);
@@ -45,6 +44,7 @@
 constexpr int most_surplus = 3;
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
+/// An answer that is not a stream is held whole before it goes out.
 constexpr std::size_t most_body_bytes = 16U << 20U;
 
 std::optional<std::uint64_t>
@@ -77,10 +77,11 @@
 ForwardRun::ForwardRun(ForwardState& state, KeptAsker& kept,
                        const ForwardedCall& call, const ServiceRoute& route,
                        const KeyHolder* holder)
-    : m_state(state), m_kept(kept), m_call(call), m_route(route),
-      m_holder(holder), m_service(route.pick_service(random_bits())),
+    : m_state(state), m_call(call), m_route(route), m_holder(holder),
+      m_service(route.pick_service(random_bits())),
       m_deadline(call.received_at + std::min(call.time_allowed, route.timeout)),
-      m_affinity(last_shared_part(call)), m_events(number_in(call.last_event))
+      m_affinity(last_shared_part(call)), m_events(number_in(call.last_event)),
+      m_prompt(state, kept, call, route.objective)
 {
 }
 
@@ -170,12 +171,10 @@
     if (!connect(reused))
         return Outcome::NotSent;
     const SendTerms sent = terms();
-    m_prompt_read = false;
     m_state.runners.with([this](RunnerTable& table) {
-        table.sent(m_pick.id, m_tokens_to_read);
+        table.sent(m_pick.id, m_prompt.tokens_to_read());
     });
-    m_sent_at = monotonic_now();
-    watch_fetch();
+    m_prompt.sent(monotonic_now());
     ++m_sends;
     ++m_state.counters.sends;
     Outcome outcome = Outcome::Broken;
@@ -189,17 +188,14 @@
             .field("error", failure.displayText());
     }
     m_connection.reset();
-    if (!m_prompt_read && !m_watched_store.empty())
-        m_state.fetches.with([this](FetchWatch& watch) {
-            watch.ended(m_watched_store, m_sent_at);
-        });
-    m_state.runners.with([&](RunnerTable& table) {
-        if (!m_prompt_read)
-            table.prompt_read(m_pick.id, m_tokens_to_read);
+    m_prompt.ended();
+    m_state.runners.with([this](RunnerTable& table) {
+        if (!m_prompt.is_read())
+            table.prompt_read(m_pick.id, m_prompt.tokens_to_read());
         table.ended(m_pick.id);
     });
-    if (outcome == Outcome::NotRun && m_call.generation)
-        m_kept.not_saved(m_space, m_call.generation->shared_parts(), m_places);
+    if (outcome == Outcome::NotRun)
+        m_prompt.not_run();
     return outcome;
 }
 
@@ -223,6 +219,17 @@
     }
 }
 
+KeptSpace
+ForwardRun::kept_space() const
+{
+    KeptSpace space;
+    space.model = m_call.generation->model;
+    space.version = m_pick.version;
+    if (m_holder && m_holder->isolated)
+        space.wall = m_holder->name;
+    return space;
+}
+
 SendTerms
 ForwardRun::terms()
 {
@@ -238,50 +245,10 @@
     terms.version = m_pick.version;
     if (const auto last = m_events.last_event())
         terms.after_event = std::to_string(*last);
-    KeptSpace space;
-    space.model = m_call.generation->model;
-    space.version = m_pick.version;
-    if (m_holder && m_holder->isolated)
-        space.wall = m_holder->name;
-    ask_kept(space, terms);
+    m_prompt.ask(kept_space(), terms.time_left, terms);
     return terms;
 }
 
-void
-ForwardRun::ask_kept(const KeptSpace& space, SendTerms& terms)
-{
-    const auto parts = m_call.generation->shared_parts();
-    m_places.clear();
-    m_tokens_to_read = m_call.generation->prompt_tokens;
-    terms.space = space.text();
-    if (parts.empty())
-        return;
-    const KeptAnswer answer = m_kept.ask(space, parts, time_left());
-    m_places = answer.places;
-    m_space = answer.space;
-    skip_slow_stores();
-    terms.space = answer.space;
-    terms.places = m_places;
-    const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(
-        m_route.objective * part_for_fetch);
-    RunnerMillis until =
-        answer.clock + static_cast<RunnerMillis>(patience.count());
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-        const KeptPlace& place = m_places[i];
-        if (place.kind == KeptPlace::Kind::Fetch) {
-            m_tokens_to_read -=
-                std::min<std::uint64_t>(m_tokens_to_read, parts[i].tokens);
-            until = std::min(until, place.until);
-            terms.fetch_until = until;
-            ++m_state.counters.parts_fetched;
-        } else if (place.kind == KeptPlace::Kind::Save) {
-            ++m_state.counters.parts_saved;
-        } else {
-            ++m_state.counters.parts_read;
-        }
-    }
-}
-
 ForwardRun::Outcome
 ForwardRun::exchange(CallerLink& link, const SendTerms& terms)
 {
@@ -356,57 +323,10 @@
 void
 ForwardRun::saw_first_event()
 {
-    m_prompt_read = true;
+    m_prompt.first_event();
     m_state.runners.with([this](RunnerTable& table) {
-        table.prompt_read(m_pick.id, m_tokens_to_read);
+        table.prompt_read(m_pick.id, m_prompt.tokens_to_read());
     });
-    if (m_watched_store.empty())
-        return;
-    m_state.fetches.with([this](FetchWatch& watch) {
-        watch.first_event(m_watched_store, m_sent_at, monotonic_now());
-    });
-}
-
-/// Lets the time of this call count for the store of its largest part, where
-/// it reads none of its shared parts.
-void
-ForwardRun::watch_fetch()
-{
-    m_watched_store.clear();
-    const bool all_fetched =
-        !m_places.empty() &&
-        std::all_of(m_places.begin(), m_places.end(),
-                    [](const KeptPlace& place) {
-                        return place.kind == KeptPlace::Kind::Fetch;
-                    });
-    if (!all_fetched)
-        return;
-    const auto parts = m_call.generation->shared_parts();
-    const auto largest =
-        std::max_element(parts.begin(), parts.end(),
-                         [](const PromptPart& one, const PromptPart& other) {
-                             return one.tokens < other.tokens;
-                         });
-    m_watched_store =
-        m_places[static_cast<std::size_t>(largest - parts.begin())].store;
-    m_state.fetches.with(
-        [this](FetchWatch& watch) { watch.sent(m_watched_store, m_sent_at); });
-}
-
-/// Lets the prompt's parts be read that lie in a store which is slow now.
-void
-ForwardRun::skip_slow_stores()
-{
-    const TimePoint now = monotonic_now();
-    for (KeptPlace& place : m_places) {
-        const bool skipped =
-            place.kind == KeptPlace::Kind::Fetch &&
-            !m_state.fetches.with([&](FetchWatch& watch) {
-                return watch.should_fetch(place.store, random_bits(), now);
-            });
-        if (skipped)
-            place = KeptPlace{};
-    }
 }
 
 ForwardRun::Outcome
@@ -445,7 +365,7 @@
             return Outcome::Broken;
         if (events.empty())
             continue;
-        if (!m_prompt_read)
+        if (!m_prompt.is_read())
             saw_first_event();
         if (!link.begun()) {
             m_state.counters.first_event.add(monotonic_now() -
@@ -554,24 +474,4 @@
     }
 }
 
-std::string
-ForwardRun::kept_summary() const
-{
-    std::string text;
-    for (const KeptPlace& place : m_places) {
-        switch (place.kind) {
-        case KeptPlace::Kind::None:
-            text += 'r';
-            break;
-        case KeptPlace::Kind::Fetch:
-            text += 'f';
-            break;
-        case KeptPlace::Kind::Save:
-            text += 's';
-            break;
-        }
-    }
-    return text;
-}
-
 } // namespace crosslink
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -3,21 +3,22 @@
 
 #pragma once
 
+#include "call_prompt.h"
 #include "caller_link.h"
 #include "forward_state.h"
 #include "kept_asker.h"
 
-#include <crosslink/base/error.h>
+#include <crosslink/base/time.h>
 #include <crosslink/forward/event_tracker.h>
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/service_map.h>
 #include <crosslink/ports/call_wire.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace crosslink
 {
@@ -43,7 +44,7 @@
     const std::string& runner() const { return m_pick.id; }
     bool caller_gone() const { return m_caller_gone; }
     /// What was done with the shared parts of the prompt, for the log.
-    std::string kept_summary() const;
+    std::string kept_summary() const { return m_prompt.summary(); }
 
 private:
     /// What became of the call at one runner.
@@ -63,7 +64,7 @@
     bool take_repeat();
     void settle(Outcome outcome);
     SendTerms terms();
-    void ask_kept(const KeptSpace& space, SendTerms& terms);
+    KeptSpace kept_space() const;
     bool connect(bool& reused);
     Outcome exchange(CallerLink& link, const SendTerms& terms);
     std::optional<Outcome> await_answer(CallerLink& link);
@@ -73,14 +74,11 @@
     Outcome relay_events(CallerLink& link, const AnswerHead& head);
     void learn(const AnswerHead& head);
     void saw_first_event();
-    void skip_slow_stores();
-    void watch_fetch();
     void keep_connection(const AnswerHead& head);
     [[noreturn]] void fail(Outcome outcome);
     Micros time_left() const;
 
     ForwardState& m_state;
-    KeptAsker& m_kept;
     const ForwardedCall& m_call;
     const ServiceRoute& m_route;
     const KeyHolder* m_holder;
@@ -88,18 +86,13 @@
     const TimePoint m_deadline;
     std::string m_affinity; ///< The last shared part of the prompt.
     EventTracker m_events;
+    CallPrompt m_prompt;
     RunnerPick m_pick;
     std::set<std::string> m_avoid;
     std::unique_ptr<CallConnection> m_connection;
-    std::string m_space;
-    std::vector<KeptPlace> m_places;
-    std::string m_watched_store; ///< Of the largest part; empty for none.
-    std::uint64_t m_newest = 0;  ///< Weights named at the last choice.
+    std::uint64_t m_newest = 0; ///< Weights named at the last choice.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
-    TimePoint m_sent_at{};
-    std::uint64_t m_tokens_to_read = 0; ///< Of the prompt, at this runner.
-    bool m_prompt_read = false;
     bool m_caller_gone = false;
 };
 
