Split the steward: weights and the kept directory are classes of their own

WeightsDuty orders new weights, KeptDuties keeps the directory of kept parts and has stores free some; the steward is left with the lease and the exchange between instances. Whether this instance has the duty, and for how long, is asked of the shared state in one place. Threads keep their names and order of ending. Behaviour stays.

--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -21,6 +21,9 @@
 /// An act of an earlier holder is on its way for less than this.
 constexpr Micros act_on_its_way = std::chrono::milliseconds(400);
 
+/// An act must arrive well before the lease can lapse.
+constexpr Micros act_time = std::chrono::milliseconds(700);
+
 /// Returns the time between taking the duty's lease and the first act, so
 /// that acts of two holders are at least the spacing apart: the earlier one
 /// stopped in the unused part of its lease.
@@ -163,6 +166,26 @@
     });
 }
 
+bool
+ForwardState::has_duty()
+{
+    return steward_lease.with(
+        [](DutyLease& lease) { return lease.held(monotonic_now()); });
+}
+
+Micros
+ForwardState::duty_time_left()
+{
+    return steward_lease.with(
+        [](DutyLease& lease) { return lease.time_left(monotonic_now()); });
+}
+
+bool
+ForwardState::may_act()
+{
+    return duty_time_left() > act_time;
+}
+
 bool
 ForwardState::ready()
 {
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -85,6 +85,13 @@
     WeightsHistory weights(std::string_view model);
     /// Returns the number of instances of the fleet, at least 1.
     std::size_t instance_count();
+    /// True where this instance has the duty now.
+    bool has_duty();
+    /// Returns how long acts under the duty may still be done; 0 where they
+    /// may not.
+    Micros duty_time_left();
+    /// True where there is time for an act under the duty.
+    bool may_act();
     /// True where calls can be served.
     bool ready();
     /// Takes in what the platform told.
--- /dev/null
+++ b/src/serve/forward/kept_duties.cpp
@@ -0,0 +1,213 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "kept_duties.h"
+
+#include <adapters/clock.h>
+#include <serve/log_line.h>
+
+#include <crosslink/base/error.h>
+#include <crosslink/ports/kept_stores.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Rounds while another instance has the duty.
+constexpr Micros idle_pause = std::chrono::milliseconds(700);
+constexpr Micros free_pause = std::chrono::milliseconds(500);
+/// Pause between two questions for a store's changes, so that several come
+/// together. A part is fetched that much later after its save at most.
+constexpr Micros changes_pause = std::chrono::milliseconds(40);
+/// Longest wait of one such question.
+constexpr Micros changes_wait = std::chrono::milliseconds(900);
+constexpr Micros store_failed_pause = std::chrono::milliseconds(300);
+/// Beyond a call's own time, for the last bytes of a save.
+constexpr Micros save_slack = std::chrono::seconds(1);
+
+} // namespace
+
+KeptDuties::KeptDuties(ForwardState& state, WeightsDuty& weights)
+    : m_state(state), m_weights(weights),
+      m_free_duty("kept_free", [this] { return free_round(); })
+{
+}
+
+void
+KeptDuties::begin(std::uint64_t token)
+{
+    m_kept.with([token](Kept& kept) {
+        kept.directory.begin(token, monotonic_now());
+        kept.next.clear();
+    });
+}
+
+KeptAnswer
+KeptDuties::ask(const KeptSpace& space, std::span<const PromptPart> parts,
+                Micros longest)
+{
+    const TimePoint now = monotonic_now();
+    return m_kept.with([&](Kept& kept) {
+        return kept.directory.ask(space, parts, longest + save_slack, now);
+    });
+}
+
+KeptUpdate
+KeptDuties::update_since(std::uint64_t term, std::uint64_t place)
+{
+    const TimePoint now = monotonic_now();
+    return m_kept.with([&](Kept& kept) {
+        return kept.directory.update_since(term, place, now);
+    });
+}
+
+void
+KeptDuties::not_saved(const std::string& space,
+                      std::span<const PromptPart> parts)
+{
+    m_kept.with([&](Kept& kept) {
+        for (const PromptPart& part : parts)
+            kept.directory.not_saved({space, part.id, part.tokens});
+    });
+}
+
+void
+KeptDuties::follow_map()
+{
+    const auto map = m_state.map();
+    if (!map)
+        return;
+    const bool changed = m_kept.with([&](Kept& kept) {
+        if (kept.map_version == map->version)
+            return false;
+        kept.map_version = map->version;
+        kept.directory.set_stores(map->stores);
+        return true;
+    });
+    if (!changed)
+        return;
+    std::map<std::string, std::unique_ptr<Duty>> duties;
+    for (const KeptStoreInfo& store : map->stores) {
+        if (!store.managed)
+            continue;
+        auto& duty = duties[store.address];
+        const auto known = m_store_duties.find(store.address);
+        if (known != m_store_duties.end())
+            duty = std::move(known->second);
+        else
+            duty = std::make_unique<Duty>("kept_store",
+                                          [this, address = store.address] {
+                                              return store_round(address);
+                                          });
+    }
+    m_store_duties = std::move(duties);
+}
+
+/// Returns the least version of each model that a runner still has.
+KeptDuties::OldestVersions
+KeptDuties::oldest_versions()
+{
+    return m_state.runners.with([](RunnerTable& table) {
+        OldestVersions versions;
+        for (const auto& [id, entry] : table.entries())
+            for (const LoadedModel& loaded : entry.listed.models) {
+                const auto place =
+                    versions.try_emplace(loaded.model, loaded.version).first;
+                place->second = std::min(place->second, loaded.version);
+            }
+        return versions;
+    });
+}
+
+Micros
+KeptDuties::free_round()
+{
+    if (!m_state.may_act())
+        return idle_pause;
+    const OldestVersions oldest = oldest_versions();
+    const auto obsolete = [&oldest](const KeptSpace& space) {
+        const auto found = oldest.find(space.model);
+        return found != oldest.end() && space.version < found->second;
+    };
+    const double changed = m_weights.changed_part();
+    RunnerMillis clock = 0;
+    const auto frees = m_kept.with([&](Kept& kept) {
+        const TimePoint now = monotonic_now();
+        clock = kept.directory.runner_clock(now);
+        return kept.directory.due(obsolete, changed, now);
+    });
+    const Micros left = m_state.duty_time_left();
+    const RunnerMillis until =
+        clock + static_cast<RunnerMillis>(left / std::chrono::milliseconds(1));
+    for (const KeptFree& free : frees) {
+        LogLine("kept_free")
+            .field("store", free.store)
+            .field("parts", static_cast<std::uint64_t>(free.parts.size()));
+        m_state.ports.stores.free(free, until);
+    }
+    return free_pause;
+}
+
+Micros
+KeptDuties::store_round(const std::string& address)
+{
+    if (!m_state.has_duty())
+        return idle_pause;
+    std::uint64_t after = 0;
+    const bool list = m_kept.with([&](Kept& kept) {
+        const auto next = kept.next.find(address);
+        if (next == kept.next.end())
+            return true;
+        after = next->second;
+        return kept.directory.wants_listing(address, monotonic_now());
+    });
+    try {
+        if (list)
+            list_store(address);
+        else
+            follow_store(address, after);
+        return changes_pause;
+    } catch (const Error& failure) {
+        LogLine("kept_store_unreachable")
+            .field("store", address)
+            .field("error", failure.what());
+        m_kept.with([&](Kept& kept) {
+            kept.directory.unreachable(address);
+            kept.next.erase(address);
+        });
+        return store_failed_pause;
+    }
+}
+
+void
+KeptDuties::list_store(const std::string& address)
+{
+    const KeptListing listing = m_state.ports.stores.list(address);
+    m_kept.with([&](Kept& kept) {
+        kept.directory.listed(address, listing, monotonic_now());
+        kept.next[address] = listing.next;
+    });
+    LogLine("kept_listed")
+        .field("store", address)
+        .field("whole", static_cast<std::uint64_t>(listing.whole.size()))
+        .field("broken", static_cast<std::uint64_t>(listing.broken.size()));
+}
+
+void
+KeptDuties::follow_store(const std::string& address, std::uint64_t after)
+{
+    const KeptChanges changes =
+        m_state.ports.stores.changes(address, after, changes_wait);
+    m_kept.with([&](Kept& kept) {
+        if (kept.directory.changed(address, changes, monotonic_now()))
+            kept.next[address] = changes.next;
+        else
+            kept.next.erase(address);
+    });
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/kept_duties.h
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "forward_state.h"
+#include "weights_duty.h"
+
+#include <serve/duty.h>
+#include <serve/guarded.h>
+
+#include <crosslink/forward/forwarded_call.h>
+#include <crosslink/kept/kept_directory.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace crosslink
+{
+
+/// Keeps the directory of kept KV while this instance has the duty: learns
+/// what the stores have, and has them free what is let go. Idle else.
+class KeptDuties
+{
+public:
+    /// Both outlive it.
+    KeptDuties(ForwardState& state, WeightsDuty& weights);
+
+    /// Begins with an empty directory: the duty is this instance's from now
+    /// on, under `token`.
+    void begin(std::uint64_t token);
+    /// Follows the stores of the configuration in force. Called by one thread
+    /// alone.
+    void follow_map();
+    /// Answers where `parts` lie, for a call that ends within `longest`.
+    KeptAnswer ask(const KeptSpace& space, std::span<const PromptPart> parts,
+                   Micros longest);
+    /// See KeptDirectory::update_since().
+    KeptUpdate update_since(std::uint64_t term, std::uint64_t place);
+    /// Takes note of parts that were told to be saved by a call that did not
+    /// run.
+    void not_saved(const std::string& space, std::span<const PromptPart> parts);
+
+private:
+    /// The directory with what feeds it.
+    struct Kept {
+        KeptDirectory directory;
+        std::uint64_t map_version = 0; ///< The stores are from this one.
+        std::map<std::string, std::uint64_t, std::less<>> next; ///< By store.
+    };
+    using OldestVersions = std::map<std::string, std::uint64_t, std::less<>>;
+
+    OldestVersions oldest_versions();
+    Micros free_round();
+    Micros store_round(const std::string& address);
+    void list_store(const std::string& address);
+    void follow_store(const std::string& address, std::uint64_t after);
+
+    ForwardState& m_state;
+    WeightsDuty& m_weights;
+    Guarded<Kept> m_kept;
+    /// By address.
+    std::map<std::string, std::unique_ptr<Duty>> m_store_duties;
+    Duty m_free_duty;
+};
+
+} // namespace crosslink
--- a/src/serve/forward/steward.h
+++ b/src/serve/forward/steward.h
@@ -5,20 +5,21 @@
 
 #include "exchange.h"
 #include "forward_state.h"
+#include "kept_duties.h"
+#include "weights_duty.h"
 
 #include <serve/duty.h>
 
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/load_board.h>
-#include <crosslink/kept/kept_directory.h>
-#include <crosslink/weights/weights_plan.h>
+#include <crosslink/kept/kept_part.h>
+#include <crosslink/kept/kept_replica.h>
 
-#include <atomic>
+#include <cstddef>
+#include <cstdint>
 #include <map>
-#include <memory>
 #include <span>
 #include <string>
-#include <vector>
 
 namespace crosslink
 {
@@ -30,9 +31,6 @@
 {
 public:
     explicit Steward(ForwardState& state);
-    ~Steward();
-    Steward(const Steward&) = delete;
-    Steward& operator=(const Steward&) = delete;
 
     /// True where this instance has the duty now.
     bool holds_duty() const;
@@ -52,34 +50,18 @@
     void give_up();
 
 private:
-    /// What the threads of the duty share.
-    struct Kept {
-        KeptDirectory directory;
-        std::uint64_t map_version = 0; ///< The stores are from this one.
-        std::map<std::string, std::uint64_t, std::less<>> next; ///< By store.
-    };
-
     Micros lease_round();
-    Micros weights_round();
-    Micros free_round();
-    Micros store_round(const std::string& address);
     std::size_t takeover_rank();
     void took_duty();
-    void follow_map();
-    void give_order(const WeightsOrder& order);
-    void ask_runner(const WeightsOrder& order);
-    bool acting() const;
+    void require_duty() const;
 
     ForwardState& m_state;
     std::uint64_t m_last_token = 0;
     std::map<std::string, std::uint64_t> m_seen_weights;
-    Guarded<WeightsPlan> m_plan;
-    Guarded<Kept> m_kept;
     Guarded<LoadBoard> m_loads;
-    std::map<std::string, std::unique_ptr<Duty>> m_store_duties;
-    std::unique_ptr<Duty> m_weights_duty;
-    std::unique_ptr<Duty> m_free_duty;
-    std::unique_ptr<Duty> m_lease_duty;
+    WeightsDuty m_weights;
+    KeptDuties m_kept;
+    Duty m_lease_duty;
 };
 
 } // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/weights_duty.cpp
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "weights_duty.h"
+
+#include <adapters/clock.h>
+#include <serve/log_line.h>
+
+#include <crosslink/ports/runner_orders.h>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Rounds of the weights plan while it has something to do: a runner's load
+/// takes most of a second.
+constexpr Micros busy_pause = std::chrono::milliseconds(80);
+/// Rounds while there is nothing to do.
+constexpr Micros idle_pause = std::chrono::milliseconds(700);
+
+} // namespace
+
+WeightsDuty::WeightsDuty(ForwardState& state)
+    : m_state(state), m_plan(state.settings.weights_bound()),
+      m_duty("weights", [this] { return round(); })
+{
+}
+
+void
+WeightsDuty::begin()
+{
+    m_plan.with([this](WeightsPlan& plan) {
+        plan = WeightsPlan(m_state.settings.weights_bound());
+    });
+}
+
+std::vector<std::string>
+WeightsDuty::loading()
+{
+    std::vector<std::string> runners;
+    m_plan.with([&runners](WeightsPlan& plan) {
+        for (const WeightsOrder& order : plan.open())
+            runners.push_back(order.runner);
+    });
+    return runners;
+}
+
+double
+WeightsDuty::changed_part()
+{
+    const RunnerTable runners =
+        m_state.runners.with([](RunnerTable& table) { return table; });
+    return m_plan.with(
+        [&runners](WeightsPlan& plan) { return plan.changed_part(runners); });
+}
+
+Micros
+WeightsDuty::round()
+{
+    if (!m_state.may_act())
+        return m_state.has_duty() ? busy_pause : idle_pause;
+    const auto weights =
+        m_state.fleet.with([](FleetView& view) { return view.weights; });
+    const RunnerTable runners =
+        m_state.runners.with([](RunnerTable& table) { return table; });
+    const TimePoint now = monotonic_now();
+    std::vector<WeightsOrder> open;
+    const auto due = m_plan.with([&](WeightsPlan& plan) {
+        for (const auto& [model, history] : weights)
+            plan.follow(model, history);
+        open = plan.open();
+        return plan.due(runners, now);
+    });
+    for (const WeightsOrder& order : due)
+        give(order);
+    for (const WeightsOrder& order : open)
+        ask(order);
+    return due.empty() && open.empty() ? idle_pause : busy_pause;
+}
+
+void
+WeightsDuty::give(const WeightsOrder& order)
+{
+    const auto report = m_state.ports.orders.report(order.address, order.model);
+    OrderOutcome outcome = OrderOutcome::Refused;
+    if (report && report->busy) {
+        outcome = OrderOutcome::Busy;
+    } else if (report && report->version >= order.version) {
+        outcome = OrderOutcome::InForce;
+        m_state.runners.with([&](RunnerTable& table) {
+            table.has_version(order.runner, order.model, report->version);
+        });
+    } else if (report && m_state.may_act()) {
+        const std::uint64_t token = m_state.steward_lease.with(
+            [](DutyLease& lease) { return lease.token(); });
+        outcome = m_state.ports.orders.give(order, token, report->orders);
+    }
+    LogLine("weights_order")
+        .field("runner", order.runner)
+        .field("version", order.version)
+        .field("outcome", static_cast<int>(outcome));
+    m_plan.with([&](WeightsPlan& plan) {
+        plan.ordered(order, outcome, monotonic_now());
+    });
+}
+
+void
+WeightsDuty::ask(const WeightsOrder& order)
+{
+    const auto report = m_state.ports.orders.report(order.address, order.model);
+    if (!report)
+        return;
+    if (!report->busy && report->version >= order.version) {
+        m_state.runners.with([&](RunnerTable& table) {
+            table.has_version(order.runner, order.model, report->version);
+        });
+        LogLine("weights_loaded")
+            .field("runner", order.runner)
+            .field("version", report->version);
+    }
+    m_plan.with([&](WeightsPlan& plan) {
+        plan.reported(order.runner, report->version, report->busy,
+                      monotonic_now());
+    });
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/weights_duty.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "forward_state.h"
+
+#include <serve/duty.h>
+#include <serve/guarded.h>
+
+#include <crosslink/weights/weights_plan.h>
+
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+/// Brings the runners to the weights that were named, while this instance has
+/// the duty; idle else.
+class WeightsDuty
+{
+public:
+    /// `state` outlives it.
+    explicit WeightsDuty(ForwardState& state);
+
+    /// Begins with an empty plan: the duty is this instance's from now on.
+    void begin();
+    /// Looks at once for what is to be done.
+    void nudge() { m_duty.nudge(); }
+    /// Returns the runners that were told to load.
+    std::vector<std::string> loading();
+    /// See WeightsPlan::changed_part().
+    double changed_part();
+
+private:
+    Micros round();
+    void give(const WeightsOrder& order);
+    void ask(const WeightsOrder& order);
+
+    ForwardState& m_state;
+    Guarded<WeightsPlan> m_plan;
+    Duty m_duty;
+};
+
+} // namespace crosslink
