Remove what nothing reads

The service map carried the services with their engines and limits of connections, and nothing asked for them; an empty namespace and a figure in a comment were left over too. Behaviour stays.

--- a/src/include/crosslink/forward/service_map.h
+++ b/src/include/crosslink/forward/service_map.h
@@ -52,15 +52,6 @@
     const std::string& pick_service(std::uint64_t random) const;
 };
 
-/// The engines behind a service.
-struct EngineTraits {
-    std::uint64_t kv_tokens = 0;      ///< Memory of one engine.
-    std::uint64_t kv_token_bytes = 0; ///< KV of one token.
-    double link_bytes_per_second = 0;
-    bool managed_stores = false; ///< Save and fetch name one place a part.
-    std::vector<std::string> models;
-};
-
 /// A store of kept KV, as the operator set it up.
 struct KeptStoreInfo {
     std::string name;
@@ -71,14 +62,6 @@
     bool managed = false; ///< It drops nothing by itself.
 };
 
-/// A service of the configuration.
-struct ServiceInfo {
-    std::string name;
-    std::uint32_t most_connections = 0; ///< To one runner, of all callers.
-    bool has_engine = false;
-    EngineTraits engine;
-};
-
 /// What callers may send, and how long they may take.
 struct CallerLimits {
     std::uint64_t header_bytes = 16'384;
@@ -103,7 +86,6 @@
     std::uint64_t version = 0;
     CallerLimits limits;
     std::vector<KeptStoreInfo> stores;
-    std::map<std::string, ServiceInfo, std::less<>> services;
     std::vector<KeyHolder> accounts;
     bool needs_key = false; ///< Calls carry a key, open routes excepted.
 
@@ -118,8 +100,6 @@
                                    std::string_view path) const;
     /// Returns the account that `key` opens, or null.
     const KeyHolder* holder_of(std::string_view key) const;
-    /// Returns the service, or null.
-    const ServiceInfo* find_service(std::string_view name) const;
     std::size_t route_count() const { return m_routes; }
 
 private:
--- a/src/libcrosslink/forward/load_board.cpp
+++ b/src/libcrosslink/forward/load_board.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-/// What was told longer ago says nothing of now; it is told five times a
+/// What was told longer ago says nothing of now; it is told several times a
 /// second.
 constexpr Micros told_holds = std::chrono::seconds(1);
 
--- a/src/libcrosslink/forward/service_map.cpp
+++ b/src/libcrosslink/forward/service_map.cpp
@@ -65,11 +65,4 @@
     return found == m_keys.end() ? nullptr : &accounts[found->second];
 }
 
-const ServiceInfo*
-ServiceMap::find_service(std::string_view name) const
-{
-    const auto found = services.find(name);
-    return found == services.end() ? nullptr : &found->second;
-}
-
 } // namespace crosslink
--- a/src/libcrosslink/membership/duty_lease.cpp
+++ b/src/libcrosslink/membership/duty_lease.cpp
@@ -8,11 +8,6 @@
 namespace crosslink
 {
 
-namespace
-{
-
-} // namespace
-
 void
 DutyLease::granted(std::uint64_t token, TimePoint asked, Micros span)
 {
