Split the choice of due orders of the weights plan

due() dropped old orders, looked for runners that are behind, put them in order and gave orders, in one function of 45 lines. The first three are functions of their own. Behaviour stays.

--- a/src/include/crosslink/weights/weights_plan.h
+++ b/src/include/crosslink/weights/weights_plan.h
@@ -94,6 +94,10 @@
         bool accepted = false;
     };
 
+    void drop_overdue(const RunnerTable& runners, TimePoint now);
+    std::vector<const RunnerEntry*> behind(std::string_view model,
+                                           const RunnerTable& runners,
+                                           TimePoint now) const;
     std::size_t at_once(std::string_view model, const RunnerTable& runners,
                         TimePoint now) const;
 
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -109,8 +109,37 @@
         std::lround(std::clamp(needed, usual, most)));
 }
 
-std::vector<WeightsOrder>
-WeightsPlan::due(const RunnerTable& runners, TimePoint now)
+/// Returns the runners that may be ordered to load now, in the order in which
+/// they should.
+std::vector<const RunnerEntry*>
+WeightsPlan::behind(std::string_view model, const RunnerTable& runners,
+                    TimePoint now) const
+{
+    const std::uint64_t newest = m_models.find(model)->second.newest();
+    std::vector<const RunnerEntry*> result;
+    for (const auto& [id, entry] : runners.entries()) {
+        const std::uint64_t has = entry.version_of(model);
+        const auto again = m_again_at.find(id);
+        const bool waits = again != m_again_at.end() && now < again->second;
+        if (has > 0 && has < newest && !entry.listed.leaving &&
+            !m_open.contains(id) && !waits)
+            result.push_back(&entry);
+    }
+    // The oldest weights first: they are the first to be forbidden.
+    const auto rank = [model](const RunnerEntry* entry) {
+        return std::pair(entry->version_of(model),
+                         entry->own.calls + entry->others.calls);
+    };
+    std::sort(result.begin(), result.end(),
+              [&rank](const RunnerEntry* one, const RunnerEntry* other) {
+                  return rank(one) < rank(other);
+              });
+    return result;
+}
+
+/// Forgets the orders that took too long, and those of runners that are gone.
+void
+WeightsPlan::drop_overdue(const RunnerTable& runners, TimePoint now)
 {
     std::erase_if(m_open, [&](const auto& item) {
         const Micros limit =
@@ -118,28 +147,16 @@
         return !runners.entries().contains(item.first) ||
                now >= item.second.given + limit;
     });
+}
+
+std::vector<WeightsOrder>
+WeightsPlan::due(const RunnerTable& runners, TimePoint now)
+{
+    drop_overdue(runners, now);
     std::vector<WeightsOrder> orders;
     for (const auto& [model, history] : m_models) {
-        std::vector<const RunnerEntry*> behind;
-        for (const auto& [id, entry] : runners.entries()) {
-            const std::uint64_t has = entry.version_of(model);
-            const auto again = m_again_at.find(id);
-            const bool waits = again != m_again_at.end() && now < again->second;
-            if (has > 0 && has < history.newest() && !entry.listed.leaving &&
-                !m_open.contains(id) && !waits)
-                behind.push_back(&entry);
-        }
-        // The oldest weights first: they are the first to be forbidden.
-        const auto rank = [&model = model](const RunnerEntry* entry) {
-            return std::pair(entry->version_of(model),
-                             entry->own.calls + entry->others.calls);
-        };
-        std::sort(behind.begin(), behind.end(),
-                  [&rank](const RunnerEntry* one, const RunnerEntry* other) {
-                      return rank(one) < rank(other);
-                  });
         const std::size_t most = at_once(model, runners, now);
-        for (const RunnerEntry* entry : behind) {
+        for (const RunnerEntry* entry : behind(model, runners, now)) {
             if (m_open.size() >= most)
                 break;
             WeightsOrder order{entry->listed.id, entry->listed.address, model,
