Keep the end of an idle connection with those that keep it

The connection had a public member for the pool alone. The pool keeps the time beside the connection. Behaviour stays.

--- a/src/adapters/call_connection.h
+++ b/src/adapters/call_connection.h
@@ -53,8 +53,6 @@
     /// True where nothing came and the other side has not closed, so that an
     /// idle connection can carry a call.
     bool quiet() const;
-    /// When it may be used for another call no more.
-    TimePoint usable_until{};
 
 private:
     class Session;
--- a/src/adapters/call_connections.cpp
+++ b/src/adapters/call_connections.cpp
@@ -31,11 +31,11 @@
         return nullptr;
     Idle& idle = found->second;
     while (!idle.empty()) {
-        std::unique_ptr<CallConnection> connection = std::move(idle.back());
+        IdleConnection last = std::move(idle.back());
         idle.pop_back();
-        if (now < connection->usable_until && connection->quiet())
-            return connection;
-        dropped.push_back(std::move(connection));
+        if (now < last.usable_until && last.connection->quiet())
+            return std::move(last.connection);
+        dropped.push_back(std::move(last));
     }
     m_idle.erase(found);
     return nullptr;
@@ -46,11 +46,11 @@
                           std::unique_ptr<CallConnection> connection,
                           Micros idle_time)
 {
-    connection->usable_until = monotonic_now() + idle_time;
+    const TimePoint usable_until = monotonic_now() + idle_time;
     const std::lock_guard lock(m_mutex);
     Idle& idle = m_idle[address];
     if (idle.size() < most_idle)
-        idle.push_back(std::move(connection));
+        idle.push_back({std::move(connection), usable_until});
 }
 
 } // namespace crosslink
--- a/src/adapters/call_connections.h
+++ b/src/adapters/call_connections.h
@@ -34,10 +34,14 @@
                   std::unique_ptr<CallConnection> connection, Micros idle_time);
 
 private:
-    using Idle = std::vector<std::unique_ptr<CallConnection>>;
+    struct IdleConnection {
+        std::unique_ptr<CallConnection> connection;
+        TimePoint usable_until{};
+    };
+    using Idle = std::vector<IdleConnection>;
 
     std::mutex m_mutex;
-    std::map<std::string, Idle> m_idle;
+    std::map<std::string, Idle> m_idle; ///< By address.
 };
 
 } // namespace crosslink
