Put the count of open calls beside its only user

It stood in the header of the way back to the caller. The count of headers in the check of framing asked for the same twice. Headers include what they use. Behaviour stays.

--- a/src/serve/forward/forward_server.cpp
+++ b/src/serve/forward/forward_server.cpp
@@ -16,7 +16,10 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerSession.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <atomic>
 
 namespace crosslink
 {
@@ -33,6 +36,22 @@
 /// Part of the descriptors for callers; runners take the rest.
 constexpr std::uint64_t part_for_callers = 2;
 
+/// Counts a call for as long as it lives.
+class OpenCall
+{
+public:
+    explicit OpenCall(std::atomic<std::uint32_t>& count) : m_count(count)
+    {
+        ++m_count;
+    }
+    ~OpenCall() { --m_count; }
+    OpenCall(const OpenCall&) = delete;
+    OpenCall& operator=(const OpenCall&) = delete;
+
+private:
+    std::atomic<std::uint32_t>& m_count;
+};
+
 HttpServerRules
 small_rules()
 {
@@ -75,19 +94,17 @@
     return head;
 }
 
-/// A request whose length can be read in two ways could hide another one.
+/// Throws Error(BadRequest) where the length of the body is not clear: a
+/// request whose length can be read in two ways could hide another one.
 void
 check_framing(const Poco::Net::HTTPServerRequest& request)
 {
     const bool chunked = request.getChunkedTransferEncoding();
     const auto count = [&request](const std::string& name) {
-        return std::distance(request.find(name), request.end()) == 0
-                   ? 0
-                   : std::count_if(request.begin(), request.end(),
-                                   [&name](const auto& field) {
-                                       return Poco::icompare(field.first,
-                                                             name) == 0;
-                                   });
+        return std::count_if(request.begin(), request.end(),
+                             [&name](const auto& field) {
+                                 return Poco::icompare(field.first, name) == 0;
+                             });
     };
     const auto lengths = count("Content-Length");
     const auto encodings = count("Transfer-Encoding");
@@ -102,8 +119,9 @@
     }
 }
 
-/// POCO takes chunks that break off or are malformed for the end of a body.
-/// Then bytes are left over, or the caller has gone.
+/// Throws Error(BadRequest) where a chunked body is not whole. POCO takes
+/// chunks that break off or are malformed for the end of a body. Then bytes are
+/// left over, or the caller has gone.
 void
 check_chunked_end(Poco::Net::HTTPServerRequest& request)
 {
--- a/src/serve/forward/forward_server.h
+++ b/src/serve/forward/forward_server.h
@@ -8,6 +8,7 @@
 
 #include <adapters/http_server.h>
 
+#include <atomic>
 #include <memory>
 
 namespace crosslink
--- a/src/serve/forward/http_caller_link.h
+++ b/src/serve/forward/http_caller_link.h
@@ -5,8 +5,6 @@
 
 #include "caller_link.h"
 
-#include <atomic>
-#include <cstdint>
 #include <ostream>
 
 namespace Poco::Net
@@ -45,20 +43,4 @@
     bool m_begun = false;
 };
 
-/// Counts a call for as long as it lives.
-class OpenCall
-{
-public:
-    explicit OpenCall(std::atomic<std::uint32_t>& count) : m_count(count)
-    {
-        ++m_count;
-    }
-    ~OpenCall() { --m_count; }
-    OpenCall(const OpenCall&) = delete;
-    OpenCall& operator=(const OpenCall&) = delete;
-
-private:
-    std::atomic<std::uint32_t>& m_count;
-};
-
 } // namespace crosslink
