Say in the ports what throws, and what waits end with

Freeing parts was said to throw and does not; the feed throws more than was said; an answer counts as begun in two ways, and one was told. Members of a connection have their units. Comments and an include only.

--- a/src/adapters/call_connection.h
+++ b/src/adapters/call_connection.h
@@ -37,7 +37,12 @@
     /// Sends a call with its body.
     void send(const OutgoingCall& call, std::string_view body);
 
-    enum class Wait { Ready, CallerGone, TimedOut };
+    /// What a wait ended with.
+    enum class Wait {
+        Ready,      ///< Bytes of the answer, or its end, are there.
+        CallerGone, ///< The caller closed its connection.
+        TimedOut,   ///< Neither happened in time.
+    };
     /// Waits up to `longest` for bytes of the answer. `caller_socket` is
     /// watched meanwhile; -1 for none.
     Wait wait(int caller_socket, Micros longest);
@@ -58,12 +63,12 @@
     class Session;
 
     std::unique_ptr<Session> m_session;
-    std::istream* m_body = nullptr;
+    std::istream* m_body = nullptr; ///< Of the session; null before a head.
     bool m_chunked = false;
-    long long m_length = -1; ///< Told length of the body; -1: not told.
-    long long m_read = 0;
-    bool m_broken = false;
-    bool m_watch_caller = true;
+    long long m_length = -1;    ///< Told bytes of the body; -1: not told.
+    long long m_read = 0;       ///< Bytes of the body.
+    bool m_broken = false;      ///< The connection failed within the body.
+    bool m_watch_caller = true; ///< Until the caller sends something.
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -62,8 +62,9 @@
 };
 
 /// What the platform tells every instance: the operator's configuration, the
-/// named weights, the runners, and the fleet itself. Calls block and throw
-/// Error(PlatformUnavailable).
+/// named weights, the runners, and the fleet itself. read() and wait() block,
+/// and throw Error with PlatformUnavailable, PlatformThrottled or
+/// PlatformOutcomeUnknown.
 class FleetFeed
 {
 public:
--- a/src/include/crosslink/ports/kept_stores.h
+++ b/src/include/crosslink/ports/kept_stores.h
@@ -13,19 +13,21 @@
 namespace crosslink
 {
 
-/// The stores of kept KV that the system manages. Calls block and throw
-/// Error(StoreUnavailable).
+/// The stores of kept KV that the system manages. Stores are named by address,
+/// "ip:port". Calls block.
 class KeptStores
 {
 public:
     virtual ~KeptStores() = default;
 
-    /// Returns all that the store has.
+    /// Returns all that the store has. Throws Error(StoreUnavailable).
     virtual KeptListing list(std::string_view address) = 0;
-    /// Waits up to `longest` for changes after `after`.
+    /// Waits up to `longest` for changes after the place `after`. Throws
+    /// Error(StoreUnavailable).
     virtual KeptChanges changes(std::string_view address, std::uint64_t after,
                                 Micros longest) = 0;
-    /// Lets a store free parts, if it gets to it before `until`.
+    /// Lets a store free parts, if it gets to it before `until`. Does not
+    /// throw: a later listing tells what was freed.
     virtual void free(const KeptFree& order, RunnerMillis until) = 0;
 };
 
--- a/src/serve/forward/caller_link.h
+++ b/src/serve/forward/caller_link.h
@@ -29,9 +29,10 @@
     virtual void finish() = 0;
     /// Ends it so that it can't be taken for complete.
     virtual void break_off() = 0;
-    /// True once begin() was called.
+    /// True once answer() or begin() was called.
     virtual bool begun() const = 0;
-    /// The caller's socket, to notice that it went away.
+    /// Returns the descriptor of the caller's socket, to notice that it went
+    /// away.
     virtual int socket() const = 0;
 };
 
--- a/src/serve/forward/forward_path.cpp
+++ b/src/serve/forward/forward_path.cpp
@@ -10,6 +10,7 @@
 
 #include <crosslink/base/error.h>
 
+#include <array>
 #include <cstdio>
 
 namespace crosslink
@@ -18,6 +19,7 @@
 namespace
 {
 
+/// A caller that was refused for want of a configuration comes back after this.
 constexpr Micros come_back = std::chrono::milliseconds(500);
 /// Another instance takes the call at once.
 constexpr Micros at_once = std::chrono::milliseconds(50);
