--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -43,19 +43,8 @@
     const Micros pause = span / extensions_per_lease;
     if (m_state.stopping)
         return pause;
-    // While another instance holds the duty, only its end is waited for.
-    // Instances try one after the other, so that few calls are made.
-    const bool held = m_state.has_duty();
-    const bool taken = m_state.fleet.with(
-        [](FleetView& view) { return !view.steward.empty(); });
-    if (!held && taken)
+    if (!m_state.has_duty() && !is_own_turn())
         return pause;
-    if (!held && m_state.fleet.with([](FleetView& v) { return v.listed; })) {
-        std::this_thread::sleep_for(takeover_step *
-                                    static_cast<int>(takeover_rank()));
-        if (m_state.fleet.with([](FleetView& v) { return !v.steward.empty(); }))
-            return pause;
-    }
     const TimePoint asked = monotonic_now();
     const auto lease = m_state.ports.duties.hold(
         duty_name, m_state.settings.peer_address(), span);
@@ -74,6 +63,25 @@
     return pause;
 }
 
+/// Returns whether this instance should try to take the duty. While another
+/// one holds it, only its end is waited for. Instances try one after the other,
+/// so that few calls are made.
+bool
+Steward::is_own_turn()
+{
+    const auto is_taken = [this] {
+        return m_state.fleet.with(
+            [](FleetView& view) { return !view.steward.empty(); });
+    };
+    if (is_taken())
+        return false;
+    if (!m_state.fleet.with([](FleetView& view) { return view.listed; }))
+        return true;
+    std::this_thread::sleep_for(takeover_step *
+                                static_cast<int>(takeover_rank()));
+    return !is_taken();
+}
+
 std::size_t
 Steward::takeover_rank()
 {
--- a/src/serve/forward/steward.h
+++ b/src/serve/forward/steward.h
@@ -30,6 +30,7 @@
 class Steward
 {
 public:
+    /// `state` outlives it.
     explicit Steward(ForwardState& state);
 
     /// True where this instance has the duty now.
@@ -51,6 +52,7 @@
 
 private:
     Micros lease_round();
+    bool is_own_turn();
     std::size_t takeover_rank();
     void took_duty();
     void require_duty() const;
