--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -11,37 +11,22 @@
 namespace
 {
 
-/// KV memory is given out in blocks of so many tokens.
-constexpr std::uint32_t block_tokens = 16;
-/// Part of a store that is filled; the rest is for saves that broke off.
-constexpr double filled_part = 0.97;
+/// Stores give out room in steps of so many tokens.
+constexpr std::uint32_t room_step = 16;
 /// Beyond kept_answer_time: the runners' clock as told here may lag by one
 /// answer of a store on its way.
 constexpr Micros clock_slack = std::chrono::milliseconds(500);
-/// A part asked for within this time is not let go for another one.
-constexpr Micros in_use_time = std::chrono::seconds(20);
-/// Part of all room that is let go at once where a store is full. At two
-/// rounds a second, all room is given anew in five seconds: half the time in
-/// which new weights reach all runners.
-constexpr double let_go_part = 0.1;
-/// Part of all room that is kept free while there are parts of replaced
-/// weights, at the beginning and what comes to it until all runners changed: a
-/// part is freed seconds after it was let go, and until then the saves of those
-/// seconds need room.
-constexpr double first_reserve = 0;
-constexpr double later_reserve = 0.45;
-/// Changes that are remembered; an instance asks several times a second.
-constexpr std::size_t most_history = 2000;
 /// A new holder of the duty tells nothing before it listed the stores, or
 /// found them out of reach.
 constexpr Micros learning_time = std::chrono::milliseconds(1500);
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
 
+/// Returns the room, in tokens, that a part of `tokens` takes.
 std::uint32_t
 room_of(std::uint32_t tokens)
 {
-    return (tokens + block_tokens - 1) / block_tokens * block_tokens;
+    return (tokens + room_step - 1) / room_step * room_step;
 }
 
 } // namespace
@@ -68,56 +53,39 @@
 KeptDirectory::begin(std::uint64_t term, TimePoint now)
 {
     m_began = now;
-    m_history.clear();
-    m_place = 0;
+    m_history = {};
     m_parts.clear();
     m_term = term;
     m_terms = {term};
     m_full = false;
-    m_clock = 0;
+    m_clock = {};
     for (auto& [address, state] : m_stores)
         state = StoreState{state.info};
 }
 
+/// Takes note of a store's boot; under a new one it has forgotten all.
 void
-KeptDirectory::take_clock(RunnerMillis clock, TimePoint now)
-{
-    if (clock <= m_clock)
-        return;
-    m_clock = clock;
-    m_clock_at = now;
-}
-
-RunnerMillis
-KeptDirectory::runner_clock(TimePoint now) const
-{
-    if (m_clock == 0)
-        return 0;
-    const auto since =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - m_clock_at);
-    return m_clock + static_cast<RunnerMillis>(since.count());
-}
-
-void
-KeptDirectory::restarted(const std::string& store, StoreState& state,
+KeptDirectory::take_boot(const std::string& store, StoreState& state,
                          std::uint64_t boot, TimePoint now)
 {
-    if (state.boot != 0 && state.boot != boot) {
-        for (auto entry = m_parts.begin(); entry != m_parts.end();) {
-            const auto next = std::next(entry);
-            if (entry->second.store == store) {
-                entry->second.store.clear();
-                note(entry->first, entry->second);
-                m_parts.erase(entry);
-            }
-            entry = next;
+    const bool forgot_all = state.boot != 0 && state.boot != boot;
+    state.boot = boot;
+    if (!forgot_all)
+        return;
+    state.used_tokens = 0;
+    state.write_from = now + kept_answer_time + clock_slack;
+    for (auto entry = m_parts.begin(); entry != m_parts.end();) {
+        const auto next = std::next(entry);
+        if (entry->second.store == store) {
+            entry->second.store.clear();
+            note(entry->first, entry->second);
+            m_parts.erase(entry);
         }
-        state.used_tokens = 0;
-        state.write_from = now + kept_answer_time + clock_slack;
+        entry = next;
     }
-    state.boot = boot;
 }
 
+/// Takes note that a store has a part whole.
 void
 KeptDirectory::hold(const std::string& store, const KeptPart& part,
                     TimePoint now)
@@ -147,11 +115,7 @@
 KeptDirectory::note(const Key& key, const Entry& entry)
 {
     const bool told = entry.state == State::Held;
-    m_history.push_back(
-        {key.first, key.second, told ? entry.store : std::string()});
-    ++m_place;
-    if (m_history.size() > most_history)
-        m_history.pop_front();
+    m_history.add({key.first, key.second, told ? entry.store : std::string()});
 }
 
 KeptUpdate
@@ -163,20 +127,17 @@
         std::all_of(m_stores.begin(), m_stores.end(),
                     [](const auto& item) { return item.second.boot != 0; });
     update.ready =
-        m_clock != 0 && (all_listed || now > m_began + learning_time);
+        m_clock.is_known() && (all_listed || now > m_began + learning_time);
     update.term = m_term;
-    update.place = m_place;
+    update.place = m_history.place();
     update.clock = runner_clock(now);
     if (!update.ready)
         return update;
-    const std::uint64_t first = m_place - m_history.size();
-    update.whole = term != m_term || place < first || place > m_place;
-    if (!update.whole) {
-        update.entries.assign(m_history.begin() +
-                                  static_cast<std::ptrdiff_t>(place - first),
-                              m_history.end());
+    if (auto changes = m_history.since(place); changes && term == m_term) {
+        update.entries = std::move(*changes);
         return update;
     }
+    update.whole = true;
     for (const auto& [key, entry] : m_parts)
         if (entry.state == State::Held)
             update.entries.push_back({key.first, key.second, entry.store});
@@ -215,32 +176,60 @@
     if (found == m_stores.end())
         return;
     StoreState& state = found->second;
-    restarted(found->first, state, listing.boot, now);
-    take_clock(listing.clock, now);
+    take_boot(found->first, state, listing.boot, now);
+    m_clock.advance(listing.clock, now);
     state.reachable = true;
     state.listed_at = now;
-    std::map<Key, bool> there;
-    for (const KeptPart& part : listing.whole) {
-        const Key key{part.space, part.id};
-        there[key] = true;
-        hold(found->first, part, now);
-        Entry& entry = m_parts.find(key)->second;
+    take_whole(found->first, listing.whole, now);
+    take_broken(found->first, listing.broken, now);
+    drop_missing(found->first, listing, now);
+}
+
+/// Takes in the parts that a store lists as whole.
+void
+KeptDirectory::take_whole(const std::string& store,
+                          std::span<const KeptPart> parts, TimePoint now)
+{
+    for (const KeptPart& part : parts) {
+        hold(store, part, now);
+        Entry& entry = m_parts.find({part.space, part.id})->second;
+        // It is still there long after the store was asked to free it.
         if (entry.told_free && now >= entry.due + listing_pause)
             entry.told_free = false;
     }
-    for (const KeptPart& part : listing.broken) {
-        there[{part.space, part.id}] = true;
+}
+
+/// Lets go of the parts that a store lists as broken off, save those whose
+/// call may still be writing.
+void
+KeptDirectory::take_broken(const std::string& store,
+                           std::span<const KeptPart> parts, TimePoint now)
+{
+    for (const KeptPart& part : parts) {
         const auto [place, added] = m_parts.try_emplace({part.space, part.id});
         Entry& entry = place->second;
         if (added) {
-            entry.store = found->first;
+            entry.store = store;
             entry.tokens = room_of(part.tokens);
-            state.used_tokens += entry.tokens;
+            m_stores.find(store)->second.used_tokens += entry.tokens;
         }
         const bool ended = added || now >= entry.due;
-        if (entry.store == found->first && entry.state != State::LetGo && ended)
+        if (entry.store == store && entry.state != State::LetGo && ended)
             let_go(place->first, entry, now);
     }
+}
+
+/// Drops the parts of a store that it does not list, save those that a call
+/// may be about to write.
+void
+KeptDirectory::drop_missing(const std::string& store,
+                            const KeptListing& listing, TimePoint now)
+{
+    std::set<Key> there;
+    for (const KeptPart& part : listing.whole)
+        there.insert({part.space, part.id});
+    for (const KeptPart& part : listing.broken)
+        there.insert({part.space, part.id});
     for (auto entry = m_parts.begin(); entry != m_parts.end();) {
         const auto next = std::next(entry);
         const bool here = entry->second.store == store;
@@ -262,7 +251,7 @@
     StoreState& state = found->second;
     if (changes.boot != state.boot || changes.lost)
         return false;
-    take_clock(changes.clock, now);
+    m_clock.advance(changes.clock, now);
     state.reachable = true;
     for (const KeptChange& change : changes.changes) {
         if (change.stored) {
@@ -290,44 +279,15 @@
 {
     const auto state = m_stores.find(entry.store);
     if (entry.state != State::Held || state == m_stores.end() ||
-        !state->second.reachable || m_clock == 0)
+        !state->second.reachable || !m_clock.is_known())
         return {};
     return {KeptPlace::Kind::Fetch, entry.store,
             runner_clock(now) +
                 static_cast<RunnerMillis>(kept_answer_time.count())};
 }
 
-std::string
-KeptDirectory::place_for(std::uint32_t tokens, TimePoint now)
-{
-    // Reads spread over the stores in proportion to their links while the
-    // filling of each is in proportion to its link.
-    std::string best;
-    double best_filling = 0;
-    bool waits = false;
-    for (const auto& [address, state] : m_stores) {
-        if (!state.reachable || state.boot == 0)
-            continue;
-        if (now < state.write_from) {
-            waits = true;
-            continue;
-        }
-        const double capacity =
-            filled_part * static_cast<double>(state.info.capacity_tokens);
-        if (static_cast<double>(state.used_tokens + tokens) > capacity)
-            continue;
-        const double filling = static_cast<double>(state.used_tokens + tokens) /
-                               std::max(state.info.link_bytes_per_second, 1.0);
-        if (best.empty() || filling < best_filling) {
-            best = address;
-            best_filling = filling;
-        }
-    }
-    if (best.empty() && !waits)
-        m_full = true;
-    return best;
-}
-
+/// Returns the space under which `last` is told as kept, of whichever term;
+/// else the one that is written to now.
 KeptSpace
 KeptDirectory::space_of(const KeptSpace& wanted, const PromptPart& last) const
 {
@@ -391,97 +351,6 @@
         drop(entry);
 }
 
-std::vector<KeptDirectory::Dispensable>
-KeptDirectory::dispensable(TimePoint now)
-{
-    std::map<std::string, std::uint64_t> newest;
-    std::vector<Dispensable> result;
-    for (auto& [key, entry] : m_parts) {
-        const auto space = KeptSpace::parse(key.first);
-        if (entry.state != State::Held || !space)
-            continue;
-        auto& version = newest[space->model];
-        version = std::max(version, space->version);
-        result.push_back({space->model, space->version, false, &key, &entry});
-    }
-    for (Dispensable& item : result)
-        item.replaced = item.version < newest[item.model];
-    std::erase_if(result, [now](const Dispensable& item) {
-        return !item.replaced && now - item.entry->asked <= in_use_time;
-    });
-    // Parts of replaced weights first, then those asked for least lately.
-    std::sort(result.begin(), result.end(),
-              [](const Dispensable& one, const Dispensable& other) {
-                  if (one.replaced != other.replaced)
-                      return one.replaced;
-                  return one.entry->asked < other.entry->asked;
-              });
-    return result;
-}
-
-double
-KeptDirectory::free_part() const
-{
-    double room = 0;
-    double used = 0;
-    for (const auto& [address, state] : m_stores) {
-        room += static_cast<double>(state.info.capacity_tokens);
-        used += static_cast<double>(state.used_tokens);
-    }
-    for (const auto& [key, entry] : m_parts)
-        if (entry.state == State::LetGo)
-            used -= entry.tokens;
-    return room > 0 ? 1 - used / room : 1;
-}
-
-void
-KeptDirectory::make_room(double changed_part, TimePoint now)
-{
-    const bool low = free_part() < first_reserve + later_reserve * changed_part;
-    if (!m_full && !low)
-        return;
-    double wanted = 0;
-    for (const auto& [address, state] : m_stores)
-        wanted += let_go_part * static_cast<double>(state.info.capacity_tokens);
-    for (const Dispensable& item : dispensable(now)) {
-        if (wanted <= 0 || (!m_full && !item.replaced))
-            break;
-        wanted -= item.entry->tokens;
-        let_go(*item.key, *item.entry, now);
-    }
-    m_full = false;
-}
-
-std::vector<KeptFree>
-KeptDirectory::due(const std::function<bool(const KeptSpace&)>& obsolete,
-                   double changed_part, TimePoint now)
-{
-    make_room(changed_part, now);
-    std::map<std::string, KeptFree> frees;
-    for (auto& [key, entry] : m_parts) {
-        if (entry.state == State::Held) {
-            const auto space = KeptSpace::parse(key.first);
-            if (!space || obsolete(*space))
-                let_go(key, entry, now);
-        }
-        if (entry.state != State::LetGo || entry.told_free || now < entry.due)
-            continue;
-        const StoreState& state = m_stores.find(entry.store)->second;
-        if (!state.reachable)
-            continue;
-        entry.told_free = true;
-        KeptFree& free = frees[entry.store];
-        free.store = entry.store;
-        free.boot = state.boot;
-        free.parts.push_back({key.first, key.second, entry.tokens});
-    }
-    std::vector<KeptFree> result;
-    result.reserve(frees.size());
-    for (auto& [store, free] : frees)
-        result.push_back(std::move(free));
-    return result;
-}
-
 bool
 KeptDirectory::wants_listing(std::string_view store, TimePoint now) const
 {
@@ -499,13 +368,4 @@
     });
 }
 
-std::size_t
-KeptDirectory::held() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_parts.begin(), m_parts.end(), [](const auto& item) {
-            return item.second.state == State::Held;
-        }));
-}
-
 } // namespace crosslink
