--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -29,8 +29,8 @@
 /// The others' load is used for so long after it was told.
 constexpr Micros told_holds = std::chrono::milliseconds(1200);
 /// Weights that were replaced: a call that begins on them loses a fifth of
-/// its worth.
-constexpr double old_weights_ms = 120;
+/// its worth, a late one most of it (docs/MEASUREMENTS.md).
+constexpr double old_weights_ms = 50;
 /// Another zone: two milliseconds on the way, and bytes between zones, which
 /// are dear. The runners of the own zone should be well filled first.
 constexpr double other_zone_ms = 60;
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -44,9 +44,12 @@
         next[info.address].info = info;
     }
     m_stores = std::move(next);
-    std::erase_if(m_parts, [this](const auto& item) {
-        return !m_stores.contains(item.second.store);
-    });
+    for (auto entry = m_parts.begin(); entry != m_parts.end();) {
+        const auto following = std::next(entry);
+        if (!m_stores.contains(entry->second.store))
+            drop(entry);
+        entry = following;
+    }
 }
 
 void
--- a/src/libcrosslink/kept/kept_directory_test.cpp
+++ b/src/libcrosslink/kept/kept_directory_test.cpp
@@ -209,6 +209,21 @@
     CHECK_FALSE(replica.find(space(), parts, false, at(320)));
 }
 
+TEST_CASE("a copy forgets the parts of a store that is taken away")
+{
+    KeptDirectory directory = directory_with_stores();
+    const KeptAnswer first = ask(directory, "p", 0);
+    directory.changed(first.places[0].store, stored(first.space, "p", 1100),
+                      at(100));
+    KeptReplica replica;
+    replica.take(directory.update_since(0, 0, at(200)), at(200));
+    directory.set_stores({});
+    const auto [term, place] = replica.position();
+    replica.take(directory.update_since(term, place, at(2000)), at(2000));
+    const std::vector<PromptPart> parts{{"p", 160}};
+    CHECK_FALSE(replica.find(space(), parts, true, at(2010)));
+}
+
 namespace
 {
 
--- a/src/serve/forward/exchange_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -54,7 +54,7 @@
         m_state.kept.with(
             [&](KeptReplica& replica) { replica.take(answer.kept, asked); });
         return exchange_pause;
-    } catch (const Error& failure) {
+    } catch (const std::exception& failure) {
         // Without the duty's holder the own load is all that is known.
         spdlog::debug("exchange: {}", failure.what());
         return after_failure;
--- a/src/serve/forward/fleet_calls.cpp
+++ b/src/serve/forward/fleet_calls.cpp
@@ -28,6 +28,9 @@
 /// A question for kept parts must be worth its time: a prompt of a few
 /// thousand tokens is read in about 100 ms.
 constexpr Micros question_time = std::chrono::milliseconds(80);
+/// A whole copy of the directory, or of what the platform told, is some hundred
+/// kilobytes, and no call waits for it.
+constexpr Micros large_answer_time = std::chrono::milliseconds(600);
 constexpr Micros connect_time = std::chrono::milliseconds(60);
 
 } // namespace
@@ -78,12 +81,14 @@
 }
 
 Json::Value
-FleetClient::call(const char* method, const Json::Value& parameters)
+FleetClient::call(const char* method, const Json::Value& parameters,
+                  Micros longest)
 {
     try {
-        RpcClient client([this](const std::string& request) {
+        RpcClient client([this, longest](const std::string& request) {
             HttpRequest http;
             http.path = rpc_path;
+            http.receive_timeout = longest;
             http.headers.push_back({"Content-Type", "application/json"});
             http.body = request;
             return m_client.exchange(http).body;
@@ -103,7 +108,7 @@
     Json::Value parameters = to_json(space.text(), parts);
     parameters["longest_us"] = Json::Int64(longest.count());
     KeptAnswer answer =
-        kept_answer_from_json(call(ask_kept_method, parameters));
+        kept_answer_from_json(call(ask_kept_method, parameters, question_time));
     if (answer.places.size() != parts.size())
         throw Error(ErrorCode::PeerUnavailable, "not one place per part");
     return answer;
@@ -113,20 +118,22 @@
 FleetClient::not_saved(const std::string& space,
                        std::span<const PromptPart> parts)
 {
-    call(not_saved_method, to_json(space, parts));
+    call(not_saved_method, to_json(space, parts), question_time);
 }
 
 std::string
 FleetClient::snapshot()
 {
-    return json_string(call(snapshot_method, Json::Value(Json::objectValue)),
+    return json_string(call(snapshot_method, Json::Value(Json::objectValue),
+                            large_answer_time),
                        "text");
 }
 
 ExchangeAnswer
 FleetClient::exchange(const ExchangeQuestion& question)
 {
-    return exchange_answer_from_json(call(exchange_method, to_json(question)));
+    return exchange_answer_from_json(
+        call(exchange_method, to_json(question), large_answer_time));
 }
 
 } // namespace crosslink
--- a/src/serve/forward/fleet_calls.h
+++ b/src/serve/forward/fleet_calls.h
@@ -46,7 +46,8 @@
     ExchangeAnswer exchange(const ExchangeQuestion& question);
 
 private:
-    Json::Value call(const char* method, const Json::Value& parameters);
+    Json::Value call(const char* method, const Json::Value& parameters,
+                     Micros longest);
 
     HttpClient m_client;
 };
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -11,6 +11,7 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <thread>
 
@@ -66,6 +67,15 @@
     return call.generation->shared_parts().back().id;
 }
 
+/// Statuses that tell a caller that its call has not run.
+bool
+promises_not_run(int status)
+{
+    constexpr std::array statuses{408, 421, 429, 503};
+    return std::find(statuses.begin(), statuses.end(), status) !=
+           statuses.end();
+}
+
 bool
 is_success(int status)
 {
@@ -101,7 +111,8 @@
     });
     for (;;) {
         if (!choose() && !wait_for_runner()) {
-            fail(m_runs > 0 ? Outcome::Broken : Outcome::NotSent);
+            give_up(link, m_runs > 0 ? Outcome::Broken : Outcome::NotSent);
+            return;
         }
         const Outcome outcome = attempt(link);
         settle(outcome);
@@ -112,14 +123,21 @@
             return;
         }
         if (!may_go_on(outcome)) {
-            if (!link.begun())
-                fail(outcome);
-            link.break_off();
+            give_up(link, outcome);
             return;
         }
     }
 }
 
+/// Ends a call without a whole answer: an answer that has begun is broken off.
+void
+ForwardRun::give_up(CallerLink& link, Outcome outcome)
+{
+    if (!link.begun())
+        fail(outcome);
+    link.break_off();
+}
+
 bool
 ForwardRun::choose()
 {
@@ -180,12 +198,12 @@
     Outcome outcome = Outcome::Broken;
     try {
         outcome = exchange(link, sent);
-    } catch (const Poco::Exception& failure) {
+    } catch (const std::exception& failure) {
         LogLine("answer_broken")
             .field("request", m_call.id)
             .field("runner", m_pick.id)
             .field("reused", reused)
-            .field("error", failure.displayText());
+            .field("error", failure.what());
     }
     m_connection.reset();
     m_prompt.ended();
@@ -303,6 +321,9 @@
     learn(head);
     if (head.not_run)
         return Outcome::NotRun;
+    // The caller would take it for a promise that the runner did not give.
+    if (promises_not_run(head.status))
+        return Outcome::Broken;
     const bool success = is_success(head.status);
     if (success && (!head.genuine || head.encoded))
         return Outcome::Broken;
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -75,6 +75,7 @@
     void learn(const AnswerHead& head);
     void saw_first_event();
     void keep_connection(const AnswerHead& head);
+    void give_up(CallerLink& link, Outcome outcome);
     [[noreturn]] void fail(Outcome outcome);
     Micros time_left() const;
 
--- a/src/serve/forward/kept_asker.cpp
+++ b/src/serve/forward/kept_asker.cpp
@@ -61,7 +61,7 @@
         });
         m_state.counters.kept_question.add(monotonic_now() - asked);
         return answer;
-    } catch (const Error& failure) {
+    } catch (const std::exception& failure) {
         LogLine("kept_question_failed").field("error", failure.what());
         m_ask_again = asked + after_failure;
         return std::nullopt;
