--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -78,10 +78,17 @@
 Poco::Net::ServerSocket
 bound_socket(const std::string& address)
 {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(address), true);
-    socket.listen(backlog);
-    return socket;
+    try {
+        Poco::Net::ServerSocket socket;
+        // Not the port: two programs would share its connections.
+        socket.bind(Poco::Net::SocketAddress(address), true, false);
+        socket.listen(backlog);
+        return socket;
+    } catch (const Poco::Exception& failure) {
+        throw Error(ErrorCode::SettingsInvalid, "can't listen on " + address +
+                                                    ": " +
+                                                    failure.displayText());
+    }
 }
 
 } // namespace
