Tell in the log why a shared part of a prompt is read

Now the directory's answer carries the reason, and the line has a letter for each: b being saved, g about to be freed, a store away, n no room, t earlier term, w slow store, r nobody told.

--- a/src/include/crosslink/kept/kept_part.h
+++ b/src/include/crosslink/kept/kept_part.h
@@ -82,9 +82,28 @@
         Fetch, ///< It lies whole at `store` until `until`.
         Save,  ///< This call, and no other, saves it to `store`.
     };
+    /// Why a part is read, where it is.
+    enum class Reason {
+        Unknown,    ///< Nobody told where it lies.
+        BeingSaved, ///< Another call saves it.
+        LetGo,      ///< It is about to be freed.
+        StoreAway,  ///< The store that has it does not answer.
+        NoRoom,     ///< No store has room for it.
+        OtherTerm,  ///< Its space belongs to an earlier holder of the duty.
+        SlowStore,  ///< The store that has it is slower than others.
+    };
     Kind kind = Kind::None;
     std::string store; ///< Address.
     RunnerMillis until = 0;
+    Reason reason = Reason::Unknown; ///< For None.
+
+    /// Returns a part that is to be read.
+    static KeptPlace read(Reason reason)
+    {
+        KeptPlace place;
+        place.reason = reason;
+        return place;
+    }
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -280,13 +280,22 @@
 KeptPlace
 KeptDirectory::place_of(const Entry& entry, TimePoint now) const
 {
+    using Reason = KeptPlace::Reason;
+    if (entry.state == State::Saving)
+        return KeptPlace::read(Reason::BeingSaved);
+    if (entry.state == State::LetGo)
+        return KeptPlace::read(Reason::LetGo);
     const auto state = m_stores.find(entry.store);
-    if (entry.state != State::Held || state == m_stores.end() ||
-        !state->second.reachable || !m_clock.is_known())
-        return {};
-    return {KeptPlace::Kind::Fetch, entry.store,
-            runner_clock(now) +
-                static_cast<RunnerMillis>(kept_answer_time.count())};
+    if (state == m_stores.end() || !state->second.reachable)
+        return KeptPlace::read(Reason::StoreAway);
+    if (!m_clock.is_known())
+        return KeptPlace::read(Reason::Unknown);
+    KeptPlace place;
+    place.kind = KeptPlace::Kind::Fetch;
+    place.store = entry.store;
+    place.until = runner_clock(now) +
+                  static_cast<RunnerMillis>(kept_answer_time.count());
+    return place;
 }
 
 /// Returns the space under which `last` is told as kept, of whichever term;
@@ -331,11 +340,11 @@
     // Only this holder's own space is written to.
     const auto space = KeptSpace::parse(part.space);
     if (!space || space->term != m_term)
-        return {};
+        return KeptPlace::read(KeptPlace::Reason::OtherTerm);
     const std::uint32_t room = room_of(part.tokens);
     const std::string store = place_for(room, now);
     if (store.empty())
-        return {};
+        return KeptPlace::read(KeptPlace::Reason::NoRoom);
     Entry entry;
     entry.store = store;
     entry.tokens = room;
@@ -343,7 +352,10 @@
     entry.due = now + longest;
     m_parts[{part.space, part.id}] = entry;
     m_stores.find(store)->second.used_tokens += room;
-    return {KeptPlace::Kind::Save, store, 0};
+    KeptPlace place;
+    place.kind = KeptPlace::Kind::Save;
+    place.store = store;
+    return place;
 }
 
 void
--- a/src/libcrosslink/kept/kept_replica.cpp
+++ b/src/libcrosslink/kept/kept_replica.cpp
@@ -64,8 +64,8 @@
         for (const PromptPart& part : parts) {
             const auto found = m_places.find({text, part.id});
             if (found != m_places.end())
-                answer.places.push_back(
-                    {KeptPlace::Kind::Fetch, found->second, until});
+                answer.places.push_back({KeptPlace::Kind::Fetch, found->second,
+                                         until, KeptPlace::Reason::Unknown});
             else if (best_effort || term != m_term)
                 answer.places.emplace_back();
             else
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -18,6 +18,34 @@
 /// read.
 constexpr int objectives_for_fetch = 2;
 
+/// Returns the letter that stands for `place` in the log.
+char
+letter_of(const KeptPlace& place)
+{
+    using Reason = KeptPlace::Reason;
+    if (place.kind == KeptPlace::Kind::Fetch)
+        return 'f';
+    if (place.kind == KeptPlace::Kind::Save)
+        return 's';
+    switch (place.reason) {
+    case Reason::Unknown:
+        break;
+    case Reason::BeingSaved:
+        return 'b';
+    case Reason::LetGo:
+        return 'g';
+    case Reason::StoreAway:
+        return 'a';
+    case Reason::NoRoom:
+        return 'n';
+    case Reason::OtherTerm:
+        return 't';
+    case Reason::SlowStore:
+        return 'w';
+    }
+    return 'r';
+}
+
 } // namespace
 
 CallPrompt::CallPrompt(ForwardState& state, KeptAsker& kept,
@@ -56,7 +84,7 @@
                 return watch.should_fetch(place.store, random_bits(), now);
             });
         if (skipped)
-            place = KeptPlace{};
+            place = KeptPlace::read(KeptPlace::Reason::SlowStore);
     }
 }
 
@@ -157,19 +185,8 @@
 CallPrompt::summary() const
 {
     std::string text;
-    for (const KeptPlace& place : m_places) {
-        switch (place.kind) {
-        case KeptPlace::Kind::None:
-            text += 'r';
-            break;
-        case KeptPlace::Kind::Fetch:
-            text += 'f';
-            break;
-        case KeptPlace::Kind::Save:
-            text += 's';
-            break;
-        }
-    }
+    for (const KeptPlace& place : m_places)
+        text += letter_of(place);
     return text;
 }
 
--- a/src/serve/forward/call_prompt.h
+++ b/src/serve/forward/call_prompt.h
@@ -46,8 +46,10 @@
     std::uint64_t tokens_to_read() const { return m_tokens_to_read; }
     /// True once the first event came.
     bool is_read() const { return m_read; }
-    /// Returns a letter for each shared part, for the log: r where it is read,
-    /// f where it is fetched, s where it is read and saved.
+    /// Returns a letter for each shared part, for the log: f where it is
+    /// fetched, s where it is read and saved; where it is read, why: b another
+    /// call saves it, g it is about to be freed, a its store is away, n no
+    /// room, t of an earlier term, w its store is slow, r unknown.
     std::string summary() const;
 
 private:
--- a/src/serve/forward/fleet_json.cpp
+++ b/src/serve/forward/fleet_json.cpp
@@ -117,6 +117,7 @@
         item["kind"] = static_cast<int>(place.kind);
         item["store"] = place.store;
         item["until"] = Json::UInt64(place.until);
+        item["reason"] = static_cast<int>(place.reason);
         value["places"].append(item);
     }
     return value;
@@ -137,6 +138,9 @@
             place.kind = KeptPlace::Kind::Save;
         place.store = json_string(item, "store");
         place.until = json_number(item, "until");
+        const auto reason = json_number(item, "reason");
+        if (reason <= static_cast<std::uint64_t>(KeptPlace::Reason::SlowStore))
+            place.reason = static_cast<KeptPlace::Reason>(reason);
         answer.places.push_back(place);
     }
     return answer;
