Fetch near the store, and pass over only stores that are slow

The two large stores are indeed near their limit: a move to another zone takes twice as long, and two thirds of the moves were such. A part was fetched although the one before it was read, which is of no use.

Change: lateness counts beyond what the runner's load explains, fades over 3 s and weighs against the tokens of the part and those behind it; calls prefer runners in the zone of the store that has their large parts; behind a part that is read nothing is fetched.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -53,6 +53,12 @@
     std::uint64_t version_of(std::string_view model) const;
 };
 
+/// The zone from which most of a prompt's kept parts are fetched.
+struct KeptNear {
+    std::string zone;
+    Micros fetch_time{0};
+};
+
 /// What the choice of a runner depends on.
 struct RunnerQuery {
     std::string_view service;
@@ -60,6 +66,9 @@
     /// Calls with the same text share KV and go to the same runner where it
     /// is not dearer than others; empty for none.
     std::string_view affinity;
+    /// Where the kept parts of the prompt lie, and the time that fetching
+    /// them takes within that zone; empty and 0 where none are.
+    KeptNear kept;
     std::string_view model;           ///< Empty for plain services.
     std::uint64_t newest_version = 0; ///< Named weights; 0 where none are.
     /// Older weights are taken only while most runners have them.
@@ -75,8 +84,12 @@
     std::string id;
     std::string address;
     std::uint64_t version = 0; ///< Of the model, as believed.
+    Micros wait{0};            ///< Until it takes up the call, as expected.
 };
 
+/// Returns the time in which a runner reads a prompt of `tokens`.
+Micros reading_time(std::uint64_t tokens);
+
 /// The runners of all services, and the choice among them.
 class RunnerTable
 {
--- a/src/include/crosslink/forward/service_map.h
+++ b/src/include/crosslink/forward/service_map.h
@@ -88,6 +88,8 @@
     std::vector<KeptStoreInfo> stores;
     std::vector<KeyHolder> accounts;
     bool needs_key = false; ///< Calls carry a key, open routes excepted.
+    /// Bytes of kept KV for each token, by service.
+    std::map<std::string, std::uint32_t, std::less<>> kv_token_bytes;
 
     /// Adds a route; only before the map is shared.
     void add_route(ServiceRoute route);
@@ -100,6 +102,8 @@
                                    std::string_view path) const;
     /// Returns the account that `key` opens, or null.
     const KeyHolder* holder_of(std::string_view key) const;
+    /// Returns the store at `address`, or null.
+    const KeptStoreInfo* find_store(std::string_view address) const;
     std::size_t route_count() const { return m_routes; }
 
 private:
--- a/src/include/crosslink/kept/fetch_watch.h
+++ b/src/include/crosslink/kept/fetch_watch.h
@@ -4,44 +4,56 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/forwarded_call.h>
+#include <crosslink/kept/kept_part.h>
 
 #include <cstdint>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
 namespace crosslink
 {
 
-/// Which stores answer fetches slowly, as the first events of calls show. A
-/// store is compared with the others at the same time: where all are slow,
-/// it is the runners that are busy, and reading would make it worse.
+/// Finds out which stores are slow at the moment, from how much later than
+/// expected the first events of calls come that fetch from them. What delays
+/// all calls, such as runners with too much to do, counts for no store.
 class FetchWatch
 {
 public:
-    /// Takes note of a call, sent at `now`, that fetches its largest part from
-    /// `store`.
-    void sent(std::string_view store, TimePoint now);
-    /// Takes note that the first event of a call sent at `sent` came.
-    void first_event(std::string_view store, TimePoint sent, TimePoint now);
-    /// Takes note that a call sent at `sent` ended without an event.
-    void ended(std::string_view store, TimePoint sent);
-    /// Returns whether a call should fetch from `store`. From a slow store
-    /// only as many calls fetch as it may answer in time; `random` bits
-    /// choose them.
-    bool should_fetch(std::string_view store, std::uint64_t random,
-                      TimePoint now) const;
+    /// Takes note of a call that fetches its largest part from `store`, and
+    /// whose first event should come at `expected`.
+    void sent(std::string_view store, TimePoint expected);
+    /// Takes note that the first event of such a call came at `now`.
+    void first_event(std::string_view store, TimePoint expected, TimePoint now);
+    /// Takes note that such a call ended without an event.
+    void ended(std::string_view store, TimePoint expected);
+    /// Returns whether a call should fetch a part of `tokens` from `store`.
+    /// From a slow store only as many calls fetch as it may answer in time;
+    /// `random` bits choose them. Large parts are worth a longer wait.
+    bool should_fetch(std::string_view store, std::uint32_t tokens,
+                      std::uint64_t random, TimePoint now) const;
+
+    /// Lets those of `places`, one for each of `parts` of a prompt, be read
+    /// that lie in a slow store. A part is of use only with all parts before
+    /// it: the first one that is read takes the later ones with it, and is
+    /// worth waiting for as much as all of them.
+    void pass_over_slow(std::span<const PromptPart> parts,
+                        std::span<KeptPlace> places, std::uint64_t random,
+                        TimePoint now) const;
 
 private:
     struct Seen {
-        double took_ms = 0; ///< Smoothed; 0 before the first sample.
-        TimePoint at{};
-        std::multiset<TimePoint> open; ///< Calls without an event yet.
+        bool known = false;
+        double late_ms = 0; ///< Smoothed; below 0 where events come early.
+        TimePoint at{};     ///< Of the newest sample.
+        std::multiset<TimePoint> open; ///< Expected times of open calls.
     };
 
     static bool is_known(const Seen& seen, TimePoint now);
-    static double took_ms(const Seen& seen, TimePoint now);
+    static double late_ms(const Seen& seen, TimePoint now);
 
     std::map<std::string, Seen, std::less<>> m_stores;
 };
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -38,12 +38,30 @@
 /// have them in memory, which saves a fetch.
 constexpr double affinity_ms = 20;
 
+/// A fetch from another zone takes twice as long, and so long the store serves
+/// nobody else: stores are what runs short first (docs/MEASUREMENTS.md).
+constexpr double far_fetch_price = 3.5;
+
 /// First time for which a failing runner is left alone, and the longest.
 constexpr Micros first_hold = std::chrono::milliseconds(500);
 constexpr std::uint32_t most_doublings = 4;
 
 using Candidates = std::vector<const RunnerEntry*>;
 
+constexpr double millis_per_second = 1000;
+
+Micros
+from_millis(double millis)
+{
+    return from_seconds(millis / millis_per_second);
+}
+
+double
+to_millis(Micros span)
+{
+    return seconds(span) * millis_per_second;
+}
+
 double
 load_ms(const RunnerLoad& load, const RunnerEntry& entry)
 {
@@ -52,19 +70,28 @@
            full_slots_ms * load.calls / slots;
 }
 
+/// Returns the load of `entry` as far as it is known.
 double
-price_ms(const RunnerEntry& entry, const RunnerQuery& query, bool others_known)
+known_load_ms(const RunnerEntry& entry, const RunnerQuery& query,
+              bool others_known)
 {
-    double price = load_ms(entry.own, entry);
+    const double own = load_ms(entry.own, entry);
     if (others_known)
-        price += load_ms(entry.others, entry);
-    else
-        price *= std::max(1.0, static_cast<double>(query.instances) / zones);
+        return own + load_ms(entry.others, entry);
+    return own * std::max(1.0, static_cast<double>(query.instances) / zones);
+}
+
+double
+price_ms(const RunnerEntry& entry, const RunnerQuery& query, bool others_known)
+{
+    double price = known_load_ms(entry, query, others_known);
     if (!query.model.empty() &&
         entry.version_of(query.model) < query.newest_version)
         price += old_weights_ms;
     if (entry.listed.zone != query.zone)
         price += other_zone_ms;
+    if (!query.kept.zone.empty() && entry.listed.zone != query.kept.zone)
+        price += far_fetch_price * to_millis(query.kept.fetch_time);
     return price;
 }
 
@@ -138,6 +165,12 @@
 
 } // namespace
 
+Micros
+reading_time(std::uint64_t tokens)
+{
+    return from_millis(static_cast<double>(tokens) / tokens_per_ms);
+}
+
 std::uint64_t
 RunnerEntry::version_of(std::string_view model) const
 {
@@ -191,11 +224,12 @@
     drop_forbidden(candidates, query);
     if (candidates.empty())
         return std::nullopt;
-    const RunnerEntry* chosen =
-        cheapest(candidates, query,
-                 m_others_known && query.now - m_others_at < told_holds);
+    const bool others_known =
+        m_others_known && query.now - m_others_at < told_holds;
+    const RunnerEntry* chosen = cheapest(candidates, query, others_known);
+    const double wait_ms = known_load_ms(*chosen, query, others_known);
     return RunnerPick{chosen->listed.id, chosen->listed.address,
-                      chosen->version_of(query.model)};
+                      chosen->version_of(query.model), from_millis(wait_ms)};
 }
 
 void
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -89,6 +89,29 @@
     CHECK(table.entries().at("near").own.calls == 0);
 }
 
+TEST_CASE("a large prompt goes to the zone of the store that keeps it")
+{
+    RunnerTable table;
+    table.put(runner("near", "a"));
+    table.put(runner("far", "b"));
+    RunnerQuery ask = query();
+    ask.kept = {"b", std::chrono::milliseconds(40)};
+    CHECK(chosen(table, ask) == "far");
+    ask.kept.fetch_time = std::chrono::milliseconds(5);
+    CHECK(chosen(table, ask) == "near");
+    ask.kept = {"a", std::chrono::milliseconds(40)};
+    CHECK(chosen(table, ask) == "near");
+}
+
+TEST_CASE("the time until a runner takes up a call grows with its prompts")
+{
+    RunnerTable table;
+    table.put(runner("r", "a"));
+    CHECK(table.choose(query())->wait == Micros(0));
+    table.sent("r", 9000);
+    CHECK(table.choose(query())->wait >= reading_time(9000));
+}
+
 TEST_CASE("the load of other instances counts while it is fresh")
 {
     RunnerTable table;
--- a/src/libcrosslink/forward/service_map.cpp
+++ b/src/libcrosslink/forward/service_map.cpp
@@ -3,6 +3,8 @@
 
 #include <crosslink/forward/service_map.h>
 
+#include <algorithm>
+
 namespace crosslink
 {
 
@@ -65,4 +67,14 @@
     return found == m_keys.end() ? nullptr : &accounts[found->second];
 }
 
+const KeptStoreInfo*
+ServiceMap::find_store(std::string_view address) const
+{
+    const auto found = std::find_if(stores.begin(), stores.end(),
+                                    [address](const KeptStoreInfo& store) {
+                                        return store.address == address;
+                                    });
+    return found == stores.end() ? nullptr : &*found;
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/forward/service_map_test.cpp
+++ b/src/libcrosslink/forward/service_map_test.cpp
@@ -61,6 +61,18 @@
     CHECK(map.holder_of("") == nullptr);
 }
 
+TEST_CASE("a store is found by its address")
+{
+    ServiceMap map;
+    KeptStoreInfo store;
+    store.address = "10.0.0.1:1";
+    store.zone = "b";
+    map.stores.push_back(store);
+    REQUIRE(map.find_store("10.0.0.1:1"));
+    CHECK(map.find_store("10.0.0.1:1")->zone == "b");
+    CHECK(!map.find_store("10.0.0.2:1"));
+}
+
 TEST_CASE("a split gives each service its weight")
 {
     ServiceRoute split = route("r", "h", "/");
--- a/src/libcrosslink/kept/fetch_watch.cpp
+++ b/src/libcrosslink/kept/fetch_watch.cpp
@@ -12,85 +12,124 @@
 namespace
 {
 
-/// Weight of a new sample. An instance sees a few from each store a second.
+/// Part of a new sample in the smoothed one.
 constexpr double sample_weight = 0.25;
-/// A store that is slower than the fastest by less than this is not slow: a
-/// part of 5,000 tokens is read in about 100 ms, and reading it anew has a
-/// price of its own.
-constexpr double slow_ms = 120;
-/// First events within this time are in time for most calls, however much
-/// faster another store is.
-constexpr double in_time_ms = 350;
-/// Least part of the calls that fetch from a slow store, to see when it is
-/// fast again.
+/// A delay up to this is usual, for a part of whatever size.
+constexpr double usual_ms = 80;
+/// Beyond it, a fetch may be this much later for each token of its part: about
+/// twice the time in which a runner reads the token.
+constexpr double worth_ms_per_token = 0.04;
+/// Part of the calls that go on fetching from a slow store, to see its end.
 constexpr double least_part = 0.1;
-/// A sample older than this says nothing.
+/// What was seen longer ago says nothing of now, and counts for less until
+/// then: few calls tell of one store to one instance.
 constexpr Micros sample_holds = std::chrono::seconds(3);
 
+double
+millis(Micros span)
+{
+    return seconds(span) * 1000;
+}
+
 } // namespace
 
 void
-FetchWatch::sent(std::string_view store, TimePoint now)
+FetchWatch::sent(std::string_view store, TimePoint expected)
 {
-    m_stores[std::string(store)].open.insert(now);
+    m_stores[std::string(store)].open.insert(expected);
 }
 
 void
-FetchWatch::ended(std::string_view store, TimePoint sent)
+FetchWatch::ended(std::string_view store, TimePoint expected)
 {
     const auto found = m_stores.find(store);
     if (found == m_stores.end())
         return;
     std::multiset<TimePoint>& open = found->second.open;
-    if (const auto call = open.find(sent); call != open.end())
+    if (const auto call = open.find(expected); call != open.end())
         open.erase(call);
 }
 
 void
-FetchWatch::first_event(std::string_view store, TimePoint sent, TimePoint now)
+FetchWatch::first_event(std::string_view store, TimePoint expected,
+                        TimePoint now)
 {
-    ended(store, sent);
+    ended(store, expected);
     Seen& seen = m_stores[std::string(store)];
-    const double took = seconds(now - sent) * 1000;
-    const bool fresh = seen.took_ms > 0 && now - seen.at <= sample_holds;
-    seen.took_ms =
-        fresh ? seen.took_ms + sample_weight * (took - seen.took_ms) : took;
+    const double late = millis(now - expected);
+    if (is_known(seen, now))
+        seen.late_ms += sample_weight * (late - seen.late_ms);
+    else
+        seen.late_ms = late;
+    seen.known = true;
     seen.at = now;
 }
 
 bool
 FetchWatch::is_known(const Seen& seen, TimePoint now)
 {
-    return seen.took_ms > 0 && now - seen.at <= sample_holds;
+    return seen.known && now - seen.at <= sample_holds;
 }
 
-/// Returns how long calls take now: the oldest that still waits tells of a
-/// slow store before any sample does.
+/// Returns how late the events of `seen` are: those that came, or, where none
+/// came since it was due, the one that is waited for longest.
 double
-FetchWatch::took_ms(const Seen& seen, TimePoint now)
+FetchWatch::late_ms(const Seen& seen, TimePoint now)
 {
-    const double waits =
-        seen.open.empty() ? 0 : seconds(now - *seen.open.begin()) * 1000;
-    return std::max(waits, is_known(seen, now) ? seen.took_ms : 0);
+    double late = 0;
+    if (is_known(seen, now))
+        late = seen.late_ms *
+               (1 - seconds(now - seen.at) / seconds(sample_holds));
+    if (!seen.open.empty() && *seen.open.begin() > seen.at)
+        late = std::max(late, millis(now - *seen.open.begin()));
+    return late;
 }
 
 bool
-FetchWatch::should_fetch(std::string_view store, std::uint64_t random,
-                         TimePoint now) const
+FetchWatch::should_fetch(std::string_view store, std::uint32_t tokens,
+                         std::uint64_t random, TimePoint now) const
 {
     const auto own = m_stores.find(store);
     if (own == m_stores.end())
         return true;
-    const double own_ms = took_ms(own->second, now);
-    std::optional<double> fastest;
+    std::optional<double> least_late;
     for (const auto& [name, seen] : m_stores)
-        if (name != store && is_known(seen, now))
-            fastest = std::min(fastest.value_or(seen.took_ms), seen.took_ms);
-    if (!fastest || own_ms <= in_time_ms || own_ms <= *fastest + slow_ms)
+        if (name != store && is_known(seen, now)) {
+            const double late = late_ms(seen, now);
+            least_late = std::min(least_late.value_or(late), late);
+        }
+    if (!least_late)
+        return true;
+    const double later =
+        late_ms(own->second, now) - std::max(*least_late, 0.0);
+    const double allowed = usual_ms + worth_ms_per_token * tokens;
+    if (later <= allowed)
         return true;
-    const double part = std::max(least_part, slow_ms / (own_ms - *fastest));
+    // None but the least part fetches where the delay is twice what is
+    // allowed, so that the store's queue stays short.
+    const double part = std::max(least_part, 2 - later / allowed);
     constexpr std::uint64_t steps = 1000;
     return static_cast<double>(random % steps) < part * steps;
 }
 
+void
+FetchWatch::pass_over_slow(std::span<const PromptPart> parts,
+                           std::span<KeptPlace> places, std::uint64_t random,
+                           TimePoint now) const
+{
+    std::uint32_t tokens = 0;
+    for (const PromptPart& part : parts)
+        tokens += part.tokens;
+    bool slow = false;
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        KeptPlace& place = places[i];
+        const bool fetches = place.kind == KeptPlace::Kind::Fetch;
+        slow = slow ||
+               (fetches && !should_fetch(place.store, tokens, random, now));
+        if (fetches && slow)
+            place = KeptPlace::read(KeptPlace::Reason::SlowStore);
+        tokens -= parts[i].tokens;
+    }
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/kept/fetch_watch_test.cpp
+++ b/src/libcrosslink/kept/fetch_watch_test.cpp
@@ -17,12 +17,17 @@
     return TimePoint(std::chrono::milliseconds(millis));
 }
 
+constexpr std::uint32_t small_part = 500;
+constexpr std::uint32_t large_part = 5000;
+
+/// Returns how many of a thousand calls fetch.
 int
-fetches_of(const FetchWatch& watch, int millis)
+fetches_of(const FetchWatch& watch, int millis,
+           std::uint32_t tokens = large_part)
 {
     int count = 0;
     for (std::uint64_t i = 0; i < 1000; ++i)
-        count += watch.should_fetch("slow", i, at(millis)) ? 1 : 0;
+        count += watch.should_fetch("slow", tokens, i, at(millis)) ? 1 : 0;
     return count;
 }
 
@@ -42,6 +47,27 @@
     CHECK(fetches_of(watch, 10'000) == 1000);
 }
 
+TEST_CASE("a large part is worth a longer wait than a small one")
+{
+    FetchWatch watch;
+    for (int i = 0; i < 20; ++i) {
+        watch.first_event("slow", at(i), at(i + 220));
+        watch.first_event("other", at(i), at(i));
+    }
+    CHECK(fetches_of(watch, 250, small_part) < 200);
+    CHECK(fetches_of(watch, 250, large_part) == 1000);
+}
+
+TEST_CASE("calls of busy runners, expected late, tell of no slow store")
+{
+    FetchWatch watch;
+    for (int i = 0; i < 20; ++i) {
+        watch.first_event("slow", at(i + 900), at(i + 950));
+        watch.first_event("other", at(i + 20), at(i + 60));
+    }
+    CHECK(fetches_of(watch, 980) == 1000);
+}
+
 TEST_CASE("a call that waits long tells of a slow store before it is answered")
 {
     FetchWatch watch;
@@ -53,6 +79,46 @@
     CHECK(fetches_of(watch, 1110) == 1000);
 }
 
+TEST_CASE("a part whose forerunner is read is read too")
+{
+    FetchWatch watch;
+    for (int i = 0; i < 20; ++i) {
+        watch.first_event("slow", at(i), at(i + 1200));
+        watch.first_event("other", at(i), at(i));
+    }
+    const std::vector<PromptPart> parts{{"a", large_part}, {"b", small_part}};
+    std::vector<KeptPlace> places(2);
+    for (KeptPlace& place : places)
+        place.kind = KeptPlace::Kind::Fetch;
+    places[0].store = "slow";
+    places[1].store = "other";
+    constexpr std::uint64_t not_among_the_few = 999;
+    watch.pass_over_slow(parts, places, not_among_the_few, at(1230));
+    for (const KeptPlace& place : places) {
+        CHECK(place.kind == KeptPlace::Kind::None);
+        CHECK(place.reason == KeptPlace::Reason::SlowStore);
+    }
+}
+
+TEST_CASE("a small part is worth the wait of the parts behind it")
+{
+    FetchWatch watch;
+    for (int i = 0; i < 20; ++i) {
+        watch.first_event("slow", at(i), at(i + 220));
+        watch.first_event("other", at(i), at(i));
+    }
+    const std::vector<PromptPart> parts{{"a", small_part}, {"b", large_part}};
+    std::vector<KeptPlace> places(2);
+    for (KeptPlace& place : places)
+        place.kind = KeptPlace::Kind::Fetch;
+    places[0].store = "slow";
+    places[1].store = "other";
+    constexpr std::uint64_t not_among_the_few = 999;
+    watch.pass_over_slow(parts, places, not_among_the_few, at(230));
+    CHECK(places[0].kind == KeptPlace::Kind::Fetch);
+    CHECK(places[1].kind == KeptPlace::Kind::Fetch);
+}
+
 TEST_CASE("where all stores are slow, none is passed over")
 {
     FetchWatch watch;
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -54,6 +54,32 @@
 {
 }
 
+KeptNear
+CallPrompt::near(const KeptSpace& space, std::string_view service)
+{
+    const auto parts = m_call.generation->shared_parts();
+    const auto map = m_state.map();
+    const auto bytes = map->kv_token_bytes.find(service);
+    if (parts.empty() || bytes == map->kv_token_bytes.end())
+        return {};
+    const auto answer = m_kept.look(space, parts);
+    if (!answer)
+        return {};
+    std::map<std::string, double> seconds_by_zone;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const KeptStoreInfo* store = map->find_store(answer->places[i].store);
+        if (store && store->link_bytes_per_second > 0)
+            seconds_by_zone[store->zone] +=
+                static_cast<double>(parts[i].tokens) * bytes->second /
+                store->link_bytes_per_second;
+    }
+    KeptNear near;
+    for (const auto& [zone, time] : seconds_by_zone)
+        if (time > seconds(near.fetch_time))
+            near = {zone, from_seconds(time)};
+    return near;
+}
+
 void
 CallPrompt::ask(const KeptSpace& space, Micros time_left, SendTerms& terms)
 {
@@ -66,28 +92,14 @@
     const KeptAnswer answer = m_kept.ask(space, parts, time_left);
     m_places = answer.places;
     m_space = answer.space;
-    skip_slow_stores();
+    m_state.fetches.with([&](FetchWatch& watch) {
+        watch.pass_over_slow(parts, m_places, random_bits(), monotonic_now());
+    });
     terms.space = answer.space;
     terms.places = m_places;
     fetch_or_read(answer, terms);
 }
 
-/// Lets the parts be read that lie in a store which is slow now.
-void
-CallPrompt::skip_slow_stores()
-{
-    const TimePoint now = monotonic_now();
-    for (KeptPlace& place : m_places) {
-        const bool skipped =
-            place.kind == KeptPlace::Kind::Fetch &&
-            !m_state.fetches.with([&](FetchWatch& watch) {
-                return watch.should_fetch(place.store, random_bits(), now);
-            });
-        if (skipped)
-            place = KeptPlace::read(KeptPlace::Reason::SlowStore);
-    }
-}
-
 /// Counts what is fetched, saved and read, and bounds the fetches.
 void
 CallPrompt::fetch_or_read(const KeptAnswer& answer, SendTerms& terms)
@@ -140,10 +152,10 @@
 }
 
 void
-CallPrompt::sent(TimePoint now)
+CallPrompt::sent(TimePoint now, Micros runner_wait)
 {
     m_read = false;
-    m_sent_at = now;
+    m_expected = now + runner_wait + reading_time(m_tokens_to_read);
     m_watched_store.clear();
     // The time of a call tells of a store where the call reads none of its
     // shared parts.
@@ -151,7 +163,7 @@
         return;
     m_watched_store = store_of_largest();
     m_state.fetches.with(
-        [this](FetchWatch& watch) { watch.sent(m_watched_store, m_sent_at); });
+        [this](FetchWatch& watch) { watch.sent(m_watched_store, m_expected); });
 }
 
 void
@@ -161,7 +173,7 @@
     if (m_watched_store.empty())
         return;
     m_state.fetches.with([this](FetchWatch& watch) {
-        watch.first_event(m_watched_store, m_sent_at, monotonic_now());
+        watch.first_event(m_watched_store, m_expected, monotonic_now());
     });
 }
 
@@ -171,7 +183,7 @@
     if (m_read || m_watched_store.empty())
         return;
     m_state.fetches.with(
-        [this](FetchWatch& watch) { watch.ended(m_watched_store, m_sent_at); });
+        [this](FetchWatch& watch) { watch.ended(m_watched_store, m_expected); });
 }
 
 void
--- a/src/serve/forward/call_prompt.h
+++ b/src/serve/forward/call_prompt.h
@@ -28,12 +28,15 @@
     CallPrompt(ForwardState& state, KeptAsker& kept, const ForwardedCall& call,
                Micros objective);
 
+    /// Returns the zone from which the runner of `service` would fetch most.
+    KeptNear near(const KeptSpace& space, std::string_view service);
     /// Learns where the shared parts lie whose KV is of `space`, and adds to
     /// `terms` what the runner is to do with them. The call must be a
     /// generation that ends within `time_left`.
     void ask(const KeptSpace& space, Micros time_left, SendTerms& terms);
-    /// Takes note that the call is sent at `now`.
-    void sent(TimePoint now);
+    /// Takes note that the call is sent at `now` to a runner that is expected
+    /// to take it up after `runner_wait`.
+    void sent(TimePoint now, Micros runner_wait);
     /// Takes note that its first event came: the prompt is read.
     void first_event();
     /// Takes note that the call ended at this runner, with an event or
@@ -53,7 +56,6 @@
     std::string summary() const;
 
 private:
-    void skip_slow_stores();
     void fetch_or_read(const KeptAnswer& answer, SendTerms& terms);
     bool fetches_all() const;
     const std::string& store_of_largest() const;
@@ -66,7 +68,7 @@
     std::vector<KeptPlace> m_places; ///< One for each shared part.
     std::string m_watched_store;     ///< Of the largest part; or empty.
     std::uint64_t m_tokens_to_read = 0;
-    TimePoint m_sent_at{};
+    TimePoint m_expected{}; ///< Of the first event, without its fetches.
     bool m_read = false;
 };
 
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -41,6 +41,8 @@
 /// A call may wait at its runner before it begins: it is sent to replaced
 /// weights only until so long before they are forbidden.
 constexpr Micros begin_margin = std::chrono::milliseconds(1500);
+/// Weights that no version was named of yet.
+constexpr std::uint64_t first_weights = 1;
 /// Surplus answers of earlier calls that are read past.
 constexpr int most_surplus = 3;
 constexpr int first_success = 200;
@@ -154,6 +156,9 @@
     query.newest_version = m_newest;
     query.avoid = &m_avoid;
     query.instances = m_state.instance_count();
+    if (m_call.generation)
+        query.kept = m_prompt.near(kept_space(std::max(m_newest, first_weights)),
+                                   m_service);
     query.random = random_bits();
     query.now = monotonic_now();
     query.least_version = weights.least(
@@ -192,7 +197,7 @@
     m_state.runners.with([this](RunnerTable& table) {
         table.sent(m_pick.id, m_prompt.tokens_to_read());
     });
-    m_prompt.sent(monotonic_now());
+    m_prompt.sent(monotonic_now(), m_pick.wait);
     ++m_sends;
     ++m_state.counters.sends;
     Outcome outcome = Outcome::Broken;
@@ -238,11 +243,11 @@
 }
 
 KeptSpace
-ForwardRun::kept_space() const
+ForwardRun::kept_space(std::uint64_t version) const
 {
     KeptSpace space;
     space.model = m_call.generation->model;
-    space.version = m_pick.version;
+    space.version = version;
     if (m_holder && m_holder->isolated)
         space.wall = m_holder->name;
     return space;
@@ -263,7 +268,7 @@
     terms.version = m_pick.version;
     if (const auto last = m_events.last_event())
         terms.after_event = std::to_string(*last);
-    m_prompt.ask(kept_space(), terms.time_left, terms);
+    m_prompt.ask(kept_space(m_pick.version), terms.time_left, terms);
     return terms;
 }
 
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -64,7 +64,7 @@
     bool take_repeat();
     void settle(Outcome outcome);
     SendTerms terms();
-    KeptSpace kept_space() const;
+    KeptSpace kept_space(std::uint64_t version) const;
     bool connect(bool& reused);
     Outcome exchange(CallerLink& link, const SendTerms& terms);
     std::optional<Outcome> await_answer(CallerLink& link);
--- a/src/serve/forward/kept_asker.cpp
+++ b/src/serve/forward/kept_asker.cpp
@@ -50,6 +50,15 @@
     return nothing;
 }
 
+std::optional<KeptAnswer>
+KeptAsker::look(const KeptSpace& space, std::span<const PromptPart> parts)
+{
+    const TimePoint now = monotonic_now();
+    return m_state.kept.with([&](KeptReplica& replica) {
+        return replica.find(space, parts, true, now);
+    });
+}
+
 std::optional<KeptAnswer>
 KeptAsker::ask_steward(const KeptSpace& space,
                        std::span<const PromptPart> parts, Micros longest,
--- a/src/serve/forward/kept_asker.h
+++ b/src/serve/forward/kept_asker.h
@@ -27,6 +27,10 @@
     /// within `longest`. Where nobody can be asked, all are None.
     KeptAnswer ask(const KeptSpace& space, std::span<const PromptPart> parts,
                    Micros longest);
+    /// Returns where `parts` lie as far as this instance's own copy tells;
+    /// nothing where the last of them is not known.
+    std::optional<KeptAnswer> look(const KeptSpace& space,
+                                   std::span<const PromptPart> parts);
     /// Gives back saves of a call that did certainly not run.
     void not_saved(const std::string& space, std::span<const PromptPart> parts,
                    std::span<const KeptPlace> places);
