--- a/src/libcrosslink/forward/event_tracker_test.cpp
+++ b/src/libcrosslink/forward/event_tracker_test.cpp
@@ -53,7 +53,7 @@
 
 TEST_CASE("however runs break off, each event passes once and in order")
 {
-    rc::check("once and in order", [] {
+    CHECK(rc::check("once and in order", [] {
         const auto count = *rc::gen::inRange<std::uint64_t>(1, 20);
         EventTracker tracker(std::nullopt);
         std::string relayed;
@@ -82,7 +82,7 @@
             whole += event(i);
         RC_ASSERT(relayed == whole);
         RC_ASSERT(!tracker.gap());
-    });
+    }));
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/retry_window_test.cpp
+++ b/src/libcrosslink/forward/retry_window_test.cpp
@@ -36,7 +36,7 @@
 
 TEST_CASE("the instances of a fleet together stay in its budget")
 {
-    rc::check("in the budget", [] {
+    CHECK(rc::check("in the budget", [] {
         const RetryRules rules{0.2, 54, std::chrono::seconds(10)};
         const auto instances = *rc::gen::inRange<std::size_t>(1, 12);
         std::vector<RetryWindow> fleet(instances, RetryWindow(rules));
@@ -53,7 +53,7 @@
             }
         }
         RC_ASSERT(repeats <= rules.ratio * calls + rules.allowance);
-    });
+    }));
 }
 
 } // namespace crosslink
