Log the time to the first event and the wait expected of the runner

Cause: the log told when a call ended, not when its first event came, so that a late first token could not be told from a long answer, nor what the choice of the runner had expected.

--- a/src/serve/forward/forward_path.cpp
+++ b/src/serve/forward/forward_path.cpp
@@ -99,6 +99,8 @@
         .field("sends", run.sends())
         .field("kept", run.kept_summary())
         .field("caller_gone", run.caller_gone())
+        .span("expected_wait", run.expected_wait())
+        .span("first_event", run.first_event())
         .span("took", monotonic_now() - call.received_at);
 }
 
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -394,8 +394,8 @@
         if (!m_prompt.is_read())
             saw_first_event();
         if (!link.begun()) {
-            m_state.counters.first_event.add(monotonic_now() -
-                                             m_call.received_at);
+            m_first_event = monotonic_now() - m_call.received_at;
+            m_state.counters.first_event.add(m_first_event);
             link.begin(head.status, head.headers);
         }
         if (!link.send(events))
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -43,6 +43,10 @@
     std::uint32_t sends() const { return m_sends; }
     const std::string& runner() const { return m_pick.id; }
     bool caller_gone() const { return m_caller_gone; }
+    /// Time from the call's arrival to its first event; 0 where there is none.
+    Micros first_event() const { return m_first_event; }
+    /// How long the last runner was expected to need before it took the call.
+    Micros expected_wait() const { return m_pick.wait; }
     /// What was done with the shared parts of the prompt, for the log.
     std::string kept_summary() const { return m_prompt.summary(); }
 
@@ -95,6 +99,7 @@
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
     bool m_caller_gone = false;
+    Micros m_first_event{0};
 };
 
 } // namespace crosslink
