Let a restarted holder take its duty at once; tell kept parts store by store

Change: a lease whose key names the own address belongs to an earlier process there, which is gone: it is replaced, and the first act waits longer by the part of the lease that the earlier one may have used. Updates are told from the first listed store on; nothing is saved before all are listed.

--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -127,6 +127,7 @@
     void drop_missing(const std::string& store, const KeptListing& listing,
                       TimePoint now);
     void hold(const std::string& store, const KeptPart& part, TimePoint now);
+    bool knows_stores(TimePoint now) const;
     void drop(Parts::iterator entry);
     void note(const Key& key, const Entry& entry);
     void let_go(const Key& key, Entry& entry, TimePoint now);
--- a/src/include/crosslink/kept/kept_replica.h
+++ b/src/include/crosslink/kept/kept_replica.h
@@ -36,7 +36,7 @@
 
 /// What changed in the directory since a place in its history.
 struct KeptUpdate {
-    bool ready = false; ///< False: the holder of the duty is still learning.
+    bool ready = false; ///< False: the holder of the duty has listed nothing.
     std::uint64_t term = 0;  ///< Of the holder.
     std::uint64_t place = 0; ///< Where the next update goes on.
     bool whole = false;      ///< Entries that are not named are told no more.
--- a/src/include/crosslink/membership/duty_lease.h
+++ b/src/include/crosslink/membership/duty_lease.h
@@ -22,8 +22,11 @@
     explicit DutyLease(Micros settle) : m_settle(settle) {}
 
     /// Takes note of a lease: asked for at `asked`, granted for `span` from
-    /// then on under `token`. Called for extensions too.
-    void granted(std::uint64_t token, TimePoint asked, Micros span);
+    /// then on under `token`. Called for extensions too. With `replaces_own`,
+    /// the earlier holder was a process of this instance that stopped a moment
+    /// ago, not at the end of the part that it used of its lease.
+    void granted(std::uint64_t token, TimePoint asked, Micros span,
+                 bool replaces_own = false);
     /// Takes note that the lease is over, or that another holds it.
     void lost() { m_token.reset(); }
 
--- a/src/include/crosslink/ports/duty_registry.h
+++ b/src/include/crosslink/ports/duty_registry.h
@@ -16,6 +16,9 @@
 struct GrantedLease {
     std::uint64_t token = 0; ///< Grows with each new holder.
     Micros span{0};          ///< From the arrival of the call on.
+    /// True where it replaces the lease of an earlier process at the same
+    /// address, which may have acted until a moment ago.
+    bool replaces_own = false;
 };
 
 /// Leases on duties, and the presence of instances, at the platform. Calls
@@ -27,7 +30,9 @@
     virtual ~DutyRegistry() = default;
 
     /// Takes the lease of `duty` for this instance at `address`, or extends
-    /// it where this instance holds it. Nothing where another one does.
+    /// it where this instance holds it. A lease of an earlier process at this
+    /// address is replaced: that process is gone. Nothing where another
+    /// instance holds it.
     virtual std::optional<GrantedLease>
     hold(std::string_view duty, std::string_view address, Micros span) = 0;
     /// Gives the lease back, where this instance holds it.
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -16,8 +16,8 @@
 /// Beyond kept_answer_time: the runners' clock as told here may lag by one
 /// answer of a store on its way.
 constexpr Micros clock_slack = std::chrono::milliseconds(500);
-/// A new holder of the duty tells nothing before it listed the stores, or
-/// found them out of reach.
+/// A new holder of the duty lets nothing be saved before it listed all stores,
+/// or for this time, in which it finds out which are out of reach.
 constexpr Micros learning_time = std::chrono::milliseconds(1500);
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
@@ -125,16 +125,22 @@
     m_history.add({key.first, key.second, told ? entry.store : std::string()});
 }
 
+/// Returns whether it is known what each store has that can be reached.
+bool
+KeptDirectory::knows_stores(TimePoint now) const
+{
+    return now > m_began + learning_time ||
+           std::all_of(m_stores.begin(), m_stores.end(), [](const auto& item) {
+               return item.second.boot != 0;
+           });
+}
+
 KeptUpdate
 KeptDirectory::update_since(std::uint64_t term, std::uint64_t place,
                             TimePoint now) const
 {
     KeptUpdate update;
-    const bool all_listed =
-        std::all_of(m_stores.begin(), m_stores.end(),
-                    [](const auto& item) { return item.second.boot != 0; });
-    update.ready =
-        m_clock.is_known() && (all_listed || now > m_began + learning_time);
+    update.ready = m_clock.is_known();
     update.term = m_term;
     update.place = m_history.place();
     update.clock = runner_clock(now);
@@ -353,6 +359,9 @@
     const auto space = KeptSpace::parse(part.space);
     if (!space || space->term != m_term)
         return KeptPlace::read(KeptPlace::Reason::OtherTerm);
+    // It may lie in a store that is not listed yet.
+    if (!knows_stores(now))
+        return KeptPlace::read(KeptPlace::Reason::Unknown);
     const std::uint32_t room = room_of(part.tokens);
     const std::string store = place_for(room, now);
     if (store.empty())
--- a/src/libcrosslink/membership/duty_lease.cpp
+++ b/src/libcrosslink/membership/duty_lease.cpp
@@ -9,14 +9,15 @@
 {
 
 void
-DutyLease::granted(std::uint64_t token, TimePoint asked, Micros span)
+DutyLease::granted(std::uint64_t token, TimePoint asked, Micros span,
+                   bool replaces_own)
 {
+    const Micros used(static_cast<Micros::rep>(
+        static_cast<double>(span.count()) * used_part));
     if (m_token != token)
-        m_since = asked;
+        m_since = replaces_own ? asked + (span - used) : asked;
     m_token = token;
-    m_until = std::max(
-        m_until, asked + Micros(static_cast<Micros::rep>(
-                             static_cast<double>(span.count()) * used_part)));
+    m_until = std::max(m_until, asked + used);
 }
 
 bool
--- a/src/libcrosslink/membership/duty_lease_test.cpp
+++ b/src/libcrosslink/membership/duty_lease_test.cpp
@@ -57,6 +57,17 @@
     CHECK_FALSE(lease.held_within(grace, at(9401)));
 }
 
+TEST_CASE("a process that takes its predecessor's lease waits for longer")
+{
+    DutyLease lease(std::chrono::seconds(1));
+    lease.granted(7, at(0), span, true);
+    CHECK(lease.held(at(100)));
+    CHECK_FALSE(lease.may_act(at(1001)));
+    lease.granted(7, at(1000), span);
+    CHECK_FALSE(lease.may_act(at(1690)));
+    CHECK(lease.may_act(at(1701)));
+}
+
 TEST_CASE("acts of two holders are never nearer than the spacing")
 {
     CHECK(rc::check("spacing", [] {
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -58,9 +58,14 @@
         m_last_token = lease->token;
         took_duty();
     }
-    m_state.steward_lease.with([&](DutyLease& mine) {
-        mine.granted(lease->token, asked, lease->span);
+    const bool granted = m_state.steward_lease.with([&](DutyLease& mine) {
+        if (!m_state.stopping)
+            mine.granted(lease->token, asked, lease->span, lease->replaces_own);
+        return !m_state.stopping;
     });
+    // The stop began meanwhile, and found nothing to give back.
+    if (!granted)
+        m_state.ports.duties.release(duty_name);
     m_kept.follow_map();
     return pause;
 }
@@ -71,17 +76,21 @@
 bool
 Steward::is_own_turn()
 {
-    const auto is_taken = [this] {
+    const auto holder = [this] {
         return m_state.fleet.with(
-            [](FleetView& view) { return !view.steward.empty(); });
+            [](FleetView& view) { return view.steward; });
     };
-    if (is_taken())
+    const std::string known = holder();
+    // An earlier process at this address, which is gone.
+    if (known == m_state.settings.peer_address())
+        return true;
+    if (!known.empty())
         return false;
     if (!m_state.fleet.with([](FleetView& view) { return view.listed; }))
         return true;
     std::this_thread::sleep_for(takeover_step *
                                 static_cast<int>(takeover_rank()));
-    return !is_taken();
+    return holder().empty();
 }
 
 std::size_t
