List the stores as soon as the duty and the configuration are there

Change: the feed wakes the lease's round on a new configuration, and the round wakes the stores' threads and the weights plan when the duty is taken.

--- a/src/serve/forward/kept_duties.cpp
+++ b/src/serve/forward/kept_duties.cpp
@@ -46,6 +46,13 @@
     });
 }
 
+void
+KeptDuties::nudge()
+{
+    for (const auto& [address, duty] : m_store_duties)
+        duty->nudge();
+}
+
 KeptAnswer
 KeptDuties::ask(const KeptSpace& space, std::span<const PromptPart> parts,
                 Micros longest)
--- a/src/serve/forward/kept_duties.h
+++ b/src/serve/forward/kept_duties.h
@@ -36,6 +36,9 @@
     /// Follows the stores of the configuration in force. Called by one thread
     /// alone.
     void follow_map();
+    /// Looks at the stores at once, at the beginning of the duty. Called by
+    /// the thread of follow_map().
+    void nudge();
     /// Answers where `parts` lie, for a call that ends within `longest`.
     KeptAnswer ask(const KeptSpace& space, std::span<const PromptPart> parts,
                    Micros longest);
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -54,7 +54,8 @@
         m_state.steward_lease.with([](DutyLease& mine) { mine.lost(); });
         return pause;
     }
-    if (lease->token != m_last_token) {
+    const bool taken = lease->token != m_last_token;
+    if (taken) {
         m_last_token = lease->token;
         took_duty();
     }
@@ -67,6 +68,10 @@
     if (!granted)
         m_state.ports.duties.release(duty_name);
     m_kept.follow_map();
+    if (taken) {
+        m_weights.nudge();
+        m_kept.nudge();
+    }
     return pause;
 }
 
@@ -169,13 +174,16 @@
 {
     bool free = false;
     std::map<std::string, std::uint64_t> newest;
+    std::uint64_t map = 0;
     m_state.fleet.with([&](FleetView& view) {
         free = view.steward.empty();
+        map = view.map ? view.map->version : 0;
         for (const auto& [model, history] : view.weights)
             newest[model] = history.newest();
     });
-    if (free)
+    if (free || map != m_seen_map)
         m_lease_duty.nudge();
+    m_seen_map = map;
     if (newest != m_seen_weights)
         m_weights.nudge();
     m_seen_weights = newest;
--- a/src/serve/forward/steward.h
+++ b/src/serve/forward/steward.h
@@ -61,6 +61,7 @@
     ForwardState& m_state;
     std::uint64_t m_last_token = 0;
     std::map<std::string, std::uint64_t> m_seen_weights;
+    std::uint64_t m_seen_map = 0; ///< Version.
     Guarded<LoadBoard> m_loads;
     WeightsDuty m_weights;
     KeptDuties m_kept;
