Spread prices of runners at random by the size of the prompt

Change: each instance adds a random part, up to 0.6 of the time that the call's prompt takes to be read, to each price; what it sent since the others told their load counts as sent by those of its zone too.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -38,6 +38,13 @@
 struct RunnerLoad {
     std::uint32_t calls = 0;
     std::uint64_t tokens = 0; ///< Of their prompts, not read yet.
+
+    /// Adds one call that has `tokens_in` to be read.
+    void add(std::uint64_t tokens_in)
+    {
+        ++calls;
+        tokens += tokens_in;
+    }
 };
 
 /// A runner with what this instance knows from its own calls.
@@ -45,6 +52,7 @@
     ListedRunner listed;
     RunnerLoad own;             ///< Calls of this instance.
     RunnerLoad others;          ///< Of all other instances, as they told it.
+    RunnerLoad untold;          ///< Of this instance, sent since then.
     std::uint32_t failures = 0; ///< In a row.
     TimePoint held_until{};     ///< It gets nothing before.
 
@@ -57,6 +65,7 @@
 struct KeptNear {
     std::string zone;
     Micros fetch_time{0};
+    std::uint64_t fetched_tokens = 0; ///< Of all its parts.
 };
 
 /// What the choice of a runner depends on.
@@ -69,7 +78,8 @@
     /// Where the kept parts of the prompt lie, and the time that fetching
     /// them takes within that zone; empty and 0 where none are.
     KeptNear kept;
-    std::string_view model;           ///< Empty for plain services.
+    std::uint64_t tokens = 0; ///< Of the prompt, as many as will be read.
+    std::string_view model;   ///< Empty for plain services.
     std::uint64_t newest_version = 0; ///< Named weights; 0 where none are.
     /// Older weights are taken only while most runners have them.
     std::uint64_t least_version = 0;
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -6,6 +6,7 @@
 #include <crosslink/membership/rendezvous.h>
 
 #include <algorithm>
+#include <random>
 
 namespace crosslink
 {
@@ -42,6 +43,12 @@
 /// nobody else: stores are what runs short first (docs/MEASUREMENTS.md).
 constexpr double far_fetch_price = 3.5;
 
+/// Part of the time for reading the call's prompt by which prices are spread at
+/// random, so that instances do not all choose the same runner.
+constexpr double crowd_part = 0.6;
+/// Runners whose prices differ by less are alike.
+constexpr double tie_ms = 1;
+
 /// First time for which a failing runner is left alone, and the longest.
 constexpr Micros first_hold = std::chrono::milliseconds(500);
 constexpr std::uint32_t most_doublings = 4;
@@ -76,9 +83,14 @@
               bool others_known)
 {
     const double own = load_ms(entry.own, entry);
-    if (others_known)
-        return own + load_ms(entry.others, entry);
-    return own * std::max(1.0, static_cast<double>(query.instances) / zones);
+    const double alike =
+        std::max(1.0, static_cast<double>(query.instances) / zones);
+    if (!others_known)
+        return own * alike;
+    // What this instance sent since the others told their load, they have
+    // sent too: they choose by the same picture.
+    return own + load_ms(entry.others, entry) +
+           load_ms(entry.untold, entry) * (alike - 1);
 }
 
 double
@@ -119,13 +131,16 @@
     const RunnerEntry* preferred =
         query.affinity.empty() ? nullptr
                                : preferred_by_affinity(candidates, query);
-    // Ties are broken by where the search begins.
-    const std::size_t start = query.random % candidates.size();
+    // All instances see one runner that became idle at the same time, so that
+    // each of them passes over it now and then.
+    const double spread = crowd_part * to_millis(reading_time(query.tokens));
+    std::minstd_rand generator(
+        static_cast<std::minstd_rand::result_type>(query.random));
+    std::uniform_real_distribution<double> extra(0, spread + tie_ms);
     const RunnerEntry* best = nullptr;
     double best_price = 0;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto* entry = candidates[(start + i) % candidates.size()];
-        double price = price_ms(*entry, query, others_known);
+    for (const RunnerEntry* entry : candidates) {
+        double price = price_ms(*entry, query, others_known) + extra(generator);
         if (entry == preferred)
             price -= affinity_ms;
         if (!best || price < best_price) {
@@ -236,8 +251,8 @@
 RunnerTable::sent(std::string_view id, std::uint64_t tokens)
 {
     if (RunnerEntry* entry = find(id)) {
-        ++entry->own.calls;
-        entry->own.tokens += tokens;
+        entry->own.add(tokens);
+        entry->untold.add(tokens);
     }
 }
 
@@ -312,6 +327,7 @@
     for (auto& [id, entry] : m_entries) {
         const auto found = load.find(id);
         entry.others = found == load.end() ? RunnerLoad{} : found->second;
+        entry.untold = {};
     }
 }
 
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -66,17 +66,24 @@
     if (!answer)
         return {};
     std::map<std::string, double> seconds_by_zone;
+    std::uint64_t tokens = 0;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const KeptStoreInfo* store = map->find_store(answer->places[i].store);
-        if (store && store->link_bytes_per_second > 0)
+        if (!store)
+            continue;
+        tokens += parts[i].tokens;
+        if (store->link_bytes_per_second > 0)
             seconds_by_zone[store->zone] +=
                 static_cast<double>(parts[i].tokens) * bytes->second /
                 store->link_bytes_per_second;
     }
     KeptNear near;
+    near.fetched_tokens = tokens;
     for (const auto& [zone, time] : seconds_by_zone)
-        if (time > seconds(near.fetch_time))
-            near = {zone, from_seconds(time)};
+        if (time > seconds(near.fetch_time)) {
+            near.zone = zone;
+            near.fetch_time = from_seconds(time);
+        }
     return near;
 }
 
@@ -182,8 +189,9 @@
 {
     if (m_read || m_watched_store.empty())
         return;
-    m_state.fetches.with(
-        [this](FetchWatch& watch) { watch.ended(m_watched_store, m_expected); });
+    m_state.fetches.with([this](FetchWatch& watch) {
+        watch.ended(m_watched_store, m_expected);
+    });
 }
 
 void
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -156,9 +156,12 @@
     query.newest_version = m_newest;
     query.avoid = &m_avoid;
     query.instances = m_state.instance_count();
-    if (m_call.generation)
-        query.kept = m_prompt.near(kept_space(std::max(m_newest, first_weights)),
-                                   m_service);
+    if (m_call.generation) {
+        const std::uint64_t version = std::max(m_newest, first_weights);
+        query.kept = m_prompt.near(kept_space(version), m_service);
+        query.tokens = m_call.generation->prompt_tokens;
+        query.tokens -= std::min(query.tokens, query.kept.fetched_tokens);
+    }
     query.random = random_bits();
     query.now = monotonic_now();
     query.least_version = weights.least(
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -82,8 +82,7 @@
 Steward::is_own_turn()
 {
     const auto holder = [this] {
-        return m_state.fleet.with(
-            [](FleetView& view) { return view.steward; });
+        return m_state.fleet.with([](FleetView& view) { return view.steward; });
     };
     const std::string known = holder();
     // An earlier process at this address, which is gone.
