Ask earlier holders to stop telling; learn the duty's holder from instances

Change: a new holder asks those that held the duty within the last 8 s, as the platform told them, to stop, and frees 3.5 s after all did; one that can't be asked is waited for as before. An instance whose exchanges fail asks another one for the holder. Answers count from the time of the check, so that a frozen process tells nothing late.

--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -55,6 +55,10 @@
     /// Begins anew, for a holder of the duty with the token `term`.
     void begin(std::uint64_t term, TimePoint now);
 
+    /// Takes note that no earlier holder tells anything from `now` on. Without
+    /// this they are taken to tell for kept_grace_time after begin().
+    void earlier_silent(TimePoint now);
+
     /// Takes in what a store lists.
     void listed(std::string_view store, const KeptListing& listing,
                 TimePoint now);
@@ -96,7 +100,8 @@
         std::string store;
         std::uint32_t tokens = 0; ///< Room that it takes.
         TimePoint asked{};        ///< When it was last asked for.
-        TimePoint due{}; ///< Saving: must have ended. LetGo: may be freed.
+        TimePoint due{}; ///< Saving: must have ended. LetGo: may be freed,
+                         ///< where no earlier holder can tell of it.
         bool told_free = false; ///< The store was asked to free it.
     };
     struct StoreState {
@@ -128,6 +133,7 @@
                       TimePoint now);
     void hold(const std::string& store, const KeptPart& part, TimePoint now);
     bool knows_stores(TimePoint now) const;
+    bool may_free(const Key& key, const Entry& entry, TimePoint now) const;
     void drop(Parts::iterator entry);
     void note(const Key& key, const Entry& entry);
     void let_go(const Key& key, Entry& entry, TimePoint now);
@@ -148,6 +154,7 @@
     bool m_full = false;             ///< A part found no room.
     KeptHistory m_history;           ///< Changes of what is told.
     TimePoint m_began{};
+    TimePoint m_silent_from{}; ///< No earlier holder tells anything after it.
     RunnerClock m_clock;
 };
 
--- /dev/null
+++ b/src/include/crosslink/membership/holder_history.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// Who held a duty lately, as the platform told it. A holder goes on telling
+/// what it knows for a grace time after its lease ended, so that the next one
+/// has to know of it.
+class HolderHistory
+{
+public:
+    /// Takes note that `address` is the holder from `now` on; empty for nobody.
+    void named(std::string_view address, TimePoint now);
+    /// Takes note that changes before `now` may have been missed.
+    void missed(TimePoint now);
+
+    /// Returns the holder that was named last; empty for nobody.
+    const std::string& holder() const { return m_holder; }
+    /// True where no holder is missed that ended within `grace` before `now`.
+    bool covers(Micros grace, TimePoint now) const;
+    /// Returns the earlier holders that ended within `grace` before `now`.
+    std::vector<std::string> recent(Micros grace, TimePoint now) const;
+
+private:
+    std::string m_holder;
+    std::map<std::string, TimePoint> m_ended; ///< By address.
+    TimePoint m_from{};                       ///< Nothing is missed since.
+};
+
+} // namespace crosslink
--- a/src/libcrosslink/kept/fetch_watch.cpp
+++ b/src/libcrosslink/kept/fetch_watch.cpp
@@ -78,8 +78,8 @@
 {
     double late = 0;
     if (is_known(seen, now))
-        late = seen.late_ms *
-               (1 - seconds(now - seen.at) / seconds(sample_holds));
+        late =
+            seen.late_ms * (1 - seconds(now - seen.at) / seconds(sample_holds));
     if (!seen.open.empty() && *seen.open.begin() > seen.at)
         late = std::max(late, millis(now - *seen.open.begin()));
     return late;
@@ -100,8 +100,7 @@
         }
     if (!least_late)
         return true;
-    const double later =
-        late_ms(own->second, now) - std::max(*least_late, 0.0);
+    const double later = late_ms(own->second, now) - std::max(*least_late, 0.0);
     const double allowed = usual_ms + worth_ms_per_token * tokens;
     if (later <= allowed)
         return true;
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -56,6 +56,7 @@
 KeptDirectory::begin(std::uint64_t term, TimePoint now)
 {
     m_began = now;
+    m_silent_from = now + kept_grace_time;
     m_history = {};
     m_parts.clear();
     m_term = term;
@@ -130,9 +131,8 @@
 KeptDirectory::knows_stores(TimePoint now) const
 {
     return now > m_began + learning_time ||
-           std::all_of(m_stores.begin(), m_stores.end(), [](const auto& item) {
-               return item.second.boot != 0;
-           });
+           std::all_of(m_stores.begin(), m_stores.end(),
+                       [](const auto& item) { return item.second.boot != 0; });
 }
 
 KeptUpdate
@@ -177,13 +177,26 @@
 {
     entry.state = State::LetGo;
     note(key, entry);
-    // What an earlier holder saved, it may go on telling for a while.
+    entry.due = now + kept_answer_time + clock_slack;
+    entry.told_free = false;
+}
+
+/// Returns whether nothing that was told of a part that was let go holds any
+/// more. What an earlier holder saved, that one may go on telling.
+bool
+KeptDirectory::may_free(const Key& key, const Entry& entry, TimePoint now) const
+{
+    if (now < entry.due)
+        return false;
     const auto space = KeptSpace::parse(key.first);
     const bool own = space && space->term == m_term;
-    const TimePoint untold =
-        own ? now : std::max(now, m_began + kept_grace_time);
-    entry.due = untold + kept_answer_time + clock_slack;
-    entry.told_free = false;
+    return own || now >= m_silent_from + kept_answer_time + clock_slack;
+}
+
+void
+KeptDirectory::earlier_silent(TimePoint now)
+{
+    m_silent_from = std::min(m_silent_from, std::max(now, m_began));
 }
 
 void
@@ -311,8 +324,8 @@
     KeptPlace place;
     place.kind = KeptPlace::Kind::Fetch;
     place.store = entry.store;
-    place.until = runner_clock(now) +
-                  static_cast<RunnerMillis>(kept_answer_time.count());
+    place.until =
+        runner_clock(now) + static_cast<RunnerMillis>(kept_answer_time.count());
     return place;
 }
 
--- a/src/libcrosslink/kept/kept_room.cpp
+++ b/src/libcrosslink/kept/kept_room.cpp
@@ -142,7 +142,8 @@
     let_go_obsolete(obsolete, now);
     std::map<std::string, KeptFree> frees;
     for (auto& [key, entry] : m_parts) {
-        if (entry.state != State::LetGo || entry.told_free || now < entry.due)
+        if (entry.state != State::LetGo || entry.told_free ||
+            !may_free(key, entry, now))
             continue;
         const StoreState& state = m_stores.find(entry.store)->second;
         if (!state.reachable)
--- a/src/serve/forward/exchange_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -3,13 +3,19 @@
 
 #include "exchange_duty.h"
 
+#include "fleet_calls.h"
+
 #include <adapters/clock.h>
+#include <adapters/random.h>
+#include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
 
 #include <spdlog/spdlog.h>
 
+#include <string>
 #include <tuple>
+#include <vector>
 
 namespace crosslink
 {
@@ -21,6 +27,9 @@
 /// of little use.
 constexpr Micros exchange_pause = std::chrono::milliseconds(150);
 constexpr Micros after_failure = std::chrono::milliseconds(400);
+/// After so many exchanges that failed another instance is asked who has the
+/// duty; one may fail while it passes on.
+constexpr int failures_to_ask = 2;
 /// A runner that loads gets nothing until the next exchanges.
 constexpr Micros loading_hold = std::chrono::milliseconds(350);
 
@@ -53,12 +62,41 @@
         });
         m_state.kept.with(
             [&](KeptReplica& replica) { replica.take(answer.kept, asked); });
+        m_failures = 0;
         return exchange_pause;
     } catch (const std::exception& failure) {
         // Without the duty's holder the own load is all that is known.
         spdlog::debug("exchange: {}", failure.what());
+        if (++m_failures >= failures_to_ask)
+            ask_for_holder();
         return after_failure;
     }
 }
 
+/// Asks one of the other instances who has the duty: the platform, which tells
+/// that first, may be out of reach from here.
+void
+ExchangeDuty::ask_for_holder()
+{
+    std::vector<std::string> others;
+    m_state.fleet.with([&](FleetView& view) {
+        for (const auto& [name, address] : view.instances)
+            if (name != m_state.settings.name)
+                others.push_back(address);
+    });
+    if (others.empty())
+        return;
+    try {
+        const std::string holder =
+            FleetClient(others[random_bits() % others.size()]).holder();
+        if (holder.empty())
+            return;
+        m_state.fleet.with(
+            [&](FleetView& view) { view.told_steward = holder; });
+        LogLine("duty_holder_told").field("address", holder);
+    } catch (const Error& failure) {
+        spdlog::debug("holder: {}", failure.what());
+    }
+}
+
 } // namespace crosslink
--- a/src/serve/forward/exchange_duty.h
+++ b/src/serve/forward/exchange_duty.h
@@ -21,9 +21,11 @@
 
 private:
     Micros round();
+    void ask_for_holder();
 
     ForwardState& m_state;
     StewardLink& m_steward;
+    int m_failures = 0; ///< In a row.
     Duty m_duty;
 };
 
--- a/src/serve/forward/fleet_calls.cpp
+++ b/src/serve/forward/fleet_calls.cpp
@@ -20,6 +20,8 @@
 constexpr const char* ask_kept_method = "ask_kept";
 constexpr const char* not_saved_method = "not_saved";
 constexpr const char* exchange_method = "exchange";
+constexpr const char* stop_telling_method = "stop_telling";
+constexpr const char* holder_method = "holder";
 constexpr const char* snapshot_method = "snapshot";
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
@@ -50,6 +52,19 @@
                           parts_from_json(parameters));
         return Json::Value(Json::objectValue);
     });
+    m_rpc->add(stop_telling_method, [&steward](const Json::Value& parameters) {
+        Json::Value result;
+        result["silent"] =
+            steward.stop_telling(json_number(parameters, "token"),
+                                 json_string(parameters, "address"));
+        return result;
+    });
+    m_rpc->add(holder_method, [&state](const Json::Value&) {
+        Json::Value result;
+        result["address"] = state.fleet.with(
+            [](FleetView& view) { return view.steward_address(); });
+        return result;
+    });
     m_rpc->add(exchange_method, [&steward](const Json::Value& parameters) {
         return to_json(
             steward.exchange(exchange_question_from_json(parameters)));
@@ -121,6 +136,24 @@
     call(not_saved_method, to_json(space, parts), question_time);
 }
 
+bool
+FleetClient::stop_telling(std::uint64_t token, const std::string& address)
+{
+    Json::Value parameters;
+    parameters["token"] = Json::UInt64(token);
+    parameters["address"] = address;
+    return json_flag(call(stop_telling_method, parameters, question_time),
+                     "silent");
+}
+
+std::string
+FleetClient::holder()
+{
+    return json_string(
+        call(holder_method, Json::Value(Json::objectValue), question_time),
+        "address");
+}
+
 std::string
 FleetClient::snapshot()
 {
--- a/src/serve/forward/fleet_calls.h
+++ b/src/serve/forward/fleet_calls.h
@@ -40,6 +40,11 @@
                         std::span<const PromptPart> parts, Micros longest);
     /// See Steward::not_saved().
     void not_saved(const std::string& space, std::span<const PromptPart> parts);
+    /// See Steward::stop_telling().
+    bool stop_telling(std::uint64_t token, const std::string& address);
+    /// Returns the address of the duty's holder as that instance knows it;
+    /// empty for none.
+    std::string holder();
     /// See FleetFeed::snapshot().
     std::string snapshot();
     /// See Steward::exchange().
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -101,8 +101,11 @@
     void operator()(const DutyHolder& change)
     {
         m_holder_named = true;
-        m_state.fleet.with(
-            [&](FleetView& view) { view.steward = change.address; });
+        m_state.fleet.with([&](FleetView& view) {
+            view.steward = change.address;
+            view.told_steward.clear();
+            view.holders.named(change.address, monotonic_now());
+        });
         LogLine("duty_holder")
             .field("duty", change.duty)
             .field("address", change.address);
@@ -117,8 +120,11 @@
             [this](RunnerTable& table) { table.sync(m_runners); });
         m_state.fleet.with([this](FleetView& view) {
             view.listed = true;
-            if (!m_holder_named)
+            view.holders.missed(monotonic_now());
+            if (!m_holder_named) {
                 view.steward.clear();
+                view.holders.named("", monotonic_now());
+            }
             std::erase_if(view.instances, [this](const auto& item) {
                 return !m_instances.contains(item.first);
             });
@@ -174,10 +180,10 @@
 }
 
 bool
-ForwardState::may_tell_kept()
+ForwardState::may_tell_kept(TimePoint now)
 {
-    return steward_lease.with([](DutyLease& lease) {
-        return lease.held_within(kept_grace_time, monotonic_now());
+    return steward_lease.with([now](DutyLease& lease) {
+        return lease.held_within(kept_grace_time, now);
     });
 }
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -17,6 +17,7 @@
 #include <crosslink/kept/fetch_watch.h>
 #include <crosslink/kept/kept_replica.h>
 #include <crosslink/membership/duty_lease.h>
+#include <crosslink/membership/holder_history.h>
 #include <crosslink/ports/fleet_feed.h>
 #include <crosslink/weights/weights_plan.h>
 
@@ -36,7 +37,16 @@
     bool listed = false; ///< The runners were read at least once.
     std::map<std::string, WeightsHistory, std::less<>> weights; ///< By model.
     std::map<std::string, std::string, std::less<>> instances;  ///< Addresses.
-    std::string steward; ///< Peer address of the duty's holder; or empty.
+    std::string steward;   ///< Peer address of the duty's holder; or empty.
+    HolderHistory holders; ///< Of the duty.
+    /// As another instance told it since; empty for none.
+    std::string told_steward;
+
+    /// Returns where questions for the duty's holder go; empty for nowhere.
+    const std::string& steward_address() const
+    {
+        return told_steward.empty() ? steward : told_steward;
+    }
 };
 
 /// Counters of forwarded calls.
@@ -87,9 +97,9 @@
     std::size_t instance_count();
     /// True where this instance has the duty now.
     bool has_duty();
-    /// True where this instance may tell where parts are kept: it has the duty,
-    /// or had it until a moment ago.
-    bool may_tell_kept();
+    /// True where this instance may tell at `now` where parts are kept: it has
+    /// the duty, or had it until a moment ago.
+    bool may_tell_kept(TimePoint now);
     /// Returns how long acts under the duty may still be done; 0 where they
     /// may not.
     Micros duty_time_left();
--- a/src/serve/forward/kept_duties.cpp
+++ b/src/serve/forward/kept_duties.cpp
@@ -3,6 +3,8 @@
 
 #include "kept_duties.h"
 
+#include "fleet_calls.h"
+
 #include <adapters/clock.h>
 #include <serve/log_line.h>
 
@@ -42,6 +44,9 @@
 {
     m_kept.with([token](Kept& kept) {
         kept.directory.begin(token, monotonic_now());
+        kept.token = token;
+        kept.silent = false;
+        kept.others_silent = false;
         kept.next.clear();
     });
 }
@@ -55,23 +60,70 @@
 
 KeptAnswer
 KeptDuties::ask(const KeptSpace& space, std::span<const PromptPart> parts,
-                Micros longest)
+                Micros longest, TimePoint now)
 {
-    const TimePoint now = monotonic_now();
     return m_kept.with([&](Kept& kept) {
+        require_telling(kept);
         return kept.directory.ask(space, parts, longest + save_slack, now);
     });
 }
 
 KeptUpdate
-KeptDuties::update_since(std::uint64_t term, std::uint64_t place)
+KeptDuties::update_since(std::uint64_t term, std::uint64_t place, TimePoint now)
 {
-    const TimePoint now = monotonic_now();
     return m_kept.with([&](Kept& kept) {
+        require_telling(kept);
         return kept.directory.update_since(term, place, now);
     });
 }
 
+void
+KeptDuties::require_telling(const Kept& kept)
+{
+    if (kept.silent)
+        throw Error(ErrorCode::LeaseLost, "a later holder tells");
+}
+
+bool
+KeptDuties::stop_telling(std::uint64_t token)
+{
+    return m_kept.with([token](Kept& kept) {
+        if (token <= kept.token)
+            return false;
+        kept.silent = true;
+        return true;
+    });
+}
+
+/// Asks the earlier holders that may still tell to stop, and lets the directory
+/// know when none is left.
+void
+KeptDuties::silence_earlier()
+{
+    const auto [silent, token] = m_kept.with(
+        [](Kept& kept) { return std::pair(kept.others_silent, kept.token); });
+    if (silent)
+        return;
+    const TimePoint now = monotonic_now();
+    const HolderHistory holders =
+        m_state.fleet.with([](FleetView& view) { return view.holders; });
+    // The own duty stands last, when all changes up to it were told.
+    if (holders.holder() != m_state.settings.peer_address() ||
+        !holders.covers(kept_grace_time, now))
+        return;
+    for (const std::string& address : holders.recent(kept_grace_time, now))
+        if (!FleetClient(address).stop_telling(token,
+                                               m_state.settings.peer_address()))
+            return;
+    LogLine("earlier_holders_silent").field("token", token);
+    m_kept.with([token = token](Kept& kept) {
+        if (kept.token != token)
+            return;
+        kept.others_silent = true;
+        kept.directory.earlier_silent(monotonic_now());
+    });
+}
+
 void
 KeptDuties::not_saved(const std::string& space,
                       std::span<const PromptPart> parts)
@@ -135,6 +187,11 @@
 {
     if (!m_state.may_act())
         return idle_pause;
+    try {
+        silence_earlier();
+    } catch (const Error& failure) {
+        LogLine("earlier_holder_unreachable").field("error", failure.what());
+    }
     const OldestVersions oldest = oldest_versions();
     const auto obsolete = [&oldest](const KeptSpace& space) {
         const auto found = oldest.find(space.model);
@@ -162,7 +219,7 @@
 Micros
 KeptDuties::store_round(const std::string& address)
 {
-    if (!m_state.may_tell_kept())
+    if (!m_state.may_tell_kept(monotonic_now()))
         return idle_pause;
     std::uint64_t after = 0;
     const bool list = m_kept.with([&](Kept& kept) {
--- a/src/serve/forward/kept_duties.h
+++ b/src/serve/forward/kept_duties.h
@@ -39,11 +39,18 @@
     /// Looks at the stores at once, at the beginning of the duty. Called by
     /// the thread of follow_map().
     void nudge();
-    /// Answers where `parts` lie, for a call that ends within `longest`.
+    /// Answers where `parts` lie, for a call that ends within `longest`, as of
+    /// `now`, at which this instance may tell. Throws Error(LeaseLost) after
+    /// stop_telling().
     KeptAnswer ask(const KeptSpace& space, std::span<const PromptPart> parts,
-                   Micros longest);
-    /// See KeptDirectory::update_since().
-    KeptUpdate update_since(std::uint64_t term, std::uint64_t place);
+                   Micros longest, TimePoint now);
+    /// See KeptDirectory::update_since(). Throws Error(LeaseLost) after
+    /// stop_telling().
+    KeptUpdate update_since(std::uint64_t term, std::uint64_t place,
+                            TimePoint now);
+    /// Tells nothing more until the next begin(), for the holder with `token`.
+    /// Returns false where that is no later holder.
+    bool stop_telling(std::uint64_t token);
     /// Takes note of parts that were told to be saved by a call that did not
     /// run.
     void not_saved(const std::string& space, std::span<const PromptPart> parts);
@@ -52,11 +59,16 @@
     /// The directory with what feeds it.
     struct Kept {
         KeptDirectory directory;
+        std::uint64_t token = 0;       ///< Of the duty, here.
+        bool silent = false;           ///< A later holder asked for it.
+        bool others_silent = false;    ///< So did all earlier holders.
         std::uint64_t map_version = 0; ///< The stores are from this one.
         std::map<std::string, std::uint64_t, std::less<>> next; ///< By store.
     };
     using OldestVersions = std::map<std::string, std::uint64_t, std::less<>>;
 
+    static void require_telling(const Kept& kept);
+    void silence_earlier();
     OldestVersions oldest_versions();
     Micros free_round();
     Micros store_round(const std::string& address);
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -126,39 +126,54 @@
     if (m_state.has_duty())
         return true;
     const bool other = m_state.fleet.with([this](FleetView& view) {
-        return !view.steward.empty() &&
-               view.steward != m_state.settings.peer_address();
+        const std::string& address = view.steward_address();
+        return !address.empty() && address != m_state.settings.peer_address();
     });
-    return !other && m_state.may_tell_kept();
+    return !other && m_state.may_tell_kept(monotonic_now());
 }
 
-void
+/// Returns the time as of which this instance may tell what it knows. An answer
+/// must count from it: the process may be frozen at any point.
+TimePoint
 Steward::require_knowledge() const
 {
-    if (!m_state.may_tell_kept())
+    const TimePoint now = monotonic_now();
+    if (!m_state.may_tell_kept(now))
         throw Error(ErrorCode::LeaseLost, "another instance has the duty");
+    return now;
+}
+
+bool
+Steward::stop_telling(std::uint64_t token, const std::string& address)
+{
+    const bool silent = m_kept.stop_telling(token);
+    // The platform may be out of reach, and told nothing of it.
+    if (silent)
+        m_state.fleet.with(
+            [&](FleetView& view) { view.told_steward = address; });
+    return silent;
 }
 
 KeptAnswer
 Steward::ask_kept(const KeptSpace& space, std::span<const PromptPart> parts,
                   Micros longest)
 {
-    require_knowledge();
-    return m_kept.ask(space, parts, longest);
+    const TimePoint now = require_knowledge();
+    return m_kept.ask(space, parts, longest, now);
 }
 
 ExchangeAnswer
 Steward::exchange(const ExchangeQuestion& question)
 {
-    require_knowledge();
-    const TimePoint now = monotonic_now();
+    const TimePoint now = require_knowledge();
     ExchangeAnswer answer;
     answer.others = m_loads.with([&](LoadBoard& board) {
         board.told(question.instance, question.load, now);
         return board.others(question.instance, now);
     });
     answer.loading = m_weights.loading();
-    answer.kept = m_kept.update_since(question.kept_term, question.kept_place);
+    answer.kept =
+        m_kept.update_since(question.kept_term, question.kept_place, now);
     return answer;
 }
 
--- a/src/serve/forward/steward.h
+++ b/src/serve/forward/steward.h
@@ -40,6 +40,8 @@
     /// Error(LeaseLost) where the duty ended too long ago.
     KeptAnswer ask_kept(const KeptSpace& space,
                         std::span<const PromptPart> parts, Micros longest);
+    /// See KeptDuties::stop_telling(); the later holder is at `address`.
+    bool stop_telling(std::uint64_t token, const std::string& address);
     /// Takes note of parts that were told to be saved by a call that did not
     /// run.
     void not_saved(const std::string& space, std::span<const PromptPart> parts);
@@ -56,7 +58,7 @@
     bool is_own_turn();
     std::size_t takeover_rank();
     void took_duty();
-    void require_knowledge() const;
+    TimePoint require_knowledge() const;
 
     ForwardState& m_state;
     std::uint64_t m_last_token = 0;
--- a/src/serve/forward/steward_link.cpp
+++ b/src/serve/forward/steward_link.cpp
@@ -16,8 +16,8 @@
 std::shared_ptr<FleetClient>
 StewardLink::client()
 {
-    const std::string address =
-        m_state.fleet.with([](FleetView& view) { return view.steward; });
+    const std::string address = m_state.fleet.with(
+        [](FleetView& view) { return view.steward_address(); });
     if (address.empty())
         throw Error(ErrorCode::LeaseLost, "no instance has the duty");
     const std::lock_guard lock(m_mutex);
