Keep parts that others follow in the fastest stores; save nothing to slow ones

Change: a fifth of the stores with faster links is kept for parts that others follow, and these go to the fastest link with room; the holder of the duty takes slow stores out of the choice for saves while others have room.

--- a/src/include/crosslink/kept/fetch_watch.h
+++ b/src/include/crosslink/kept/fetch_watch.h
@@ -36,6 +36,8 @@
     bool should_fetch(std::string_view store, std::uint32_t tokens,
                       std::uint64_t random, TimePoint now) const;
 
+    /// Returns the stores from which large parts come late.
+    std::set<std::string, std::less<>> slow_stores(TimePoint now) const;
     /// Lets those of `places`, one for each of `parts` of a prompt, be read
     /// that lie in a slow store. A part is of use only with all parts before
     /// it: the first one that is read takes the later ones with it, and is
@@ -52,6 +54,9 @@
         std::multiset<TimePoint> open; ///< Expected times of open calls.
     };
 
+    /// Returns by how much, in milliseconds, events come later from `store`
+    /// than from the best other one; 0 where that is not known.
+    double later_ms(std::string_view store, TimePoint now) const;
     static bool is_known(const Seen& seen, TimePoint now);
     static double late_ms(const Seen& seen, TimePoint now);
 
--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -65,6 +65,12 @@
     /// Takes in changes. Returns false where it must be listed anew.
     bool changed(std::string_view store, const KeptChanges& changes,
                  TimePoint now);
+    /// Takes over the stores that are slow now; they are written to only where
+    /// no other one has room.
+    void set_slow(std::set<std::string, std::less<>> stores)
+    {
+        m_slow = std::move(stores);
+    }
     /// Takes note that a store does not answer.
     void unreachable(std::string_view store);
 
@@ -137,9 +143,13 @@
     void drop(Parts::iterator entry);
     void note(const Key& key, const Entry& entry);
     void let_go(const Key& key, Entry& entry, TimePoint now);
-    std::string place_for(std::uint32_t tokens, TimePoint now);
+    std::string place_for(std::uint32_t tokens, bool forerunner, TimePoint now);
+    bool has_room(const StoreState& state, std::uint32_t tokens,
+                  bool forerunner) const;
+    double slowest_link() const;
     KeptSpace space_of(const KeptSpace& wanted, const PromptPart& last) const;
-    KeptPlace ask_part(const KeptPart& part, Micros longest, TimePoint now);
+    KeptPlace ask_part(const KeptPart& part, bool forerunner, Micros longest,
+                       TimePoint now);
     KeptPlace place_of(const Entry& entry, TimePoint now) const;
     std::vector<Dispensable> dispensable(TimePoint now);
     double free_part() const;
@@ -150,9 +160,10 @@
     std::map<std::string, StoreState, std::less<>> m_stores; ///< By address.
     Parts m_parts;
     std::uint64_t m_term = 0;
-    std::set<std::uint64_t> m_terms; ///< Of all parts that are told.
-    bool m_full = false;             ///< A part found no room.
-    KeptHistory m_history;           ///< Changes of what is told.
+    std::set<std::uint64_t> m_terms;           ///< Of all parts that are told.
+    bool m_full = false;                       ///< A part found no room.
+    std::set<std::string, std::less<>> m_slow; ///< Stores.
+    KeptHistory m_history;                     ///< Changes of what is told.
     TimePoint m_began{};
     TimePoint m_silent_from{}; ///< No earlier holder tells anything after it.
     RunnerClock m_clock;
--- a/src/libcrosslink/kept/fetch_watch.cpp
+++ b/src/libcrosslink/kept/fetch_watch.cpp
@@ -19,6 +19,9 @@
 /// Beyond it, a fetch may be this much later for each token of its part: about
 /// twice the time in which a runner reads the token.
 constexpr double worth_ms_per_token = 0.04;
+/// A store from which events come this much later than from the best one takes
+/// no saves: they would hold up its fetches still more.
+constexpr double slow_ms = 250;
 /// Part of the calls that go on fetching from a slow store, to see its end.
 constexpr double least_part = 0.1;
 /// What was seen longer ago says nothing of now, and counts for less until
@@ -85,13 +88,12 @@
     return late;
 }
 
-bool
-FetchWatch::should_fetch(std::string_view store, std::uint32_t tokens,
-                         std::uint64_t random, TimePoint now) const
+double
+FetchWatch::later_ms(std::string_view store, TimePoint now) const
 {
     const auto own = m_stores.find(store);
     if (own == m_stores.end())
-        return true;
+        return 0;
     std::optional<double> least_late;
     for (const auto& [name, seen] : m_stores)
         if (name != store && is_known(seen, now)) {
@@ -99,8 +101,15 @@
             least_late = std::min(least_late.value_or(late), late);
         }
     if (!least_late)
-        return true;
-    const double later = late_ms(own->second, now) - std::max(*least_late, 0.0);
+        return 0;
+    return late_ms(own->second, now) - std::max(*least_late, 0.0);
+}
+
+bool
+FetchWatch::should_fetch(std::string_view store, std::uint32_t tokens,
+                         std::uint64_t random, TimePoint now) const
+{
+    const double later = later_ms(store, now);
     const double allowed = usual_ms + worth_ms_per_token * tokens;
     if (later <= allowed)
         return true;
@@ -111,6 +120,16 @@
     return static_cast<double>(random % steps) < part * steps;
 }
 
+std::set<std::string, std::less<>>
+FetchWatch::slow_stores(TimePoint now) const
+{
+    std::set<std::string, std::less<>> slow;
+    for (const auto& [store, seen] : m_stores)
+        if (later_ms(store, now) > slow_ms)
+            slow.insert(store);
+    return slow;
+}
+
 void
 FetchWatch::pass_over_slow(std::span<const PromptPart> parts,
                            std::span<KeptPlace> places, std::uint64_t random,
--- a/src/libcrosslink/kept/fetch_watch_test.cpp
+++ b/src/libcrosslink/kept/fetch_watch_test.cpp
@@ -47,6 +47,18 @@
     CHECK(fetches_of(watch, 10'000) == 1000);
 }
 
+TEST_CASE("the stores that are much slower than the best one are told")
+{
+    FetchWatch watch;
+    for (int i = 0; i < 20; ++i) {
+        watch.first_event("slow", at(i), at(i + 1200));
+        watch.first_event("other", at(i), at(i + 100));
+    }
+    CHECK(watch.slow_stores(at(1230)).contains("slow"));
+    CHECK(watch.slow_stores(at(1230)).size() == 1);
+    CHECK(watch.slow_stores(at(9000)).empty());
+}
+
 TEST_CASE("a large part is worth a longer wait than a small one")
 {
     FetchWatch watch;
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -354,14 +354,17 @@
     if (parts.empty())
         return answer;
     answer.space = space_of(space, parts.back()).text();
-    for (const PromptPart& part : parts)
-        answer.places.push_back(
-            ask_part({answer.space, part.id, part.tokens}, longest, now));
+    for (const PromptPart& part : parts) {
+        const bool forerunner = &part != &parts.back();
+        answer.places.push_back(ask_part({answer.space, part.id, part.tokens},
+                                         forerunner, longest, now));
+    }
     return answer;
 }
 
 KeptPlace
-KeptDirectory::ask_part(const KeptPart& part, Micros longest, TimePoint now)
+KeptDirectory::ask_part(const KeptPart& part, bool forerunner, Micros longest,
+                        TimePoint now)
 {
     const auto known = m_parts.find({part.space, part.id});
     if (known != m_parts.end()) {
@@ -376,7 +379,7 @@
     if (!knows_stores(now))
         return KeptPlace::read(KeptPlace::Reason::Unknown);
     const std::uint32_t room = room_of(part.tokens);
-    const std::string store = place_for(room, now);
+    const std::string store = place_for(room, forerunner, now);
     if (store.empty())
         return KeptPlace::read(m_full ? KeptPlace::Reason::NoRoom
                                       : KeptPlace::Reason::StoreAway);
--- a/src/libcrosslink/kept/kept_directory_test.cpp
+++ b/src/libcrosslink/kept/kept_directory_test.cpp
@@ -344,6 +344,27 @@
     }
 }
 
+TEST_CASE("a part that others follow finds room in the fastest store")
+{
+    KeptDirectory directory = directory_with_stores();
+    // 1600 tokens of room: a fifth is kept for such parts.
+    for (int i = 0; i < 30; ++i)
+        ask(directory, "last" + std::to_string(i), 0);
+    const std::vector<PromptPart> parts{{"first", 160}, {"second", 160}};
+    const KeptAnswer answer = directory.ask(space(), parts, call_time, at(0));
+    CHECK(answer.places[0].store == fast);
+    CHECK(answer.places[1].store == big);
+}
+
+TEST_CASE("a slow store is written to only where no other has room")
+{
+    KeptDirectory directory = directory_with_stores();
+    directory.set_slow({big});
+    for (int i = 0; i < 7; ++i)
+        CHECK(ask(directory, std::to_string(i), 0).places[0].store == fast);
+    CHECK(ask(directory, "more", 0).places[0].store == big);
+}
+
 TEST_CASE("stores that are not listed yet are not full")
 {
     KeptDirectory directory = directory_with_stores();
--- a/src/libcrosslink/kept/kept_room.cpp
+++ b/src/libcrosslink/kept/kept_room.cpp
@@ -6,6 +6,8 @@
 #include <crosslink/kept/kept_directory.h>
 
 #include <algorithm>
+#include <limits>
+#include <tuple>
 #include <utility>
 
 namespace crosslink
@@ -16,6 +18,9 @@
 
 /// Part of a store that is filled; the rest is for saves that broke off.
 constexpr double filled_part = 0.97;
+/// Part of the stores with faster links that is kept for forerunners. They take
+/// a hundredth of all room, but for each weights version and each term.
+constexpr double forerunner_part = 0.2;
 /// A part asked for within this time is not let go for another one.
 constexpr Micros in_use_time = std::chrono::seconds(20);
 /// Part of all room that is let go at once where a store is full. At two
@@ -30,28 +35,52 @@
 
 } // namespace
 
+double
+KeptDirectory::slowest_link() const
+{
+    double slowest = std::numeric_limits<double>::max();
+    for (const auto& [address, state] : m_stores)
+        slowest = std::min(slowest, state.info.link_bytes_per_second);
+    return slowest;
+}
+
+bool
+KeptDirectory::has_room(const StoreState& state, std::uint32_t tokens,
+                        bool forerunner) const
+{
+    const bool reserved =
+        !forerunner && state.info.link_bytes_per_second > slowest_link();
+    const double part = filled_part - (reserved ? forerunner_part : 0);
+    return static_cast<double>(state.used_tokens + tokens) <=
+           part * static_cast<double>(state.info.capacity_tokens);
+}
+
+/// Returns the store that a part should be saved to; empty where none has room.
+/// A forerunner, a part that others of the prompt follow, goes to the fastest
+/// link: it is fetched for many prompts. Other parts fill the stores in
+/// proportion to their links, so that reads spread alike.
 std::string
-KeptDirectory::place_for(std::uint32_t tokens, TimePoint now)
+KeptDirectory::place_for(std::uint32_t tokens, bool forerunner, TimePoint now)
 {
-    // Reads spread over the stores in proportion to their links while the
-    // filling of each is in proportion to its link.
+    using Rank = std::tuple<bool, double, double>;
     std::string best;
-    double best_filling = 0;
+    Rank best_rank;
     bool any_full = false;
     for (const auto& [address, state] : m_stores) {
         if (!state.reachable || state.boot == 0 || now < state.write_from)
             continue;
-        const double capacity =
-            filled_part * static_cast<double>(state.info.capacity_tokens);
-        if (static_cast<double>(state.used_tokens + tokens) > capacity) {
+        if (!has_room(state, tokens, forerunner)) {
             any_full = true;
             continue;
         }
-        const double filling = static_cast<double>(state.used_tokens + tokens) /
-                               std::max(state.info.link_bytes_per_second, 1.0);
-        if (best.empty() || filling < best_filling) {
+        const double link = std::max(state.info.link_bytes_per_second, 1.0);
+        const double filling =
+            static_cast<double>(state.used_tokens + tokens) / link;
+        const Rank rank{m_slow.contains(address), forerunner ? -link : 0,
+                        filling};
+        if (best.empty() || rank < best_rank) {
             best = address;
-            best_filling = filling;
+            best_rank = rank;
         }
     }
     // Stores that can't be written to now are not full.
--- a/src/serve/forward/kept_duties.cpp
+++ b/src/serve/forward/kept_duties.cpp
@@ -198,10 +198,14 @@
         return found != oldest.end() && space.version < found->second;
     };
     const double changed = m_weights.changed_part();
+    auto slow = m_state.fetches.with([](FetchWatch& watch) {
+        return watch.slow_stores(monotonic_now());
+    });
     RunnerMillis clock = 0;
     const auto frees = m_kept.with([&](Kept& kept) {
         const TimePoint now = monotonic_now();
         clock = kept.directory.runner_clock(now);
+        kept.directory.set_slow(std::move(slow));
         return kept.directory.due(obsolete, changed, now);
     });
     const Micros left = m_state.duty_time_left();
