Save a part anew elsewhere where its save takes too long or its store is away

A part whose store does not answer was read until it did. Change: after 1.5 s, or where its store is away, a part is saved to another store; the room at the first one is freed when nothing told of it can hold.

--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -106,6 +106,7 @@
         std::string store;
         std::uint32_t tokens = 0; ///< Room that it takes.
         TimePoint asked{};        ///< When it was last asked for.
+        TimePoint placed{};       ///< When its call was told to save it.
         TimePoint due{}; ///< Saving: must have ended. LetGo: may be freed,
                          ///< where no earlier holder can tell of it.
         bool told_free = false; ///< The store was asked to free it.
@@ -119,6 +120,15 @@
         TimePoint listed_at{};
     };
     using Key = std::pair<std::string, std::string>; ///< Space and id.
+    /// Room in a store for a part that is told elsewhere now. The store may
+    /// have it, whole or not.
+    struct Leftover {
+        std::string store;
+        Key key;
+        std::uint32_t tokens = 0;
+        TimePoint due{}; ///< No call writes or was told to fetch it after.
+        bool told_free = false; ///< It is freed until `due`.
+    };
     /// A part that may be let go for another one.
     struct Dispensable {
         std::string model;
@@ -139,11 +149,23 @@
                       TimePoint now);
     void hold(const std::string& store, const KeptPart& part, TimePoint now);
     bool knows_stores(TimePoint now) const;
-    bool may_free(const Key& key, const Entry& entry, TimePoint now) const;
+    bool may_free(const Key& key, TimePoint due, TimePoint now) const;
     void drop(Parts::iterator entry);
     void note(const Key& key, const Entry& entry);
     void let_go(const Key& key, Entry& entry, TimePoint now);
-    std::string place_for(std::uint32_t tokens, bool forerunner, TimePoint now);
+    std::string place_for(std::uint32_t tokens, bool forerunner, const Key& key,
+                          TimePoint now);
+    KeptPlace place_part(const Key& key, const std::string& store,
+                         std::uint32_t room, Micros longest, TimePoint now);
+    bool may_have(const std::string& store, const Key& key) const;
+    bool is_left_at(const std::string& store, const Key& key) const;
+    bool should_move(const Entry& entry, TimePoint now) const;
+    void free_leftovers(std::map<std::string, KeptFree>& frees, TimePoint now);
+    void add_free(std::map<std::string, KeptFree>& frees,
+                  const std::string& store, const Key& key,
+                  std::uint32_t tokens) const;
+    void leave(const std::string& store, const Key& key, std::uint32_t tokens,
+               TimePoint due);
     bool has_room(const StoreState& state, std::uint32_t tokens,
                   bool forerunner) const;
     double slowest_link() const;
@@ -159,6 +181,7 @@
 
     std::map<std::string, StoreState, std::less<>> m_stores; ///< By address.
     Parts m_parts;
+    std::vector<Leftover> m_leftovers;
     std::uint64_t m_term = 0;
     std::set<std::uint64_t> m_terms;           ///< Of all parts that are told.
     bool m_full = false;                       ///< A part found no room.
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -19,6 +19,9 @@
 /// A new holder of the duty lets nothing be saved before it listed all stores,
 /// or for this time, in which it finds out which are out of reach.
 constexpr Micros learning_time = std::chrono::milliseconds(1500);
+/// A save ends within this time, measured at 0.2 to 1 s. Callers leave, and
+/// runners change their weights, before their save was made.
+constexpr Micros usual_save_time = std::chrono::milliseconds(1500);
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
 
@@ -50,6 +53,9 @@
             drop(entry);
         entry = following;
     }
+    std::erase_if(m_leftovers, [this](const Leftover& left) {
+        return !m_stores.contains(left.store);
+    });
 }
 
 void
@@ -59,6 +65,7 @@
     m_silent_from = now + kept_grace_time;
     m_history = {};
     m_parts.clear();
+    m_leftovers.clear();
     m_term = term;
     m_terms = {term};
     m_full = false;
@@ -87,6 +94,9 @@
         }
         entry = next;
     }
+    std::erase_if(m_leftovers, [&store](const Leftover& left) {
+        return left.store == store;
+    });
 }
 
 /// Takes note that a store has a part whole.
@@ -184,9 +194,9 @@
 /// Returns whether nothing that was told of a part that was let go holds any
 /// more. What an earlier holder saved, that one may go on telling.
 bool
-KeptDirectory::may_free(const Key& key, const Entry& entry, TimePoint now) const
+KeptDirectory::may_free(const Key& key, TimePoint due, TimePoint now) const
 {
-    if (now < entry.due)
+    if (now < due)
         return false;
     const auto space = KeptSpace::parse(key.first);
     const bool own = space && space->term == m_term;
@@ -227,6 +237,10 @@
         if (known == m_parts.end())
             continue;
         Entry& entry = known->second;
+        // Two holders of the duty, or one that moved it, had it saved twice.
+        if (entry.store != store)
+            leave(store, known->first, room_of(part.tokens),
+                  now + kept_answer_time + clock_slack);
         // It is still there long after the store was asked to free it.
         if (entry.told_free && now >= entry.due + listing_pause)
             entry.told_free = false;
@@ -366,29 +380,50 @@
 KeptDirectory::ask_part(const KeptPart& part, bool forerunner, Micros longest,
                         TimePoint now)
 {
-    const auto known = m_parts.find({part.space, part.id});
-    if (known != m_parts.end()) {
+    const Key key{part.space, part.id};
+    const auto known = m_parts.find(key);
+    const bool is_known = known != m_parts.end();
+    if (is_known)
         known->second.asked = now;
+    if (is_known && !should_move(known->second, now))
         return place_of(known->second, now);
-    }
     // Only this holder's own space is written to.
     const auto space = KeptSpace::parse(part.space);
     if (!space || space->term != m_term)
-        return KeptPlace::read(KeptPlace::Reason::OtherTerm);
+        return is_known ? place_of(known->second, now)
+                        : KeptPlace::read(KeptPlace::Reason::OtherTerm);
     // It may lie in a store that is not listed yet.
     if (!knows_stores(now))
         return KeptPlace::read(KeptPlace::Reason::Unknown);
     const std::uint32_t room = room_of(part.tokens);
-    const std::string store = place_for(room, forerunner, now);
+    const std::string store = place_for(room, forerunner, key, now);
+    if (store.empty() && is_known)
+        return place_of(known->second, now);
     if (store.empty())
         return KeptPlace::read(m_full ? KeptPlace::Reason::NoRoom
                                       : KeptPlace::Reason::StoreAway);
+    if (is_known) {
+        Entry& entry = known->second;
+        const TimePoint told_until = now + kept_answer_time + clock_slack;
+        leave(entry.store, key, entry.tokens, std::max(entry.due, told_until));
+        entry.state = State::Saving;
+        note(key, entry);
+    }
+    return place_part(key, store, room, longest, now);
+}
+
+/// Tells one call to save a part.
+KeptPlace
+KeptDirectory::place_part(const Key& key, const std::string& store,
+                          std::uint32_t room, Micros longest, TimePoint now)
+{
     Entry entry;
     entry.store = store;
     entry.tokens = room;
     entry.asked = now;
+    entry.placed = now;
     entry.due = now + longest;
-    m_parts[{part.space, part.id}] = entry;
+    m_parts[key] = entry;
     m_stores.find(store)->second.used_tokens += room;
     KeptPlace place;
     place.kind = KeptPlace::Kind::Save;
@@ -396,11 +431,47 @@
     return place;
 }
 
+/// Returns whether a part should be saved to another store: its call has not
+/// saved it in the usual time, or its store does not answer.
+bool
+KeptDirectory::should_move(const Entry& entry, TimePoint now) const
+{
+    if (entry.state == State::Saving)
+        return now >= entry.placed + usual_save_time;
+    const auto state = m_stores.find(entry.store);
+    return entry.state == State::Held && state != m_stores.end() &&
+           !state->second.reachable;
+}
+
+/// Takes note of room that a part takes where it is not told any more.
+void
+KeptDirectory::leave(const std::string& store, const Key& key,
+                     std::uint32_t tokens, TimePoint due)
+{
+    if (!is_left_at(store, key))
+        m_leftovers.push_back({store, key, tokens, due});
+}
+
+bool
+KeptDirectory::is_left_at(const std::string& store, const Key& key) const
+{
+    return std::any_of(m_leftovers.begin(), m_leftovers.end(),
+                       [&](const Leftover& left) {
+                           return left.store == store && left.key == key;
+                       });
+}
+
 void
 KeptDirectory::not_saved(const KeptPart& part)
 {
-    const auto entry = m_parts.find({part.space, part.id});
-    if (entry != m_parts.end() && entry->second.state == State::Saving)
+    const Key key{part.space, part.id};
+    const auto entry = m_parts.find(key);
+    // Where the part was moved, it can't be told whose save did not run.
+    const bool moved =
+        std::any_of(m_leftovers.begin(), m_leftovers.end(),
+                    [&key](const Leftover& left) { return left.key == key; });
+    if (entry != m_parts.end() && entry->second.state == State::Saving &&
+        !moved)
         drop(entry);
 }
 
--- a/src/libcrosslink/kept/kept_directory_test.cpp
+++ b/src/libcrosslink/kept/kept_directory_test.cpp
@@ -356,6 +356,44 @@
     CHECK(answer.places[1].store == big);
 }
 
+TEST_CASE("a save that takes too long is made anew elsewhere, and freed there")
+{
+    KeptDirectory directory = directory_with_stores();
+    const KeptAnswer first = ask(directory, "p", 0);
+    CHECK(ask(directory, "p", 1400).places[0].reason ==
+          KeptPlace::Reason::BeingSaved);
+    const KeptAnswer again = ask(directory, "p", 1600);
+    CHECK(again.places[0].kind == KeptPlace::Kind::Save);
+    CHECK(again.places[0].store != first.places[0].store);
+    // The word of a call that did not run may be of either of them.
+    directory.not_saved({first.space, "p", 160});
+    CHECK(ask(directory, "p", 1700).places[0].reason ==
+          KeptPlace::Reason::BeingSaved);
+    // The first one comes late: it is not told, and freed.
+    directory.changed(first.places[0].store, stored(first.space, "p", 2800),
+                      at(1800));
+    directory.changed(again.places[0].store, stored(first.space, "p", 2900),
+                      at(1900));
+    CHECK(ask(directory, "p", 2000).places[0].store == again.places[0].store);
+    CHECK(directory.due(never, 1, at(4000)).empty());
+    const auto frees = directory.due(never, 1, at(6000));
+    REQUIRE(frees.size() == 1);
+    CHECK(frees[0].store == first.places[0].store);
+    CHECK(directory.due(never, 1, at(12'000)).empty());
+}
+
+TEST_CASE("a part whose store is away is saved to another one")
+{
+    KeptDirectory directory = directory_with_stores();
+    const KeptAnswer first = ask(directory, "p", 0);
+    directory.changed(first.places[0].store, stored(first.space, "p", 1100),
+                      at(100));
+    directory.unreachable(first.places[0].store);
+    const KeptAnswer again = ask(directory, "p", 500);
+    CHECK(again.places[0].kind == KeptPlace::Kind::Save);
+    CHECK(again.places[0].store != first.places[0].store);
+}
+
 TEST_CASE("a slow store is written to only where no other has room")
 {
     KeptDirectory directory = directory_with_stores();
--- a/src/libcrosslink/kept/kept_room.cpp
+++ b/src/libcrosslink/kept/kept_room.cpp
@@ -21,6 +21,9 @@
 /// Part of the stores with faster links that is kept for forerunners. They take
 /// a hundredth of all room, but for each weights version and each term.
 constexpr double forerunner_part = 0.2;
+/// A free is refused by its store after the duty's lease, two seconds: until
+/// then nothing may be saved in its place.
+constexpr Micros free_under_way = std::chrono::seconds(3);
 /// A part asked for within this time is not let go for another one.
 constexpr Micros in_use_time = std::chrono::seconds(20);
 /// Part of all room that is let go at once where a store is full. At two
@@ -55,19 +58,30 @@
            part * static_cast<double>(state.info.capacity_tokens);
 }
 
+/// Returns whether a store has the part, or may have it or get it.
+bool
+KeptDirectory::may_have(const std::string& store, const Key& key) const
+{
+    const auto entry = m_parts.find(key);
+    return (entry != m_parts.end() && entry->second.store == store) ||
+           is_left_at(store, key);
+}
+
 /// Returns the store that a part should be saved to; empty where none has room.
 /// A forerunner, a part that others of the prompt follow, goes to the fastest
 /// link: it is fetched for many prompts. Other parts fill the stores in
 /// proportion to their links, so that reads spread alike.
 std::string
-KeptDirectory::place_for(std::uint32_t tokens, bool forerunner, TimePoint now)
+KeptDirectory::place_for(std::uint32_t tokens, bool forerunner, const Key& key,
+                         TimePoint now)
 {
     using Rank = std::tuple<bool, double, double>;
     std::string best;
     Rank best_rank;
     bool any_full = false;
     for (const auto& [address, state] : m_stores) {
-        if (!state.reachable || state.boot == 0 || now < state.write_from)
+        if (!state.reachable || state.boot == 0 || now < state.write_from ||
+            may_have(address, key))
             continue;
         if (!has_room(state, tokens, forerunner)) {
             any_full = true;
@@ -172,17 +186,13 @@
     std::map<std::string, KeptFree> frees;
     for (auto& [key, entry] : m_parts) {
         if (entry.state != State::LetGo || entry.told_free ||
-            !may_free(key, entry, now))
-            continue;
-        const StoreState& state = m_stores.find(entry.store)->second;
-        if (!state.reachable)
+            !may_free(key, entry.due, now) ||
+            !m_stores.find(entry.store)->second.reachable)
             continue;
         entry.told_free = true;
-        KeptFree& free = frees[entry.store];
-        free.store = entry.store;
-        free.boot = state.boot;
-        free.parts.push_back({key.first, key.second, entry.tokens});
+        add_free(frees, entry.store, key, entry.tokens);
     }
+    free_leftovers(frees, now);
     std::vector<KeptFree> result;
     result.reserve(frees.size());
     for (auto& [store, free] : frees)
@@ -190,4 +200,35 @@
     return result;
 }
 
+void
+KeptDirectory::add_free(std::map<std::string, KeptFree>& frees,
+                        const std::string& store, const Key& key,
+                        std::uint32_t tokens) const
+{
+    KeptFree& free = frees[store];
+    free.store = store;
+    free.boot = m_stores.find(store)->second.boot;
+    free.parts.push_back({key.first, key.second, tokens});
+}
+
+void
+KeptDirectory::free_leftovers(std::map<std::string, KeptFree>& frees,
+                              TimePoint now)
+{
+    for (Leftover& left : m_leftovers) {
+        StoreState& state = m_stores.find(left.store)->second;
+        if (left.told_free || !state.reachable ||
+            !may_free(left.key, left.due, now))
+            continue;
+        add_free(frees, left.store, left.key, left.tokens);
+        state.used_tokens -=
+            std::min<std::uint64_t>(state.used_tokens, left.tokens);
+        left.told_free = true;
+        left.due = now + free_under_way;
+    }
+    std::erase_if(m_leftovers, [now](const Leftover& left) {
+        return left.told_free && now >= left.due;
+    });
+}
+
 } // namespace crosslink
