--- a/src/serve/forward/exchange_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -27,6 +27,8 @@
 /// of little use.
 constexpr Micros exchange_pause = std::chrono::milliseconds(150);
 constexpr Micros after_failure = std::chrono::milliseconds(400);
+/// As long as nothing is known of what is kept, all prompts are read whole.
+constexpr Micros after_failure_unlearned = std::chrono::milliseconds(80);
 /// After so many exchanges that failed another instance is asked who has the
 /// duty; one may fail while it passes on.
 constexpr int failures_to_ask = 2;
@@ -69,7 +71,8 @@
         spdlog::debug("exchange: {}", failure.what());
         if (++m_failures >= failures_to_ask)
             ask_for_holder();
-        return after_failure;
+        return question.kept_term == 0 ? after_failure_unlearned
+                                       : after_failure;
     }
 }
 
