Keep runners whose entries lapsed while the platform was away for 1.8 s

Change: what is no longer listed within 1.8 s of the platform's return counts as gone only after that time, unless it is listed again. Test: runner_table_test.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -55,6 +55,9 @@
     RunnerLoad untold;          ///< Of this instance, sent since then.
     std::uint32_t failures = 0; ///< In a row.
     TimePoint held_until{};     ///< It gets nothing before.
+    /// It is no longer listed, and taken as gone from then on, unless it is
+    /// listed again.
+    std::optional<TimePoint> gone_at;
 
     /// Returns the version of `model` that it is believed to have; 0 where
     /// it has it not.
@@ -110,8 +113,15 @@
     void sync(std::span<const ListedRunner> listed);
     /// Takes over one entry of the list.
     void put(const ListedRunner& listed);
-    /// Takes note that a runner is no longer listed.
+    /// Takes note that a runner is no longer listed, and that it is gone.
     void remove(std::string_view id);
+    /// Takes note that a runner is no longer listed. Its entry may have lapsed
+    /// by itself, so that it counts as gone only from `gone_at` on.
+    void lapsed(std::string_view id, TimePoint gone_at);
+    /// As sync(); those that are not listed count as gone from `gone_at` on.
+    void sync_lapsed(std::span<const ListedRunner> listed, TimePoint gone_at);
+    /// Drops the runners that count as gone at `now`.
+    void expire(TimePoint now);
 
     /// Returns the runner for a call, or nothing where none takes work.
     std::optional<RunnerPick> choose(const RunnerQuery& query) const;
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -156,6 +156,7 @@
 {
     return entry.listed.service == query.service && !entry.listed.leaving &&
            query.now >= entry.held_until &&
+           !(entry.gone_at && query.now >= *entry.gone_at) &&
            !(query.avoid && query.avoid->contains(entry.listed.id)) &&
            (query.model.empty() || entry.version_of(query.model) > 0);
 }
@@ -208,10 +209,40 @@
     });
 }
 
+void
+RunnerTable::sync_lapsed(std::span<const ListedRunner> listed,
+                         TimePoint gone_at)
+{
+    std::set<std::string_view> ids;
+    for (const ListedRunner& runner : listed) {
+        ids.insert(runner.id);
+        put(runner);
+    }
+    for (const auto& [id, entry] : m_entries)
+        if (!ids.contains(id))
+            lapsed(id, gone_at);
+}
+
+void
+RunnerTable::lapsed(std::string_view id, TimePoint gone_at)
+{
+    if (RunnerEntry* entry = find(id); entry && !entry->gone_at)
+        entry->gone_at = gone_at;
+}
+
+void
+RunnerTable::expire(TimePoint now)
+{
+    std::erase_if(m_entries, [now](const auto& item) {
+        return item.second.gone_at && now >= *item.second.gone_at;
+    });
+}
+
 void
 RunnerTable::put(const ListedRunner& listed)
 {
     RunnerEntry& entry = m_entries[listed.id];
+    entry.gone_at.reset();
     const std::vector<LoadedModel> known = std::move(entry.listed.models);
     entry.listed = listed;
     // The list lags behind what the runner's own answers told.
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -172,6 +172,28 @@
     CHECK(table.choose(query())->version == 2);
 }
 
+TEST_CASE("a runner whose entry lapsed counts as gone a while later")
+{
+    RunnerTable table;
+    table.put(runner("r", "a"));
+    table.put(runner("s", "a"));
+    table.lapsed("r", at(1000));
+    const std::vector<ListedRunner> listed{runner("s", "a")};
+    table.sync_lapsed(listed, at(2000));
+    table.expire(at(900));
+    const std::set<std::string> avoid{"s"};
+    RunnerQuery ask = query(900);
+    ask.avoid = &avoid;
+    CHECK(chosen(table, ask) == "r");
+    ask.now = at(1000);
+    CHECK(chosen(table, ask).empty());
+    table.put(runner("r", "a"));
+    CHECK(chosen(table, ask) == "r");
+    table.lapsed("r", at(3000));
+    table.expire(at(3000));
+    CHECK(table.entries().size() == 1);
+}
+
 TEST_CASE("a whole list drops those that it does not name")
 {
     RunnerTable table;
--- a/src/serve/forward/feed_duty.cpp
+++ b/src/serve/forward/feed_duty.cpp
@@ -5,6 +5,7 @@
 
 #include "fleet_calls.h"
 
+#include <adapters/clock.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
@@ -23,6 +24,10 @@
 /// Pause between two questions, so that changes in quick succession come
 /// together.
 constexpr Micros between = std::chrono::milliseconds(60);
+/// Entries of runners that lapsed while the platform was away are back within
+/// two seconds of its return, as its operators say; less the time in which a
+/// call reaches its runner.
+constexpr Micros lapsed_time = std::chrono::milliseconds(1800);
 constexpr Micros after_failure = std::chrono::milliseconds(250);
 /// An instance that is gone is listed for this long at most.
 constexpr Micros presence_span = std::chrono::seconds(9);
@@ -45,7 +50,11 @@
             m_place ? m_state.ports.feed.wait(*m_place, longest_wait)
                     : m_state.ports.feed.read();
         m_place = news.place;
-        m_state.take(news);
+        const TimePoint now = monotonic_now();
+        if (m_lost)
+            m_lapsed_until = now + lapsed_time;
+        m_state.take(news, now < m_lapsed_until ? std::optional(m_lapsed_until)
+                                                : std::nullopt);
         m_steward.fleet_changed();
         if (m_lost)
             LogLine("platform_regained").field("place", news.place);
--- a/src/serve/forward/feed_duty.h
+++ b/src/serve/forward/feed_duty.h
@@ -8,6 +8,8 @@
 
 #include <serve/duty.h>
 
+#include <crosslink/base/time.h>
+
 #include <cstdint>
 #include <optional>
 
@@ -30,6 +32,7 @@
     Steward& m_steward;
     std::optional<std::uint64_t> m_place; ///< Nothing before the first read.
     bool m_lost = false;                  ///< The platform does not answer.
+    TimePoint m_lapsed_until{}; ///< Runners that are not listed may be well.
     Duty m_feed;
     Duty m_presence;
 };
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -40,8 +40,9 @@
 class ChangeTaker
 {
 public:
-    ChangeTaker(ForwardState& state, bool whole)
-        : m_state(state), m_whole(whole)
+    ChangeTaker(ForwardState& state, bool whole,
+                std::optional<TimePoint> lapsed_until)
+        : m_state(state), m_whole(whole), m_lapsed_until(lapsed_until)
     {
     }
 
@@ -82,9 +83,14 @@
 
     void operator()(const RunnerGone& change)
     {
-        m_state.runners.with(
-            [&](RunnerTable& table) { table.remove(change.id); });
-        LogLine("runner_gone").field("runner", change.id);
+        m_state.runners.with([&](RunnerTable& table) {
+            if (m_lapsed_until)
+                table.lapsed(change.id, *m_lapsed_until);
+            else
+                table.remove(change.id);
+        });
+        LogLine(m_lapsed_until ? "runner_lapsed" : "runner_gone")
+            .field("runner", change.id);
     }
 
     void operator()(const InstanceListed& change)
@@ -116,8 +122,12 @@
     {
         if (!m_whole)
             return;
-        m_state.runners.with(
-            [this](RunnerTable& table) { table.sync(m_runners); });
+        m_state.runners.with([this](RunnerTable& table) {
+            if (m_lapsed_until)
+                table.sync_lapsed(m_runners, *m_lapsed_until);
+            else
+                table.sync(m_runners);
+        });
         m_state.fleet.with([this](FleetView& view) {
             view.listed = true;
             view.holders.missed(monotonic_now());
@@ -134,6 +144,7 @@
 private:
     ForwardState& m_state;
     const bool m_whole;
+    const std::optional<TimePoint> m_lapsed_until;
     std::vector<ListedRunner> m_runners;
     std::set<std::string> m_instances;
     bool m_holder_named = false;
@@ -209,9 +220,10 @@
 }
 
 void
-ForwardState::take(const FleetNews& news)
+ForwardState::take(const FleetNews& news, std::optional<TimePoint> lapsed_until)
 {
-    ChangeTaker taker(*this, news.whole);
+    runners.with([](RunnerTable& table) { table.expire(monotonic_now()); });
+    ChangeTaker taker(*this, news.whole, lapsed_until);
     for (const FleetChange& change : news.changes)
         std::visit(taker, change);
     taker.finish();
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -25,6 +25,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -107,8 +108,11 @@
     bool may_act();
     /// True where calls can be served.
     bool ready();
-    /// Takes in what the platform told.
-    void take(const FleetNews& news);
+    /// Takes in what the platform told. With `lapsed_until`, the platform was
+    /// away until a moment ago: runners that are not listed any more may be
+    /// well, and count as gone only from then on.
+    void take(const FleetNews& news,
+              std::optional<TimePoint> lapsed_until = std::nullopt);
 };
 
 } // namespace crosslink
--- a/src/serve/forward/kept_duties.cpp
+++ b/src/serve/forward/kept_duties.cpp
@@ -198,9 +198,8 @@
         return found != oldest.end() && space.version < found->second;
     };
     const double changed = m_weights.changed_part();
-    auto slow = m_state.fetches.with([](FetchWatch& watch) {
-        return watch.slow_stores(monotonic_now());
-    });
+    auto slow = m_state.fetches.with(
+        [](FetchWatch& watch) { return watch.slow_stores(monotonic_now()); });
     RunnerMillis clock = 0;
     const auto frees = m_kept.with([&](Kept& kept) {
         const TimePoint now = monotonic_now();
