Withdraw calls that wait on replaced weights before these are forbidden

The margin was 1.5 s. Ruled out: an order that came late (the runner was never ordered anew before). Change: nothing is sent to replaced weights in the last 2 s, and a call that has not begun 0.3 s before the bound is withdrawn where most runners have newer weights: given up, or sent elsewhere where it may be repeated.

--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -339,6 +339,22 @@
             loaded.version = version;
 }
 
+bool
+RunnerTable::most_have(std::string_view service, std::string_view model,
+                       std::uint64_t version) const
+{
+    std::size_t all = 0;
+    std::size_t have = 0;
+    for (const auto& [id, entry] : m_entries) {
+        const std::uint64_t has = entry.version_of(model);
+        if (entry.listed.service != service || has == 0)
+            continue;
+        ++all;
+        have += has >= version ? 1 : 0;
+    }
+    return 2 * have >= all;
+}
+
 std::map<std::string, RunnerLoad>
 RunnerTable::own_load() const
 {
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -149,6 +149,18 @@
     CHECK(chosen(table, asked) != "new");
 }
 
+TEST_CASE("it is told whether half of the runners have newer weights")
+{
+    RunnerTable table;
+    table.put(runner("r1", "a", 1));
+    table.put(runner("r2", "a", 1));
+    table.put(runner("r3", "a", 2));
+    CHECK_FALSE(table.most_have("s", model, 2));
+    table.put(runner("r4", "a", 3));
+    CHECK(table.most_have("s", model, 2));
+    CHECK_FALSE(table.most_have("s", model, 3));
+}
+
 TEST_CASE("a failing runner is left alone for a time that grows")
 {
     RunnerTable table;
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -40,7 +40,13 @@
 constexpr Micros come_back = std::chrono::milliseconds(250);
 /// A call may wait at its runner before it begins: it is sent to replaced
 /// weights only until so long before they are forbidden.
-constexpr Micros begin_margin = std::chrono::milliseconds(1500);
+constexpr Micros begin_margin = std::chrono::milliseconds(2000);
+/// A call that has not begun on replaced weights so long before they are
+/// forbidden is withdrawn: this long, a runner may take to see that its caller
+/// left, and the first event to arrive.
+constexpr Micros withdraw_margin = std::chrono::milliseconds(300);
+/// Between two looks whether a call must be withdrawn.
+constexpr Micros withdraw_look = std::chrono::milliseconds(200);
 /// Weights that no version was named of yet.
 constexpr std::uint64_t first_weights = 1;
 /// Surplus answers of earlier calls that are read past.
@@ -171,6 +177,8 @@
     if (!pick)
         return false;
     m_pick = *pick;
+    // Where most runners could not change, replaced weights go on serving.
+    m_may_withdraw = m_call.generation && m_pick.version >= query.least_version;
     return true;
 }
 
@@ -213,6 +221,12 @@
             .field("reused", reused)
             .field("error", failure.what());
     }
+    if (outcome == Outcome::Outdated)
+        LogLine("call_withdrawn")
+            .field("request", m_call.id)
+            .field("runner", m_pick.id)
+            .field("version", m_pick.version)
+            .field("newest", m_newest);
     m_connection.reset();
     m_prompt.ended();
     m_state.runners.with([this](RunnerTable& table) {
@@ -294,15 +308,38 @@
 std::optional<ForwardRun::Outcome>
 ForwardRun::await_answer(CallerLink& link)
 {
-    switch (m_connection->wait(link.socket(), time_left())) {
-    case CallConnection::Wait::CallerGone:
-        return Outcome::CallerGone;
-    case CallConnection::Wait::TimedOut:
-        return Outcome::TimedOut;
-    case CallConnection::Wait::Ready:
-        break;
+    for (;;) {
+        const bool watch = !has_begun() && m_may_withdraw;
+        const Micros longest =
+            watch ? std::min(time_left(), withdraw_look) : time_left();
+        switch (m_connection->wait(link.socket(), longest)) {
+        case CallConnection::Wait::CallerGone:
+            return Outcome::CallerGone;
+        case CallConnection::Wait::Ready:
+            return std::nullopt;
+        case CallConnection::Wait::TimedOut:
+            break;
+        }
+        if (time_left().count() == 0)
+            return Outcome::TimedOut;
+        if (watch && is_outdated())
+            return Outcome::Outdated;
     }
-    return std::nullopt;
+}
+
+/// Returns whether the weights that the call waits for are about to be
+/// forbidden, and most runners have newer ones.
+bool
+ForwardRun::is_outdated()
+{
+    const std::string& model = m_call.generation->model;
+    const auto replaced = m_state.weights(model).replaced_at(m_pick.version);
+    const Micros bound = m_state.settings.weights_bound() - withdraw_margin;
+    if (!replaced || monotonic_now() < *replaced + bound)
+        return false;
+    return m_state.runners.with([&](RunnerTable& table) {
+        return table.most_have(m_service, model, m_pick.version + 1);
+    });
 }
 
 /// Returns the head of the answer to this call; nothing where it was the
@@ -450,6 +487,7 @@
             break;
         case Outcome::CallerGone:
         case Outcome::TimedOut:
+        case Outcome::Outdated:
             break;
         }
     });
@@ -458,14 +496,15 @@
 bool
 ForwardRun::may_go_on(Outcome outcome)
 {
-    if (outcome == Outcome::Broken)
+    const bool may_have_run =
+        outcome == Outcome::Broken || outcome == Outcome::Outdated;
+    if (may_have_run)
         ++m_runs;
     m_avoid.insert(m_pick.id);
     const bool repeatable = m_route.repeatable();
     if (outcome == Outcome::TimedOut || time_left().count() == 0)
         return false;
-    if (outcome == Outcome::Broken &&
-        (!repeatable || m_runs >= m_route.most_attempts))
+    if (may_have_run && (!repeatable || m_runs >= m_route.most_attempts))
         return false;
     if (outcome == Outcome::NotSent)
         return true;
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -59,6 +59,8 @@
         NotRun,     ///< The runner's own word.
         Broken,     ///< It may have run, and there is no whole answer.
         TimedOut,   ///< As Broken, and no time is left.
+        /// As Broken: its runner's weights had to give way before it began.
+        Outdated,
     };
 
     bool choose();
@@ -82,6 +84,8 @@
     void give_up(CallerLink& link, Outcome outcome);
     [[noreturn]] void fail(Outcome outcome);
     Micros time_left() const;
+    bool is_outdated();
+    bool has_begun() const { return m_prompt.is_read(); }
 
     ForwardState& m_state;
     const ForwardedCall& m_call;
@@ -95,7 +99,8 @@
     RunnerPick m_pick;
     std::set<std::string> m_avoid;
     std::unique_ptr<CallConnection> m_connection;
-    std::uint64_t m_newest = 0; ///< Weights named at the last choice.
+    std::uint64_t m_newest = 0;  ///< Weights named at the last choice.
+    bool m_may_withdraw = false; ///< Where it has not begun in time.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
     bool m_caller_gone = false;
