Count weights from when the first instance heard of them

Change: instances tell each other, over the duty's holder, how long ago they heard of each version; the earliest counts. Test: weights_plan_test.

--- a/src/include/crosslink/weights/weights_plan.h
+++ b/src/include/crosslink/weights/weights_plan.h
@@ -47,6 +47,12 @@
 public:
     /// Takes note of weights named at `now`. Older ones are passed over.
     void named(std::uint64_t version, TimePoint now);
+    /// Takes note that another instance heard of `version` at `at`. It counts
+    /// where this one heard of it later, or only of newer ones; a version newer
+    /// than all that are known here does not.
+    void named_earlier(std::uint64_t version, TimePoint at);
+    /// Returns all versions that were named, in rising order.
+    const std::vector<NamedWeights>& all() const { return m_named; }
     /// Returns the newest version; 0 where none was named.
     std::uint64_t newest() const;
     /// Returns when the first version above `version` was named; nothing
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -45,6 +45,21 @@
         m_named.push_back({version, now});
 }
 
+void
+WeightsHistory::named_earlier(std::uint64_t version, TimePoint at)
+{
+    const auto place = std::find_if(m_named.begin(), m_named.end(),
+                                    [version](const NamedWeights& named) {
+                                        return named.version >= version;
+                                    });
+    if (place == m_named.end())
+        return;
+    if (place->version == version)
+        place->at = std::min(place->at, at);
+    else
+        m_named.insert(place, {version, at});
+}
+
 std::uint64_t
 WeightsHistory::newest() const
 {
--- a/src/libcrosslink/weights/weights_plan_test.cpp
+++ b/src/libcrosslink/weights/weights_plan_test.cpp
@@ -57,6 +57,25 @@
 
 } // namespace
 
+TEST_CASE("weights count from when the first instance heard of them")
+{
+    WeightsHistory history;
+    history.named(1, TimePoint(Micros(0)));
+    history.named(2, TimePoint(std::chrono::seconds(9)));
+    history.named_earlier(2, TimePoint(std::chrono::seconds(4)));
+    history.named_earlier(2, TimePoint(std::chrono::seconds(6)));
+    history.named_earlier(3, TimePoint(std::chrono::seconds(1)));
+    WeightsHistory late;
+    late.named(3, TimePoint(std::chrono::seconds(9)));
+    late.named_earlier(2, TimePoint(std::chrono::seconds(4)));
+    CHECK(late.replaced_at(1) == TimePoint(std::chrono::seconds(4)));
+    CHECK(late.newest() == 3);
+    CHECK(history.replaced_at(1) == TimePoint(std::chrono::seconds(4)));
+    CHECK(history.newest() == 2);
+    CHECK(history.least(std::chrono::seconds(10),
+                        TimePoint(std::chrono::seconds(14))) == 2);
+}
+
 TEST_CASE("a part of the runners loads new weights at once")
 {
     WeightsPlan plan(bound);
--- a/src/serve/forward/exchange.h
+++ b/src/serve/forward/exchange.h
@@ -14,12 +14,20 @@
 namespace crosslink
 {
 
+/// Weights that an instance heard of, and how long ago.
+struct WeightsAge {
+    std::string model;
+    std::uint64_t version = 0;
+    Micros age{0};
+};
+
 /// What an instance tells the holder of the duty a few times a second.
 struct ExchangeQuestion {
     std::string instance;
     std::map<std::string, RunnerLoad> load; ///< That it gives to runners.
     std::uint64_t kept_term = 0; ///< Position of its copy of the directory.
     std::uint64_t kept_place = 0;
+    std::vector<WeightsAge> weights;
 };
 
 /// What it learns in return.
@@ -27,6 +35,7 @@
     std::map<std::string, RunnerLoad> others; ///< Of all other instances.
     std::vector<std::string> loading; ///< Runners that were told to load.
     KeptUpdate kept;
+    std::vector<WeightsAge> weights; ///< As the first instance heard of them.
 };
 
 } // namespace crosslink
--- a/src/serve/forward/exchange_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -53,6 +53,7 @@
     std::tie(question.kept_term, question.kept_place) = m_state.kept.with(
         [](KeptReplica& replica) { return replica.position(); });
     const TimePoint asked = monotonic_now();
+    question.weights = m_state.weights_ages(asked);
     try {
         const ExchangeAnswer answer = m_steward.with(
             [&](auto& steward) { return steward.exchange(question); });
@@ -64,6 +65,7 @@
         });
         m_state.kept.with(
             [&](KeptReplica& replica) { replica.take(answer.kept, asked); });
+        m_state.heard_of(answer.weights, now);
         m_failures = 0;
         return exchange_pause;
     } catch (const std::exception& failure) {
--- a/src/serve/forward/fleet_json.cpp
+++ b/src/serve/forward/fleet_json.cpp
@@ -146,6 +146,31 @@
     return answer;
 }
 
+Json::Value
+ages_to_json(const std::vector<WeightsAge>& ages)
+{
+    Json::Value list(Json::arrayValue);
+    for (const WeightsAge& age : ages) {
+        Json::Value item;
+        item["model"] = age.model;
+        item["version"] = Json::UInt64(age.version);
+        item["age_us"] = Json::Int64(age.age.count());
+        list.append(item);
+    }
+    return list;
+}
+
+std::vector<WeightsAge>
+ages_from_json(const Json::Value& list)
+{
+    std::vector<WeightsAge> ages;
+    for (const Json::Value& item : list)
+        ages.push_back(
+            {json_string(item, "model"), json_number(item, "version"),
+             Micros(static_cast<Micros::rep>(json_number(item, "age_us")))});
+    return ages;
+}
+
 Json::Value
 to_json(const ExchangeQuestion& question)
 {
@@ -154,6 +179,7 @@
     value["load"] = load_to_json(question.load);
     value["kept_term"] = Json::UInt64(question.kept_term);
     value["kept_place"] = Json::UInt64(question.kept_place);
+    value["weights"] = ages_to_json(question.weights);
     return value;
 }
 
@@ -161,7 +187,8 @@
 exchange_question_from_json(const Json::Value& value)
 {
     return {json_string(value, "instance"), load_from_json(value["load"]),
-            json_number(value, "kept_term"), json_number(value, "kept_place")};
+            json_number(value, "kept_term"), json_number(value, "kept_place"),
+            ages_from_json(value["weights"])};
 }
 
 Json::Value
@@ -173,6 +200,7 @@
     for (const std::string& runner : answer.loading)
         value["loading"].append(runner);
     value["kept"] = update_to_json(answer.kept);
+    value["weights"] = ages_to_json(answer.weights);
     return value;
 }
 
@@ -184,6 +212,7 @@
     for (const Json::Value& runner : value["loading"])
         answer.loading.push_back(runner.asString());
     answer.kept = update_from_json(value["kept"]);
+    answer.weights = ages_from_json(value["weights"]);
     return answer;
 }
 
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -175,6 +175,35 @@
     });
 }
 
+std::vector<WeightsAge>
+ForwardState::weights_ages(TimePoint now)
+{
+    constexpr std::size_t told_versions = 4;
+    std::vector<WeightsAge> ages;
+    fleet.with([&](FleetView& view) {
+        for (const auto& [model, history] : view.weights) {
+            const auto& all = history.all();
+            const std::size_t skipped =
+                all.size() - std::min(all.size(), told_versions);
+            for (std::size_t i = skipped; i < all.size(); ++i)
+                ages.push_back({model, all[i].version, now - all[i].at});
+        }
+    });
+    return ages;
+}
+
+void
+ForwardState::heard_of(const std::vector<WeightsAge>& weights, TimePoint now)
+{
+    fleet.with([&](FleetView& view) {
+        for (const WeightsAge& item : weights) {
+            const auto history = view.weights.find(item.model);
+            if (history != view.weights.end())
+                history->second.named_earlier(item.version, now - item.age);
+        }
+    });
+}
+
 std::size_t
 ForwardState::instance_count()
 {
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "exchange.h"
 #include "forward_ports.h"
 #include "forward_settings.h"
 
@@ -94,6 +95,11 @@
     std::shared_ptr<const ServiceMap> map();
     /// Returns the versions of `model` that were named.
     WeightsHistory weights(std::string_view model);
+    /// Returns how long ago this instance heard of the newest versions of
+    /// each model, those that calls may still run on.
+    std::vector<WeightsAge> weights_ages(TimePoint now);
+    /// Takes in when another instance heard of weights, as of `now`.
+    void heard_of(const std::vector<WeightsAge>& weights, TimePoint now);
     /// Returns the number of instances of the fleet, at least 1.
     std::size_t instance_count();
     /// True where this instance has the duty now.
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -171,6 +171,8 @@
         board.told(question.instance, question.load, now);
         return board.others(question.instance, now);
     });
+    m_state.heard_of(question.weights, now);
+    answer.weights = m_state.weights_ages(now);
     answer.loading = m_weights.loading();
     answer.kept =
         m_kept.update_since(question.kept_term, question.kept_place, now);
