Pass over a zone whose runners say nothing

Change: a connection or an answer that times out makes its runner's zone 400 ms dearer for 2.5 s, or until one of its runners answers. Test: runner_table_test.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -136,6 +136,9 @@
     /// Takes note of a failure: it gets nothing for a time that doubles.
     void failed(std::string_view id, TimePoint now);
     void succeeded(std::string_view id);
+    /// Takes note that a runner says nothing at all: its zone may be cut off,
+    /// and is passed over for a while, or until one of its runners answers.
+    void silent(std::string_view id, TimePoint now);
     /// Takes note of the weights that a runner's own answer named, or that
     /// it is expected to have next.
     void has_version(std::string_view id, std::string_view model,
@@ -155,8 +158,14 @@
 
 private:
     RunnerEntry* find(std::string_view id);
+    bool is_silent(std::string_view zone, TimePoint now) const;
+    const RunnerEntry* cheapest(const std::vector<const RunnerEntry*>& entries,
+                                const RunnerQuery& query,
+                                bool others_known) const;
 
     Entries m_entries;
+    /// Zones that may be cut off, and until when they are passed over.
+    std::map<std::string, TimePoint, std::less<>> m_silent_zones;
     TimePoint m_others_at{}; ///< When the others' load was told last.
     bool m_others_known = false;
 };
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -46,6 +46,11 @@
 /// Part of the time for reading the call's prompt by which prices are spread at
 /// random, so that instances do not all choose the same runner.
 constexpr double crowd_part = 0.6;
+/// A zone one of whose runners says nothing: a call that is sent there waits
+/// 400 ms for a connection, or seconds for an answer.
+constexpr double silent_zone_ms = 400;
+/// It is passed over for so long after each such call.
+constexpr Micros silent_hold = std::chrono::milliseconds(2500);
 /// Runners whose prices differ by less are alike.
 constexpr double tie_ms = 1;
 
@@ -124,33 +129,6 @@
     return best;
 }
 
-const RunnerEntry*
-cheapest(const Candidates& candidates, const RunnerQuery& query,
-         bool others_known)
-{
-    const RunnerEntry* preferred =
-        query.affinity.empty() ? nullptr
-                               : preferred_by_affinity(candidates, query);
-    // All instances see one runner that became idle at the same time, so that
-    // each of them passes over it now and then.
-    const double spread = crowd_part * to_millis(reading_time(query.tokens));
-    std::minstd_rand generator(
-        static_cast<std::minstd_rand::result_type>(query.random));
-    std::uniform_real_distribution<double> extra(0, spread + tie_ms);
-    const RunnerEntry* best = nullptr;
-    double best_price = 0;
-    for (const RunnerEntry* entry : candidates) {
-        double price = price_ms(*entry, query, others_known) + extra(generator);
-        if (entry == preferred)
-            price -= affinity_ms;
-        if (!best || price < best_price) {
-            best = entry;
-            best_price = price;
-        }
-    }
-    return best;
-}
-
 bool
 takes_work(const RunnerEntry& entry, const RunnerQuery& query)
 {
@@ -260,6 +238,35 @@
         m_entries.erase(found);
 }
 
+const RunnerEntry*
+RunnerTable::cheapest(const Candidates& candidates, const RunnerQuery& query,
+                      bool others_known) const
+{
+    const RunnerEntry* preferred =
+        query.affinity.empty() ? nullptr
+                               : preferred_by_affinity(candidates, query);
+    // All instances see one runner that became idle at the same time, so that
+    // each of them passes over it now and then.
+    const double spread = crowd_part * to_millis(reading_time(query.tokens));
+    std::minstd_rand generator(
+        static_cast<std::minstd_rand::result_type>(query.random));
+    std::uniform_real_distribution<double> extra(0, spread + tie_ms);
+    const RunnerEntry* best = nullptr;
+    double best_price = 0;
+    for (const RunnerEntry* entry : candidates) {
+        double price = price_ms(*entry, query, others_known) + extra(generator);
+        if (entry == preferred)
+            price -= affinity_ms;
+        if (is_silent(entry->listed.zone, query.now))
+            price += silent_zone_ms;
+        if (!best || price < best_price) {
+            best = entry;
+            best_price = price;
+        }
+    }
+    return best;
+}
+
 std::optional<RunnerPick>
 RunnerTable::choose(const RunnerQuery& query) const
 {
@@ -323,8 +330,26 @@
 void
 RunnerTable::succeeded(std::string_view id)
 {
-    if (RunnerEntry* entry = find(id); entry && entry->failures > 0)
+    RunnerEntry* entry = find(id);
+    if (!entry)
+        return;
+    if (entry->failures > 0)
         --entry->failures;
+    m_silent_zones.erase(entry->listed.zone);
+}
+
+void
+RunnerTable::silent(std::string_view id, TimePoint now)
+{
+    if (const RunnerEntry* entry = find(id))
+        m_silent_zones[entry->listed.zone] = now + silent_hold;
+}
+
+bool
+RunnerTable::is_silent(std::string_view zone, TimePoint now) const
+{
+    const auto found = m_silent_zones.find(zone);
+    return found != m_silent_zones.end() && now < found->second;
 }
 
 void
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -161,6 +161,21 @@
     CHECK_FALSE(table.most_have("s", model, 3));
 }
 
+TEST_CASE("a zone whose runner is silent is passed over until one answers")
+{
+    RunnerTable table;
+    table.put(runner("near", "a"));
+    table.put(runner("near too", "a"));
+    table.put(runner("far", "b"));
+    table.silent("near", at(0));
+    CHECK(chosen(table, query(100)) == "far");
+    CHECK(chosen(table, query(2600)) != "far");
+    table.silent("near", at(3000));
+    CHECK(chosen(table, query(3100)) == "far");
+    table.succeeded("near too");
+    CHECK(chosen(table, query(3200)) != "far");
+}
+
 TEST_CASE("a failing runner is left alone for a time that grows")
 {
     RunnerTable table;
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -215,6 +215,7 @@
     try {
         outcome = exchange(link, sent);
     } catch (const std::exception& failure) {
+        note_silence(failure);
         LogLine("answer_broken")
             .field("request", m_call.id)
             .field("runner", m_pick.id)
@@ -239,6 +240,17 @@
     return outcome;
 }
 
+/// Takes note of a runner from which nothing at all comes.
+void
+ForwardRun::note_silence(const std::exception& failure)
+{
+    if (!dynamic_cast<const Poco::TimeoutException*>(&failure))
+        return;
+    m_state.runners.with([this](RunnerTable& table) {
+        table.silent(m_pick.id, monotonic_now());
+    });
+}
+
 bool
 ForwardRun::connect(bool& reused)
 {
@@ -251,6 +263,7 @@
             m_pick.address, std::min(connect_time, time_left()));
         return true;
     } catch (const Poco::Exception& failure) {
+        note_silence(failure);
         LogLine("not_connected")
             .field("request", m_call.id)
             .field("runner", m_pick.id)
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -15,6 +15,7 @@
 #include <crosslink/ports/call_wire.h>
 
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <set>
@@ -72,6 +73,7 @@
     SendTerms terms();
     KeptSpace kept_space(std::uint64_t version) const;
     bool connect(bool& reused);
+    void note_silence(const std::exception& failure);
     Outcome exchange(CallerLink& link, const SendTerms& terms);
     std::optional<Outcome> await_answer(CallerLink& link);
     std::optional<AnswerHead> next_head();
