Ask for the platform's changes less often in a large fleet

Change: the pause between two questions is 6 ms for each instance, 60 to 400 ms; nothing changes for fleets of ten.

--- a/src/serve/forward/feed_duty.cpp
+++ b/src/serve/forward/feed_duty.cpp
@@ -11,6 +11,8 @@
 #include <crosslink/base/error.h>
 #include <crosslink/ports/duty_registry.h>
 
+#include <algorithm>
+
 namespace crosslink
 {
 
@@ -22,8 +24,12 @@
 /// platform is stable again. Each question is a priced call.
 constexpr Micros longest_wait = std::chrono::milliseconds(1800);
 /// Pause between two questions, so that changes in quick succession come
-/// together.
-constexpr Micros between = std::chrono::milliseconds(60);
+/// together. Each change is told to each instance by a priced call: in a large
+/// fleet, where runners change often too, more of them come together. A change
+/// must be in force in two seconds.
+constexpr Micros least_pause = std::chrono::milliseconds(60);
+constexpr Micros longest_pause = std::chrono::milliseconds(400);
+constexpr Micros pause_per_instance = std::chrono::milliseconds(6);
 /// Entries of runners that lapsed while the platform was away are back within
 /// two seconds of its return, as its operators say; less the time in which a
 /// call reaches its runner.
@@ -59,7 +65,10 @@
         if (m_lost)
             LogLine("platform_regained").field("place", news.place);
         m_lost = false;
-        return between;
+        const auto instances =
+            static_cast<Micros::rep>(m_state.instance_count());
+        return std::clamp(pause_per_instance * instances, least_pause,
+                          longest_pause);
     } catch (const Error& failure) {
         if (!m_lost)
             LogLine("platform_lost").field("error", failure.what());
