Give what is left of moved parts in stores a class of its own

The directory of kept parts kept the list and its rules inside; KeptLeftovers has them now, and KeptKey names what three classes know a part by. Changes no behaviour.

--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -7,6 +7,7 @@
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/service_map.h>
 #include <crosslink/kept/kept_history.h>
+#include <crosslink/kept/kept_leftovers.h>
 #include <crosslink/kept/kept_part.h>
 #include <crosslink/kept/kept_replica.h>
 #include <crosslink/kept/runner_clock.h>
@@ -118,26 +119,19 @@
         std::uint64_t used_tokens = 0;
         TimePoint write_from{}; ///< Answers on its earlier boot have run out.
         TimePoint listed_at{};
-    };
-    using Key = std::pair<std::string, std::string>; ///< Space and id.
-    /// Room in a store for a part that is told elsewhere now. The store may
-    /// have it, whole or not.
-    struct Leftover {
-        std::string store;
-        Key key;
-        std::uint32_t tokens = 0;
-        TimePoint due{}; ///< No call writes or was told to fetch it after.
-        bool told_free = false; ///< It is freed until `due`.
+
+        /// Takes note that a part's room is free again.
+        void give_back(std::uint32_t tokens);
     };
     /// A part that may be let go for another one.
     struct Dispensable {
         std::string model;
         std::uint64_t version = 0;
         bool replaced = false; ///< Newer weights have parts already.
-        const Key* key = nullptr;
+        const KeptKey* key = nullptr;
         Entry* entry = nullptr;
     };
-    using Parts = std::map<Key, Entry>;
+    using Parts = std::map<KeptKey, Entry>;
 
     void take_boot(const std::string& store, StoreState& state,
                    std::uint64_t boot, TimePoint now);
@@ -149,23 +143,20 @@
                       TimePoint now);
     void hold(const std::string& store, const KeptPart& part, TimePoint now);
     bool knows_stores(TimePoint now) const;
-    bool may_free(const Key& key, TimePoint due, TimePoint now) const;
+    bool may_free(const KeptKey& key, TimePoint due, TimePoint now) const;
     void drop(Parts::iterator entry);
-    void note(const Key& key, const Entry& entry);
-    void let_go(const Key& key, Entry& entry, TimePoint now);
-    std::string place_for(std::uint32_t tokens, bool forerunner, const Key& key,
-                          TimePoint now);
-    KeptPlace place_part(const Key& key, const std::string& store,
+    void note(const KeptKey& key, const Entry& entry);
+    void let_go(const KeptKey& key, Entry& entry, TimePoint now);
+    std::string place_for(std::uint32_t tokens, bool forerunner,
+                          const KeptKey& key, TimePoint now);
+    KeptPlace place_part(const KeptKey& key, const std::string& store,
                          std::uint32_t room, Micros longest, TimePoint now);
-    bool may_have(const std::string& store, const Key& key) const;
-    bool is_left_at(const std::string& store, const Key& key) const;
+    bool may_have(const std::string& store, const KeptKey& key) const;
     bool should_move(const Entry& entry, TimePoint now) const;
     void free_leftovers(std::map<std::string, KeptFree>& frees, TimePoint now);
     void add_free(std::map<std::string, KeptFree>& frees,
-                  const std::string& store, const Key& key,
+                  const std::string& store, const KeptKey& key,
                   std::uint32_t tokens) const;
-    void leave(const std::string& store, const Key& key, std::uint32_t tokens,
-               TimePoint due);
     bool has_room(const StoreState& state, std::uint32_t tokens,
                   bool forerunner) const;
     double slowest_link() const;
@@ -181,7 +172,7 @@
 
     std::map<std::string, StoreState, std::less<>> m_stores; ///< By address.
     Parts m_parts;
-    std::vector<Leftover> m_leftovers;
+    KeptLeftovers m_leftovers;
     std::uint64_t m_term = 0;
     std::set<std::uint64_t> m_terms;           ///< Of all parts that are told.
     bool m_full = false;                       ///< A part found no room.
--- a/src/include/crosslink/kept/kept_part.h
+++ b/src/include/crosslink/kept/kept_part.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace crosslink
@@ -55,6 +56,9 @@
     std::uint32_t tokens = 0;
 };
 
+/// What a part is known by: its space, as KeptSpace::text(), and its id.
+using KeptKey = std::pair<std::string, std::string>;
+
 /// A change that a store tells of itself. Changes come late, and some never.
 struct KeptChange {
     KeptPart part; ///< With the tokens that are kept now.
--- a/src/include/crosslink/kept/kept_replica.h
+++ b/src/include/crosslink/kept/kept_replica.h
@@ -65,13 +65,11 @@
                                    bool best_effort, TimePoint now) const;
 
 private:
-    using Key = std::pair<std::string, std::string>; ///< Space and id.
-
     std::uint64_t m_term = 0;
     std::uint64_t m_place = 0;
     RunnerClock m_clock;
-    std::map<Key, std::string> m_places; ///< Store addresses.
-    std::set<std::uint64_t> m_terms;     ///< Of all spaces.
+    std::map<KeptKey, std::string> m_places; ///< Store addresses.
+    std::set<std::uint64_t> m_terms;         ///< Of all spaces.
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -34,6 +34,12 @@
 
 } // namespace
 
+void
+KeptDirectory::StoreState::give_back(std::uint32_t tokens)
+{
+    used_tokens -= std::min<std::uint64_t>(used_tokens, tokens);
+}
+
 void
 KeptDirectory::set_stores(std::span<const KeptStoreInfo> stores)
 {
@@ -53,9 +59,8 @@
             drop(entry);
         entry = following;
     }
-    std::erase_if(m_leftovers, [this](const Leftover& left) {
-        return !m_stores.contains(left.store);
-    });
+    m_leftovers.forget_stores(
+        [this](const std::string& store) { return !m_stores.contains(store); });
 }
 
 void
@@ -94,9 +99,8 @@
         }
         entry = next;
     }
-    std::erase_if(m_leftovers, [&store](const Leftover& left) {
-        return left.store == store;
-    });
+    m_leftovers.forget_stores(
+        [&store](const std::string& other) { return other == store; });
 }
 
 /// Takes note that a store has a part whole.
@@ -130,7 +134,7 @@
 
 /// Takes note of what is told of a part from now on.
 void
-KeptDirectory::note(const Key& key, const Entry& entry)
+KeptDirectory::note(const KeptKey& key, const Entry& entry)
 {
     const bool told = entry.state == State::Held;
     m_history.add({key.first, key.second, told ? entry.store : std::string()});
@@ -171,10 +175,8 @@
 KeptDirectory::drop(Parts::iterator entry)
 {
     const auto state = m_stores.find(entry->second.store);
-    if (state != m_stores.end()) {
-        std::uint64_t& used = state->second.used_tokens;
-        used -= std::min<std::uint64_t>(used, entry->second.tokens);
-    }
+    if (state != m_stores.end())
+        state->second.give_back(entry->second.tokens);
     if (entry->second.state == State::Held) {
         entry->second.state = State::LetGo;
         note(entry->first, entry->second);
@@ -183,7 +185,7 @@
 }
 
 void
-KeptDirectory::let_go(const Key& key, Entry& entry, TimePoint now)
+KeptDirectory::let_go(const KeptKey& key, Entry& entry, TimePoint now)
 {
     entry.state = State::LetGo;
     note(key, entry);
@@ -194,7 +196,7 @@
 /// Returns whether nothing that was told of a part that was let go holds any
 /// more. What an earlier holder saved, that one may go on telling.
 bool
-KeptDirectory::may_free(const Key& key, TimePoint due, TimePoint now) const
+KeptDirectory::may_free(const KeptKey& key, TimePoint due, TimePoint now) const
 {
     if (now < due)
         return false;
@@ -239,8 +241,8 @@
         Entry& entry = known->second;
         // Two holders of the duty, or one that moved it, had it saved twice.
         if (entry.store != store)
-            leave(store, known->first, room_of(part.tokens),
-                  now + kept_answer_time + clock_slack);
+            m_leftovers.add(store, known->first, room_of(part.tokens),
+                            now + kept_answer_time + clock_slack);
         // It is still there long after the store was asked to free it.
         if (entry.told_free && now >= entry.due + listing_pause)
             entry.told_free = false;
@@ -273,7 +275,7 @@
 KeptDirectory::drop_missing(const std::string& store,
                             const KeptListing& listing, TimePoint now)
 {
-    std::set<Key> there;
+    std::set<KeptKey> there;
     for (const KeptPart& part : listing.whole)
         there.insert({part.space, part.id});
     for (const KeptPart& part : listing.broken)
@@ -380,7 +382,7 @@
 KeptDirectory::ask_part(const KeptPart& part, bool forerunner, Micros longest,
                         TimePoint now)
 {
-    const Key key{part.space, part.id};
+    const KeptKey key{part.space, part.id};
     const auto known = m_parts.find(key);
     const bool is_known = known != m_parts.end();
     if (is_known)
@@ -405,7 +407,8 @@
     if (is_known) {
         Entry& entry = known->second;
         const TimePoint told_until = now + kept_answer_time + clock_slack;
-        leave(entry.store, key, entry.tokens, std::max(entry.due, told_until));
+        m_leftovers.add(entry.store, key, entry.tokens,
+                        std::max(entry.due, told_until));
         entry.state = State::Saving;
         note(key, entry);
     }
@@ -414,7 +417,7 @@
 
 /// Tells one call to save a part.
 KeptPlace
-KeptDirectory::place_part(const Key& key, const std::string& store,
+KeptDirectory::place_part(const KeptKey& key, const std::string& store,
                           std::uint32_t room, Micros longest, TimePoint now)
 {
     Entry entry;
@@ -443,35 +446,14 @@
            !state->second.reachable;
 }
 
-/// Takes note of room that a part takes where it is not told any more.
-void
-KeptDirectory::leave(const std::string& store, const Key& key,
-                     std::uint32_t tokens, TimePoint due)
-{
-    if (!is_left_at(store, key))
-        m_leftovers.push_back({store, key, tokens, due});
-}
-
-bool
-KeptDirectory::is_left_at(const std::string& store, const Key& key) const
-{
-    return std::any_of(m_leftovers.begin(), m_leftovers.end(),
-                       [&](const Leftover& left) {
-                           return left.store == store && left.key == key;
-                       });
-}
-
 void
 KeptDirectory::not_saved(const KeptPart& part)
 {
-    const Key key{part.space, part.id};
+    const KeptKey key{part.space, part.id};
     const auto entry = m_parts.find(key);
     // Where the part was moved, it can't be told whose save did not run.
-    const bool moved =
-        std::any_of(m_leftovers.begin(), m_leftovers.end(),
-                    [&key](const Leftover& left) { return left.key == key; });
     if (entry != m_parts.end() && entry->second.state == State::Saving &&
-        !moved)
+        !m_leftovers.contains(key))
         drop(entry);
 }
 
--- a/src/libcrosslink/kept/kept_replica.cpp
+++ b/src/libcrosslink/kept/kept_replica.cpp
@@ -32,7 +32,7 @@
     // Counted from the question on, the clock is never told too early.
     m_clock.set(update.clock, asked);
     for (const KeptEntry& entry : update.entries) {
-        const Key key{entry.space, entry.id};
+        const KeptKey key{entry.space, entry.id};
         if (entry.store.empty()) {
             m_places.erase(key);
             continue;
--- a/src/libcrosslink/kept/kept_room.cpp
+++ b/src/libcrosslink/kept/kept_room.cpp
@@ -21,9 +21,6 @@
 /// Part of the stores with faster links that is kept for forerunners. They take
 /// a hundredth of all room, but for each weights version and each term.
 constexpr double forerunner_part = 0.2;
-/// A free is refused by its store after the duty's lease, two seconds: until
-/// then nothing may be saved in its place.
-constexpr Micros free_under_way = std::chrono::seconds(3);
 /// A part asked for within this time is not let go for another one.
 constexpr Micros in_use_time = std::chrono::seconds(20);
 /// Part of all room that is let go at once where a store is full. At two
@@ -60,11 +57,11 @@
 
 /// Returns whether a store has the part, or may have it or get it.
 bool
-KeptDirectory::may_have(const std::string& store, const Key& key) const
+KeptDirectory::may_have(const std::string& store, const KeptKey& key) const
 {
     const auto entry = m_parts.find(key);
     return (entry != m_parts.end() && entry->second.store == store) ||
-           is_left_at(store, key);
+           m_leftovers.contains(store, key);
 }
 
 /// Returns the store that a part should be saved to; empty where none has room.
@@ -72,8 +69,8 @@
 /// link: it is fetched for many prompts. Other parts fill the stores in
 /// proportion to their links, so that reads spread alike.
 std::string
-KeptDirectory::place_for(std::uint32_t tokens, bool forerunner, const Key& key,
-                         TimePoint now)
+KeptDirectory::place_for(std::uint32_t tokens, bool forerunner,
+                         const KeptKey& key, TimePoint now)
 {
     using Rank = std::tuple<bool, double, double>;
     std::string best;
@@ -202,7 +199,7 @@
 
 void
 KeptDirectory::add_free(std::map<std::string, KeptFree>& frees,
-                        const std::string& store, const Key& key,
+                        const std::string& store, const KeptKey& key,
                         std::uint32_t tokens) const
 {
     KeptFree& free = frees[store];
@@ -215,20 +212,14 @@
 KeptDirectory::free_leftovers(std::map<std::string, KeptFree>& frees,
                               TimePoint now)
 {
-    for (Leftover& left : m_leftovers) {
-        StoreState& state = m_stores.find(left.store)->second;
-        if (left.told_free || !state.reachable ||
-            !may_free(left.key, left.due, now))
-            continue;
+    const auto may_free_now = [this, now](const KeptLeftover& left) {
+        return m_stores.find(left.store)->second.reachable &&
+               may_free(left.key, left.due, now);
+    };
+    for (const KeptLeftover& left : m_leftovers.take_due(may_free_now, now)) {
         add_free(frees, left.store, left.key, left.tokens);
-        state.used_tokens -=
-            std::min<std::uint64_t>(state.used_tokens, left.tokens);
-        left.told_free = true;
-        left.due = now + free_under_way;
+        m_stores.find(left.store)->second.give_back(left.tokens);
     }
-    std::erase_if(m_leftovers, [now](const Leftover& left) {
-        return left.told_free && now >= left.due;
-    });
 }
 
 } // namespace crosslink
