Shorten the answer for one part of a prompt

What moves a part, and how long what was told holds, have names of their own; the latter was spelled out in four places. Changes no behaviour.

--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -152,7 +152,9 @@
     KeptPlace place_part(const KeptKey& key, const std::string& store,
                          std::uint32_t room, Micros longest, TimePoint now);
     bool may_have(const std::string& store, const KeptKey& key) const;
+    bool is_own(const std::string& space) const;
     bool should_move(const Entry& entry, TimePoint now) const;
+    void move_away(const KeptKey& key, Entry& entry, TimePoint now);
     void free_leftovers(std::map<std::string, KeptFree>& frees, TimePoint now);
     void add_free(std::map<std::string, KeptFree>& frees,
                   const std::string& store, const KeptKey& key,
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -25,6 +25,13 @@
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
 
+/// Returns when what is told at `now` holds no more.
+TimePoint
+told_until(TimePoint now)
+{
+    return now + kept_answer_time + clock_slack;
+}
+
 /// Returns the room, in tokens, that a part of `tokens` takes.
 std::uint32_t
 room_of(std::uint32_t tokens)
@@ -89,7 +96,7 @@
     if (!forgot_all)
         return;
     state.used_tokens = 0;
-    state.write_from = now + kept_answer_time + clock_slack;
+    state.write_from = told_until(now);
     for (auto entry = m_parts.begin(); entry != m_parts.end();) {
         const auto next = std::next(entry);
         if (entry->second.store == store) {
@@ -189,7 +196,7 @@
 {
     entry.state = State::LetGo;
     note(key, entry);
-    entry.due = now + kept_answer_time + clock_slack;
+    entry.due = told_until(now);
     entry.told_free = false;
 }
 
@@ -200,9 +207,7 @@
 {
     if (now < due)
         return false;
-    const auto space = KeptSpace::parse(key.first);
-    const bool own = space && space->term == m_term;
-    return own || now >= m_silent_from + kept_answer_time + clock_slack;
+    return is_own(key.first) || now >= told_until(m_silent_from);
 }
 
 void
@@ -242,7 +247,7 @@
         // Two holders of the duty, or one that moved it, had it saved twice.
         if (entry.store != store)
             m_leftovers.add(store, known->first, room_of(part.tokens),
-                            now + kept_answer_time + clock_slack);
+                            told_until(now));
         // It is still there long after the store was asked to free it.
         if (entry.told_free && now >= entry.due + listing_pause)
             entry.told_free = false;
@@ -383,38 +388,48 @@
                         TimePoint now)
 {
     const KeptKey key{part.space, part.id};
-    const auto known = m_parts.find(key);
-    const bool is_known = known != m_parts.end();
-    if (is_known)
-        known->second.asked = now;
-    if (is_known && !should_move(known->second, now))
-        return place_of(known->second, now);
-    // Only this holder's own space is written to.
-    const auto space = KeptSpace::parse(part.space);
-    if (!space || space->term != m_term)
-        return is_known ? place_of(known->second, now)
-                        : KeptPlace::read(KeptPlace::Reason::OtherTerm);
+    const auto found = m_parts.find(key);
+    Entry* const known = found == m_parts.end() ? nullptr : &found->second;
+    if (known)
+        known->asked = now;
+    if (known && !should_move(*known, now))
+        return place_of(*known, now);
+    const auto unless_known = [&](KeptPlace::Reason reason) {
+        return known ? place_of(*known, now) : KeptPlace::read(reason);
+    };
+    if (!is_own(part.space))
+        return unless_known(KeptPlace::Reason::OtherTerm);
     // It may lie in a store that is not listed yet.
     if (!knows_stores(now))
         return KeptPlace::read(KeptPlace::Reason::Unknown);
     const std::uint32_t room = room_of(part.tokens);
     const std::string store = place_for(room, forerunner, key, now);
-    if (store.empty() && is_known)
-        return place_of(known->second, now);
     if (store.empty())
-        return KeptPlace::read(m_full ? KeptPlace::Reason::NoRoom
-                                      : KeptPlace::Reason::StoreAway);
-    if (is_known) {
-        Entry& entry = known->second;
-        const TimePoint told_until = now + kept_answer_time + clock_slack;
-        m_leftovers.add(entry.store, key, entry.tokens,
-                        std::max(entry.due, told_until));
-        entry.state = State::Saving;
-        note(key, entry);
-    }
+        return unless_known(m_full ? KeptPlace::Reason::NoRoom
+                                   : KeptPlace::Reason::StoreAway);
+    if (known)
+        move_away(key, *known, now);
     return place_part(key, store, room, longest, now);
 }
 
+/// Returns whether `space` is this holder's: only that one is written to.
+bool
+KeptDirectory::is_own(const std::string& space) const
+{
+    const auto parsed = KeptSpace::parse(space);
+    return parsed && parsed->term == m_term;
+}
+
+/// Leaves a part where it is, to be saved to another store.
+void
+KeptDirectory::move_away(const KeptKey& key, Entry& entry, TimePoint now)
+{
+    m_leftovers.add(entry.store, key, entry.tokens,
+                    std::max(entry.due, told_until(now)));
+    entry.state = State::Saving;
+    note(key, entry);
+}
+
 /// Tells one call to save a part.
 KeptPlace
 KeptDirectory::place_part(const KeptKey& key, const std::string& store,
