--- a/src/libcrosslink/kept/fetch_watch_test.cpp
+++ b/src/libcrosslink/kept/fetch_watch_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <vector>
+
 namespace crosslink
 {
 
@@ -31,16 +33,40 @@
     return count;
 }
 
+/// Lets 20 calls that fetch from each store come `slow` and `other`
+/// milliseconds later than expected.
+void
+let_come_late(FetchWatch& watch, int slow, int other)
+{
+    for (int i = 0; i < 20; ++i) {
+        watch.first_event("slow", at(i), at(i + slow));
+        watch.first_event("other", at(i), at(i + other));
+    }
+}
+
+/// Returns what two parts come to, of which the first one lies in the slow
+/// store, for a call that is not among the few that fetch from there.
+std::vector<KeptPlace>
+places_with_slow_first(const FetchWatch& watch,
+                       const std::vector<PromptPart>& parts, int millis)
+{
+    std::vector<KeptPlace> places(2);
+    for (KeptPlace& place : places)
+        place.kind = KeptPlace::Kind::Fetch;
+    places[0].store = "slow";
+    places[1].store = "other";
+    constexpr std::uint64_t not_among_the_few = 999;
+    watch.pass_over_slow(parts, places, not_among_the_few, at(millis));
+    return places;
+}
+
 } // namespace
 
 TEST_CASE("few calls fetch from a store that is slower than the others")
 {
     FetchWatch watch;
     CHECK(fetches_of(watch, 0) == 1000);
-    for (int i = 0; i < 20; ++i) {
-        watch.first_event("slow", at(i), at(i + 1200));
-        watch.first_event("other", at(i), at(i + 100));
-    }
+    let_come_late(watch, 1200, 100);
     const int count = fetches_of(watch, 1230);
     CHECK(count >= 100);
     CHECK(count < 200);
@@ -50,10 +76,7 @@
 TEST_CASE("the stores that are much slower than the best one are told")
 {
     FetchWatch watch;
-    for (int i = 0; i < 20; ++i) {
-        watch.first_event("slow", at(i), at(i + 1200));
-        watch.first_event("other", at(i), at(i + 100));
-    }
+    let_come_late(watch, 1200, 100);
     CHECK(watch.slow_stores(at(1230)).contains("slow"));
     CHECK(watch.slow_stores(at(1230)).size() == 1);
     CHECK(watch.slow_stores(at(9000)).empty());
@@ -62,10 +85,7 @@
 TEST_CASE("a large part is worth a longer wait than a small one")
 {
     FetchWatch watch;
-    for (int i = 0; i < 20; ++i) {
-        watch.first_event("slow", at(i), at(i + 220));
-        watch.first_event("other", at(i), at(i));
-    }
+    let_come_late(watch, 220, 0);
     CHECK(fetches_of(watch, 250, small_part) < 200);
     CHECK(fetches_of(watch, 250, large_part) == 1000);
 }
@@ -94,18 +114,9 @@
 TEST_CASE("a part whose forerunner is read is read too")
 {
     FetchWatch watch;
-    for (int i = 0; i < 20; ++i) {
-        watch.first_event("slow", at(i), at(i + 1200));
-        watch.first_event("other", at(i), at(i));
-    }
+    let_come_late(watch, 1200, 0);
     const std::vector<PromptPart> parts{{"a", large_part}, {"b", small_part}};
-    std::vector<KeptPlace> places(2);
-    for (KeptPlace& place : places)
-        place.kind = KeptPlace::Kind::Fetch;
-    places[0].store = "slow";
-    places[1].store = "other";
-    constexpr std::uint64_t not_among_the_few = 999;
-    watch.pass_over_slow(parts, places, not_among_the_few, at(1230));
+    const auto places = places_with_slow_first(watch, parts, 1230);
     for (const KeptPlace& place : places) {
         CHECK(place.kind == KeptPlace::Kind::None);
         CHECK(place.reason == KeptPlace::Reason::SlowStore);
@@ -115,18 +126,9 @@
 TEST_CASE("a small part is worth the wait of the parts behind it")
 {
     FetchWatch watch;
-    for (int i = 0; i < 20; ++i) {
-        watch.first_event("slow", at(i), at(i + 220));
-        watch.first_event("other", at(i), at(i));
-    }
+    let_come_late(watch, 220, 0);
     const std::vector<PromptPart> parts{{"a", small_part}, {"b", large_part}};
-    std::vector<KeptPlace> places(2);
-    for (KeptPlace& place : places)
-        place.kind = KeptPlace::Kind::Fetch;
-    places[0].store = "slow";
-    places[1].store = "other";
-    constexpr std::uint64_t not_among_the_few = 999;
-    watch.pass_over_slow(parts, places, not_among_the_few, at(230));
+    const auto places = places_with_slow_first(watch, parts, 230);
     CHECK(places[0].kind == KeptPlace::Kind::Fetch);
     CHECK(places[1].kind == KeptPlace::Kind::Fetch);
 }
