Split the prices of runners from the table that keeps their state

The figures behind a price are in runner_price, the plain structs in runner_entry and runner_query; two ways of taking over a list share their loop. Changes no behaviour.

--- /dev/null
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crosslink
+{
+
+/// A model with the version of its weights that a runner has in memory.
+struct LoadedModel {
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+/// One process that runs calls of a service, as the platform lists it.
+struct ListedRunner {
+    std::string id; ///< New with each start.
+    std::string service;
+    std::string address; ///< "ip:port"; may be used again by another one.
+    std::string zone;
+    std::uint32_t slots = 1; ///< Calls that it works on at once.
+    bool leaving = false;    ///< It said that it will end.
+    std::vector<LoadedModel> models;
+};
+
+/// Calls under way at a runner.
+struct RunnerLoad {
+    std::uint32_t calls = 0;
+    std::uint64_t tokens = 0; ///< Of their prompts, not read yet.
+
+    /// Adds one call that has `tokens_in` to be read.
+    void add(std::uint64_t tokens_in)
+    {
+        ++calls;
+        tokens += tokens_in;
+    }
+};
+
+/// A runner with what this instance knows from its own calls.
+struct RunnerEntry {
+    ListedRunner listed;
+    RunnerLoad own;             ///< Calls of this instance.
+    RunnerLoad others;          ///< Of all other instances, as they told it.
+    RunnerLoad untold;          ///< Of this instance, sent since then.
+    std::uint32_t failures = 0; ///< In a row.
+    TimePoint held_until{};     ///< It gets nothing before.
+    /// It is no longer listed, and taken as gone from then on, unless it is
+    /// listed again.
+    std::optional<TimePoint> gone_at;
+
+    /// Returns the version of `model` that it is believed to have; 0 where
+    /// it has it not.
+    std::uint64_t version_of(std::string_view model) const;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/forward/runner_price.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/forward/runner_entry.h>
+#include <crosslink/forward/runner_query.h>
+
+#include <cstdint>
+
+namespace crosslink
+{
+
+// The price of a runner is the time, in milliseconds, by which a call is
+// expected to be answered later there than at an idle runner that is best for
+// it in all else.
+
+/// The runner that calls with the same shared parts prefer: it may still
+/// have them in memory, which saves a fetch.
+inline constexpr double affinity_ms = 20;
+/// A zone one of whose runners says nothing: a call that is sent there waits
+/// 400 ms for a connection, or seconds for an answer.
+inline constexpr double silent_zone_ms = 400;
+
+/// Returns the time in which a runner reads a prompt of `tokens`.
+Micros reading_time(std::uint64_t tokens);
+
+/// Returns how long a runner is expected to need before it takes up a call,
+/// from its load as far as that is known: that of other instances is estimated
+/// unless `others_known`.
+Micros expected_wait(const RunnerEntry& entry, const RunnerQuery& query,
+                     bool others_known);
+
+/// Returns the price of a runner by its load, its weights and its zone. The
+/// table applies affinity_ms and silent_zone_ms, which depend on more.
+double price_ms(const RunnerEntry& entry, const RunnerQuery& query,
+                bool others_known);
+
+/// Returns by how much prices are spread at random, so that instances do not
+/// all choose the same runner.
+double spread_ms(const RunnerQuery& query);
+
+} // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/forward/runner_query.h
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace crosslink
+{
+
+/// The zone from which most of a prompt's kept parts are fetched.
+struct KeptNear {
+    std::string zone;
+    Micros fetch_time{0};
+    std::uint64_t fetched_tokens = 0; ///< Of all its parts.
+};
+
+/// What the choice of a runner depends on.
+struct RunnerQuery {
+    std::string_view service;
+    std::string_view zone; ///< Of this instance.
+    /// Calls with the same text share KV and go to the same runner where it
+    /// is not dearer than others; empty for none.
+    std::string_view affinity;
+    /// Where the kept parts of the prompt lie, and the time that fetching
+    /// them takes within that zone; empty and 0 where none are.
+    KeptNear kept;
+    std::uint64_t tokens = 0; ///< Of the prompt, as many as will be read.
+    std::string_view model;   ///< Empty for plain services.
+    std::uint64_t newest_version = 0; ///< Named weights; 0 where none are.
+    /// Older weights are taken only while most runners have them.
+    std::uint64_t least_version = 0;
+    const std::set<std::string>* avoid = nullptr; ///< Runners tried already.
+    std::size_t instances = 1;                    ///< Of the fleet.
+    std::uint64_t random = 0;                     ///< Random bits.
+    TimePoint now{};
+};
+
+/// The runner that was chosen.
+struct RunnerPick {
+    std::string id;
+    std::string address;
+    std::uint64_t version = 0; ///< Of the model, as believed.
+    Micros wait{0};            ///< Until it takes up the call, as expected.
+};
+
+} // namespace crosslink
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/runner_entry.h>
+#include <crosslink/forward/runner_query.h>
 
 #include <cstdint>
 #include <map>
@@ -17,92 +19,6 @@
 namespace crosslink
 {
 
-/// A model with the version of its weights that a runner has in memory.
-struct LoadedModel {
-    std::string model;
-    std::uint64_t version = 0;
-};
-
-/// One process that runs calls of a service, as the platform lists it.
-struct ListedRunner {
-    std::string id; ///< New with each start.
-    std::string service;
-    std::string address; ///< "ip:port"; may be used again by another one.
-    std::string zone;
-    std::uint32_t slots = 1; ///< Calls that it works on at once.
-    bool leaving = false;    ///< It said that it will end.
-    std::vector<LoadedModel> models;
-};
-
-/// Calls under way at a runner.
-struct RunnerLoad {
-    std::uint32_t calls = 0;
-    std::uint64_t tokens = 0; ///< Of their prompts, not read yet.
-
-    /// Adds one call that has `tokens_in` to be read.
-    void add(std::uint64_t tokens_in)
-    {
-        ++calls;
-        tokens += tokens_in;
-    }
-};
-
-/// A runner with what this instance knows from its own calls.
-struct RunnerEntry {
-    ListedRunner listed;
-    RunnerLoad own;             ///< Calls of this instance.
-    RunnerLoad others;          ///< Of all other instances, as they told it.
-    RunnerLoad untold;          ///< Of this instance, sent since then.
-    std::uint32_t failures = 0; ///< In a row.
-    TimePoint held_until{};     ///< It gets nothing before.
-    /// It is no longer listed, and taken as gone from then on, unless it is
-    /// listed again.
-    std::optional<TimePoint> gone_at;
-
-    /// Returns the version of `model` that it is believed to have; 0 where
-    /// it has it not.
-    std::uint64_t version_of(std::string_view model) const;
-};
-
-/// The zone from which most of a prompt's kept parts are fetched.
-struct KeptNear {
-    std::string zone;
-    Micros fetch_time{0};
-    std::uint64_t fetched_tokens = 0; ///< Of all its parts.
-};
-
-/// What the choice of a runner depends on.
-struct RunnerQuery {
-    std::string_view service;
-    std::string_view zone; ///< Of this instance.
-    /// Calls with the same text share KV and go to the same runner where it
-    /// is not dearer than others; empty for none.
-    std::string_view affinity;
-    /// Where the kept parts of the prompt lie, and the time that fetching
-    /// them takes within that zone; empty and 0 where none are.
-    KeptNear kept;
-    std::uint64_t tokens = 0; ///< Of the prompt, as many as will be read.
-    std::string_view model;   ///< Empty for plain services.
-    std::uint64_t newest_version = 0; ///< Named weights; 0 where none are.
-    /// Older weights are taken only while most runners have them.
-    std::uint64_t least_version = 0;
-    const std::set<std::string>* avoid = nullptr; ///< Runners tried already.
-    std::size_t instances = 1;                    ///< Of the fleet.
-    std::uint64_t random = 0;                     ///< Random bits.
-    TimePoint now{};
-};
-
-/// The runner that was chosen.
-struct RunnerPick {
-    std::string id;
-    std::string address;
-    std::uint64_t version = 0; ///< Of the model, as believed.
-    Micros wait{0};            ///< Until it takes up the call, as expected.
-};
-
-/// Returns the time in which a runner reads a prompt of `tokens`.
-Micros reading_time(std::uint64_t tokens);
-
 /// The runners of all services, and the choice among them.
 class RunnerTable
 {
@@ -157,6 +73,7 @@
     const Entries& entries() const { return m_entries; }
 
 private:
+    std::set<std::string_view> put_all(std::span<const ListedRunner> listed);
     RunnerEntry* find(std::string_view id);
     bool is_silent(std::string_view zone, TimePoint now) const;
     const RunnerEntry* cheapest(const std::vector<const RunnerEntry*>& entries,
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -3,6 +3,7 @@
 
 #include <crosslink/forward/runner_table.h>
 
+#include <crosslink/forward/runner_price.h>
 #include <crosslink/membership/rendezvous.h>
 
 #include <algorithm>
@@ -14,104 +15,16 @@
 namespace
 {
 
-// The price of a runner is the time, in milliseconds, by which a call is
-// expected to be answered later there than at an idle runner that is best for
-// it in all else. The figures below are in that unit.
-
-/// Prompt tokens that a runner reads in a millisecond; engines of today read
-/// 40 to 60.
-constexpr double tokens_per_ms = 50;
-/// What a runner that works on as many calls as it has slots adds.
-constexpr double full_slots_ms = 100;
-/// Where the others' load is not known: each instance sends mostly to the
-/// runners of its zone, so the load there is about that of the instances of
-/// one zone; zones are taken as three, the least that the fleet runs in.
-constexpr double zones = 3;
 /// The others' load is used for so long after it was told.
 constexpr Micros told_holds = std::chrono::milliseconds(1200);
-/// Weights that were replaced: a call that begins on them loses a fifth of
-/// its worth, a late one most of it (docs/MEASUREMENTS.md).
-constexpr double old_weights_ms = 50;
-/// Another zone: two milliseconds on the way, and bytes between zones, which
-/// are dear. The runners of the own zone should be well filled first.
-constexpr double other_zone_ms = 60;
-/// The runner that calls with the same shared parts prefer: it may still
-/// have them in memory, which saves a fetch.
-constexpr double affinity_ms = 20;
-
-/// A fetch from another zone takes twice as long, and so long the store serves
-/// nobody else: stores are what runs short first (docs/MEASUREMENTS.md).
-constexpr double far_fetch_price = 3.5;
-
-/// Part of the time for reading the call's prompt by which prices are spread at
-/// random, so that instances do not all choose the same runner.
-constexpr double crowd_part = 0.6;
-/// A zone one of whose runners says nothing: a call that is sent there waits
-/// 400 ms for a connection, or seconds for an answer.
-constexpr double silent_zone_ms = 400;
-/// It is passed over for so long after each such call.
+/// A zone is passed over for so long after a runner there said nothing.
 constexpr Micros silent_hold = std::chrono::milliseconds(2500);
-/// Runners whose prices differ by less are alike.
-constexpr double tie_ms = 1;
-
 /// First time for which a failing runner is left alone, and the longest.
 constexpr Micros first_hold = std::chrono::milliseconds(500);
 constexpr std::uint32_t most_doublings = 4;
 
 using Candidates = std::vector<const RunnerEntry*>;
 
-constexpr double millis_per_second = 1000;
-
-Micros
-from_millis(double millis)
-{
-    return from_seconds(millis / millis_per_second);
-}
-
-double
-to_millis(Micros span)
-{
-    return seconds(span) * millis_per_second;
-}
-
-double
-load_ms(const RunnerLoad& load, const RunnerEntry& entry)
-{
-    const double slots = std::max<double>(entry.listed.slots, 1);
-    return static_cast<double>(load.tokens) / tokens_per_ms +
-           full_slots_ms * load.calls / slots;
-}
-
-/// Returns the load of `entry` as far as it is known.
-double
-known_load_ms(const RunnerEntry& entry, const RunnerQuery& query,
-              bool others_known)
-{
-    const double own = load_ms(entry.own, entry);
-    const double alike =
-        std::max(1.0, static_cast<double>(query.instances) / zones);
-    if (!others_known)
-        return own * alike;
-    // What this instance sent since the others told their load, they have
-    // sent too: they choose by the same picture.
-    return own + load_ms(entry.others, entry) +
-           load_ms(entry.untold, entry) * (alike - 1);
-}
-
-double
-price_ms(const RunnerEntry& entry, const RunnerQuery& query, bool others_known)
-{
-    double price = known_load_ms(entry, query, others_known);
-    if (!query.model.empty() &&
-        entry.version_of(query.model) < query.newest_version)
-        price += old_weights_ms;
-    if (entry.listed.zone != query.zone)
-        price += other_zone_ms;
-    if (!query.kept.zone.empty() && entry.listed.zone != query.kept.zone)
-        price += far_fetch_price * to_millis(query.kept.fetch_time);
-    return price;
-}
-
 /// Returns the candidate that calls with the same affinity prefer.
 const RunnerEntry*
 preferred_by_affinity(const Candidates& candidates, const RunnerQuery& query)
@@ -159,29 +72,10 @@
 
 } // namespace
 
-Micros
-reading_time(std::uint64_t tokens)
-{
-    return from_millis(static_cast<double>(tokens) / tokens_per_ms);
-}
-
-std::uint64_t
-RunnerEntry::version_of(std::string_view model) const
-{
-    for (const LoadedModel& loaded : listed.models)
-        if (loaded.model == model)
-            return loaded.version;
-    return 0;
-}
-
 void
 RunnerTable::sync(std::span<const ListedRunner> listed)
 {
-    std::set<std::string_view> ids;
-    for (const ListedRunner& runner : listed) {
-        ids.insert(runner.id);
-        put(runner);
-    }
+    const std::set<std::string_view> ids = put_all(listed);
     std::erase_if(m_entries, [&ids](const auto& item) {
         return !ids.contains(item.first);
     });
@@ -190,15 +84,23 @@
 void
 RunnerTable::sync_lapsed(std::span<const ListedRunner> listed,
                          TimePoint gone_at)
+{
+    const std::set<std::string_view> ids = put_all(listed);
+    for (const auto& [id, entry] : m_entries)
+        if (!ids.contains(id))
+            lapsed(id, gone_at);
+}
+
+/// Takes over all entries of the list, and returns their ids.
+std::set<std::string_view>
+RunnerTable::put_all(std::span<const ListedRunner> listed)
 {
     std::set<std::string_view> ids;
     for (const ListedRunner& runner : listed) {
         ids.insert(runner.id);
         put(runner);
     }
-    for (const auto& [id, entry] : m_entries)
-        if (!ids.contains(id))
-            lapsed(id, gone_at);
+    return ids;
 }
 
 void
@@ -247,10 +149,9 @@
                                : preferred_by_affinity(candidates, query);
     // All instances see one runner that became idle at the same time, so that
     // each of them passes over it now and then.
-    const double spread = crowd_part * to_millis(reading_time(query.tokens));
     std::minstd_rand generator(
         static_cast<std::minstd_rand::result_type>(query.random));
-    std::uniform_real_distribution<double> extra(0, spread + tie_ms);
+    std::uniform_real_distribution<double> extra(0, spread_ms(query));
     const RunnerEntry* best = nullptr;
     double best_price = 0;
     for (const RunnerEntry* entry : candidates) {
@@ -280,9 +181,9 @@
     const bool others_known =
         m_others_known && query.now - m_others_at < told_holds;
     const RunnerEntry* chosen = cheapest(candidates, query, others_known);
-    const double wait_ms = known_load_ms(*chosen, query, others_known);
     return RunnerPick{chosen->listed.id, chosen->listed.address,
-                      chosen->version_of(query.model), from_millis(wait_ms)};
+                      chosen->version_of(query.model),
+                      expected_wait(*chosen, query, others_known)};
 }
 
 void
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright Contributors to the crosslink project.
 
+#include <crosslink/forward/runner_price.h>
 #include <crosslink/forward/runner_table.h>
 
 #include <catch2/catch.hpp>
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -6,6 +6,8 @@
 #include <adapters/clock.h>
 #include <adapters/random.h>
 
+#include <crosslink/forward/runner_price.h>
+
 #include <algorithm>
 
 namespace crosslink
