Split the choice of a call's runner from the run

RunnerChoice has the query, the runners that are passed over, and when a call must be withdrawn; the run carries calls and answers. Changes no behaviour.

--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -38,17 +38,8 @@
 constexpr Micros wait_step = std::chrono::milliseconds(15);
 /// A caller that was refused comes back after this time.
 constexpr Micros come_back = std::chrono::milliseconds(250);
-/// A call may wait at its runner before it begins: it is sent to replaced
-/// weights only until so long before they are forbidden.
-constexpr Micros begin_margin = std::chrono::milliseconds(2000);
-/// A call that has not begun on replaced weights so long before they are
-/// forbidden is withdrawn: this long, a runner may take to see that its caller
-/// left, and the first event to arrive.
-constexpr Micros withdraw_margin = std::chrono::milliseconds(300);
 /// Between two looks whether a call must be withdrawn.
 constexpr Micros withdraw_look = std::chrono::milliseconds(200);
-/// Weights that no version was named of yet.
-constexpr std::uint64_t first_weights = 1;
 /// Surplus answers of earlier calls that are read past.
 constexpr int most_surplus = 3;
 constexpr int first_success = 200;
@@ -67,14 +58,6 @@
     return number;
 }
 
-std::string
-last_shared_part(const ForwardedCall& call)
-{
-    if (!call.generation || call.generation->shared_parts().empty())
-        return {};
-    return call.generation->shared_parts().back().id;
-}
-
 /// Statuses that tell a caller that its call has not run.
 bool
 promises_not_run(int status)
@@ -96,10 +79,10 @@
                        const ForwardedCall& call, const ServiceRoute& route,
                        const KeyHolder* holder)
     : m_state(state), m_call(call), m_route(route), m_holder(holder),
-      m_service(route.pick_service(random_bits())),
       m_deadline(call.received_at + std::min(call.time_allowed, route.timeout)),
-      m_affinity(last_shared_part(call)), m_events(number_in(call.last_event)),
-      m_prompt(state, kept, call, route.objective)
+      m_events(number_in(call.last_event)),
+      m_prompt(state, kept, call, route.objective),
+      m_choice(state, m_prompt, call, route, holder)
 {
 }
 
@@ -115,10 +98,10 @@
 ForwardRun::run(CallerLink& link)
 {
     m_state.retries.with([this](RetryWindow& window) {
-        window.called(m_service, monotonic_now());
+        window.called(m_choice.service(), monotonic_now());
     });
     for (;;) {
-        if (!choose() && !wait_for_runner()) {
+        if (!m_choice.choose() && !wait_for_runner()) {
             give_up(link, m_runs > 0 ? Outcome::Broken : Outcome::NotSent);
             return;
         }
@@ -146,42 +129,6 @@
     link.break_off();
 }
 
-bool
-ForwardRun::choose()
-{
-    const std::string model =
-        m_call.generation ? m_call.generation->model : std::string();
-    const WeightsHistory weights =
-        model.empty() ? WeightsHistory() : m_state.weights(model);
-    m_newest = weights.newest();
-    RunnerQuery query;
-    query.service = m_service;
-    query.zone = m_state.settings.zone;
-    query.affinity = m_affinity;
-    query.model = model;
-    query.newest_version = m_newest;
-    query.avoid = &m_avoid;
-    query.instances = m_state.instance_count();
-    if (m_call.generation) {
-        const std::uint64_t version = std::max(m_newest, first_weights);
-        query.kept = m_prompt.near(kept_space(version), m_service);
-        query.tokens = m_call.generation->prompt_tokens;
-        query.tokens -= std::min(query.tokens, query.kept.fetched_tokens);
-    }
-    query.random = random_bits();
-    query.now = monotonic_now();
-    query.least_version = weights.least(
-        m_state.settings.weights_bound() - begin_margin, query.now);
-    const auto pick = m_state.runners.with(
-        [&query](RunnerTable& table) { return table.choose(query); });
-    if (!pick)
-        return false;
-    m_pick = *pick;
-    // Where most runners could not change, replaced weights go on serving.
-    m_may_withdraw = m_call.generation && m_pick.version >= query.least_version;
-    return true;
-}
-
 bool
 ForwardRun::wait_for_runner()
 {
@@ -191,8 +138,8 @@
         std::this_thread::sleep_for(wait_step);
         // A runner that refused before may have room by now.
         if (m_runs == 0)
-            m_avoid.clear();
-        if (choose())
+            m_choice.pass_over_none();
+        if (m_choice.choose())
             return true;
     }
     return false;
@@ -206,9 +153,9 @@
         return Outcome::NotSent;
     const SendTerms sent = terms();
     m_state.runners.with([this](RunnerTable& table) {
-        table.sent(m_pick.id, m_prompt.tokens_to_read());
+        table.sent(m_choice.pick().id, m_prompt.tokens_to_read());
     });
-    m_prompt.sent(monotonic_now(), m_pick.wait);
+    m_prompt.sent(monotonic_now(), m_choice.pick().wait);
     ++m_sends;
     ++m_state.counters.sends;
     Outcome outcome = Outcome::Broken;
@@ -218,22 +165,22 @@
         note_silence(failure);
         LogLine("answer_broken")
             .field("request", m_call.id)
-            .field("runner", m_pick.id)
+            .field("runner", m_choice.pick().id)
             .field("reused", reused)
             .field("error", failure.what());
     }
     if (outcome == Outcome::Outdated)
         LogLine("call_withdrawn")
             .field("request", m_call.id)
-            .field("runner", m_pick.id)
-            .field("version", m_pick.version)
-            .field("newest", m_newest);
+            .field("runner", m_choice.pick().id)
+            .field("version", m_choice.pick().version)
+            .field("newest", m_choice.newest_weights());
     m_connection.reset();
     m_prompt.ended();
     m_state.runners.with([this](RunnerTable& table) {
         if (!m_prompt.is_read())
-            table.prompt_read(m_pick.id, m_prompt.tokens_to_read());
-        table.ended(m_pick.id);
+            table.prompt_read(m_choice.pick().id, m_prompt.tokens_to_read());
+        table.ended(m_choice.pick().id);
     });
     if (outcome == Outcome::NotRun)
         m_prompt.not_run();
@@ -247,47 +194,36 @@
     if (!dynamic_cast<const Poco::TimeoutException*>(&failure))
         return;
     m_state.runners.with([this](RunnerTable& table) {
-        table.silent(m_pick.id, monotonic_now());
+        table.silent(m_choice.pick().id, monotonic_now());
     });
 }
 
 bool
 ForwardRun::connect(bool& reused)
 {
-    m_connection = m_state.connections.take(m_pick.address);
+    m_connection = m_state.connections.take(m_choice.pick().address);
     reused = m_connection != nullptr;
     if (reused)
         return true;
     try {
         m_connection = std::make_unique<CallConnection>(
-            m_pick.address, std::min(connect_time, time_left()));
+            m_choice.pick().address, std::min(connect_time, time_left()));
         return true;
     } catch (const Poco::Exception& failure) {
         note_silence(failure);
         LogLine("not_connected")
             .field("request", m_call.id)
-            .field("runner", m_pick.id)
+            .field("runner", m_choice.pick().id)
             .field("error", failure.displayText());
         return false;
     }
 }
 
-KeptSpace
-ForwardRun::kept_space(std::uint64_t version) const
-{
-    KeptSpace space;
-    space.model = m_call.generation->model;
-    space.version = version;
-    if (m_holder && m_holder->isolated)
-        space.wall = m_holder->name;
-    return space;
-}
-
 SendTerms
 ForwardRun::terms()
 {
     SendTerms terms;
-    terms.runner = m_pick.id;
+    terms.runner = m_choice.pick().id;
     terms.time_left = time_left();
     if (m_holder)
         terms.account = m_holder->name;
@@ -295,10 +231,10 @@
         return terms;
     terms.priority = m_holder && m_holder->has_priority ? m_holder->priority
                                                         : m_route.priority;
-    terms.version = m_pick.version;
+    terms.version = m_choice.pick().version;
     if (const auto last = m_events.last_event())
         terms.after_event = std::to_string(*last);
-    m_prompt.ask(kept_space(m_pick.version), terms.time_left, terms);
+    m_prompt.ask(m_choice.kept_space(), terms.time_left, terms);
     return terms;
 }
 
@@ -322,7 +258,7 @@
 ForwardRun::await_answer(CallerLink& link)
 {
     for (;;) {
-        const bool watch = !has_begun() && m_may_withdraw;
+        const bool watch = !has_begun() && m_choice.may_withdraw();
         const Micros longest =
             watch ? std::min(time_left(), withdraw_look) : time_left();
         switch (m_connection->wait(link.socket(), longest)) {
@@ -335,26 +271,11 @@
         }
         if (time_left().count() == 0)
             return Outcome::TimedOut;
-        if (watch && is_outdated())
+        if (watch && m_choice.is_outdated())
             return Outcome::Outdated;
     }
 }
 
-/// Returns whether the weights that the call waits for are about to be
-/// forbidden, and most runners have newer ones.
-bool
-ForwardRun::is_outdated()
-{
-    const std::string& model = m_call.generation->model;
-    const auto replaced = m_state.weights(model).replaced_at(m_pick.version);
-    const Micros bound = m_state.settings.weights_bound() - withdraw_margin;
-    if (!replaced || monotonic_now() < *replaced + bound)
-        return false;
-    return m_state.runners.with([&](RunnerTable& table) {
-        return table.most_have(m_service, model, m_pick.version + 1);
-    });
-}
-
 /// Returns the head of the answer to this call; nothing where it was the
 /// answer to an earlier one on the same connection, which is read past.
 std::optional<AnswerHead>
@@ -366,7 +287,7 @@
         return head;
     LogLine("surplus_answer")
         .field("request", m_call.id)
-        .field("runner", m_pick.id)
+        .field("runner", m_choice.pick().id)
         .field("of_request", head.call_id);
     while (!m_connection->read_some().empty()) {
     }
@@ -395,7 +316,8 @@
     if (!m_call.generation || head.version == 0)
         return;
     m_state.runners.with([&](RunnerTable& table) {
-        table.has_version(m_pick.id, m_call.generation->model, head.version);
+        table.has_version(m_choice.pick().id, m_call.generation->model,
+                          head.version);
     });
 }
 
@@ -404,7 +326,7 @@
 {
     m_prompt.first_event();
     m_state.runners.with([this](RunnerTable& table) {
-        table.prompt_read(m_pick.id, m_prompt.tokens_to_read());
+        table.prompt_read(m_choice.pick().id, m_prompt.tokens_to_read());
     });
 }
 
@@ -472,31 +394,32 @@
                             ? *head.keep_alive - idle_margin
                             : idle_untold;
     if (idle.count() > 0)
-        m_state.connections.put_back(m_pick.address, std::move(m_connection),
-                                     idle);
+        m_state.connections.put_back(m_choice.pick().address,
+                                     std::move(m_connection), idle);
 }
 
 void
 ForwardRun::settle(Outcome outcome)
 {
     const TimePoint now = monotonic_now();
-    const bool loading = m_call.generation && m_newest > m_pick.version;
+    const bool loading = m_call.generation &&
+                         m_choice.newest_weights() > m_choice.pick().version;
     m_state.runners.with([&](RunnerTable& table) {
         switch (outcome) {
         case Outcome::Done:
-            table.succeeded(m_pick.id);
+            table.succeeded(m_choice.pick().id);
             break;
         case Outcome::NotRun:
-            table.refused(m_pick.id, now,
+            table.refused(m_choice.pick().id, now,
                           loading ? loading_hold : refusal_hold);
             // It was told to load: the next call expects that it has.
             if (loading)
-                table.has_version(m_pick.id, m_call.generation->model,
-                                  m_newest);
+                table.has_version(m_choice.pick().id, m_call.generation->model,
+                                  m_choice.newest_weights());
             break;
         case Outcome::NotSent:
         case Outcome::Broken:
-            table.failed(m_pick.id, now);
+            table.failed(m_choice.pick().id, now);
             break;
         case Outcome::CallerGone:
         case Outcome::TimedOut:
@@ -513,7 +436,7 @@
         outcome == Outcome::Broken || outcome == Outcome::Outdated;
     if (may_have_run)
         ++m_runs;
-    m_avoid.insert(m_pick.id);
+    m_choice.pass_over_last();
     const bool repeatable = m_route.repeatable();
     if (outcome == Outcome::TimedOut || time_left().count() == 0)
         return false;
@@ -528,7 +451,7 @@
 ForwardRun::take_repeat()
 {
     const bool granted = m_state.retries.with([this](RetryWindow& window) {
-        return window.take(m_service, m_state.instance_count(),
+        return window.take(m_choice.service(), m_state.instance_count(),
                            monotonic_now());
     });
     if (granted)
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -7,6 +7,7 @@
 #include "caller_link.h"
 #include "forward_state.h"
 #include "kept_asker.h"
+#include "runner_choice.h"
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/event_tracker.h>
@@ -18,7 +19,6 @@
 #include <exception>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace crosslink
@@ -42,12 +42,12 @@
 
     /// Runners that the call was sent to, and the last of them.
     std::uint32_t sends() const { return m_sends; }
-    const std::string& runner() const { return m_pick.id; }
+    const std::string& runner() const { return m_choice.pick().id; }
     bool caller_gone() const { return m_caller_gone; }
     /// Time from the call's arrival to its first event; 0 where there is none.
     Micros first_event() const { return m_first_event; }
     /// How long the last runner was expected to need before it took the call.
-    Micros expected_wait() const { return m_pick.wait; }
+    Micros expected_wait() const { return m_choice.pick().wait; }
     /// What was done with the shared parts of the prompt, for the log.
     std::string kept_summary() const { return m_prompt.summary(); }
 
@@ -64,14 +64,12 @@
         Outdated,
     };
 
-    bool choose();
     bool wait_for_runner();
     Outcome attempt(CallerLink& link);
     bool may_go_on(Outcome outcome);
     bool take_repeat();
     void settle(Outcome outcome);
     SendTerms terms();
-    KeptSpace kept_space(std::uint64_t version) const;
     bool connect(bool& reused);
     void note_silence(const std::exception& failure);
     Outcome exchange(CallerLink& link, const SendTerms& terms);
@@ -86,23 +84,17 @@
     void give_up(CallerLink& link, Outcome outcome);
     [[noreturn]] void fail(Outcome outcome);
     Micros time_left() const;
-    bool is_outdated();
     bool has_begun() const { return m_prompt.is_read(); }
 
     ForwardState& m_state;
     const ForwardedCall& m_call;
     const ServiceRoute& m_route;
     const KeyHolder* m_holder;
-    const std::string m_service;
     const TimePoint m_deadline;
-    std::string m_affinity; ///< The last shared part of the prompt.
     EventTracker m_events;
     CallPrompt m_prompt;
-    RunnerPick m_pick;
-    std::set<std::string> m_avoid;
+    RunnerChoice m_choice;
     std::unique_ptr<CallConnection> m_connection;
-    std::uint64_t m_newest = 0;  ///< Weights named at the last choice.
-    bool m_may_withdraw = false; ///< Where it has not begun in time.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
     bool m_caller_gone = false;
--- /dev/null
+++ b/src/serve/forward/runner_choice.cpp
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "runner_choice.h"
+
+#include <adapters/clock.h>
+#include <adapters/random.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// A call may wait at its runner before it begins: it is sent to replaced
+/// weights only until so long before they are forbidden.
+constexpr Micros begin_margin = std::chrono::milliseconds(2000);
+/// A call that has not begun on replaced weights so long before they are
+/// forbidden is withdrawn: this long, a runner may take to see that its caller
+/// left, and the first event to arrive.
+constexpr Micros withdraw_margin = std::chrono::milliseconds(300);
+/// Weights that no version was named of yet.
+constexpr std::uint64_t first_weights = 1;
+
+/// Returns the id of the last shared part of the prompt; empty for none.
+std::string
+last_shared_part(const ForwardedCall& call)
+{
+    if (!call.generation || call.generation->shared_parts().empty())
+        return {};
+    return call.generation->shared_parts().back().id;
+}
+
+} // namespace
+
+RunnerChoice::RunnerChoice(ForwardState& state, CallPrompt& prompt,
+                           const ForwardedCall& call, const ServiceRoute& route,
+                           const KeyHolder* holder)
+    : m_state(state), m_prompt(prompt), m_call(call), m_holder(holder),
+      m_service(route.pick_service(random_bits())),
+      m_affinity(last_shared_part(call))
+{
+}
+
+bool
+RunnerChoice::choose()
+{
+    const std::string model =
+        m_call.generation ? m_call.generation->model : std::string();
+    const WeightsHistory weights =
+        model.empty() ? WeightsHistory() : m_state.weights(model);
+    m_newest = weights.newest();
+    RunnerQuery query;
+    query.service = m_service;
+    query.zone = m_state.settings.zone;
+    query.affinity = m_affinity;
+    query.model = model;
+    query.newest_version = m_newest;
+    query.avoid = &m_avoid;
+    query.instances = m_state.instance_count();
+    if (m_call.generation)
+        add_prompt(query);
+    query.random = random_bits();
+    query.now = monotonic_now();
+    query.least_version = weights.least(
+        m_state.settings.weights_bound() - begin_margin, query.now);
+    const auto pick = m_state.runners.with(
+        [&query](RunnerTable& table) { return table.choose(query); });
+    if (!pick)
+        return false;
+    m_pick = *pick;
+    // Where most runners could not change, replaced weights go on serving.
+    m_may_withdraw = m_call.generation && m_pick.version >= query.least_version;
+    return true;
+}
+
+/// Adds where the prompt is kept, and how much of it will be read.
+void
+RunnerChoice::add_prompt(RunnerQuery& query)
+{
+    const std::uint64_t version = std::max(m_newest, first_weights);
+    query.kept = m_prompt.near(space_of(version), m_service);
+    query.tokens = m_call.generation->prompt_tokens;
+    query.tokens -= std::min(query.tokens, query.kept.fetched_tokens);
+}
+
+KeptSpace
+RunnerChoice::space_of(std::uint64_t version) const
+{
+    KeptSpace space;
+    space.model = m_call.generation->model;
+    space.version = version;
+    if (m_holder && m_holder->isolated)
+        space.wall = m_holder->name;
+    return space;
+}
+
+bool
+RunnerChoice::is_outdated() const
+{
+    const std::string& model = m_call.generation->model;
+    const auto replaced = m_state.weights(model).replaced_at(m_pick.version);
+    const Micros bound = m_state.settings.weights_bound() - withdraw_margin;
+    if (!replaced || monotonic_now() < *replaced + bound)
+        return false;
+    return m_state.runners.with([&](RunnerTable& table) {
+        return table.most_have(m_service, model, m_pick.version + 1);
+    });
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/runner_choice.h
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "call_prompt.h"
+#include "forward_state.h"
+
+#include <crosslink/forward/forwarded_call.h>
+#include <crosslink/forward/runner_table.h>
+#include <crosslink/forward/service_map.h>
+#include <crosslink/kept/kept_part.h>
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace crosslink
+{
+
+/// Chooses the runner of one call, anew for each time that it is sent, by
+/// where its prompt is kept and by the weights that are named then.
+class RunnerChoice
+{
+public:
+    /// All of them outlive it. `holder` is null on open routes.
+    RunnerChoice(ForwardState& state, CallPrompt& prompt,
+                 const ForwardedCall& call, const ServiceRoute& route,
+                 const KeyHolder* holder);
+
+    /// Chooses a runner. Returns false, and leaves the last one, where none
+    /// takes work.
+    bool choose();
+    /// Lets the last runner not be chosen again.
+    void pass_over_last() { m_avoid.insert(m_pick.id); }
+    /// Lets all runners be chosen again.
+    void pass_over_none() { m_avoid.clear(); }
+
+    /// The runner that was chosen last.
+    const RunnerPick& pick() const { return m_pick; }
+    /// The service of the route that the call goes to.
+    const std::string& service() const { return m_service; }
+    /// The newest weights that were named at the last choice; 0 for none.
+    std::uint64_t newest_weights() const { return m_newest; }
+    /// Returns the space of the KV that the chosen runner makes of the prompt.
+    KeptSpace kept_space() const { return space_of(m_pick.version); }
+
+    /// True where the call is withdrawn once is_outdated().
+    bool may_withdraw() const { return m_may_withdraw; }
+    /// Returns whether the weights that the call waits for are about to be
+    /// forbidden, and most runners have newer ones.
+    bool is_outdated() const;
+
+private:
+    void add_prompt(RunnerQuery& query);
+    KeptSpace space_of(std::uint64_t version) const;
+
+    ForwardState& m_state;
+    CallPrompt& m_prompt;
+    const ForwardedCall& m_call;
+    const KeyHolder* m_holder;
+    const std::string m_service;
+    const std::string m_affinity; ///< The last shared part of the prompt.
+    RunnerPick m_pick;
+    std::set<std::string> m_avoid; ///< Runners that are not chosen.
+    std::uint64_t m_newest = 0;    ///< Weights named at the last choice.
+    bool m_may_withdraw = false;   ///< Where it has not begun in time.
+};
+
+} // namespace crosslink
