Split the relaying of answers from the rest of a run

Waiting for an answer, reading past surplus ones and relaying events have a source of their own, as kept_room has for the directory.

--- /dev/null
+++ b/src/serve/forward/forward_answer.cpp
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+// The part of a run that waits for a runner's answer and relays it.
+
+#include "forward_run.h"
+
+#include <adapters/call_connection.h>
+#include <adapters/clock.h>
+#include <serve/log_line.h>
+
+#include <algorithm>
+#include <array>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Between two looks whether a call must be withdrawn.
+constexpr Micros withdraw_look = std::chrono::milliseconds(200);
+/// Surplus answers of earlier calls that are read past.
+constexpr int most_surplus = 3;
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+/// An answer that is not a stream is held whole before it goes out.
+constexpr std::size_t most_body_bytes = 16U << 20U;
+/// Idle connections whose end the runner does not tell are used this long.
+constexpr Micros idle_untold = std::chrono::seconds(4);
+/// An idle connection is given up so long before the runner closes it.
+constexpr Micros idle_margin = std::chrono::milliseconds(1200);
+
+/// Statuses that tell a caller that its call has not run.
+bool
+promises_not_run(int status)
+{
+    constexpr std::array statuses{408, 421, 429, 503};
+    return std::find(statuses.begin(), statuses.end(), status) !=
+           statuses.end();
+}
+
+bool
+is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+} // namespace
+
+ForwardRun::Outcome
+ForwardRun::exchange(CallerLink& link, const SendTerms& terms)
+{
+    m_connection->send(m_state.ports.wire.encode_call(m_call, terms),
+                       m_call.body);
+    for (int i = 0; i < most_surplus; ++i) {
+        if (const auto ended = await_answer(link))
+            return *ended;
+        const auto head = next_head();
+        if (!head)
+            continue;
+        return take_answer(link, *head);
+    }
+    return Outcome::Broken;
+}
+
+std::optional<ForwardRun::Outcome>
+ForwardRun::await_answer(CallerLink& link)
+{
+    for (;;) {
+        const bool watch = !has_begun() && m_choice.may_withdraw();
+        const Micros longest =
+            watch ? std::min(time_left(), withdraw_look) : time_left();
+        switch (m_connection->wait(link.socket(), longest)) {
+        case CallConnection::Wait::CallerGone:
+            return Outcome::CallerGone;
+        case CallConnection::Wait::Ready:
+            return std::nullopt;
+        case CallConnection::Wait::TimedOut:
+            break;
+        }
+        if (time_left().count() == 0)
+            return Outcome::TimedOut;
+        if (watch && m_choice.is_outdated())
+            return Outcome::Outdated;
+    }
+}
+
+/// Returns the head of the answer to this call; nothing where it was the
+/// answer to an earlier one on the same connection, which is read past.
+std::optional<AnswerHead>
+ForwardRun::next_head()
+{
+    const RawHead raw = m_connection->receive_head();
+    AnswerHead head = m_state.ports.wire.decode_answer(raw.status, raw.headers);
+    if (head.call_id.empty() || head.call_id == m_call.id)
+        return head;
+    LogLine("surplus_answer")
+        .field("request", m_call.id)
+        .field("runner", m_choice.pick().id)
+        .field("of_request", head.call_id);
+    while (!m_connection->read_some().empty()) {
+    }
+    return std::nullopt;
+}
+
+ForwardRun::Outcome
+ForwardRun::take_answer(CallerLink& link, const AnswerHead& head)
+{
+    learn(head);
+    if (head.not_run)
+        return Outcome::NotRun;
+    // The caller would take it for a promise that the runner did not give.
+    if (promises_not_run(head.status))
+        return Outcome::Broken;
+    const bool success = is_success(head.status);
+    if (success && (!head.genuine || head.encoded))
+        return Outcome::Broken;
+    return success && head.event_stream ? relay_events(link, head)
+                                        : relay_whole(link, head);
+}
+
+void
+ForwardRun::learn(const AnswerHead& head)
+{
+    if (!m_call.generation || head.version == 0)
+        return;
+    m_state.runners.with([&](RunnerTable& table) {
+        table.has_version(m_choice.pick().id, m_call.generation->model,
+                          head.version);
+    });
+}
+
+void
+ForwardRun::saw_first_event()
+{
+    m_prompt.first_event();
+    m_state.runners.with([this](RunnerTable& table) {
+        table.prompt_read(m_choice.pick().id, m_prompt.tokens_to_read());
+    });
+}
+
+ForwardRun::Outcome
+ForwardRun::relay_whole(CallerLink& link, const AnswerHead& head)
+{
+    std::string body;
+    while (!m_connection->ended()) {
+        if (const auto ended = await_answer(link))
+            return *ended;
+        const std::string bytes = m_connection->read_some();
+        if (bytes.empty())
+            break;
+        body += bytes;
+        if (body.size() > most_body_bytes)
+            return Outcome::Broken;
+    }
+    if (!m_connection->whole())
+        return Outcome::Broken;
+    keep_connection(head);
+    link.answer(head.status, head.headers, body);
+    return Outcome::Done;
+}
+
+ForwardRun::Outcome
+ForwardRun::relay_events(CallerLink& link, const AnswerHead& head)
+{
+    m_events.begin_run();
+    while (!m_connection->ended()) {
+        if (const auto ended = await_answer(link))
+            return *ended;
+        const std::string bytes = m_connection->read_some();
+        if (bytes.empty())
+            break;
+        const std::string events = m_events.take(bytes);
+        if (m_events.gap())
+            return Outcome::Broken;
+        if (events.empty())
+            continue;
+        if (!m_prompt.is_read())
+            saw_first_event();
+        if (!link.begun()) {
+            m_first_event = monotonic_now() - m_call.received_at;
+            m_state.counters.first_event.add(m_first_event);
+            link.begin(head.status, head.headers);
+        }
+        if (!link.send(events))
+            return Outcome::CallerGone;
+    }
+    if (!m_connection->whole() || m_events.within_event())
+        return Outcome::Broken;
+    keep_connection(head);
+    if (!link.begun())
+        link.begin(head.status, head.headers);
+    link.finish();
+    return Outcome::Done;
+}
+
+void
+ForwardRun::keep_connection(const AnswerHead& head)
+{
+    if (!head.keep_alive)
+        return;
+    const Micros idle = head.keep_alive->count() > 0
+                            ? *head.keep_alive - idle_margin
+                            : idle_untold;
+    if (idle.count() > 0)
+        m_state.connections.put_back(m_choice.pick().address,
+                                     std::move(m_connection), idle);
+}
+
+} // namespace crosslink
