--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -176,14 +176,7 @@
             return Outcome::Broken;
         if (events.empty())
             continue;
-        if (!m_prompt.is_read())
-            saw_first_event();
-        if (!link.begun()) {
-            m_first_event = monotonic_now() - m_call.received_at;
-            m_state.counters.first_event.add(m_first_event);
-            link.begin(head.status, head.headers);
-        }
-        if (!link.send(events))
+        if (!send_events(link, head, events))
             return Outcome::CallerGone;
     }
     if (!m_connection->whole() || m_events.within_event())
@@ -195,6 +188,21 @@
     return Outcome::Done;
 }
 
+/// Sends whole events to the caller. Returns false where it went away.
+bool
+ForwardRun::send_events(CallerLink& link, const AnswerHead& head,
+                        const std::string& events)
+{
+    if (!m_prompt.is_read())
+        saw_first_event();
+    if (!link.begun()) {
+        m_first_event = monotonic_now() - m_call.received_at;
+        m_state.counters.first_event.add(m_first_event);
+        link.begin(head.status, head.headers);
+    }
+    return link.send(events);
+}
+
 void
 ForwardRun::keep_connection(const AnswerHead& head)
 {
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -124,12 +124,7 @@
     if (!connect(reused))
         return Outcome::NotSent;
     const SendTerms sent = terms();
-    m_state.runners.with([this](RunnerTable& table) {
-        table.sent(m_choice.pick().id, m_prompt.tokens_to_read());
-    });
-    m_prompt.sent(monotonic_now(), m_choice.pick().wait);
-    ++m_sends;
-    ++m_state.counters.sends;
+    note_sent();
     Outcome outcome = Outcome::Broken;
     try {
         outcome = exchange(link, sent);
@@ -141,6 +136,27 @@
             .field("reused", reused)
             .field("error", failure.what());
     }
+    note_ended(outcome);
+    return outcome;
+}
+
+/// Takes note that the call is sent to the chosen runner.
+void
+ForwardRun::note_sent()
+{
+    m_state.runners.with([this](RunnerTable& table) {
+        table.sent(m_choice.pick().id, m_prompt.tokens_to_read());
+    });
+    m_prompt.sent(monotonic_now(), m_choice.pick().wait);
+    ++m_sends;
+    ++m_state.counters.sends;
+}
+
+/// Takes note that the call ended at the chosen runner, with or without an
+/// answer.
+void
+ForwardRun::note_ended(Outcome outcome)
+{
     if (outcome == Outcome::Outdated)
         LogLine("call_withdrawn")
             .field("request", m_call.id)
@@ -156,7 +172,6 @@
     });
     if (outcome == Outcome::NotRun)
         m_prompt.not_run();
-    return outcome;
 }
 
 /// Takes note of a runner from which nothing at all comes.
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -66,6 +66,8 @@
 
     bool wait_for_runner();
     Outcome attempt(CallerLink& link);
+    void note_sent();
+    void note_ended(Outcome outcome);
     bool may_go_on(Outcome outcome);
     bool take_repeat();
     void settle(Outcome outcome);
@@ -78,6 +80,8 @@
     Outcome take_answer(CallerLink& link, const AnswerHead& head);
     Outcome relay_whole(CallerLink& link, const AnswerHead& head);
     Outcome relay_events(CallerLink& link, const AnswerHead& head);
+    bool send_events(CallerLink& link, const AnswerHead& head,
+                     const std::string& events);
     void learn(const AnswerHead& head);
     void saw_first_event();
     void keep_connection(const AnswerHead& head);
