--- a/src/include/crosslink/kept/kept_directory.h
+++ b/src/include/crosslink/kept/kept_directory.h
@@ -133,6 +133,9 @@
     };
     using Parts = std::map<KeptKey, Entry>;
 
+    static TimePoint told_until(TimePoint now);
+    static std::uint32_t room_of(std::uint32_t tokens);
+
     void take_boot(const std::string& store, StoreState& state,
                    std::uint64_t boot, TimePoint now);
     void take_whole(const std::string& store, std::span<const KeptPart> parts,
@@ -141,6 +144,7 @@
                      TimePoint now);
     void drop_missing(const std::string& store, const KeptListing& listing,
                       TimePoint now);
+    void occupy(Entry& entry, const std::string& store, std::uint32_t tokens);
     void hold(const std::string& store, const KeptPart& part, TimePoint now);
     bool knows_stores(TimePoint now) const;
     bool may_free(const KeptKey& key, TimePoint due, TimePoint now) const;
@@ -150,7 +154,7 @@
     std::string place_for(std::uint32_t tokens, bool forerunner,
                           const KeptKey& key, TimePoint now);
     KeptPlace place_part(const KeptKey& key, const std::string& store,
-                         std::uint32_t room, Micros longest, TimePoint now);
+                         std::uint32_t tokens, Micros longest, TimePoint now);
     bool may_have(const std::string& store, const KeptKey& key) const;
     bool is_own(const std::string& space) const;
     bool should_move(const Entry& entry, TimePoint now) const;
--- /dev/null
+++ b/src/libcrosslink/kept/kept_asking.cpp
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+// The part of the directory that tells calls where the parts of their prompts
+// lie, and which call saves a part.
+
+#include <crosslink/kept/kept_directory.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// A new holder of the duty lets nothing be saved before it listed all stores,
+/// or for this time, in which it finds out which are out of reach.
+constexpr Micros learning_time = std::chrono::milliseconds(1500);
+/// A save ends within this time, measured at 0.2 to 1 s. Callers leave, and
+/// runners change their weights, before their save was made.
+constexpr Micros usual_save_time = std::chrono::milliseconds(1500);
+
+} // namespace
+
+/// Returns whether it is known what each store has that can be reached.
+bool
+KeptDirectory::knows_stores(TimePoint now) const
+{
+    return now > m_began + learning_time ||
+           std::all_of(m_stores.begin(), m_stores.end(),
+                       [](const auto& item) { return item.second.boot != 0; });
+}
+
+KeptPlace
+KeptDirectory::place_of(const Entry& entry, TimePoint now) const
+{
+    using Reason = KeptPlace::Reason;
+    if (entry.state == State::Saving)
+        return KeptPlace::read(Reason::BeingSaved);
+    if (entry.state == State::LetGo)
+        return KeptPlace::read(Reason::LetGo);
+    const auto state = m_stores.find(entry.store);
+    if (state == m_stores.end() || !state->second.reachable)
+        return KeptPlace::read(Reason::StoreAway);
+    if (!m_clock.is_known())
+        return KeptPlace::read(Reason::Unknown);
+    KeptPlace place;
+    place.kind = KeptPlace::Kind::Fetch;
+    place.store = entry.store;
+    place.until =
+        runner_clock(now) + static_cast<RunnerMillis>(kept_answer_time.count());
+    return place;
+}
+
+/// Returns the space under which `last` is told as kept, of whichever term;
+/// else the one that is written to now.
+KeptSpace
+KeptDirectory::space_of(const KeptSpace& wanted, const PromptPart& last) const
+{
+    KeptSpace space = wanted;
+    for (const std::uint64_t term : m_terms) {
+        space.term = term;
+        const auto found = m_parts.find({space.text(), last.id});
+        if (found != m_parts.end() && found->second.state == State::Held)
+            return space;
+    }
+    space.term = m_term;
+    return space;
+}
+
+KeptAnswer
+KeptDirectory::ask(const KeptSpace& space, std::span<const PromptPart> parts,
+                   Micros longest, TimePoint now)
+{
+    KeptAnswer answer;
+    answer.clock = runner_clock(now);
+    if (parts.empty())
+        return answer;
+    answer.space = space_of(space, parts.back()).text();
+    for (const PromptPart& part : parts) {
+        const bool forerunner = &part != &parts.back();
+        answer.places.push_back(ask_part({answer.space, part.id, part.tokens},
+                                         forerunner, longest, now));
+    }
+    return answer;
+}
+
+KeptPlace
+KeptDirectory::ask_part(const KeptPart& part, bool forerunner, Micros longest,
+                        TimePoint now)
+{
+    const KeptKey key{part.space, part.id};
+    const auto found = m_parts.find(key);
+    Entry* const known = found == m_parts.end() ? nullptr : &found->second;
+    if (known)
+        known->asked = now;
+    if (known && !should_move(*known, now))
+        return place_of(*known, now);
+    const auto unless_known = [&](KeptPlace::Reason reason) {
+        return known ? place_of(*known, now) : KeptPlace::read(reason);
+    };
+    if (!is_own(part.space))
+        return unless_known(KeptPlace::Reason::OtherTerm);
+    // It may lie in a store that is not listed yet.
+    if (!knows_stores(now))
+        return KeptPlace::read(KeptPlace::Reason::Unknown);
+    const std::string store =
+        place_for(room_of(part.tokens), forerunner, key, now);
+    if (store.empty())
+        return unless_known(m_full ? KeptPlace::Reason::NoRoom
+                                   : KeptPlace::Reason::StoreAway);
+    if (known)
+        move_away(key, *known, now);
+    return place_part(key, store, part.tokens, longest, now);
+}
+
+/// Leaves a part where it is, to be saved to another store.
+void
+KeptDirectory::move_away(const KeptKey& key, Entry& entry, TimePoint now)
+{
+    m_leftovers.add(entry.store, key, entry.tokens,
+                    std::max(entry.due, told_until(now)));
+    entry.state = State::Saving;
+    note(key, entry);
+}
+
+/// Tells one call to save a part.
+KeptPlace
+KeptDirectory::place_part(const KeptKey& key, const std::string& store,
+                          std::uint32_t tokens, Micros longest, TimePoint now)
+{
+    Entry entry;
+    occupy(entry, store, tokens);
+    entry.asked = now;
+    entry.placed = now;
+    entry.due = now + longest;
+    m_parts[key] = entry;
+    KeptPlace place;
+    place.kind = KeptPlace::Kind::Save;
+    place.store = store;
+    return place;
+}
+
+/// Returns whether a part should be saved to another store: its call has not
+/// saved it in the usual time, or its store does not answer.
+bool
+KeptDirectory::should_move(const Entry& entry, TimePoint now) const
+{
+    if (entry.state == State::Saving)
+        return now >= entry.placed + usual_save_time;
+    const auto state = m_stores.find(entry.store);
+    return entry.state == State::Held && state != m_stores.end() &&
+           !state->second.reachable;
+}
+
+void
+KeptDirectory::not_saved(const KeptPart& part)
+{
+    const KeptKey key{part.space, part.id};
+    const auto entry = m_parts.find(key);
+    // Where the part was moved, it can't be told whose save did not run.
+    if (entry != m_parts.end() && entry->second.state == State::Saving &&
+        !m_leftovers.contains(key))
+        drop(entry);
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -4,6 +4,7 @@
 #include <crosslink/kept/kept_directory.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace crosslink
 {
@@ -16,31 +17,25 @@
 /// Beyond kept_answer_time: the runners' clock as told here may lag by one
 /// answer of a store on its way.
 constexpr Micros clock_slack = std::chrono::milliseconds(500);
-/// A new holder of the duty lets nothing be saved before it listed all stores,
-/// or for this time, in which it finds out which are out of reach.
-constexpr Micros learning_time = std::chrono::milliseconds(1500);
-/// A save ends within this time, measured at 0.2 to 1 s. Callers leave, and
-/// runners change their weights, before their save was made.
-constexpr Micros usual_save_time = std::chrono::milliseconds(1500);
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
 
+} // namespace
+
 /// Returns when what is told at `now` holds no more.
 TimePoint
-told_until(TimePoint now)
+KeptDirectory::told_until(TimePoint now)
 {
     return now + kept_answer_time + clock_slack;
 }
 
 /// Returns the room, in tokens, that a part of `tokens` takes.
 std::uint32_t
-room_of(std::uint32_t tokens)
+KeptDirectory::room_of(std::uint32_t tokens)
 {
     return (tokens + room_step - 1) / room_step * room_step;
 }
 
-} // namespace
-
 void
 KeptDirectory::StoreState::give_back(std::uint32_t tokens)
 {
@@ -110,6 +105,16 @@
         [&store](const std::string& other) { return other == store; });
 }
 
+/// Takes note that a part takes room in a store.
+void
+KeptDirectory::occupy(Entry& entry, const std::string& store,
+                      std::uint32_t tokens)
+{
+    entry.store = store;
+    entry.tokens = room_of(tokens);
+    m_stores.find(store)->second.used_tokens += entry.tokens;
+}
+
 /// Takes note that a store has a part whole.
 void
 KeptDirectory::hold(const std::string& store, const KeptPart& part,
@@ -119,7 +124,6 @@
     // A later holder saved it, and frees it without a word to this one.
     if (space && space->term > m_term)
         return;
-    StoreState& state = m_stores.find(store)->second;
     const auto [place, added] = m_parts.try_emplace({part.space, part.id});
     Entry& entry = place->second;
     // A part that is let go, or that lies elsewhere, stays as it is.
@@ -129,9 +133,7 @@
         if (space)
             m_terms.insert(space->term);
         entry.asked = now;
-        entry.store = store;
-        entry.tokens = room_of(part.tokens);
-        state.used_tokens += entry.tokens;
+        occupy(entry, store, part.tokens);
     }
     if (entry.state != State::Held) {
         entry.state = State::Held;
@@ -147,15 +149,6 @@
     m_history.add({key.first, key.second, told ? entry.store : std::string()});
 }
 
-/// Returns whether it is known what each store has that can be reached.
-bool
-KeptDirectory::knows_stores(TimePoint now) const
-{
-    return now > m_began + learning_time ||
-           std::all_of(m_stores.begin(), m_stores.end(),
-                       [](const auto& item) { return item.second.boot != 0; });
-}
-
 KeptUpdate
 KeptDirectory::update_since(std::uint64_t term, std::uint64_t place,
                             TimePoint now) const
@@ -200,6 +193,14 @@
     entry.told_free = false;
 }
 
+/// Returns whether `space` is this holder's: only that one is written to.
+bool
+KeptDirectory::is_own(const std::string& space) const
+{
+    const auto parsed = KeptSpace::parse(space);
+    return parsed && parsed->term == m_term;
+}
+
 /// Returns whether nothing that was told of a part that was let go holds any
 /// more. What an earlier holder saved, that one may go on telling.
 bool
@@ -263,11 +264,8 @@
     for (const KeptPart& part : parts) {
         const auto [place, added] = m_parts.try_emplace({part.space, part.id});
         Entry& entry = place->second;
-        if (added) {
-            entry.store = store;
-            entry.tokens = room_of(part.tokens);
-            m_stores.find(store)->second.used_tokens += entry.tokens;
-        }
+        if (added)
+            occupy(entry, store, part.tokens);
         const bool ended = added || now >= entry.due;
         if (entry.store == store && entry.state != State::LetGo && ended)
             let_go(place->first, entry, now);
@@ -329,149 +327,6 @@
         found->second.reachable = false;
 }
 
-KeptPlace
-KeptDirectory::place_of(const Entry& entry, TimePoint now) const
-{
-    using Reason = KeptPlace::Reason;
-    if (entry.state == State::Saving)
-        return KeptPlace::read(Reason::BeingSaved);
-    if (entry.state == State::LetGo)
-        return KeptPlace::read(Reason::LetGo);
-    const auto state = m_stores.find(entry.store);
-    if (state == m_stores.end() || !state->second.reachable)
-        return KeptPlace::read(Reason::StoreAway);
-    if (!m_clock.is_known())
-        return KeptPlace::read(Reason::Unknown);
-    KeptPlace place;
-    place.kind = KeptPlace::Kind::Fetch;
-    place.store = entry.store;
-    place.until =
-        runner_clock(now) + static_cast<RunnerMillis>(kept_answer_time.count());
-    return place;
-}
-
-/// Returns the space under which `last` is told as kept, of whichever term;
-/// else the one that is written to now.
-KeptSpace
-KeptDirectory::space_of(const KeptSpace& wanted, const PromptPart& last) const
-{
-    KeptSpace space = wanted;
-    for (const std::uint64_t term : m_terms) {
-        space.term = term;
-        const auto found = m_parts.find({space.text(), last.id});
-        if (found != m_parts.end() && found->second.state == State::Held)
-            return space;
-    }
-    space.term = m_term;
-    return space;
-}
-
-KeptAnswer
-KeptDirectory::ask(const KeptSpace& space, std::span<const PromptPart> parts,
-                   Micros longest, TimePoint now)
-{
-    KeptAnswer answer;
-    answer.clock = runner_clock(now);
-    if (parts.empty())
-        return answer;
-    answer.space = space_of(space, parts.back()).text();
-    for (const PromptPart& part : parts) {
-        const bool forerunner = &part != &parts.back();
-        answer.places.push_back(ask_part({answer.space, part.id, part.tokens},
-                                         forerunner, longest, now));
-    }
-    return answer;
-}
-
-KeptPlace
-KeptDirectory::ask_part(const KeptPart& part, bool forerunner, Micros longest,
-                        TimePoint now)
-{
-    const KeptKey key{part.space, part.id};
-    const auto found = m_parts.find(key);
-    Entry* const known = found == m_parts.end() ? nullptr : &found->second;
-    if (known)
-        known->asked = now;
-    if (known && !should_move(*known, now))
-        return place_of(*known, now);
-    const auto unless_known = [&](KeptPlace::Reason reason) {
-        return known ? place_of(*known, now) : KeptPlace::read(reason);
-    };
-    if (!is_own(part.space))
-        return unless_known(KeptPlace::Reason::OtherTerm);
-    // It may lie in a store that is not listed yet.
-    if (!knows_stores(now))
-        return KeptPlace::read(KeptPlace::Reason::Unknown);
-    const std::uint32_t room = room_of(part.tokens);
-    const std::string store = place_for(room, forerunner, key, now);
-    if (store.empty())
-        return unless_known(m_full ? KeptPlace::Reason::NoRoom
-                                   : KeptPlace::Reason::StoreAway);
-    if (known)
-        move_away(key, *known, now);
-    return place_part(key, store, room, longest, now);
-}
-
-/// Returns whether `space` is this holder's: only that one is written to.
-bool
-KeptDirectory::is_own(const std::string& space) const
-{
-    const auto parsed = KeptSpace::parse(space);
-    return parsed && parsed->term == m_term;
-}
-
-/// Leaves a part where it is, to be saved to another store.
-void
-KeptDirectory::move_away(const KeptKey& key, Entry& entry, TimePoint now)
-{
-    m_leftovers.add(entry.store, key, entry.tokens,
-                    std::max(entry.due, told_until(now)));
-    entry.state = State::Saving;
-    note(key, entry);
-}
-
-/// Tells one call to save a part.
-KeptPlace
-KeptDirectory::place_part(const KeptKey& key, const std::string& store,
-                          std::uint32_t room, Micros longest, TimePoint now)
-{
-    Entry entry;
-    entry.store = store;
-    entry.tokens = room;
-    entry.asked = now;
-    entry.placed = now;
-    entry.due = now + longest;
-    m_parts[key] = entry;
-    m_stores.find(store)->second.used_tokens += room;
-    KeptPlace place;
-    place.kind = KeptPlace::Kind::Save;
-    place.store = store;
-    return place;
-}
-
-/// Returns whether a part should be saved to another store: its call has not
-/// saved it in the usual time, or its store does not answer.
-bool
-KeptDirectory::should_move(const Entry& entry, TimePoint now) const
-{
-    if (entry.state == State::Saving)
-        return now >= entry.placed + usual_save_time;
-    const auto state = m_stores.find(entry.store);
-    return entry.state == State::Held && state != m_stores.end() &&
-           !state->second.reachable;
-}
-
-void
-KeptDirectory::not_saved(const KeptPart& part)
-{
-    const KeptKey key{part.space, part.id};
-    const auto entry = m_parts.find(key);
-    // Where the part was moved, it can't be told whose save did not run.
-    if (entry != m_parts.end() && entry->second.state == State::Saving &&
-        !m_leftovers.contains(key))
-        drop(entry);
-}
-
 bool
 KeptDirectory::wants_listing(std::string_view store, TimePoint now) const
 {
