Split the taking in of changes from the shared state

ChangeTaker has a header and a source of its own; the number of versions that instances tell each other is named with the other constants. Changes no behaviour.

--- /dev/null
+++ b/src/serve/forward/change_taker.cpp
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "change_taker.h"
+
+#include "forward_state.h"
+
+#include <adapters/clock.h>
+#include <serve/log_line.h>
+
+#include <cstdint>
+
+namespace crosslink
+{
+
+ChangeTaker::ChangeTaker(ForwardState& state, bool whole,
+                         std::optional<TimePoint> lapsed_until)
+    : m_state(state), m_whole(whole), m_lapsed_until(lapsed_until)
+{
+}
+
+void
+ChangeTaker::operator()(const MapNamed& change)
+{
+    const bool newer = m_state.fleet.with([&](FleetView& view) {
+        if (view.map && view.map->version >= change.map->version)
+            return false;
+        view.map = change.map;
+        return true;
+    });
+    if (newer)
+        LogLine("configuration_in_force")
+            .field("version", change.map->version)
+            .field("routes",
+                   static_cast<std::uint64_t>(change.map->route_count()));
+}
+
+void
+ChangeTaker::operator()(const WeightsNamed& change)
+{
+    m_state.fleet.with([&](FleetView& view) {
+        view.weights[change.model].named(change.version, monotonic_now());
+    });
+    LogLine("weights_named")
+        .field("model", change.model)
+        .field("version", change.version);
+}
+
+void
+ChangeTaker::operator()(const RunnerListed& change)
+{
+    m_runners.push_back(change.runner);
+    if (!m_whole)
+        m_state.runners.with(
+            [&](RunnerTable& table) { table.put(change.runner); });
+    if (change.runner.leaving)
+        LogLine("runner_leaving").field("runner", change.runner.id);
+}
+
+void
+ChangeTaker::operator()(const RunnerGone& change)
+{
+    m_state.runners.with([&](RunnerTable& table) {
+        if (m_lapsed_until)
+            table.lapsed(change.id, *m_lapsed_until);
+        else
+            table.remove(change.id);
+    });
+    LogLine(m_lapsed_until ? "runner_lapsed" : "runner_gone")
+        .field("runner", change.id);
+}
+
+void
+ChangeTaker::operator()(const InstanceListed& change)
+{
+    m_instances.insert(change.id);
+    m_state.fleet.with([&](FleetView& view) {
+        if (change.address.empty())
+            view.instances.erase(change.id);
+        else
+            view.instances[change.id] = change.address;
+    });
+}
+
+void
+ChangeTaker::operator()(const DutyHolder& change)
+{
+    m_holder_named = true;
+    m_state.fleet.with([&](FleetView& view) {
+        view.steward = change.address;
+        view.told_steward.clear();
+        view.holders.named(change.address, monotonic_now());
+    });
+    LogLine("duty_holder")
+        .field("duty", change.duty)
+        .field("address", change.address);
+}
+
+void
+ChangeTaker::finish()
+{
+    if (!m_whole)
+        return;
+    m_state.runners.with([this](RunnerTable& table) {
+        if (m_lapsed_until)
+            table.sync_lapsed(m_runners, *m_lapsed_until);
+        else
+            table.sync(m_runners);
+    });
+    m_state.fleet.with([this](FleetView& view) {
+        view.listed = true;
+        view.holders.missed(monotonic_now());
+        if (!m_holder_named) {
+            view.steward.clear();
+            view.holders.named("", monotonic_now());
+        }
+        std::erase_if(view.instances, [this](const auto& item) {
+            return !m_instances.contains(item.first);
+        });
+    });
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/change_taker.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/forward/runner_table.h>
+#include <crosslink/ports/fleet_feed.h>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+struct ForwardState;
+
+/// Takes one change after the other that the platform told into the state of
+/// an instance.
+class ChangeTaker
+{
+public:
+    /// `whole` where the changes are all that there is; see
+    /// ForwardState::take() for `lapsed_until`. `state` outlives it.
+    ChangeTaker(ForwardState& state, bool whole,
+                std::optional<TimePoint> lapsed_until);
+
+    void operator()(const MapNamed& change);
+    void operator()(const WeightsNamed& change);
+    void operator()(const RunnerListed& change);
+    void operator()(const RunnerGone& change);
+    void operator()(const InstanceListed& change);
+    void operator()(const DutyHolder& change);
+    /// Drops what a whole reading did not name.
+    void finish();
+
+private:
+    ForwardState& m_state;
+    const bool m_whole;
+    const std::optional<TimePoint> m_lapsed_until;
+    std::vector<ListedRunner> m_runners;
+    std::set<std::string> m_instances;
+    bool m_holder_named = false;
+};
+
+} // namespace crosslink
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -3,13 +3,11 @@
 
 #include "forward_state.h"
 
-#include <adapters/clock.h>
-#include <serve/log_line.h>
+#include "change_taker.h"
 
-#include <crosslink/base/error.h>
+#include <adapters/clock.h>
 
 #include <algorithm>
-#include <set>
 #include <sstream>
 
 namespace crosslink
@@ -18,6 +16,10 @@
 namespace
 {
 
+/// Versions of each model, the newest ones, that instances tell each other:
+/// those that calls may still run on.
+constexpr std::size_t told_versions = 4;
+
 /// An act of an earlier holder is on its way for less than this.
 constexpr Micros act_on_its_way = std::chrono::milliseconds(400);
 
@@ -36,120 +38,6 @@
     return settings.order_spacing() - unused + act_on_its_way;
 }
 
-/// Takes one change after the other into the state.
-class ChangeTaker
-{
-public:
-    ChangeTaker(ForwardState& state, bool whole,
-                std::optional<TimePoint> lapsed_until)
-        : m_state(state), m_whole(whole), m_lapsed_until(lapsed_until)
-    {
-    }
-
-    void operator()(const MapNamed& change)
-    {
-        const bool newer = m_state.fleet.with([&](FleetView& view) {
-            if (view.map && view.map->version >= change.map->version)
-                return false;
-            view.map = change.map;
-            return true;
-        });
-        if (newer)
-            LogLine("configuration_in_force")
-                .field("version", change.map->version)
-                .field("routes",
-                       static_cast<std::uint64_t>(change.map->route_count()));
-    }
-
-    void operator()(const WeightsNamed& change)
-    {
-        m_state.fleet.with([&](FleetView& view) {
-            view.weights[change.model].named(change.version, monotonic_now());
-        });
-        LogLine("weights_named")
-            .field("model", change.model)
-            .field("version", change.version);
-    }
-
-    void operator()(const RunnerListed& change)
-    {
-        m_runners.push_back(change.runner);
-        if (!m_whole)
-            m_state.runners.with(
-                [&](RunnerTable& table) { table.put(change.runner); });
-        if (change.runner.leaving)
-            LogLine("runner_leaving").field("runner", change.runner.id);
-    }
-
-    void operator()(const RunnerGone& change)
-    {
-        m_state.runners.with([&](RunnerTable& table) {
-            if (m_lapsed_until)
-                table.lapsed(change.id, *m_lapsed_until);
-            else
-                table.remove(change.id);
-        });
-        LogLine(m_lapsed_until ? "runner_lapsed" : "runner_gone")
-            .field("runner", change.id);
-    }
-
-    void operator()(const InstanceListed& change)
-    {
-        m_instances.insert(change.id);
-        m_state.fleet.with([&](FleetView& view) {
-            if (change.address.empty())
-                view.instances.erase(change.id);
-            else
-                view.instances[change.id] = change.address;
-        });
-    }
-
-    void operator()(const DutyHolder& change)
-    {
-        m_holder_named = true;
-        m_state.fleet.with([&](FleetView& view) {
-            view.steward = change.address;
-            view.told_steward.clear();
-            view.holders.named(change.address, monotonic_now());
-        });
-        LogLine("duty_holder")
-            .field("duty", change.duty)
-            .field("address", change.address);
-    }
-
-    /// Drops what a whole reading did not name.
-    void finish()
-    {
-        if (!m_whole)
-            return;
-        m_state.runners.with([this](RunnerTable& table) {
-            if (m_lapsed_until)
-                table.sync_lapsed(m_runners, *m_lapsed_until);
-            else
-                table.sync(m_runners);
-        });
-        m_state.fleet.with([this](FleetView& view) {
-            view.listed = true;
-            view.holders.missed(monotonic_now());
-            if (!m_holder_named) {
-                view.steward.clear();
-                view.holders.named("", monotonic_now());
-            }
-            std::erase_if(view.instances, [this](const auto& item) {
-                return !m_instances.contains(item.first);
-            });
-        });
-    }
-
-private:
-    ForwardState& m_state;
-    const bool m_whole;
-    const std::optional<TimePoint> m_lapsed_until;
-    std::vector<ListedRunner> m_runners;
-    std::set<std::string> m_instances;
-    bool m_holder_named = false;
-};
-
 } // namespace
 
 ForwardState::ForwardState(const ForwardSettings& settings_in,
@@ -178,7 +66,6 @@
 std::vector<WeightsAge>
 ForwardState::weights_ages(TimePoint now)
 {
-    constexpr std::size_t told_versions = 4;
     std::vector<WeightsAge> ages;
     fleet.with([&](FleetView& view) {
         for (const auto& [model, history] : view.weights) {
