--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -4,6 +4,7 @@
 #include <crosslink/kept/kept_directory.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace crosslink
 {
@@ -16,23 +17,30 @@
 /// Beyond kept_answer_time: the runners' clock as told here may lag by one
 /// answer of a store on its way.
 constexpr Micros clock_slack = std::chrono::milliseconds(500);
-/// A new holder of the duty lets nothing be saved before it listed all stores,
-/// or for this time, in which it finds out which are out of reach.
-constexpr Micros learning_time = std::chrono::milliseconds(1500);
-/// A save ends within this time, measured at 0.2 to 1 s. Callers leave, and
-/// runners change their weights, before their save was made.
-constexpr Micros usual_save_time = std::chrono::milliseconds(1500);
 /// A store is not listed more often than this for saves that are overdue.
 constexpr Micros listing_pause = std::chrono::seconds(3);
 
+} // namespace
+
+/// Returns when what is told at `now` holds no more.
+TimePoint
+KeptDirectory::told_until(TimePoint now)
+{
+    return now + kept_answer_time + clock_slack;
+}
+
 /// Returns the room, in tokens, that a part of `tokens` takes.
 std::uint32_t
-room_of(std::uint32_t tokens)
+KeptDirectory::room_of(std::uint32_t tokens)
 {
     return (tokens + room_step - 1) / room_step * room_step;
 }
 
-} // namespace
+void
+KeptDirectory::StoreState::give_back(std::uint32_t tokens)
+{
+    used_tokens -= std::min<std::uint64_t>(used_tokens, tokens);
+}
 
 void
 KeptDirectory::set_stores(std::span<const KeptStoreInfo> stores)
@@ -53,9 +61,8 @@
             drop(entry);
         entry = following;
     }
-    std::erase_if(m_leftovers, [this](const Leftover& left) {
-        return !m_stores.contains(left.store);
-    });
+    m_leftovers.forget_stores(
+        [this](const std::string& store) { return !m_stores.contains(store); });
 }
 
 void
@@ -84,7 +91,7 @@
     if (!forgot_all)
         return;
     state.used_tokens = 0;
-    state.write_from = now + kept_answer_time + clock_slack;
+    state.write_from = told_until(now);
     for (auto entry = m_parts.begin(); entry != m_parts.end();) {
         const auto next = std::next(entry);
         if (entry->second.store == store) {
@@ -94,9 +101,18 @@
         }
         entry = next;
     }
-    std::erase_if(m_leftovers, [&store](const Leftover& left) {
-        return left.store == store;
-    });
+    m_leftovers.forget_stores(
+        [&store](const std::string& other) { return other == store; });
+}
+
+/// Takes note that a part takes room in a store.
+void
+KeptDirectory::occupy(Entry& entry, const std::string& store,
+                      std::uint32_t tokens)
+{
+    entry.store = store;
+    entry.tokens = room_of(tokens);
+    m_stores.find(store)->second.used_tokens += entry.tokens;
 }
 
 /// Takes note that a store has a part whole.
@@ -108,7 +124,6 @@
     // A later holder saved it, and frees it without a word to this one.
     if (space && space->term > m_term)
         return;
-    StoreState& state = m_stores.find(store)->second;
     const auto [place, added] = m_parts.try_emplace({part.space, part.id});
     Entry& entry = place->second;
     // A part that is let go, or that lies elsewhere, stays as it is.
@@ -118,9 +133,7 @@
         if (space)
             m_terms.insert(space->term);
         entry.asked = now;
-        entry.store = store;
-        entry.tokens = room_of(part.tokens);
-        state.used_tokens += entry.tokens;
+        occupy(entry, store, part.tokens);
     }
     if (entry.state != State::Held) {
         entry.state = State::Held;
@@ -130,21 +143,12 @@
 
 /// Takes note of what is told of a part from now on.
 void
-KeptDirectory::note(const Key& key, const Entry& entry)
+KeptDirectory::note(const KeptKey& key, const Entry& entry)
 {
     const bool told = entry.state == State::Held;
     m_history.add({key.first, key.second, told ? entry.store : std::string()});
 }
 
-/// Returns whether it is known what each store has that can be reached.
-bool
-KeptDirectory::knows_stores(TimePoint now) const
-{
-    return now > m_began + learning_time ||
-           std::all_of(m_stores.begin(), m_stores.end(),
-                       [](const auto& item) { return item.second.boot != 0; });
-}
-
 KeptUpdate
 KeptDirectory::update_since(std::uint64_t term, std::uint64_t place,
                             TimePoint now) const
@@ -171,10 +175,8 @@
 KeptDirectory::drop(Parts::iterator entry)
 {
     const auto state = m_stores.find(entry->second.store);
-    if (state != m_stores.end()) {
-        std::uint64_t& used = state->second.used_tokens;
-        used -= std::min<std::uint64_t>(used, entry->second.tokens);
-    }
+    if (state != m_stores.end())
+        state->second.give_back(entry->second.tokens);
     if (entry->second.state == State::Held) {
         entry->second.state = State::LetGo;
         note(entry->first, entry->second);
@@ -183,24 +185,30 @@
 }
 
 void
-KeptDirectory::let_go(const Key& key, Entry& entry, TimePoint now)
+KeptDirectory::let_go(const KeptKey& key, Entry& entry, TimePoint now)
 {
     entry.state = State::LetGo;
     note(key, entry);
-    entry.due = now + kept_answer_time + clock_slack;
+    entry.due = told_until(now);
     entry.told_free = false;
 }
 
+/// Returns whether `space` is this holder's: only that one is written to.
+bool
+KeptDirectory::is_own(const std::string& space) const
+{
+    const auto parsed = KeptSpace::parse(space);
+    return parsed && parsed->term == m_term;
+}
+
 /// Returns whether nothing that was told of a part that was let go holds any
 /// more. What an earlier holder saved, that one may go on telling.
 bool
-KeptDirectory::may_free(const Key& key, TimePoint due, TimePoint now) const
+KeptDirectory::may_free(const KeptKey& key, TimePoint due, TimePoint now) const
 {
     if (now < due)
         return false;
-    const auto space = KeptSpace::parse(key.first);
-    const bool own = space && space->term == m_term;
-    return own || now >= m_silent_from + kept_answer_time + clock_slack;
+    return is_own(key.first) || now >= told_until(m_silent_from);
 }
 
 void
@@ -239,8 +247,8 @@
         Entry& entry = known->second;
         // Two holders of the duty, or one that moved it, had it saved twice.
         if (entry.store != store)
-            leave(store, known->first, room_of(part.tokens),
-                  now + kept_answer_time + clock_slack);
+            m_leftovers.add(store, known->first, room_of(part.tokens),
+                            told_until(now));
         // It is still there long after the store was asked to free it.
         if (entry.told_free && now >= entry.due + listing_pause)
             entry.told_free = false;
@@ -256,11 +264,8 @@
     for (const KeptPart& part : parts) {
         const auto [place, added] = m_parts.try_emplace({part.space, part.id});
         Entry& entry = place->second;
-        if (added) {
-            entry.store = store;
-            entry.tokens = room_of(part.tokens);
-            m_stores.find(store)->second.used_tokens += entry.tokens;
-        }
+        if (added)
+            occupy(entry, store, part.tokens);
         const bool ended = added || now >= entry.due;
         if (entry.store == store && entry.state != State::LetGo && ended)
             let_go(place->first, entry, now);
@@ -273,7 +278,7 @@
 KeptDirectory::drop_missing(const std::string& store,
                             const KeptListing& listing, TimePoint now)
 {
-    std::set<Key> there;
+    std::set<KeptKey> there;
     for (const KeptPart& part : listing.whole)
         there.insert({part.space, part.id});
     for (const KeptPart& part : listing.broken)
@@ -322,159 +327,6 @@
         found->second.reachable = false;
 }
 
-KeptPlace
-KeptDirectory::place_of(const Entry& entry, TimePoint now) const
-{
-    using Reason = KeptPlace::Reason;
-    if (entry.state == State::Saving)
-        return KeptPlace::read(Reason::BeingSaved);
-    if (entry.state == State::LetGo)
-        return KeptPlace::read(Reason::LetGo);
-    const auto state = m_stores.find(entry.store);
-    if (state == m_stores.end() || !state->second.reachable)
-        return KeptPlace::read(Reason::StoreAway);
-    if (!m_clock.is_known())
-        return KeptPlace::read(Reason::Unknown);
-    KeptPlace place;
-    place.kind = KeptPlace::Kind::Fetch;
-    place.store = entry.store;
-    place.until =
-        runner_clock(now) + static_cast<RunnerMillis>(kept_answer_time.count());
-    return place;
-}
-
-/// Returns the space under which `last` is told as kept, of whichever term;
-/// else the one that is written to now.
-KeptSpace
-KeptDirectory::space_of(const KeptSpace& wanted, const PromptPart& last) const
-{
-    KeptSpace space = wanted;
-    for (const std::uint64_t term : m_terms) {
-        space.term = term;
-        const auto found = m_parts.find({space.text(), last.id});
-        if (found != m_parts.end() && found->second.state == State::Held)
-            return space;
-    }
-    space.term = m_term;
-    return space;
-}
-
-KeptAnswer
-KeptDirectory::ask(const KeptSpace& space, std::span<const PromptPart> parts,
-                   Micros longest, TimePoint now)
-{
-    KeptAnswer answer;
-    answer.clock = runner_clock(now);
-    if (parts.empty())
-        return answer;
-    answer.space = space_of(space, parts.back()).text();
-    for (const PromptPart& part : parts) {
-        const bool forerunner = &part != &parts.back();
-        answer.places.push_back(ask_part({answer.space, part.id, part.tokens},
-                                         forerunner, longest, now));
-    }
-    return answer;
-}
-
-KeptPlace
-KeptDirectory::ask_part(const KeptPart& part, bool forerunner, Micros longest,
-                        TimePoint now)
-{
-    const Key key{part.space, part.id};
-    const auto known = m_parts.find(key);
-    const bool is_known = known != m_parts.end();
-    if (is_known)
-        known->second.asked = now;
-    if (is_known && !should_move(known->second, now))
-        return place_of(known->second, now);
-    // Only this holder's own space is written to.
-    const auto space = KeptSpace::parse(part.space);
-    if (!space || space->term != m_term)
-        return is_known ? place_of(known->second, now)
-                        : KeptPlace::read(KeptPlace::Reason::OtherTerm);
-    // It may lie in a store that is not listed yet.
-    if (!knows_stores(now))
-        return KeptPlace::read(KeptPlace::Reason::Unknown);
-    const std::uint32_t room = room_of(part.tokens);
-    const std::string store = place_for(room, forerunner, key, now);
-    if (store.empty() && is_known)
-        return place_of(known->second, now);
-    if (store.empty())
-        return KeptPlace::read(m_full ? KeptPlace::Reason::NoRoom
-                                      : KeptPlace::Reason::StoreAway);
-    if (is_known) {
-        Entry& entry = known->second;
-        const TimePoint told_until = now + kept_answer_time + clock_slack;
-        leave(entry.store, key, entry.tokens, std::max(entry.due, told_until));
-        entry.state = State::Saving;
-        note(key, entry);
-    }
-    return place_part(key, store, room, longest, now);
-}
-
-/// Tells one call to save a part.
-KeptPlace
-KeptDirectory::place_part(const Key& key, const std::string& store,
-                          std::uint32_t room, Micros longest, TimePoint now)
-{
-    Entry entry;
-    entry.store = store;
-    entry.tokens = room;
-    entry.asked = now;
-    entry.placed = now;
-    entry.due = now + longest;
-    m_parts[key] = entry;
-    m_stores.find(store)->second.used_tokens += room;
-    KeptPlace place;
-    place.kind = KeptPlace::Kind::Save;
-    place.store = store;
-    return place;
-}
-
-/// Returns whether a part should be saved to another store: its call has not
-/// saved it in the usual time, or its store does not answer.
-bool
-KeptDirectory::should_move(const Entry& entry, TimePoint now) const
-{
-    if (entry.state == State::Saving)
-        return now >= entry.placed + usual_save_time;
-    const auto state = m_stores.find(entry.store);
-    return entry.state == State::Held && state != m_stores.end() &&
-           !state->second.reachable;
-}
-
-/// Takes note of room that a part takes where it is not told any more.
-void
-KeptDirectory::leave(const std::string& store, const Key& key,
-                     std::uint32_t tokens, TimePoint due)
-{
-    if (!is_left_at(store, key))
-        m_leftovers.push_back({store, key, tokens, due});
-}
-
-bool
-KeptDirectory::is_left_at(const std::string& store, const Key& key) const
-{
-    return std::any_of(m_leftovers.begin(), m_leftovers.end(),
-                       [&](const Leftover& left) {
-                           return left.store == store && left.key == key;
-                       });
-}
-
-void
-KeptDirectory::not_saved(const KeptPart& part)
-{
-    const Key key{part.space, part.id};
-    const auto entry = m_parts.find(key);
-    // Where the part was moved, it can't be told whose save did not run.
-    const bool moved =
-        std::any_of(m_leftovers.begin(), m_leftovers.end(),
-                    [&key](const Leftover& left) { return left.key == key; });
-    if (entry != m_parts.end() && entry->second.state == State::Saving &&
-        !moved)
-        drop(entry);
-}
-
 bool
 KeptDirectory::wants_listing(std::string_view store, TimePoint now) const
 {
