--- a/src/serve/forward/fleet_json.cpp
+++ b/src/serve/forward/fleet_json.cpp
@@ -68,6 +68,59 @@
     return update;
 }
 
+Json::Value
+place_to_json(const KeptPlace& place)
+{
+    Json::Value value;
+    value["kind"] = static_cast<int>(place.kind);
+    value["store"] = place.store;
+    value["until"] = Json::UInt64(place.until);
+    value["reason"] = static_cast<int>(place.reason);
+    return value;
+}
+
+KeptPlace
+place_from_json(const Json::Value& value)
+{
+    KeptPlace place;
+    const auto kind = json_number(value, "kind");
+    if (kind == static_cast<std::uint64_t>(KeptPlace::Kind::Fetch))
+        place.kind = KeptPlace::Kind::Fetch;
+    if (kind == static_cast<std::uint64_t>(KeptPlace::Kind::Save))
+        place.kind = KeptPlace::Kind::Save;
+    place.store = json_string(value, "store");
+    place.until = json_number(value, "until");
+    const auto reason = json_number(value, "reason");
+    if (reason <= static_cast<std::uint64_t>(KeptPlace::Reason::SlowStore))
+        place.reason = static_cast<KeptPlace::Reason>(reason);
+    return place;
+}
+
+Json::Value
+ages_to_json(const std::vector<WeightsAge>& ages)
+{
+    Json::Value list(Json::arrayValue);
+    for (const WeightsAge& age : ages) {
+        Json::Value item;
+        item["model"] = age.model;
+        item["version"] = Json::UInt64(age.version);
+        item["age_us"] = Json::Int64(age.age.count());
+        list.append(item);
+    }
+    return list;
+}
+
+std::vector<WeightsAge>
+ages_from_json(const Json::Value& list)
+{
+    std::vector<WeightsAge> ages;
+    for (const Json::Value& item : list)
+        ages.push_back(
+            {json_string(item, "model"), json_number(item, "version"),
+             Micros(static_cast<Micros::rep>(json_number(item, "age_us")))});
+    return ages;
+}
+
 } // namespace
 
 Json::Value
@@ -112,14 +165,8 @@
     value["space"] = answer.space;
     value["clock"] = Json::UInt64(answer.clock);
     value["places"] = Json::Value(Json::arrayValue);
-    for (const KeptPlace& place : answer.places) {
-        Json::Value item;
-        item["kind"] = static_cast<int>(place.kind);
-        item["store"] = place.store;
-        item["until"] = Json::UInt64(place.until);
-        item["reason"] = static_cast<int>(place.reason);
-        value["places"].append(item);
-    }
+    for (const KeptPlace& place : answer.places)
+        value["places"].append(place_to_json(place));
     return value;
 }
 
@@ -129,48 +176,11 @@
     KeptAnswer answer;
     answer.space = json_string(value, "space");
     answer.clock = json_number(value, "clock");
-    for (const Json::Value& item : value["places"]) {
-        KeptPlace place;
-        const auto kind = json_number(item, "kind");
-        if (kind == static_cast<std::uint64_t>(KeptPlace::Kind::Fetch))
-            place.kind = KeptPlace::Kind::Fetch;
-        if (kind == static_cast<std::uint64_t>(KeptPlace::Kind::Save))
-            place.kind = KeptPlace::Kind::Save;
-        place.store = json_string(item, "store");
-        place.until = json_number(item, "until");
-        const auto reason = json_number(item, "reason");
-        if (reason <= static_cast<std::uint64_t>(KeptPlace::Reason::SlowStore))
-            place.reason = static_cast<KeptPlace::Reason>(reason);
-        answer.places.push_back(place);
-    }
+    for (const Json::Value& item : value["places"])
+        answer.places.push_back(place_from_json(item));
     return answer;
 }
 
-Json::Value
-ages_to_json(const std::vector<WeightsAge>& ages)
-{
-    Json::Value list(Json::arrayValue);
-    for (const WeightsAge& age : ages) {
-        Json::Value item;
-        item["model"] = age.model;
-        item["version"] = Json::UInt64(age.version);
-        item["age_us"] = Json::Int64(age.age.count());
-        list.append(item);
-    }
-    return list;
-}
-
-std::vector<WeightsAge>
-ages_from_json(const Json::Value& list)
-{
-    std::vector<WeightsAge> ages;
-    for (const Json::Value& item : list)
-        ages.push_back(
-            {json_string(item, "model"), json_number(item, "version"),
-             Micros(static_cast<Micros::rep>(json_number(item, "age_us")))});
-    return ages;
-}
-
 Json::Value
 to_json(const ExchangeQuestion& question)
 {
