--- a/src/serve/forward/exchange_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -43,8 +43,9 @@
 {
 }
 
-Micros
-ExchangeDuty::round()
+/// Returns what this instance tells the duty's holder, without the weights.
+ExchangeQuestion
+ExchangeDuty::question()
 {
     ExchangeQuestion question;
     question.instance = m_state.settings.name;
@@ -52,20 +53,34 @@
         [](RunnerTable& table) { return table.own_load(); });
     std::tie(question.kept_term, question.kept_place) = m_state.kept.with(
         [](KeptReplica& replica) { return replica.position(); });
+    return question;
+}
+
+/// Takes in what the duty's holder answered to a question of `asked`.
+void
+ExchangeDuty::take(const ExchangeAnswer& answer, TimePoint asked)
+{
+    const TimePoint now = monotonic_now();
+    m_state.runners.with([&](RunnerTable& table) {
+        table.others_told(answer.others, now);
+        for (const std::string& runner : answer.loading)
+            table.refused(runner, now, loading_hold);
+    });
+    m_state.kept.with(
+        [&](KeptReplica& replica) { replica.take(answer.kept, asked); });
+    m_state.heard_of(answer.weights, now);
+}
+
+Micros
+ExchangeDuty::round()
+{
+    ExchangeQuestion told = question();
     const TimePoint asked = monotonic_now();
-    question.weights = m_state.weights_ages(asked);
+    told.weights = m_state.weights_ages(asked);
     try {
         const ExchangeAnswer answer = m_steward.with(
-            [&](auto& steward) { return steward.exchange(question); });
-        const TimePoint now = monotonic_now();
-        m_state.runners.with([&](RunnerTable& table) {
-            table.others_told(answer.others, now);
-            for (const std::string& runner : answer.loading)
-                table.refused(runner, now, loading_hold);
-        });
-        m_state.kept.with(
-            [&](KeptReplica& replica) { replica.take(answer.kept, asked); });
-        m_state.heard_of(answer.weights, now);
+            [&](auto& steward) { return steward.exchange(told); });
+        take(answer, asked);
         m_failures = 0;
         return exchange_pause;
     } catch (const std::exception& failure) {
@@ -73,8 +88,7 @@
         spdlog::debug("exchange: {}", failure.what());
         if (++m_failures >= failures_to_ask)
             ask_for_holder();
-        return question.kept_term == 0 ? after_failure_unlearned
-                                       : after_failure;
+        return told.kept_term == 0 ? after_failure_unlearned : after_failure;
     }
 }
 
--- a/src/serve/forward/exchange_duty.h
+++ b/src/serve/forward/exchange_duty.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "exchange.h"
 #include "forward_state.h"
 #include "steward_link.h"
 
@@ -21,6 +22,8 @@
 
 private:
     Micros round();
+    ExchangeQuestion question();
+    void take(const ExchangeAnswer& answer, TimePoint asked);
     void ask_for_holder();
 
     ForwardState& m_state;
--- a/src/serve/forward/kept_duties.cpp
+++ b/src/serve/forward/kept_duties.cpp
@@ -192,6 +192,14 @@
     } catch (const Error& failure) {
         LogLine("earlier_holder_unreachable").field("error", failure.what());
     }
+    free_due();
+    return free_pause;
+}
+
+/// Lets the directory let go of parts, and the stores free what is due.
+void
+KeptDuties::free_due()
+{
     const OldestVersions oldest = oldest_versions();
     const auto obsolete = [&oldest](const KeptSpace& space) {
         const auto found = oldest.find(space.model);
@@ -216,7 +224,6 @@
             .field("parts", static_cast<std::uint64_t>(free.parts.size()));
         m_state.ports.stores.free(free, until);
     }
-    return free_pause;
 }
 
 Micros
--- a/src/serve/forward/kept_duties.h
+++ b/src/serve/forward/kept_duties.h
@@ -71,6 +71,7 @@
     void silence_earlier();
     OldestVersions oldest_versions();
     Micros free_round();
+    void free_due();
     Micros store_round(const std::string& address);
     void list_store(const std::string& address);
     void follow_store(const std::string& address, std::uint64_t after);
