--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -9,6 +9,7 @@
 #include <crosslink/forward/runner_price.h>
 
 #include <algorithm>
+#include <map>
 
 namespace crosslink
 {
@@ -20,6 +21,19 @@
 /// read.
 constexpr int objectives_for_fetch = 2;
 
+using SecondsByZone = std::map<std::string, double>;
+
+/// Adds to `near` the zone from which fetching takes longest in all.
+void
+add_longest(KeptNear& near, const SecondsByZone& seconds_by_zone)
+{
+    for (const auto& [zone, time] : seconds_by_zone)
+        if (time > seconds(near.fetch_time)) {
+            near.zone = zone;
+            near.fetch_time = from_seconds(time);
+        }
+}
+
 /// Returns the letter that stands for `place` in the log.
 char
 letter_of(const KeptPlace& place)
@@ -67,25 +81,19 @@
     const auto answer = m_kept.look(space, parts);
     if (!answer)
         return {};
-    std::map<std::string, double> seconds_by_zone;
-    std::uint64_t tokens = 0;
+    KeptNear near;
+    SecondsByZone seconds_by_zone;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const KeptStoreInfo* store = map->find_store(answer->places[i].store);
         if (!store)
             continue;
-        tokens += parts[i].tokens;
+        near.fetched_tokens += parts[i].tokens;
         if (store->link_bytes_per_second > 0)
             seconds_by_zone[store->zone] +=
                 static_cast<double>(parts[i].tokens) * bytes->second /
                 store->link_bytes_per_second;
     }
-    KeptNear near;
-    near.fetched_tokens = tokens;
-    for (const auto& [zone, time] : seconds_by_zone)
-        if (time > seconds(near.fetch_time)) {
-            near.zone = zone;
-            near.fetch_time = from_seconds(time);
-        }
+    add_longest(near, seconds_by_zone);
     return near;
 }
 
