Count the room of second copies; say where two figures come from

Cause (found while the code was read over): a part that two earlier holders had saved lies in two stores; the second copy became a leftover whose room was never counted and yet taken off when it was freed, so that its store counted as emptier than it was. Also stale: the comment on when runners get nothing more. Test: kept_directory_test, 'room of a part that lies in two stores' (fails before).

--- a/src/libcrosslink/kept/kept_directory.cpp
+++ b/src/libcrosslink/kept/kept_directory.cpp
@@ -246,9 +246,12 @@
             continue;
         Entry& entry = known->second;
         // Two holders of the duty, or one that moved it, had it saved twice.
-        if (entry.store != store)
-            m_leftovers.add(store, known->first, room_of(part.tokens),
-                            told_until(now));
+        if (entry.store != store &&
+            !m_leftovers.contains(store, known->first)) {
+            const std::uint32_t room = room_of(part.tokens);
+            m_stores.find(store)->second.used_tokens += room;
+            m_leftovers.add(store, known->first, room, told_until(now));
+        }
         // It is still there long after the store was asked to free it.
         if (entry.told_free && now >= entry.due + listing_pause)
             entry.told_free = false;
--- a/src/libcrosslink/kept/kept_directory_test.cpp
+++ b/src/libcrosslink/kept/kept_directory_test.cpp
@@ -382,6 +382,35 @@
     CHECK(directory.due(never, 1, at(12'000)).empty());
 }
 
+TEST_CASE("room of a part that lies in two stores counts in both")
+{
+    KeptDirectory directory;
+    const std::vector<KeptStoreInfo> stores{store(fast, 1600, 100),
+                                            store(big, 1600, 100)};
+    directory.set_stores(stores);
+    directory.begin(9, at(0));
+    KeptListing listing = empty_listing(1, 1000);
+    KeptSpace earlier = space();
+    earlier.term = 7;
+    for (int i = 0; i < 9; ++i)
+        listing.whole.push_back({earlier.text(), std::to_string(i), 160});
+    directory.listed(fast, listing, at(10));
+    directory.listed(big, listing, at(10));
+    // Each of them has room for nine parts of 160 tokens, and has nine.
+    CHECK(ask(directory, "new", 20).places[0].reason ==
+          KeptPlace::Reason::NoRoom);
+    // The second copies are freed; then there is room for as many.
+    directory.earlier_silent(at(20));
+    CHECK(directory.due(never, 1, at(4000)).size() == 1);
+    int saved = 0;
+    for (int i = 0; i < 12; ++i)
+        saved += ask(directory, "n" + std::to_string(i), 4100).places[0].kind ==
+                         KeptPlace::Kind::Save
+                     ? 1
+                     : 0;
+    CHECK(saved == 9);
+}
+
 TEST_CASE("a part whose store is away is saved to another one")
 {
     KeptDirectory directory = directory_with_stores();
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -21,9 +21,9 @@
 /// Time of one order: runs end, then the weights are loaded. Measured at 1.1
 /// to 2.6 s, mostly 1.6 s.
 constexpr Micros order_time = std::chrono::milliseconds(1600);
-/// So long before the bound nothing is sent to the oldest weights any more;
-/// then this part of the runners that have them should be done. The rest
-/// loads without calls.
+/// So long before the bound this part of the runners that have the oldest
+/// weights should be done. Nothing is sent to the rest any more (runner_choice
+/// stops a little earlier still): they load without calls.
 constexpr Micros finish_margin = std::chrono::milliseconds(1500);
 constexpr double done_part = 0.55;
 constexpr double least_left_s = 0.5;
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -17,7 +17,8 @@
 {
 
 /// Versions of each model, the newest ones, that instances tell each other:
-/// those that calls may still run on.
+/// those that calls may still run on. New ones are named every 4 s at most, on
+/// the days of the users, and must have given way after 10 s.
 constexpr std::size_t told_versions = 4;
 
 /// An act of an earlier holder is on its way for less than this.
