--- a/src/serve/forward/exchange_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -13,7 +13,6 @@
 
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -27,12 +26,6 @@
 /// A prompt of 9,000 tokens is read in 160 ms: a picture older than that is
 /// of little use.
 constexpr Micros exchange_pause = std::chrono::milliseconds(150);
-/// In a fleet of more than ninety, the holder of the duty answers so many
-/// exchanges a second at most: with 300 instances and 2,000 a second it used
-/// 98% of its processor time, and it serves calls too.
-constexpr int exchanges_per_second = 600;
-/// What is told of the load holds for a second.
-constexpr Micros longest_pause = std::chrono::milliseconds(800);
 constexpr Micros after_failure = std::chrono::milliseconds(400);
 /// As long as nothing is known of what is kept, all prompts are read whole.
 constexpr Micros after_failure_unlearned = std::chrono::milliseconds(80);
@@ -42,15 +35,6 @@
 /// A runner that loads gets nothing until the next exchanges.
 constexpr Micros loading_hold = std::chrono::milliseconds(350);
 
-Micros
-pause_for(std::size_t instances)
-{
-    const Micros share = std::chrono::seconds(1) *
-                         static_cast<Micros::rep>(instances) /
-                         exchanges_per_second;
-    return std::clamp(share, exchange_pause, longest_pause);
-}
-
 } // namespace
 
 ExchangeDuty::ExchangeDuty(ForwardState& state, StewardLink& steward)
@@ -98,7 +82,7 @@
             [&](auto& steward) { return steward.exchange(told); });
         take(answer, asked);
         m_failures = 0;
-        return pause_for(m_state.instance_count());
+        return exchange_pause;
     } catch (const std::exception& failure) {
         // Without the duty's holder the own load is all that is known.
         spdlog::debug("exchange: {}", failure.what());
