Refuse a prompt at once that would begin late

A call whose expected wait is over 0.6 of its objective is now refused at once, with the time when the queue is short again, spread over once to twice that time.

--- /dev/null
+++ b/src/include/crosslink/forward/queue_limit.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace crosslink
+{
+
+/// A call for a model that may be sent to a runner now.
+struct QueuedCall {
+    Micros expected_wait{0}; ///< At the runner that was chosen for it.
+    Micros own_time{0};      ///< To its first event from then on.
+    Micros objective{0};     ///< From its arrival to its first event.
+    Micros waited{0};        ///< Since its arrival.
+    Micros time_left{0};     ///< That its caller goes on waiting.
+};
+
+/// Keeps the queues of runners short. Answers load that is greater than what
+/// the runners' memory holds: a third of them lost, or callers that come back
+/// all at once after all instances were gone. Without it all calls wait at the
+/// runners for as long as the first ones do, each answer is late, and the queue
+/// outlasts the load by ten seconds and more, as callers that were not answered
+/// in time repeat. A call that would come late for sure is refused at once, so
+/// that those that are taken come in time.
+class QueueLimit
+{
+public:
+    /// Returns nothing where `call` is sent; else the time after which its
+    /// caller may come back, spread by `random` bits.
+    static std::optional<Micros> refusal(const QueuedCall& call,
+                                         std::uint64_t random);
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/forward/queue_limit_test.cpp
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "../testing/played_load.h"
+
+#include <crosslink/forward/queue_limit.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace crosslink
+{
+
+namespace
+{
+
+using testing::PlayedKind;
+using testing::PlayedLoad;
+using testing::PlayedTally;
+
+constexpr std::size_t urgent = 0; ///< Small prompts, short answers.
+constexpr std::size_t large = 1;  ///< Large prompts, long answers.
+
+Micros
+millis(int count)
+{
+    return std::chrono::milliseconds(count);
+}
+
+/// Callers of two kinds that take two thirds of the memory of nine engines.
+std::vector<PlayedKind>
+two_kinds()
+{
+    PlayedKind small;
+    small.per_second = 46;
+    small.resident = 2400;
+    small.to_read = 500;
+    small.to_make = 20;
+    small.objective = millis(1200);
+    small.deadline = millis(3000);
+    PlayedKind big;
+    big.per_second = 12;
+    big.priority = 1;
+    big.resident = 12'000;
+    big.to_read = 2900;
+    big.to_make = 380;
+    big.objective = millis(1200);
+    big.deadline = millis(12'000);
+    return {small, big};
+}
+
+/// Returns the calls of both kinds that were answered in time for each second
+/// at a constant `load`, weighed by the memory that they take.
+double
+goodput(double load, bool limited)
+{
+    PlayedLoad played(two_kinds(), 9, limited);
+    played.play(30, [load](double) { return load; });
+    double tokens = 0;
+    for (const std::size_t kind : {urgent, large})
+        tokens += played.tally(kind, 10, 25).in_time *
+                  static_cast<double>(two_kinds()[kind].resident);
+    return tokens / 15;
+}
+
+/// Load 1, and `peak` from second 10 to 16.
+PlayedLoad::Load
+peak_of(double peak)
+{
+    return [peak](double second) {
+        return second >= 10 && second < 16 ? peak : 1.0;
+    };
+}
+
+QueuedCall
+call(int expected_ms, int objective_ms)
+{
+    QueuedCall call;
+    call.expected_wait = millis(expected_ms);
+    call.objective = millis(objective_ms);
+    call.time_left = millis(3000);
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("a call is sent where it is expected to come in time")
+{
+    CHECK_FALSE(QueueLimit::refusal(call(0, 300), 0));
+    CHECK_FALSE(QueueLimit::refusal(call(500, 1200), 0));
+    CHECK(QueueLimit::refusal(call(1200, 1200), 0));
+}
+
+TEST_CASE("what a call has waited already counts")
+{
+    QueuedCall waited = call(500, 1200);
+    waited.waited = millis(1000);
+    CHECK(QueueLimit::refusal(waited, 0));
+}
+
+TEST_CASE("callers that are refused come back one after the other")
+{
+    std::vector<Micros> times;
+    for (std::uint64_t i = 0; i < 100; ++i)
+        times.push_back(*QueueLimit::refusal(call(2400, 1200), i * 10));
+    const auto [least, most] = std::minmax_element(times.begin(), times.end());
+    CHECK(*least >= millis(250));
+    CHECK(*most >= 3 * *least / 2);
+}
+
+TEST_CASE("calm callers are all answered in time")
+{
+    PlayedLoad played(two_kinds(), 9);
+    played.play(20, [](double) { return 1; });
+    CHECK(played.tally(urgent, 2, 18).in_time_part() > 0.99);
+    CHECK(played.tally(large, 2, 18).in_time_part() > 0.99);
+}
+
+TEST_CASE("more load than the runners bear does not lower what they answer")
+{
+    double best = 0;
+    double at_three = 0;
+    for (const double load : {1.0, 1.25, 1.5, 2.0, 2.5, 3.0}) {
+        at_three = goodput(load, true);
+        best = std::max(best, at_three);
+    }
+    INFO("best " << best << ", at three times " << at_three);
+    CHECK(at_three > 0.9 * best);
+    // Without the limit a fifth of it is lost.
+    CHECK(goodput(3, false) < 0.8 * best);
+}
+
+TEST_CASE("two objectives after a peak callers are answered in time again")
+{
+    for (const double peak : {2.0, 3.0}) {
+        PlayedLoad played(two_kinds(), 9);
+        played.play(30, peak_of(peak));
+        CHECK(played.tally(urgent, 18.4, 28).in_time_part() > 0.95);
+        CHECK(played.tally(large, 18.4, 28).in_time_part() > 0.95);
+    }
+}
+
+TEST_CASE("no kind is starved in a peak, and the urgent one comes first")
+{
+    PlayedLoad played(two_kinds(), 9);
+    played.play(30, peak_of(2));
+    const PlayedTally first = played.tally(urgent, 10, 16);
+    const PlayedTally second = played.tally(large, 10, 16);
+    INFO("urgent " << first.in_time_part() << ", large "
+                   << second.in_time_part());
+    CHECK(first.in_time_part() >= second.in_time_part());
+    CHECK(second.in_time + second.late > second.asked / 4);
+}
+
+TEST_CASE("a third of the runners lost: the others answer most in time")
+{
+    PlayedLoad limited(two_kinds(), 6);
+    limited.play(30, [](double) { return 1; });
+    PlayedLoad unlimited(two_kinds(), 6, false);
+    unlimited.play(30, [](double) { return 1; });
+    CHECK(limited.tally(urgent, 10, 28).in_time_part() > 0.75);
+    CHECK(limited.tally(urgent, 10, 28).in_time >
+          unlimited.tally(urgent, 10, 28).in_time);
+}
+
+TEST_CASE("runners of mixed speed are used by what they do")
+{
+    PlayedLoad played(two_kinds(), 9, true, 1 / 1.3);
+    played.play(25, [](double) { return 1; });
+    CHECK(played.tally(urgent, 5, 23).in_time_part() > 0.97);
+    CHECK(played.tally(large, 5, 23).in_time_part() > 0.97);
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -130,12 +130,12 @@
     table.put(runner("far", "b"));
     RunnerQuery ask = query();
     ask.memory_tokens = 70'000;
-    table.sent("near", 0, 50'000);
+    table.sent("near", 0, 35'000);
     ask.resident = 12'000;
     CHECK(chosen(table, ask) == "near");
-    ask.resident = 30'000;
+    ask.resident = 45'000;
     CHECK(chosen(table, ask) == "far");
-    table.ended("near", 50'000);
+    table.ended("near", 35'000);
     CHECK(chosen(table, ask) == "near");
 }
 
--- /dev/null
+++ b/src/libcrosslink/testing/played_load.h
@@ -0,0 +1,252 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "model_engine.h"
+
+#include <crosslink/forward/queue_limit.h>
+#include <crosslink/forward/runner_table.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace crosslink::testing
+{
+
+/// A kind of call that callers send.
+struct PlayedKind {
+    double per_second = 0; ///< At load 1.
+    std::uint32_t priority = 0;
+    std::uint32_t resident = 0; ///< Tokens of KV memory.
+    std::uint32_t to_read = 0;  ///< Of them, not kept anywhere.
+    std::uint32_t to_make = 0;  ///< Output tokens.
+    Micros objective{0};        ///< To the first token.
+    Micros deadline{0};         ///< The caller waits no longer.
+};
+
+/// What callers of one kind got whose first try fell into some span.
+struct PlayedTally {
+    int asked = 0;
+    int in_time = 0; ///< First token within the objective of the first try.
+    int late = 0;
+    int refused = 0; ///< At the end, after their repeat.
+    int failed = 0;  ///< Not answered before their deadline.
+
+    double in_time_part() const
+    {
+        return asked == 0 ? 1 : static_cast<double>(in_time) / asked;
+    }
+};
+
+/// A fleet of modelled engines behind one instance's choice and limit, played
+/// against callers that repeat once: after a refusal when told to.
+class PlayedLoad
+{
+public:
+    using Load = std::function<double(double second)>;
+
+    PlayedLoad(std::vector<PlayedKind> kinds, std::size_t engines,
+               bool limited = true, double slow_speed = 1)
+        : m_kinds(std::move(kinds)), m_limited(limited)
+    {
+        for (std::size_t i = 0; i < engines; ++i)
+            add_engine("r" + std::to_string(i), i % 3 == 2 ? slow_speed : 1);
+    }
+
+    /// Plays `seconds` under `load`, a multiple of the kinds' rates.
+    void play(int seconds, const Load& load)
+    {
+        for (int ms = 0; ms < seconds * 1000; ms += step_ms) {
+            m_now = TimePoint(std::chrono::milliseconds(ms));
+            arrive(load(ms / 1000.0));
+            come_back();
+            leave();
+            for (auto& [id, engine] : m_engines)
+                work(id, engine);
+        }
+    }
+
+    /// Returns what callers of `kind` got whose first try came from second
+    /// `from` until second `to`.
+    PlayedTally tally(std::size_t kind, double from, double to) const
+    {
+        PlayedTally sum;
+        for (const Caller& caller : m_callers) {
+            const double came = crosslink::seconds(caller.first_try - TimePoint{});
+            if (caller.kind != kind || came < from || came >= to)
+                continue;
+            ++sum.asked;
+            sum.in_time += caller.end == End::InTime ? 1 : 0;
+            sum.late += caller.end == End::Late ? 1 : 0;
+            sum.refused += caller.end == End::Refused ? 1 : 0;
+            sum.failed += caller.end == End::Failed ? 1 : 0;
+        }
+        return sum;
+    }
+
+private:
+    enum class End { Open, InTime, Late, Refused, Failed };
+    struct Caller {
+        std::size_t kind = 0;
+        TimePoint first_try{};
+        TimePoint sent_at{};
+        std::string runner; ///< Empty while it is at none.
+        End end = End::Open;
+        bool repeated = false;
+        bool began = false;
+    };
+
+    static constexpr int step_ms = 5;
+
+    void add_engine(const std::string& id, double speed)
+    {
+        m_engines.emplace(id, ModelEngine(speed));
+        ListedRunner listed;
+        listed.id = id;
+        listed.service = "s";
+        listed.zone = "a";
+        listed.slots = 64;
+        listed.models = {{"m", 1}};
+        m_table.put(listed);
+    }
+
+    void arrive(double load)
+    {
+        for (std::size_t kind = 0; kind < m_kinds.size(); ++kind) {
+            std::poisson_distribution<int> count(
+                load * m_kinds[kind].per_second * step_ms / 1000.0);
+            for (int i = count(m_random); i > 0; --i) {
+                m_callers.push_back({kind, m_now, {}, "", End::Open});
+                send(m_callers.size() - 1);
+            }
+        }
+    }
+
+    void send(std::size_t number)
+    {
+        Caller& caller = m_callers[number];
+        const PlayedKind& kind = m_kinds[caller.kind];
+        RunnerQuery query;
+        query.service = "s";
+        query.zone = "a";
+        query.model = "m";
+        query.newest_version = 1;
+        query.tokens = kind.to_read;
+        query.resident = kind.resident;
+        query.memory_tokens = 70'000;
+        query.random = m_random();
+        query.now = m_now;
+        const auto pick = m_table.choose(query);
+        if (m_limited && !is_taken(caller, pick->wait, number))
+            return;
+        caller.runner = pick->id;
+        caller.sent_at = m_now;
+        m_table.sent(pick->id, kind.to_read, kind.resident);
+        m_engines.at(pick->id).take({number, kind.priority,
+                                     static_cast<double>(kind.resident),
+                                     static_cast<double>(kind.to_read),
+                                     static_cast<double>(kind.to_make)});
+    }
+
+    /// Returns whether the limit lets a call through; else its caller comes
+    /// back once.
+    bool is_taken(Caller& caller, Micros wait, std::size_t number)
+    {
+        const PlayedKind& kind = m_kinds[caller.kind];
+        QueuedCall call;
+        call.expected_wait = wait;
+        call.objective = kind.objective;
+        call.time_left = caller.first_try + kind.deadline - m_now;
+        const auto retry_after = QueueLimit::refusal(call, m_random());
+        if (!retry_after)
+            return true;
+        const TimePoint back =
+            m_now + std::min(*retry_after, call.time_left / 3);
+        if (caller.repeated)
+            caller.end = End::Refused;
+        else
+            m_returns.emplace(back, number);
+        caller.repeated = true;
+        return false;
+    }
+
+    void come_back()
+    {
+        while (!m_returns.empty() && m_returns.begin()->first <= m_now) {
+            const std::size_t number = m_returns.begin()->second;
+            m_returns.erase(m_returns.begin());
+            send(number);
+        }
+    }
+
+    void leave()
+    {
+        for (std::size_t i = m_first_open; i < m_callers.size(); ++i) {
+            Caller& caller = m_callers[i];
+            const bool over =
+                m_now >= caller.first_try + m_kinds[caller.kind].deadline;
+            if (caller.runner.empty() || caller.began || !over)
+                continue;
+            m_engines.at(caller.runner).drop(i);
+            caller.end = End::Failed;
+            give_back(caller);
+        }
+        while (m_first_open < m_callers.size() &&
+               m_callers[m_first_open].end != End::Open &&
+               m_callers[m_first_open].runner.empty())
+            ++m_first_open;
+    }
+
+    void work(const std::string& id, ModelEngine& engine)
+    {
+        std::vector<std::uint64_t> begun;
+        std::vector<std::uint64_t> ended;
+        engine.work(step_ms, begun, ended);
+        for (const std::uint64_t number : begun)
+            begin(id, m_callers[number]);
+        for (const std::uint64_t number : ended)
+            finish(m_callers[number]);
+    }
+
+    void begin(const std::string& id, Caller& caller)
+    {
+        const PlayedKind& kind = m_kinds[caller.kind];
+        m_table.prompt_read(id, kind.to_read);
+        caller.began = true;
+        caller.end = m_now - caller.first_try <= kind.objective ? End::InTime
+                                                                : End::Late;
+    }
+
+    void finish(Caller& caller)
+    {
+        m_table.ran(caller.runner, m_kinds[caller.kind].resident,
+                    m_now - caller.sent_at);
+        give_back(caller);
+    }
+
+    void give_back(Caller& caller)
+    {
+        const PlayedKind& kind = m_kinds[caller.kind];
+        if (!caller.began)
+            m_table.prompt_read(caller.runner, kind.to_read);
+        m_table.ended(caller.runner, kind.resident);
+        caller.runner.clear();
+    }
+
+    const std::vector<PlayedKind> m_kinds;
+    const bool m_limited;
+    RunnerTable m_table;
+    std::map<std::string, ModelEngine> m_engines;
+    std::vector<Caller> m_callers;
+    std::multimap<TimePoint, std::size_t> m_returns;
+    std::size_t m_first_open = 0;
+    std::minstd_rand m_random{1};
+    TimePoint m_now{};
+};
+
+} // namespace crosslink::testing
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -9,6 +9,7 @@
 #include <serve/log_line.h>
 
 #include <crosslink/base/number.h>
+#include <crosslink/forward/queue_limit.h>
 
 #include <Poco/Exception.h>
 
@@ -78,6 +79,7 @@
             give_up(link, m_runs > 0 ? Outcome::Broken : Outcome::NotSent);
             return;
         }
+        refuse_beyond_limit();
         const Outcome outcome = attempt(link);
         settle(outcome);
         if (outcome == Outcome::Done)
@@ -93,6 +95,22 @@
     }
 }
 
+/// Refuses a call that was sent nowhere yet and would wait for too long.
+void
+ForwardRun::refuse_beyond_limit()
+{
+    if (m_sends > 0 || !m_call.generation || !m_call.last_event.empty())
+        return;
+    QueuedCall queued;
+    queued.expected_wait = m_choice.pick().wait;
+    queued.objective = m_route.objective;
+    queued.waited = monotonic_now() - m_call.received_at;
+    queued.time_left = time_left();
+    if (const auto retry_after = QueueLimit::refusal(queued, random_bits()))
+        throw Error(ErrorCode::NoUpstream, "runners have too much to do",
+                    RunState::NotDispatched, *retry_after);
+}
+
 /// Ends a call without a whole answer: an answer that has begun is broken off.
 void
 ForwardRun::give_up(CallerLink& link, Outcome outcome)
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -71,6 +71,7 @@
         Silent,
     };
 
+    void refuse_beyond_limit();
     bool wait_for_runner();
     Micros time_to_chance() const;
     Outcome attempt(CallerLink& link);
