--- a/src/include/crosslink/forward/queue_limit.h
+++ b/src/include/crosslink/forward/queue_limit.h
@@ -13,11 +13,11 @@
 
 /// A call for a model that may be sent to a runner now.
 struct QueuedCall {
-    Micros expected_wait{0}; ///< At the runner that was chosen for it.
-    Micros own_time{0};      ///< To its first event from then on.
+    /// Until the runner that was chosen takes it up. The time for its own prompt
+    /// does not count: large prompts would be refused first.
+    Micros expected_wait{0};
     Micros objective{0};     ///< From its arrival to its first event.
     Micros waited{0};        ///< Since its arrival.
-    Micros time_left{0};     ///< That its caller goes on waiting.
 };
 
 /// Keeps the queues of runners short. Answers load that is greater than what
--- a/src/libcrosslink/forward/runner_price.cpp
+++ b/src/libcrosslink/forward/runner_price.cpp
@@ -14,8 +14,9 @@
 /// Prompt tokens that a runner reads in a millisecond; engines of today read
 /// 40 to 60.
 constexpr double tokens_per_ms = 50;
-/// What a runner that works on as many calls as it has slots adds.
-constexpr double full_slots_ms = 100;
+/// What a runner whose slots or memory are all taken adds: it generates more
+/// slowly, and has less memory for parts that it keeps.
+constexpr double full_ms = 100;
 /// Where the others' load is not known: each instance sends mostly to the
 /// runners of its zone, so the load there is about that of the instances of
 /// one zone; zones are taken as three, the least that the fleet runs in.
@@ -111,12 +112,9 @@
 }
 
 double
-known_load_ms(const RunnerEntry& entry, const RunnerQuery& query,
-              const FleetLoad& fleet)
+wait_ms(const KnownLoad& load, const RunnerQuery& query, const FleetLoad& fleet)
 {
-    const KnownLoad load = known_load(entry, query, fleet.others_known);
     return load.tokens / tokens_per_ms +
-           full_slots_ms * taken_part(load, entry, query) +
            memory_wait_ms(load, query, fleet.holding_time);
 }
 
@@ -132,14 +130,17 @@
 expected_wait(const RunnerEntry& entry, const RunnerQuery& query,
               const FleetLoad& fleet)
 {
-    return from_millis(known_load_ms(entry, query, fleet));
+    const KnownLoad load = known_load(entry, query, fleet.others_known);
+    return from_millis(wait_ms(load, query, fleet));
 }
 
 double
 price_ms(const RunnerEntry& entry, const RunnerQuery& query,
          const FleetLoad& fleet)
 {
-    double price = known_load_ms(entry, query, fleet);
+    const KnownLoad load = known_load(entry, query, fleet.others_known);
+    double price = wait_ms(load, query, fleet) +
+                   full_ms * taken_part(load, entry, query);
     if (!query.model.empty() &&
         entry.version_of(query.model) < query.newest_version)
         price += old_weights_ms;
--- a/src/libcrosslink/testing/played_load.h
+++ b/src/libcrosslink/testing/played_load.h
@@ -161,12 +161,11 @@
         QueuedCall call;
         call.expected_wait = wait;
         call.objective = kind.objective;
-        call.time_left = caller.first_try + kind.deadline - m_now;
         const auto retry_after = QueueLimit::refusal(call, m_random());
         if (!retry_after)
             return true;
-        const TimePoint back =
-            m_now + std::min(*retry_after, call.time_left / 3);
+        const Micros time_left = caller.first_try + kind.deadline - m_now;
+        const TimePoint back = m_now + std::min(*retry_after, time_left / 3);
         if (caller.repeated)
             caller.end = End::Refused;
         else
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -105,7 +105,6 @@
     queued.expected_wait = m_choice.pick().wait;
     queued.objective = m_route.objective;
     queued.waited = monotonic_now() - m_call.received_at;
-    queued.time_left = time_left();
     if (const auto retry_after = QueueLimit::refusal(queued, random_bits()))
         throw Error(ErrorCode::NoUpstream, "runners have too much to do",
                     RunState::NotDispatched, *retry_after);
