Ask once, under one lock, which weights a call may begin on

RunnerChoice copied the whole history of weights and the platform's absences, each under a lock of its own, at each choice and at each look of a call that waits. One question to ForwardState now answers with what the choice needs, as of one time.

--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -55,19 +55,39 @@
     return fleet.with([](FleetView& view) { return view.map; });
 }
 
-WeightsHistory
-ForwardState::weights(std::string_view model)
+WeightsChoice
+ForwardState::weights_choice(std::string_view model, TimePoint now)
 {
-    return fleet.with([model](FleetView& view) {
+    return fleet.with([&](FleetView& view) {
         const auto found = view.weights.find(model);
-        return found == view.weights.end() ? WeightsHistory() : found->second;
+        if (found == view.weights.end())
+            return WeightsChoice();
+        const WeightsHistory& history = found->second;
+        return WeightsChoice{
+            history.newest(),
+            history.least(settings.sending_bound(), now, view.reach)};
     });
 }
 
-PlatformReach
-ForwardState::reach()
+std::optional<Micros>
+ForwardState::replaced_for(std::string_view model, std::uint64_t version,
+                           TimePoint now)
 {
-    return fleet.with([](FleetView& view) { return view.reach; });
+    return fleet.with([&](FleetView& view) -> std::optional<Micros> {
+        const auto found = view.weights.find(model);
+        if (found == view.weights.end())
+            return std::nullopt;
+        const auto replaced = found->second.replaced_at(version);
+        if (!replaced)
+            return std::nullopt;
+        return view.reach.counted(*replaced, now);
+    });
+}
+
+bool
+ForwardState::reaches_platform()
+{
+    return fleet.with([](FleetView& view) { return view.reach.in_reach(); });
 }
 
 std::vector<WeightsAge>
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -60,6 +60,12 @@
     }
 };
 
+/// The weights of a model that a call may begin on.
+struct WeightsChoice {
+    std::uint64_t newest = 0; ///< Of those that were named; 0 for none.
+    std::uint64_t least = 0;  ///< Older ones had to give way.
+};
+
 /// Counters of forwarded calls.
 struct ForwardCounters {
     using Counter = std::atomic<std::uint64_t>;
@@ -104,10 +110,14 @@
     std::atomic<bool> refusing{false}; ///< No further call is taken.
 
     std::shared_ptr<const ServiceMap> map();
-    /// Returns the versions of `model` that were named.
-    WeightsHistory weights(std::string_view model);
-    /// Returns when the platform was away.
-    PlatformReach reach();
+    /// Returns which weights of `model` a call may begin on at `now`.
+    WeightsChoice weights_choice(std::string_view model, TimePoint now);
+    /// Returns for how long `version` of `model` has been replaced at `now`,
+    /// without the time that does not count; nothing where it is the newest.
+    std::optional<Micros> replaced_for(std::string_view model,
+                                       std::uint64_t version, TimePoint now);
+    /// Returns whether this instance gets the platform's answers.
+    bool reaches_platform();
     /// Returns how long ago this instance heard of the newest versions of
     /// each model, those that calls may still run on.
     std::vector<WeightsAge> weights_ages(TimePoint now);
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -69,10 +69,10 @@
     const std::string_view model =
         m_call.generation ? std::string_view(m_call.generation->model)
                           : std::string_view();
-    const WeightsHistory weights =
-        model.empty() ? WeightsHistory() : m_state.weights(model);
-    m_newest = weights.newest();
     RunnerQuery query;
+    query.now = monotonic_now();
+    const WeightsChoice weights = m_state.weights_choice(model, query.now);
+    m_newest = weights.newest;
     query.service = m_service;
     query.zone = m_state.settings.zone;
     query.affinity = m_affinity;
@@ -83,9 +83,7 @@
     if (m_call.generation)
         add_prompt(query);
     query.random = random_bits();
-    query.now = monotonic_now();
-    query.least_version = weights.least(m_state.settings.sending_bound(),
-                                        query.now, m_state.reach());
+    query.least_version = weights.least;
     return query;
 }
 
@@ -118,12 +116,11 @@
 std::optional<Micros>
 RunnerChoice::weights_left() const
 {
-    const std::string& model = m_call.generation->model;
-    const auto replaced = m_state.weights(model).replaced_at(m_pick.version);
+    const auto replaced = m_state.replaced_for(m_call.generation->model,
+                                               m_pick.version, monotonic_now());
     if (!replaced)
         return std::nullopt;
-    const Micros bound = m_state.settings.weights_bound() - withdraw_margin;
-    return bound - m_state.reach().counted(*replaced, monotonic_now());
+    return m_state.settings.weights_bound() - withdraw_margin - *replaced;
 }
 
 bool
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -208,7 +208,7 @@
     });
     m_state.heard_of(question.weights, now);
     answer.weights = m_state.weights_ages(now);
-    answer.platform_reached = m_state.reach().in_reach();
+    answer.platform_reached = m_state.reaches_platform();
     // Without the duty nobody asks runners whether they have loaded: they
     // would get no calls for as long as this instance tells what it knew.
     if (m_state.may_act())
