Without a word from the others, take each to send as much as this instance

Cause: while the exchange is silent (its holder is lost), the own load at a runner counted for all instances of a zone: runners that this instance used looked full, others idle, and the limit judged by that. Now the own load, on average over the runners, counts once for each other instance. A route without an objective has no limit.

--- a/src/include/crosslink/forward/queue_limit.h
+++ b/src/include/crosslink/forward/queue_limit.h
@@ -16,7 +16,7 @@
     /// Until the runner that was chosen takes it up. The time for its own
     /// prompt does not count: large prompts would be refused first.
     Micros expected_wait{0};
-    Micros objective{0}; ///< From its arrival to its first event.
+    Micros objective{0}; ///< From its arrival to its first event; 0 for none.
     Micros waited{0};    ///< Since its arrival.
 };
 
@@ -25,8 +25,9 @@
 /// all at once after all instances were gone. Without it all calls wait at the
 /// runners for as long as the first ones do, each answer is late, and the queue
 /// outlasts the load by ten seconds and more, as callers that were not answered
-/// in time repeat. A call that would come late for sure is refused at once, so
-/// that those that are taken come in time.
+/// in time repeat. A call that would make such a queue longer is refused at
+/// once, so that those that are taken come in time. All callers are judged
+/// alike, whether they come for the first time or again.
 class QueueLimit
 {
 public:
--- a/src/libcrosslink/forward/queue_limit.cpp
+++ b/src/libcrosslink/forward/queue_limit.cpp
@@ -26,6 +26,8 @@
 std::optional<Micros>
 QueueLimit::refusal(const QueuedCall& call, std::uint64_t random)
 {
+    if (call.objective.count() == 0)
+        return std::nullopt;
     const Micros allowed = std::max(
         std::chrono::duration_cast<Micros>(call.objective * waiting_part) -
             call.waited,
--- a/src/libcrosslink/forward/queue_limit_test.cpp
+++ b/src/libcrosslink/forward/queue_limit_test.cpp
@@ -95,6 +95,11 @@
     CHECK(QueueLimit::refusal(call(1200, 1200), 0));
 }
 
+TEST_CASE("a call without an objective is never refused")
+{
+    CHECK_FALSE(QueueLimit::refusal(call(60'000, 0), 0));
+}
+
 TEST_CASE("what a call has waited already counts")
 {
     QueuedCall waited = call(200, 1200);
--- a/src/libcrosslink/forward/runner_price.cpp
+++ b/src/libcrosslink/forward/runner_price.cpp
@@ -16,9 +16,9 @@
 constexpr double tokens_per_ms = 50;
 /// What a runner that works on as many calls as it has slots adds.
 constexpr double full_slots_ms = 100;
-/// Where the others' load is not known: each instance sends mostly to the
-/// runners of its zone, so the load there is about that of the instances of
-/// one zone; zones are taken as three, the least that the fleet runs in.
+/// Each instance sends mostly to the runners of its zone, so that those of one
+/// zone choose alike; zones are taken as three, the least that the fleet runs
+/// in.
 constexpr double zones = 3;
 /// Weights that were replaced: a call that begins on them loses a fifth of
 /// its worth, a late one most of it (docs/MEASUREMENTS.md).
@@ -66,20 +66,24 @@
 
 KnownLoad
 known_load(const RunnerEntry& entry, const RunnerQuery& query,
-           bool others_known)
+           const FleetLoad& fleet)
 {
-    const double alike =
-        std::max(1.0, static_cast<double>(query.instances) / zones);
+    const auto instances =
+        std::max<double>(static_cast<double>(query.instances), 1);
     KnownLoad known;
-    if (!others_known) {
-        known.add(entry.own, alike);
+    known.add(entry.own, 1);
+    if (!fleet.others_known) {
+        // Each of the others sends as much as this one, to all runners alike.
+        known.calls += fleet.own_calls * (instances - 1);
+        known.tokens += fleet.own_tokens * (instances - 1);
+        known.resident += fleet.own_resident * (instances - 1);
         return known;
     }
-    known.add(entry.own, 1);
     known.add(entry.others, 1);
     // What this instance sent since the others told their load, those that see
     // the same runner as the best one have sent too.
-    const double choosers = std::min<double>(alike, most_choosers);
+    const double choosers =
+        std::clamp<double>(instances / zones, 1, most_choosers);
     known.add(entry.untold, choosers - 1);
     return known;
 }
@@ -117,7 +121,7 @@
 expected_wait(const RunnerEntry& entry, const RunnerQuery& query,
               const FleetLoad& fleet)
 {
-    const KnownLoad load = known_load(entry, query, fleet.others_known);
+    const KnownLoad load = known_load(entry, query, fleet);
     return from_millis(wait_ms(load, query, fleet));
 }
 
@@ -125,7 +129,7 @@
 price_ms(const RunnerEntry& entry, const RunnerQuery& query,
          const FleetLoad& fleet)
 {
-    const KnownLoad load = known_load(entry, query, fleet.others_known);
+    const KnownLoad load = known_load(entry, query, fleet);
     double price =
         wait_ms(load, query, fleet) +
         full_slots_ms * load.calls / std::max<double>(entry.listed.slots, 1);
--- a/src/serve/forward/exchange_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -29,8 +29,8 @@
 constexpr Micros exchange_pause = std::chrono::milliseconds(150);
 /// In a large fleet each instance has a small part of the load, and the holder
 /// of the duty answers all of them: with this pause for each instance it gives
-/// 500 answers a second of 2 KB, 8 Mbit/s, whatever the fleet's size, until the
-/// longest pause is reached.
+/// 500 answers a second, whatever the fleet's size, until the longest pause is
+/// reached. Older pictures let instances crowd at one runner.
 constexpr Micros pause_for_instance = std::chrono::milliseconds(2);
 /// What the others told counts for a second.
 constexpr Micros longest_pause = std::chrono::milliseconds(400);
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -26,10 +26,11 @@
 constexpr Micros takeover_step = std::chrono::milliseconds(40);
 /// Instances beyond this one try at the same time.
 constexpr std::size_t last_rank = 6;
-/// The holder answers 250 exchanges a second of 2 to 7 KB: up to 14 Mbit/s
-/// beside its calls. Instances with a link below this leave the duty to others
-/// for a while: at 82 instances a holder behind 10 Mbit/s was out of reach for
-/// most of them, and of 12,500 prompts in 12 s nine in ten were read whole.
+/// The holder of a large fleet answers 500 exchanges a second of 2 to 7 KB
+/// (worked out): up to 28 Mbit/s beside its calls. Instances with a link below
+/// this leave the duty to others for a while: at 82 instances a holder behind
+/// 10 Mbit/s was out of reach for most of them, and of 12,500 prompts in 12 s
+/// nine in ten were read whole.
 constexpr double duty_link_mbps = 50;
 constexpr Micros weak_link_wait = std::chrono::milliseconds(500);
 
