--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -200,7 +200,7 @@
     RunnerTable table;
     table.put(runner("used", "a"));
     table.put(runner("idle", "a"));
-    table.sent("used", 5000, 5000, at(0));
+    table.sent("used", 5000, 5000);
     RunnerQuery ask = query();
     ask.instances = 5;
     const auto pick = table.choose(ask);
