Count the prompt alone as memory, and no wait at an idle runner

Cause, by reading: a call's output is known by its bound alone. A deployment whose callers tell large bounds (32,000 tokens, and 50 made) would have seen idle runners as full, and refused calls for nothing. The prompt alone counts now, and a call waits for no more memory than others hold.

--- a/src/include/crosslink/forward/forwarded_call.h
+++ b/src/include/crosslink/forward/forwarded_call.h
@@ -32,11 +32,10 @@
     /// In order; the last one belongs to the caller's session alone.
     std::vector<PromptPart> parts;
 
-    /// Returns the tokens of KV memory that it takes at most.
-    std::uint64_t resident_tokens() const
-    {
-        return std::uint64_t{prompt_tokens} + most_tokens;
-    }
+    /// Returns the tokens of KV memory that it surely takes. What it generates
+    /// comes later and is known by its bound alone, which may be far off: were
+    /// that counted, idle runners would seem full.
+    std::uint64_t resident_tokens() const { return prompt_tokens; }
     /// Returns the parts that other calls may share.
     std::span<const PromptPart> shared_parts() const
     {
--- a/src/libcrosslink/forward/runner_price.cpp
+++ b/src/libcrosslink/forward/runner_price.cpp
@@ -89,7 +89,8 @@
 }
 
 /// Returns how long a call waits for memory: what lacks comes free as calls
-/// end, all of it in the time that a call takes its memory.
+/// end, all of it in the time that a call takes its memory. No call waits for
+/// more than the others have.
 double
 memory_wait_ms(const KnownLoad& load, const RunnerQuery& query,
                Micros holding_time)
@@ -99,7 +100,8 @@
         return 0;
     const double lacking =
         load.resident + static_cast<double>(query.resident) - memory;
-    return std::max(lacking, 0.0) / memory * to_millis(holding_time);
+    return std::clamp(lacking, 0.0, load.resident) / memory *
+           to_millis(holding_time);
 }
 
 double
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -139,6 +139,16 @@
     CHECK(chosen(table, ask) == "near");
 }
 
+TEST_CASE("at an idle runner nothing is waited for, however large the prompt")
+{
+    RunnerTable table;
+    table.put(runner("r", "a"));
+    RunnerQuery ask = query();
+    ask.memory_tokens = 70'000;
+    ask.resident = 200'000;
+    CHECK(table.choose(ask)->wait == Micros(0));
+}
+
 TEST_CASE("memory of calls that other instances sent counts as the own does")
 {
     RunnerTable table;
