--- a/src/include/crosslink/forward/runner_price.h
+++ b/src/include/crosslink/forward/runner_price.h
@@ -32,10 +32,6 @@
     bool others_known = false;
     /// How long a call takes its memory.
     Micros holding_time{0};
-    /// What this instance gives to a runner, on average.
-    double own_calls = 0;
-    double own_tokens = 0;
-    double own_resident = 0;
 };
 
 /// Returns the time in which a runner reads a prompt of `tokens`.
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -94,8 +94,7 @@
     const RunnerEntry* cheapest(const std::vector<const RunnerEntry*>& entries,
                                 const RunnerQuery& query,
                                 const FleetLoad& fleet) const;
-    FleetLoad fleet_load(const std::vector<const RunnerEntry*>& candidates,
-                         const RunnerQuery& query) const;
+    FleetLoad fleet_load(const RunnerQuery& query) const;
     Micros holding_time(std::string_view service) const;
 
     Entries m_entries;
--- a/src/libcrosslink/forward/runner_price.cpp
+++ b/src/libcrosslink/forward/runner_price.cpp
@@ -68,22 +68,18 @@
 known_load(const RunnerEntry& entry, const RunnerQuery& query,
            const FleetLoad& fleet)
 {
-    const auto instances =
-        std::max<double>(static_cast<double>(query.instances), 1);
+    const double alike =
+        std::max(1.0, static_cast<double>(query.instances) / zones);
     KnownLoad known;
-    known.add(entry.own, 1);
     if (!fleet.others_known) {
-        // Each of the others sends as much as this one, to all runners alike.
-        known.calls += fleet.own_calls * (instances - 1);
-        known.tokens += fleet.own_tokens * (instances - 1);
-        known.resident += fleet.own_resident * (instances - 1);
+        known.add(entry.own, alike);
         return known;
     }
+    known.add(entry.own, 1);
     known.add(entry.others, 1);
     // What this instance sent since the others told their load, those that see
     // the same runner as the best one have sent too.
-    const double choosers =
-        std::clamp<double>(instances / zones, 1, most_choosers);
+    const double choosers = std::min<double>(alike, most_choosers);
     known.add(entry.untold, choosers - 1);
     return known;
 }
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -198,7 +198,7 @@
             candidates.push_back(&entry);
     if (candidates.empty())
         return std::nullopt;
-    const FleetLoad fleet = fleet_load(candidates, query);
+    const FleetLoad fleet = fleet_load(query);
     sample(candidates, query);
     const RunnerEntry* chosen = cheapest(candidates, query, fleet);
     return RunnerPick{chosen->listed.id, chosen->listed.address,
@@ -251,20 +251,13 @@
         m_holding[entry->listed.service].add(resident, span);
 }
 
-/// Returns what is known of the load of all candidates.
+/// Returns what is known of the load of all runners of the service.
 FleetLoad
-RunnerTable::fleet_load(const Candidates& candidates,
-                        const RunnerQuery& query) const
+RunnerTable::fleet_load(const RunnerQuery& query) const
 {
     FleetLoad fleet;
     fleet.others_known = m_others_known && query.now - m_others_at < told_holds;
     fleet.holding_time = holding_time(query.service);
-    const auto count = static_cast<double>(candidates.size());
-    for (const RunnerEntry* entry : candidates) {
-        fleet.own_calls += entry->own.calls / count;
-        fleet.own_tokens += static_cast<double>(entry->own.tokens) / count;
-        fleet.own_resident += static_cast<double>(entry->own.resident) / count;
-    }
     return fleet;
 }
 
