--- a/src/include/crosslink/forward/queue_limit.h
+++ b/src/include/crosslink/forward/queue_limit.h
@@ -11,6 +11,9 @@
 namespace crosslink
 {
 
+/// A caller that was refused comes back after this time at least.
+inline constexpr Micros least_return = std::chrono::milliseconds(250);
+
 /// A call for a model that may be sent to a runner now.
 struct QueuedCall {
     /// Until the runner that was chosen takes it up. The time for its own
--- a/src/libcrosslink/forward/queue_limit.cpp
+++ b/src/libcrosslink/forward/queue_limit.cpp
@@ -18,8 +18,6 @@
 /// the callers' first try, on five days with losses, three seeds each: 0.90 at
 /// 0.1 of the objective, 0.91 at 0.2, 0.90 at 0.3; worth 0.682, 0.684, 0.662.
 constexpr double waiting_part = 0.2;
-/// Least time after which a caller may come back.
-constexpr Micros least_return = std::chrono::milliseconds(250);
 
 } // namespace
 
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -48,6 +48,16 @@
     return query;
 }
 
+/// A prompt that takes `resident` of the 70,000 tokens that a runner has.
+RunnerQuery
+query_of(std::uint64_t resident, int millis = 0)
+{
+    RunnerQuery asked = query(millis);
+    asked.memory_tokens = 70'000;
+    asked.resident = resident;
+    return asked;
+}
+
 std::string
 chosen(const RunnerTable& table, const RunnerQuery& asked)
 {
@@ -128,25 +138,18 @@
     RunnerTable table;
     table.put(runner("near", "a"));
     table.put(runner("far", "b"));
-    RunnerQuery ask = query();
-    ask.memory_tokens = 70'000;
     table.sent("near", 0, 35'000);
-    ask.resident = 12'000;
-    CHECK(chosen(table, ask) == "near");
-    ask.resident = 45'000;
-    CHECK(chosen(table, ask) == "far");
+    CHECK(chosen(table, query_of(12'000)) == "near");
+    CHECK(chosen(table, query_of(45'000)) == "far");
     table.ended("near", 35'000);
-    CHECK(chosen(table, ask) == "near");
+    CHECK(chosen(table, query_of(45'000)) == "near");
 }
 
 TEST_CASE("at an idle runner nothing is waited for, however large the prompt")
 {
     RunnerTable table;
     table.put(runner("r", "a"));
-    RunnerQuery ask = query();
-    ask.memory_tokens = 70'000;
-    ask.resident = 200'000;
-    CHECK(table.choose(ask)->wait == Micros(0));
+    CHECK(table.choose(query_of(200'000))->wait == Micros(0));
 }
 
 TEST_CASE("memory of calls that other instances sent counts as the own does")
@@ -154,24 +157,18 @@
     RunnerTable table;
     table.put(runner("near", "a"));
     table.put(runner("far", "b"));
-    RunnerQuery ask = query(100);
-    ask.memory_tokens = 70'000;
-    ask.resident = 12'000;
     table.others_told({{"near", {4, 0, 68'000}}}, at(0));
-    CHECK(chosen(table, ask) == "far");
+    CHECK(chosen(table, query_of(12'000, 100)) == "far");
 }
 
 TEST_CASE("the wait for memory is as long as calls have held theirs")
 {
     RunnerTable table;
     table.put(runner("r", "a"));
-    RunnerQuery ask = query();
-    ask.memory_tokens = 70'000;
-    ask.resident = 35'000;
     for (int i = 0; i < 60; ++i)
         table.ran("r", 12'000, std::chrono::seconds(4));
     table.sent("r", 0, 70'000);
-    const double wait = seconds(table.choose(ask)->wait);
+    const double wait = seconds(table.choose(query_of(35'000))->wait);
     CHECK(wait > 1.5);
     CHECK(wait < 2.5);
 }
@@ -185,9 +182,7 @@
         table.put(runner(id, "a"));
         load[id] = {10, 0, i == 7 ? 0U : 70'000U};
     }
-    RunnerQuery ask = query(600);
-    ask.memory_tokens = 70'000;
-    ask.resident = 4000;
+    RunnerQuery ask = query_of(4000, 600);
     ask.instances = 80;
     const auto times_chosen = [&] {
         int count = 0;
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -71,12 +71,11 @@
 }
 
 KeptNear
-CallPrompt::near(const KeptSpace& space, std::string_view service)
+CallPrompt::near(const KeptSpace& space, const ServiceMap& map,
+                 const EngineInfo& engine)
 {
     const auto parts = m_call.generation->shared_parts();
-    const auto map = m_state.map();
-    const auto engine = map->engines.find(service);
-    if (parts.empty() || engine == map->engines.end())
+    if (parts.empty())
         return {};
     const auto answer = m_kept.look(space, parts);
     if (!answer)
@@ -84,14 +83,14 @@
     KeptNear near;
     SecondsByZone seconds_by_zone;
     for (std::size_t i = 0; i < parts.size(); ++i) {
-        const KeptStoreInfo* store = map->find_store(answer->places[i].store);
+        const KeptStoreInfo* store = map.find_store(answer->places[i].store);
         if (!store)
             continue;
         near.fetched_tokens += parts[i].tokens;
         if (store->link_bytes_per_second > 0)
             seconds_by_zone[store->zone] +=
-                static_cast<double>(parts[i].tokens) *
-                engine->second.token_bytes / store->link_bytes_per_second;
+                static_cast<double>(parts[i].tokens) * engine.token_bytes /
+                store->link_bytes_per_second;
     }
     add_longest(near, seconds_by_zone);
     return near;
--- a/src/serve/forward/call_prompt.h
+++ b/src/serve/forward/call_prompt.h
@@ -28,8 +28,10 @@
     CallPrompt(ForwardState& state, KeptAsker& kept, const ForwardedCall& call,
                Micros objective);
 
-    /// Returns the zone from which the runner of `service` would fetch most.
-    KeptNear near(const KeptSpace& space, std::string_view service);
+    /// Returns the zone from which a runner that is such an `engine` would
+    /// fetch most, of the stores of `map`.
+    KeptNear near(const KeptSpace& space, const ServiceMap& map,
+                  const EngineInfo& engine);
     /// Learns where the shared parts lie whose KV is of `space`, and adds to
     /// `terms` what the runner is to do with them. The call must be a
     /// generation that ends within `time_left`.
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -34,8 +34,6 @@
 constexpr int part_silent = 2;
 /// Least time between two looks for a runner: others may take its first place.
 constexpr Micros wait_step = std::chrono::milliseconds(15);
-/// A caller that was refused comes back after this time at least.
-constexpr Micros come_back = std::chrono::milliseconds(250);
 /// Where no runner may take the call, one must load weights first, or start:
 /// loading takes 1.1 to 2.6 s, and several do at once.
 constexpr Micros come_back_unknown = std::chrono::seconds(1);
@@ -147,7 +145,7 @@
 {
     if (!m_next_chance)
         return come_back_unknown;
-    return std::max(come_back, *m_next_chance - monotonic_now());
+    return std::max(least_return, *m_next_chance - monotonic_now());
 }
 
 ForwardRun::Outcome
@@ -349,7 +347,7 @@
     case Outcome::NotRun:
     case Outcome::Misdirected:
         throw Error(ErrorCode::UpstreamRefused, "runners have no room",
-                    RunState::RefusedBeforeRun, come_back);
+                    RunState::RefusedBeforeRun, least_return);
     default:
         throw Error(ErrorCode::NoUpstream, "no runner takes work",
                     RunState::NotDispatched, time_to_chance());
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -91,15 +91,16 @@
 void
 RunnerChoice::add_prompt(RunnerQuery& query)
 {
-    const std::uint64_t version = std::max(m_newest, first_weights);
-    query.kept = m_prompt.near(space_of(version), m_service);
     query.tokens = m_call.generation->prompt_tokens;
-    query.tokens -= std::min(query.tokens, query.kept.fetched_tokens);
     query.resident = m_call.generation->resident_tokens();
     const auto map = m_state.map();
     const auto engine = map->engines.find(m_service);
-    if (engine != map->engines.end())
-        query.memory_tokens = engine->second.memory_tokens;
+    if (engine == map->engines.end())
+        return;
+    query.memory_tokens = engine->second.memory_tokens;
+    const std::uint64_t version = std::max(m_newest, first_weights);
+    query.kept = m_prompt.near(space_of(version), *map, engine->second);
+    query.tokens -= std::min(query.tokens, query.kept.fetched_tokens);
 }
 
 KeptSpace
