--- a/src/include/crosslink/forward/load_board.h
+++ b/src/include/crosslink/forward/load_board.h
@@ -14,6 +14,14 @@
 namespace crosslink
 {
 
+/// What an instance told longer ago says nothing of now; it is told several
+/// times a second.
+constexpr Micros load_holds = std::chrono::seconds(1);
+
+/// Adds `load` to `sum`, runner by runner.
+void add_load(std::map<std::string, RunnerLoad>& sum,
+              const std::map<std::string, RunnerLoad>& load);
+
 /// The load that each instance gives to each runner, as the instances tell it
 /// a few times a second.
 class LoadBoard
@@ -25,6 +33,11 @@
     /// Returns the sum of what all others told lately, by runner.
     std::map<std::string, RunnerLoad> others(std::string_view instance,
                                              TimePoint now) const;
+    /// Returns the sum of what all told lately, by runner.
+    std::map<std::string, RunnerLoad> sum(TimePoint now) const
+    {
+        return others({}, now);
+    }
 
 private:
     struct Told {
--- a/src/include/crosslink/kept/kept_replica.h
+++ b/src/include/crosslink/kept/kept_replica.h
@@ -9,6 +9,7 @@
 #include <crosslink/kept/runner_clock.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -40,7 +41,8 @@
     std::uint64_t term = 0;  ///< Of the holder.
     std::uint64_t place = 0; ///< Where the next update goes on.
     bool whole = false;      ///< Entries that are not named are told no more.
-    RunnerMillis clock = 0;  ///< The runners' clock at the update.
+    RunnerMillis clock = 0;  ///< The runners' clock as the holder told it.
+    Micros age{0};           ///< Time since then, where others handed it on.
     std::vector<KeptEntry> entries;
 };
 
@@ -50,8 +52,13 @@
 class KeptReplica
 {
 public:
-    /// Takes in an update that was asked for at `asked`.
+    /// Takes in an update that was asked for at `asked`. One of an earlier
+    /// holder than the last one is passed over.
     void take(const KeptUpdate& update, TimePoint asked);
+    /// Returns at `now` what changed since `place` of the holder with `term`,
+    /// for an instance that learns it from this one.
+    KeptUpdate update_since(std::uint64_t term, std::uint64_t place,
+                            TimePoint now) const;
     /// Returns where the next update goes on: term and place.
     std::pair<std::uint64_t, std::uint64_t> position() const
     {
@@ -65,8 +72,20 @@
                                    bool best_effort, TimePoint now) const;
 
 private:
+    /// A change with the place of the update that brought it.
+    struct Change {
+        std::uint64_t place = 0;
+        KeptEntry entry;
+    };
+
+    void apply(const KeptEntry& entry);
+    void remember(std::uint64_t place, const KeptEntry& entry);
+    std::vector<KeptEntry> all() const;
+
     std::uint64_t m_term = 0;
     std::uint64_t m_place = 0;
+    std::uint64_t m_first = 0;    ///< Changes after this place are remembered.
+    std::deque<Change> m_changes; ///< Oldest first.
     RunnerClock m_clock;
     std::map<KeptKey, std::string> m_places; ///< Store addresses.
     std::set<std::uint64_t> m_terms;         ///< Of all spaces.
--- a/src/include/crosslink/kept/runner_clock.h
+++ b/src/include/crosslink/kept/runner_clock.h
@@ -27,6 +27,8 @@
     bool is_known() const { return m_told != 0; }
     /// Returns what was told last; 0 before.
     RunnerMillis told() const { return m_told; }
+    /// Returns when it was told.
+    TimePoint told_at() const { return m_told_at; }
     /// Returns the clock at `now`, which is not before it was told; 0 where it
     /// is not known.
     RunnerMillis at(TimePoint now) const;
--- /dev/null
+++ b/src/include/crosslink/membership/news_log.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/membership/news_page.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace crosslink
+{
+
+/// What an instance knows of the platform's store, and the latest changes, for
+/// instances that learn them from it. It never goes back: a page that does not
+/// go on where the log stands is not taken.
+class NewsLog
+{
+public:
+    /// Takes in a page. Returns false, and changes nothing, where it does not
+    /// go on from place(), or is older than what is known.
+    bool take(const NewsPage& page);
+    /// Returns the revision up to which all is known; nothing before the first
+    /// whole page.
+    std::optional<std::uint64_t> place() const { return m_place; }
+    /// Returns what follows `place`: the changes where they are remembered,
+    /// else all there is. Without entries where nothing is known, or where
+    /// `place` lies ahead of this log.
+    NewsPage since(std::optional<std::uint64_t> place) const;
+
+private:
+    void take_whole(const NewsPage& page);
+    NewsPage whole() const;
+
+    std::optional<std::uint64_t> m_place;
+    std::uint64_t m_first = 0;       ///< Changes after it are remembered.
+    std::deque<NewsEntry> m_changes; ///< In the order of their revisions.
+    std::map<std::string, NewsEntry> m_known;
+};
+
+} // namespace crosslink
--- a/src/include/crosslink/ports/duty_registry.h
+++ b/src/include/crosslink/ports/duty_registry.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/membership/instance_info.h>
 
 #include <cstdint>
 #include <optional>
@@ -37,9 +38,8 @@
     hold(std::string_view duty, std::string_view address, Micros span) = 0;
     /// Gives the lease back, where this instance holds it.
     virtual void release(std::string_view duty) = 0;
-    /// Lists this instance as present for `span`, or extends that.
-    virtual void present(std::string_view id, std::string_view address,
-                         Micros span) = 0;
+    /// Lists this instance, `own`, as present for `span`, or extends that.
+    virtual void present(const InstanceInfo& own, Micros span) = 0;
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -6,11 +6,12 @@
 #include <crosslink/base/time.h>
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/forward/service_map.h>
+#include <crosslink/membership/instance_info.h>
+#include <crosslink/membership/news_page.h>
 
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -53,10 +54,9 @@
     std::string id;
 };
 
-/// An entry instance that is present, or that left.
+/// An entry instance that is present, or that left: then its address is empty.
 struct InstanceListed {
-    std::string id;
-    std::string address; ///< For its peers; empty where it left.
+    InstanceInfo instance;
 };
 
 /// Who holds the duty lease of a name; empty address for nobody.
@@ -70,13 +70,6 @@
     std::variant<MapNamed, WeightsNamed, WeightsRecorded, RolloutMarked,
                  RunnerListed, RunnerGone, InstanceListed, DutyHolder>;
 
-/// Everything that the platform tells, or what changed after a place.
-struct FleetNews {
-    std::vector<FleetChange> changes;
-    std::uint64_t place = 0; ///< Where the next wait() goes on.
-    bool whole = false;      ///< What is not named here is gone.
-};
-
 /// What the platform tells every instance: the operator's configuration, the
 /// named weights, the runners, and the fleet itself. read() and wait() block,
 /// and throw Error with PlatformUnavailable, PlatformThrottled or
@@ -87,16 +80,13 @@
     virtual ~FleetFeed() = default;
 
     /// Returns all there is now.
-    virtual FleetNews read() = 0;
+    virtual NewsPage read() = 0;
     /// Waits up to `longest` for changes after `place`. Where the platform
-    /// has forgotten them, returns all there is, with `whole`.
-    virtual FleetNews wait(std::uint64_t place, Micros longest) = 0;
-    /// Returns what is known as a text for another instance's load(); empty
-    /// before the first reading.
-    virtual std::string snapshot() = 0;
-    /// Returns all there is in another instance's snapshot(). It may be old:
-    /// read() is still due. Throws Error(BadJson).
-    virtual FleetNews load(std::string_view snapshot) = 0;
+    /// has forgotten them, returns all there is.
+    virtual NewsPage wait(std::uint64_t place, Micros longest) = 0;
+    /// Returns what the entries of `page` mean, in their order. Those that mean
+    /// nothing here, or can't be read, are left out; the latter are logged.
+    virtual std::vector<FleetChange> decode(const NewsPage& page) const = 0;
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/load_board.cpp
+++ b/src/libcrosslink/forward/load_board.cpp
@@ -6,21 +6,24 @@
 namespace crosslink
 {
 
-namespace
+void
+add_load(std::map<std::string, RunnerLoad>& sum,
+         const std::map<std::string, RunnerLoad>& load)
 {
-
-/// What was told longer ago says nothing of now; it is told several times a
-/// second.
-constexpr Micros told_holds = std::chrono::seconds(1);
-
-} // namespace
+    for (const auto& [runner, item] : load) {
+        RunnerLoad& total = sum[runner];
+        total.calls += item.calls;
+        total.tokens += item.tokens;
+        total.resident += item.resident;
+    }
+}
 
 void
 LoadBoard::told(std::string_view instance,
                 const std::map<std::string, RunnerLoad>& own, TimePoint now)
 {
     std::erase_if(m_instances, [now](const auto& item) {
-        return now - item.second.at > told_holds;
+        return now - item.second.at > load_holds;
     });
     m_instances[std::string(instance)] = {own, now};
 }
@@ -30,14 +33,9 @@
 {
     std::map<std::string, RunnerLoad> sum;
     for (const auto& [name, told] : m_instances) {
-        if (name == instance || now - told.at > told_holds)
+        if (name == instance || now - told.at > load_holds)
             continue;
-        for (const auto& [runner, load] : told.load) {
-            RunnerLoad& total = sum[runner];
-            total.calls += load.calls;
-            total.tokens += load.tokens;
-            total.resident += load.resident;
-        }
+        add_load(sum, told.load);
     }
     return sum;
 }
--- a/src/libcrosslink/kept/kept_replica.cpp
+++ b/src/libcrosslink/kept/kept_replica.cpp
@@ -13,6 +13,9 @@
 
 /// A fetch needs some time: what holds for less is not used.
 constexpr RunnerMillis least_left = 300;
+/// Changes that are remembered for instances that learn from this one. One that
+/// missed more gets the whole directory, some ten kilobytes.
+constexpr std::size_t most_changes = 2000;
 
 } // namespace
 
@@ -21,26 +24,79 @@
 {
     if (!update.ready || update.clock == 0)
         return;
+    if (update.term < m_term || (!update.whole && update.term != m_term))
+        return;
     if (update.whole) {
         m_places.clear();
         m_terms.clear();
-    } else if (update.term != m_term) {
-        return;
+        m_changes.clear();
+        m_first = update.place;
     }
     m_term = update.term;
     m_place = update.place;
     // Counted from the question on, the clock is never told too early.
-    m_clock.set(update.clock, asked);
+    m_clock.set(update.clock, asked - update.age);
     for (const KeptEntry& entry : update.entries) {
-        const KeptKey key{entry.space, entry.id};
-        if (entry.store.empty()) {
-            m_places.erase(key);
-            continue;
-        }
-        m_places[key] = entry.store;
-        if (const auto space = KeptSpace::parse(entry.space))
-            m_terms.insert(space->term);
+        apply(entry);
+        if (!update.whole)
+            remember(update.place, entry);
+    }
+}
+
+void
+KeptReplica::apply(const KeptEntry& entry)
+{
+    const KeptKey key{entry.space, entry.id};
+    if (entry.store.empty()) {
+        m_places.erase(key);
+        return;
+    }
+    m_places[key] = entry.store;
+    if (const auto space = KeptSpace::parse(entry.space))
+        m_terms.insert(space->term);
+}
+
+void
+KeptReplica::remember(std::uint64_t place, const KeptEntry& entry)
+{
+    m_changes.push_back({place, entry});
+    while (m_changes.size() > most_changes) {
+        m_first = m_changes.front().place;
+        m_changes.pop_front();
+    }
+}
+
+std::vector<KeptEntry>
+KeptReplica::all() const
+{
+    std::vector<KeptEntry> entries;
+    entries.reserve(m_places.size());
+    for (const auto& [key, store] : m_places)
+        entries.push_back({key.first, key.second, store});
+    return entries;
+}
+
+KeptUpdate
+KeptReplica::update_since(std::uint64_t term, std::uint64_t place,
+                          TimePoint now) const
+{
+    KeptUpdate update;
+    if (!m_clock.is_known())
+        return update;
+    update.ready = true;
+    update.term = m_term;
+    update.clock = m_clock.told();
+    update.age = now - m_clock.told_at();
+    update.whole = term != m_term || place < m_first;
+    update.place = update.whole ? m_place : std::max(place, m_place);
+    if (update.whole) {
+        update.entries = all();
+        return update;
     }
+    for (const Change& change : m_changes)
+        if (change.place > place)
+            update.entries.push_back(change.entry);
+    return update;
 }
 
 std::optional<KeptAnswer>
--- /dev/null
+++ b/src/libcrosslink/kept/kept_replica_test.cpp
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/kept/kept_replica.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+namespace
+{
+
+const KeptSpace space{"", "m", 1, 7};
+
+TimePoint
+at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(100'000 + millis));
+}
+
+KeptUpdate
+update(std::uint64_t place, bool whole, RunnerMillis clock,
+       std::vector<KeptEntry> entries)
+{
+    KeptUpdate told;
+    told.ready = true;
+    told.term = 7;
+    told.place = place;
+    told.whole = whole;
+    told.clock = clock;
+    told.entries = std::move(entries);
+    return told;
+}
+
+KeptEntry
+kept(const std::string& id, const std::string& store)
+{
+    return {space.text(), id, store};
+}
+
+/// Where the part `id` lies, as `replica` knows; empty for nowhere.
+std::string
+store_of(const KeptReplica& replica, const std::string& id, TimePoint now)
+{
+    const std::vector<PromptPart> parts{{id, 100}};
+    const auto answer = replica.find(space, parts, true, now);
+    return answer ? answer->places[0].store : std::string();
+}
+
+/// Lets `child` learn from `parent` at `now`.
+void
+learn(KeptReplica& child, const KeptReplica& parent, TimePoint now)
+{
+    const auto [term, place] = child.position();
+    child.take(parent.update_since(term, place, now), now);
+}
+
+} // namespace
+
+TEST_CASE("a copy is handed on whole, and then change by change")
+{
+    KeptReplica parent;
+    KeptReplica child;
+    CHECK_FALSE(parent.update_since(0, 0, at(0)).ready);
+    parent.take(update(5, true, 1000, {kept("a", "s1"), kept("b", "s1")}),
+                at(0));
+    CHECK(parent.update_since(0, 0, at(10)).whole);
+    learn(child, parent, at(10));
+    CHECK(store_of(child, "a", at(20)) == "s1");
+    parent.take(update(7, false, 1200, {kept("a", ""), kept("c", "s2")}),
+                at(200));
+    const KeptUpdate next = parent.update_since(7, 5, at(210));
+    CHECK_FALSE(next.whole);
+    CHECK(next.entries.size() == 2);
+    learn(child, parent, at(210));
+    CHECK(store_of(child, "a", at(220)).empty());
+    CHECK(store_of(child, "b", at(220)) == "s1");
+    CHECK(store_of(child, "c", at(220)) == "s2");
+    CHECK(parent.update_since(7, 7, at(230)).entries.empty());
+}
+
+TEST_CASE("what is handed on holds no longer than what the holder told")
+{
+    const RunnerMillis told = 1000;
+    KeptReplica parent;
+    parent.take(update(5, true, told, {kept("a", "s1")}), at(0));
+    KeptReplica child;
+    learn(child, parent, at(2000));
+    const std::vector<PromptPart> parts{{"a", 100}};
+    const auto answer = child.find(space, parts, true, at(2100));
+    REQUIRE(answer);
+    const auto holds = static_cast<RunnerMillis>(kept_answer_time.count());
+    CHECK(answer->places[0].until == told + holds);
+    CHECK(answer->clock == told + 2100);
+    // However often it is handed on.
+    KeptReplica grandchild;
+    learn(grandchild, child, at(2900));
+    CHECK_FALSE(grandchild.find(space, parts, true, at(2900)));
+}
+
+TEST_CASE("a copy does not go back to an earlier holder's")
+{
+    KeptReplica behind;
+    behind.take(update(5, true, 1000, {kept("a", "s1")}), at(0));
+    KeptUpdate later = update(1, true, 1100, {kept("b", "s2")});
+    later.term = 9;
+    KeptReplica copy;
+    copy.take(later, at(100));
+    learn(copy, behind, at(110));
+    CHECK(copy.position() == std::pair<std::uint64_t, std::uint64_t>{9, 1});
+    CHECK(store_of(copy, "a", at(120)).empty());
+}
+
+TEST_CASE("a copy that knows more than its parent keeps what it knows")
+{
+    KeptReplica behind;
+    KeptReplica copy;
+    const KeptUpdate first = update(5, true, 1000, {kept("a", "s1")});
+    behind.take(first, at(0));
+    copy.take(first, at(0));
+    copy.take(update(6, false, 1100, {kept("a", "")}), at(100));
+    learn(copy, behind, at(150));
+    CHECK(copy.position().second == 6);
+    CHECK(store_of(copy, "a", at(160)).empty());
+}
+
+TEST_CASE("a copy that forgot changes hands on all there is")
+{
+    KeptReplica parent;
+    parent.take(update(0, true, 1000, {}), at(0));
+    constexpr std::uint64_t many = 5000;
+    for (std::uint64_t place = 1; place <= many; ++place)
+        parent.take(update(place, false, 1000, {kept("a", "s1")}), at(0));
+    const KeptUpdate all = parent.update_since(7, 2, at(1));
+    CHECK(all.whole);
+    CHECK(all.place == many);
+    CHECK(all.entries.size() == 1);
+    CHECK_FALSE(parent.update_since(7, many - 1, at(1)).whole);
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/membership/fleet_tree.cpp
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/membership/fleet_tree.h>
+
+#include <crosslink/membership/rendezvous.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Orders `instances` by their weight for `key`, highest first; those with
+/// weak links stand last.
+void
+order_by_weight(std::vector<InstanceInfo>& instances, std::string_view key)
+{
+    const auto rank = [key](const InstanceInfo& instance) {
+        return std::tuple(instance.link_mbps >= strong_link_mbps,
+                          rendezvous_weight(key, instance.name),
+                          std::string_view(instance.name));
+    };
+    std::sort(instances.begin(), instances.end(),
+              [&rank](const InstanceInfo& a, const InstanceInfo& b) {
+                  return rank(a) > rank(b);
+              });
+}
+
+} // namespace
+
+FleetTree::FleetTree(std::span<const InstanceInfo> instances,
+                     std::string holder)
+    : m_instances(instances.begin(), instances.end()),
+      m_holder(std::move(holder))
+{
+}
+
+/// Returns the instances that the others of `zone` ask; none in a small fleet.
+std::vector<InstanceInfo>
+FleetTree::zone_relays(std::string_view zone) const
+{
+    if (m_instances.size() <= most_children)
+        return {};
+    std::vector<InstanceInfo> relays;
+    for (const InstanceInfo& instance : m_instances)
+        if (instance.zone == zone && instance.address != m_holder)
+            relays.push_back(instance);
+    order_by_weight(relays, zone);
+    const std::size_t wanted =
+        (relays.size() + most_children - 1) / most_children;
+    relays.resize(std::min(wanted, relays.size()));
+    return relays;
+}
+
+std::vector<std::string>
+FleetTree::parents(std::string_view name, std::string_view zone,
+                   std::string_view own) const
+{
+    std::vector<std::string> addresses;
+    if (!relays(name, zone)) {
+        std::vector<InstanceInfo> near = zone_relays(zone);
+        order_by_weight(near, name);
+        for (const InstanceInfo& instance : near)
+            addresses.push_back(instance.address);
+    }
+    if (!m_holder.empty())
+        addresses.push_back(m_holder);
+    std::erase(addresses, own);
+    return addresses;
+}
+
+bool
+FleetTree::relays(std::string_view name, std::string_view zone) const
+{
+    const std::vector<InstanceInfo> relays = zone_relays(zone);
+    return std::any_of(
+        relays.begin(), relays.end(),
+        [name](const InstanceInfo& instance) { return instance.name == name; });
+}
+
+} // namespace crosslink
--- a/src/serve/forward/change_taker.cpp
+++ b/src/serve/forward/change_taker.cpp
@@ -102,12 +102,13 @@
 void
 ChangeTaker::operator()(const InstanceListed& change)
 {
-    m_instances.insert(change.id);
+    const InstanceInfo& instance = change.instance;
+    m_instances.insert(instance.name);
     m_state.fleet.with([&](FleetView& view) {
-        if (change.address.empty())
-            view.instances.erase(change.id);
+        if (instance.address.empty())
+            view.instances.erase(instance.name);
         else
-            view.instances[change.id] = change.address;
+            view.instances[instance.name] = instance;
     });
 }
 
--- a/src/serve/forward/exchange.h
+++ b/src/serve/forward/exchange.h
@@ -5,9 +5,11 @@
 
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/kept/kept_replica.h>
+#include <crosslink/membership/news_page.h>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,13 +23,17 @@
     Micros age{0};
 };
 
-/// What an instance tells the holder of the duty a few times a second.
+/// What an instance tells its parent in the fleet's tree a few times a second:
+/// the holder of the duty, or an instance that asks the holder for others too.
 struct ExchangeQuestion {
     std::string instance;
-    std::map<std::string, RunnerLoad> load; ///< That it gives to runners.
+    /// That it gives to runners, with that of the instances which ask it.
+    std::map<std::string, RunnerLoad> load;
     std::uint64_t kept_term = 0; ///< Position of its copy of the directory.
     std::uint64_t kept_place = 0;
     std::vector<WeightsAge> weights;
+    /// Up to where it knows the platform's store; nothing before all of it.
+    std::optional<std::uint64_t> news_place;
 };
 
 /// Weights that a runner has by its own word.
@@ -47,6 +53,9 @@
     KeptUpdate kept;
     std::vector<WeightsAge> weights; ///< As the first instance heard of them.
     bool platform_reached = false; ///< The holder gets the platform's answers.
+    Micros age{0};      ///< Since the holder of the duty told what stands here.
+    NewsPage news;      ///< Of the platform's store, after the place asked for.
+    Micros news_age{0}; ///< Since the platform last told that `news` is all.
 };
 
 } // namespace crosslink
--- a/src/serve/forward/exchange_duty.cpp
+++ b/src/serve/forward/exchange_duty.cpp
@@ -27,14 +27,11 @@
 /// A prompt of 9,000 tokens is read in 160 ms: a picture older than that is
 /// of little use.
 constexpr Micros exchange_pause = std::chrono::milliseconds(150);
-/// In a large fleet each instance has a small part of the load, and the holder
-/// of the duty answers all of them: with this pause for each instance it gives
-/// 500 answers a second, whatever the fleet's size, until the longest pause is
-/// reached. Older pictures let instances crowd at one runner.
-constexpr Micros pause_for_instance = std::chrono::milliseconds(2);
-/// What the others told counts for a second.
-constexpr Micros longest_pause = std::chrono::milliseconds(400);
 constexpr Micros after_failure = std::chrono::milliseconds(400);
+/// Where there is another parent to ask.
+constexpr Micros before_next_parent = std::chrono::milliseconds(20);
+/// A parent that failed is asked last for so long.
+constexpr Micros avoided_for = std::chrono::seconds(2);
 /// As long as nothing is known of what is kept, all prompts are read whole.
 constexpr Micros after_failure_unlearned = std::chrono::milliseconds(80);
 /// After so many exchanges that failed another instance is asked who has the
@@ -45,30 +42,80 @@
 
 } // namespace
 
-ExchangeDuty::ExchangeDuty(ForwardState& state, StewardLink& steward)
-    : m_state(state), m_steward(steward),
+ExchangeDuty::ExchangeDuty(ForwardState& state, Steward& steward,
+                           ExchangeDesk& desk, NewsIntake& news)
+    : m_state(state), m_steward(steward), m_desk(desk), m_news(news),
       m_duty("exchange", [this] { return round(); })
 {
 }
 
-/// Returns what this instance tells the duty's holder, without the weights.
+/// Returns what this instance tells its parent.
 ExchangeQuestion
-ExchangeDuty::question()
+ExchangeDuty::question(TimePoint now)
 {
     ExchangeQuestion question;
     question.instance = m_state.settings.name;
-    question.load = m_state.runners.with(
-        [](RunnerTable& table) { return table.own_load(); });
+    // Only those that are to be asked speak for others: of two that asked each
+    // other, each would count the other's load as its own.
+    if (m_state.relays())
+        question.load = m_desk.group_load(now);
+    else
+        question.load = m_state.runners.with(
+            [](RunnerTable& table) { return table.own_load(); });
     std::tie(question.kept_term, question.kept_place) = m_state.kept.with(
         [](KeptReplica& replica) { return replica.position(); });
+    question.weights = m_state.weights_ages(now);
+    question.news_place = m_news.place();
     return question;
 }
 
-/// Takes in what the duty's holder answered to a question of `asked`.
+/// Returns the address of the parent to ask at `now`; empty for none. Those
+/// that failed a moment ago come last, the earliest of them first.
+std::string
+ExchangeDuty::choose_parent(TimePoint now)
+{
+    std::erase_if(m_avoided,
+                  [now](const auto& item) { return item.second <= now; });
+    const ForwardSettings& settings = m_state.settings;
+    const std::vector<std::string> parents = m_state.fleet_tree().parents(
+        settings.name, settings.zone, settings.peer_address());
+    const auto avoided_until = [this](const std::string& address) {
+        const auto found = m_avoided.find(address);
+        return found == m_avoided.end() ? TimePoint{} : found->second;
+    };
+    const auto best =
+        std::min_element(parents.begin(), parents.end(),
+                         [&](const std::string& a, const std::string& b) {
+                             return avoided_until(a) < avoided_until(b);
+                         });
+    return best == parents.end() ? std::string() : *best;
+}
+
+ExchangeAnswer
+ExchangeDuty::ask(const ExchangeQuestion& question)
+{
+    if (m_steward.answers()) {
+        m_parent.clear();
+        return m_steward.exchange(question);
+    }
+    const std::string parent = choose_parent(monotonic_now());
+    if (parent.empty())
+        throw Error(ErrorCode::LeaseLost, "no instance to ask is known");
+    if (parent != m_parent || !m_client) {
+        m_client = std::make_unique<FleetClient>(parent);
+        LogLine("parent_chosen").field("address", parent);
+    }
+    m_parent = parent;
+    return m_client->exchange(question);
+}
+
+/// Takes in what the parent answered to a question of `asked`.
 void
 ExchangeDuty::take(const ExchangeAnswer& answer, TimePoint asked)
 {
     const TimePoint now = monotonic_now();
+    m_desk.parent_told(answer, asked);
+    m_news.told_by_instance(answer.news, asked - answer.news_age);
     m_state.runners.with([&](RunnerTable& table) {
         table.others_told(answer.others, now);
         for (const std::string& runner : answer.loading)
@@ -85,29 +132,49 @@
             [now](FleetView& view) { view.reach.reached_by_another(now); });
 }
 
+/// Avoids a parent that has lost the holder of the duty, or its own parent.
+void
+ExchangeDuty::judge(const ExchangeAnswer& answer, TimePoint now)
+{
+    if (!m_parent.empty() && answer.age > load_holds)
+        m_avoided[m_parent] = now + avoided_for;
+}
+
 Micros
 ExchangeDuty::round()
 {
-    ExchangeQuestion told = question();
     const TimePoint asked = monotonic_now();
-    told.weights = m_state.weights_ages(asked);
+    const ExchangeQuestion told = question(asked);
     try {
-        const ExchangeAnswer answer = m_steward.with(
-            [&](auto& steward) { return steward.exchange(told); });
+        const ExchangeAnswer answer = ask(told);
         take(answer, asked);
+        judge(answer, monotonic_now());
         m_failures = 0;
-        return std::clamp(pause_for_instance *
-                              static_cast<int>(m_state.instance_count()),
-                          exchange_pause, longest_pause);
+        return exchange_pause;
     } catch (const std::exception& failure) {
-        // Without the duty's holder the own load is all that is known.
-        spdlog::debug("exchange: {}", failure.what());
-        if (++m_failures >= failures_to_ask)
-            ask_for_holder();
-        return told.kept_term == 0 ? after_failure_unlearned : after_failure;
+        return failed(failure);
     }
 }
 
+/// Returns the pause after an exchange that failed. Without the others the own
+/// load is all that is known.
+Micros
+ExchangeDuty::failed(const std::exception& failure)
+{
+    spdlog::debug("exchange with {}: {}", m_parent, failure.what());
+    const TimePoint now = monotonic_now();
+    if (!m_parent.empty())
+        m_avoided[m_parent] = now + avoided_for;
+    if (++m_failures >= failures_to_ask)
+        ask_for_holder();
+    const std::string next = choose_parent(now);
+    if (!next.empty() && !m_avoided.contains(next))
+        return before_next_parent;
+    const bool unlearned = m_state.kept.with(
+        [](KeptReplica& replica) { return replica.position().first == 0; });
+    return unlearned ? after_failure_unlearned : after_failure;
+}
+
 /// Asks one of the other instances who has the duty: the platform, which tells
 /// that first, may be out of reach from here.
 void
@@ -115,9 +182,9 @@
 {
     std::vector<std::string> others;
     m_state.fleet.with([&](FleetView& view) {
-        for (const auto& [name, address] : view.instances)
+        for (const auto& [name, instance] : view.instances)
             if (name != m_state.settings.name)
-                others.push_back(address);
+                others.push_back(instance.address);
     });
     if (others.empty())
         return;
--- a/src/serve/forward/exchange_duty.h
+++ b/src/serve/forward/exchange_duty.h
@@ -4,30 +4,48 @@
 #pragma once
 
 #include "exchange.h"
+#include "exchange_desk.h"
+#include "fleet_calls.h"
 #include "forward_state.h"
-#include "steward_link.h"
+#include "news_intake.h"
 
 #include <serve/duty.h>
 
+#include <map>
+#include <memory>
+#include <string>
+
 namespace crosslink
 {
 
-/// Tells the holder of the duty which load this instance gives to runners.
-/// Learns that of the others, which runners load new weights, and where parts
-/// of prompts are kept.
+/// Tells this instance's parent in the fleet's tree which load it gives to
+/// runners. Learns that of the others, what the platform tells, which runners
+/// load new weights, and where parts of prompts are kept.
 class ExchangeDuty
 {
 public:
-    ExchangeDuty(ForwardState& state, StewardLink& steward);
+    ExchangeDuty(ForwardState& state, Steward& steward, ExchangeDesk& desk,
+                 NewsIntake& news);
 
 private:
     Micros round();
-    ExchangeQuestion question();
+    ExchangeQuestion question(TimePoint now);
+    ExchangeAnswer ask(const ExchangeQuestion& question);
+    std::string choose_parent(TimePoint now);
     void take(const ExchangeAnswer& answer, TimePoint asked);
+    void judge(const ExchangeAnswer& answer, TimePoint now);
+    Micros failed(const std::exception& failure);
     void ask_for_holder();
 
     ForwardState& m_state;
-    StewardLink& m_steward;
+    Steward& m_steward;
+    ExchangeDesk& m_desk;
+    NewsIntake& m_news;
+    std::string m_parent;                  ///< Address; empty for none.
+    std::unique_ptr<FleetClient> m_client; ///< To the parent.
+    /// Parents that did not answer, or knew nothing new, and until when they
+    /// are asked last.
+    std::map<std::string, TimePoint> m_avoided;
     int m_failures = 0; ///< In a row.
     Duty m_duty;
 };
--- a/src/serve/forward/feed_duty.cpp
+++ b/src/serve/forward/feed_duty.cpp
@@ -6,12 +6,15 @@
 #include "fleet_calls.h"
 
 #include <adapters/clock.h>
+#include <adapters/random.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
 #include <crosslink/ports/duty_registry.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <string>
 
 namespace crosslink
 {
@@ -19,30 +22,35 @@
 namespace
 {
 
-/// Longest wait of one question. The platform may fall silent on a connection
-/// without closing it, and a change must be in force two seconds after the
-/// platform is stable again. Each question is a priced call.
+/// Longest wait of one question where nobody else depends on it. The platform
+/// may fall silent on a connection without closing it, and a change must be in
+/// force two seconds after the platform is stable again. Each question is a
+/// priced call.
 constexpr Micros longest_wait = std::chrono::milliseconds(1800);
+/// The same where others learn the news from here: they take this instance for
+/// cut off from the platform when it has heard nothing for 1.2 s, and the way
+/// to them takes 0.3 s.
+constexpr Micros longest_wait_for_others = std::chrono::milliseconds(400);
 /// Pause between two questions, so that changes in quick succession come
-/// together. Each change is told to each instance by a priced call: in a large
-/// fleet, where runners change often too, more of them come together. A change
-/// must be in force in two seconds.
+/// together.
 constexpr Micros least_pause = std::chrono::milliseconds(60);
-constexpr Micros longest_pause = std::chrono::milliseconds(400);
-constexpr Micros pause_per_instance = std::chrono::milliseconds(6);
-/// Entries of runners that lapsed while the platform was away are back within
-/// two seconds of its return, as its operators say; less the time in which a
-/// call reaches its runner.
-constexpr Micros lapsed_time = std::chrono::milliseconds(1800);
-constexpr Micros after_failure = std::chrono::milliseconds(250);
+/// Pause between two looks whether others still tell the news.
+constexpr Micros look_pause = std::chrono::milliseconds(100);
+/// When the news stop, those whom others ask turn to the platform at once, the
+/// others spread over this time: most are told again by then.
+constexpr Micros spread = std::chrono::milliseconds(300);
+constexpr Micros after_failure_time = std::chrono::milliseconds(250);
+/// While the platform is away, those whom nobody asks try it less often: they
+/// are told by others that it is back.
+constexpr Micros after_failure_below = std::chrono::milliseconds(1000);
 /// An instance that is gone is listed for this long at most.
 constexpr Micros presence_span = std::chrono::seconds(9);
 constexpr Micros presence_pause = std::chrono::seconds(3);
 
 } // namespace
 
-FeedDuty::FeedDuty(ForwardState& state, Steward& steward)
-    : m_state(state), m_steward(steward),
+FeedDuty::FeedDuty(ForwardState& state, NewsIntake& news)
+    : m_state(state), m_news(news),
       m_feed("feed", [this] { return feed_round(); }),
       m_presence("presence", [this] { return presence_round(); })
 {
@@ -51,38 +59,71 @@
 Micros
 FeedDuty::feed_round()
 {
+    if (const auto pause = leave_to_others())
+        return *pause;
     try {
-        const FleetNews news =
-            m_place ? m_state.ports.feed.wait(*m_place, longest_wait)
-                    : m_state.ports.feed.read();
-        m_place = news.place;
-        const TimePoint now = monotonic_now();
-        m_state.fleet.with(
-            [now](FleetView& view) { view.reach.regained(now); });
-        if (m_lost)
-            m_lapsed_until = now + lapsed_time;
-        m_state.take(news, now < m_lapsed_until ? std::optional(m_lapsed_until)
-                                                : std::nullopt);
-        m_steward.fleet_changed();
-        if (m_lost)
-            LogLine("platform_regained").field("place", news.place);
+        ask_platform();
         m_lost = false;
-        const auto instances =
-            static_cast<Micros::rep>(m_state.instance_count());
-        return std::clamp(pause_per_instance * instances, least_pause,
-                          longest_pause);
+        return least_pause;
     } catch (const Error& failure) {
         if (!m_lost)
             LogLine("platform_lost").field("error", failure.what());
-        m_state.fleet.with(
-            [](FleetView& view) { view.reach.lost(monotonic_now()); });
         m_lost = true;
+        m_news.lost();
         if (!m_state.map())
             ask_seeds();
-        return after_failure;
+        return after_failure();
     }
 }
 
+/// Returns for how long the platform's news are left to others to tell;
+/// nothing where this instance is to ask itself.
+std::optional<Micros>
+FeedDuty::leave_to_others()
+{
+    const TimePoint now = monotonic_now();
+    if (m_state.has_duty() || !m_news.place()) {
+        m_own_turn.reset();
+        return std::nullopt;
+    }
+    if (m_news.told_in_time(now)) {
+        m_own_turn.reset();
+        return look_pause;
+    }
+    if (!m_own_turn) {
+        m_own_turn = now;
+        if (!m_state.relays())
+            *m_own_turn += Micros(static_cast<Micros::rep>(
+                random_bits() % static_cast<std::uint64_t>(spread.count())));
+    }
+    if (now < *m_own_turn)
+        return std::min(look_pause, *m_own_turn - now);
+    return std::nullopt;
+}
+
+void
+FeedDuty::ask_platform()
+{
+    const bool asked_by_others = m_state.has_duty() || m_state.relays();
+    const auto place = m_news.place();
+    const TimePoint asked = monotonic_now();
+    const NewsPage page =
+        place ? m_state.ports.feed.wait(*place, asked_by_others
+                                                    ? longest_wait_for_others
+                                                    : longest_wait)
+              : m_state.ports.feed.read();
+    m_news.told_by_platform(page, asked);
+}
+
+Micros
+FeedDuty::after_failure()
+{
+    const bool is_first = !m_state.map();
+    if (is_first || m_state.has_duty() || m_state.relays())
+        return after_failure_time;
+    return after_failure_below;
+}
+
 /// At a start while the platform is away: what another instance knows is old
 /// at worst, and the configuration never goes back.
 void
@@ -95,10 +136,11 @@
         if (address == m_state.settings.peer_address())
             continue;
         try {
-            const std::string snapshot = FleetClient(address).snapshot();
-            if (snapshot.empty())
+            const TimePoint asked = monotonic_now();
+            const ToldNews told = FleetClient(address).news();
+            if (!told.page.whole)
                 continue;
-            m_state.take(m_state.ports.feed.load(snapshot));
+            m_news.told_by_instance(told.page, asked - told.age);
             LogLine("learned_from_instance").field("address", address);
             return;
         } catch (const Error& failure) {
@@ -114,8 +156,8 @@
 {
     if (m_state.stopping)
         return presence_pause;
-    m_state.ports.duties.present(
-        m_state.settings.name, m_state.settings.peer_address(), presence_span);
+    m_state.ports.duties.present(m_state.settings.instance_info(),
+                                 presence_span);
     return presence_pause;
 }
 
--- a/src/serve/forward/feed_duty.h
+++ b/src/serve/forward/feed_duty.h
@@ -4,35 +4,37 @@
 #pragma once
 
 #include "forward_state.h"
-#include "steward.h"
+#include "news_intake.h"
 
 #include <serve/duty.h>
 
 #include <crosslink/base/time.h>
 
-#include <cstdint>
 #include <optional>
 
 namespace crosslink
 {
 
-/// Follows what the platform tells the fleet, and keeps this instance listed
-/// as present.
+/// Asks the platform what it tells the fleet, where this instance has the duty
+/// or others do not tell it in time, and keeps this instance listed as present.
 class FeedDuty
 {
 public:
-    FeedDuty(ForwardState& state, Steward& steward);
+    FeedDuty(ForwardState& state, NewsIntake& news);
 
 private:
     Micros feed_round();
+    std::optional<Micros> leave_to_others();
+    void ask_platform();
+    Micros after_failure();
     void ask_seeds();
     Micros presence_round();
 
     ForwardState& m_state;
-    Steward& m_steward;
-    std::optional<std::uint64_t> m_place; ///< Nothing before the first read.
-    bool m_lost = false;                  ///< The platform does not answer.
-    TimePoint m_lapsed_until{}; ///< Runners that are not listed may be well.
+    NewsIntake& m_news;
+    /// When this instance asks itself, since others do not tell it in time.
+    std::optional<TimePoint> m_own_turn;
+    bool m_lost = false; ///< The platform does not answer.
     Duty m_feed;
     Duty m_presence;
 };
--- a/src/serve/forward/fleet_calls.cpp
+++ b/src/serve/forward/fleet_calls.cpp
@@ -5,11 +5,11 @@
 
 #include "fleet_json.h"
 
+#include <adapters/clock.h>
 #include <peer_rpc/rpc.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
-#include <crosslink/ports/fleet_feed.h>
 
 namespace crosslink
 {
@@ -22,7 +22,7 @@
 constexpr const char* exchange_method = "exchange";
 constexpr const char* stop_telling_method = "stop_telling";
 constexpr const char* holder_method = "holder";
-constexpr const char* snapshot_method = "snapshot";
+constexpr const char* news_method = "news";
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
 constexpr int server_threads = 64;
@@ -37,7 +37,8 @@
 
 } // namespace
 
-FleetServer::FleetServer(ForwardState& state, Steward& steward)
+FleetServer::FleetServer(ForwardState& state, Steward& steward,
+                         ExchangeDesk& desk, NewsIntake& news)
     : m_rpc(std::make_unique<RpcServer>())
 {
     m_rpc->add(ask_kept_method, [&steward](const Json::Value& parameters) {
@@ -65,13 +66,13 @@
             [](FleetView& view) { return view.steward_address(); });
         return result;
     });
-    m_rpc->add(exchange_method, [&steward](const Json::Value& parameters) {
-        return to_json(
-            steward.exchange(exchange_question_from_json(parameters)));
+    m_rpc->add(exchange_method, [&desk](const Json::Value& parameters) {
+        return to_json(desk.exchange(exchange_question_from_json(parameters)));
     });
-    m_rpc->add(snapshot_method, [&state](const Json::Value&) {
+    m_rpc->add(news_method, [&news](const Json::Value&) {
         Json::Value result;
-        result["text"] = state.ports.feed.snapshot();
+        result["age_us"] = Json::Int64(news.age(monotonic_now()).count());
+        result["page"] = to_json(news.since(std::nullopt));
         return result;
     });
     HttpServerRules rules;
@@ -154,12 +155,13 @@
         "address");
 }
 
-std::string
-FleetClient::snapshot()
+ToldNews
+FleetClient::news()
 {
-    return json_string(call(snapshot_method, Json::Value(Json::objectValue),
-                            large_answer_time),
-                       "text");
+    const Json::Value answer =
+        call(news_method, Json::Value(Json::objectValue), large_answer_time);
+    return {news_from_json(answer["page"]),
+            Micros(static_cast<Micros::rep>(json_number(answer, "age_us")))};
 }
 
 ExchangeAnswer
--- a/src/serve/forward/fleet_calls.h
+++ b/src/serve/forward/fleet_calls.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include "exchange_desk.h"
+#include "news_intake.h"
 #include "steward.h"
 
 #include <adapters/http_client.h>
@@ -17,11 +19,19 @@
 
 class RpcServer;
 
+/// What an instance knows of the platform's store, and how long ago the
+/// platform told that it is all.
+struct ToldNews {
+    NewsPage page;
+    Micros age{0};
+};
+
 /// Answers the calls of the other instances of the fleet, by JSON-RPC.
 class FleetServer
 {
 public:
-    FleetServer(ForwardState& state, Steward& steward);
+    FleetServer(ForwardState& state, Steward& steward, ExchangeDesk& desk,
+                NewsIntake& news);
     ~FleetServer();
 
 private:
@@ -45,9 +55,10 @@
     /// Returns the address of the duty's holder as that instance knows it;
     /// empty for none.
     std::string holder();
-    /// See FleetFeed::snapshot().
-    std::string snapshot();
-    /// See Steward::exchange().
+    /// Returns all that this instance knows of the platform's store; a page
+    /// that is not whole where it knows nothing.
+    ToldNews news();
+    /// See ExchangeDesk::exchange().
     ExchangeAnswer exchange(const ExchangeQuestion& question);
 
 private:
--- a/src/serve/forward/fleet_json.cpp
+++ b/src/serve/forward/fleet_json.cpp
@@ -14,6 +14,12 @@
 namespace
 {
 
+Micros
+span_from_json(const Json::Value& value, const char* name)
+{
+    return Micros(static_cast<Micros::rep>(json_number(value, name)));
+}
+
 Json::Value
 load_to_json(const std::map<std::string, RunnerLoad>& load)
 {
@@ -77,6 +83,7 @@
     value["place"] = Json::UInt64(update.place);
     value["whole"] = update.whole;
     value["clock"] = Json::UInt64(update.clock);
+    value["age_us"] = Json::Int64(update.age.count());
     value["entries"] = entries_to_json(update.entries);
     return value;
 }
@@ -90,6 +97,7 @@
     update.place = json_number(value, "place");
     update.whole = json_flag(value, "whole");
     update.clock = json_number(value, "clock");
+    update.age = span_from_json(value, "age_us");
     update.entries = entries_from_json(value["entries"]);
     return update;
 }
@@ -136,7 +144,7 @@
 age_from_json(const Json::Value& value)
 {
     return {json_string(value, "model"), json_number(value, "version"),
-            Micros(static_cast<Micros::rep>(json_number(value, "age_us")))};
+            span_from_json(value, "age_us")};
 }
 
 Json::Value
@@ -171,8 +179,54 @@
             json_number(value, "version")};
 }
 
+/// Values are text in the platform's own form; [KEY, REVISION] says that the
+/// key is gone.
+Json::Value
+entry_to_json(const NewsEntry& entry)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(entry.key);
+    row.append(Json::UInt64(entry.revision));
+    if (entry.value)
+        row.append(*entry.value);
+    return row;
+}
+
+NewsEntry
+news_entry_from_json(const Json::Value& row)
+{
+    NewsEntry entry;
+    entry.key = row[0].asString();
+    entry.revision = row[1].asUInt64();
+    if (row.size() > 2)
+        entry.value = row[2].asString();
+    return entry;
+}
+
 } // namespace
 
+Json::Value
+to_json(const NewsPage& page)
+{
+    Json::Value value;
+    value["since"] = Json::UInt64(page.since);
+    value["place"] = Json::UInt64(page.place);
+    value["whole"] = page.whole;
+    value["entries"] = json_list(page.entries, entry_to_json);
+    return value;
+}
+
+NewsPage
+news_from_json(const Json::Value& value)
+{
+    NewsPage page;
+    page.since = json_number(value, "since");
+    page.place = json_number(value, "place");
+    page.whole = json_flag(value, "whole");
+    page.entries = list_from_json(value["entries"], news_entry_from_json);
+    return page;
+}
+
 Json::Value
 to_json(const std::string& space, std::span<const PromptPart> parts)
 {
@@ -226,15 +280,23 @@
     value["kept_term"] = Json::UInt64(question.kept_term);
     value["kept_place"] = Json::UInt64(question.kept_place);
     value["weights"] = json_list(question.weights, age_to_json);
+    if (question.news_place)
+        value["news_place"] = Json::UInt64(*question.news_place);
     return value;
 }
 
 ExchangeQuestion
 exchange_question_from_json(const Json::Value& value)
 {
-    return {json_string(value, "instance"), load_from_json(value["load"]),
-            json_number(value, "kept_term"), json_number(value, "kept_place"),
-            list_from_json(value["weights"], age_from_json)};
+    ExchangeQuestion question;
+    question.instance = json_string(value, "instance");
+    question.load = load_from_json(value["load"]);
+    question.kept_term = json_number(value, "kept_term");
+    question.kept_place = json_number(value, "kept_place");
+    question.weights = list_from_json(value["weights"], age_from_json);
+    if (value.isMember("news_place"))
+        question.news_place = json_number(value, "news_place");
+    return question;
 }
 
 Json::Value
@@ -247,6 +309,9 @@
     value["kept"] = update_to_json(answer.kept);
     value["weights"] = json_list(answer.weights, age_to_json);
     value["platform_reached"] = answer.platform_reached;
+    value["age_us"] = Json::Int64(answer.age.count());
+    value["news"] = to_json(answer.news);
+    value["news_age_us"] = Json::Int64(answer.news_age.count());
     return value;
 }
 
@@ -260,6 +325,9 @@
     answer.kept = update_from_json(value["kept"]);
     answer.weights = list_from_json(value["weights"], age_from_json);
     answer.platform_reached = json_flag(value, "platform_reached");
+    answer.age = span_from_json(value, "age_us");
+    answer.news = news_from_json(value["news"]);
+    answer.news_age = span_from_json(value, "news_age_us");
     return answer;
 }
 
--- a/src/serve/forward/fleet_json.h
+++ b/src/serve/forward/fleet_json.h
@@ -20,6 +20,11 @@
 // The JSON forms of what the instances of the fleet tell each other. A member
 // that is missing reads as 0, false or empty.
 
+/// Encodes changes of the platform's store.
+Json::Value to_json(const NewsPage& page);
+/// Decodes them.
+NewsPage news_from_json(const Json::Value& value);
+
 /// Encodes the parts of a prompt, and the space that they belong to.
 Json::Value to_json(const std::string& space,
                     std::span<const PromptPart> parts);
--- a/src/serve/forward/fleet_json_test.cpp
+++ b/src/serve/forward/fleet_json_test.cpp
@@ -35,6 +35,35 @@
     CHECK(read.others.at("r1").resident == 41'000);
 }
 
+TEST_CASE("an exchange brings the news of the platform as they were written")
+{
+    ExchangeAnswer answer;
+    answer.age = std::chrono::milliseconds(120);
+    answer.news_age = std::chrono::milliseconds(340);
+    answer.kept.age = std::chrono::milliseconds(56);
+    answer.news = {
+        4, 9, false, {{"a", "{\"x\":\"\u00fc\"}", 5}, {"b", std::nullopt, 9}}};
+    const auto read = exchange_answer_from_json(to_json(answer));
+    CHECK(read.age == answer.age);
+    CHECK(read.news_age == answer.news_age);
+    CHECK(read.kept.age == answer.kept.age);
+    CHECK(read.news.since == 4);
+    CHECK(read.news.place == 9);
+    CHECK_FALSE(read.news.whole);
+    REQUIRE(read.news.entries.size() == 2);
+    CHECK(read.news.entries[0].value == answer.news.entries[0].value);
+    CHECK(read.news.entries[0].revision == 5);
+    CHECK_FALSE(read.news.entries[1].value);
+}
+
+TEST_CASE("an instance that knows nothing asks for all news")
+{
+    ExchangeQuestion question;
+    CHECK_FALSE(exchange_question_from_json(to_json(question)).news_place);
+    question.news_place = 0;
+    CHECK(exchange_question_from_json(to_json(question)).news_place == 0);
+}
+
 TEST_CASE("of several changes of a part the last one is told")
 {
     const auto answer = answer_with({{"s", "a", "store"},
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -32,9 +32,10 @@
                                  ForwardPorts ports)
     : m_state(settings, ports), m_steward(m_state),
       m_steward_link(m_state, m_steward), m_kept(m_state, m_steward_link),
-      m_path(m_state, m_kept), m_fleet(m_state, m_steward),
-      m_feed(m_state, m_steward), m_exchange(m_state, m_steward_link),
-      m_server(m_state, m_path)
+      m_path(m_state, m_kept), m_news(m_state, m_steward),
+      m_desk(m_state, m_steward, m_news),
+      m_fleet(m_state, m_steward, m_desk, m_news), m_feed(m_state, m_news),
+      m_exchange(m_state, m_steward, m_desk, m_news), m_server(m_state, m_path)
 {
 }
 
--- a/src/serve/forward/forward_instance.h
+++ b/src/serve/forward/forward_instance.h
@@ -36,6 +36,8 @@
     StewardLink m_steward_link;
     KeptAsker m_kept;
     ForwardPath m_path;
+    NewsIntake m_news;
+    ExchangeDesk m_desk;
     FleetServer m_fleet;
     FeedDuty m_feed;
     ExchangeDuty m_exchange;
--- a/src/serve/forward/forward_settings.h
+++ b/src/serve/forward/forward_settings.h
@@ -5,6 +5,7 @@
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/retry_window.h>
+#include <crosslink/membership/instance_info.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -70,6 +71,10 @@
         return {retry_ratio, retry_allowance,
                 std::chrono::milliseconds(retry_window_ms)};
     }
+    InstanceInfo instance_info() const
+    {
+        return {name, peer_address(), zone, link_mbps};
+    }
     std::string peer_address() const
     {
         return peer_ip + ":" + std::to_string(peer_port);
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -185,15 +185,33 @@
 }
 
 void
-ForwardState::take(const FleetNews& news, std::optional<TimePoint> lapsed_until)
+ForwardState::take(const std::vector<FleetChange>& changes, bool whole,
+                   std::optional<TimePoint> lapsed_until)
 {
     runners.with([](RunnerTable& table) { table.expire(monotonic_now()); });
-    ChangeTaker taker(*this, news.whole, lapsed_until);
-    for (const FleetChange& change : news.changes)
+    ChangeTaker taker(*this, whole, lapsed_until);
+    for (const FleetChange& change : changes)
         std::visit(taker, change);
     taker.finish();
 }
 
+FleetTree
+ForwardState::fleet_tree()
+{
+    return fleet.with([](const FleetView& view) {
+        std::vector<InstanceInfo> instances;
+        for (const auto& [name, instance] : view.instances)
+            instances.push_back(instance);
+        return FleetTree(instances, view.steward_address());
+    });
+}
+
+bool
+ForwardState::relays()
+{
+    return fleet_tree().relays(settings.name, settings.zone);
+}
+
 std::string
 ForwardCounters::text() const
 {
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -19,6 +19,7 @@
 #include <crosslink/kept/fetch_watch.h>
 #include <crosslink/kept/kept_replica.h>
 #include <crosslink/membership/duty_lease.h>
+#include <crosslink/membership/fleet_tree.h>
 #include <crosslink/membership/holder_history.h>
 #include <crosslink/membership/platform_reach.h>
 #include <crosslink/ports/fleet_feed.h>
@@ -46,7 +47,7 @@
     std::map<std::string, WeightsHistory, std::less<>> weights; ///< By model.
     /// What the platform keeps of them, by model.
     std::map<std::string, RolloutRecord, std::less<>> rollouts;
-    std::map<std::string, std::string, std::less<>> instances; ///< Addresses.
+    std::map<std::string, InstanceInfo, std::less<>> instances; ///< By name.
     std::string steward;   ///< Peer address of the duty's holder; or empty.
     HolderHistory holders; ///< Of the duty.
     PlatformReach reach;
@@ -144,11 +145,17 @@
     std::optional<std::uint64_t> acting_token();
     /// True where calls can be served.
     bool ready();
-    /// Takes in what the platform told. With `lapsed_until`, the platform was
+    /// Takes in what the platform told; `whole` where what is not named is
+    /// gone. With `lapsed_until`, the platform was
     /// away until a moment ago: runners that are not listed any more may be
     /// well, and count as gone only from then on.
-    void take(const FleetNews& news,
-              std::optional<TimePoint> lapsed_until = std::nullopt);
+    void take(const std::vector<FleetChange>& changes, bool whole,
+              std::optional<TimePoint> lapsed_until);
+    /// Returns who asks whom for news and load now.
+    FleetTree fleet_tree();
+    /// Returns whether other instances are to ask this one for news and load,
+    /// though it has no duty.
+    bool relays();
 };
 
 } // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/news_intake.h
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "forward_state.h"
+#include "steward.h"
+
+#include <crosslink/base/time.h>
+#include <crosslink/membership/news_log.h>
+
+#include <cstdint>
+#include <mutex>
+#include <optional>
+
+namespace crosslink
+{
+
+/// The one way of the platform's news into this instance, whether the platform
+/// told them or another instance: in order, never backwards, and with the time
+/// as of which they are known to be all. Safe for many threads.
+class NewsIntake
+{
+public:
+    NewsIntake(ForwardState& state, Steward& steward);
+
+    /// Takes in what the platform answered to a question of `asked`. Returns
+    /// false where other news came in meanwhile: then it is to be asked anew.
+    bool told_by_platform(const NewsPage& page, TimePoint asked);
+    /// Takes in what another instance told, which was all at `confirmed`.
+    void told_by_instance(const NewsPage& page, TimePoint confirmed);
+    /// Takes note that the platform gives this instance no answer.
+    void lost();
+
+    /// Returns up to where the platform's store is known.
+    std::optional<std::uint64_t> place();
+    /// Returns what follows `place`, for another instance.
+    NewsPage since(std::optional<std::uint64_t> place);
+    /// Returns how long ago at `now` the platform last told that all is known
+    /// here; a large time before the first.
+    Micros age(TimePoint now);
+    /// Returns whether other instances tell this one the platform's news in
+    /// time, so that it need not ask itself.
+    bool told_in_time(TimePoint now);
+
+private:
+    bool take(const NewsPage& page, TimePoint confirmed);
+    std::optional<TimePoint> lapsed_until(TimePoint now);
+
+    ForwardState& m_state;
+    Steward& m_steward;
+    std::mutex m_mutex;
+    NewsLog m_log;
+    std::optional<TimePoint> m_confirmed;
+    TimePoint m_told_confirmed{}; ///< The same, by other instances alone.
+    bool m_lost = false;          ///< The platform does not answer.
+    TimePoint m_lapsed_until{};   ///< Runners that are not listed may be well.
+};
+
+} // namespace crosslink
--- a/src/serve/forward/steward.cpp
+++ b/src/serve/forward/steward.cpp
@@ -7,6 +7,7 @@
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
+#include <crosslink/membership/fleet_tree.h>
 #include <crosslink/membership/lease_renewal.h>
 #include <crosslink/membership/rendezvous.h>
 #include <crosslink/ports/duty_registry.h>
@@ -26,12 +27,7 @@
 constexpr Micros takeover_step = std::chrono::milliseconds(40);
 /// Instances beyond this one try at the same time.
 constexpr std::size_t last_rank = 6;
-/// The holder of a large fleet answers 500 exchanges a second of 2 to 7 KB
-/// (worked out): up to 28 Mbit/s beside its calls. Instances with a link below
-/// this leave the duty to others for a while: at 82 instances a holder behind
-/// 10 Mbit/s was out of reach for most of them, and of 12,500 prompts in 12 s
-/// nine in ten were read whole.
-constexpr double duty_link_mbps = 50;
+/// For so long instances with weak links leave the duty to others.
 constexpr Micros weak_link_wait = std::chrono::milliseconds(500);
 
 } // namespace
@@ -125,7 +121,7 @@
 Micros
 Steward::takeover_wait(bool first)
 {
-    const Micros link_wait = m_state.settings.link_mbps < duty_link_mbps
+    const Micros link_wait = m_state.settings.link_mbps < strong_link_mbps
                                  ? weak_link_wait
                                  : Micros{0};
     if (first)
@@ -138,7 +134,7 @@
 {
     return m_state.fleet.with([this](FleetView& view) {
         std::vector<std::string> names;
-        for (const auto& [name, address] : view.instances)
+        for (const auto& [name, instance] : view.instances)
             names.push_back(name);
         const auto order = rendezvous_order(duty_name, names);
         const auto own =
