A call's way, what an instance knows, and the leased duties each get a folder

Now forward/ is a call's way, fleet/ what an instance knows of the fleet and tells the others, steward/ the duties of the one instance that holds the lease. Files are moved, includes follow; no code is changed.

--- a/src/serve/forward/change_taker.cpp
+++ b/src/serve/fleet/change_taker.cpp
@@ -3,9 +3,8 @@
 
 #include "change_taker.h"
 
-#include "forward_state.h"
-
 #include <adapters/clock.h>
+#include <serve/forward/forward_state.h>
 #include <serve/log_line.h>
 
 #include <cstdint>
--- a/src/serve/forward/exchange_desk.h
+++ b/src/serve/fleet/exchange_desk.h
@@ -4,11 +4,11 @@
 #pragma once
 
 #include "exchange.h"
-#include "forward_state.h"
 #include "news_intake.h"
-#include "steward.h"
 
+#include <serve/forward/forward_state.h>
 #include <serve/guarded.h>
+#include <serve/steward/steward.h>
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/load_board.h>
--- a/src/serve/forward/exchange_duty.h
+++ b/src/serve/fleet/exchange_duty.h
@@ -6,10 +6,10 @@
 #include "exchange.h"
 #include "exchange_desk.h"
 #include "fleet_calls.h"
-#include "forward_state.h"
 #include "news_intake.h"
 
 #include <serve/duty.h>
+#include <serve/forward/forward_state.h>
 
 #include <map>
 #include <memory>
--- a/src/serve/forward/feed_duty.h
+++ b/src/serve/fleet/feed_duty.h
@@ -3,10 +3,10 @@
 
 #pragma once
 
-#include "forward_state.h"
 #include "news_intake.h"
 
 #include <serve/duty.h>
+#include <serve/forward/forward_state.h>
 
 #include <crosslink/base/time.h>
 
--- a/src/serve/forward/fleet_calls.h
+++ b/src/serve/fleet/fleet_calls.h
@@ -5,10 +5,10 @@
 
 #include "exchange_desk.h"
 #include "news_intake.h"
-#include "steward.h"
 
 #include <adapters/http_client.h>
 #include <adapters/http_server.h>
+#include <serve/steward/steward.h>
 
 #include <memory>
 #include <span>
--- a/src/serve/forward/news_intake.h
+++ b/src/serve/fleet/news_intake.h
@@ -3,8 +3,8 @@
 
 #pragma once
 
-#include "forward_state.h"
-#include "steward.h"
+#include <serve/forward/forward_state.h>
+#include <serve/steward/steward.h>
 
 #include <crosslink/base/time.h>
 #include <crosslink/membership/news_log.h>
--- a/src/serve/forward/forward_instance.h
+++ b/src/serve/forward/forward_instance.h
@@ -3,14 +3,15 @@
 
 #pragma once
 
-#include "exchange_duty.h"
-#include "feed_duty.h"
-#include "fleet_calls.h"
 #include "forward_path.h"
 #include "forward_server.h"
 #include "forward_state.h"
 #include "kept_asker.h"
-#include "steward.h"
+
+#include <serve/fleet/exchange_duty.h>
+#include <serve/fleet/feed_duty.h>
+#include <serve/fleet/fleet_calls.h>
+#include <serve/steward/steward.h>
 
 #include <functional>
 
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -3,9 +3,8 @@
 
 #include "forward_state.h"
 
-#include "change_taker.h"
-
 #include <adapters/clock.h>
+#include <serve/fleet/change_taker.h>
 #include <serve/log_line.h>
 
 #include <algorithm>
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -3,12 +3,12 @@
 
 #pragma once
 
-#include "exchange.h"
 #include "forward_ports.h"
 #include "forward_settings.h"
 
 #include <adapters/call_connections.h>
 #include <adapters/connection_times.h>
+#include <serve/fleet/exchange.h>
 #include <serve/guarded.h>
 #include <serve/metrics.h>
 
--- a/src/serve/forward/kept_asker.h
+++ b/src/serve/forward/kept_asker.h
@@ -4,7 +4,8 @@
 #pragma once
 
 #include "forward_state.h"
-#include "steward_link.h"
+
+#include <serve/steward/steward_link.h>
 
 #include <atomic>
 #include <optional>
--- a/src/serve/forward/kept_duties.cpp
+++ b/src/serve/steward/kept_duties.cpp
@@ -3,9 +3,8 @@
 
 #include "kept_duties.h"
 
-#include "fleet_calls.h"
-
 #include <adapters/clock.h>
+#include <serve/fleet/fleet_calls.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
--- a/src/serve/forward/kept_duties.h
+++ b/src/serve/steward/kept_duties.h
@@ -3,10 +3,10 @@
 
 #pragma once
 
-#include "forward_state.h"
 #include "weights_duty.h"
 
 #include <serve/duty.h>
+#include <serve/forward/forward_state.h>
 #include <serve/guarded.h>
 
 #include <crosslink/forward/forwarded_call.h>
--- a/src/serve/forward/rollout_duty.h
+++ b/src/serve/steward/rollout_duty.h
@@ -3,9 +3,8 @@
 
 #pragma once
 
-#include "forward_state.h"
-
 #include <serve/duty.h>
+#include <serve/forward/forward_state.h>
 
 #include <cstdint>
 #include <string>
--- a/src/serve/forward/steward.h
+++ b/src/serve/steward/steward.h
@@ -3,13 +3,13 @@
 
 #pragma once
 
-#include "exchange.h"
-#include "forward_state.h"
 #include "kept_duties.h"
 #include "rollout_duty.h"
 #include "weights_duty.h"
 
 #include <serve/duty.h>
+#include <serve/fleet/exchange.h>
+#include <serve/forward/forward_state.h>
 
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/load_board.h>
--- a/src/serve/forward/steward_link.h
+++ b/src/serve/steward/steward_link.h
@@ -3,10 +3,11 @@
 
 #pragma once
 
-#include "fleet_calls.h"
-#include "forward_state.h"
 #include "steward.h"
 
+#include <serve/fleet/fleet_calls.h>
+#include <serve/forward/forward_state.h>
+
 #include <memory>
 #include <mutex>
 #include <string>
