--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -234,7 +234,11 @@
         << whole_answer.text("crosslink_whole_answer_seconds",
                              "From a call's arrival to its whole answer")
         << kept_question.text("crosslink_kept_question_seconds",
-                              "To learn where the parts of a prompt lie");
+                              "To learn where the parts of a prompt lie")
+        << load_age.text("crosslink_load_age_seconds",
+                         "Age of the others' load when it was learned")
+        << news_age.text("crosslink_news_age_seconds",
+                         "Age of the platform's news when they were learned");
     return out.str();
 }
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -84,6 +84,8 @@
     TimeSummary first_event;
     TimeSummary whole_answer;
     TimeSummary kept_question;
+    TimeSummary load_age; ///< Of others, when it was learned.
+    TimeSummary news_age; ///< Of the platform's news, when they were learned.
 
     /// Returns all of them as Prometheus text.
     std::string text() const;
