A fresh instance learns from others who had the duty before it

Change: the exchange carries which earlier holders an instance heard of and since when it missed nothing; who has read the platform's store up to a place goes on from what an instance that is at least as far has seen.

--- a/src/include/crosslink/membership/holder_history.h
+++ b/src/include/crosslink/membership/holder_history.h
@@ -6,6 +6,7 @@
 #include <crosslink/base/time.h>
 
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,11 +20,25 @@
 class HolderHistory
 {
 public:
+    /// A holder whose duty ended.
+    struct Ended {
+        std::string address;
+        TimePoint at{}; ///< When that was heard of.
+    };
+
     /// Takes note that `address` is the holder from `now` on; empty for nobody.
     void named(std::string_view address, TimePoint now);
     /// Takes note that changes before `now` may have been missed.
     void missed(TimePoint now);
 
+    /// Takes over what another instance saw, which missed nothing since `from`
+    /// and has heard of all that this one had heard of at its last missed().
+    void learn(TimePoint from, std::span<const Ended> ended);
+    /// Returns since when nothing is missed.
+    TimePoint from() const { return m_from; }
+    /// Returns the holders whose duty ended, for learn().
+    std::vector<Ended> ended() const;
+
     /// Returns the holder that was named last; empty for nobody.
     const std::string& holder() const { return m_holder; }
     /// True where no holder is missed that ended within `grace` before `now`.
--- a/src/libcrosslink/membership/holder_history.cpp
+++ b/src/libcrosslink/membership/holder_history.cpp
@@ -3,6 +3,8 @@
 
 #include <crosslink/membership/holder_history.h>
 
+#include <algorithm>
+
 namespace crosslink
 {
 
@@ -22,6 +24,27 @@
     m_from = now;
 }
 
+void
+HolderHistory::learn(TimePoint from, std::span<const Ended> ended)
+{
+    if (from >= m_from)
+        return;
+    m_from = from;
+    for (const Ended& holder : ended) {
+        TimePoint& at = m_ended[holder.address];
+        at = std::max(at, holder.at);
+    }
+}
+
+std::vector<HolderHistory::Ended>
+HolderHistory::ended() const
+{
+    std::vector<Ended> holders;
+    for (const auto& [address, at] : m_ended)
+        holders.push_back({address, at});
+    return holders;
+}
+
 bool
 HolderHistory::covers(Micros grace, TimePoint now) const
 {
--- a/src/libcrosslink/membership/holder_history_test.cpp
+++ b/src/libcrosslink/membership/holder_history_test.cpp
@@ -53,4 +53,32 @@
     CHECK(history.covers(grace, at(8500)));
 }
 
+TEST_CASE("what another instance saw shortens the wait for earlier holders")
+{
+    HolderHistory history;
+    history.missed(at(9000));
+    history.named("b", at(9000));
+    const std::vector<HolderHistory::Ended> ended{{"a", at(7000)}};
+    history.learn(at(500), ended);
+    CHECK(history.holder() == "b");
+    CHECK(history.from() == at(500));
+    CHECK(history.covers(grace, at(9000)));
+    CHECK(history.recent(grace, at(9000)) == Addresses{"a"});
+    CHECK(history.recent(grace, at(15'000)).empty());
+}
+
+TEST_CASE("what an instance saw that missed more says nothing")
+{
+    HolderHistory history;
+    history.missed(at(1000));
+    history.named("a", at(1000));
+    history.named("b", at(2000));
+    history.learn(at(1500), {});
+    CHECK(history.from() == at(1000));
+    CHECK(history.recent(grace, at(3000)) == Addresses{"a"});
+    const std::vector<HolderHistory::Ended> earlier{{"a", at(600)}};
+    history.learn(at(100), earlier);
+    CHECK(history.recent(grace, at(9500)) == Addresses{"a"});
+}
+
 } // namespace crosslink
--- a/src/serve/fleet/exchange.h
+++ b/src/serve/fleet/exchange.h
@@ -43,6 +43,19 @@
     std::uint64_t version = 0;
 };
 
+/// The earlier holders of the duty that an instance heard of.
+struct HoldersSeen {
+    /// A holder whose duty ended, and how long ago that was heard of.
+    struct Ended {
+        std::string address;
+        Micros ago{0};
+    };
+
+    std::uint64_t place = 0; ///< Of the platform's store, heard of up to it.
+    Micros watched{0};       ///< For so long nothing was missed.
+    std::vector<Ended> ended;
+};
+
 /// What it learns in return.
 struct ExchangeAnswer {
     std::map<std::string, RunnerLoad> others; ///< Of all other instances.
@@ -53,7 +66,8 @@
     KeptUpdate kept;
     std::vector<WeightsAge> weights; ///< As the first instance heard of them.
     bool platform_reached = false; ///< The holder gets the platform's answers.
-    Micros age{0};      ///< Since the holder of the duty told what stands here.
+    Micros age{0}; ///< Since the holder of the duty told what stands here.
+    HoldersSeen holders;
     NewsPage news;      ///< Of the platform's store, after the place asked for.
     Micros news_age{0}; ///< Since the platform last told that `news` is all.
 };
--- a/src/serve/fleet/exchange_desk.cpp
+++ b/src/serve/fleet/exchange_desk.cpp
@@ -20,6 +20,7 @@
     const TimePoint now = monotonic_now();
     ExchangeAnswer answer = m_steward.answers() ? m_steward.exchange(question)
                                                 : handed_on(question, now);
+    answer.holders = m_news.holders_seen(now);
     answer.news = m_news.since(question.news_place);
     answer.news_age = m_news.age(now);
     return answer;
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -117,6 +117,7 @@
     m_desk.parent_told(answer, asked);
     m_state.counters.load_age.add(now - asked + answer.age);
     m_state.counters.news_age.add(now - asked + answer.news_age);
+    m_news.learn_holders(answer.holders);
     m_news.told_by_instance(answer.news, asked - answer.news_age);
     m_state.runners.with([&](RunnerTable& table) {
         table.others_told(answer.others, now);
--- a/src/serve/fleet/fleet_json.cpp
+++ b/src/serve/fleet/fleet_json.cpp
@@ -179,6 +179,30 @@
             json_number(value, "version")};
 }
 
+Json::Value
+holders_to_json(const HoldersSeen& holders)
+{
+    Json::Value value;
+    value["place"] = Json::UInt64(holders.place);
+    value["watched_us"] = Json::Int64(holders.watched.count());
+    value["ended"] = Json::Value(Json::objectValue);
+    for (const HoldersSeen::Ended& item : holders.ended)
+        value["ended"][item.address] = Json::Int64(item.ago.count());
+    return value;
+}
+
+HoldersSeen
+holders_from_json(const Json::Value& value)
+{
+    HoldersSeen holders;
+    holders.place = json_number(value, "place");
+    holders.watched = span_from_json(value, "watched_us");
+    for (const std::string& address : value["ended"].getMemberNames())
+        holders.ended.push_back(
+            {address, span_from_json(value["ended"], address.c_str())});
+    return holders;
+}
+
 /// Values are text in the platform's own form; [KEY, REVISION] says that the
 /// key is gone.
 Json::Value
@@ -310,6 +334,7 @@
     value["weights"] = json_list(answer.weights, age_to_json);
     value["platform_reached"] = answer.platform_reached;
     value["age_us"] = Json::Int64(answer.age.count());
+    value["holders"] = holders_to_json(answer.holders);
     value["news"] = to_json(answer.news);
     value["news_age_us"] = Json::Int64(answer.news_age.count());
     return value;
@@ -326,6 +351,7 @@
     answer.weights = list_from_json(value["weights"], age_from_json);
     answer.platform_reached = json_flag(value, "platform_reached");
     answer.age = span_from_json(value, "age_us");
+    answer.holders = holders_from_json(value["holders"]);
     answer.news = news_from_json(value["news"]);
     answer.news_age = span_from_json(value, "news_age_us");
     return answer;
--- a/src/serve/fleet/fleet_json_test.cpp
+++ b/src/serve/fleet/fleet_json_test.cpp
@@ -41,12 +41,19 @@
     answer.age = std::chrono::milliseconds(120);
     answer.news_age = std::chrono::milliseconds(340);
     answer.kept.age = std::chrono::milliseconds(56);
+    answer.holders = {
+        8, std::chrono::seconds(9), {{"a:1", std::chrono::seconds(2)}}};
     answer.news = {
         4, 9, false, {{"a", "{\"x\":\"\u00fc\"}", 5}, {"b", std::nullopt, 9}}};
     const auto read = exchange_answer_from_json(to_json(answer));
     CHECK(read.age == answer.age);
     CHECK(read.news_age == answer.news_age);
     CHECK(read.kept.age == answer.kept.age);
+    CHECK(read.holders.place == 8);
+    CHECK(read.holders.watched == answer.holders.watched);
+    REQUIRE(read.holders.ended.size() == 1);
+    CHECK(read.holders.ended[0].address == "a:1");
+    CHECK(read.holders.ended[0].ago == answer.holders.ended[0].ago);
     CHECK(read.news.since == 4);
     CHECK(read.news.place == 9);
     CHECK_FALSE(read.news.whole);
--- a/src/serve/fleet/news_intake.cpp
+++ b/src/serve/fleet/news_intake.cpp
@@ -59,6 +59,8 @@
     if (!m_log.take(page))
         return false;
     const auto lapsed = fresh ? lapsed_until(now) : std::nullopt;
+    if (page.whole)
+        m_whole_place = page.place;
     m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
     if (fresh) {
         m_state.fleet.with(
@@ -86,6 +88,37 @@
     return std::nullopt;
 }
 
+void
+NewsIntake::learn_holders(const HoldersSeen& seen)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_log.place() || seen.place < m_whole_place)
+        return;
+    std::vector<HolderHistory::Ended> ended;
+    ended.reserve(seen.ended.size());
+    const TimePoint now = monotonic_now();
+    // Counted from now, all is later than it was: no grace is cut short.
+    for (const HoldersSeen::Ended& item : seen.ended)
+        ended.push_back({item.address, now - item.ago});
+    m_state.fleet.with([&](FleetView& view) {
+        view.holders.learn(now - seen.watched, ended);
+    });
+}
+
+HoldersSeen
+NewsIntake::holders_seen(TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    HoldersSeen seen;
+    seen.place = m_log.place().value_or(0);
+    m_state.fleet.with([&](const FleetView& view) {
+        seen.watched = now - view.holders.from();
+        for (const HolderHistory::Ended& item : view.holders.ended())
+            seen.ended.push_back({item.address, now - item.at});
+    });
+    return seen;
+}
+
 void
 NewsIntake::lost()
 {
--- a/src/serve/fleet/news_intake.h
+++ b/src/serve/fleet/news_intake.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include "exchange.h"
+
 #include <serve/forward/forward_state.h>
 #include <serve/steward/steward.h>
 
@@ -29,6 +31,13 @@
     bool told_by_platform(const NewsPage& page, TimePoint asked);
     /// Takes in what another instance told, which was all at `confirmed`.
     void told_by_instance(const NewsPage& page, TimePoint confirmed);
+    /// Takes over what another instance has seen of earlier holders of the
+    /// duty, where it reaches up to what is known here. A fresh instance that
+    /// took the duty waited 8 s to show that no earlier holder tells, and the
+    /// stores stayed full of parts of replaced weights.
+    void learn_holders(const HoldersSeen& seen);
+    /// Returns what is known here of earlier holders.
+    HoldersSeen holders_seen(TimePoint now);
     /// Takes note that the platform gives this instance no answer.
     void lost();
 
@@ -51,6 +60,7 @@
     Steward& m_steward;
     std::mutex m_mutex;
     NewsLog m_log;
+    std::uint64_t m_whole_place = 0; ///< Of the last whole page.
     std::optional<TimePoint> m_confirmed;
     TimePoint m_told_confirmed{}; ///< The same, by other instances alone.
     bool m_lost = false;          ///< The platform does not answer.
