The tree's words: a parent is asked by others

Read as a newcomer: `relays` was a verb for instances that others ask, beside the relay of tokens, which is another thing; it is is_parent() now, and judge() says what it does.

--- a/src/include/crosslink/membership/fleet_tree.h
+++ b/src/include/crosslink/membership/fleet_tree.h
@@ -42,10 +42,10 @@
                                      std::string_view zone,
                                      std::string_view own) const;
     /// Returns whether `name` of `zone` is asked by others of its zone.
-    bool relays(std::string_view name, std::string_view zone) const;
+    bool is_parent(std::string_view name, std::string_view zone) const;
 
 private:
-    std::vector<InstanceInfo> zone_relays(std::string_view zone) const;
+    std::vector<InstanceInfo> zone_parents(std::string_view zone) const;
 
     std::vector<InstanceInfo> m_instances;
     std::string m_holder;
--- a/src/libcrosslink/membership/fleet_tree.cpp
+++ b/src/libcrosslink/membership/fleet_tree.cpp
@@ -42,19 +42,19 @@
 
 /// Returns the instances that the others of `zone` ask; none in a small fleet.
 std::vector<InstanceInfo>
-FleetTree::zone_relays(std::string_view zone) const
+FleetTree::zone_parents(std::string_view zone) const
 {
     if (m_instances.size() <= most_children)
         return {};
-    std::vector<InstanceInfo> relays;
+    std::vector<InstanceInfo> chosen;
     for (const InstanceInfo& instance : m_instances)
         if (instance.zone == zone && instance.address != m_holder)
-            relays.push_back(instance);
-    order_by_weight(relays, zone);
+            chosen.push_back(instance);
+    order_by_weight(chosen, zone);
     const std::size_t wanted =
-        (relays.size() + most_children - 1) / most_children;
-    relays.resize(std::min(wanted, relays.size()));
-    return relays;
+        (chosen.size() + most_children - 1) / most_children;
+    chosen.resize(std::min(wanted, chosen.size()));
+    return chosen;
 }
 
 std::vector<std::string>
@@ -62,8 +62,8 @@
                    std::string_view own) const
 {
     std::vector<std::string> addresses;
-    if (!relays(name, zone)) {
-        std::vector<InstanceInfo> near = zone_relays(zone);
+    if (!is_parent(name, zone)) {
+        std::vector<InstanceInfo> near = zone_parents(zone);
         order_by_weight(near, name);
         for (const InstanceInfo& instance : near)
             addresses.push_back(instance.address);
@@ -75,11 +75,11 @@
 }
 
 bool
-FleetTree::relays(std::string_view name, std::string_view zone) const
+FleetTree::is_parent(std::string_view name, std::string_view zone) const
 {
-    const std::vector<InstanceInfo> relays = zone_relays(zone);
+    const std::vector<InstanceInfo> asked = zone_parents(zone);
     return std::any_of(
-        relays.begin(), relays.end(),
+        asked.begin(), asked.end(),
         [name](const InstanceInfo& instance) { return instance.name == name; });
 }
 
--- a/src/libcrosslink/membership/fleet_tree_test.cpp
+++ b/src/libcrosslink/membership/fleet_tree_test.cpp
@@ -63,7 +63,7 @@
     const auto instances = fleet_of(3, 3, 3);
     const FleetTree tree(instances, "z1-1:1");
     for (const InstanceInfo& instance : instances) {
-        CHECK_FALSE(tree.relays(instance.name, instance.zone));
+        CHECK_FALSE(tree.is_parent(instance.name, instance.zone));
         if (instance.address != "z1-1:1")
             CHECK(parents(tree, instance) ==
                   std::vector<std::string>{"z1-1:1"});
@@ -74,15 +74,15 @@
 {
     const auto instances = fleet_of(5, 59, 5);
     const FleetTree tree(instances, "z0-0:1");
-    int relays = 0;
+    int asked_by_others = 0;
     for (const InstanceInfo& instance : instances) {
-        if (!tree.relays(instance.name, instance.zone))
+        if (!tree.is_parent(instance.name, instance.zone))
             continue;
-        ++relays;
+        ++asked_by_others;
         CHECK(instance.link_mbps == strong);
         CHECK(parents(tree, instance) == std::vector<std::string>{"z0-0:1"});
     }
-    CHECK(relays == 20);
+    CHECK(asked_by_others == 20);
 }
 
 TEST_CASE("an instance asks in its own zone first, and the holder last")
@@ -103,7 +103,7 @@
     const FleetTree tree(instances, "");
     for (const InstanceInfo& instance : instances) {
         const auto asked = parents(tree, instance);
-        CHECK(asked.empty() == tree.relays(instance.name, instance.zone));
+        CHECK(asked.empty() == tree.is_parent(instance.name, instance.zone));
     }
 }
 
@@ -121,7 +121,7 @@
             RC_ASSERT(std::find(asked.begin(), asked.end(), instance.address) ==
                       asked.end());
         }
-        // Choices by weight are uneven: a relay has three shares at the most.
+        // Choices by weight are uneven: a parent has three shares at the most.
         for (const auto& [address, count] : askers(instances, holder))
             if (address != holder)
                 RC_ASSERT(count <= 3 * static_cast<int>(most_children));
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -59,7 +59,7 @@
     question.instance = m_state.settings.name;
     // Only those that are to be asked speak for others: of two that asked each
     // other, each would count the other's load as its own.
-    if (m_state.relays())
+    if (m_state.is_parent())
         question.load = m_desk.group_load(now);
     else
         question.load = m_state.runners.with(
@@ -139,7 +139,7 @@
 
 /// Avoids a parent that has lost the holder of the duty, or its own parent.
 void
-ExchangeDuty::judge(const ExchangeAnswer& answer, TimePoint now)
+ExchangeDuty::avoid_if_cut_off(const ExchangeAnswer& answer, TimePoint now)
 {
     if (!m_parent.empty() && answer.age > load_holds)
         m_avoided[m_parent] = now + avoided_for;
@@ -153,7 +153,7 @@
     try {
         const ExchangeAnswer answer = ask(told);
         take(answer, asked);
-        judge(answer, monotonic_now());
+        avoid_if_cut_off(answer, monotonic_now());
         m_failures = 0;
         return exchange_pause;
     } catch (const std::exception& failure) {
--- a/src/serve/fleet/exchange_duty.h
+++ b/src/serve/fleet/exchange_duty.h
@@ -33,7 +33,7 @@
     ExchangeAnswer ask(const ExchangeQuestion& question);
     std::string choose_parent(TimePoint now);
     void take(const ExchangeAnswer& answer, TimePoint asked);
-    void judge(const ExchangeAnswer& answer, TimePoint now);
+    void avoid_if_cut_off(const ExchangeAnswer& answer, TimePoint now);
     Micros failed(const std::exception& failure);
     void ask_for_holder();
 
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -101,7 +101,7 @@
             .field("age_ms",
                    static_cast<std::uint64_t>(m_news.age(now) /
                                               std::chrono::milliseconds(1)));
-        if (!m_state.relays())
+        if (!m_state.is_parent())
             *m_own_turn += Micros(static_cast<Micros::rep>(
                 random_bits() % static_cast<std::uint64_t>(spread.count())));
     }
@@ -113,7 +113,7 @@
 void
 FeedDuty::ask_platform()
 {
-    const bool asked_by_others = m_state.has_duty() || m_state.relays();
+    const bool asked_by_others = m_state.has_duty() || m_state.is_parent();
     const auto place = m_news.place();
     const Micros longest =
         asked_by_others ? longest_wait_for_others : longest_wait;
@@ -135,7 +135,7 @@
 FeedDuty::after_failure()
 {
     const bool is_first = !m_state.map();
-    if (is_first || m_state.has_duty() || m_state.relays())
+    if (is_first || m_state.has_duty() || m_state.is_parent())
         return after_failure_time;
     return after_failure_below;
 }
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -206,9 +206,9 @@
 }
 
 bool
-ForwardState::relays()
+ForwardState::is_parent()
 {
-    return fleet_tree().relays(settings.name, settings.zone);
+    return fleet_tree().is_parent(settings.name, settings.zone);
 }
 
 std::string
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -157,7 +157,7 @@
     FleetTree fleet_tree();
     /// Returns whether other instances are to ask this one for news and load,
     /// though it has no duty.
-    bool relays();
+    bool is_parent();
 };
 
 } // namespace crosslink
