--- a/src/libcrosslink/membership/fleet_tree_test.cpp
+++ b/src/libcrosslink/membership/fleet_tree_test.cpp
@@ -134,7 +134,7 @@
     const std::string holder = "elsewhere:1";
     const auto before =
         FleetTree(instances, holder).parents("z0-9", "z0", "z0-9:1");
-    const std::string gone = before.front();
+    const std::string& gone = before.front();
     std::erase_if(instances, [&gone](const InstanceInfo& instance) {
         return instance.address == gone;
     });
