A paused process stands before a test goes on

Cause, by the log and Once::replay: that answer comes only where the first instance says that it runs the call; it was sent SIGSTOP, and still answered, since the signal takes hold of a process's threads a moment later, on a busy machine a long one. The program is right.

--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -59,6 +59,12 @@
                     raise
 
 
+def has_stopped(child):
+    """Whether all threads of a child process stand after SIGSTOP."""
+    return os.waitid(os.P_PID, child,
+                     os.WSTOPPED | os.WNOWAIT | os.WNOHANG) is not None
+
+
 def wait_until(condition, what, seconds=WAIT_SECONDS):
     """Returns the first true value of condition(); fails after `seconds`."""
     last = time.monotonic() + seconds
@@ -142,7 +148,12 @@
         return self.post("/fault/clear")
 
     def signal(self, number):
+        """Sends a signal. After SIGSTOP all threads stand when it returns:
+        on a busy machine the process answers on for a moment."""
         self.popen.send_signal(number)
+        if number == signal.SIGSTOP:
+            wait_until(lambda: has_stopped(self.popen.pid),
+                       "a process to stop")
 
     def kill(self):
         """Ends it at once, as a crash would."""
