--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/send_window.h>
 
 #include <cstdint>
 #include <optional>
@@ -22,15 +23,26 @@
 
 /// One process that runs calls of a service, as the platform lists it.
 struct ListedRunner {
-    std::string id; ///< New with each start.
+    std::string id; ///< May be that of an earlier process.
+    /// Unix milliseconds of its start: tells its incarnations apart. 0 where it
+    /// is not told.
+    std::uint64_t born = 0;
     std::string service;
     std::string address; ///< "ip:port"; may be used again by another one.
     std::string zone;
     std::uint32_t slots = 1; ///< Calls that it works on at once.
     bool leaving = false;    ///< It said that it will end.
+    /// It bears little for so long, counted from when it said so.
+    Micros cold_for{0};
     std::vector<LoadedModel> models;
 };
 
+/// One process among those that have, or had, the same id.
+struct RunnerIncarnation {
+    std::string_view id;
+    std::uint64_t born = 0; ///< See ListedRunner.
+};
+
 /// Calls under way at a runner.
 struct RunnerLoad {
     std::uint32_t calls = 0;
@@ -58,6 +70,11 @@
     RunnerLoad untold;          ///< Of this instance, sent since then.
     std::uint32_t failures = 0; ///< In a row.
     TimePoint held_until{};     ///< It gets nothing before.
+    TimePoint cold_until{};     ///< It bears little before, by its own word.
+    /// When it last took no connection or broke one off: it may start anew.
+    std::optional<TimePoint> contact_lost_at;
+    SendWindow sends;           ///< Of this instance.
+    std::uint32_t reserved = 0; ///< Calls of it that are about to be sent.
     /// It is no longer listed, and taken as gone from then on, unless it is
     /// listed again.
     std::optional<TimePoint> gone_at;
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/runner_entry.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -21,6 +23,12 @@
     std::uint64_t fetched_tokens = 0; ///< Of all its parts.
 };
 
+/// How runners of a service that warm up are spared.
+struct WarmUpTerms {
+    Micros time{0};   ///< From a start.
+    double limit = 0; ///< Calls of all instances in a second; 0 for none.
+};
+
 /// What the choice of a runner depends on.
 struct RunnerQuery {
     std::string_view service;
@@ -40,17 +48,24 @@
     /// Runners with older weights are not chosen.
     std::uint64_t least_version = 0;
     const std::set<std::string>* avoid = nullptr; ///< Runners tried already.
-    std::size_t instances = 1;                    ///< Of the fleet.
-    std::uint64_t random = 0;                     ///< Random bits.
+    /// Zones whose runners may have the call; null for all.
+    const std::set<std::string, std::less<>>* zones_allowed = nullptr;
+    std::string_view instance; ///< Name of this one.
+    WarmUpTerms warm_up;
+    std::size_t instances = 1; ///< Of the fleet.
+    std::uint64_t random = 0;  ///< Random bits.
     TimePoint now{};
 };
 
 /// The runner that was chosen.
 struct RunnerPick {
     std::string id;
+    std::uint64_t born = 0; ///< Its incarnation; see ListedRunner.
     std::string address;
     std::uint64_t version = 0; ///< Of the model, as believed.
     Micros wait{0};            ///< Until it takes up the call, as expected.
+
+    RunnerIncarnation incarnation() const { return {id, born}; }
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -7,6 +7,7 @@
 #include <crosslink/forward/holding_time.h>
 #include <crosslink/forward/runner_entry.h>
 #include <crosslink/forward/runner_query.h>
+#include <crosslink/membership/settled_members.h>
 
 #include <cstdint>
 #include <map>
@@ -28,33 +29,59 @@
 public:
     using Entries = std::map<std::string, RunnerEntry, std::less<>>;
 
+    RunnerTable();
+
     /// Replaces the whole list; what is known of those that stay is kept.
-    void sync(std::span<const ListedRunner> listed);
-    /// Takes over one entry of the list.
-    void put(const ListedRunner& listed);
+    void sync(std::span<const ListedRunner> listed, TimePoint now);
+    /// Takes over one entry of the list that was learned at `now`. Returns
+    /// whether it is of a new incarnation of a runner that was listed: then all
+    /// that was known of the earlier one is forgotten. An entry of an earlier
+    /// incarnation than the known one is passed over.
+    bool put(const ListedRunner& listed, TimePoint now);
     /// Takes note that a runner is no longer listed, and that it is gone.
     void remove(std::string_view id);
     /// Takes note that a runner is no longer listed. Its entry may have lapsed
     /// by itself, so that it counts as gone only from `gone_at` on.
     void lapsed(std::string_view id, TimePoint gone_at);
     /// As sync(); those that are not listed count as gone from `gone_at` on.
-    void sync_lapsed(std::span<const ListedRunner> listed, TimePoint gone_at);
+    void sync_lapsed(std::span<const ListedRunner> listed, TimePoint gone_at,
+                     TimePoint now);
     /// Drops the runners that count as gone at `now`.
     void expire(TimePoint now);
 
+    /// Takes note that nothing new may be sent to the runners of `zone`, or
+    /// that it may again. They may have become cold meanwhile, and their own
+    /// word of that comes later: they count as warming up from then on.
+    void evacuate(std::string_view zone, bool evacuated, TimePoint now);
+    /// Lets only `zones` be evacuated.
+    void evacuate_only(const std::set<std::string>& zones, TimePoint now);
+    const std::set<std::string, std::less<>>& evacuated() const
+    {
+        return m_evacuated;
+    }
+    /// The instances that share what runners bear while they warm up.
+    SettledMembers& members() { return m_members; }
+    /// Drops the runners of all services but `services`.
+    void keep_services(const std::set<std::string_view, std::less<>>& services);
+
     /// Returns the runner for a call, or nothing where none takes work.
     std::optional<RunnerPick> choose(const RunnerQuery& query) const;
     /// Returns when a runner takes work again, as far as is known; nothing
     /// where none does before the fleet changes.
     std::optional<TimePoint> next_chance(const RunnerQuery& query) const;
-    /// Takes note of a call that is sent, with the tokens that are to be read
-    /// and the tokens of KV memory that it takes.
-    void sent(std::string_view id, std::uint64_t tokens,
-              std::uint64_t resident = 0);
+    /// Counts a call as about to be sent, so that others that are chosen for at
+    /// the same time know of it. sent() or release() must follow.
+    void reserve(const RunnerIncarnation& runner);
+    /// Takes note that such a call is not sent after all.
+    void release(const RunnerIncarnation& runner);
+    /// Takes note of a call that is sent at `now`, with the tokens that are to
+    /// be read and the tokens of KV memory that it takes.
+    void sent(const RunnerIncarnation& runner, std::uint64_t tokens,
+              std::uint64_t resident, TimePoint now);
     /// Takes note that a call's prompt was read.
-    void prompt_read(std::string_view id, std::uint64_t tokens);
+    void prompt_read(const RunnerIncarnation& runner, std::uint64_t tokens);
     /// Takes note of a call's end, with the memory that it took.
-    void ended(std::string_view id, std::uint64_t resident = 0);
+    void ended(const RunnerIncarnation& runner, std::uint64_t resident = 0);
     /// Takes note of how long a call that ran to its end was under way, with
     /// the memory that it took.
     void ran(std::string_view id, std::uint64_t resident, Micros span);
@@ -63,13 +90,19 @@
     /// Takes note of a failure: it gets nothing for a time that doubles.
     void failed(std::string_view id, TimePoint now);
     void succeeded(std::string_view id);
+    /// Takes note that a runner took no connection at `at`, or broke one off:
+    /// it may have ended and start again, and counts as warming up from then
+    /// on. Its own word of that comes up to 2 s after the start.
+    void contact_lost(std::string_view id, TimePoint at);
+    /// Returns the runners of which that was noted after `since`, and when.
+    std::map<std::string, TimePoint> contacts_lost(TimePoint since) const;
     /// Takes note that a runner says nothing at all: its zone may be cut off,
     /// and is passed over for a while, or until one of its runners answers.
     void silent(std::string_view id, TimePoint now);
     /// Takes note of the weights that a runner has by its own word. Returns
     /// whether that was not known yet. Between two starts a runner's weights
     /// only get newer: older ones were told late, and are passed over.
-    bool has_version(std::string_view id, std::string_view model,
+    bool has_version(const RunnerIncarnation& runner, std::string_view model,
                      std::uint64_t version);
     /// Takes note that a runner has other weights than `version`, which a call
     /// asked for: what was told does not hold, and the list counts again.
@@ -88,8 +121,14 @@
     const Entries& entries() const { return m_entries; }
 
 private:
-    std::set<std::string_view> put_all(std::span<const ListedRunner> listed);
+    std::set<std::string_view> put_all(std::span<const ListedRunner> listed,
+                                       TimePoint now);
     RunnerEntry* find(std::string_view id);
+    RunnerEntry* find(const RunnerIncarnation& runner);
+    bool may_take_work(const RunnerEntry& entry,
+                       const RunnerQuery& query) const;
+    TimePoint warm_at(const RunnerEntry& entry, const RunnerQuery& query) const;
+    TimePoint free_at(const RunnerEntry& entry, const RunnerQuery& query) const;
     bool is_silent(std::string_view zone, TimePoint now) const;
     const RunnerEntry* cheapest(const std::vector<const RunnerEntry*>& entries,
                                 const RunnerQuery& query,
@@ -100,6 +139,10 @@
     Entries m_entries;
     /// Zones that may be cut off, and until when they are passed over.
     std::map<std::string, TimePoint, std::less<>> m_silent_zones;
+    std::set<std::string, std::less<>> m_evacuated; ///< Zones.
+    /// Zones that were evacuated, and until when.
+    std::map<std::string, TimePoint, std::less<>> m_reopened;
+    SettledMembers m_members;
     /// How long calls take their memory, by service.
     std::map<std::string, HoldingTime, std::less<>> m_holding;
     TimePoint m_others_at{}; ///< When the others' load was told last.
--- a/src/include/crosslink/forward/service_map.h
+++ b/src/include/crosslink/forward/service_map.h
@@ -41,6 +41,8 @@
     std::uint32_t most_attempts = 1;
     bool open = false;      ///< Needs no key.
     bool resumable = false; ///< A broken stream may go on elsewhere.
+    /// Regions whose runners may have its calls; empty for all.
+    std::vector<std::string> homes{};
 
     /// True where a call may run more than once.
     bool repeatable() const
@@ -69,6 +71,12 @@
     std::uint64_t memory_tokens = 0;
 };
 
+/// How runners of a service start: for a while they bear little.
+struct WarmUp {
+    Micros time{0};        ///< From a start; 0 where they are warm at once.
+    double per_second = 0; ///< Calls that one bears meanwhile.
+};
+
 /// What callers may send, and how long they may take.
 struct CallerLimits {
     std::uint64_t header_bytes = 16'384;
@@ -83,6 +91,8 @@
     bool has_priority = false; ///< Its priority goes before the route's.
     std::uint32_t priority = 5;
     bool isolated = false; ///< Shares no kept KV with any other account.
+    /// Regions whose runners may have its calls; empty for all.
+    std::vector<std::string> homes{};
 };
 
 /// One version of the operator's routes, services and keys. Immutable once
@@ -97,6 +107,7 @@
     bool needs_key = false; ///< Calls carry a key, open routes excepted.
     /// Services whose runners are model engines.
     std::map<std::string, EngineInfo, std::less<>> engines;
+    std::map<std::string, WarmUp, std::less<>> warm_ups; ///< By service.
 
     /// Adds a route; only before the map is shared.
     void add_route(ServiceRoute route);
--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -44,6 +44,13 @@
     bool open = false;
 };
 
+/// Whether nothing new may be sent to the runners of a zone, as the operator
+/// asks for.
+struct ZoneEvacuated {
+    std::string zone;
+    bool evacuated = false;
+};
+
 /// A runner whose entry in the list is new or changed.
 struct RunnerListed {
     ListedRunner runner;
@@ -66,9 +73,9 @@
 };
 
 /// One change of what the platform tells the fleet.
-using FleetChange =
-    std::variant<MapNamed, WeightsNamed, WeightsRecorded, RolloutMarked,
-                 RunnerListed, RunnerGone, InstanceListed, DutyHolder>;
+using FleetChange = std::variant<MapNamed, WeightsNamed, WeightsRecorded,
+                                 RolloutMarked, ZoneEvacuated, RunnerListed,
+                                 RunnerGone, InstanceListed, DutyHolder>;
 
 /// What the platform tells every instance: the operator's configuration, the
 /// named weights, the runners, and the fleet itself. read() and wait() block,
--- a/src/include/crosslink/weights/weights_plan.h
+++ b/src/include/crosslink/weights/weights_plan.h
@@ -31,6 +31,7 @@
 /// An order to load new weights.
 struct WeightsOrder {
     std::string runner;
+    std::uint64_t born = 0; ///< Its incarnation.
     std::string address;
     std::string model;
     std::uint64_t version = 0;
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -4,6 +4,7 @@
 #include <crosslink/forward/runner_table.h>
 
 #include <crosslink/forward/runner_price.h>
+#include <crosslink/forward/warm_up_limit.h>
 #include <crosslink/membership/rendezvous.h>
 
 #include <algorithm>
@@ -22,6 +23,15 @@
 /// First time for which a failing runner is left alone, and the longest.
 constexpr Micros first_hold = std::chrono::milliseconds(500);
 constexpr std::uint32_t most_doublings = 4;
+/// Two instances may hear of a third one's end so far apart (0.4 s from the
+/// platform, 0.15 s for each of two exchanges), with the second over which
+/// calls to a cold runner are counted.
+constexpr Micros settling_time = std::chrono::milliseconds(2000);
+/// A reserved call is sent, or given up, in about this time.
+constexpr Micros reserved_time = std::chrono::milliseconds(20);
+/// A runner whose contact was lost may be down for a second or two, and tells
+/// its new start up to 1.2 s late; beyond its time to warm up.
+constexpr Micros restart_time = std::chrono::milliseconds(1500);
 
 using Candidates = std::vector<const RunnerEntry*>;
 
@@ -73,22 +83,6 @@
     return version > 0 && version >= query.least_version;
 }
 
-/// Returns whether `entry` takes work now, or once it is not held any more.
-bool
-may_take_work(const RunnerEntry& entry, const RunnerQuery& query)
-{
-    return entry.listed.service == query.service && !entry.listed.leaving &&
-           !(entry.gone_at && query.now >= *entry.gone_at) &&
-           !(query.avoid && query.avoid->contains(entry.listed.id)) &&
-           (query.model.empty() || has_weights(entry, query));
-}
-
-bool
-takes_work(const RunnerEntry& entry, const RunnerQuery& query)
-{
-    return may_take_work(entry, query) && query.now >= entry.held_until;
-}
-
 void
 erase_model(std::vector<LoadedModel>& models, std::string_view model)
 {
@@ -99,10 +93,14 @@
 
 } // namespace
 
+RunnerTable::RunnerTable() : m_members(settling_time)
+{
+}
+
 void
-RunnerTable::sync(std::span<const ListedRunner> listed)
+RunnerTable::sync(std::span<const ListedRunner> listed, TimePoint now)
 {
-    const std::set<std::string_view> ids = put_all(listed);
+    const std::set<std::string_view> ids = put_all(listed, now);
     std::erase_if(m_entries, [&ids](const auto& item) {
         return !ids.contains(item.first);
     });
@@ -110,9 +108,9 @@
 
 void
 RunnerTable::sync_lapsed(std::span<const ListedRunner> listed,
-                         TimePoint gone_at)
+                         TimePoint gone_at, TimePoint now)
 {
-    const std::set<std::string_view> ids = put_all(listed);
+    const std::set<std::string_view> ids = put_all(listed, now);
     for (const auto& [id, entry] : m_entries)
         if (!ids.contains(id))
             lapsed(id, gone_at);
@@ -120,12 +118,12 @@
 
 /// Takes over all entries of the list, and returns their ids.
 std::set<std::string_view>
-RunnerTable::put_all(std::span<const ListedRunner> listed)
+RunnerTable::put_all(std::span<const ListedRunner> listed, TimePoint now)
 {
     std::set<std::string_view> ids;
     for (const ListedRunner& runner : listed) {
         ids.insert(runner.id);
-        put(runner);
+        put(runner, now);
     }
     return ids;
 }
@@ -145,12 +143,24 @@
     });
 }
 
-void
-RunnerTable::put(const ListedRunner& listed)
+bool
+RunnerTable::put(const ListedRunner& listed, TimePoint now)
 {
-    RunnerEntry& entry = m_entries[listed.id];
+    const auto [found, is_new] = m_entries.try_emplace(listed.id);
+    RunnerEntry& entry = found->second;
+    if (!is_new && listed.born < entry.listed.born)
+        return false;
+    const bool starts_anew = !is_new && listed.born > entry.listed.born;
+    if (starts_anew) {
+        // What was sent a moment ago counts at the new one too.
+        const SendWindow sends = entry.sends;
+        entry = {};
+        entry.sends = sends;
+    }
     entry.gone_at.reset();
     entry.listed = listed;
+    entry.cold_until = now + listed.cold_for;
+    return starts_anew;
 }
 
 void
@@ -161,6 +171,88 @@
         m_entries.erase(found);
 }
 
+void
+RunnerTable::evacuate(std::string_view zone, bool evacuated, TimePoint now)
+{
+    if (evacuated)
+        m_evacuated.emplace(zone);
+    else if (m_evacuated.erase(std::string(zone)) > 0)
+        m_reopened.insert_or_assign(std::string(zone), now);
+}
+
+void
+RunnerTable::evacuate_only(const std::set<std::string>& zones, TimePoint now)
+{
+    const auto before = m_evacuated;
+    for (const std::string& zone : before)
+        if (!zones.contains(zone))
+            evacuate(zone, false, now);
+    m_evacuated.insert(zones.begin(), zones.end());
+}
+
+void
+RunnerTable::keep_services(
+    const std::set<std::string_view, std::less<>>& services)
+{
+    std::erase_if(m_entries, [&services](const auto& item) {
+        return !services.contains(item.second.listed.service);
+    });
+}
+
+/// Returns whether `entry` takes work now, or once it is free.
+bool
+RunnerTable::may_take_work(const RunnerEntry& entry,
+                           const RunnerQuery& query) const
+{
+    const ListedRunner& listed = entry.listed;
+    return listed.service == query.service && !listed.leaving &&
+           !m_evacuated.contains(listed.zone) &&
+           !(query.zones_allowed &&
+             !query.zones_allowed->contains(listed.zone)) &&
+           !(entry.gone_at && query.now >= *entry.gone_at) &&
+           !(query.avoid && query.avoid->contains(listed.id)) &&
+           (query.model.empty() || has_weights(entry, query));
+}
+
+/// Returns until when a runner warms up, as far as is known.
+TimePoint
+RunnerTable::warm_at(const RunnerEntry& entry, const RunnerQuery& query) const
+{
+    TimePoint warm = entry.cold_until;
+    if (entry.contact_lost_at)
+        warm = std::max(warm, *entry.contact_lost_at + restart_time +
+                                  query.warm_up.time);
+    const auto reopened = m_reopened.find(entry.listed.zone);
+    if (reopened != m_reopened.end())
+        warm = std::max(warm, reopened->second + query.warm_up.time);
+    return warm;
+}
+
+/// Returns when a runner takes a call of this instance: it is held back after
+/// a refusal or a failure, and while it warms up a few instances send to it, a
+/// few calls a second each.
+TimePoint
+RunnerTable::free_at(const RunnerEntry& entry, const RunnerQuery& query) const
+{
+    if (query.warm_up.limit == 0 || query.warm_up.time.count() == 0)
+        return entry.held_until;
+    const TimePoint warm = warm_at(entry, query);
+    if (query.now >= warm)
+        return entry.held_until;
+    const ListedRunner& listed = entry.listed;
+    const WarmUpShare share = warm_up_share(
+        query.warm_up.limit, m_members.count(listed.zone, query.now));
+    if (share.calls == 0 ||
+        !m_members.has_share(query.instance, listed.id, listed.zone,
+                             share.instances, query.now))
+        return std::max(entry.held_until, warm);
+    if (entry.reserved >= share.calls)
+        return std::max(entry.held_until, query.now + reserved_time);
+    return std::max(
+        entry.held_until,
+        entry.sends.free_at(share.calls - entry.reserved, query.now));
+}
+
 const RunnerEntry*
 RunnerTable::cheapest(const Candidates& candidates, const RunnerQuery& query,
                       const FleetLoad& fleet) const
@@ -194,15 +286,15 @@
 {
     Candidates candidates;
     for (const auto& [id, entry] : m_entries)
-        if (takes_work(entry, query))
+        if (may_take_work(entry, query) && free_at(entry, query) <= query.now)
             candidates.push_back(&entry);
     if (candidates.empty())
         return std::nullopt;
     const FleetLoad fleet = fleet_load(query);
     sample(candidates, query);
     const RunnerEntry* chosen = cheapest(candidates, query, fleet);
-    return RunnerPick{chosen->listed.id, chosen->listed.address,
-                      chosen->version_of(query.model),
+    return RunnerPick{chosen->listed.id, chosen->listed.born,
+                      chosen->listed.address, chosen->version_of(query.model),
                       expected_wait(*chosen, query, fleet)};
 }
 
@@ -210,34 +302,54 @@
 RunnerTable::next_chance(const RunnerQuery& query) const
 {
     std::optional<TimePoint> earliest;
-    for (const auto& [id, entry] : m_entries)
-        if (may_take_work(entry, query) &&
-            (!earliest || entry.held_until < *earliest))
-            earliest = entry.held_until;
+    for (const auto& [id, entry] : m_entries) {
+        if (!may_take_work(entry, query))
+            continue;
+        const TimePoint free = free_at(entry, query);
+        if (!earliest || free < *earliest)
+            earliest = free;
+    }
     return earliest;
 }
 
 void
-RunnerTable::sent(std::string_view id, std::uint64_t tokens,
-                  std::uint64_t resident)
+RunnerTable::reserve(const RunnerIncarnation& runner)
+{
+    if (RunnerEntry* entry = find(runner))
+        ++entry->reserved;
+}
+
+void
+RunnerTable::release(const RunnerIncarnation& runner)
+{
+    RunnerEntry* entry = find(runner);
+    if (entry && entry->reserved > 0)
+        --entry->reserved;
+}
+
+void
+RunnerTable::sent(const RunnerIncarnation& runner, std::uint64_t tokens,
+                  std::uint64_t resident, TimePoint now)
 {
-    if (RunnerEntry* entry = find(id)) {
+    release(runner);
+    if (RunnerEntry* entry = find(runner)) {
+        entry->sends.sent(now);
         entry->own.add(tokens, resident);
         entry->untold.add(tokens, resident);
     }
 }
 
 void
-RunnerTable::prompt_read(std::string_view id, std::uint64_t tokens)
+RunnerTable::prompt_read(const RunnerIncarnation& runner, std::uint64_t tokens)
 {
-    if (RunnerEntry* entry = find(id))
+    if (RunnerEntry* entry = find(runner))
         entry->own.tokens -= std::min(entry->own.tokens, tokens);
 }
 
 void
-RunnerTable::ended(std::string_view id, std::uint64_t resident)
+RunnerTable::ended(const RunnerIncarnation& runner, std::uint64_t resident)
 {
-    RunnerEntry* entry = find(id);
+    RunnerEntry* entry = find(runner);
     if (!entry || entry->own.calls == 0)
         return;
     --entry->own.calls;
@@ -302,6 +414,24 @@
     m_silent_zones.erase(entry->listed.zone);
 }
 
+void
+RunnerTable::contact_lost(std::string_view id, TimePoint at)
+{
+    RunnerEntry* entry = find(id);
+    if (entry && (!entry->contact_lost_at || *entry->contact_lost_at < at))
+        entry->contact_lost_at = at;
+}
+
+std::map<std::string, TimePoint>
+RunnerTable::contacts_lost(TimePoint since) const
+{
+    std::map<std::string, TimePoint> lost;
+    for (const auto& [id, entry] : m_entries)
+        if (entry.contact_lost_at && *entry.contact_lost_at > since)
+            lost[id] = *entry.contact_lost_at;
+    return lost;
+}
+
 void
 RunnerTable::silent(std::string_view id, TimePoint now)
 {
@@ -317,10 +447,10 @@
 }
 
 bool
-RunnerTable::has_version(std::string_view id, std::string_view model,
-                         std::uint64_t version)
+RunnerTable::has_version(const RunnerIncarnation& runner,
+                         std::string_view model, std::uint64_t version)
 {
-    RunnerEntry* entry = find(id);
+    RunnerEntry* entry = find(runner);
     const std::uint64_t known = entry ? entry->version_of(model) : 0;
     if (known == 0 || known >= version)
         return false;
@@ -368,4 +498,13 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
+/// Returns the entry of this one process; null where the runner is gone, or
+/// started anew.
+RunnerEntry*
+RunnerTable::find(const RunnerIncarnation& runner)
+{
+    RunnerEntry* entry = find(runner.id);
+    return entry && entry->listed.born == runner.born ? entry : nullptr;
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -73,12 +73,12 @@
     CHECK(chosen(table, query()).empty());
     ListedRunner leaving = runner("r1", "a");
     leaving.leaving = true;
-    table.put(leaving);
+    table.put(leaving, at(0));
     ListedRunner other = runner("r2", "a");
     other.service = "t";
-    table.put(other);
+    table.put(other, at(0));
     CHECK(chosen(table, query()).empty());
-    table.put(runner("r3", "a"));
+    table.put(runner("r3", "a"), at(0));
     CHECK(chosen(table, query()) == "r3");
     RunnerQuery again = query();
     const std::set<std::string> avoid{"r3"};
@@ -89,22 +89,22 @@
 TEST_CASE("the own zone is preferred until its runners are loaded")
 {
     RunnerTable table;
-    table.put(runner("near", "a"));
-    table.put(runner("far", "b"));
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
     CHECK(chosen(table, query()) == "near");
-    table.sent("near", 9000);
+    table.sent({"near"}, 9000, 0, at(0));
     CHECK(chosen(table, query()) == "far");
-    table.prompt_read("near", 9000);
+    table.prompt_read({"near"}, 9000);
     CHECK(chosen(table, query()) == "near");
-    table.ended("near");
+    table.ended({"near"});
     CHECK(table.entries().at("near").own.calls == 0);
 }
 
 TEST_CASE("a large prompt goes to the zone of the store that keeps it")
 {
     RunnerTable table;
-    table.put(runner("near", "a"));
-    table.put(runner("far", "b"));
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
     RunnerQuery ask = query();
     ask.kept = {"b", std::chrono::milliseconds(40)};
     CHECK(chosen(table, ask) == "far");
@@ -117,17 +117,17 @@
 TEST_CASE("the time until a runner takes up a call grows with its prompts")
 {
     RunnerTable table;
-    table.put(runner("r", "a"));
+    table.put(runner("r", "a"), at(0));
     CHECK(table.choose(query())->wait == Micros(0));
-    table.sent("r", 9000);
+    table.sent({"r"}, 9000, 0, at(0));
     CHECK(table.choose(query())->wait >= reading_time(9000));
 }
 
 TEST_CASE("the load of other instances counts while it is fresh")
 {
     RunnerTable table;
-    table.put(runner("near", "a"));
-    table.put(runner("far", "b"));
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
     table.others_told({{"near", {3, 20'000}}}, at(0));
     CHECK(chosen(table, query(100)) == "far");
     CHECK(chosen(table, query(5000)) == "near");
@@ -136,8 +136,8 @@
 TEST_CASE("what others told to be unread is read as time goes on")
 {
     RunnerTable table;
-    table.put(runner("near", "a"));
-    table.put(runner("far", "b"));
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
     table.others_told({{"near", {3, 20'000}}}, at(0));
     const auto wait = [&table](int now) {
         RunnerQuery ask = query(now);
@@ -149,34 +149,34 @@
     CHECK(wait(100) == reading_time(15'000));
     CHECK(wait(500) == Micros(0));
     // What this instance sent itself is unread until its first event.
-    table.sent("near", 6000);
+    table.sent({"near"}, 6000, 0, at(0));
     CHECK(wait(500) >= reading_time(6000));
 }
 
 TEST_CASE("a large prompt passes over a runner whose memory it would overfill")
 {
     RunnerTable table;
-    table.put(runner("near", "a"));
-    table.put(runner("far", "b"));
-    table.sent("near", 0, 35'000);
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
+    table.sent({"near"}, 0, 35'000, at(0));
     CHECK(chosen(table, query_of(12'000)) == "near");
     CHECK(chosen(table, query_of(45'000)) == "far");
-    table.ended("near", 35'000);
+    table.ended({"near"}, 35'000);
     CHECK(chosen(table, query_of(45'000)) == "near");
 }
 
 TEST_CASE("at an idle runner nothing is waited for, however large the prompt")
 {
     RunnerTable table;
-    table.put(runner("r", "a"));
+    table.put(runner("r", "a"), at(0));
     CHECK(table.choose(query_of(200'000))->wait == Micros(0));
 }
 
 TEST_CASE("memory of calls that other instances sent counts as the own does")
 {
     RunnerTable table;
-    table.put(runner("near", "a"));
-    table.put(runner("far", "b"));
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
     table.others_told({{"near", {4, 0, 68'000}}}, at(0));
     CHECK(chosen(table, query_of(12'000, 100)) == "far");
 }
@@ -184,10 +184,10 @@
 TEST_CASE("the wait for memory is as long as calls have held theirs")
 {
     RunnerTable table;
-    table.put(runner("r", "a"));
+    table.put(runner("r", "a"), at(0));
     for (int i = 0; i < 60; ++i)
         table.ran("r", 12'000, std::chrono::seconds(4));
-    table.sent("r", 0, 70'000);
+    table.sent({"r"}, 0, 70'000, at(0));
     const double wait = seconds(table.choose(query_of(35'000))->wait);
     CHECK(wait > 1.5);
     CHECK(wait < 2.5);
@@ -199,7 +199,7 @@
     std::map<std::string, RunnerLoad> load;
     for (int i = 0; i < 60; ++i) {
         const std::string id = "r" + std::to_string(i);
-        table.put(runner(id, "a"));
+        table.put(runner(id, "a"), at(0));
         load[id] = {10, 0, i == 7 ? 0U : 70'000U};
     }
     RunnerQuery ask = query_of(4000, 600);
@@ -223,12 +223,12 @@
 TEST_CASE("newer weights are preferred, and older ones end by their bound")
 {
     RunnerTable table;
-    table.put(runner("old", "a", 1));
-    table.put(runner("new", "a", 2));
+    table.put(runner("old", "a", 1), at(0));
+    table.put(runner("new", "a", 2), at(0));
     RunnerQuery asked = query();
     asked.newest_version = 2;
     CHECK(chosen(table, asked) == "new");
-    table.sent("new", 50'000);
+    table.sent({"new"}, 50'000, 0, at(0));
     CHECK(chosen(table, asked) == "old");
     asked.least_version = 2;
     CHECK(chosen(table, asked) == "new");
@@ -237,26 +237,26 @@
 TEST_CASE("older weights end by their bound, however few have newer ones")
 {
     RunnerTable table;
-    table.put(runner("o1", "a", 1));
-    table.put(runner("o2", "a", 1));
-    table.put(runner("new", "a", 2));
-    table.sent("new", 50'000);
+    table.put(runner("o1", "a", 1), at(0));
+    table.put(runner("o2", "a", 1), at(0));
+    table.put(runner("new", "a", 2), at(0));
+    table.sent({"new"}, 50'000, 0, at(0));
     RunnerQuery asked = query();
     asked.newest_version = 2;
     asked.least_version = 2;
     CHECK(chosen(table, asked) == "new");
     table.remove("new");
     CHECK(chosen(table, asked).empty());
-    table.has_version("o2", model, 2);
+    table.has_version({"o2"}, model, 2);
     CHECK(chosen(table, asked) == "o2");
 }
 
 TEST_CASE("a zone whose runner is silent is passed over until one answers")
 {
     RunnerTable table;
-    table.put(runner("near", "a"));
-    table.put(runner("near too", "a"));
-    table.put(runner("far", "b"));
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("near too", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
     table.silent("near", at(0));
     CHECK(chosen(table, query(100)) == "far");
     CHECK(chosen(table, query(2600)) != "far");
@@ -269,7 +269,7 @@
 TEST_CASE("a failing runner is left alone for a time that grows")
 {
     RunnerTable table;
-    table.put(runner("r", "a"));
+    table.put(runner("r", "a"), at(0));
     table.failed("r", at(0));
     CHECK(chosen(table, query(100)).empty());
     CHECK(chosen(table, query(600)) == "r");
@@ -284,47 +284,47 @@
 {
     RunnerTable table;
     CHECK_FALSE(table.next_chance(query()));
-    table.put(runner("full", "a"));
-    table.put(runner("fails", "a"));
+    table.put(runner("full", "a"), at(0));
+    table.put(runner("fails", "a"), at(0));
     table.refused("full", at(0), std::chrono::milliseconds(120));
     table.failed("fails", at(0));
     CHECK(table.next_chance(query()) == at(120));
-    table.put(runner("old", "a", 1));
+    table.put(runner("old", "a", 1), at(0));
     RunnerQuery asked = query();
     asked.least_version = 2;
     CHECK_FALSE(table.next_chance(asked));
-    table.has_version("fails", model, 2);
+    table.has_version({"fails"}, model, 2);
     CHECK(table.next_chance(asked) == at(500));
     ListedRunner leaving = runner("fails", "a");
     leaving.leaving = true;
-    table.put(leaving);
+    table.put(leaving, at(0));
     CHECK_FALSE(table.next_chance(asked));
 }
 
 TEST_CASE("a late list does not bring older weights back")
 {
     RunnerTable table;
-    table.put(runner("r", "a", 1));
-    table.has_version("r", model, 2);
-    table.put(runner("r", "a", 1));
+    table.put(runner("r", "a", 1), at(0));
+    table.has_version({"r"}, model, 2);
+    table.put(runner("r", "a", 1), at(0));
     CHECK(table.choose(query())->version == 2);
 }
 
 TEST_CASE("weights that were told late do not replace newer ones")
 {
     RunnerTable table;
-    table.put(runner("r", "a", 2));
-    CHECK(table.has_version("r", model, 4));
-    CHECK_FALSE(table.has_version("r", model, 3));
-    CHECK_FALSE(table.has_version("r", "other", 3));
+    table.put(runner("r", "a", 2), at(0));
+    CHECK(table.has_version({"r"}, model, 4));
+    CHECK_FALSE(table.has_version({"r"}, model, 3));
+    CHECK_FALSE(table.has_version({"r"}, "other", 3));
     CHECK(table.choose(query())->version == 4);
 }
 
 TEST_CASE("where a runner has not the weights that were told, its list counts")
 {
     RunnerTable table;
-    table.put(runner("r", "a", 1));
-    table.has_version("r", model, 3);
+    table.put(runner("r", "a", 1), at(0));
+    table.has_version({"r"}, model, 3);
     table.lacks_version("r", model, 2);
     CHECK(table.choose(query())->version == 3);
     table.lacks_version("r", model, 3);
@@ -337,11 +337,11 @@
 TEST_CASE("a runner whose entry lapsed counts as gone a while later")
 {
     RunnerTable table;
-    table.put(runner("r", "a"));
-    table.put(runner("s", "a"));
+    table.put(runner("r", "a"), at(0));
+    table.put(runner("s", "a"), at(0));
     table.lapsed("r", at(1000));
     const std::vector<ListedRunner> listed{runner("s", "a")};
-    table.sync_lapsed(listed, at(2000));
+    table.sync_lapsed(listed, at(2000), at(0));
     table.expire(at(900));
     const std::set<std::string> avoid{"s"};
     RunnerQuery ask = query(900);
@@ -349,20 +349,143 @@
     CHECK(chosen(table, ask) == "r");
     ask.now = at(1000);
     CHECK(chosen(table, ask).empty());
-    table.put(runner("r", "a"));
+    table.put(runner("r", "a"), at(0));
     CHECK(chosen(table, ask) == "r");
     table.lapsed("r", at(3000));
     table.expire(at(3000));
     CHECK(table.entries().size() == 1);
 }
 
+TEST_CASE("a runner that starts anew under its id is a new one")
+{
+    RunnerTable table;
+    ListedRunner earlier = runner("r", "a", 1);
+    earlier.born = 100;
+    table.put(earlier, at(0));
+    table.sent({"r", 100}, 9000, 20'000, at(0));
+    table.has_version({"r", 100}, model, 4);
+    table.failed("r", at(0));
+    CHECK(chosen(table, query(10)).empty());
+    ListedRunner later = earlier;
+    later.born = 200;
+    later.address = "127.0.0.1:2";
+    CHECK(table.put(later, at(10)));
+    CHECK(chosen(table, query(10)) == "r");
+    CHECK(table.own_load().empty());
+    CHECK(table.entries().at("r").version_of(model) == 1);
+    // What comes late of the earlier one changes nothing.
+    CHECK_FALSE(table.has_version({"r", 100}, model, 5));
+    table.sent({"r", 200}, 500, 800, at(20));
+    table.prompt_read({"r", 100}, 9000);
+    table.ended({"r", 100}, 20'000);
+    CHECK(table.own_load().at("r").calls == 1);
+    CHECK(table.own_load().at("r").tokens == 500);
+    CHECK_FALSE(table.put(earlier, at(30)));
+    CHECK(table.choose(query(30))->address == "127.0.0.1:2");
+    CHECK_FALSE(table.put(later, at(40)));
+}
+
+TEST_CASE("runners of an evacuated zone get nothing")
+{
+    RunnerTable table;
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
+    table.evacuate("a", true, at(0));
+    CHECK(chosen(table, query(10)) == "far");
+    CHECK(table.next_chance(query(10)) == TimePoint{});
+    table.evacuate("b", true, at(20));
+    CHECK(chosen(table, query(30)).empty());
+    CHECK_FALSE(table.next_chance(query(30)));
+    table.evacuate_only({"b"}, at(40));
+    CHECK(chosen(table, query(50)) == "near");
+    table.evacuate("none", false, at(60));
+    CHECK(table.evacuated().size() == 1);
+}
+
+TEST_CASE("runners of a zone that was evacuated are taken as cold")
+{
+    RunnerTable table;
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
+    table.members().listed({"i", "", "a", 0}, at(-5000));
+    RunnerQuery asked = query(0);
+    asked.instance = "i";
+    asked.warm_up = {std::chrono::seconds(3), 4};
+    table.evacuate("a", true, at(0));
+    table.evacuate("a", false, at(1000));
+    asked.now = at(1000);
+    for (int i = 0; i < 2; ++i) {
+        CHECK(chosen(table, asked) == "near");
+        table.sent({"near"}, 0, 0, at(1000));
+    }
+    CHECK(chosen(table, asked) == "far");
+    asked.now = at(4000);
+    CHECK(chosen(table, asked) == "near");
+}
+
+TEST_CASE("calls that are about to be sent count at a cold runner")
+{
+    RunnerTable table;
+    ListedRunner cold = runner("r", "a");
+    cold.cold_for = std::chrono::seconds(2);
+    table.put(cold, at(0));
+    table.members().listed({"i", "", "a", 0}, at(-5000));
+    RunnerQuery asked = query(0);
+    asked.instance = "i";
+    asked.warm_up = {std::chrono::seconds(3), 4};
+    table.reserve({"r"});
+    CHECK(chosen(table, asked) == "r");
+    table.reserve({"r"});
+    CHECK(chosen(table, asked).empty());
+    table.release({"r"});
+    CHECK(chosen(table, asked) == "r");
+    table.sent({"r"}, 0, 0, at(0));
+    table.reserve({"r"});
+    CHECK(chosen(table, asked).empty());
+    CHECK(table.next_chance(asked) == at(1050));
+    // Another instance has no share, and waits until the runner is warm.
+    asked.instance = "j";
+    CHECK(table.next_chance(asked) == at(2000));
+}
+
+TEST_CASE("a runner that may start anew is taken as cold")
+{
+    RunnerTable table;
+    table.put(runner("r", "a"), at(0));
+    RunnerQuery asked = query(0);
+    asked.instance = "i";
+    asked.warm_up = {std::chrono::seconds(3), 20};
+    CHECK(chosen(table, asked) == "r");
+    table.contact_lost("r", at(100));
+    table.contact_lost("r", at(50));
+    CHECK(table.contacts_lost(at(99)).at("r") == at(100));
+    CHECK(table.contacts_lost(at(100)).empty());
+    CHECK(chosen(table, asked).empty());
+    asked.now = at(4600);
+    CHECK(chosen(table, asked) == "r");
+}
+
+TEST_CASE("calls go to runners of their home zones only")
+{
+    RunnerTable table;
+    table.put(runner("near", "a"), at(0));
+    table.put(runner("far", "b"), at(0));
+    const std::set<std::string, std::less<>> homes{"b"};
+    RunnerQuery asked = query();
+    asked.zones_allowed = &homes;
+    CHECK(chosen(table, asked) == "far");
+    const std::set<std::string, std::less<>> none;
+    asked.zones_allowed = &none;
+    CHECK(chosen(table, asked).empty());
+}
+
 TEST_CASE("a whole list drops those that it does not name")
 {
     RunnerTable table;
-    table.put(runner("r1", "a"));
-    table.put(runner("r2", "a"));
+    table.put(runner("r1", "a"), at(0));
+    table.put(runner("r2", "a"), at(0));
     const std::vector<ListedRunner> list{runner("r2", "a")};
-    table.sync(list);
+    table.sync(list, at(0));
     CHECK(table.entries().size() == 1);
     table.remove("r2");
     table.remove("r2");
--- /dev/null
+++ b/src/libcrosslink/membership/settled_members_test.cpp
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/membership/settled_members.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr Micros settle = std::chrono::milliseconds(2000);
+
+TimePoint
+at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+InstanceInfo
+instance(const std::string& name, const std::string& zone = "a")
+{
+    return {name, "127.0.0.1:1", zone, 0};
+}
+
+/// Returns who of `names` takes a share of `most` for "key" in zone a.
+std::set<std::string>
+sharers(const SettledMembers& members, const std::set<std::string>& names,
+        std::size_t most, int millis)
+{
+    std::set<std::string> result;
+    for (const std::string& name : names)
+        if (members.has_share(name, "key", "a", most, at(millis)))
+            result.insert(name);
+    return result;
+}
+
+const std::set<std::string> five{"i1", "i2", "i3", "i4", "i5"};
+
+SettledMembers
+five_members()
+{
+    SettledMembers members(settle);
+    for (const std::string& name : five)
+        members.listed(instance(name), at(0));
+    return members;
+}
+
+} // namespace
+
+TEST_CASE("as many instances take a share as there are to be")
+{
+    const SettledMembers members = five_members();
+    CHECK(sharers(members, five, 2, 5000).size() == 2);
+    CHECK(sharers(members, five, 9, 5000).size() == 5);
+    CHECK(members.count("a", at(5000)) == 5);
+}
+
+TEST_CASE("an instance that came takes its share after the settling time")
+{
+    const SettledMembers members = five_members();
+    CHECK(sharers(members, five, 9, 1999).empty());
+    CHECK(sharers(members, five, 9, 2000).size() == 5);
+    CHECK_FALSE(members.has_share("unlisted", "key", "a", 9, at(5000)));
+}
+
+TEST_CASE("the share of one that left is free only after the settling time")
+{
+    SettledMembers members = five_members();
+    const auto before = sharers(members, five, 2, 5000);
+    const std::string left = *before.begin();
+    members.gone(left, at(5000));
+    CHECK(sharers(members, five, 2, 6999).size() == 1);
+    CHECK(members.count("a", at(6999)) == 5);
+    const auto after = sharers(members, five, 2, 7000);
+    CHECK(after.size() == 2);
+    CHECK_FALSE(after.contains(left));
+    CHECK(members.count("a", at(7000)) == 4);
+}
+
+TEST_CASE("one that left and came again waits like a new one")
+{
+    SettledMembers members = five_members();
+    members.gone("i1", at(5000));
+    members.listed(instance("i1"), at(5500));
+    CHECK_FALSE(members.has_share("i1", "key", "a", 9, at(7000)));
+    CHECK(members.has_share("i1", "key", "a", 9, at(7500)));
+}
+
+TEST_CASE("a whole list names all that are there")
+{
+    SettledMembers members = five_members();
+    members.keep_only({"i1", "i2"}, at(5000));
+    CHECK(members.count("a", at(5000)) == 5);
+    CHECK(members.count("a", at(7000)) == 2);
+}
+
+TEST_CASE("where a zone has no instance, those of all zones count")
+{
+    SettledMembers members(settle);
+    members.listed(instance("i1", "b"), at(0));
+    members.listed(instance("i2", "c"), at(0));
+    CHECK(sharers(members, five, 9, 5000).size() == 2);
+    members.listed(instance("i3", "a"), at(5000));
+    CHECK(sharers(members, five, 9, 6000).empty());
+    CHECK(sharers(members, five, 9, 7000) == std::set<std::string>{"i3"});
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/testing/played_load.h
+++ b/src/libcrosslink/testing/played_load.h
@@ -137,7 +137,7 @@
         listed.slots = 64;
         listed.models = {{"m", 1}};
         for (RunnerTable& table : m_tables)
-            table.put(listed);
+            table.put(listed, m_now);
     }
 
     /// Tells each instance what all others told the last time.
@@ -205,7 +205,8 @@
             return;
         caller.runner = pick->id;
         caller.sent_at = m_now;
-        table_of(number).sent(pick->id, kind.to_read, kind.resident);
+        table_of(number).sent(pick->incarnation(), kind.to_read, kind.resident,
+                              m_now);
         m_engines.at(pick->id).take({number, kind.priority,
                                      static_cast<double>(kind.resident),
                                      static_cast<double>(kind.to_read),
@@ -275,7 +276,7 @@
     {
         Caller& caller = m_callers[number];
         const PlayedKind& kind = m_kinds[caller.kind];
-        table_of(number).prompt_read(id, kind.to_read);
+        table_of(number).prompt_read({id}, kind.to_read);
         caller.began = true;
         caller.end = m_now - caller.first_try <= kind.objective ? End::InTime
                                                                 : End::Late;
@@ -294,8 +295,8 @@
         Caller& caller = m_callers[number];
         const PlayedKind& kind = m_kinds[caller.kind];
         if (!caller.began)
-            table_of(number).prompt_read(caller.runner, kind.to_read);
-        table_of(number).ended(caller.runner, kind.resident);
+            table_of(number).prompt_read({caller.runner}, kind.to_read);
+        table_of(number).ended({caller.runner}, kind.resident);
         caller.runner.clear();
     }
 
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -130,12 +130,15 @@
     return same ? open : m_open.end();
 }
 
-/// Forgets the orders that took too long, and those of runners that are gone.
+/// Forgets the orders that took too long, and those of runners that are gone
+/// or started anew: a new process knows nothing of an order to the earlier one.
 void
 WeightsPlan::drop_overdue(const RunnerTable& runners, TimePoint now)
 {
     std::erase_if(m_open, [&runners](const auto& item) {
-        return !runners.entries().contains(item.first);
+        const auto found = runners.entries().find(item.first);
+        return found == runners.entries().end() ||
+               found->second.listed.born != item.second.order.born;
     });
     std::erase_if(m_again, [&runners](const auto& item) {
         return !runners.entries().contains(item.first.runner);
@@ -215,8 +218,8 @@
         for (const RunnerEntry* entry : behind(model, runners, now)) {
             if (taken++ >= most)
                 break;
-            WeightsOrder order{entry->listed.id, entry->listed.address, model,
-                               history.newest()};
+            WeightsOrder order{entry->listed.id, entry->listed.born,
+                               entry->listed.address, model, history.newest()};
             m_open[order.runner] = {order, now, now};
             orders.push_back(std::move(order));
         }
--- a/src/libcrosslink/weights/weights_plan_test.cpp
+++ b/src/libcrosslink/weights/weights_plan_test.cpp
@@ -34,7 +34,7 @@
 {
     RunnerTable table;
     for (std::size_t i = 0; i < versions.size(); ++i)
-        table.put(runner(static_cast<int>(i), versions[i]));
+        table.put(runner(static_cast<int>(i), versions[i]), TimePoint{});
     return table;
 }
 
@@ -48,7 +48,7 @@
     for (int i = 18; i < 24; ++i) {
         ListedRunner listed = runner(i, 1);
         listed.models = {{other_model, 1}};
-        table.put(listed);
+        table.put(listed, TimePoint{});
     }
     return table;
 }
@@ -73,6 +73,25 @@
 
 } // namespace
 
+TEST_CASE("an order to the earlier process of a runner holds no place")
+{
+    WeightsPlan plan(bound);
+    WeightsHistory history;
+    history.named(2, at(0));
+    plan.follow(model, history);
+    RunnerTable table = runners_with({1});
+    const auto orders = plan.due(table, at(0));
+    REQUIRE(orders.size() == 1);
+    plan.ordered(orders[0], OrderOutcome::Accepted, at(10));
+    CHECK(plan.due(table, at(100)).empty());
+    ListedRunner anew = runner(0, 1);
+    anew.born = 5;
+    table.put(anew, at(200));
+    const auto again = plan.due(table, at(200));
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].born == 5);
+}
+
 TEST_CASE("a part of the runners loads new weights at once")
 {
     WeightsPlan plan(bound);
@@ -86,7 +105,7 @@
         plan.ordered(order, OrderOutcome::Accepted, at(2));
     plan.reported(orders.front(), 2, false, at(900));
     RunnerTable later = table;
-    later.has_version(orders.front().runner, model, 2);
+    later.has_version({orders.front().runner}, model, 2);
     CHECK(plan.due(later, at(901)).size() == 1);
 }
 
@@ -96,8 +115,8 @@
     plan.follow(model, history({2, 3}));
     RunnerTable table = runners_with({2, 2, 1, 2, 1, 2, 2, 2, 2, 2, 2, 2});
     // The runners with the oldest weights are the busiest.
-    table.sent("r2", 0);
-    table.sent("r4", 0);
+    table.sent({"r2"}, 0, 0, at(0));
+    table.sent({"r4"}, 0, 0, at(0));
     std::set<std::string> first;
     for (const WeightsOrder& order : plan.due(table, at(0)))
         first.insert(order.runner);
@@ -232,7 +251,7 @@
     ListedRunner listed = runner(0, 5);
     listed.models.push_back({other_model, 1});
     RunnerTable table;
-    table.put(listed);
+    table.put(listed, TimePoint{});
     const auto orders = plan.due(table, at(0));
     REQUIRE(orders.size() == 1);
     plan.ordered(orders[0], OrderOutcome::Accepted, at(10));
--- a/src/serve/fleet/change_taker.cpp
+++ b/src/serve/fleet/change_taker.cpp
@@ -74,13 +74,39 @@
         .field("open", change.open);
 }
 
+void
+ChangeTaker::operator()(const ZoneEvacuated& change)
+{
+    if (change.evacuated)
+        m_evacuated.insert(change.zone);
+    m_state.runners.with([&](RunnerTable& table) {
+        table.evacuate(change.zone, change.evacuated, monotonic_now());
+    });
+    LogLine("zone_evacuated")
+        .field("zone", change.zone)
+        .field("evacuated", change.evacuated);
+}
+
+/// Closes the connections to the process that the runner was before.
+void
+ChangeTaker::started_anew(const ListedRunner& runner)
+{
+    m_state.connections.drop_unproven(runner.address, monotonic_now());
+    LogLine("runner_started_anew")
+        .field("runner", runner.id)
+        .field("born", runner.born)
+        .span("cold_for", runner.cold_for);
+}
+
 void
 ChangeTaker::operator()(const RunnerListed& change)
 {
     m_runners.push_back(change.runner);
-    if (!m_whole)
-        m_state.runners.with(
-            [&](RunnerTable& table) { table.put(change.runner); });
+    const bool anew = m_state.runners.with([&](RunnerTable& table) {
+        return table.put(change.runner, monotonic_now());
+    });
+    if (anew)
+        started_anew(change.runner);
     if (change.runner.leaving)
         LogLine("runner_leaving").field("runner", change.runner.id);
 }
@@ -109,6 +135,12 @@
         else
             view.instances[instance.name] = instance;
     });
+    m_state.runners.with([&](RunnerTable& table) {
+        if (instance.address.empty())
+            table.members().gone(instance.name, monotonic_now());
+        else
+            table.members().listed(instance, monotonic_now());
+    });
 }
 
 void
@@ -141,11 +173,14 @@
 void
 ChangeTaker::finish_whole()
 {
-    m_state.runners.with([this](RunnerTable& table) {
+    const TimePoint now = monotonic_now();
+    m_state.runners.with([this, now](RunnerTable& table) {
         if (m_lapsed_until)
-            table.sync_lapsed(m_runners, *m_lapsed_until);
+            table.sync_lapsed(m_runners, *m_lapsed_until, now);
         else
-            table.sync(m_runners);
+            table.sync(m_runners, now);
+        table.evacuate_only(m_evacuated, now);
+        table.members().keep_only(m_instances, now);
     });
     m_state.fleet.with([this](FleetView& view) {
         view.listed = true;
--- a/src/serve/fleet/change_taker.h
+++ b/src/serve/fleet/change_taker.h
@@ -31,6 +31,7 @@
     void operator()(const WeightsNamed& change);
     void operator()(const WeightsRecorded& change);
     void operator()(const RolloutMarked& change);
+    void operator()(const ZoneEvacuated& change);
     void operator()(const RunnerListed& change);
     void operator()(const RunnerGone& change);
     void operator()(const InstanceListed& change);
@@ -41,12 +42,14 @@
 
 private:
     void finish_whole();
+    void started_anew(const ListedRunner& runner);
 
     ForwardState& m_state;
     const bool m_whole;
     const std::optional<TimePoint> m_lapsed_until;
     std::vector<ListedRunner> m_runners;
     std::set<std::string> m_instances;
+    std::set<std::string> m_evacuated; ///< Zones.
     bool m_holder_named = false;
 };
 
--- a/src/serve/fleet/exchange.h
+++ b/src/serve/fleet/exchange.h
@@ -23,6 +23,12 @@
     Micros age{0};
 };
 
+/// A runner that took no connection, or broke one off, and how long ago.
+struct LostContact {
+    std::string runner;
+    Micros age{0};
+};
+
 /// What an instance tells its parent in the fleet's tree a few times a second:
 /// the holder of the duty, or an instance that asks the holder for others too.
 struct ExchangeQuestion {
@@ -32,6 +38,7 @@
     std::uint64_t kept_term = 0; ///< Position of its copy of the directory.
     std::uint64_t kept_place = 0;
     std::vector<WeightsAge> weights;
+    std::vector<LostContact> lost; ///< Runners that may start anew.
     /// Up to where it knows the platform's store; nothing before all of it.
     std::optional<std::uint64_t> news_place;
 };
@@ -39,6 +46,7 @@
 /// Weights that a runner has by its own word.
 struct RunnerWeights {
     std::string runner;
+    std::uint64_t born = 0; ///< Its incarnation.
     std::string model;
     std::uint64_t version = 0;
 };
@@ -63,6 +71,7 @@
     /// Weights that runners have loaded a moment ago, by their own word. The
     /// platform's list tells them a second later.
     std::vector<RunnerWeights> loaded;
+    std::vector<LostContact> lost; ///< Runners that may start anew.
     KeptUpdate kept;
     std::vector<WeightsAge> weights; ///< As the first instance heard of them.
     bool platform_reached = false; ///< The holder gets the platform's answers.
--- a/src/serve/fleet/exchange_desk.cpp
+++ b/src/serve/fleet/exchange_desk.cpp
@@ -18,8 +18,10 @@
 ExchangeDesk::exchange(const ExchangeQuestion& question)
 {
     const TimePoint now = monotonic_now();
+    m_state.heard_of(question.lost, now);
     ExchangeAnswer answer = m_steward.answers() ? m_steward.exchange(question)
                                                 : handed_on(question, now);
+    answer.lost = m_state.lost_contacts(now);
     answer.holders = m_news.holders_seen(now);
     answer.news = m_news.since(question.news_place);
     answer.news_age = m_news.age(now);
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -67,6 +67,7 @@
     std::tie(question.kept_term, question.kept_place) = m_state.kept.with(
         [](KeptReplica& replica) { return replica.position(); });
     question.weights = m_state.weights_ages(now);
+    question.lost = m_state.lost_contacts(now);
     question.news_place = m_news.place();
     return question;
 }
@@ -129,9 +130,10 @@
     m_state.kept.with(
         [&](KeptReplica& replica) { replica.take(answer.kept, asked); });
     for (const RunnerWeights& loaded : answer.loaded)
-        m_state.learned_weights(loaded.runner, loaded.model, loaded.version,
-                                "holder");
+        m_state.learned_weights({loaded.runner, loaded.born}, loaded.model,
+                                loaded.version, "holder");
     m_state.heard_of(answer.weights, now);
+    m_state.heard_of(answer.lost, asked);
     if (answer.platform_reached)
         m_state.fleet.with(
             [now](FleetView& view) { view.reach.reached_by_another(now); });
--- a/src/serve/fleet/fleet_json.cpp
+++ b/src/serve/fleet/fleet_json.cpp
@@ -167,6 +167,7 @@
 {
     Json::Value value;
     value["runner"] = loaded.runner;
+    value["born"] = Json::UInt64(loaded.born);
     value["model"] = loaded.model;
     value["version"] = Json::UInt64(loaded.version);
     return value;
@@ -175,8 +176,23 @@
 RunnerWeights
 loaded_from_json(const Json::Value& value)
 {
-    return {json_string(value, "runner"), json_string(value, "model"),
-            json_number(value, "version")};
+    return {json_string(value, "runner"), json_number(value, "born"),
+            json_string(value, "model"), json_number(value, "version")};
+}
+
+Json::Value
+lost_to_json(const LostContact& lost)
+{
+    Json::Value value;
+    value["runner"] = lost.runner;
+    value["age_us"] = Json::Int64(lost.age.count());
+    return value;
+}
+
+LostContact
+lost_from_json(const Json::Value& value)
+{
+    return {json_string(value, "runner"), span_from_json(value, "age_us")};
 }
 
 Json::Value
@@ -308,6 +324,7 @@
     value["kept_term"] = Json::UInt64(question.kept_term);
     value["kept_place"] = Json::UInt64(question.kept_place);
     value["weights"] = json_list(question.weights, age_to_json);
+    value["lost"] = json_list(question.lost, lost_to_json);
     if (question.news_place)
         value["news_place"] = Json::UInt64(*question.news_place);
     return value;
@@ -322,6 +339,7 @@
     question.kept_term = json_number(value, "kept_term");
     question.kept_place = json_number(value, "kept_place");
     question.weights = list_from_json(value["weights"], age_from_json);
+    question.lost = list_from_json(value["lost"], lost_from_json);
     if (value.isMember("news_place"))
         question.news_place = json_number(value, "news_place");
     return question;
@@ -334,6 +352,7 @@
     value["others"] = load_to_json(answer.others);
     value["loading"] = json_texts(answer.loading);
     value["loaded"] = json_list(answer.loaded, loaded_to_json);
+    value["lost"] = json_list(answer.lost, lost_to_json);
     value["kept"] = update_to_json(answer.kept);
     value["weights"] = json_list(answer.weights, age_to_json);
     value["platform_reached"] = answer.platform_reached;
@@ -351,6 +370,7 @@
     answer.others = load_from_json(value["others"]);
     answer.loading = texts_from_json(value["loading"]);
     answer.loaded = list_from_json(value["loaded"], loaded_from_json);
+    answer.lost = list_from_json(value["lost"], lost_from_json);
     answer.kept = update_from_json(value["kept"]);
     answer.weights = list_from_json(value["weights"], age_from_json);
     answer.platform_reached = json_flag(value, "platform_reached");
--- a/src/serve/fleet/fleet_json_test.cpp
+++ b/src/serve/fleet/fleet_json_test.cpp
@@ -38,6 +38,25 @@
     CHECK(read.others.at("r1").resident == 41'000);
 }
 
+TEST_CASE("an exchange brings the runners that may start anew")
+{
+    const std::vector<LostContact> lost{{"r1", std::chrono::milliseconds(70)}};
+    ExchangeQuestion question;
+    question.lost = lost;
+    const auto asked = exchange_question_from_json(to_json(question));
+    REQUIRE(asked.lost.size() == 1);
+    CHECK(asked.lost[0].runner == "r1");
+    CHECK(asked.lost[0].age == lost[0].age);
+    ExchangeAnswer answer;
+    answer.lost = lost;
+    answer.loaded = {{"r2", 77, "m", 3}};
+    const auto read = exchange_answer_from_json(to_json(answer));
+    REQUIRE(read.lost.size() == 1);
+    CHECK(read.lost[0].age == lost[0].age);
+    REQUIRE(read.loaded.size() == 1);
+    CHECK(read.loaded[0].born == 77);
+}
+
 TEST_CASE("an exchange brings the news of the platform as they were written")
 {
     ExchangeAnswer answer;
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -198,8 +198,8 @@
 {
     if (!m_call.generation || head.version == 0)
         return;
-    m_state.learned_weights(m_choice.pick().id, m_call.generation->model,
-                            head.version, "answer");
+    m_state.learned_weights(m_choice.pick().incarnation(),
+                            m_call.generation->model, head.version, "answer");
 }
 
 void
@@ -207,7 +207,8 @@
 {
     m_prompt.first_event();
     m_state.runners.with([this](RunnerTable& table) {
-        table.prompt_read(m_choice.pick().id, m_prompt.tokens_to_read());
+        table.prompt_read(m_choice.pick().incarnation(),
+                          m_prompt.tokens_to_read());
     });
 }
 
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -160,7 +160,7 @@
     try {
         outcome = exchange(link, sent);
     } catch (const std::exception& failure) {
-        note_silence(failure);
+        note_lost_contact(failure);
         LogLine("answer_broken")
             .field("request", m_call.id)
             .field("runner", m_choice.pick().id)
@@ -175,12 +175,9 @@
 void
 ForwardRun::note_sent()
 {
-    m_state.runners.with([this](RunnerTable& table) {
-        table.sent(m_choice.pick().id, m_prompt.tokens_to_read(),
-                   resident_tokens());
-    });
     m_sent_at = monotonic_now();
-    m_prompt.sent(monotonic_now(), m_choice.pick().wait);
+    m_choice.sent(m_prompt.tokens_to_read(), resident_tokens(), m_sent_at);
+    m_prompt.sent(m_sent_at, m_choice.pick().wait);
     ++m_sends;
     ++m_state.counters.sends;
 }
@@ -200,8 +197,9 @@
     m_prompt.ended();
     m_state.runners.with([this, outcome](RunnerTable& table) {
         if (!m_prompt.is_read())
-            table.prompt_read(m_choice.pick().id, m_prompt.tokens_to_read());
-        table.ended(m_choice.pick().id, resident_tokens());
+            table.prompt_read(m_choice.pick().incarnation(),
+                              m_prompt.tokens_to_read());
+        table.ended(m_choice.pick().incarnation(), resident_tokens());
         if (outcome == Outcome::Done && m_call.generation)
             table.ran(m_choice.pick().id, resident_tokens(),
                       monotonic_now() - m_sent_at);
@@ -210,14 +208,17 @@
         m_prompt.not_run();
 }
 
-/// Takes note of a runner from which nothing at all comes.
+/// Takes note of a runner that takes no connection or broke one off, or from
+/// which nothing at all comes.
 void
-ForwardRun::note_silence(const std::exception& failure)
+ForwardRun::note_lost_contact(const std::exception& failure)
 {
-    if (!dynamic_cast<const Poco::TimeoutException*>(&failure))
-        return;
-    m_state.runners.with([this](RunnerTable& table) {
-        table.silent(m_choice.pick().id, monotonic_now());
+    const bool silent =
+        dynamic_cast<const Poco::TimeoutException*>(&failure) != nullptr;
+    m_state.runners.with([&](RunnerTable& table) {
+        table.contact_lost(m_choice.pick().id, monotonic_now());
+        if (silent)
+            table.silent(m_choice.pick().id, monotonic_now());
     });
 }
 
@@ -240,7 +241,7 @@
             m_choice.pick().address, std::min(connect_time, time_left()));
         return true;
     } catch (const Poco::Exception& failure) {
-        note_silence(failure);
+        note_lost_contact(failure);
         LogLine("not_connected")
             .field("request", m_call.id)
             .field("runner", m_choice.pick().id)
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -82,7 +82,7 @@
     void settle(Outcome outcome);
     SendTerms terms();
     bool connect(bool& reused);
-    void note_silence(const std::exception& failure);
+    void note_lost_contact(const std::exception& failure);
     Outcome exchange(CallerLink& link, const SendTerms& terms);
     Outcome send_and_relay(CallerLink& link, const SendTerms& terms);
     std::optional<Outcome> await_answer();
--- a/src/serve/forward/forward_settings.cpp
+++ b/src/serve/forward/forward_settings.cpp
@@ -7,6 +7,9 @@
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
+#include <string_view>
+
 namespace crosslink
 {
 
@@ -41,6 +44,9 @@
         ->required();
     add(verb, "--seeds", settings.seeds, "Instances to begin with")
         ->delimiter(',');
+    add(verb, "--zone-regions", settings.zone_regions,
+        "Region of each zone, as zone:region")
+        ->delimiter(',');
     add(verb, "--metrics-bind", settings.metrics_bind,
         "ip:port of the metrics");
 }
@@ -82,6 +88,14 @@
         "Window of the retry budget, ms")
         ->default_val(10'000)
         ->check(CLI::Range(1000, 600'000));
+    add(verb, "--warm-up-ratio", settings.warm_up_ratio,
+        "Calls to a runner that warms up, for each that it bears; 0: no limit")
+        ->default_val(0)
+        ->check(CLI::Range(0.0, 100.0));
+    add(verb, "--warm-up-allowance", settings.warm_up_allowance,
+        "Calls to a runner that warms up beside the ratio, in a second")
+        ->default_val(0)
+        ->check(CLI::Range(0.0, 1e6));
     add(verb, "--log-level", settings.log_level, "Level of the log")
         ->default_val("info")
         ->check(CLI::IsMember({"debug", "info", "warn", "err"}));
@@ -89,6 +103,29 @@
 
 } // namespace
 
+std::optional<ZoneSet>
+ForwardSettings::home_zones(const std::vector<std::string>& of_route,
+                            const std::vector<std::string>& of_account) const
+{
+    if (of_route.empty() && of_account.empty())
+        return std::nullopt;
+    const auto names = [](const std::vector<std::string>& homes,
+                          std::string_view region) {
+        return homes.empty() ||
+               std::find(homes.begin(), homes.end(), region) != homes.end();
+    };
+    ZoneSet zones;
+    for (const std::string& item : zone_regions) {
+        const std::size_t colon = item.rfind(':');
+        if (colon == std::string::npos)
+            continue;
+        const auto region = std::string_view(item).substr(colon + 1);
+        if (names(of_route, region) && names(of_account, region))
+            zones.insert(item.substr(0, colon));
+    }
+    return zones;
+}
+
 void
 add_forward_options(CLI::App& verb, ForwardSettings& settings)
 {
--- a/src/serve/forward/forward_settings.h
+++ b/src/serve/forward/forward_settings.h
@@ -9,6 +9,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +27,9 @@
 /// weights only until so long before they are forbidden.
 constexpr Micros begin_margin = std::chrono::milliseconds(2000);
 
+/// Names of availability zones.
+using ZoneSet = std::set<std::string, std::less<>>;
+
 /// Everything that an instance which forwards calls is told at its start.
 /// Each field is a flag with an environment variable; see
 /// docs/OPERATIONS.md.
@@ -49,6 +55,10 @@
     double retry_ratio = 0;
     double retry_allowance = 0;
     std::uint64_t retry_window_ms = 0;
+    double warm_up_ratio = 0;     ///< See warm_up_limit().
+    double warm_up_allowance = 0; ///< See warm_up_limit().
+    /// Which region each zone is in, as "zone:region".
+    std::vector<std::string> zone_regions;
     std::string log_level;
 
     Micros stop_grace() const { return std::chrono::milliseconds(stop_ms); }
@@ -71,6 +81,19 @@
         return {retry_ratio, retry_allowance,
                 std::chrono::milliseconds(retry_window_ms)};
     }
+    /// Returns how many calls all instances may send in a second to a runner
+    /// that bears `per_second` while it warms up; 0 for no limit.
+    double warm_up_limit(double per_second) const
+    {
+        if (warm_up_ratio == 0 || per_second == 0)
+            return 0;
+        return per_second * warm_up_ratio + warm_up_allowance;
+    }
+    /// Returns the zones of the regions that both lists name; an empty list
+    /// names all. Nothing where both are empty.
+    std::optional<ZoneSet>
+    home_zones(const std::vector<std::string>& of_route,
+               const std::vector<std::string>& of_account) const;
     InstanceInfo instance_info() const
     {
         return {name, peer_address(), zone, link_mbps};
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -20,6 +20,10 @@
 /// Most versions of a model that instances tell each other.
 constexpr std::size_t most_told = 32;
 
+/// So long instances tell each other that a runner may start anew. Two
+/// exchanges on the way up, and two down, take 0.6 s.
+constexpr Micros lost_contact_told = std::chrono::milliseconds(1500);
+
 /// An act must arrive well before the lease can lapse.
 constexpr Micros act_time = std::chrono::milliseconds(700);
 
@@ -114,16 +118,38 @@
     });
 }
 
+std::vector<LostContact>
+ForwardState::lost_contacts(TimePoint now)
+{
+    const auto lost = runners.with([now](RunnerTable& table) {
+        return table.contacts_lost(now - lost_contact_told);
+    });
+    std::vector<LostContact> result;
+    for (const auto& [runner, at] : lost)
+        result.push_back({runner, now - at});
+    return result;
+}
+
+void
+ForwardState::heard_of(const std::vector<LostContact>& lost, TimePoint now)
+{
+    runners.with([&](RunnerTable& table) {
+        for (const LostContact& item : lost)
+            table.contact_lost(item.runner, now - item.age);
+    });
+}
+
 void
-ForwardState::learned_weights(std::string_view runner, std::string_view model,
-                              std::uint64_t version, const char* source)
+ForwardState::learned_weights(const RunnerIncarnation& runner,
+                              std::string_view model, std::uint64_t version,
+                              const char* source)
 {
     const bool changed = runners.with([&](RunnerTable& table) {
         return table.has_version(runner, model, version);
     });
     if (changed)
         LogLine("runner_weights")
-            .field("runner", runner)
+            .field("runner", runner.id)
             .field("version", version)
             .field("source", source);
 }
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -126,10 +126,15 @@
     std::vector<WeightsAge> weights_ages(TimePoint now);
     /// Takes in when another instance heard of weights, as of `now`.
     void heard_of(const std::vector<WeightsAge>& weights, TimePoint now);
+    /// Returns the runners that may start anew, as far as is known lately.
+    std::vector<LostContact> lost_contacts(TimePoint now);
+    /// Takes in which runners may start anew, as others told at `now`.
+    void heard_of(const std::vector<LostContact>& lost, TimePoint now);
     /// Takes in that a runner has `version` of `model`, as `source` told, and
     /// logs it where it was not known before.
-    void learned_weights(std::string_view runner, std::string_view model,
-                         std::uint64_t version, const char* source);
+    void learned_weights(const RunnerIncarnation& runner,
+                         std::string_view model, std::uint64_t version,
+                         const char* source);
     /// Returns the number of instances of the fleet, at least 1.
     std::size_t instance_count();
     /// True where this instance has the duty now.
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -37,22 +37,55 @@
                            const KeyHolder* holder)
     : m_state(state), m_prompt(prompt), m_call(call), m_holder(holder),
       m_service(route.pick_service(random_bits())),
-      m_affinity(last_shared_part(call))
+      m_affinity(last_shared_part(call)),
+      m_zones_allowed(state.settings.home_zones(
+          route.homes, holder ? holder->homes : std::vector<std::string>()))
 {
 }
 
+RunnerChoice::~RunnerChoice()
+{
+    release();
+}
+
 bool
 RunnerChoice::choose()
 {
+    release();
     const RunnerQuery query = make_query();
-    const auto pick = m_state.runners.with(
-        [&query](RunnerTable& table) { return table.choose(query); });
+    const auto pick = m_state.runners.with([&query](RunnerTable& table) {
+        auto chosen = table.choose(query);
+        if (chosen)
+            table.reserve(chosen->incarnation());
+        return chosen;
+    });
     if (!pick)
         return false;
     m_pick = *pick;
+    m_reserved = true;
     return true;
 }
 
+void
+RunnerChoice::sent(std::uint64_t tokens, std::uint64_t resident, TimePoint now)
+{
+    m_reserved = false;
+    m_state.runners.with([&](RunnerTable& table) {
+        table.sent(m_pick.incarnation(), tokens, resident, now);
+    });
+}
+
+/// Gives back the place of a call that was not sent.
+void
+RunnerChoice::release()
+{
+    if (!m_reserved)
+        return;
+    m_reserved = false;
+    m_state.runners.with(
+        [this](RunnerTable& table) { table.release(m_pick.incarnation()); });
+}
+
 std::optional<TimePoint>
 RunnerChoice::next_chance()
 {
@@ -79,7 +112,11 @@
     query.model = model;
     query.newest_version = m_newest;
     query.avoid = &m_avoid;
+    query.instance = m_state.settings.name;
     query.instances = m_state.instance_count();
+    if (m_zones_allowed)
+        query.zones_allowed = &*m_zones_allowed;
+    add_warm_up(query, *m_state.map());
     if (m_call.generation)
         add_prompt(query);
     query.random = random_bits();
@@ -87,6 +124,17 @@
     return query;
 }
 
+/// Adds how runners of the service are spared while they warm up.
+void
+RunnerChoice::add_warm_up(RunnerQuery& query, const ServiceMap& map) const
+{
+    const auto found = map.warm_ups.find(m_service);
+    if (found == map.warm_ups.end())
+        return;
+    query.warm_up = {found->second.time,
+                     m_state.settings.warm_up_limit(found->second.per_second)};
+}
+
 /// Adds where the prompt is kept, and how much of it will be read.
 void
 RunnerChoice::add_prompt(RunnerQuery& query)
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -28,12 +28,18 @@
     RunnerChoice(ForwardState& state, CallPrompt& prompt,
                  const ForwardedCall& call, const ServiceRoute& route,
                  const KeyHolder* holder);
+    ~RunnerChoice();
+    RunnerChoice(const RunnerChoice&) = delete;
+    RunnerChoice& operator=(const RunnerChoice&) = delete;
 
     /// Chooses a runner. Returns false, and leaves the last one, where none
     /// takes work.
     bool choose();
     /// Returns when a runner takes work again; nothing where none is known to.
     std::optional<TimePoint> next_chance();
+    /// Takes note that the call is sent to the chosen runner at `now`; see
+    /// RunnerTable::sent().
+    void sent(std::uint64_t tokens, std::uint64_t resident, TimePoint now);
     /// Lets the last runner not be chosen again.
     void pass_over_last() { m_avoid.insert(m_pick.id); }
     /// Lets all runners be chosen again.
@@ -58,6 +64,8 @@
 private:
     RunnerQuery make_query();
     void add_prompt(RunnerQuery& query);
+    void add_warm_up(RunnerQuery& query, const ServiceMap& map) const;
+    void release();
     KeptSpace space_of(std::uint64_t version) const;
 
     ForwardState& m_state;
@@ -66,7 +74,10 @@
     const KeyHolder* m_holder;
     const std::string m_service;
     const std::string m_affinity; ///< The last shared part of the prompt.
+    /// Zones whose runners may have the call; nothing for all.
+    const std::optional<ZoneSet> m_zones_allowed;
     RunnerPick m_pick;
+    bool m_reserved = false;       ///< The call is about to be sent to m_pick.
     std::set<std::string> m_avoid; ///< Runners that are not chosen.
     std::uint64_t m_newest = 0;    ///< Weights named at the last choice.
 };
--- a/src/serve/steward/runner_desk_test.cpp
+++ b/src/serve/steward/runner_desk_test.cpp
@@ -76,7 +76,7 @@
 RunnerTask
 task_for(const std::string& runner)
 {
-    return {RunnerTask::Kind::Give, {runner, "127.0.0.1:1", "m", 2}};
+    return {RunnerTask::Kind::Give, {runner, 0, "127.0.0.1:1", "m", 2}};
 }
 
 /// Submits until the task is taken: a talk that was let go ends at once.
--- a/src/serve/steward/weights_duty.cpp
+++ b/src/serve/steward/weights_duty.cpp
@@ -8,6 +8,10 @@
 
 #include <crosslink/ports/runner_orders.h>
 
+#include <functional>
+#include <set>
+#include <string_view>
+
 namespace crosslink
 {
 
@@ -20,6 +24,14 @@
 /// Rounds while there is nothing to do.
 constexpr Micros idle_pause = std::chrono::milliseconds(700);
 
+/// Returns which process the report is of: the one that was ordered, where it
+/// does not say so.
+RunnerIncarnation
+incarnation_of(const WeightsOrder& order, const RunnerReport& report)
+{
+    return {order.runner, report.born != 0 ? report.born : order.born};
+}
+
 } // namespace
 
 WeightsDuty::WeightsDuty(ForwardState& state)
@@ -54,7 +66,8 @@
     std::vector<RunnerWeights> result;
     m_plan.with([&result](WeightsPlan& plan) {
         for (const WeightsOrder& order : plan.loaded(monotonic_now()))
-            result.push_back({order.runner, order.model, order.version});
+            result.push_back(
+                {order.runner, order.born, order.model, order.version});
     });
     return result;
 }
@@ -75,8 +88,9 @@
         return m_state.has_duty() ? busy_pause : idle_pause;
     const auto weights =
         m_state.fleet.with([](FleetView& view) { return view.weights; });
-    const RunnerTable runners =
+    RunnerTable runners =
         m_state.runners.with([](RunnerTable& table) { return table; });
+    keep_known_services(runners);
     const TimePoint now = monotonic_now();
     std::vector<WeightsOrder> open;
     const auto due = m_plan.with([&](WeightsPlan& plan) {
@@ -92,6 +106,20 @@
     return due.empty() && open.empty() ? idle_pause : busy_pause;
 }
 
+/// Drops the runners of services that the configuration does not name: entries
+/// of other writers, which would take the places of runners in a rollout.
+void
+WeightsDuty::keep_known_services(RunnerTable& runners)
+{
+    const auto map = m_state.map();
+    if (!map)
+        return;
+    std::set<std::string_view, std::less<>> services;
+    for (const auto& [name, engine] : map->engines)
+        services.insert(name);
+    runners.keep_services(services);
+}
+
 /// Has `order` given; one that the desk doesn't take now is due again.
 void
 WeightsDuty::hand_in(const WeightsOrder& order)
@@ -121,8 +149,8 @@
         outcome = OrderOutcome::Busy;
     } else if (report && report->version >= order.version) {
         outcome = OrderOutcome::InForce;
-        m_state.learned_weights(order.runner, order.model, report->version,
-                                "report");
+        m_state.learned_weights(incarnation_of(order, *report), order.model,
+                                report->version, "report");
     } else if (const auto token = m_state.acting_token(); report && token) {
         outcome = m_state.ports.orders.give(order, *token, report->orders);
     }
@@ -144,8 +172,8 @@
         return;
     }
     if (!report->busy && report->version >= order.version) {
-        m_state.learned_weights(order.runner, order.model, report->version,
-                                "report");
+        m_state.learned_weights(incarnation_of(order, *report), order.model,
+                                report->version, "report");
         LogLine("weights_loaded")
             .field("runner", order.runner)
             .field("version", report->version);
--- a/src/serve/steward/weights_duty.h
+++ b/src/serve/steward/weights_duty.h
@@ -38,6 +38,7 @@
 
 private:
     Micros round();
+    void keep_known_services(RunnerTable& runners);
     void hand_in(const WeightsOrder& order);
     void talk(const RunnerTask& task);
     void give(const WeightsOrder& order);
