A call that failed at its runner is sent to another one where it may be

The failure is kept, and stands as the answer where no other runner does better; a repeat takes from the budget.

--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -29,6 +29,7 @@
 constexpr int most_surplus = 3;
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
+constexpr int first_server_error = 500;
 /// An answer that is not a stream is held whole before it goes out.
 constexpr std::size_t most_body_bytes = 16U << 20U;
 /// Idle connections whose end the runner does not tell are used this long.
@@ -189,8 +190,10 @@
     const bool success = is_success(head.status);
     if (success && (!head.genuine || head.encoded))
         return Outcome::Broken;
-    return success && head.event_stream ? relay_events(link, head)
-                                        : relay_whole(link, head);
+    if (success && head.event_stream)
+        return relay_events(link, head);
+    // What another runner began can't go on with an answer of another kind.
+    return link.begun() ? Outcome::Broken : relay_whole(link, head);
 }
 
 void
@@ -229,10 +232,27 @@
     if (!m_connection->whole())
         return Outcome::Broken;
     keep_connection(head);
+    if (repeats_failed(head)) {
+        m_failed_answer = {head, std::move(body)};
+        return Outcome::Failed;
+    }
     link.answer(head.status, head.headers, body);
     return Outcome::Done;
 }
 
+/// Returns whether a call that failed at its runner is sent to another one: it
+/// may be repeated, there is a repeat to give out, and as much time as this run
+/// took. Where a service fails one run in seven, one caller in seven was told
+/// so; with a repeat it is one in fifty.
+bool
+ForwardRun::repeats_failed(const AnswerHead& head)
+{
+    const bool failed = head.status >= first_server_error && head.genuine;
+    return failed && m_route.repeatable() &&
+           m_runs + 1 < m_route.most_attempts &&
+           time_left() > monotonic_now() - m_sent_at && take_repeat();
+}
+
 ForwardRun::Outcome
 ForwardRun::relay_events(CallerLink& link, const AnswerHead& head)
 {
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -109,12 +109,17 @@
 }
 
 /// Ends a call without a whole answer: an answer that has begun is broken off.
+/// A runner's failure that came before stands as the answer.
 void
 ForwardRun::give_up(CallerLink& link, Outcome outcome)
 {
-    if (!link.begun())
+    if (link.begun())
+        link.break_off();
+    else if (m_failed_answer)
+        link.answer(m_failed_answer->head.status, m_failed_answer->head.headers,
+                    m_failed_answer->body);
+    else
         fail(outcome);
-    link.break_off();
 }
 
 /// Waits for a runner that is known to take work again in time for an answer
@@ -299,6 +304,7 @@
         case Outcome::TimedOut:
         case Outcome::Outdated:
         case Outcome::Silent:
+        case Outcome::Failed:
             break;
         }
     });
@@ -307,9 +313,9 @@
 bool
 ForwardRun::may_go_on(Outcome outcome)
 {
-    const bool may_have_run = outcome == Outcome::Broken ||
-                              outcome == Outcome::Outdated ||
-                              outcome == Outcome::Silent;
+    const bool may_have_run =
+        outcome == Outcome::Broken || outcome == Outcome::Outdated ||
+        outcome == Outcome::Silent || outcome == Outcome::Failed;
     if (may_have_run)
         ++m_runs;
     m_choice.pass_over_last();
@@ -318,7 +324,8 @@
         return false;
     if (may_have_run && (!repeatable || m_runs >= m_route.most_attempts))
         return false;
-    if (outcome == Outcome::NotSent || outcome == Outcome::Silent)
+    if (outcome == Outcome::NotSent || outcome == Outcome::Silent ||
+        outcome == Outcome::Failed)
         return true;
     return take_repeat();
 }
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -69,6 +69,14 @@
         Outdated,
         /// As Broken: a kept connection said nothing. A repeat was granted.
         Silent,
+        /// It ran and failed, by the runner's word. A repeat was granted.
+        Failed,
+    };
+
+    /// An answer by which a runner said that the call failed there.
+    struct FailedAnswer {
+        AnswerHead head;
+        std::string body;
     };
 
     void refuse_beyond_limit();
@@ -92,6 +100,7 @@
     bool gives_up_silent();
     std::optional<AnswerHead> next_head();
     Outcome take_answer(CallerLink& link, const AnswerHead& head);
+    bool repeats_failed(const AnswerHead& head);
     Outcome relay_whole(CallerLink& link, const AnswerHead& head);
     Outcome relay_events(CallerLink& link, const AnswerHead& head);
     bool send_events(CallerLink& link, const AnswerHead& head,
@@ -122,6 +131,8 @@
     std::optional<TimePoint> m_next_chance;
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
+    /// A runner's failure that goes to the caller where no repeat does better.
+    std::optional<FailedAnswer> m_failed_answer;
     bool m_caller_gone = false;
     Micros m_first_event{0};
 };
