A call waits a moment, in a fresh instance, for what is about to be learned

A call waits up to 0.4 s for the configuration and 0.6 of its objective for the directory, in the first 1.5 s of a process.

--- a/src/serve/forward/forward_path.cpp
+++ b/src/serve/forward/forward_path.cpp
@@ -9,6 +9,7 @@
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
+#include <crosslink/forward/start_wait.h>
 
 #include <array>
 #include <cstdio>
@@ -21,6 +22,8 @@
 
 /// A caller that was refused for want of a configuration comes back after this.
 constexpr Micros come_back = std::chrono::milliseconds(500);
+/// Between two looks whether the configuration is known.
+constexpr Micros look_step = std::chrono::milliseconds(10);
 /// Another instance takes the call at once.
 constexpr Micros at_once = std::chrono::milliseconds(50);
 
@@ -69,15 +72,26 @@
     }
 }
 
+/// Waits a moment, at a start, until calls can be served.
+void
+ForwardPath::await_configuration()
+{
+    const TimePoint until =
+        monotonic_now() + wait_for_configuration(m_state.since_start());
+    while (!m_state.knows_fleet() && monotonic_now() < until)
+        std::this_thread::sleep_for(look_step);
+}
+
 void
 ForwardPath::forward(const ForwardedCall& call, CallerLink& link)
 {
     if (m_state.refusing)
         throw Error(ErrorCode::NotReady, "this instance stops",
                     RunState::NotDispatched, at_once);
+    await_configuration();
     // One version from start to end: a change takes hold with the next call.
     const auto map = m_state.map();
-    if (!map || !m_state.fleet.with([](FleetView& v) { return v.listed; }))
+    if (!m_state.knows_fleet())
         throw Error(ErrorCode::NotReady, "this instance knows no configuration",
                     RunState::NotDispatched, come_back);
     const ServiceRoute* route = map->find_route(call.host, call.path());
--- a/src/serve/forward/forward_path.h
+++ b/src/serve/forward/forward_path.h
@@ -23,6 +23,7 @@
     void serve(const ForwardedCall& call, CallerLink& link);
 
 private:
+    void await_configuration();
     void forward(const ForwardedCall& call, CallerLink& link);
 
     ForwardState& m_state;
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -10,6 +10,7 @@
 
 #include <crosslink/base/number.h>
 #include <crosslink/forward/queue_limit.h>
+#include <crosslink/forward/start_wait.h>
 
 #include <Poco/Exception.h>
 
@@ -72,6 +73,7 @@
     m_state.retries.with([this](RetryWindow& window) {
         window.called(m_choice.service(), monotonic_now());
     });
+    await_directory();
     for (;;) {
         if (!m_choice.choose() && !wait_for_runner()) {
             give_up(link, m_runs > 0 ? Outcome::Broken : Outcome::NotSent);
@@ -93,6 +95,19 @@
     }
 }
 
+/// Waits a moment, at a start, until it is known where the prompt is kept.
+void
+ForwardRun::await_directory()
+{
+    if (!m_call.generation || m_call.generation->shared_parts().empty())
+        return;
+    const TimePoint until =
+        monotonic_now() +
+        wait_for_directory(m_state.since_start(), m_route.objective);
+    while (!m_state.knows_directory() && monotonic_now() < until)
+        std::this_thread::sleep_for(wait_step);
+}
+
 /// Refuses a call that was sent nowhere yet and would wait for too long.
 void
 ForwardRun::refuse_beyond_limit()
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -48,10 +48,25 @@
     : settings(settings_in), ports(ports_in),
       fleet(settings_in.order_spacing()), retries(settings_in.retry_rules()),
       steward_lease(DutyLease::settle_time(settings_in.order_spacing(),
-                                           settings_in.lease()))
+                                           settings_in.lease())),
+      started_at(monotonic_now())
 {
 }
 
+Micros
+ForwardState::since_start() const
+{
+    return monotonic_now() - started_at;
+}
+
+bool
+ForwardState::knows_directory()
+{
+    return kept.with([](const KeptReplica& replica) {
+        return replica.position().first != 0;
+    });
+}
+
 std::shared_ptr<const ServiceMap>
 ForwardState::map()
 {
@@ -202,13 +217,19 @@
 }
 
 bool
-ForwardState::ready()
+ForwardState::knows_fleet()
 {
-    return !stopping && fleet.with([](FleetView& view) {
+    return fleet.with([](const FleetView& view) {
         return view.map != nullptr && view.listed;
     });
 }
 
+bool
+ForwardState::ready()
+{
+    return !stopping && knows_fleet();
+}
+
 void
 ForwardState::take(const std::vector<FleetChange>& changes, bool whole,
                    std::optional<TimePoint> lapsed_until)
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -111,8 +111,13 @@
     ForwardCounters counters;
     std::atomic<bool> stopping{false}; ///< A planned stop has begun.
     std::atomic<bool> refusing{false}; ///< No further call is taken.
+    const TimePoint started_at;
 
+    /// Returns for how long this process has run.
+    Micros since_start() const;
     std::shared_ptr<const ServiceMap> map();
+    /// Returns whether the directory of kept parts was learned at least once.
+    bool knows_directory();
     /// Returns which weights of `model` a call may begin on at `now`.
     WeightsChoice weights_choice(std::string_view model, TimePoint now);
     /// Returns for how long `version` of `model` has been replaced at `now`,
@@ -150,6 +155,8 @@
     /// Returns the fencing token for an act that begins now; nothing where
     /// there is no time for it. The lease may be lost between two questions.
     std::optional<std::uint64_t> acting_token();
+    /// True where the configuration and the runners are known.
+    bool knows_fleet();
     /// True where calls can be served.
     bool ready();
     /// Takes in what the platform told; `whole` where what is not named is
