Instances learn together which stores are late, by the zone of the runners

One of 71 instances sees a given store once in three seconds, and went on fetching there; all together see it 12 times in one. Samples go up the tree with the load, and the fleet's word comes down; it fades after 3 s, and what an instance sees itself goes before a word that is older than 1 s, as in a zone that is cut off. Lateness is kept by zone of the runner: a cut makes a store late for one zone.

--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -62,6 +62,7 @@
     std::string id;
     std::uint64_t born = 0; ///< Its incarnation; see ListedRunner.
     std::string address;
+    std::string zone;
     std::uint64_t version = 0; ///< Of the model, as believed.
     Micros wait{0};            ///< Until it takes up the call, as expected.
 
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -293,8 +293,11 @@
     const FleetLoad fleet = fleet_load(query);
     sample(candidates, query);
     const RunnerEntry* chosen = cheapest(candidates, query, fleet);
-    return RunnerPick{chosen->listed.id, chosen->listed.born,
-                      chosen->listed.address, chosen->version_of(query.model),
+    return RunnerPick{chosen->listed.id,
+                      chosen->listed.born,
+                      chosen->listed.address,
+                      chosen->listed.zone,
+                      chosen->version_of(query.model),
                       expected_wait(*chosen, query, fleet)};
 }
 
--- a/src/libcrosslink/kept/fetch_watch.cpp
+++ b/src/libcrosslink/kept/fetch_watch.cpp
@@ -4,6 +4,7 @@
 #include <crosslink/kept/fetch_watch.h>
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace crosslink
@@ -32,6 +33,9 @@
 /// What was seen longer ago says nothing of now, and counts for less until
 /// then: few calls tell of one store to one instance.
 constexpr Micros sample_holds = std::chrono::seconds(3);
+/// The fleet's word is some exchanges old at most, unless this instance is cut
+/// off: then what it sees itself goes before it.
+constexpr Micros told_holds = std::chrono::milliseconds(1000);
 
 double
 millis(Micros span)
@@ -39,19 +43,26 @@
     return seconds(span) * 1000;
 }
 
+/// Returns how late calls are, where they were `late_ms` late a while ago.
+double
+faded(double late_ms, Micros age)
+{
+    return late_ms * (1 - seconds(age) / seconds(sample_holds));
+}
+
 } // namespace
 
 void
-FetchWatch::sent(std::string_view store, TimePoint expected)
+FetchWatch::sent(const FetchWay& way, TimePoint expected)
 {
-    m_stores[std::string(store)].open.insert(expected);
+    m_ways[way].open.insert(expected);
 }
 
 void
-FetchWatch::ended(std::string_view store, TimePoint expected)
+FetchWatch::ended(const FetchWay& way, TimePoint expected)
 {
-    const auto found = m_stores.find(store);
-    if (found == m_stores.end())
+    const auto found = m_ways.find(way);
+    if (found == m_ways.end())
         return;
     std::multiset<TimePoint>& open = found->second.open;
     if (const auto call = open.find(expected); call != open.end())
@@ -59,24 +70,85 @@
 }
 
 void
-FetchWatch::first_event(std::string_view store, TimePoint expected,
+FetchWatch::first_event(const FetchWay& way, TimePoint expected, TimePoint now)
+{
+    ended(way, expected);
+    add_samples(m_ways[way], 1, millis(now - expected), now);
+}
+
+void
+FetchWatch::seen_by_others(const FetchSamples& samples, TimePoint now)
+{
+    if (samples.calls > 0)
+        add_samples(m_ways[samples.way], samples.calls, samples.late_ms, now);
+}
+
+/// Takes in that `calls` events came `late_ms` late, in the mean.
+void
+FetchWatch::add_samples(Seen& seen, std::uint32_t calls, double late_ms,
                         TimePoint now)
 {
-    ended(store, expected);
-    Seen& seen = m_stores[std::string(store)];
-    const double late = millis(now - expected);
+    const double weight = 1 - std::pow(1 - sample_weight, calls);
     if (is_known(seen, now))
-        seen.late_ms += sample_weight * (late - seen.late_ms);
+        seen.late_ms += weight * (late_ms - seen.late_ms);
     else
-        seen.late_ms = late;
+        seen.late_ms = late_ms;
     seen.known = true;
     seen.at = now;
+    FetchSamples& untold = seen.untold;
+    const double before = untold.late_ms * untold.calls;
+    untold.calls += calls;
+    untold.late_ms = (before + late_ms * calls) / untold.calls;
+}
+
+std::vector<FetchSamples>
+FetchWatch::take_untold()
+{
+    std::vector<FetchSamples> result;
+    for (auto& [way, seen] : m_ways) {
+        if (seen.untold.calls == 0)
+            continue;
+        seen.untold.way = way;
+        result.push_back(seen.untold);
+        seen.untold = {};
+    }
+    return result;
+}
+
+std::vector<FetchLateness>
+FetchWatch::lateness(TimePoint now) const
+{
+    std::vector<FetchLateness> result;
+    for (const auto& [way, seen] : m_ways) {
+        if (is_told(seen, now))
+            result.push_back({way, seen.told_late_ms, now - *seen.told_at});
+        else if (is_known(seen, now))
+            result.push_back({way, seen.late_ms, now - seen.at});
+    }
+    return result;
+}
+
+void
+FetchWatch::told(const FetchLateness& fleet, TimePoint now)
+{
+    Seen& seen = m_ways[fleet.way];
+    seen.told_late_ms = fleet.late_ms;
+    seen.told_at = now - fleet.age;
 }
 
 bool
 FetchWatch::is_known(const Seen& seen, TimePoint now)
 {
-    return seen.known && now - seen.at <= sample_holds;
+    return is_told(seen, now) || (seen.known && now - seen.at <= sample_holds);
+}
+
+/// Returns whether the fleet's word is fresher than what was seen here lately.
+bool
+FetchWatch::is_told(const Seen& seen, TimePoint now)
+{
+    if (!seen.told_at || now - *seen.told_at > sample_holds)
+        return false;
+    return now - *seen.told_at <= told_holds || seen.at < *seen.told_at;
 }
 
 /// Returns how late the events of `seen` are: those that came, or, where none
@@ -85,23 +157,25 @@
 FetchWatch::late_ms(const Seen& seen, TimePoint now)
 {
     double late = 0;
-    if (is_known(seen, now))
-        late =
-            seen.late_ms * (1 - seconds(now - seen.at) / seconds(sample_holds));
+    if (is_told(seen, now))
+        late = faded(seen.told_late_ms, now - *seen.told_at);
+    else if (is_known(seen, now))
+        late = faded(seen.late_ms, now - seen.at);
     if (!seen.open.empty() && *seen.open.begin() > seen.at)
         late = std::max(late, millis(now - *seen.open.begin()));
     return late;
 }
 
 double
-FetchWatch::later_ms(std::string_view store, TimePoint now) const
+FetchWatch::later_ms(const FetchWay& way, TimePoint now) const
 {
-    const auto own = m_stores.find(store);
-    if (own == m_stores.end())
+    const auto own = m_ways.find(way);
+    if (own == m_ways.end())
         return 0;
     std::optional<double> least_late;
-    for (const auto& [name, seen] : m_stores)
-        if (name != store && is_known(seen, now)) {
+    for (const auto& [other, seen] : m_ways)
+        if (other.zone == way.zone && other.store != way.store &&
+            is_known(seen, now)) {
             const double late = late_ms(seen, now);
             least_late = std::min(least_late.value_or(late), late);
         }
@@ -111,11 +185,11 @@
 }
 
 bool
-FetchWatch::should_fetch(std::string_view store, std::uint32_t tokens,
+FetchWatch::should_fetch(const FetchWay& way, std::uint32_t tokens,
                          Micros objective, std::uint64_t random,
                          TimePoint now) const
 {
-    const double later = later_ms(store, now);
+    const double later = later_ms(way, now);
     const double allowed =
         bearable_part * millis(objective) + worth_ms_per_token * tokens;
     if (later <= allowed)
@@ -131,16 +205,17 @@
 FetchWatch::slow_stores(TimePoint now) const
 {
     std::set<std::string, std::less<>> slow;
-    for (const auto& [store, seen] : m_stores)
-        if (later_ms(store, now) > slow_ms)
-            slow.insert(store);
+    for (const auto& [way, seen] : m_ways)
+        if (later_ms(way, now) > slow_ms)
+            slow.insert(way.store);
     return slow;
 }
 
 void
 FetchWatch::pass_over_slow(std::span<const PromptPart> parts,
-                           std::span<KeptPlace> places, Micros objective,
-                           std::uint64_t random, TimePoint now) const
+                           std::span<KeptPlace> places, std::string_view zone,
+                           Micros objective, std::uint64_t random,
+                           TimePoint now) const
 {
     std::uint32_t tokens = 0;
     for (const PromptPart& part : parts)
@@ -149,8 +224,9 @@
     for (std::size_t i = 0; i < places.size(); ++i) {
         KeptPlace& place = places[i];
         const bool fetches = place.kind == KeptPlace::Kind::Fetch;
-        slow = slow || (fetches && !should_fetch(place.store, tokens, objective,
-                                                 random, now));
+        slow =
+            slow || (fetches && !should_fetch({place.store, std::string(zone)},
+                                              tokens, objective, random, now));
         if (fetches && slow)
             place = KeptPlace::read(KeptPlace::Reason::SlowStore);
         tokens -= parts[i].tokens;
--- a/src/libcrosslink/kept/fetch_watch_test.cpp
+++ b/src/libcrosslink/kept/fetch_watch_test.cpp
@@ -31,7 +31,8 @@
 {
     int count = 0;
     for (std::uint64_t i = 0; i < 1000; ++i)
-        count += watch.should_fetch("slow", tokens, objective, i, at(millis));
+        count +=
+            watch.should_fetch({"slow", "a"}, tokens, objective, i, at(millis));
     return count;
 }
 
@@ -41,8 +42,8 @@
 let_come_late(FetchWatch& watch, int slow, int other)
 {
     for (int i = 0; i < 20; ++i) {
-        watch.first_event("slow", at(i), at(i + slow));
-        watch.first_event("other", at(i), at(i + other));
+        watch.first_event({"slow", "a"}, at(i), at(i + slow));
+        watch.first_event({"other", "a"}, at(i), at(i + other));
     }
 }
 
@@ -58,7 +59,7 @@
     places[0].store = "slow";
     places[1].store = "other";
     constexpr std::uint64_t not_among_the_few = 999;
-    watch.pass_over_slow(parts, places, short_objective, not_among_the_few,
+    watch.pass_over_slow(parts, places, "a", short_objective, not_among_the_few,
                          at(millis));
     return places;
 }
@@ -106,8 +107,8 @@
 {
     FetchWatch watch;
     for (int i = 0; i < 20; ++i) {
-        watch.first_event("slow", at(i + 900), at(i + 950));
-        watch.first_event("other", at(i + 20), at(i + 60));
+        watch.first_event({"slow", "a"}, at(i + 900), at(i + 950));
+        watch.first_event({"other", "a"}, at(i + 20), at(i + 60));
     }
     CHECK(fetches_of(watch, 980) == 1000);
 }
@@ -115,11 +116,11 @@
 TEST_CASE("a call that waits long tells of a slow store before it is answered")
 {
     FetchWatch watch;
-    watch.first_event("other", at(0), at(100));
-    watch.sent("slow", at(100));
+    watch.first_event({"other", "a"}, at(0), at(100));
+    watch.sent({"slow", "a"}, at(100));
     CHECK(fetches_of(watch, 300) == 1000);
     CHECK(fetches_of(watch, 1100) < 200);
-    watch.ended("slow", at(100));
+    watch.ended({"slow", "a"}, at(100));
     CHECK(fetches_of(watch, 1110) == 1000);
 }
 
@@ -148,10 +149,78 @@
 TEST_CASE("where all stores are slow, none is passed over")
 {
     FetchWatch watch;
-    watch.first_event("slow", at(0), at(0 + 1200));
+    watch.first_event({"slow", "a"}, at(0), at(0 + 1200));
     CHECK(fetches_of(watch, 1210) == 1000);
-    watch.first_event("other", at(0), at(0 + 1150));
+    watch.first_event({"other", "a"}, at(0), at(0 + 1150));
     CHECK(fetches_of(watch, 1210) == 1000);
 }
 
+TEST_CASE("what each of many instances sees once is known to all")
+{
+    // Each sees one late call of the slow store, and one of another.
+    FetchWatch holder;
+    for (int i = 0; i < 20; ++i) {
+        FetchWatch instance;
+        instance.first_event({"slow", "a"}, at(i), at(i + 700));
+        instance.first_event({"other", "a"}, at(i), at(i + 5));
+        for (const FetchSamples& samples : instance.take_untold())
+            holder.seen_by_others(samples, at(800));
+        CHECK(instance.take_untold().empty());
+    }
+    FetchWatch fresh;
+    for (const FetchLateness& store : holder.lateness(at(900)))
+        fresh.told(store, at(900));
+    CHECK(fetches_of(fresh, 950) < 200);
+    CHECK(fresh.slow_stores(at(950)).contains("slow"));
+    CHECK(fetches_of(fresh, 9000) == 1000);
+}
+
+TEST_CASE("samples of several calls weigh as much as the calls one by one")
+{
+    FetchWatch one_by_one;
+    FetchWatch together;
+    for (FetchWatch* watch : {&one_by_one, &together}) {
+        watch->first_event({"slow", "a"}, at(0), at(0));
+        watch->first_event({"other", "a"}, at(0), at(0));
+    }
+    for (int i = 0; i < 3; ++i)
+        one_by_one.first_event({"slow", "a"}, at(0), at(400));
+    together.seen_by_others({{"slow", "a"}, 3, 400}, at(400));
+    const auto late = [](const FetchWatch& watch) {
+        return watch.lateness(at(400)).back().late_ms;
+    };
+    CHECK(late(together) == Approx(late(one_by_one)));
+    CHECK(one_by_one.take_untold().back().calls == 4);
+    CHECK(together.take_untold().back().late_ms == Approx(300));
+}
+
+TEST_CASE("the fleet's word goes before what one instance saw")
+{
+    FetchWatch watch;
+    let_come_late(watch, 1200, 100);
+    watch.told({{"slow", "a"}, 0, Micros{0}}, at(1220));
+    watch.told({{"other", "a"}, 0, Micros{0}}, at(1220));
+    CHECK(fetches_of(watch, 1230) == 1000);
+}
+
+TEST_CASE("a store that is late for one zone is not for another")
+{
+    FetchWatch watch;
+    let_come_late(watch, 1200, 100);
+    watch.first_event({"slow", "b"}, at(0), at(10));
+    watch.first_event({"other", "b"}, at(0), at(10));
+    CHECK(fetches_of(watch, 1230) < 200);
+    CHECK(watch.should_fetch({"slow", "b"}, large_part, short_objective, 999,
+                             at(1230)));
+}
+
+TEST_CASE("an instance that is cut off goes by what it sees itself")
+{
+    FetchWatch watch;
+    watch.told({{"slow", "a"}, 0, Micros{0}}, at(0));
+    watch.told({{"other", "a"}, 0, Micros{0}}, at(0));
+    let_come_late(watch, 1200, 100);
+    CHECK(fetches_of(watch, 1230) < 200);
+}
+
 } // namespace crosslink
--- a/src/serve/fleet/exchange.h
+++ b/src/serve/fleet/exchange.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/forward/runner_table.h>
+#include <crosslink/kept/fetch_watch.h>
 #include <crosslink/kept/kept_replica.h>
 #include <crosslink/membership/news_page.h>
 
@@ -38,7 +39,8 @@
     std::uint64_t kept_term = 0; ///< Position of its copy of the directory.
     std::uint64_t kept_place = 0;
     std::vector<WeightsAge> weights;
-    std::vector<LostContact> lost; ///< Runners that may start anew.
+    std::vector<LostContact> lost;     ///< Runners that may start anew.
+    std::vector<FetchSamples> fetches; ///< Seen since the last question.
     /// Up to where it knows the platform's store; nothing before all of it.
     std::optional<std::uint64_t> news_place;
 };
@@ -71,7 +73,8 @@
     /// Weights that runners have loaded a moment ago, by their own word. The
     /// platform's list tells them a second later.
     std::vector<RunnerWeights> loaded;
-    std::vector<LostContact> lost; ///< Runners that may start anew.
+    std::vector<LostContact> lost;      ///< Runners that may start anew.
+    std::vector<FetchLateness> fetches; ///< How late they are.
     KeptUpdate kept;
     std::vector<WeightsAge> weights; ///< As the first instance heard of them.
     bool platform_reached = false; ///< The holder gets the platform's answers.
--- a/src/serve/fleet/exchange_desk.cpp
+++ b/src/serve/fleet/exchange_desk.cpp
@@ -21,9 +21,15 @@
     m_state.heard_of(question.lost, now);
     ExchangeAnswer answer = m_steward.answers() ? m_steward.exchange(question)
                                                 : handed_on(question, now);
+    const auto fetches = m_state.fetches.with([&](FetchWatch& watch) {
+        for (const FetchSamples& samples : question.fetches)
+            watch.seen_by_others(samples, now);
+        return watch.lateness(now);
+    });
     answer.lost = m_state.lost_contacts(now);
     answer.holders = m_news.holders_seen(now);
     answer.news = m_news.since(question.news_place);
+    answer.fetches = fetches;
     answer.news_age = m_news.age(now);
     return answer;
 }
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -68,6 +68,8 @@
         [](KeptReplica& replica) { return replica.position(); });
     question.weights = m_state.weights_ages(now);
     question.lost = m_state.lost_contacts(now);
+    question.fetches = m_state.fetches.with(
+        [](FetchWatch& watch) { return watch.take_untold(); });
     question.news_place = m_news.place();
     return question;
 }
@@ -134,6 +136,10 @@
                                 loaded.version, "holder");
     m_state.heard_of(answer.weights, now);
     m_state.heard_of(answer.lost, asked);
+    m_state.fetches.with([&](FetchWatch& watch) {
+        for (const FetchLateness& fetch : answer.fetches)
+            watch.told(fetch, asked);
+    });
     if (answer.platform_reached)
         m_state.fleet.with(
             [now](FleetView& view) { view.reach.reached_by_another(now); });
--- a/src/serve/fleet/fleet_json.cpp
+++ b/src/serve/fleet/fleet_json.cpp
@@ -5,6 +5,7 @@
 
 #include <crosslink/base/error.h>
 
+#include <cmath>
 #include <string_view>
 #include <utility>
 
@@ -195,6 +196,48 @@
     return {json_string(value, "runner"), span_from_json(value, "age_us")};
 }
 
+Json::Value
+samples_to_json(const FetchSamples& samples)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(samples.way.store);
+    row.append(samples.way.zone);
+    row.append(samples.calls);
+    row.append(Json::Int64(std::llround(samples.late_ms)));
+    return row;
+}
+
+FetchSamples
+samples_from_json(const Json::Value& row)
+{
+    if (!row.isArray() || row.size() < 4)
+        throw Error(ErrorCode::BadJson, "samples without store or lateness");
+    return {{row[0].asString(), row[1].asString()},
+            row[2].asUInt(),
+            row[3].asDouble()};
+}
+
+Json::Value
+lateness_to_json(const FetchLateness& lateness)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(lateness.way.store);
+    row.append(lateness.way.zone);
+    row.append(Json::Int64(std::llround(lateness.late_ms)));
+    row.append(Json::Int64(lateness.age.count()));
+    return row;
+}
+
+FetchLateness
+lateness_from_json(const Json::Value& row)
+{
+    if (!row.isArray() || row.size() < 4)
+        throw Error(ErrorCode::BadJson, "a fetch without lateness or age");
+    return {{row[0].asString(), row[1].asString()},
+            row[2].asDouble(),
+            Micros(row[3].asInt64())};
+}
+
 Json::Value
 holders_to_json(const HoldersSeen& holders)
 {
@@ -325,6 +368,7 @@
     value["kept_place"] = Json::UInt64(question.kept_place);
     value["weights"] = json_list(question.weights, age_to_json);
     value["lost"] = json_list(question.lost, lost_to_json);
+    value["fetches"] = json_list(question.fetches, samples_to_json);
     if (question.news_place)
         value["news_place"] = Json::UInt64(*question.news_place);
     return value;
@@ -340,6 +384,7 @@
     question.kept_place = json_number(value, "kept_place");
     question.weights = list_from_json(value["weights"], age_from_json);
     question.lost = list_from_json(value["lost"], lost_from_json);
+    question.fetches = list_from_json(value["fetches"], samples_from_json);
     if (value.isMember("news_place"))
         question.news_place = json_number(value, "news_place");
     return question;
@@ -353,6 +398,7 @@
     value["loading"] = json_texts(answer.loading);
     value["loaded"] = json_list(answer.loaded, loaded_to_json);
     value["lost"] = json_list(answer.lost, lost_to_json);
+    value["fetches"] = json_list(answer.fetches, lateness_to_json);
     value["kept"] = update_to_json(answer.kept);
     value["weights"] = json_list(answer.weights, age_to_json);
     value["platform_reached"] = answer.platform_reached;
@@ -372,6 +418,7 @@
     answer.loaded = list_from_json(value["loaded"], loaded_from_json);
     answer.lost = list_from_json(value["lost"], lost_from_json);
     answer.kept = update_from_json(value["kept"]);
+    answer.fetches = list_from_json(value["fetches"], lateness_from_json);
     answer.weights = list_from_json(value["weights"], age_from_json);
     answer.platform_reached = json_flag(value, "platform_reached");
     answer.age = span_from_json(value, "age_us");
--- a/src/serve/fleet/fleet_json_test.cpp
+++ b/src/serve/fleet/fleet_json_test.cpp
@@ -57,6 +57,24 @@
     CHECK(read.loaded[0].born == 77);
 }
 
+TEST_CASE("an exchange brings how late stores are")
+{
+    ExchangeQuestion question;
+    question.fetches = {{{"a:1", "z"}, 3, 250}};
+    const auto asked = exchange_question_from_json(to_json(question));
+    REQUIRE(asked.fetches.size() == 1);
+    CHECK(asked.fetches[0].way == FetchWay{"a:1", "z"});
+    CHECK(asked.fetches[0].calls == 3);
+    CHECK(asked.fetches[0].late_ms == 250);
+    ExchangeAnswer answer;
+    answer.fetches = {{{"a:1", "z"}, -4, std::chrono::milliseconds(30)}};
+    const auto read = exchange_answer_from_json(to_json(answer));
+    REQUIRE(read.fetches.size() == 1);
+    CHECK(read.fetches[0].way == FetchWay{"a:1", "z"});
+    CHECK(read.fetches[0].late_ms == -4);
+    CHECK(read.fetches[0].age == std::chrono::milliseconds(30));
+}
+
 TEST_CASE("an exchange brings the news of the platform as they were written")
 {
     ExchangeAnswer answer;
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -97,8 +97,10 @@
 }
 
 void
-CallPrompt::ask(const KeptSpace& space, Micros time_left, SendTerms& terms)
+CallPrompt::ask(const KeptSpace& space, std::string_view zone, Micros time_left,
+                SendTerms& terms)
 {
+    m_zone = zone;
     const auto parts = m_call.generation->shared_parts();
     m_places.clear();
     m_tokens_to_read = m_call.generation->prompt_tokens;
@@ -109,8 +111,8 @@
     m_places = answer.places;
     m_space = answer.space;
     m_state.fetches.with([&](FetchWatch& watch) {
-        watch.pass_over_slow(parts, m_places, m_objective, random_bits(),
-                             monotonic_now());
+        watch.pass_over_slow(parts, m_places, m_zone, m_objective,
+                             random_bits(), monotonic_now());
     });
     terms.space = answer.space;
     terms.places = m_places;
@@ -173,35 +175,34 @@
 {
     m_read = false;
     m_expected = now + runner_wait + reading_time(m_tokens_to_read);
-    m_watched_store.clear();
+    m_watched.reset();
     // The time of a call tells of a store where the call reads none of its
     // shared parts.
     if (!fetches_all())
         return;
-    m_watched_store = store_of_largest();
+    m_watched = FetchWay{store_of_largest(), m_zone};
     m_state.fetches.with(
-        [this](FetchWatch& watch) { watch.sent(m_watched_store, m_expected); });
+        [this](FetchWatch& watch) { watch.sent(*m_watched, m_expected); });
 }
 
 void
 CallPrompt::first_event()
 {
     m_read = true;
-    if (m_watched_store.empty())
+    if (!m_watched)
         return;
     m_state.fetches.with([this](FetchWatch& watch) {
-        watch.first_event(m_watched_store, m_expected, monotonic_now());
+        watch.first_event(*m_watched, m_expected, monotonic_now());
     });
 }
 
 void
 CallPrompt::ended()
 {
-    if (m_read || m_watched_store.empty())
+    if (m_read || !m_watched)
         return;
-    m_state.fetches.with([this](FetchWatch& watch) {
-        watch.ended(m_watched_store, m_expected);
-    });
+    m_state.fetches.with(
+        [this](FetchWatch& watch) { watch.ended(*m_watched, m_expected); });
 }
 
 void
--- a/src/serve/forward/call_prompt.h
+++ b/src/serve/forward/call_prompt.h
@@ -12,7 +12,9 @@
 #include <crosslink/ports/call_wire.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace crosslink
@@ -33,9 +35,10 @@
     KeptNear near(const KeptSpace& space, const ServiceMap& map,
                   const EngineInfo& engine);
     /// Learns where the shared parts lie whose KV is of `space`, and adds to
-    /// `terms` what the runner is to do with them. The call must be a
-    /// generation that ends within `time_left`.
-    void ask(const KeptSpace& space, Micros time_left, SendTerms& terms);
+    /// `terms` what the runner, which is in `zone`, is to do with them. The
+    /// call must be a generation that ends within `time_left`.
+    void ask(const KeptSpace& space, std::string_view zone, Micros time_left,
+             SendTerms& terms);
     /// Takes note that the call is sent at `now` to a runner that is expected
     /// to take it up after `runner_wait`.
     void sent(TimePoint now, Micros runner_wait);
@@ -68,7 +71,9 @@
     const Micros m_objective;
     std::string m_space;             ///< Under which the call runs.
     std::vector<KeptPlace> m_places; ///< One for each shared part.
-    std::string m_watched_store;     ///< Of the largest part; or empty.
+    std::string m_zone;              ///< Of the runner.
+    /// Of the largest part, where the call tells of its store.
+    std::optional<FetchWay> m_watched;
     std::uint64_t m_tokens_to_read = 0;
     TimePoint m_expected{}; ///< Of the first event, without its fetches.
     bool m_read = false;
--- a/src/serve/forward/forward_path.cpp
+++ b/src/serve/forward/forward_path.cpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <cstdio>
+#include <thread>
 
 namespace crosslink
 {
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -285,7 +285,8 @@
     terms.version = m_choice.pick().version;
     if (const auto last = m_events.last_event())
         terms.after_event = std::to_string(*last);
-    m_prompt.ask(m_choice.kept_space(), terms.time_left, terms);
+    m_prompt.ask(m_choice.kept_space(), m_choice.pick().zone, terms.time_left,
+                 terms);
     return terms;
 }
 
