--- a/src/libcrosslink/forward/load_board_test.cpp
+++ b/src/libcrosslink/forward/load_board_test.cpp
@@ -42,9 +42,10 @@
                 rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 9)));
         for (const auto& [instance, calls] : words) {
             const std::string name = "i" + std::to_string(instance);
-            const auto count = static_cast<std::uint32_t>(calls);
-            last[name] = {{"r" + std::to_string(calls % 3),
-                           {count, count * 100, count * 7}}};
+            const auto count = static_cast<std::uint64_t>(calls);
+            last[name] = {
+                {"r" + std::to_string(calls % 3),
+                 {static_cast<std::uint32_t>(calls), count * 100, count * 7}}};
             if (calls == 0)
                 last[name].clear();
             board.told(name, last[name], TimePoint{});
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -238,9 +238,11 @@
 TreePlace
 ForwardState::tree_place()
 {
-    const auto [version, holder] = fleet.with([](const FleetView& view) {
+    const std::pair now = fleet.with([](const FleetView& view) {
         return std::pair(view.instances_version, view.steward_address());
     });
+    const std::uint64_t version = now.first;
+    const std::string& holder = now.second;
     return m_place.with([&](KnownPlace& known) {
         if (known.instances_version == version && known.holder == holder)
             return known.place;
