--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -132,6 +132,7 @@
         return table.contacts_lost(now - lost_contact_told);
     });
     std::vector<LostContact> result;
+    result.reserve(lost.size());
     for (const auto& [runner, at] : lost)
         result.push_back({runner, now - at});
     return result;
