--- a/src/include/crosslink/base/number.h
+++ b/src/include/crosslink/base/number.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <charconv>
+#include <cmath>
 #include <concepts>
 #include <optional>
 #include <string_view>
@@ -57,6 +58,21 @@
                                         : std::nullopt;
 }
 
+/// Returns the finite number of at least 0 that `text` is in decimal notation;
+/// nothing where it is none.
+inline std::optional<double>
+decimal_number(std::string_view text)
+{
+    const char* end = text.data() + text.size();
+    double number = 0;
+    const auto result =
+        std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    const bool whole = result.ec == std::errc() && result.ptr == end;
+    if (!whole || !std::isfinite(number) || number < 0)
+        return std::nullopt;
+    return number;
+}
+
 /// Returns `text` without the spaces that it begins with.
 inline std::string_view
 without_leading_spaces(std::string_view text)
--- a/src/include/crosslink/ports/call_wire.h
+++ b/src/include/crosslink/ports/call_wire.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/forward/forwarded_call.h>
+#include <crosslink/forward/rate_limit.h>
 #include <crosslink/kept/kept_part.h>
 
 #include <cstdint>
@@ -56,6 +57,10 @@
     bool genuine = false;      ///< It carries a runner's signature.
     std::string call_id;       ///< Of the call that it answers; may be empty.
     std::uint64_t version = 0; ///< Weights that it is made on; 0: not told.
+    /// Calls a second, at least 0, that the runner takes from all instances
+    /// together; no_rate_limit where it names none; nothing where what it
+    /// names can't be read.
+    std::optional<double> rate_limit = no_rate_limit;
     bool event_stream = false;
     bool encoded = false; ///< The body is not as the runner made it.
     std::optional<Micros> keep_alive; ///< How long an idle connection lives.
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -176,6 +176,11 @@
 ForwardRun::take_answer(CallerLink& link, const AnswerHead& head)
 {
     learn(head);
+    if (head.rate_limit != no_rate_limit)
+        LogLine("limit_named")
+            .field("request", m_call.id)
+            .field("runner", m_choice.pick().id)
+            .field("per_second", head.rate_limit.value_or(-1));
     if (head.not_run) {
         LogLine("call_refused")
             .field("request", m_call.id)
--- a/src/serve/log_line.cpp
+++ b/src/serve/log_line.cpp
@@ -99,6 +99,13 @@
     return *this;
 }
 
+LogLine&
+LogLine::field(const char* name, double value)
+{
+    m_fields[name] = value;
+    return *this;
+}
+
 LogLine&
 LogLine::field(const char* name, bool value)
 {
--- a/src/serve/log_line.h
+++ b/src/serve/log_line.h
@@ -30,6 +30,7 @@
     LogLine& field(const char* name, std::uint64_t value);
     LogLine& field(const char* name, std::uint32_t value);
     LogLine& field(const char* name, int value);
+    LogLine& field(const char* name, double value);
     LogLine& field(const char* name, bool value);
     /// In milliseconds, under `name` with "_ms" behind it.
     LogLine& span(const char* name, Micros value);
