A runner that names a limit gets what it takes, from all instances together

Callers saw nothing yet; runners in need went on getting as many calls as the others. Cause: what a runner says of the calls that it takes was read by nobody, so that each instance chose by price alone. Class: a bound that is one for the whole fleet is kept by no instance.

Now the limit is kept per process of a runner (NamedLimit), told on by the exchange of the fleet's tree, and divided among a few instances near the runner, each with calls in a window of its own. That is the mechanism that spares runners which warm up: warm_up_limit becomes rate_share, for both. Changes are counted, so that words that overtake each other do no harm. A runner that says nothing is asked by the next call, and by instances without a share, so that a limit's end is heard. Calls that wait keep a place each; those that find none are refused at once (upstreams_limited, not run, Retry-After spread), and an account that had more than its part goes after the others. Logged as runner_limit, three metrics.

Why it holds: shares are given out by rendezvous among settled members, in sum below what is taken, with one call each beyond; no word is needed for that. Every send, first, repeated, streamed or resumed, goes through the one choice.

--- a/src/include/crosslink/base/error.h
+++ b/src/include/crosslink/base/error.h
@@ -31,6 +31,7 @@
     QueueFull,
     DeadlineUnreachable,
     NoUpstream,
+    UpstreamsLimited,
     UpstreamRefused,
     UpstreamFailed,
     UpstreamTimeout,
--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/named_limit.h>
 #include <crosslink/forward/send_window.h>
 
 #include <cstdint>
@@ -74,8 +75,10 @@
     TimePoint cold_until{};     ///< It bears little before, by its own word.
     /// When it last took no connection or broke one off: it may start anew.
     std::optional<TimePoint> contact_lost_at;
-    SendWindow sends;           ///< Of this instance.
-    std::uint32_t reserved = 0; ///< Calls of it that are about to be sent.
+    NamedLimit limit; ///< By its own word.
+    SendWindow sends; ///< Of this instance.
+    /// Calls of it that are about to be sent, or wait for their time.
+    std::uint32_t reserved = 0;
     /// It is no longer listed, and taken as gone from then on, unless it is
     /// listed again.
     std::optional<TimePoint> gone_at;
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -52,11 +53,24 @@
     const std::set<std::string, std::less<>>* zones_allowed = nullptr;
     std::string_view instance; ///< Name of this one.
     WarmUpTerms warm_up;
+    /// The call's account had more than its part of what limited runners take.
+    bool account_ahead = false;
     std::size_t instances = 1; ///< Of the fleet.
     std::uint64_t random = 0;  ///< Random bits.
     TimePoint now{};
 };
 
+/// When a runner takes a call that none takes now.
+struct NextChance {
+    /// As far as is known; nothing where none does before the fleet changes.
+    std::optional<TimePoint> at;
+    std::string runner; ///< That takes it then; empty for none.
+    std::uint64_t born = 0;
+    bool limited = false; ///< One would, but for the limit that it named.
+
+    RunnerIncarnation incarnation() const { return {runner, born}; }
+};
+
 /// The runner that was chosen.
 struct RunnerPick {
     std::string id;
@@ -65,6 +79,8 @@
     std::string zone;
     std::uint64_t version = 0; ///< Of the model, as believed.
     Micros wait{0};            ///< Until it takes up the call, as expected.
+    bool limited = false;      ///< It named a limit.
+    std::uint64_t limit_change = 0; ///< See NamedLimit.
 
     RunnerIncarnation incarnation() const { return {id, born}; }
 };
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -22,6 +22,7 @@
 {
 
 struct FleetLoad;
+struct RateShare;
 
 /// The runners of all services, and the choice among them.
 class RunnerTable
@@ -66,11 +67,15 @@
 
     /// Returns the runner for a call, or nothing where none takes work.
     std::optional<RunnerPick> choose(const RunnerQuery& query) const;
-    /// Returns when a runner takes work again, as far as is known; nothing
-    /// where none does before the fleet changes.
-    std::optional<TimePoint> next_chance(const RunnerQuery& query) const;
+    /// Returns the runner for a call that waited with a reservation at
+    /// `booked`, which is given back; others that wait there come after it.
+    std::optional<RunnerPick> choose_booked(const RunnerQuery& query,
+                                            const RunnerIncarnation& booked);
+    /// Returns when a runner takes work again.
+    NextChance next_chance(const RunnerQuery& query) const;
     /// Counts a call as about to be sent, so that others that are chosen for at
-    /// the same time know of it. sent() or release() must follow.
+    /// the same time know of it. sent(), release() or choose_booked() must
+    /// follow.
     void reserve(const RunnerIncarnation& runner);
     /// Takes note that such a call is not sent after all.
     void release(const RunnerIncarnation& runner);
@@ -112,6 +117,18 @@
     void lacks_version(std::string_view id, std::string_view model,
                        std::uint64_t version);
 
+    /// Takes in the limit that a runner names in an answer, where its call was
+    /// sent when `known` changes of it were known. Returns whether it changed.
+    bool limit_answered(const RunnerIncarnation& runner, double per_second,
+                        std::uint64_t known, TimePoint now);
+    /// Takes in what another instance told of a runner's limit. Returns whether
+    /// it changed.
+    bool limit_told(const LimitNews& news, TimePoint now);
+    /// Returns what to tell other instances of limits.
+    std::vector<LimitNews> limit_news(TimePoint now) const;
+    /// Returns how many runners have a limit in force.
+    std::size_t limited_count() const;
+
     /// Returns the load that this instance gives to each runner.
     std::map<std::string, RunnerLoad> own_load() const;
     /// Takes in the load that all other instances gave at `as_of`.
@@ -129,6 +146,17 @@
                        const RunnerQuery& query) const;
     TimePoint warm_at(const RunnerEntry& entry, const RunnerQuery& query) const;
     TimePoint free_at(const RunnerEntry& entry, const RunnerQuery& query) const;
+    TimePoint free_at(const RunnerEntry& entry, const RunnerQuery& query,
+                      std::size_t reserved) const;
+    TimePoint warm_up_free_at(const RunnerEntry& entry,
+                              const RunnerQuery& query,
+                              std::size_t reserved) const;
+    TimePoint limit_free_at(const RunnerEntry& entry, const RunnerQuery& query,
+                            std::size_t reserved) const;
+    bool has_share(const RunnerEntry& entry, const RunnerQuery& query,
+                   const RateShare& share) const;
+    RunnerPick pick_of(const RunnerEntry& entry, const RunnerQuery& query,
+                       const FleetLoad& fleet) const;
     bool is_silent(std::string_view zone, TimePoint now) const;
     const RunnerEntry* cheapest(const std::vector<const RunnerEntry*>& entries,
                                 const RunnerQuery& query,
--- a/src/include/crosslink/forward/send_window.h
+++ b/src/include/crosslink/forward/send_window.h
@@ -11,20 +11,21 @@
 namespace crosslink
 {
 
-/// The times at which calls were sent to one runner in the last second.
+/// The times at which calls were sent to one runner lately.
 class SendWindow
 {
 public:
+    /// A window in which more than one call may be sent is no longer than this.
+    static constexpr Micros longest = std::chrono::milliseconds(1500);
+
     /// Takes note of a call that is sent at `now`; times do not go back.
     void sent(TimePoint now);
-    /// Returns how many calls were sent in the second before `now`.
-    std::size_t count(TimePoint now) const;
     /// Returns when fewer than `most` (at least 1) calls will have been sent in
-    /// the second before: now, or later.
-    TimePoint free_at(std::size_t most, TimePoint now) const;
+    /// the time `window` before: now, or later.
+    TimePoint free_at(std::size_t most, Micros window, TimePoint now) const;
 
 private:
-    std::deque<TimePoint> m_times;
+    std::deque<TimePoint> m_times; ///< The last one at least.
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/base/error.cpp
+++ b/src/libcrosslink/base/error.cpp
@@ -26,6 +26,7 @@
     ErrorInfo{ErrorCode::QueueFull, "queue_full", 503},
     ErrorInfo{ErrorCode::DeadlineUnreachable, "deadline_unreachable", 503},
     ErrorInfo{ErrorCode::NoUpstream, "no_upstream", 503},
+    ErrorInfo{ErrorCode::UpstreamsLimited, "upstreams_limited", 503},
     ErrorInfo{ErrorCode::UpstreamRefused, "upstream_refused", 503},
     ErrorInfo{ErrorCode::UpstreamFailed, "upstream_failed", 502},
     ErrorInfo{ErrorCode::UpstreamTimeout, "upstream_timeout", 504},
--- /dev/null
+++ b/src/libcrosslink/forward/account_turns.cpp
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/account_turns.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// An account that asked for nothing in this time wants no part.
+constexpr Micros wanting = std::chrono::seconds(5);
+/// Places that were got count half after this time.
+constexpr Micros half_life = std::chrono::seconds(5);
+/// Part of a place by which accounts may be apart and still be alike.
+constexpr double tolerance = 0.5;
+
+double
+faded(double places, Micros age)
+{
+    return places * std::exp2(-seconds(age) / seconds(half_life));
+}
+
+} // namespace
+
+AccountTurns::Use&
+AccountTurns::use_of(std::string_view service, std::string_view account)
+{
+    Accounts& accounts =
+        m_services.try_emplace(std::string(service)).first->second;
+    return accounts.try_emplace(std::string(account)).first->second;
+}
+
+void
+AccountTurns::asked(std::string_view service, std::string_view account,
+                    TimePoint now)
+{
+    use_of(service, account).asked_at = now;
+}
+
+void
+AccountTurns::taken(std::string_view service, std::string_view account,
+                    TimePoint now)
+{
+    Use& use = use_of(service, account);
+    use.places = faded(use.places, now - use.counted_at) + 1;
+    use.counted_at = now;
+}
+
+bool
+AccountTurns::is_ahead(std::string_view service, std::string_view account,
+                       TimePoint now) const
+{
+    const auto accounts = m_services.find(service);
+    if (accounts == m_services.end())
+        return false;
+    std::size_t wanted_by = 0;
+    double all = 0;
+    double own = 0;
+    for (const auto& [name, use] : accounts->second) {
+        if (now - use.asked_at > wanting)
+            continue;
+        const double places = faded(use.places, now - use.counted_at);
+        ++wanted_by;
+        all += places;
+        if (name == account)
+            own = places;
+    }
+    const double mean =
+        all / static_cast<double>(std::max<std::size_t>(wanted_by, 1));
+    return own > mean + tolerance;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/forward/named_limit.cpp
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/named_limit.h>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// An instance that was cut off for less than this hears of a limit's end from
+/// the others; one that was cut off for longer, from the runner.
+constexpr Micros end_told = std::chrono::seconds(60);
+
+} // namespace
+
+bool
+NamedLimit::answered(double per_second, std::uint64_t known, TimePoint now)
+{
+    if (known != m_change)
+        return false;
+    ++m_heard;
+    m_heard_at = now;
+    if (per_second == m_per_second)
+        return false;
+    m_per_second = per_second;
+    m_changed_at = now;
+    ++m_change;
+    return true;
+}
+
+bool
+NamedLimit::told(const LimitNews& news, TimePoint now)
+{
+    const bool is_newer = news.change > m_change;
+    const bool is_lower =
+        news.change == m_change && news.per_second < m_per_second;
+    if (news.heard > m_heard) {
+        m_heard = news.heard;
+        m_heard_at = now;
+    }
+    if (!is_newer && !is_lower)
+        return false;
+    const bool changed = news.per_second != m_per_second;
+    m_per_second = news.per_second;
+    m_change = news.change;
+    m_changed_at = now;
+    return changed;
+}
+
+bool
+NamedLimit::is_news(TimePoint now) const
+{
+    return in_force() || (m_change > 0 && now < m_changed_at + end_told);
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/forward/queue_limit.cpp
+++ b/src/libcrosslink/forward/queue_limit.cpp
@@ -21,6 +21,15 @@
 
 } // namespace
 
+Micros
+spread_return(Micros earliest, std::uint64_t random)
+{
+    constexpr std::uint64_t steps = 1000;
+    const double spread =
+        1 + static_cast<double>(random % steps) / static_cast<double>(steps);
+    return std::chrono::duration_cast<Micros>(earliest * spread);
+}
+
 std::optional<Micros>
 QueueLimit::refusal(const QueuedCall& call, std::uint64_t random)
 {
@@ -33,11 +42,7 @@
     const Micros excess = call.expected_wait - allowed;
     if (excess.count() <= 0)
         return std::nullopt;
-    constexpr std::uint64_t steps = 1000;
-    const double spread =
-        1 + static_cast<double>(random % steps) / static_cast<double>(steps);
-    return std::max(least_return,
-                    std::chrono::duration_cast<Micros>(excess * spread));
+    return std::max(least_return, spread_return(excess, random));
 }
 
 } // namespace crosslink
--- /dev/null
+++ b/src/libcrosslink/forward/rate_share.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/rate_share.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Part of a warm-up limit that is given out; see the header.
+constexpr double warm_up_part = 0.5;
+/// Calls in a second that a share should be worth: an instance that may send
+/// only one waits a second for the next, however few the others send.
+constexpr double least_warm_up_share = 2;
+/// A runner counts the calls of each second; those that are under way are
+/// counted a little longer here, as ways differ by as much.
+constexpr Micros warm_up_window = std::chrono::milliseconds(1050);
+
+/// Part of a named limit that is given out: calls bunch up on the way.
+constexpr double named_part = 0.95;
+/// Calls a second that a runner gets however little it takes.
+constexpr double least_rate = 0.2;
+
+constexpr Micros settled_silence = std::chrono::seconds(3);
+constexpr Micros most_silence = std::chrono::seconds(10);
+/// Calls of all shares of which at least one should have been answered.
+constexpr double heard_calls = 3;
+
+double
+rate_given(double per_second)
+{
+    return std::max(per_second * named_part, least_rate);
+}
+
+} // namespace
+
+RateShare
+warm_up_share(double limit, std::size_t present)
+{
+    const double given = limit * warm_up_part;
+    if (limit < 1)
+        return {};
+    const double wanted = std::clamp(given / least_warm_up_share, 1.0,
+                                     static_cast<double>(present));
+    RateShare share;
+    share.instances = static_cast<std::size_t>(wanted);
+    const double each = given / static_cast<double>(share.instances);
+    share.calls = static_cast<std::size_t>(std::max(each, 1.0));
+    share.window = warm_up_window;
+    return share;
+}
+
+RateShare
+named_limit_share(double per_second, std::size_t present)
+{
+    const double rate = rate_given(per_second);
+    // Each of them may send one call at the same moment: as many as the runner
+    // takes in a second, and one.
+    const double wanted =
+        std::min(1 + per_second, static_cast<double>(present));
+    RateShare share;
+    share.instances = static_cast<std::size_t>(wanted);
+    const double each = rate / static_cast<double>(share.instances);
+    share.calls = static_cast<std::size_t>(std::max(each, 1.0));
+    share.window = from_seconds(static_cast<double>(share.calls) / each);
+    return share;
+}
+
+Micros
+longest_silence(double per_second)
+{
+    const Micros heard = from_seconds(heard_calls / rate_given(per_second));
+    return std::min(settled_silence + heard, most_silence);
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -5,12 +5,15 @@
 
 #include <crosslink/forward/runner_table.h>
 
+#include <crosslink/forward/rate_share.h>
 #include <crosslink/forward/runner_price.h>
-#include <crosslink/forward/warm_up_limit.h>
 #include <crosslink/membership/rendezvous.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <random>
+#include <string>
 #include <utility>
 
 namespace crosslink
@@ -21,12 +24,24 @@
 
 /// The others' load is used for so long after it was told.
 constexpr Micros told_holds = std::chrono::milliseconds(1200);
-/// A reserved call is sent, or given up, in about this time.
-constexpr Micros reserved_time = std::chrono::milliseconds(20);
 /// A runner whose contact was lost may be down for a second or two, and tells
 /// its new start up to 1.2 s late; beyond its time to warm up.
 constexpr Micros restart_time = std::chrono::milliseconds(1500);
 
+/// A call that waited for its time may be as much too early: the one before it
+/// was sent as much too late.
+constexpr Micros booked_early = std::chrono::milliseconds(20);
+/// An instance without a share asks a silent runner so often at most.
+constexpr Micros asking_pause = std::chrono::seconds(5);
+/// The answer of one that asks in a turn is known to all by the next.
+constexpr Micros asking_turn = std::chrono::seconds(3);
+/// Turns after which no more ask: eight at a time then.
+constexpr std::int64_t most_turns = 3;
+/// What an account that is ahead waits for each place, beside the others.
+constexpr double window_ahead = 1.25;
+/// A time that does not come.
+constexpr TimePoint never = TimePoint::max();
+
 using Candidates = std::vector<const RunnerEntry*>;
 
 /// Least number of runners to choose from.
@@ -111,6 +126,55 @@
     return version > 0 && version >= query.least_version;
 }
 
+/// Returns when an instance that has `share` may send beside `reserved` calls.
+TimePoint
+share_free_at(const SendWindow& sends, const RateShare& share,
+              std::size_t reserved, TimePoint now)
+{
+    const std::size_t left = share.calls - reserved % share.calls;
+    const auto windows = static_cast<Micros::rep>(reserved / share.calls);
+    return sends.free_at(left, share.window, now) + windows * share.window;
+}
+
+/// Returns for how long a runner's limit has been silent beyond what its shares
+/// account for; below 0 where it has not.
+Micros
+silence_beyond(const NamedLimit& limit, TimePoint now)
+{
+    const auto silence =
+        std::chrono::duration_cast<Micros>(now - limit.heard_at());
+    return silence - longest_silence(limit.per_second());
+}
+
+/// Returns whether this instance asks a silent runner, though it has no share:
+/// one of the fleet in each turn, and more in later turns, where those that
+/// were to ask had no callers.
+bool
+asks_silent(const RunnerEntry& entry, const RunnerQuery& query)
+{
+    const Micros beyond = silence_beyond(entry.limit, query.now);
+    if (beyond.count() < 0)
+        return false;
+    const auto turns = std::min<std::int64_t>(beyond / asking_turn, most_turns);
+    const std::string turn =
+        entry.listed.id + ' ' +
+        std::to_string(query.now.time_since_epoch() / asking_turn);
+    const auto instances = std::max<std::uint64_t>(query.instances, 1);
+    const std::uint64_t part =
+        std::numeric_limits<std::uint64_t>::max() / instances;
+    return rendezvous_weight(turn, query.instance) / (1U << turns) < part;
+}
+
+/// Returns whether a runner with a limit has said nothing for so long that the
+/// next call goes there, whatever it costs: else who finds it dear would not
+/// hear of the limit's end.
+bool
+is_to_be_asked(const RunnerEntry& entry, TimePoint now)
+{
+    return entry.limit.in_force() &&
+           silence_beyond(entry.limit, now).count() >= 0;
+}
+
 } // namespace
 
 /// Returns whether `entry` takes work now, or once it is free.
@@ -142,29 +206,70 @@
     return warm;
 }
 
-/// Returns when a runner takes a call of this instance: it is held back after
-/// a refusal or a failure, and while it warms up a few instances send to it, a
-/// few calls a second each.
+/// Returns whether this instance is one of those that send to a runner.
+bool
+RunnerTable::has_share(const RunnerEntry& entry, const RunnerQuery& query,
+                       const RateShare& share) const
+{
+    const ListedRunner& listed = entry.listed;
+    return share.calls > 0 &&
+           m_members.has_share(query.instance, listed.id, listed.zone,
+                               share.instances, query.now);
+}
+
+/// Returns when a runner takes a call of this instance, beside those that are
+/// reserved there: it is held back after a refusal or a failure, and where it
+/// bears only so much, a few instances send to it, each a part of that.
 TimePoint
 RunnerTable::free_at(const RunnerEntry& entry, const RunnerQuery& query) const
+{
+    return free_at(entry, query, entry.reserved);
+}
+
+TimePoint
+RunnerTable::free_at(const RunnerEntry& entry, const RunnerQuery& query,
+                     std::size_t reserved) const
+{
+    return std::max({entry.held_until, warm_up_free_at(entry, query, reserved),
+                     limit_free_at(entry, query, reserved)});
+}
+
+TimePoint
+RunnerTable::warm_up_free_at(const RunnerEntry& entry, const RunnerQuery& query,
+                             std::size_t reserved) const
 {
     if (query.warm_up.limit == 0 || query.warm_up.time.count() == 0)
-        return entry.held_until;
+        return {};
     const TimePoint warm = warm_at(entry, query);
     if (query.now >= warm)
-        return entry.held_until;
-    const ListedRunner& listed = entry.listed;
-    const WarmUpShare share = warm_up_share(
-        query.warm_up.limit, m_members.count(listed.zone, query.now));
-    if (share.calls == 0 ||
-        !m_members.has_share(query.instance, listed.id, listed.zone,
-                             share.instances, query.now))
-        return std::max(entry.held_until, warm);
-    if (entry.reserved >= share.calls)
-        return std::max(entry.held_until, query.now + reserved_time);
-    return std::max(
-        entry.held_until,
-        entry.sends.free_at(share.calls - entry.reserved, query.now));
+        return {};
+    const RateShare share = warm_up_share(
+        query.warm_up.limit, m_members.count(entry.listed.zone, query.now));
+    if (!has_share(entry, query, share))
+        return warm;
+    return share_free_at(entry.sends, share, reserved, query.now);
+}
+
+/// Returns the same by the limit that the runner named. Without it each
+/// instance sends as much as to any other runner, and the runner gets the sum.
+TimePoint
+RunnerTable::limit_free_at(const RunnerEntry& entry, const RunnerQuery& query,
+                           std::size_t reserved) const
+{
+    if (!entry.limit.in_force())
+        return {};
+    RateShare share =
+        named_limit_share(entry.limit.per_second(),
+                          m_members.count(entry.listed.zone, query.now));
+    if (!has_share(entry, query, share))
+        return asks_silent(entry, query)
+                   ? entry.sends.free_at(1, asking_pause, query.now)
+                   : never;
+    // Each place is there for the others first.
+    if (query.account_ahead)
+        share.window =
+            std::chrono::duration_cast<Micros>(share.window * window_ahead);
+    return share_free_at(entry.sends, share, reserved, query.now);
 }
 
 const RunnerEntry*
@@ -198,35 +303,64 @@
 std::optional<RunnerPick>
 RunnerTable::choose(const RunnerQuery& query) const
 {
+    const FleetLoad fleet = fleet_load(query);
     Candidates candidates;
-    for (const auto& [id, entry] : m_entries)
-        if (may_take_work(entry, query) && free_at(entry, query) <= query.now)
-            candidates.push_back(&entry);
+    for (const auto& [id, entry] : m_entries) {
+        if (!may_take_work(entry, query) || free_at(entry, query) > query.now)
+            continue;
+        if (is_to_be_asked(entry, query.now))
+            return pick_of(entry, query, fleet);
+        candidates.push_back(&entry);
+    }
     if (candidates.empty())
         return std::nullopt;
-    const FleetLoad fleet = fleet_load(query);
     sample(candidates, query);
-    const RunnerEntry* chosen = cheapest(candidates, query, fleet);
-    return RunnerPick{chosen->listed.id,
-                      chosen->listed.born,
-                      chosen->listed.address,
-                      chosen->listed.zone,
-                      chosen->version_of(query.model),
-                      expected_wait(*chosen, query, fleet)};
+    return pick_of(*cheapest(candidates, query, fleet), query, fleet);
+}
+
+std::optional<RunnerPick>
+RunnerTable::choose_booked(const RunnerQuery& query,
+                           const RunnerIncarnation& booked)
+{
+    release(booked);
+    const RunnerEntry* entry = find(booked);
+    const bool is_its_turn =
+        entry && entry->limit.in_force() && may_take_work(*entry, query) &&
+        free_at(*entry, query, 0) <= query.now + booked_early;
+    return is_its_turn ? pick_of(*entry, query, fleet_load(query))
+                       : choose(query);
+}
+
+RunnerPick
+RunnerTable::pick_of(const RunnerEntry& entry, const RunnerQuery& query,
+                     const FleetLoad& fleet) const
+{
+    return {entry.listed.id,
+            entry.listed.born,
+            entry.listed.address,
+            entry.listed.zone,
+            entry.version_of(query.model),
+            expected_wait(entry, query, fleet),
+            entry.limit.in_force(),
+            entry.limit.change()};
 }
 
-std::optional<TimePoint>
+NextChance
 RunnerTable::next_chance(const RunnerQuery& query) const
 {
-    std::optional<TimePoint> earliest;
+    NextChance chance;
     for (const auto& [id, entry] : m_entries) {
         if (!may_take_work(entry, query))
             continue;
+        chance.limited = chance.limited || entry.limit.in_force();
         const TimePoint free = free_at(entry, query);
-        if (!earliest || free < *earliest)
-            earliest = free;
+        if (free == never || (chance.at && *chance.at <= free))
+            continue;
+        chance.at = free;
+        chance.runner = id;
+        chance.born = entry.listed.born;
     }
-    return earliest;
+    return chance;
 }
 
 /// Returns what is known of the load of all runners of the service.
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -265,6 +265,41 @@
         erase_model(entry->told, model);
 }
 
+bool
+RunnerTable::limit_answered(const RunnerIncarnation& runner, double per_second,
+                            std::uint64_t known, TimePoint now)
+{
+    RunnerEntry* entry = find(runner);
+    return entry && entry->limit.answered(per_second, known, now);
+}
+
+bool
+RunnerTable::limit_told(const LimitNews& news, TimePoint now)
+{
+    RunnerEntry* entry = find(RunnerIncarnation{news.runner, news.born});
+    return entry && entry->limit.told(news, now);
+}
+
+std::vector<LimitNews>
+RunnerTable::limit_news(TimePoint now) const
+{
+    std::vector<LimitNews> news;
+    for (const auto& [id, entry] : m_entries)
+        if (entry.limit.is_news(now))
+            news.push_back({id, entry.listed.born, entry.limit.per_second(),
+                            entry.limit.change(), entry.limit.heard()});
+    return news;
+}
+
+std::size_t
+RunnerTable::limited_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [](const auto& item) {
+            return item.second.limit.in_force();
+        }));
+}
+
 std::map<std::string, RunnerLoad>
 RunnerTable::own_load() const
 {
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -295,22 +295,22 @@
 TEST_CASE("it is told when a runner takes work again, if one does")
 {
     RunnerTable table;
-    CHECK_FALSE(table.next_chance(query()));
+    CHECK_FALSE(table.next_chance(query()).at);
     table.put(runner("full", "a"), at(0));
     table.put(runner("fails", "a"), at(0));
     table.refused("full", at(0), std::chrono::milliseconds(120));
     table.failed("fails", at(0));
-    CHECK(table.next_chance(query()) == at(120));
+    CHECK(table.next_chance(query()).at == at(120));
     table.put(runner("old", "a", 1), at(0));
     RunnerQuery asked = query();
     asked.least_version = 2;
-    CHECK_FALSE(table.next_chance(asked));
+    CHECK_FALSE(table.next_chance(asked).at);
     table.has_version({"fails"}, model, 2);
-    CHECK(table.next_chance(asked) == at(500));
+    CHECK(table.next_chance(asked).at == at(500));
     ListedRunner leaving = runner("fails", "a");
     leaving.leaving = true;
     table.put(leaving, at(0));
-    CHECK_FALSE(table.next_chance(asked));
+    CHECK_FALSE(table.next_chance(asked).at);
 }
 
 TEST_CASE("a late list does not bring older weights back")
@@ -404,10 +404,10 @@
     table.put(runner("far", "b"), at(0));
     table.evacuate("a", true, at(0));
     CHECK(chosen(table, query(10)) == "far");
-    CHECK(table.next_chance(query(10)) == TimePoint{});
+    CHECK(table.next_chance(query(10)).at == TimePoint{});
     table.evacuate("b", true, at(20));
     CHECK(chosen(table, query(30)).empty());
-    CHECK_FALSE(table.next_chance(query(30)));
+    CHECK_FALSE(table.next_chance(query(30)).at);
     table.evacuate_only({"b"}, at(40));
     CHECK(chosen(table, query(50)) == "near");
     table.evacuate("none", false, at(60));
@@ -454,10 +454,10 @@
     table.sent({"r"}, 0, 0, at(0));
     table.reserve({"r"});
     CHECK(chosen(table, asked).empty());
-    CHECK(table.next_chance(asked) == at(1050));
+    CHECK(table.next_chance(asked).at == at(1050));
     // Another instance has no share, and waits until the runner is warm.
     asked.instance = "j";
-    CHECK(table.next_chance(asked) == at(2000));
+    CHECK(table.next_chance(asked).at == at(2000));
 }
 
 TEST_CASE("a runner that may start anew is taken as cold")
--- a/src/libcrosslink/forward/warm_up_limit_test.cpp
+++ b/src/libcrosslink/forward/warm_up_limit_test.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright Contributors to the crosslink project.
 
+#include <crosslink/forward/rate_share.h>
 #include <crosslink/forward/runner_table.h>
-#include <crosslink/forward/warm_up_limit.h>
 
 #include <catch2/catch.hpp>
 
@@ -242,19 +242,19 @@
 
 TEST_CASE("half of what a cold runner bears is divided")
 {
-    const WarmUpShare many = warm_up_share(21.5, 24);
+    const RateShare many = warm_up_share(21.5, 24);
     CHECK(many.instances == 5);
     CHECK(many.calls == 2);
-    const WarmUpShare few = warm_up_share(21.5, 2);
+    const RateShare few = warm_up_share(21.5, 2);
     CHECK(few.instances == 2);
     CHECK(few.calls == 5);
-    const WarmUpShare least = warm_up_share(2, 300);
+    const RateShare least = warm_up_share(2, 300);
     CHECK(least.instances == 1);
     CHECK(least.calls == 1);
     CHECK(warm_up_share(0.5, 10).calls == 0);
     for (const double limit : {2.0, 3.0, 7.0, 21.5, 60.0, 400.0})
         for (std::size_t present = 1; present <= 300; ++present) {
-            const WarmUpShare share = warm_up_share(limit, present);
+            const RateShare share = warm_up_share(limit, present);
             const auto given =
                 static_cast<double>(share.instances * share.calls);
             CHECK(given <= limit / 2);
@@ -263,13 +263,14 @@
 
 TEST_CASE("a share that is used up is free again after a second")
 {
+    const Micros window = warm_up_share(21.5, 24).window;
     SendWindow sends;
-    CHECK(sends.free_at(2, at(0)) == at(0));
+    CHECK(sends.free_at(2, window, at(0)) == at(0));
     sends.sent(at(0));
     sends.sent(at(400));
-    CHECK(sends.free_at(2, at(500)) == at(1050));
-    CHECK(sends.free_at(1, at(500)) == at(1450));
-    CHECK(sends.free_at(2, at(1100)) == at(1100));
+    CHECK(sends.free_at(2, window, at(500)) == at(1050));
+    CHECK(sends.free_at(1, window, at(500)) == at(1450));
+    CHECK(sends.free_at(2, window, at(1100)) == at(1100));
 }
 
 TEST_CASE("a fleet of any size spares cold runners")
--- a/src/serve/fleet/exchange.h
+++ b/src/serve/fleet/exchange.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/forward/crash_history.h>
+#include <crosslink/forward/named_limit.h>
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/kept/fetch_watch.h>
 #include <crosslink/kept/kept_replica.h>
@@ -42,6 +43,7 @@
     std::vector<WeightsAge> weights;
     std::vector<LostContact> lost;     ///< Runners that may start anew.
     CrashNews crashes;                 ///< Learned lately.
+    std::vector<LimitNews> limits;     ///< That runners named.
     std::vector<FetchSamples> fetches; ///< Seen since the last question.
     /// Up to where it knows the platform's store; nothing before all of it.
     std::optional<std::uint64_t> news_place;
@@ -77,6 +79,7 @@
     std::vector<RunnerWeights> loaded;
     std::vector<LostContact> lost;      ///< Runners that may start anew.
     CrashNews crashes;                  ///< Learned lately.
+    std::vector<LimitNews> limits;      ///< That runners named.
     std::vector<FetchLateness> fetches; ///< How late they are.
     KeptUpdate kept;
     std::vector<WeightsAge> weights; ///< As the first instance heard of them.
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -71,6 +71,7 @@
     question.weights = m_state.weights_ages(now);
     question.lost = m_state.lost_contacts(now);
     question.crashes = m_state.crash_news(now);
+    question.limits = m_state.limit_news(now);
     question.fetches = m_state.fetches.with(
         [](FetchWatch& watch) { return watch.take_untold(); });
     question.news_place = m_news.place();
@@ -138,6 +139,7 @@
     m_state.heard_of(answer.weights, now);
     m_state.heard_of(answer.lost, asked);
     m_state.heard_of(answer.crashes, asked);
+    m_state.heard_of(answer.limits);
     m_state.fetches.with([&](FetchWatch& watch) {
         for (const FetchLateness& fetch : answer.fetches)
             watch.told(fetch, asked);
--- a/src/serve/fleet/exchange_json.cpp
+++ b/src/serve/fleet/exchange_json.cpp
@@ -208,6 +208,32 @@
     return news;
 }
 
+/// [RUNNER, BORN, CHANGE, HEARD, CALLS A SECOND]; the last one is left out
+/// where the limit ended.
+Json::Value
+limit_to_json(const LimitNews& news)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(news.runner);
+    row.append(Json::UInt64(news.born));
+    row.append(Json::UInt64(news.change));
+    row.append(Json::UInt64(news.heard));
+    if (news.per_second != no_rate_limit)
+        row.append(news.per_second);
+    return row;
+}
+
+LimitNews
+limit_from_json(const Json::Value& row)
+{
+    constexpr Json::ArrayIndex rate = 4;
+    if (!row.isArray() || row.size() < rate)
+        throw Error(ErrorCode::BadJson, "a limit without runner or change");
+    return {row[0].asString(), row[1].asUInt64(),
+            row.size() > rate ? row[rate].asDouble() : no_rate_limit,
+            row[2].asUInt64(), row[3].asUInt64()};
+}
+
 Json::Value
 samples_to_json(const FetchSamples& samples)
 {
@@ -287,6 +313,7 @@
     value["weights"] = json_list(question.weights, age_to_json);
     value["lost"] = json_list(question.lost, lost_to_json);
     value["crashes"] = crashes_to_json(question.crashes);
+    value["limits"] = json_list(question.limits, limit_to_json);
     value["fetches"] = json_list(question.fetches, samples_to_json);
     if (question.news_place)
         value["news_place"] = Json::UInt64(*question.news_place);
@@ -304,6 +331,7 @@
     question.weights = list_from_json(value["weights"], age_from_json);
     question.lost = list_from_json(value["lost"], lost_from_json);
     question.crashes = crashes_from_json(value["crashes"]);
+    question.limits = list_from_json(value["limits"], limit_from_json);
     question.fetches = list_from_json(value["fetches"], samples_from_json);
     if (value.isMember("news_place"))
         question.news_place = json_number(value, "news_place");
@@ -319,6 +347,7 @@
     value["loaded"] = json_list(answer.loaded, loaded_to_json);
     value["lost"] = json_list(answer.lost, lost_to_json);
     value["crashes"] = crashes_to_json(answer.crashes);
+    value["limits"] = json_list(answer.limits, limit_to_json);
     value["fetches"] = json_list(answer.fetches, lateness_to_json);
     value["kept"] = update_to_json(answer.kept);
     value["weights"] = json_list(answer.weights, age_to_json);
@@ -340,6 +369,7 @@
     answer.loaded = list_from_json(value["loaded"], loaded_from_json);
     answer.lost = list_from_json(value["lost"], lost_from_json);
     answer.crashes = crashes_from_json(value["crashes"]);
+    answer.limits = list_from_json(value["limits"], limit_from_json);
     answer.fetches = list_from_json(value["fetches"], lateness_from_json);
     answer.kept = update_from_json(value["kept"]);
     answer.weights = list_from_json(value["weights"], age_from_json);
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -176,11 +176,6 @@
 ForwardRun::take_answer(CallerLink& link, const AnswerHead& head)
 {
     learn(head);
-    if (head.rate_limit != no_rate_limit)
-        LogLine("limit_named")
-            .field("request", m_call.id)
-            .field("runner", m_choice.pick().id)
-            .field("per_second", head.rate_limit.value_or(-1));
     if (head.not_run) {
         LogLine("call_refused")
             .field("request", m_call.id)
@@ -201,9 +196,30 @@
     return link.begun() ? Outcome::Broken : relay_whole(link, head);
 }
 
+/// Takes in what the runner says of its limit. That it names none counts only
+/// where it ran the call: others may have refused it in its place.
+void
+ForwardRun::learn_limit(const AnswerHead& head)
+{
+    if (!head.rate_limit) {
+        LogLine("limit_unreadable")
+            .field("request", m_call.id)
+            .field("runner", m_choice.pick().id);
+        return;
+    }
+    const bool names_none = *head.rate_limit == no_rate_limit;
+    const bool is_no_end =
+        names_none && (!head.genuine || m_choice.pick().limit_change == 0);
+    if (head.misdirected || is_no_end)
+        return;
+    m_state.learned_limit(m_choice.pick().incarnation(), *head.rate_limit,
+                          m_choice.pick().limit_change);
+}
+
 void
 ForwardRun::learn(const AnswerHead& head)
 {
+    learn_limit(head);
     if (!m_call.generation || head.version == 0)
         return;
     m_state.learned_weights(m_choice.pick().incarnation(),
--- a/src/serve/forward/forward_end.cpp
+++ b/src/serve/forward/forward_end.cpp
@@ -7,6 +7,7 @@
 #include "forward_run.h"
 
 #include <adapters/clock.h>
+#include <adapters/random.h>
 #include <serve/log_line.h>
 
 #include <crosslink/forward/queue_limit.h>
@@ -62,9 +63,21 @@
 Micros
 ForwardRun::time_to_chance() const
 {
-    if (!m_next_chance)
+    if (!m_next_chance.at)
         return come_back_unknown;
-    return std::max(least_return, *m_next_chance - monotonic_now());
+    return std::max(least_return, *m_next_chance.at - monotonic_now());
+}
+
+/// Refuses a call for which runners have no place because of limits that they
+/// named. Callers that are refused together do not come back together.
+void
+ForwardRun::fail_limited()
+{
+    ++m_state.counters.calls_limited;
+    throw Error(ErrorCode::UpstreamsLimited,
+                "runners get as many calls as they named as their limits",
+                RunState::NotDispatched,
+                spread_return(time_to_chance(), random_bits()));
 }
 
 void
@@ -82,6 +95,8 @@
         throw Error(ErrorCode::UpstreamRefused, "runners have no room",
                     RunState::RefusedBeforeRun, least_return);
     default:
+        if (m_next_chance.limited)
+            fail_limited();
         throw Error(ErrorCode::NoUpstream, "no runner takes work",
                     RunState::NotDispatched, time_to_chance());
     }
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -124,22 +124,35 @@
 bool
 ForwardRun::wait_for_runner()
 {
-    const TimePoint useful =
-        std::min(m_deadline, m_call.received_at + m_route.objective);
     for (;;) {
         // A runner that refused before may have room by then.
         if (m_runs == 0)
             m_choice.pass_over_none();
-        m_next_chance = m_choice.next_chance();
-        if (!m_next_chance || *m_next_chance >= useful)
+        const TimePoint latest = latest_place();
+        m_next_chance = m_choice.keep_place(latest);
+        if (!m_next_chance.at || *m_next_chance.at >= latest)
             return false;
-        const Micros wait = *m_next_chance - monotonic_now();
+        const Micros wait = *m_next_chance.at - monotonic_now();
         std::this_thread::sleep_for(std::max(wait, wait_step));
-        if (m_choice.choose())
+        if (m_choice.choose_kept())
             return true;
     }
 }
 
+/// Returns until when a place at a runner is of use. An account that had more
+/// than its part leaves the later half of the places to the others, who would
+/// find all of them taken.
+TimePoint
+ForwardRun::latest_place() const
+{
+    const TimePoint useful =
+        std::min(m_deadline, m_call.received_at + m_route.objective);
+    if (!m_choice.account_ahead())
+        return useful;
+    const TimePoint now = monotonic_now();
+    return now + (useful - now) / 2;
+}
+
 ForwardRun::Outcome
 ForwardRun::attempt(CallerLink& link)
 {
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -83,6 +83,7 @@
     bool find_runner();
     void refuse_beyond_limit();
     bool wait_for_runner();
+    TimePoint latest_place() const;
     Micros time_to_chance() const;
     Outcome attempt(CallerLink& link);
     void note_sent();
@@ -109,11 +110,13 @@
     bool send_events(CallerLink& link, const AnswerHead& head,
                      const std::string& events);
     void learn(const AnswerHead& head);
+    void learn_limit(const AnswerHead& head);
     void saw_first_event();
     void keep_connection(const AnswerHead& head);
     void give_up(CallerLink& link, Outcome outcome);
     void end_blocked(CallerLink& link);
     [[noreturn]] void fail(Outcome outcome);
+    [[noreturn]] void fail_limited();
     Micros time_left() const;
     std::uint64_t resident_tokens() const;
     bool has_begun() const { return m_prompt.is_read(); }
@@ -132,8 +135,7 @@
     TimePoint m_connected_at{}; ///< When it was taken or made.
     /// When a kept connection counts as silent; nothing once it has answered.
     std::optional<TimePoint> m_silent_at;
-    /// When a runner takes work again, as of the last look for one.
-    std::optional<TimePoint> m_next_chance;
+    NextChance m_next_chance; ///< As of the last look for a runner.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
     /// A runner's failure that goes to the caller where no repeat does better.
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -203,6 +203,52 @@
             .field("source", source);
 }
 
+void
+ForwardState::learned_limit(const RunnerIncarnation& runner, double per_second,
+                            std::uint64_t known)
+{
+    const bool changed = runners.with([&](RunnerTable& table) {
+        return table.limit_answered(runner, per_second, known, monotonic_now());
+    });
+    if (changed)
+        note_limit(runner.id, per_second, "answer");
+}
+
+void
+ForwardState::heard_of(const std::vector<LimitNews>& limits)
+{
+    for (const LimitNews& news : limits) {
+        const bool changed = runners.with([&](RunnerTable& table) {
+            return table.limit_told(news, monotonic_now());
+        });
+        if (changed)
+            note_limit(news.runner, news.per_second, "instance");
+    }
+}
+
+std::vector<LimitNews>
+ForwardState::limit_news(TimePoint now)
+{
+    return runners.with(
+        [now](RunnerTable& table) { return table.limit_news(now); });
+}
+
+/// Logs and counts a limit that changed.
+void
+ForwardState::note_limit(std::string_view runner, double per_second,
+                         const char* source)
+{
+    ++counters.limits_changed;
+    counters.runners_limited =
+        runners.with([](RunnerTable& table) { return table.limited_count(); });
+    LogLine line("runner_limit");
+    line.field("runner", runner).field("source", source);
+    if (per_second == no_rate_limit)
+        line.field("ended", true);
+    else
+        line.field("per_second", per_second);
+}
+
 std::size_t
 ForwardState::instance_count()
 {
@@ -273,6 +319,8 @@
     for (const FleetChange& change : changes)
         std::visit(taker, change);
     taker.finish();
+    counters.runners_limited =
+        runners.with([](RunnerTable& table) { return table.limited_count(); });
     if (whole)
         learned.notify();
 }
@@ -321,9 +369,13 @@
     counter("calls_runner_ended_total", runner_ends);
     counter("requests_blocked_total", requests_blocked);
     counter("calls_blocked_total", calls_blocked);
+    counter("limits_changed_total", limits_changed);
+    counter("calls_limited_total", calls_limited);
     counter("parts_fetched_total", parts_fetched);
     counter("parts_saved_total", parts_saved);
     counter("parts_read_total", parts_read);
+    out << "# TYPE crosslink_runners_limited gauge\ncrosslink_runners_limited "
+        << runners_limited.load() << '\n';
     out << first_event.text("crosslink_first_event_seconds",
                             "From a call's arrival to its first event")
         << whole_answer.text("crosslink_whole_answer_seconds",
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -14,6 +14,7 @@
 #include <serve/metrics.h>
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/account_turns.h>
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/retry_window.h>
 #include <crosslink/forward/runner_table.h>
@@ -91,9 +92,12 @@
     Counter runner_ends{0}; ///< Calls under which runners ended.
     Counter requests_blocked{0};
     Counter calls_blocked{0};
+    Counter limits_changed{0}; ///< Of runners, as heard here.
+    Counter calls_limited{0};  ///< Refused for limits of runners.
     Counter parts_fetched{0};
     Counter parts_saved{0};
     Counter parts_read{0};
+    Counter runners_limited{0}; ///< With a limit in force now.
     TimeSummary first_event;
     TimeSummary whole_answer;
     TimeSummary kept_question;
@@ -114,6 +118,7 @@
     Guarded<FleetView> fleet;
     Guarded<RunnerTable> runners;
     Guarded<RetryWindow> retries;
+    Guarded<AccountTurns> turns; ///< At runners that named limits.
     Guarded<CrashHistory> crashes;
     Guarded<FetchWatch> fetches;
     Guarded<KeptReplica> kept;
@@ -155,6 +160,14 @@
     void heard_of(const CrashNews& news, TimePoint as_of);
     /// Returns what to tell other instances of such calls.
     CrashNews crash_news(TimePoint now);
+    /// Takes in what an answer of a runner names as its limit, where its call
+    /// was sent when `known` changes of that were known, and logs a change.
+    void learned_limit(const RunnerIncarnation& runner, double per_second,
+                       std::uint64_t known);
+    /// Takes in what another instance told of runners' limits.
+    void heard_of(const std::vector<LimitNews>& limits);
+    /// Returns what to tell other instances of them.
+    std::vector<LimitNews> limit_news(TimePoint now);
     /// Takes in that a request is recorded as blocked, or no longer.
     void recorded_block(const std::string& request, bool is_blocked);
     /// Takes in that a runner has `version` of `model`, as `source` told, and
@@ -203,6 +216,9 @@
         TreePlace place;
     };
 
+    void note_limit(std::string_view runner, double per_second,
+                    const char* source);
+
     Guarded<KnownPlace> m_place;
 };
 
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -53,15 +53,56 @@
 {
     release();
     const RunnerQuery query = make_query();
-    const auto pick = m_state.runners.with([&query](RunnerTable& table) {
+    return take(m_state.runners.with([&query](RunnerTable& table) {
         auto chosen = table.choose(query);
         if (chosen)
             table.reserve(chosen->incarnation());
         return chosen;
+    }));
+}
+
+/// Calls that wait for a runner with a limit come one after the other: without
+/// places of their own all of them would wait for its next one, and all but one
+/// in vain.
+NextChance
+RunnerChoice::keep_place(TimePoint useful)
+{
+    release();
+    const RunnerQuery query = make_query();
+    NextChance chance = m_state.runners.with([&](RunnerTable& table) {
+        NextChance next = table.next_chance(query);
+        if (next.at && *next.at < useful)
+            table.reserve(next.incarnation());
+        return next;
+    });
+    if (chance.at && *chance.at < useful)
+        m_kept_place = chance;
+    return chance;
+}
+
+bool
+RunnerChoice::choose_kept()
+{
+    if (!m_kept_place)
+        return choose();
+    const RunnerQuery query = make_query();
+    auto pick = m_state.runners.with([&](RunnerTable& table) {
+        auto chosen = table.choose_booked(query, m_kept_place->incarnation());
+        if (chosen)
+            table.reserve(chosen->incarnation());
+        return chosen;
     });
+    m_kept_place.reset();
+    return take(std::move(pick));
+}
+
+/// Takes over the runner that was chosen, with a place reserved there.
+bool
+RunnerChoice::take(std::optional<RunnerPick> pick)
+{
     if (!pick)
         return false;
-    m_pick = *pick;
+    m_pick = std::move(*pick);
     m_reserved = true;
     return true;
 }
@@ -73,25 +114,31 @@
     m_state.runners.with([&](RunnerTable& table) {
         table.sent(m_pick.incarnation(), tokens, resident, now);
     });
+    if (m_pick.limited)
+        m_state.turns.with([&](AccountTurns& turns) {
+            turns.taken(m_service, account(), now);
+        });
 }
 
-/// Gives back the place of a call that was not sent.
+/// Gives back the places of a call that was not sent.
 void
 RunnerChoice::release()
 {
-    if (!m_reserved)
-        return;
+    m_state.runners.with([this](RunnerTable& table) {
+        if (m_reserved)
+            table.release(m_pick.incarnation());
+        if (m_kept_place)
+            table.release(m_kept_place->incarnation());
+    });
     m_reserved = false;
-    m_state.runners.with(
-        [this](RunnerTable& table) { table.release(m_pick.incarnation()); });
+    m_kept_place.reset();
 }
 
-std::optional<TimePoint>
-RunnerChoice::next_chance()
+/// Returns the name of the call's account; empty on open routes.
+std::string_view
+RunnerChoice::account() const
 {
-    const RunnerQuery query = make_query();
-    return m_state.runners.with(
-        [&query](RunnerTable& table) { return table.next_chance(query); });
+    return m_holder ? std::string_view(m_holder->name) : std::string_view();
 }
 
 /// Returns what the choice depends on now. It refers to the call and to the
@@ -117,6 +164,7 @@
     if (m_zones_allowed)
         query.zones_allowed = &*m_zones_allowed;
     add_warm_up(query, *m_state.map());
+    add_account(query);
     if (m_call.generation)
         add_prompt(query);
     query.random = random_bits();
@@ -124,6 +172,20 @@
     return query;
 }
 
+/// Adds whether the call's account goes after the others at limited runners.
+void
+RunnerChoice::add_account(RunnerQuery& query)
+{
+    m_account_ahead = false;
+    if (m_state.counters.runners_limited == 0)
+        return;
+    query.account_ahead = m_state.turns.with([&](AccountTurns& turns) {
+        turns.asked(m_service, account(), query.now);
+        return turns.is_ahead(m_service, account(), query.now);
+    });
+    m_account_ahead = query.account_ahead;
+}
+
 /// Adds how runners of the service are spared while they warm up.
 void
 RunnerChoice::add_warm_up(RunnerQuery& query, const ServiceMap& map) const
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace crosslink
 {
@@ -35,8 +36,11 @@
     /// Chooses a runner. Returns false, and leaves the last one, where none
     /// takes work.
     bool choose();
-    /// Returns when a runner takes work again; nothing where none is known to.
-    std::optional<TimePoint> next_chance();
+    /// Returns when a runner takes work again, and keeps a place there for the
+    /// call where that is before `useful`.
+    NextChance keep_place(TimePoint useful);
+    /// As choose(), with the place that was kept.
+    bool choose_kept();
     /// Takes note that the call is sent to the chosen runner at `now`; see
     /// RunnerTable::sent().
     void sent(std::uint64_t tokens, std::uint64_t resident, TimePoint now);
@@ -51,6 +55,9 @@
     const std::string& service() const { return m_service; }
     /// The newest weights that were named at the last choice; 0 for none.
     std::uint64_t newest_weights() const { return m_newest; }
+    /// Returns whether the call's account had more than its part of what
+    /// limited runners of the service take, as of the last choice.
+    bool account_ahead() const { return m_account_ahead; }
     /// Returns the space of the KV that the chosen runner makes of the prompt.
     KeptSpace kept_space() const { return space_of(m_pick.version); }
 
@@ -64,8 +71,11 @@
 private:
     RunnerQuery make_query();
     void add_prompt(RunnerQuery& query);
+    void add_account(RunnerQuery& query);
+    bool take(std::optional<RunnerPick> pick);
     void add_warm_up(RunnerQuery& query, const ServiceMap& map) const;
     void release();
+    std::string_view account() const;
     KeptSpace space_of(std::uint64_t version) const;
 
     ForwardState& m_state;
@@ -77,7 +87,10 @@
     /// Zones whose runners may have the call; nothing for all.
     const std::optional<ZoneSet> m_zones_allowed;
     RunnerPick m_pick;
-    bool m_reserved = false;       ///< The call is about to be sent to m_pick.
+    bool m_reserved = false; ///< The call is about to be sent to m_pick.
+    /// Where a place is kept for the call while it waits.
+    std::optional<NextChance> m_kept_place;
+    bool m_account_ahead = false;  ///< At the last choice.
     std::set<std::string> m_avoid; ///< Runners that are not chosen.
     std::uint64_t m_newest = 0;    ///< Weights named at the last choice.
 };
