Places of limited runners go to accounts in turn; what is shared is looked up

A place is left to the others for half a window, and a window that began late is made up for.

Tests: runner_limit_test, named_limit_test, account_turns_test, exchange_json_test.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -140,6 +140,7 @@
 private:
     std::set<std::string_view> put_all(std::span<const ListedRunner> listed,
                                        TimePoint now);
+    void note_send(RunnerEntry& entry, TimePoint now) const;
     RunnerEntry* find(std::string_view id);
     RunnerEntry* find(const RunnerIncarnation& runner);
     bool may_take_work(const RunnerEntry& entry,
--- a/src/include/crosslink/membership/settled_members.h
+++ b/src/include/crosslink/membership/settled_members.h
@@ -52,12 +52,45 @@
         std::optional<TimePoint> gone_at;
     };
 
+    /// While something holds that was worked out of the members: from one time
+    /// until the next of them settles.
+    struct Validity {
+        TimePoint from{};
+        TimePoint until{};
+
+        bool holds(TimePoint now) const { return from <= now && now < until; }
+    };
+    /// How many instances count in a zone.
+    struct Count {
+        std::size_t members = 0;
+        Validity valid;
+    };
+    /// Where an instance stands among those that share a key.
+    struct Standing {
+        std::string name;
+        std::string zone;
+        std::size_t before = 0; ///< That come first; all, where it has none.
+        Validity valid;
+    };
+
+    const Standing& standing(std::string_view name, std::string_view key,
+                             std::string_view zone, TimePoint now) const;
+    Standing work_out(std::string_view name, std::string_view key,
+                      std::string_view zone, TimePoint now) const;
+    std::size_t work_out_count(std::string_view zone, TimePoint now) const;
+    Validity validity(TimePoint now) const;
+    void changed();
     void expire(TimePoint now);
     bool counts(const Member& member, TimePoint now) const;
     bool has_any(std::string_view zone, TimePoint now) const;
 
     Micros m_settle;
     std::map<std::string, Member, std::less<>> m_members; ///< By name.
+    // Worked out before: that takes a look at all members, and a hash for each,
+    // and is asked for by each call and runner. Gone with each change.
+    mutable std::map<std::string, Count, std::less<>> m_counts; ///< By zone.
+    /// By key.
+    mutable std::map<std::string, Standing, std::less<>> m_standings;
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/account_turns.cpp
+++ b/src/libcrosslink/forward/account_turns.cpp
@@ -18,7 +18,7 @@
 /// Places that were got count half after this time.
 constexpr Micros half_life = std::chrono::seconds(5);
 /// Part of a place by which accounts may be apart and still be alike.
-constexpr double tolerance = 0.5;
+constexpr double tolerance = 0.1;
 
 double
 faded(double places, Micros age)
--- /dev/null
+++ b/src/libcrosslink/forward/account_turns_test.cpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/account_turns.h>
+
+#include <catch2/catch.hpp>
+
+namespace crosslink
+{
+
+namespace
+{
+
+TimePoint
+at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+} // namespace
+
+TEST_CASE("an account is ahead that got more places than the mean")
+{
+    AccountTurns turns;
+    for (const char* account : {"a", "b"})
+        turns.asked("s", account, at(100'000));
+    CHECK_FALSE(turns.is_ahead("s", "a", at(100'000)));
+    turns.taken("s", "a", at(100'000));
+    CHECK(turns.is_ahead("s", "a", at(100'000)));
+    CHECK_FALSE(turns.is_ahead("s", "b", at(100'000)));
+    CHECK_FALSE(turns.is_ahead("other", "a", at(100'000)));
+    turns.taken("s", "b", at(100'010));
+    CHECK_FALSE(turns.is_ahead("s", "a", at(100'010)));
+}
+
+TEST_CASE("an account is not ahead of those that ask for nothing")
+{
+    AccountTurns turns;
+    turns.asked("s", "b", at(100'000));
+    turns.asked("s", "a", at(106'000));
+    turns.taken("s", "a", at(106'000));
+    CHECK_FALSE(turns.is_ahead("s", "a", at(106'000)));
+}
+
+TEST_CASE("places that were got long ago do not count")
+{
+    AccountTurns turns;
+    turns.taken("s", "a", at(0));
+    for (const char* account : {"a", "b"})
+        turns.asked("s", account, at(100'000));
+    CHECK_FALSE(turns.is_ahead("s", "a", at(100'000)));
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/forward/limit_play_test.cpp
+++ b/src/libcrosslink/forward/limit_play_test.cpp
@@ -169,8 +169,8 @@
         PlayedLimits played(play);
         played.run();
         // Half of all would be its part: 0.1 of the calls ask for as much.
-        const auto few = static_cast<double>(played.sent_of_few());
-        CHECK(few > 0.25 * static_cast<double>(played.sent()));
+        const auto few = static_cast<double>(played.taken_by_few());
+        CHECK(few > 0.25 * static_cast<double>(played.taken()));
     }
 }
 
--- /dev/null
+++ b/src/libcrosslink/forward/named_limit_test.cpp
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/named_limit.h>
+
+#include <crosslink/forward/rate_share.h>
+
+#include <catch2/catch.hpp>
+
+namespace crosslink
+{
+
+namespace
+{
+
+TimePoint
+at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+LimitNews
+news_of(const NamedLimit& limit)
+{
+    return {"r", 1, limit.per_second(), limit.change(), limit.heard()};
+}
+
+} // namespace
+
+TEST_CASE("a limit holds from the answer that names it to the one that doesn't")
+{
+    NamedLimit limit;
+    CHECK_FALSE(limit.in_force());
+    CHECK_FALSE(limit.answered(no_rate_limit, 0, at(0)));
+    CHECK(limit.answered(1.5, 0, at(10)));
+    CHECK(limit.in_force());
+    CHECK_FALSE(limit.answered(1.5, 1, at(20)));
+    CHECK(limit.heard_at() == at(20));
+    CHECK(limit.answered(no_rate_limit, 1, at(30)));
+    CHECK_FALSE(limit.in_force());
+}
+
+TEST_CASE("an answer to a call that was sent before the change says nothing")
+{
+    NamedLimit limit;
+    limit.answered(1.5, 0, at(0));
+    CHECK_FALSE(limit.answered(no_rate_limit, 0, at(10)));
+    CHECK(limit.per_second() == 1.5);
+    CHECK(limit.heard_at() == at(0));
+    limit.answered(no_rate_limit, 1, at(20));
+    CHECK_FALSE(limit.answered(1.5, 1, at(30)));
+    CHECK_FALSE(limit.in_force());
+}
+
+TEST_CASE("what another instance told later, and earlier, comes in any order")
+{
+    NamedLimit first;
+    first.answered(1.5, 0, at(0));
+    const LimitNews named = news_of(first);
+    first.answered(no_rate_limit, 1, at(10));
+    const LimitNews ended = news_of(first);
+    NamedLimit second;
+    CHECK(second.told(named, at(20)));
+    CHECK(second.told(ended, at(30)));
+    CHECK_FALSE(second.told(named, at(40)));
+    CHECK_FALSE(second.in_force());
+    CHECK_FALSE(second.told(ended, at(50)));
+    CHECK(second.heard_at() == at(30));
+}
+
+TEST_CASE("of two changes that were heard apart the lower limit holds")
+{
+    NamedLimit first;
+    first.answered(1.5, 0, at(0));
+    NamedLimit second;
+    second.answered(4, 0, at(0));
+    CHECK_FALSE(first.told(news_of(second), at(10)));
+    CHECK(second.told(news_of(first), at(10)));
+    CHECK(first.per_second() == 1.5);
+    CHECK(second.per_second() == 1.5);
+    // The next answer settles it.
+    CHECK(second.answered(4, second.change(), at(20)));
+    CHECK(first.told(news_of(second), at(30)));
+    CHECK(first.per_second() == 4);
+}
+
+TEST_CASE("others are told of a limit, and for a minute of its end")
+{
+    NamedLimit limit;
+    CHECK_FALSE(limit.is_news(at(0)));
+    limit.answered(1.5, 0, at(0));
+    CHECK(limit.is_news(at(3'600'000)));
+    limit.answered(no_rate_limit, 1, at(0));
+    CHECK(limit.is_news(at(59'000)));
+    CHECK_FALSE(limit.is_news(at(61'000)));
+}
+
+TEST_CASE("shares of a limit are in sum what is taken, or nearly so")
+{
+    for (const double limit : {0.0, 0.1, 0.5, 1.5, 7.0, 20.0, 900.0})
+        for (std::size_t present = 1; present <= 300; ++present) {
+            const RateShare share = named_limit_share(limit, present);
+            REQUIRE(share.instances >= 1);
+            REQUIRE(share.instances <= present);
+            const double each =
+                static_cast<double>(share.calls) / seconds(share.window);
+            const double rate = each * static_cast<double>(share.instances);
+            CHECK(rate <= std::max(limit, 0.21));
+            CHECK(rate >= limit * 0.9);
+            // Windows that begin together, and a call for half a window that
+            // is made up for.
+            const double burst = static_cast<double>(share.calls) * 1.5;
+            const double most =
+                4 * rate + burst * static_cast<double>(share.instances);
+            CHECK(most <= 1.5 * limit * 4 + 5);
+        }
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -37,8 +37,9 @@
 constexpr Micros asking_turn = std::chrono::seconds(3);
 /// Turns after which no more ask: eight at a time then.
 constexpr std::int64_t most_turns = 3;
-/// What an account that is ahead waits for each place, beside the others.
-constexpr double window_ahead = 1.25;
+/// What an account that is ahead waits for each place, beside the others: as
+/// much longer as SendWindow makes up for.
+constexpr double window_ahead = 1.5;
 /// A time that does not come.
 constexpr TimePoint never = TimePoint::max();
 
--- /dev/null
+++ b/src/libcrosslink/forward/runner_limit_test.cpp
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/runner_table.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace crosslink
+{
+
+namespace
+{
+
+TimePoint
+at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+RunnerQuery
+query(int millis)
+{
+    RunnerQuery query;
+    query.service = "s";
+    query.zone = "a";
+    query.instance = "i";
+    query.now = at(millis);
+    return query;
+}
+
+/// A table of the only instance, before runners of its zone.
+RunnerTable
+table_of(const std::vector<std::string>& ids)
+{
+    RunnerTable table;
+    table.members().listed({"i", "", "a", 0}, at(-5000));
+    for (const std::string& id : ids) {
+        ListedRunner listed;
+        listed.id = id;
+        listed.service = "s";
+        listed.address = "127.0.0.1:1";
+        listed.zone = "a";
+        listed.slots = 64;
+        table.put(listed, at(0));
+    }
+    return table;
+}
+
+/// Chooses a runner, and sends the call there.
+std::string
+send(RunnerTable& table, int millis)
+{
+    const auto pick = table.choose(query(millis));
+    if (!pick)
+        return {};
+    table.reserve(pick->incarnation());
+    table.sent(pick->incarnation(), 0, 0, at(millis));
+    return pick->id;
+}
+
+} // namespace
+
+TEST_CASE("a limited runner gets a call in each window, and others the rest")
+{
+    RunnerTable table = table_of({"limited", "other"});
+    // 1.9 of 2 a second are given out.
+    CHECK(table.limit_answered({"limited"}, 2, 0, at(0)));
+    CHECK(table.limited_count() == 1);
+    int limited = 0;
+    for (int ms = 0; ms < 4000; ++ms) {
+        const std::string id = send(table, ms);
+        REQUIRE_FALSE(id.empty());
+        limited += id == "limited" ? 1 : 0;
+    }
+    CHECK(limited >= 6);
+    CHECK(limited <= 8);
+}
+
+TEST_CASE("calls that wait for a limited runner have places of their own")
+{
+    RunnerTable table = table_of({"r"});
+    table.limit_answered({"r"}, 2, 0, at(0));
+    CHECK(send(table, 0) == "r");
+    CHECK(send(table, 10).empty());
+    const NextChance first = table.next_chance(query(10));
+    CHECK(first.limited);
+    REQUIRE(first.at);
+    CHECK(*first.at > at(500));
+    CHECK(*first.at < at(550));
+    table.reserve(first.incarnation());
+    const NextChance second = table.next_chance(query(10));
+    REQUIRE(second.at);
+    CHECK(*second.at > at(1020));
+    table.reserve(second.incarnation());
+    // Who did not wait comes after them.
+    CHECK_FALSE(table.choose(query(530)));
+    RunnerQuery due = query(0);
+    due.now = *first.at;
+    CHECK(table.choose_booked(due, first.incarnation()));
+    table.reserve(first.incarnation());
+    table.sent(first.incarnation(), 0, 0, due.now);
+    due.now = *second.at;
+    CHECK(table.choose_booked(due, second.incarnation()));
+}
+
+TEST_CASE("a place that is kept is lost where the runner takes less by then")
+{
+    RunnerTable table = table_of({"r"});
+    table.limit_answered({"r"}, 2, 0, at(0));
+    CHECK(send(table, 0) == "r");
+    const NextChance chance = table.next_chance(query(10));
+    table.reserve(chance.incarnation());
+    table.limit_answered({"r"}, 0.5, 1, at(100));
+    RunnerQuery due = query(0);
+    due.now = *chance.at;
+    CHECK_FALSE(table.choose_booked(due, chance.incarnation()));
+}
+
+TEST_CASE("an account that is ahead comes after the others")
+{
+    RunnerTable table = table_of({"r"});
+    table.limit_answered({"r"}, 2, 0, at(0));
+    CHECK(send(table, 0) == "r");
+    RunnerQuery ahead = query(600);
+    ahead.account_ahead = true;
+    CHECK_FALSE(table.choose(ahead));
+    CHECK(table.choose(query(600)));
+    // What it waited longer is made up for.
+    ahead.now = at(800);
+    CHECK(table.choose(ahead));
+    CHECK(send(table, 800) == "r");
+    CHECK(send(table, 1100) == "r");
+}
+
+TEST_CASE("an instance without a share sends nothing, but to ask a silent one")
+{
+    RunnerTable table = table_of({"r"});
+    table.limit_answered({"r"}, 2, 0, at(0));
+    RunnerQuery other = query(100);
+    other.instance = "j";
+    CHECK_FALSE(table.choose(other));
+    CHECK_FALSE(table.next_chance(other).at);
+    CHECK(table.next_chance(other).limited);
+    other.now = at(30'000);
+    CHECK(table.choose(other));
+}
+
+TEST_CASE("a silent runner with a limit gets the next call, however dear")
+{
+    RunnerTable table = table_of({"limited", "other"});
+    table.limit_answered({"limited"}, 2, 0, at(0));
+    for (int i = 0; i < 500; ++i)
+        table.sent({"limited"}, 9000, 0, at(0));
+    CHECK(table.choose(query(2000))->id == "other");
+    CHECK(table.choose(query(20'000))->id == "limited");
+}
+
+TEST_CASE("a new process of a runner has no limit of the one before")
+{
+    RunnerTable table = table_of({"r"});
+    table.limit_answered({"r"}, 2, 0, at(0));
+    const auto news = table.limit_news(at(0));
+    REQUIRE(news.size() == 1);
+    ListedRunner again = table.entries().at("r").listed;
+    again.born = 5;
+    CHECK(table.put(again, at(10)));
+    CHECK(table.limited_count() == 0);
+    // Late news of the one before change nothing.
+    CHECK_FALSE(table.limit_told(news[0], at(20)));
+    CHECK_FALSE(table.limit_answered({"r", 0}, 2, 0, at(20)));
+    CHECK(table.limited_count() == 0);
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -3,6 +3,8 @@
 
 #include <crosslink/forward/runner_table.h>
 
+#include <crosslink/forward/rate_share.h>
+
 #include <algorithm>
 
 namespace crosslink
@@ -158,12 +160,28 @@
 {
     release(runner);
     if (RunnerEntry* entry = find(runner)) {
-        entry->sends.sent(now);
+        note_send(*entry, now);
         entry->own.add(tokens, resident);
         entry->untold.add(tokens, resident);
     }
 }
 
+/// Counts a call by what its runner bears.
+void
+RunnerTable::note_send(RunnerEntry& entry, TimePoint now) const
+{
+    if (!entry.limit.in_force()) {
+        entry.sends.sent(now);
+        return;
+    }
+    const RateShare share = named_limit_share(
+        entry.limit.per_second(), m_members.count(entry.listed.zone, now));
+    if (share.calls == 1)
+        entry.sends.sent_in_turn(share.window, now);
+    else
+        entry.sends.sent(now);
+}
+
 void
 RunnerTable::prompt_read(const RunnerIncarnation& runner, std::uint64_t tokens)
 {
--- a/src/libcrosslink/forward/send_window.cpp
+++ b/src/libcrosslink/forward/send_window.cpp
@@ -16,6 +16,15 @@
     m_times.push_back(now);
 }
 
+void
+SendWindow::sent_in_turn(Micros window, TimePoint now)
+{
+    if (m_times.empty())
+        sent(now);
+    else
+        sent(std::clamp(m_times.back() + window, now - window / 2, now));
+}
+
 TimePoint
 SendWindow::free_at(std::size_t most, Micros window, TimePoint now) const
 {
--- a/src/libcrosslink/membership/settled_members.cpp
+++ b/src/libcrosslink/membership/settled_members.cpp
@@ -6,14 +6,25 @@
 #include <crosslink/membership/rendezvous.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 
 namespace crosslink
 {
 
+namespace
+{
+
+/// Keys whose standings are kept; runners come and go under new ids.
+constexpr std::size_t most_standings = 4096;
+
+} // namespace
+
 void
 SettledMembers::listed(const InstanceInfo& instance, TimePoint now)
 {
     expire(now);
+    changed();
     const auto [found, is_new] = m_members.try_emplace(instance.name);
     Member& member = found->second;
     if (is_new || member.gone_at)
@@ -26,8 +37,10 @@
 SettledMembers::gone(std::string_view name, TimePoint now)
 {
     const auto found = m_members.find(name);
-    if (found != m_members.end() && !found->second.gone_at)
-        found->second.gone_at = now;
+    if (found == m_members.end() || found->second.gone_at)
+        return;
+    found->second.gone_at = now;
+    changed();
 }
 
 void
@@ -65,6 +78,17 @@
 
 std::size_t
 SettledMembers::count(std::string_view zone, TimePoint now) const
+{
+    const auto found = m_counts.find(zone);
+    if (found != m_counts.end() && found->second.valid.holds(now))
+        return found->second.members;
+    const Count counted{work_out_count(zone, now), validity(now)};
+    m_counts.insert_or_assign(std::string(zone), counted);
+    return counted.members;
+}
+
+std::size_t
+SettledMembers::work_out_count(std::string_view zone, TimePoint now) const
 {
     const bool any_zone = !has_any(zone, now);
     return static_cast<std::size_t>(std::count_if(
@@ -79,21 +103,69 @@
                           std::string_view zone, std::size_t most,
                           TimePoint now) const
 {
+    return standing(name, key, zone, now).before < most;
+}
+
+const SettledMembers::Standing&
+SettledMembers::standing(std::string_view name, std::string_view key,
+                         std::string_view zone, TimePoint now) const
+{
+    const auto found = m_standings.find(key);
+    const bool holds =
+        found != m_standings.end() && found->second.name == name &&
+        found->second.zone == zone && found->second.valid.holds(now);
+    if (holds)
+        return found->second;
+    if (m_standings.size() >= most_standings)
+        m_standings.clear();
+    return m_standings
+        .insert_or_assign(std::string(key), work_out(name, key, zone, now))
+        .first->second;
+}
+
+SettledMembers::Standing
+SettledMembers::work_out(std::string_view name, std::string_view key,
+                         std::string_view zone, TimePoint now) const
+{
+    Standing standing{std::string(name), std::string(zone),
+                      std::numeric_limits<std::size_t>::max(), validity(now)};
     const auto own = m_members.find(name);
     if (own == m_members.end() || own->second.gone_at ||
         now < own->second.since + m_settle)
-        return false;
+        return standing;
     const bool any_zone = !has_any(zone, now);
     if (!any_zone && own->second.zone != zone)
-        return false;
+        return standing;
     const std::uint64_t own_weight = rendezvous_weight(key, name);
-    const auto before = std::count_if(
+    standing.before = static_cast<std::size_t>(std::count_if(
         m_members.begin(), m_members.end(), [&](const auto& item) {
             return (any_zone || item.second.zone == zone) &&
                    counts(item.second, now) &&
                    rendezvous_weight(key, item.first) > own_weight;
-        });
-    return static_cast<std::size_t>(before) < most;
+        }));
+    return standing;
+}
+
+/// Returns how long what is true of the members at `now` holds.
+SettledMembers::Validity
+SettledMembers::validity(TimePoint now) const
+{
+    Validity valid{now, TimePoint::max()};
+    for (const auto& [name, member] : m_members) {
+        const TimePoint settled =
+            member.gone_at.value_or(member.since) + m_settle;
+        if (settled > now)
+            valid.until = std::min(valid.until, settled);
+    }
+    return valid;
+}
+
+/// Forgets what was worked out of the members before they changed.
+void
+SettledMembers::changed()
+{
+    m_counts.clear();
+    m_standings.clear();
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/testing/played_limits.h
+++ b/src/libcrosslink/testing/played_limits.h
@@ -115,9 +115,10 @@
     }
     std::size_t asked() const { return m_asked; }
     std::size_t refused() const { return m_refused; }
-    /// Returns how many calls of the account that sends a tenth were sent.
-    std::size_t sent_of_few() const { return m_sent_of_few; }
-    std::size_t sent() const { return m_sent; }
+    /// Returns how many calls were sent to runners with limits, and how many of
+    /// them were of the account that sends a tenth of all calls.
+    std::size_t taken() const { return m_taken; }
+    std::size_t taken_by_few() const { return m_taken_by_few; }
 
 private:
     static constexpr Micros cut_time = std::chrono::seconds(5);
@@ -352,10 +353,11 @@
             ++m_refused;
             return;
         }
-        ++m_sent;
-        m_sent_of_few += account == "few" ? 1 : 0;
-        if (pick->limited)
+        if (pick->limited) {
             instance.turns.taken("s", account, m_now);
+            ++m_taken;
+            m_taken_by_few += account == "few" ? 1 : 0;
+        }
         instance.table.reserve(pick->incarnation());
         instance.table.sent(pick->incarnation(), 0, 0, m_now);
         const std::size_t runner = std::stoul(pick->id.substr(1));
@@ -476,8 +478,8 @@
     TimePoint m_cut_until{};
     std::size_t m_asked = 0;
     std::size_t m_refused = 0;
-    std::size_t m_sent = 0;
-    std::size_t m_sent_of_few = 0;
+    std::size_t m_taken = 0;
+    std::size_t m_taken_by_few = 0;
 };
 
 } // namespace crosslink::testing
--- a/src/serve/fleet/exchange_json_test.cpp
+++ b/src/serve/fleet/exchange_json_test.cpp
@@ -93,6 +93,27 @@
     CHECK_THROWS_AS(exchange_question_from_json(value), Error);
 }
 
+TEST_CASE("an exchange brings limits of runners, and their ends")
+{
+    ExchangeQuestion question;
+    question.limits = {{"r1", 7, 1.5, 3, 40}, {"r2", 0, no_rate_limit, 2, 9}};
+    const auto asked = exchange_question_from_json(to_json(question)).limits;
+    REQUIRE(asked.size() == 2);
+    for (std::size_t i = 0; i < 2; ++i) {
+        CHECK(asked[i].runner == question.limits[i].runner);
+        CHECK(asked[i].born == question.limits[i].born);
+        CHECK(asked[i].per_second == question.limits[i].per_second);
+        CHECK(asked[i].change == question.limits[i].change);
+        CHECK(asked[i].heard == question.limits[i].heard);
+    }
+    ExchangeAnswer answer;
+    answer.limits = question.limits;
+    CHECK(exchange_answer_from_json(to_json(answer)).limits.size() == 2);
+    Json::Value value = to_json(question);
+    value["limits"].append(Json::Value(Json::arrayValue));
+    CHECK_THROWS_AS(exchange_question_from_json(value), Error);
+}
+
 TEST_CASE("an exchange brings how late stores are")
 {
     ExchangeQuestion question;
