--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -10,7 +10,8 @@
 machine's. Checks, from what callers and runners saw: own and whole answers, events
 in order, at most one run of what may run once, "not run" that is true, the right
 account, no configuration that goes back, few sends of a request under which runners
-end, and that all is served again afterwards. It ends only what it started.
+end, runners with limits that are spared, and that all is served again afterwards. It
+ends only what it started.
 SEEDS.md keeps each seed that failed."""
 
 import argparse
@@ -29,6 +30,7 @@
 ROOT = os.path.dirname(os.path.dirname(HERE))
 sys.path.insert(0, os.path.join(ROOT, "platform", "testsuite"))
 import crash_cases as crash  # noqa: E402
+import limit_cases as limits  # noqa: E402
 import world as w  # noqa: E402
 from world import f  # noqa: E402
 
@@ -38,6 +40,8 @@
 LONGEST_PAUSE = 1.0   # between two faults of one series
 HEARTBEAT_SECONDS = 0.4
 CALM_SECONDS = 4.0    # until all instances can have heard of all that was
+LONGEST_LIMIT = 4.0   # seconds for which a runner is in need
+LIMIT = 0.5           # calls a second, in the check at the end
 TOKENS = 12
 NOT_RUN = (408, 421, 429, 503)
 KEYS = {w.KEY: "one", "key-alone": "alone"}
@@ -199,6 +203,16 @@
             scene.fail("%s: %r" % (fault.__name__, failure))
 
 
+def name_limits(scene, rng, end):
+    """Runners come into need, which rises and falls, and are well again."""
+    while time.monotonic() < end:
+        runner = rng.choice(scene.runners())
+        for _ in range(rng.randrange(1, 4)):
+            runner.limit = rng.choice([0, 0.3, 1.5, 8])
+            time.sleep(rng.uniform(0.2, LONGEST_LIMIT))
+        runner.limit = None
+
+
 def list_weights(scene, end):
     """Lets runners tell the platform which weights they have, as the wire's
     runners do with each heartbeat. Instances that start later know them from
@@ -339,6 +353,25 @@
                    % (plain.arrived() - before))
 
 
+def check_limit(scene):
+    """All instances together spare a runner that is in need."""
+    runner = scene.world.plain[0]
+    runner.limit = LIMIT
+    first = time.monotonic()
+    end = first + limits.TOLD_SECONDS + limits.SPAN_SECONDS
+    refused = 0
+    while time.monotonic() < end:
+        for instance in scene.world.instances:
+            refused += crash.send(instance, "/safe/", w.headers,
+                                  crash.OTHER_BODY).status != 200
+    try:
+        limits.spared(runner, first, LIMIT)
+    except AssertionError as failure:
+        scene.fail("not spared: %s" % failure)
+    if refused:
+        scene.fail("%d calls refused beside a runner in need" % refused)
+
+
 def soak(seed, seconds, processes):
     scene = Scene(processes)
     with scene.world:
@@ -353,6 +386,9 @@
             target=list_weights, args=(scene, end + CALM_SECONDS)))
         threads.append(threading.Thread(
             target=send_ending_request, args=(scene, random.Random(seed), end)))
+        needs = random.Random("limits %d" % seed)
+        threads.append(threading.Thread(target=name_limits,
+                                        args=(scene, needs, end)))
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -360,6 +396,7 @@
         check_served_again(scene)
         time.sleep(CALM_SECONDS)
         check_blocked(scene)
+        check_limit(scene)
         check_runs(scene, callers)
     served = sum(c.served for c in callers)
     sent = sum(len(c.sent) for c in callers)
