A runner's end is known also by what comes after its connections broke

Callers saw their calls break again and again, as a request went on to one runner after the other: its runners ended in steps, and the one look at the port, at the moment of the break, found it open. Cause: that look was the only evidence of an end, and a break without a verdict was forgotten.

Now a break is kept for 6 s (OpenBreaks, 512 at most), until a later look finds the port closed, a new process is listed under the id or at the address, or the runner's entry goes by itself; a zone that goes together, a planned leave and a process that answers later calls are no ends. A call that was answered 5xx is kept without looks, and is no proof of harmlessness any more. With three ends known, one more break holds the request until the verdict, at all instances. One process has one end, however many calls broke there: calls on connections that were kept from before it counted twice. No caller waits; the looks have a thread of their own, idle where nothing broke. The own door has the later looks too.

--- a/src/include/crosslink/forward/crash_history.h
+++ b/src/include/crosslink/forward/crash_history.h
@@ -46,8 +46,20 @@
         Micros since{0};
     };
 
+    /// One more runner broke the request off, and the verdict on it is open.
+    struct Held {
+        std::string request;
+        Micros since{0};
+    };
+
     std::vector<Broken> broken;
     std::vector<Answered> answered;
+    std::vector<Held> held;
+
+    bool empty() const
+    {
+        return broken.empty() && answered.empty() && held.empty();
+    }
 };
 
 /// Which requests runners ended under, as far as this instance knows, and
@@ -87,6 +99,11 @@
     bool ended(const BrokenCall& call, TimePoint now);
     /// Takes in that a runner answered a request whole at `at`.
     void answered(std::string_view request, TimePoint at, TimePoint now);
+    /// Takes in that a request broke off at one more runner at `at`, of which
+    /// it is not known yet whether it ended. Where as many ends are known as
+    /// block a request, it is held until the verdict: else each instance would
+    /// send it on for as long as that takes.
+    void hold(std::string_view request, TimePoint at, TimePoint now);
     /// Returns whether a request is to be sent to no runner.
     bool blocked(std::string_view request, TimePoint now) const;
     /// Returns how many runners ended under a request since it was answered.
@@ -127,7 +144,8 @@
         std::optional<TimePoint> answered_at;
         TimePoint answer_learned_at{};
         std::optional<TimePoint> recorded_at;
-        TimePoint told_until{};    ///< There may be news of it before.
+        std::optional<TimePoint> held_at; ///< See hold().
+        TimePoint told_until{};           ///< There may be news of it before.
         TimePoint last_at{};       ///< Of the last end, or of its record.
         bool told_blocked = false; ///< See take_newly_blocked().
 
@@ -137,7 +155,10 @@
         Micros told_span() const;
         bool record_holds() const;
         bool is_blocked() const;
+        bool is_held(TimePoint now) const;
     };
+    static bool is_same_end(const End& known, const BrokenCall& call);
+
     using Requests = std::map<std::string, Request, std::less<>>;
 
     static void add_news(const std::string& digest, const Request& request,
--- a/src/libcrosslink/forward/crash_history.cpp
+++ b/src/libcrosslink/forward/crash_history.cpp
@@ -11,9 +11,12 @@
 namespace
 {
 
-/// Ends of one id that are less apart are the same end, told by several
-/// instances: a process takes longer to start and take a call.
-constexpr Micros same_end = std::chrono::seconds(1);
+/// Ends of one id that are less apart are the same end, seen by several
+/// instances, or by calls on connections that were kept from before it: a
+/// process takes longer to start and take a call.
+constexpr Micros same_end = std::chrono::seconds(2);
+/// A verdict on a runner comes in this time, or not at all.
+constexpr Micros verdict_time = std::chrono::seconds(6);
 /// For so long what was learned is told on. Two exchanges on the way up and two
 /// down take 0.6 s, one that fails on the way 0.4 s more.
 constexpr Micros told_for = std::chrono::milliseconds(1500);
@@ -73,6 +76,13 @@
     return record_holds() || (counted() >= most_ends && ended_again());
 }
 
+bool
+CrashHistory::Request::is_held(TimePoint now) const
+{
+    return held_at && now < *held_at + verdict_time && counted() >= most_ends &&
+           (!answered_at || *held_at > *answered_at);
+}
+
 const CrashHistory::Request*
 CrashHistory::find(std::string_view request, TimePoint now) const
 {
@@ -82,6 +92,17 @@
     return &found->second;
 }
 
+/// A process ends once. Where its start is not known, a later one of the same
+/// id is told by the time.
+bool
+CrashHistory::is_same_end(const End& known, const BrokenCall& call)
+{
+    if (known.runner != call.runner || known.born != call.born)
+        return false;
+    const Micros apart = std::chrono::abs(known.ended_at - call.ended_at);
+    return call.born != 0 || apart < same_end;
+}
+
 bool
 CrashHistory::ended(const BrokenCall& call, TimePoint now)
 {
@@ -89,9 +110,7 @@
         return false;
     Request& request = touch(call.request, now);
     for (End& known : request.ends) {
-        const Micros apart = std::chrono::abs(known.ended_at - call.ended_at);
-        if (known.runner != call.runner || known.born != call.born ||
-            apart >= same_end)
+        if (!is_same_end(known, call))
             continue;
         // Each way adds its delay: the shortest one is closest to the truth.
         known.ended_at = std::min(known.ended_at, call.ended_at);
@@ -135,7 +154,7 @@
 {
     std::vector<std::string> requests;
     for (auto& [digest, request] : m_requests) {
-        const bool is_blocked = blocked(digest, now);
+        const bool is_blocked = find(digest, now) && request.is_blocked();
         if (is_blocked && !request.told_blocked)
             requests.push_back(digest);
         request.told_blocked = is_blocked;
@@ -165,7 +184,20 @@
 CrashHistory::blocked(std::string_view request, TimePoint now) const
 {
     const Request* known = find(request, now);
-    return known && known->is_blocked();
+    return known && (known->is_blocked() || known->is_held(now));
+}
+
+void
+CrashHistory::hold(std::string_view request, TimePoint at, TimePoint now)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end() || found->second.counted() < most_ends)
+        return;
+    Request& known = found->second;
+    if (known.held_at && *known.held_at >= at)
+        return;
+    known.held_at = at;
+    learned(known, now);
 }
 
 std::size_t
@@ -190,6 +222,8 @@
                 {digest, end.runner, end.born, end.again, now - end.ended_at});
     if (request.answered_at && is_new(request.answer_learned_at))
         news.answered.push_back({digest, now - *request.answered_at});
+    if (request.is_held(now))
+        news.held.push_back({digest, now - *request.held_at});
 }
 
 CrashNews
@@ -228,6 +262,8 @@
               now);
     for (const CrashNews::Answered& answer : news.answered)
         answered(answer.request, as_of - answer.since, now);
+    for (const CrashNews::Held& item : news.held)
+        hold(item.request, as_of - item.since, now);
 }
 
 void
@@ -260,7 +296,7 @@
 {
     std::vector<std::string> requests;
     for (const auto& [digest, request] : m_requests)
-        if (!request.recorded_at && blocked(digest, now))
+        if (!request.recorded_at && find(digest, now) && request.is_blocked())
             requests.push_back(digest);
     return requests;
 }
--- a/src/libcrosslink/forward/crash_history_test.cpp
+++ b/src/libcrosslink/forward/crash_history_test.cpp
@@ -145,6 +145,30 @@
     CHECK_FALSE(other.blocked(request, at(1400)));
 }
 
+TEST_CASE("one more break holds a request until the verdict on it")
+{
+    // Copies that were lost at once do not block it.
+    CrashHistory history;
+    for (int runner = 0; runner < 3; ++runner)
+        history.ended(broken(runner, 1000), at(1100));
+    CHECK_FALSE(history.blocked(request, at(1100)));
+    history.hold(request, at(1200), at(1200));
+    CHECK(history.blocked(request, at(1200)));
+    CHECK(history.to_record(at(1200)).empty());
+    CHECK(history.take_newly_blocked(at(1200)).empty());
+    CrashHistory other;
+    other.take(history.news(at(1300)), at(1300), at(1300));
+    CHECK(other.blocked(request, at(1300)));
+    // None comes, or an answer does.
+    CHECK_FALSE(history.blocked(request, at(7200)));
+    other.answered(request, at(1400), at(1400));
+    CHECK_FALSE(other.blocked(request, at(1400)));
+    // Fewer ends hold nothing.
+    CrashHistory few = ended_in_turn(2);
+    few.hold(request, at(1200), at(1200));
+    CHECK_FALSE(few.blocked(request, at(1200)));
+}
+
 TEST_CASE("what is remembered fades")
 {
     CrashHistory history = ended_in_turn(3);
--- /dev/null
+++ b/src/libcrosslink/forward/open_breaks.cpp
@@ -0,0 +1,241 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/open_breaks.h>
+
+#include <crosslink/forward/runner_entry.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// When a port is looked at after a break, beside the look of the call itself:
+/// soon for what closes in the same moment, and as late as a process may take
+/// to end.
+constexpr std::array look_after{
+    Micros(std::chrono::milliseconds(250)), Micros(std::chrono::seconds(1)),
+    Micros(std::chrono::milliseconds(2500)), Micros(std::chrono::seconds(5))};
+/// One of so many runners of a zone may go at a time by itself.
+constexpr std::size_t part_of_zone = 3;
+
+bool
+is_of(const OpenBreak& call, const RunnerIncarnation& runner)
+{
+    return call.runner == runner.id && call.born == runner.born;
+}
+
+/// Adds a call under which a process ended. A request that it broke several
+/// times, as its parts went, has one end there; an answer counts against that
+/// however late the verdict comes.
+void
+add_call(const OpenBreak& call, std::vector<BrokenCall>& calls)
+{
+    const auto found = std::find_if(calls.begin(), calls.end(),
+                                    [&call](const BrokenCall& known) {
+                                        return known.request == call.request;
+                                    });
+    if (found == calls.end())
+        calls.push_back(
+            {call.request, call.runner, call.born, call.again, call.broke_at});
+    else
+        found->again = found->again || call.again;
+}
+
+} // namespace
+
+bool
+OpenBreaks::add(OpenBreak call, TimePoint now)
+{
+    expire(now);
+    if (m_breaks.size() >= most_open)
+        m_breaks.erase(m_breaks.begin());
+    m_breaks.push_back({std::move(call)});
+    const OpenBreak& added = m_breaks.back().call;
+    return has_ended({added.runner, added.born});
+}
+
+bool
+OpenBreaks::has_ended(const RunnerIncarnation& runner) const
+{
+    return std::any_of(
+        m_ended.begin(), m_ended.end(), [&runner](const Ended& ended) {
+            return ended.runner == runner.id && ended.born == runner.born;
+        });
+}
+
+bool
+OpenBreaks::has(std::string_view request, TimePoint now) const
+{
+    return std::any_of(m_breaks.begin(), m_breaks.end(), [&](const Open& open) {
+        return open.call.request == request &&
+               now < open.call.broke_at + open_for;
+    });
+}
+
+std::vector<BrokenCall>
+OpenBreaks::ended(const RunnerIncarnation& runner, TimePoint now)
+{
+    expire(now);
+    std::vector<BrokenCall> calls;
+    for (const Open& open : m_breaks)
+        if (is_of(open.call, runner))
+            add_call(open.call, calls);
+    std::erase_if(m_breaks, [&runner](const Open& open) {
+        return is_of(open.call, runner);
+    });
+    // Without its start, a later process can't be told from this one.
+    if (runner.born != 0 && !has_ended(runner))
+        m_ended.push_back({std::string(runner.id), runner.born, now});
+    return calls;
+}
+
+std::vector<BrokenCall>
+OpenBreaks::replaced_at(std::string_view address,
+                        const RunnerIncarnation& runner, TimePoint now)
+{
+    std::vector<BrokenCall> calls;
+    const auto first_replaced = [&] {
+        return std::find_if(m_breaks.begin(), m_breaks.end(),
+                            [&](const Open& open) {
+                                return open.call.address == address &&
+                                       !is_of(open.call, runner);
+                            });
+    };
+    expire(now);
+    for (auto found = first_replaced(); found != m_breaks.end();
+         found = first_replaced()) {
+        const OpenBreak earlier = found->call;
+        const auto under_it = ended({earlier.runner, earlier.born}, now);
+        calls.insert(calls.end(), under_it.begin(), under_it.end());
+    }
+    return calls;
+}
+
+void
+OpenBreaks::leaves(const RunnerIncarnation& runner)
+{
+    std::erase_if(m_breaks, [&runner](const Open& open) {
+        return is_of(open.call, runner);
+    });
+}
+
+void
+OpenBreaks::lives(const RunnerIncarnation& runner, TimePoint sent_at)
+{
+    std::erase_if(m_breaks, [&](const Open& open) {
+        return is_of(open.call, runner) && open.call.broke_at < sent_at;
+    });
+}
+
+void
+OpenBreaks::gone(const RunnerIncarnation& runner, std::string_view zone,
+                 std::size_t of_zone, TimePoint now)
+{
+    std::erase_if(m_gone, [now](const Gone& gone) {
+        return gone.at + 2 * gone_together < now;
+    });
+    m_gone.push_back(
+        {std::string(runner.id), runner.born, std::string(zone), of_zone, now});
+    const bool matters =
+        std::any_of(m_breaks.begin(), m_breaks.end(),
+                    [&](const Open& open) { return is_of(open.call, runner); });
+    if (matters)
+        m_undecided.push_back(m_gone.back());
+}
+
+std::vector<BrokenCall>
+OpenBreaks::take_gone(TimePoint now)
+{
+    std::vector<BrokenCall> calls;
+    for (const Gone& gone : m_undecided) {
+        if (now < gone.at + gone_together || !went_alone(gone))
+            continue;
+        const auto ended_there = ended({gone.runner, gone.born}, now);
+        calls.insert(calls.end(), ended_there.begin(), ended_there.end());
+    }
+    std::erase_if(m_undecided, [now](const Gone& gone) {
+        return now >= gone.at + gone_together;
+    });
+    return calls;
+}
+
+/// Returns whether few other runners of the zone went at the same time.
+bool
+OpenBreaks::went_alone(const Gone& gone) const
+{
+    const auto together = static_cast<std::size_t>(
+        std::count_if(m_gone.begin(), m_gone.end(), [&](const Gone& other) {
+            return other.zone == gone.zone &&
+                   std::chrono::abs(other.at - gone.at) <= gone_together;
+        }));
+    return together <= std::max<std::size_t>(gone.of_zone / part_of_zone, 1);
+}
+
+std::vector<PortToLookAt>
+OpenBreaks::take_due(TimePoint now)
+{
+    expire(now);
+    std::vector<PortToLookAt> ports;
+    for (Open& open : m_breaks) {
+        const auto at = next_look(open);
+        if (!at || *at > now)
+            continue;
+        const OpenBreak& call = open.call;
+        const bool is_named = std::any_of(
+            ports.begin(), ports.end(), [&call](const PortToLookAt& port) {
+                return port.runner == call.runner && port.born == call.born;
+            });
+        if (!is_named)
+            ports.push_back({call.runner, call.born, call.address});
+    }
+    // One look stands for all breaks there that are due soon.
+    for (const PortToLookAt& port : ports)
+        for (Open& open : m_breaks)
+            while (is_of(open.call, {port.runner, port.born}) &&
+                   next_look(open) && *next_look(open) <= now + look_pause)
+                ++open.looks;
+    return ports;
+}
+
+/// Returns when the port of a break is to be looked at next.
+std::optional<TimePoint>
+OpenBreaks::next_look(const Open& open)
+{
+    if (!open.call.is_looked_at || open.looks >= look_after.size())
+        return std::nullopt;
+    return open.call.broke_at + look_after[open.looks];
+}
+
+std::optional<TimePoint>
+OpenBreaks::next_due() const
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&next](std::optional<TimePoint> at) {
+        if (at && (!next || *at < *next))
+            next = at;
+    };
+    for (const Open& open : m_breaks)
+        consider(next_look(open));
+    for (const Gone& gone : m_undecided)
+        consider(gone.at + gone_together);
+    return next;
+}
+
+void
+OpenBreaks::expire(TimePoint now)
+{
+    std::erase_if(m_breaks, [now](const Open& open) {
+        return open.call.broke_at + open_for <= now;
+    });
+    std::erase_if(m_ended, [now](const Ended& ended) {
+        return ended.at + open_for <= now;
+    });
+}
+
+} // namespace crosslink
--- a/src/serve/completion_run.cpp
+++ b/src/serve/completion_run.cpp
@@ -73,8 +73,8 @@
 CompletionRun::CompletionRun(InstanceState& state, RunDuties& duties,
                              const CompletionCall& call, TokenSink sink)
     : m_state(state), m_duties(duties), m_call(call), m_sink(std::move(sink)),
-      m_relay(call.version),
-      m_crashes(state.crashes, [&call] { return digest_of(call); })
+      m_relay(call.version), m_crashes(state.crashes, state.breaks,
+                                       [&call] { return digest_of(call); })
 {
 }
 
@@ -374,15 +374,16 @@
                     "engines ended each time they ran this prompt");
 }
 
-/// Takes note where an engine to which the prompt was sent has ended.
+/// Takes note that an engine broke the prompt off: it may have ended, which is
+/// looked at now, and a few times later.
 void
 CompletionRun::note_if_ended(const std::string& address)
 {
-    if (look_at_port(address).fate != ProcessFate::Ended)
-        return;
-    m_crashes.ended(address, 0);
-    spdlog::info("request={} engine={} ended under digest={}",
-                 m_call.request_id, address, m_crashes.digest());
+    m_crashes.broke({address, 0, address}, true);
+    if (look_at_port(address).fate == ProcessFate::Ended)
+        m_state.engine_ended(address);
+    else
+        m_state.break_added.nudge();
 }
 
 void
--- a/src/serve/entry_instance.cpp
+++ b/src/serve/entry_instance.cpp
@@ -3,6 +3,7 @@
 
 #include "entry_instance.h"
 
+#include <adapters/call_connection.h>
 #include <adapters/clock.h>
 #include <adapters/random.h>
 #include <crosslink/base/error.h>
@@ -48,6 +49,13 @@
       m_path(m_state, m_desk, {m_exports, m_watch, m_canceler}),
       m_upstreams(m_state), m_gossip(m_state), m_configuration(m_state),
       m_peers(m_state, m_desk, m_gossip, m_path.gate()),
+      m_looks(
+          m_state.breaks, m_state.break_added,
+          [this](const PortToLookAt& port, const PortLook& look) {
+              if (look.fate == ProcessFate::Ended)
+                  m_state.engine_ended(port.address);
+          },
+          [] {}),
       m_callers(m_state, m_path)
 {
     m_state.members.with([this](MemberTable& table) {
--- a/src/serve/entry_instance.h
+++ b/src/serve/entry_instance.h
@@ -9,6 +9,7 @@
 #include "canceler.h"
 #include "claim_desk.h"
 #include "configuration_duties.h"
+#include "end_looks.h"
 #include "export_duty.h"
 #include "gossip_duty.h"
 #include "instance_state.h"
@@ -50,6 +51,7 @@
     GossipDuty m_gossip;
     ConfigurationDuties m_configuration;
     PeerServer m_peers;
+    EndLooks m_looks;
     CallerServer m_callers;
 };
 
--- a/src/serve/fleet/change_taker.cpp
+++ b/src/serve/fleet/change_taker.cpp
@@ -7,6 +7,7 @@
 #include <serve/forward/forward_state.h>
 #include <serve/log_line.h>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace crosslink
@@ -106,10 +107,56 @@
         .span("cold_for", runner.cold_for);
 }
 
+/// Takes note of what a listing says of the processes before: an earlier one of
+/// the id, and others at the address, have ended, unless they left as planned.
+void
+ChangeTaker::note_replaced(const ListedRunner& runner)
+{
+    const auto earlier =
+        m_state.runners.with([&runner](const RunnerTable& table) {
+            const auto known = table.entries().find(runner.id);
+            const bool starts_anew = known != table.entries().end() &&
+                                     known->second.listed.born < runner.born;
+            return starts_anew ? std::optional(known->second.listed)
+                               : std::nullopt;
+        });
+    if (earlier)
+        m_state.runner_ended({earlier->id, earlier->born}, "new process");
+    m_state.runner_replaced(runner);
+}
+
+/// Takes note of a runner that is listed no longer: unless it said that it
+/// leaves, its process may have ended.
+void
+ChangeTaker::note_gone(const std::string& id)
+{
+    std::optional<ListedRunner> gone;
+    std::size_t of_zone = 0;
+    m_state.runners.with([&](const RunnerTable& table) {
+        const auto found = table.entries().find(id);
+        if (found == table.entries().end())
+            return;
+        gone = found->second.listed;
+        for (const auto& [other, entry] : table.entries())
+            of_zone += entry.listed.zone == gone->zone ? 1 : 0;
+    });
+    if (!gone)
+        return;
+    const RunnerIncarnation incarnation{gone->id, gone->born};
+    m_state.breaks.with([&](OpenBreaks& breaks) {
+        if (gone->leaving)
+            breaks.leaves(incarnation);
+        else
+            breaks.gone(incarnation, gone->zone, of_zone, monotonic_now());
+    });
+    m_state.break_added.nudge();
+}
+
 void
 ChangeTaker::operator()(const RunnerListed& change)
 {
     m_runners.push_back(change.runner);
+    note_replaced(change.runner);
     const bool anew = m_state.runners.with([&](RunnerTable& table) {
         return table.put(change.runner, monotonic_now());
     });
@@ -122,6 +169,9 @@
 void
 ChangeTaker::operator()(const RunnerGone& change)
 {
+    // What lapsed while the platform was away may be well.
+    if (!m_lapsed_until)
+        note_gone(change.id);
     m_state.runners.with([&](RunnerTable& table) {
         if (m_lapsed_until)
             table.lapsed(change.id, *m_lapsed_until);
--- a/src/serve/fleet/change_taker.h
+++ b/src/serve/fleet/change_taker.h
@@ -44,6 +44,8 @@
 private:
     void finish_whole();
     void started_anew(const ListedRunner& runner);
+    void note_replaced(const ListedRunner& runner);
+    void note_gone(const std::string& id);
 
     ForwardState& m_state;
     const bool m_whole;
--- a/src/serve/fleet/exchange_json.cpp
+++ b/src/serve/fleet/exchange_json.cpp
@@ -156,8 +156,8 @@
 
 /// Calls stand by the runner that they were at, since one that ends has some
 /// tens: {"broken": [[RUNNER, BORN, AGE, DIGEST, AGAIN, DIGEST, ..]],
-/// "answered": {DIGEST: AGE}}, ages in microseconds. None where nothing is
-/// told, as nearly always.
+/// "answered": {DIGEST: AGE}, "held": {DIGEST: AGE}}, ages in microseconds.
+/// None where nothing is told, as nearly always.
 Json::Value
 crashes_to_json(const CrashNews& news)
 {
@@ -178,6 +178,8 @@
         value["broken"].append(row);
     for (const CrashNews::Answered& answer : news.answered)
         value["answered"][answer.request] = Json::Int64(answer.since.count());
+    for (const CrashNews::Held& item : news.held)
+        value["held"][item.request] = Json::Int64(item.since.count());
     return value;
 }
 
@@ -205,6 +207,9 @@
     for (const std::string& request : answered.getMemberNames())
         news.answered.push_back(
             {request, json_span(answered, request.c_str())});
+    const Json::Value& held = value["held"];
+    for (const std::string& request : held.getMemberNames())
+        news.held.push_back({request, json_span(held, request.c_str())});
     return news;
 }
 
--- a/src/serve/fleet/exchange_json_test.cpp
+++ b/src/serve/fleet/exchange_json_test.cpp
@@ -66,6 +66,7 @@
                    {"digest-b", "r1", 7, true, since_end},
                    {"digest-a", "r2", 0, true, std::chrono::seconds(1)}};
     news.answered = {{"digest-b", std::chrono::milliseconds(10)}};
+    news.held = {{"digest-a", std::chrono::milliseconds(20)}};
     ExchangeQuestion question;
     question.crashes = news;
     const auto asked = exchange_question_from_json(to_json(question)).crashes;
@@ -82,6 +83,9 @@
     const auto read = exchange_answer_from_json(to_json(answer)).crashes;
     CHECK(read.broken.size() == 3);
     REQUIRE(read.answered.size() == 1);
+    REQUIRE(read.held.size() == 1);
+    CHECK(read.held[0].request == "digest-a");
+    CHECK(read.held[0].since == news.held[0].since);
     CHECK(read.answered[0].request == "digest-b");
     CHECK(read.answered[0].since == news.answered[0].since);
 }
--- a/src/serve/forward/crash_watch.cpp
+++ b/src/serve/forward/crash_watch.cpp
@@ -25,7 +25,7 @@
 CrashWatch::CrashWatch(ForwardState& state, const ForwardedCall& call,
                        const std::string& account)
     : RequestCrashes(
-          state.crashes,
+          state.crashes, state.breaks,
           [&call, account] { return request_digest(call, account); }),
       m_state(state), m_call(call)
 {
@@ -47,11 +47,11 @@
 CrashWatch::broken(const RunnerPick& runner)
 {
     const ProcessFate fate = fate_of(runner);
-    if (fate == ProcessFate::Ended) {
-        ++m_state.counters.runner_ends;
-        ended(runner.id, runner.born);
-        m_state.note_blocked();
-    }
+    const bool known = broke({runner.id, runner.born, runner.address}, true);
+    if (fate == ProcessFate::Ended || known)
+        m_state.runner_ended(runner.incarnation(), "port");
+    else
+        m_state.break_added.nudge();
     LogLine("runner_looked_at")
         .field("request", m_call.id)
         .field("digest", digest())
@@ -60,4 +60,21 @@
         .field("again", again());
 }
 
+void
+CrashWatch::failed(const RunnerPick& runner)
+{
+    if (broke({runner.id, runner.born, runner.address}, false))
+        m_state.runner_ended(runner.incarnation(), "port");
+}
+
+void
+CrashWatch::served(const RunnerPick& runner, TimePoint sent_at)
+{
+    answered();
+    m_state.breaks.with([&](OpenBreaks& breaks) {
+        if (!breaks.empty())
+            breaks.lives(runner.incarnation(), sent_at);
+    });
+}
+
 } // namespace crosslink
--- a/src/serve/forward/crash_watch.h
+++ b/src/serve/forward/crash_watch.h
@@ -29,6 +29,11 @@
     /// answer. Looks whether the runner still takes connections, for 100 ms at
     /// the most.
     void broken(const RunnerPick& runner);
+    /// Takes note that `runner` answered that the call failed there: it may be
+    /// the last that its process says.
+    void failed(const RunnerPick& runner);
+    /// Takes note that `runner` answered the call, which was sent at `sent_at`.
+    void served(const RunnerPick& runner, TimePoint sent_at);
 
 private:
     ProcessFate fate_of(const RunnerPick& runner);
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -253,7 +253,8 @@
     if (!m_connection->whole())
         return Outcome::Broken;
     keep_connection(head);
-    if (repeats_failed(head)) {
+    m_answered_failure = head.status >= first_server_error && head.genuine;
+    if (repeats_failed()) {
         m_failed_answer = {head, std::move(body)};
         return Outcome::Failed;
     }
@@ -266,10 +267,9 @@
 /// took. Where a service fails one run in seven, one caller in seven was told
 /// so; with a repeat it is one in fifty.
 bool
-ForwardRun::repeats_failed(const AnswerHead& head)
+ForwardRun::repeats_failed()
 {
-    const bool failed = head.status >= first_server_error && head.genuine;
-    return failed && m_route.repeatable() &&
+    return m_answered_failure && m_route.repeatable() &&
            m_runs + 1 < m_route.most_attempts &&
            time_left() > monotonic_now() - m_sent_at && take_repeat();
 }
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -3,11 +3,13 @@
 
 #include "forward_instance.h"
 
+#include <adapters/call_connection.h>
 #include <adapters/clock.h>
 #include <serve/log_line.h>
 
 #include <algorithm>
 #include <thread>
+#include <utility>
 
 namespace crosslink
 {
@@ -26,6 +28,9 @@
 /// The stop ends so long before the platform would kill the process.
 constexpr Micros kill_margin = std::chrono::milliseconds(500);
 
+/// A connection that was made to look is of use for the next call so long.
+constexpr Micros look_idle = std::chrono::seconds(4);
+
 } // namespace
 
 ForwardInstance::ForwardInstance(const ForwardSettings& settings,
@@ -35,8 +40,26 @@
       m_path(m_state, m_kept), m_news(m_state, m_steward),
       m_desk(m_state, m_steward, m_news),
       m_fleet(m_state, m_steward, m_desk, m_news), m_feed(m_state, m_news),
-      m_exchange(m_state, m_steward, m_desk, m_news), m_server(m_state, m_path)
+      m_exchange(m_state, m_steward, m_desk, m_news),
+      m_looks(
+          m_state.breaks, m_state.break_added,
+          [this](const PortToLookAt& port, PortLook look) {
+              looked(port, std::move(look));
+          },
+          [this] { m_state.settle_gone_runners(); }),
+      m_server(m_state, m_path)
+{
+}
+
+/// Takes in what a look at the port of a runner found that broke calls off.
+void
+ForwardInstance::looked(const PortToLookAt& port, PortLook look)
 {
+    if (look.connection)
+        m_state.connections.put_back(port.address, std::move(look.connection),
+                                     look_idle, monotonic_now());
+    else if (look.fate == ProcessFate::Ended)
+        m_state.runner_ended({port.runner, port.born}, "port");
 }
 
 void
--- a/src/serve/forward/forward_instance.h
+++ b/src/serve/forward/forward_instance.h
@@ -8,6 +8,7 @@
 #include "forward_state.h"
 #include "kept_asker.h"
 
+#include <serve/end_looks.h>
 #include <serve/fleet/exchange_duty.h>
 #include <serve/fleet/feed_duty.h>
 #include <serve/fleet/fleet_calls.h>
@@ -30,6 +31,7 @@
     void serve(const std::function<bool()>& stop_asked);
 
 private:
+    void looked(const PortToLookAt& port, PortLook look);
     void stop();
 
     ForwardState m_state;
@@ -42,6 +44,7 @@
     FleetServer m_fleet;
     FeedDuty m_feed;
     ExchangeDuty m_exchange;
+    EndLooks m_looks;
     ForwardServer m_server;
 };
 
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -183,6 +183,7 @@
 ForwardRun::note_sent()
 {
     m_sent_at = monotonic_now();
+    m_answered_failure = false;
     m_choice.sent(m_prompt.tokens_to_read(), resident_tokens(), m_sent_at);
     m_prompt.sent(m_sent_at, m_choice.pick().wait);
     m_crashes.sent();
@@ -291,8 +292,10 @@
 void
 ForwardRun::settle(Outcome outcome)
 {
-    if (outcome == Outcome::Done || outcome == Outcome::Failed)
-        m_crashes.answered();
+    if (outcome == Outcome::Failed || m_answered_failure)
+        m_crashes.failed(m_choice.pick());
+    else if (outcome == Outcome::Done)
+        m_crashes.served(m_choice.pick(), m_sent_at);
     const TimePoint now = monotonic_now();
     const bool loading = m_call.generation &&
                          m_choice.newest_weights() > m_choice.pick().version;
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -104,7 +104,7 @@
     bool gives_up_silent();
     std::optional<AnswerHead> next_head();
     Outcome take_answer(CallerLink& link, const AnswerHead& head);
-    bool repeats_failed(const AnswerHead& head);
+    bool repeats_failed();
     Outcome relay_whole(CallerLink& link, const AnswerHead& head);
     Outcome relay_events(CallerLink& link, const AnswerHead& head);
     bool send_events(CallerLink& link, const AnswerHead& head,
@@ -140,6 +140,7 @@
     std::uint32_t m_runs = 0; ///< Sends that may have run.
     /// A runner's failure that goes to the caller where no repeat does better.
     std::optional<FailedAnswer> m_failed_answer;
+    bool m_answered_failure = false; ///< By the last answer's own word.
     bool m_caller_gone = false;
     Micros m_first_event{0};
 };
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -12,10 +12,12 @@
 #include <serve/guarded.h>
 #include <serve/learned_signal.h>
 #include <serve/metrics.h>
+#include <serve/nudger.h>
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/account_turns.h>
 #include <crosslink/forward/crash_history.h>
+#include <crosslink/forward/open_breaks.h>
 #include <crosslink/forward/retry_window.h>
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/forward/service_map.h>
@@ -120,6 +122,8 @@
     Guarded<RetryWindow> retries;
     Guarded<AccountTurns> turns; ///< At runners that named limits.
     Guarded<CrashHistory> crashes;
+    Guarded<OpenBreaks> breaks;
+    Nudger break_added; ///< Reaches the looks at ports, while they run.
     Guarded<FetchWatch> fetches;
     Guarded<KeptReplica> kept;
     Guarded<DutyLease> steward_lease;
@@ -155,6 +159,14 @@
     void heard_of(const std::vector<LostContact>& lost, TimePoint now);
     /// Logs and counts the requests that are blocked now and were not before.
     void note_blocked();
+    /// Takes in that a runner's process ended, as `evidence` shows: the calls
+    /// that broke there count. One that said that it leaves ends as planned.
+    void runner_ended(const RunnerIncarnation& runner, const char* evidence);
+    /// Takes in that `runner` is listed: other processes that were at its
+    /// address have ended. One that leaves ends as planned.
+    void runner_replaced(const ListedRunner& runner);
+    /// Takes in which runners of late went from the list by themselves.
+    void settle_gone_runners();
     /// Takes in what another instance told at `as_of` of calls under which
     /// runners ended.
     void heard_of(const CrashNews& news, TimePoint as_of);
@@ -216,6 +228,7 @@
         TreePlace place;
     };
 
+    void count_ends(const std::vector<BrokenCall>& calls, const char* evidence);
     void note_limit(std::string_view runner, double per_second,
                     const char* source);
 
--- a/src/serve/instance_state.cpp
+++ b/src/serve/instance_state.cpp
@@ -3,6 +3,11 @@
 
 #include "instance_state.h"
 
+#include "request_crashes.h"
+
+#include <adapters/clock.h>
+
+#include <crosslink/forward/runner_entry.h>
 #include <crosslink/membership/rendezvous.h>
 
 #include <spdlog/spdlog.h>
@@ -19,6 +24,17 @@
 {
 }
 
+void
+InstanceState::engine_ended(const std::string& address)
+{
+    const auto calls = breaks.with([&address](OpenBreaks& open) {
+        return open.ended({address, 0}, monotonic_now());
+    });
+    take_ends(crashes, calls);
+    for (const BrokenCall& call : calls)
+        spdlog::info("engine={} ended under digest={}", address, call.request);
+}
+
 std::vector<Member>
 InstanceState::preferred_in_zone(std::string_view duty)
 {
--- a/src/serve/instance_state.h
+++ b/src/serve/instance_state.h
@@ -14,6 +14,7 @@
 #include <crosslink/claim/answer_keeper.h>
 #include <crosslink/configuration/configuration_state.h>
 #include <crosslink/forward/crash_history.h>
+#include <crosslink/forward/open_breaks.h>
 #include <crosslink/membership/member_table.h>
 #include <crosslink/report/burn_report.h>
 #include <crosslink/route/engine_table.h>
@@ -61,12 +62,16 @@
     Guarded<RetryBudgets> retry_budgets;
     /// Prompts under which engines ended, as this instance saw it.
     Guarded<CrashHistory> crashes;
+    Guarded<OpenBreaks> breaks; ///< That wait for a verdict.
+    Nudger break_added;         ///< Reaches the looks at ports.
     Metrics metrics;
     Nudger configuration_pull;         ///< A peer told a newer revision.
     Nudger gossip_now;                 ///< There is news to spread at once.
     std::atomic<bool> ready{false};    ///< It may serve.
     std::atomic<bool> stopping{false}; ///< A planned stop has begun.
 
+    /// Takes in that an engine ended: the prompts that broke there count.
+    void engine_ended(const std::string& address);
     /// Returns the live members of this instance's zone, the preferred one for
     /// `duty` first, by rendezvous hashing. All of them agree on it while they
     /// know the same members; where they do not, more or fewer do the duty.
--- a/src/serve/request_crashes.cpp
+++ b/src/serve/request_crashes.cpp
@@ -11,8 +11,10 @@
 {
 
 RequestCrashes::RequestCrashes(Guarded<CrashHistory>& history,
+                               Guarded<OpenBreaks>& breaks,
                                MakeDigest make_digest)
-    : m_history(history), m_make_digest(std::move(make_digest))
+    : m_history(history), m_breaks(breaks),
+      m_make_digest(std::move(make_digest))
 {
 }
 
@@ -40,12 +42,17 @@
     });
 }
 
+/// A break without a verdict counts too: the next copy may be sent, and end the
+/// next runner, long before one comes.
 void
 RequestCrashes::sent()
 {
     m_again = is_suspect() && m_history.with([this](const auto& history) {
         return history.ends(digest()) > 0;
     });
+    m_again = m_again || m_breaks.with([this](const OpenBreaks& breaks) {
+        return !breaks.empty() && breaks.has(digest(), monotonic_now());
+    });
 }
 
 void
@@ -59,13 +66,30 @@
     });
 }
 
-void
-RequestCrashes::ended(const std::string& upstream, std::uint64_t born)
+bool
+RequestCrashes::broke(const PortToLookAt& upstream, bool is_looked_at)
 {
-    m_history.with([&](CrashHistory& history) {
-        const TimePoint now = monotonic_now();
-        history.ended({digest(), upstream, born, m_again, now}, now);
+    const TimePoint now = monotonic_now();
+    if (m_again)
+        m_history.with(
+            [&](CrashHistory& history) { history.hold(digest(), now, now); });
+    return m_breaks.with([&](OpenBreaks& breaks) {
+        return breaks.add({digest(), upstream.runner, upstream.born,
+                           upstream.address, m_again, now, is_looked_at},
+                          now);
+    });
+}
+
+std::size_t
+take_ends(Guarded<CrashHistory>& history, std::span<const BrokenCall> calls)
+{
+    if (calls.empty())
+        return 0;
+    history.with([&](CrashHistory& known) {
+        for (const BrokenCall& call : calls)
+            known.ended(call, monotonic_now());
     });
+    return calls.size();
 }
 
 } // namespace crosslink
--- a/src/serve/request_crashes.h
+++ b/src/serve/request_crashes.h
@@ -6,9 +6,11 @@
 #include "guarded.h"
 
 #include <crosslink/forward/crash_history.h>
+#include <crosslink/forward/open_breaks.h>
 
-#include <cstdint>
+#include <cstddef>
 #include <functional>
+#include <span>
 #include <string>
 
 namespace crosslink
@@ -21,9 +23,10 @@
 public:
     using MakeDigest = std::function<std::string()>;
 
-    /// `history` outlives it. `make_digest` is called once at most, and only
-    /// where it matters: it reads the whole request.
-    RequestCrashes(Guarded<CrashHistory>& history, MakeDigest make_digest);
+    /// `history` and `breaks` outlive it. `make_digest` is called once at most,
+    /// and only where it matters: it reads the whole request.
+    RequestCrashes(Guarded<CrashHistory>& history, Guarded<OpenBreaks>& breaks,
+                   MakeDigest make_digest);
 
     /// Returns whether the request is to be sent nowhere.
     bool blocked();
@@ -31,9 +34,9 @@
     void sent();
     /// Takes note that an upstream answered it whole.
     void answered();
-    /// Takes note that the upstream to which it was sent last ended; `born` as
-    /// in ListedRunner.
-    void ended(const std::string& upstream, std::uint64_t born);
+    /// Takes note that `upstream`, to which it was sent last, broke it off, or
+    /// answered that it failed. Returns whether it is known to have ended.
+    bool broke(const PortToLookAt& upstream, bool is_looked_at);
 
     /// See request_digest().
     const std::string& digest();
@@ -44,9 +47,14 @@
     bool is_suspect();
 
     Guarded<CrashHistory>& m_history;
+    Guarded<OpenBreaks>& m_breaks;
     const MakeDigest m_make_digest;
     std::string m_digest; ///< Empty before it is asked for.
     bool m_again = false;
 };
 
+/// Takes in calls under which a process ended. Returns how many.
+std::size_t take_ends(Guarded<CrashHistory>& history,
+                      std::span<const BrokenCall> calls);
+
 } // namespace crosslink
