Who waits for a runner that warms up gets its place too

By reading: a call that had waited gave its place back before it chose, and found those of the calls behind it in its way, so that none of several that wait for a cold runner would have been sent. It takes its own place now where the choice finds none. A test that fails without it; where nothing is kept, no lock is taken any more.

--- a/src/libcrosslink/forward/limit_play_test.cpp
+++ b/src/libcrosslink/forward/limit_play_test.cpp
@@ -19,7 +19,6 @@
 {
 
 using testing::LimitPlay;
-using testing::LimitStep;
 using testing::PlayedLimits;
 
 constexpr std::array<std::size_t, 4> sizes{3, 16, 71, 300};
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -324,12 +324,16 @@
                            const RunnerIncarnation& booked)
 {
     release(booked);
+    if (auto pick = choose(query))
+        return pick;
+    // The places of those that wait there too come later.
     const RunnerEntry* entry = find(booked);
     const bool is_its_turn =
-        entry && entry->limit.in_force() && may_take_work(*entry, query) &&
+        entry && may_take_work(*entry, query) &&
         free_at(*entry, query, 0) <= query.now + booked_early;
-    return is_its_turn ? pick_of(*entry, query, fleet_load(query))
-                       : choose(query);
+    if (!is_its_turn)
+        return std::nullopt;
+    return pick_of(*entry, query, fleet_load(query));
 }
 
 RunnerPick
--- a/src/libcrosslink/forward/runner_limit_test.cpp
+++ b/src/libcrosslink/forward/runner_limit_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <vector>
 
 namespace crosslink
 {
@@ -105,6 +106,36 @@
     CHECK(table.choose_booked(due, second.incarnation()));
 }
 
+TEST_CASE("so have calls that wait for a runner that warms up")
+{
+    RunnerTable table = table_of({"r"});
+    ListedRunner cold = table.entries().at("r").listed;
+    cold.cold_for = std::chrono::seconds(9);
+    table.put(cold, at(0));
+    // Two calls in a second.
+    const auto asked = [](TimePoint now) {
+        RunnerQuery query = crosslink::query(0);
+        query.now = now;
+        query.warm_up = {std::chrono::seconds(9), 4};
+        return query;
+    };
+    for (const int ms : {0, 10})
+        table.sent({"r"}, 0, 0, at(ms));
+    std::vector<NextChance> waiting;
+    for (int i = 0; i < 3; ++i) {
+        waiting.push_back(table.next_chance(asked(at(20))));
+        REQUIRE(waiting.back().at);
+        table.reserve(waiting.back().incarnation());
+    }
+    CHECK(*waiting[1].at < at(1100));
+    CHECK(*waiting[2].at > at(2000));
+    for (const NextChance& chance : waiting) {
+        CHECK(table.choose_booked(asked(*chance.at), chance.incarnation()));
+        table.reserve(chance.incarnation());
+        table.sent(chance.incarnation(), 0, 0, *chance.at);
+    }
+}
+
 TEST_CASE("a place that is kept is lost where the runner takes less by then")
 {
     RunnerTable table = table_of({"r"});
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -124,6 +124,8 @@
 void
 RunnerChoice::release()
 {
+    if (!m_reserved && !m_kept_place)
+        return;
     m_state.runners.with([this](RunnerTable& table) {
         if (m_reserved)
             table.release(m_pick.incarnation());
