--- a/src/libcrosslink/base/number_test.cpp
+++ b/src/libcrosslink/base/number_test.cpp
@@ -50,8 +50,8 @@
     CHECK(decimal_number("1.5") == 1.5);
     CHECK(decimal_number("0") == 0);
     CHECK(decimal_number("120") == 120);
-    for (const char* text : {"", "x", "-1", "+1", "1.5x", "1,5", "nan", "inf",
-                             "1e300", " 1"})
+    for (const char* text :
+         {"", "x", "-1", "+1", "1.5x", "1,5", "nan", "inf", "1e300", " 1"})
         CHECK_FALSE(decimal_number(text));
 }
 
