What runners say of leaving and rest is read, kept by process, and logged

Server-Leaving (any status) and Retry-After (503, 429) are decoded in platform/, taken in at one place (answer_intake, which now has what answers say of limits and weights too), and kept for the process that said them: also where its entry lapses and comes back (unlisted_words), not for the next process under the id. Nothing acts on them yet.

limit_unreadable is word_unreadable now, with the word; runner_leaving tells its source.

--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -5,6 +5,7 @@
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/named_limit.h>
+#include <crosslink/forward/runner_words.h>
 #include <crosslink/forward/send_window.h>
 
 #include <cstdint>
@@ -76,6 +77,7 @@
     /// When it last took no connection or broke one off: it may start anew.
     std::optional<TimePoint> contact_lost_at;
     NamedLimit limit; ///< By its own word.
+    RunnerWords words;
     SendWindow sends; ///< Of this instance.
     /// Calls of it that are about to be sent, or wait for their time.
     std::uint32_t reserved = 0;
@@ -86,6 +88,8 @@
     /// Returns the version of `model` that it is known to have; 0 where it has
     /// it not.
     std::uint64_t version_of(std::string_view model) const;
+    /// Returns which process the entry is of.
+    RunnerIncarnation incarnation() const { return {listed.id, listed.born}; }
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -7,9 +7,11 @@
 #include <crosslink/forward/holding_time.h>
 #include <crosslink/forward/runner_entry.h>
 #include <crosslink/forward/runner_query.h>
+#include <crosslink/forward/unlisted_words.h>
 #include <crosslink/membership/settled_members.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -129,6 +131,15 @@
     /// Returns how many runners have a limit in force.
     std::size_t limited_count() const;
 
+    /// Takes in that a process says that it leaves. Returns whether that was
+    /// not known. It may be one that is not listed now.
+    bool says_leaving(const RunnerIncarnation& runner, TimePoint now);
+    /// Takes in that a process wants nothing from this instance before `until`.
+    /// Returns whether that is later than it said before: what it asked for
+    /// earlier stands.
+    bool asks_for_rest(const RunnerIncarnation& runner, TimePoint until,
+                       TimePoint now);
+
     /// Returns the load that this instance gives to each runner.
     std::map<std::string, RunnerLoad> own_load() const;
     /// Takes in the load that all other instances gave at `as_of`.
@@ -143,6 +154,8 @@
     void note_send(RunnerEntry& entry, TimePoint now) const;
     RunnerEntry* find(std::string_view id);
     RunnerEntry* find(const RunnerIncarnation& runner);
+    RunnerWords* words_of(const RunnerIncarnation& runner);
+    void drop_if(const std::function<bool(const RunnerEntry&)>& condition);
     bool may_take_work(const RunnerEntry& entry,
                        const RunnerQuery& query) const;
     TimePoint warm_at(const RunnerEntry& entry, const RunnerQuery& query) const;
@@ -166,6 +179,7 @@
     Micros holding_time(std::string_view service) const;
 
     Entries m_entries;
+    UnlistedWords m_unlisted;
     /// Zones that may be cut off, and until when they are passed over.
     std::map<std::string, TimePoint, std::less<>> m_silent_zones;
     std::set<std::string, std::less<>> m_evacuated; ///< Zones.
--- /dev/null
+++ b/src/include/crosslink/forward/runner_words.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstdint>
+
+namespace crosslink
+{
+
+/// What one process of a runner said of itself in its answers. It holds for
+/// that process, whatever its entry of the platform's list says or whether it
+/// has one: entries are renewed by rote, lapse, and can't be read or written
+/// while the platform is away. The next process under the same id starts
+/// without any.
+struct RunnerWords {
+    bool leaving = false; ///< It will end: nothing new is sent to it.
+    /// It wants nothing from this instance before.
+    TimePoint rest_until{};
+    TimePoint heard_at{}; ///< When it last said any of it.
+
+    bool empty() const { return heard_at == TimePoint{}; }
+};
+
+/// Returns when the `rest` is over that a runner asked for at `now`: not
+/// sooner, and at most an eighth of it, or a second, later, by `random` bits. A
+/// runner that asked many instances does not get calls of all of them at once.
+TimePoint rest_end(Micros rest, TimePoint now, std::uint64_t random);
+
+} // namespace crosslink
--- a/src/include/crosslink/ports/call_wire.h
+++ b/src/include/crosslink/ports/call_wire.h
@@ -61,6 +61,13 @@
     /// together; no_rate_limit where it names none; nothing where what it
     /// names can't be read.
     std::optional<double> rate_limit = no_rate_limit;
+    /// The runner says that it will end; nothing where that can't be read.
+    std::optional<bool> leaving = false;
+    /// In this time the runner, which turned the call away, wants nothing from
+    /// this instance; 0 where it does not say so; nothing where what it says
+    /// can't be read.
+    std::optional<Micros> rest = Micros{0};
+    std::string runner; ///< That answers, by its own word; empty: not told.
     bool event_stream = false;
     bool encoded = false; ///< The body is not as the runner made it.
     std::optional<Micros> keep_alive; ///< How long an idle connection lives.
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -6,6 +6,7 @@
 #include <crosslink/forward/rate_share.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace crosslink
 {
@@ -41,8 +42,8 @@
 RunnerTable::sync(std::span<const ListedRunner> listed, TimePoint now)
 {
     const std::set<std::string_view> ids = put_all(listed, now);
-    std::erase_if(m_entries, [&ids](const auto& item) {
-        return !ids.contains(item.first);
+    drop_if([&ids](const RunnerEntry& entry) {
+        return !ids.contains(entry.listed.id);
     });
 }
 
@@ -68,6 +69,20 @@
     return ids;
 }
 
+/// Drops the entries that meet `condition`, and keeps what their processes said
+/// of themselves: they may be listed again.
+void
+RunnerTable::drop_if(const std::function<bool(const RunnerEntry&)>& condition)
+{
+    std::erase_if(m_entries, [&](const auto& item) {
+        const RunnerEntry& entry = item.second;
+        if (!condition(entry))
+            return false;
+        m_unlisted.keep(entry.incarnation(), entry.words);
+        return true;
+    });
+}
+
 void
 RunnerTable::lapsed(std::string_view id, TimePoint gone_at)
 {
@@ -78,9 +93,10 @@
 void
 RunnerTable::expire(TimePoint now)
 {
-    std::erase_if(m_entries, [now](const auto& item) {
-        return item.second.gone_at && now >= *item.second.gone_at;
+    drop_if([now](const RunnerEntry& entry) {
+        return entry.gone_at && now >= *entry.gone_at;
     });
+    m_unlisted.expire(now);
 }
 
 bool
@@ -97,6 +113,8 @@
         entry = {};
         entry.sends = sends;
     }
+    if (is_new || starts_anew)
+        entry.words = m_unlisted.take({listed.id, listed.born});
     entry.gone_at.reset();
     entry.listed = listed;
     entry.cold_until = now + listed.cold_for;
@@ -106,9 +124,7 @@
 void
 RunnerTable::remove(std::string_view id)
 {
-    const auto found = m_entries.find(id);
-    if (found != m_entries.end())
-        m_entries.erase(found);
+    drop_if([id](const RunnerEntry& entry) { return entry.listed.id == id; });
 }
 
 void
@@ -134,8 +150,8 @@
 RunnerTable::keep_services(
     const std::set<std::string_view, std::less<>>& services)
 {
-    std::erase_if(m_entries, [&services](const auto& item) {
-        return !services.contains(item.second.listed.service);
+    drop_if([&services](const RunnerEntry& entry) {
+        return !services.contains(entry.listed.service);
     });
 }
 
@@ -318,6 +334,30 @@
         }));
 }
 
+bool
+RunnerTable::says_leaving(const RunnerIncarnation& runner, TimePoint now)
+{
+    RunnerWords* words = words_of(runner);
+    if (!words)
+        return false;
+    words->heard_at = now;
+    return !std::exchange(words->leaving, true);
+}
+
+bool
+RunnerTable::asks_for_rest(const RunnerIncarnation& runner, TimePoint until,
+                           TimePoint now)
+{
+    RunnerWords* words = words_of(runner);
+    if (!words)
+        return false;
+    words->heard_at = now;
+    if (until <= words->rest_until)
+        return false;
+    words->rest_until = until;
+    return true;
+}
+
 std::map<std::string, RunnerLoad>
 RunnerTable::own_load() const
 {
@@ -357,4 +397,15 @@
     return entry && entry->listed.born == runner.born ? entry : nullptr;
 }
 
+/// Returns what this one process said of itself, listed or not; null where a
+/// later one under its id is known.
+RunnerWords*
+RunnerTable::words_of(const RunnerIncarnation& runner)
+{
+    RunnerEntry* entry = find(runner.id);
+    if (!entry || entry->listed.born < runner.born)
+        return m_unlisted.find(runner);
+    return entry->listed.born == runner.born ? &entry->words : nullptr;
+}
+
 } // namespace crosslink
--- a/src/serve/fleet/change_taker.cpp
+++ b/src/serve/fleet/change_taker.cpp
@@ -163,7 +163,9 @@
     if (anew)
         started_anew(change.runner);
     if (change.runner.leaving)
-        LogLine("runner_leaving").field("runner", change.runner.id);
+        LogLine("runner_leaving")
+            .field("runner", change.runner.id)
+            .field("source", "platform");
 }
 
 void
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -167,6 +167,7 @@
         .field("request", m_call.id)
         .field("runner", m_choice.pick().id)
         .field("of_request", head.call_id);
+    m_intake.take_surplus(head, m_choice.pick());
     while (!m_connection->read_some().empty()) {
     }
     return std::nullopt;
@@ -175,7 +176,7 @@
 ForwardRun::Outcome
 ForwardRun::take_answer(CallerLink& link, const AnswerHead& head)
 {
-    learn(head);
+    m_intake.take(head, m_choice.pick());
     if (head.not_run) {
         LogLine("call_refused")
             .field("request", m_call.id)
@@ -196,36 +197,6 @@
     return link.begun() ? Outcome::Broken : relay_whole(link, head);
 }
 
-/// Takes in what the runner says of its limit. That it names none counts only
-/// where it ran the call: others may have refused it in its place.
-void
-ForwardRun::learn_limit(const AnswerHead& head)
-{
-    if (!head.rate_limit) {
-        LogLine("limit_unreadable")
-            .field("request", m_call.id)
-            .field("runner", m_choice.pick().id);
-        return;
-    }
-    const bool names_none = *head.rate_limit == no_rate_limit;
-    const bool is_no_end =
-        names_none && (!head.genuine || m_choice.pick().limit_change == 0);
-    if (head.misdirected || is_no_end)
-        return;
-    m_state.learned_limit(m_choice.pick().incarnation(), *head.rate_limit,
-                          m_choice.pick().limit_change);
-}
-
-void
-ForwardRun::learn(const AnswerHead& head)
-{
-    learn_limit(head);
-    if (!m_call.generation || head.version == 0)
-        return;
-    m_state.learned_weights(m_choice.pick().incarnation(),
-                            m_call.generation->model, head.version, "answer");
-}
-
 void
 ForwardRun::saw_first_event()
 {
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -44,7 +44,8 @@
       m_events(leading_number<std::uint64_t>(call.last_event)),
       m_prompt(state, kept, call, route.objective),
       m_choice(state, m_prompt, call, route, holder),
-      m_crashes(state, call, holder ? holder->name : std::string())
+      m_crashes(state, call, holder ? holder->name : std::string()),
+      m_intake(state, call)
 {
 }
 
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "answer_intake.h"
 #include "call_prompt.h"
 #include "caller_link.h"
 #include "crash_watch.h"
@@ -109,8 +110,6 @@
     Outcome relay_events(CallerLink& link, const AnswerHead& head);
     bool send_events(CallerLink& link, const AnswerHead& head,
                      const std::string& events);
-    void learn(const AnswerHead& head);
-    void learn_limit(const AnswerHead& head);
     void saw_first_event();
     void keep_connection(const AnswerHead& head);
     void give_up(CallerLink& link, Outcome outcome);
@@ -130,6 +129,7 @@
     CallPrompt m_prompt;
     RunnerChoice m_choice;
     CrashWatch m_crashes;
+    AnswerIntake m_intake;
     std::unique_ptr<CallConnection> m_connection;
     TimePoint m_sent_at{};      ///< To the runner of the last send.
     TimePoint m_connected_at{}; ///< When it was taken or made.
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -4,6 +4,7 @@
 #include "forward_state.h"
 
 #include <adapters/clock.h>
+#include <adapters/random.h>
 #include <serve/fleet/change_taker.h>
 #include <serve/log_line.h>
 #include <serve/request_crashes.h>
@@ -292,6 +293,31 @@
         [now](RunnerTable& table) { return table.limit_news(now); });
 }
 
+void
+ForwardState::learned_leaving(const RunnerIncarnation& runner)
+{
+    const bool is_new = runners.with([&](RunnerTable& table) {
+        return table.says_leaving(runner, monotonic_now());
+    });
+    if (!is_new)
+        return;
+    ++counters.runners_leaving;
+    LogLine("runner_leaving")
+        .field("runner", runner.id)
+        .field("source", "answer");
+}
+
+void
+ForwardState::learned_rest(const RunnerIncarnation& runner, Micros rest)
+{
+    const TimePoint now = monotonic_now();
+    const TimePoint until = rest_end(rest, now, random_bits());
+    runners.with(
+        [&](RunnerTable& table) { table.asks_for_rest(runner, until, now); });
+    ++counters.runner_rests;
+    LogLine("runner_rests").field("runner", runner.id).span("rest", rest);
+}
+
 /// Logs and counts a limit that changed.
 void
 ForwardState::note_limit(std::string_view runner, double per_second,
@@ -430,6 +456,8 @@
     counter("calls_blocked_total", calls_blocked);
     counter("limits_changed_total", limits_changed);
     counter("calls_limited_total", calls_limited);
+    counter("runners_leaving_total", runners_leaving);
+    counter("runner_rests_total", runner_rests);
     counter("parts_fetched_total", parts_fetched);
     counter("parts_saved_total", parts_saved);
     counter("parts_read_total", parts_read);
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -94,8 +94,10 @@
     Counter runner_ends{0}; ///< Calls under which runners ended.
     Counter requests_blocked{0};
     Counter calls_blocked{0};
-    Counter limits_changed{0}; ///< Of runners, as heard here.
-    Counter calls_limited{0};  ///< Refused for limits of runners.
+    Counter limits_changed{0};  ///< Of runners, as heard here.
+    Counter runners_leaving{0}; ///< That said so in answers.
+    Counter runner_rests{0};    ///< That runners asked for here.
+    Counter calls_limited{0};   ///< Refused for limits of runners.
     Counter parts_fetched{0};
     Counter parts_saved{0};
     Counter parts_read{0};
@@ -180,6 +182,11 @@
     void heard_of(const std::vector<LimitNews>& limits);
     /// Returns what to tell other instances of them.
     std::vector<LimitNews> limit_news(TimePoint now);
+    /// Takes in that a runner says in an answer that it leaves, and logs it
+    /// where that was not known.
+    void learned_leaving(const RunnerIncarnation& runner);
+    /// Takes in that a runner wants nothing from this instance for `rest`.
+    void learned_rest(const RunnerIncarnation& runner, Micros rest);
     /// Takes in that a request is recorded as blocked, or no longer.
     void recorded_block(const std::string& request, bool is_blocked);
     /// Takes in that a runner has `version` of `model`, as `source` told, and
