A runner that says that it leaves gets nothing new from who heard it

Cause: the platform's list was the only way in which an instance learned that a runner leaves. Evidence: runner_leaving with source answer is logged, and calls go on as before, until the list's entry says so. Now RunnerEntry::leaves() is the list's word or the process's own, and stands wherever the list's word stood: the choice (each send goes through it), orders for weights, and the judgement of ends (one that leaves ends as planned). The words are the process's: neither a newer sequence, nor an entry that lapses and returns, nor a store that is away takes them back, and a later process under the id starts without.

--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -88,6 +88,9 @@
     /// Returns the version of `model` that it is known to have; 0 where it has
     /// it not.
     std::uint64_t version_of(std::string_view model) const;
+    /// Returns whether its process will end: by the platform's list, or by its
+    /// own word, which the list lags behind.
+    bool leaves() const { return listed.leaving || words.leaving; }
     /// Returns which process the entry is of.
     RunnerIncarnation incarnation() const { return {listed.id, listed.born}; }
 };
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -184,7 +184,7 @@
                            const RunnerQuery& query) const
 {
     const ListedRunner& listed = entry.listed;
-    return listed.service == query.service && !listed.leaving &&
+    return listed.service == query.service && !entry.leaves() &&
            !m_evacuated.contains(listed.zone) &&
            !(query.zones_allowed &&
              !query.zones_allowed->contains(listed.zone)) &&
--- /dev/null
+++ b/src/libcrosslink/forward/unlisted_words_test.cpp
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/unlisted_words.h>
+
+#include <catch2/catch.hpp>
+
+namespace crosslink
+{
+
+namespace
+{
+
+TimePoint
+at(int seconds)
+{
+    return TimePoint(std::chrono::seconds(seconds));
+}
+
+RunnerWords
+leaving_since(int seconds)
+{
+    RunnerWords words;
+    words.leaving = true;
+    words.heard_at = at(seconds);
+    return words;
+}
+
+} // namespace
+
+TEST_CASE("words of an unlisted process are given to that process alone")
+{
+    UnlistedWords unlisted;
+    unlisted.keep({"r", 2}, leaving_since(1));
+    CHECK(unlisted.take({"other", 2}).empty());
+    // A listing of an earlier process came late.
+    CHECK(unlisted.take({"r", 1}).empty());
+    CHECK(unlisted.take({"r", 2}).leaving);
+    CHECK(unlisted.take({"r", 2}).empty());
+    unlisted.keep({"r", 2}, leaving_since(1));
+    CHECK(unlisted.take({"r", 3}).empty());
+    CHECK(unlisted.take({"r", 2}).empty());
+}
+
+TEST_CASE("words of a later process take the place of earlier ones")
+{
+    UnlistedWords unlisted;
+    unlisted.keep({"r", 2}, leaving_since(1));
+    RunnerWords* later = unlisted.find({"r", 3});
+    REQUIRE(later);
+    CHECK_FALSE(later->leaving);
+    *later = leaving_since(2);
+    CHECK_FALSE(unlisted.find({"r", 2}));
+    unlisted.keep({"r", 2}, leaving_since(3));
+    CHECK(unlisted.take({"r", 3}).heard_at == at(2));
+}
+
+TEST_CASE("words of a process that stays unlisted are forgotten, not in a rest")
+{
+    UnlistedWords unlisted;
+    unlisted.keep({"r"}, leaving_since(1));
+    RunnerWords resting;
+    resting.heard_at = at(1);
+    resting.rest_until = at(3600);
+    unlisted.keep({"s"}, resting);
+    unlisted.expire(at(600));
+    CHECK(unlisted.find({"r"})->leaving);
+    unlisted.expire(at(601));
+    CHECK(unlisted.take({"r"}).empty());
+    CHECK(unlisted.find({"s"})->rest_until == at(3600));
+    unlisted.expire(at(3600));
+    CHECK(unlisted.take({"s"}).empty());
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -70,7 +70,7 @@
     std::map<std::uint64_t, std::uint32_t> behind; ///< Runners by version.
     for (const auto& [id, entry] : runners.entries()) {
         const std::uint64_t has = entry.version_of(model);
-        if (has == 0 || entry.listed.leaving)
+        if (has == 0 || entry.leaves())
             continue;
         ++all;
         if (has < history.newest())
@@ -101,7 +101,7 @@
     std::vector<const RunnerEntry*> result;
     for (const auto& [id, entry] : runners.entries()) {
         const std::uint64_t has = entry.version_of(model);
-        if (has > 0 && has < newest && !entry.listed.leaving &&
+        if (has > 0 && has < newest && !entry.leaves() &&
             !m_open.contains(id) &&
             !waits({id, std::string(model)}, newest, now))
             result.push_back(&entry);
--- a/src/libcrosslink/weights/weights_plan_test.cpp
+++ b/src/libcrosslink/weights/weights_plan_test.cpp
@@ -92,6 +92,17 @@
     CHECK(again[0].born == 5);
 }
 
+TEST_CASE("a runner that says that it leaves is ordered nothing")
+{
+    WeightsPlan plan(bound);
+    plan.follow(model, history({2}));
+    RunnerTable table = runners_with({1, 1});
+    table.says_leaving({"r0"}, at(0));
+    const auto orders = plan.due(table, at(0));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].runner == "r1");
+}
+
 TEST_CASE("a part of the runners loads new weights at once")
 {
     WeightsPlan plan(bound);
--- a/src/serve/fleet/change_taker.cpp
+++ b/src/serve/fleet/change_taker.cpp
@@ -131,12 +131,14 @@
 ChangeTaker::note_gone(const std::string& id)
 {
     std::optional<ListedRunner> gone;
+    bool leaves = false;
     std::size_t of_zone = 0;
     m_state.runners.with([&](const RunnerTable& table) {
         const auto found = table.entries().find(id);
         if (found == table.entries().end())
             return;
         gone = found->second.listed;
+        leaves = found->second.leaves();
         for (const auto& [other, entry] : table.entries())
             of_zone += entry.listed.zone == gone->zone ? 1 : 0;
     });
@@ -144,7 +146,7 @@
         return;
     const RunnerIncarnation incarnation{gone->id, gone->born};
     m_state.breaks.with([&](OpenBreaks& breaks) {
-        if (gone->leaving)
+        if (leaves)
             breaks.leaves(incarnation);
         else
             breaks.gone(incarnation, gone->zone, of_zone, monotonic_now());
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -168,7 +168,7 @@
         const auto found = table.entries().find(runner.id);
         return found != table.entries().end() &&
                found->second.listed.born == runner.born &&
-               found->second.listed.leaving;
+               found->second.leaves();
     });
     if (leaves)
         return;
@@ -301,6 +301,7 @@
     });
     if (!is_new)
         return;
+    breaks.with([&](OpenBreaks& open) { open.leaves(runner); });
     ++counters.runners_leaving;
     LogLine("runner_leaving")
         .field("runner", runner.id)
