A runner that asks an instance for rest gets nothing from it until that is over

Cause: the refusal was read and its time was not: a fixed 0.12 s stood for whatever a runner asked for. A runner that turns all away has no calls under way and so is the cheapest, and each refusal took a repeat from the budget of calls that could have been served. Evidence: runner_rests of 3 s is logged 57 times in 6 s for one runner, and calls come again 0.1 to 0.3 s apart.

Now the rest that a process asked for keeps it from the choice, from the place of a call that waits (which may else be 20 ms early), and from the question to a silent runner with a limit. It is this instance's alone, ends in time, up to an eighth or a second later by chance, so that a fleet does not come back at once. No call waits for the end of a rest: where nothing else takes work it is refused at once, not run, and told to come back from then on, spread over as long again and at most 5 s; so are calls that were refused and may not be repeated.

Core: rests join the random orders of the play; cases for limits, warm-up, places and shorter rests.

--- a/src/include/crosslink/forward/queue_limit.h
+++ b/src/include/crosslink/forward/queue_limit.h
@@ -14,8 +14,9 @@
 /// A caller that was refused comes back after this time at least.
 inline constexpr Micros least_return = std::chrono::milliseconds(250);
 
-/// Returns a time from `earliest` to twice that, by `random` bits: callers that
-/// were refused together would be refused together again.
+/// Returns a time from `earliest` to twice that, and at most 5 s later, by
+/// `random` bits: callers that were refused together would be refused together
+/// again.
 Micros spread_return(Micros earliest, std::uint64_t random);
 
 /// A call for a model that may be sent to a runner now.
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -6,6 +6,7 @@
 #include <crosslink/base/time.h>
 #include <crosslink/forward/runner_entry.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -67,8 +68,18 @@
     std::string runner; ///< That takes it then; empty for none.
     std::uint64_t born = 0;
     bool limited = false; ///< One would, but for the limit that it named.
+    /// When one takes calls that wants rest until then; nothing where none
+    /// does. No call waits for it: all that came meanwhile would come at once.
+    std::optional<TimePoint> rested_at;
 
     RunnerIncarnation incarnation() const { return {runner, born}; }
+    /// Returns the first time at which any runner takes a call.
+    std::optional<TimePoint> earliest() const
+    {
+        if (!at || !rested_at)
+            return at ? at : rested_at;
+        return std::min(*at, *rested_at);
+    }
 };
 
 /// The runner that was chosen.
--- a/src/libcrosslink/forward/queue_limit.cpp
+++ b/src/libcrosslink/forward/queue_limit.cpp
@@ -18,6 +18,8 @@
 /// five days with losses, three seeds each, served within the objective from
 /// their first try: 0.90 at 0.1, 0.91 at 0.2, 0.90 at 0.3.
 constexpr double waiting_part = 0.2;
+/// Callers that are told to come back late are spread over no more than this.
+constexpr Micros longest_spread = std::chrono::seconds(5);
 
 } // namespace
 
@@ -25,9 +27,10 @@
 spread_return(Micros earliest, std::uint64_t random)
 {
     constexpr std::uint64_t steps = 1000;
-    const double spread =
-        1 + static_cast<double>(random % steps) / static_cast<double>(steps);
-    return std::chrono::duration_cast<Micros>(earliest * spread);
+    const double part =
+        static_cast<double>(random % steps) / static_cast<double>(steps);
+    const Micros spread = std::min(earliest, longest_spread);
+    return earliest + std::chrono::duration_cast<Micros>(spread * part);
 }
 
 std::optional<Micros>
--- a/src/libcrosslink/forward/runner_words_play_test.cpp
+++ b/src/libcrosslink/forward/runner_words_play_test.cpp
@@ -31,6 +31,7 @@
     std::uint64_t born = 1;
     bool listed = true;
     bool leaving = false;
+    TimePoint rest_until{};
     /// Nothing but its words keeps calls from it.
     bool is_sound = true;
 };
@@ -109,7 +110,7 @@
     {
         Process& process = m_processes[id];
         const RunnerIncarnation now{id, process.born};
-        switch (draw(12)) {
+        switch (draw(14)) {
         case 0:
         case 1:
         case 2:
@@ -136,11 +137,22 @@
             // The process before says so late.
             m_table.says_leaving({id, process.born - 1}, m_now);
             break;
-        case 9:
+        case 9: {
+            const TimePoint until =
+                m_now + std::chrono::milliseconds(draw(900));
+            m_table.asks_for_rest(now, until, m_now);
+            process.rest_until = std::max(process.rest_until, until);
+            break;
+        }
+        case 10:
+            m_table.asks_for_rest({id, process.born - 1},
+                                  m_now + std::chrono::hours(1), m_now);
+            break;
+        case 11:
             m_table.limit_answered(now, 0.2, 0, m_now);
             process.is_sound = false;
             break;
-        case 10:
+        case 12:
             m_table.refused(id, m_now, std::chrono::milliseconds(120));
             process.is_sound = false;
             break;
@@ -165,7 +177,8 @@
     bool may_be_sent(const std::string& id) const
     {
         const Process& process = m_processes.at(id);
-        return process.listed && !process.leaving;
+        return process.listed && !process.leaving &&
+               process.rest_until <= m_now;
     }
     bool any_sound() const
     {
--- a/src/libcrosslink/forward/runner_words_test.cpp
+++ b/src/libcrosslink/forward/runner_words_test.cpp
@@ -3,11 +3,53 @@
 
 #include <crosslink/forward/runner_words.h>
 
+#include <crosslink/forward/runner_table.h>
+
 #include <catch2/catch.hpp>
 
+#include <string>
+
 namespace crosslink
 {
 
+namespace
+{
+
+TimePoint
+at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+RunnerQuery
+query(int millis)
+{
+    RunnerQuery query;
+    query.service = "s";
+    query.zone = "a";
+    query.instance = "i";
+    query.now = at(millis);
+    return query;
+}
+
+/// A table of the only instance, before runners of its zone.
+RunnerTable
+table_of(const std::vector<std::string>& ids)
+{
+    RunnerTable table;
+    table.members().listed({"i", "", "a", 0}, at(-5000));
+    for (const std::string& id : ids) {
+        ListedRunner listed;
+        listed.id = id;
+        listed.service = "s";
+        listed.zone = "a";
+        table.put(listed, at(0));
+    }
+    return table;
+}
+
+} // namespace
+
 TEST_CASE("a rest is no shorter than what was asked for, nor much longer")
 {
     const TimePoint now{std::chrono::seconds(100)};
@@ -23,4 +65,75 @@
           rest_end(std::chrono::seconds(3), now, 1));
 }
 
+TEST_CASE("a silent runner with a limit that rests, or leaves, is not asked")
+{
+    RunnerTable table = table_of({"r"});
+    table.limit_answered({"r"}, 0.2, 0, at(0));
+    CHECK(table.choose(query(60'000)));
+    table.asks_for_rest({"r"}, at(90'000), at(60'000));
+    CHECK_FALSE(table.choose(query(89'999)));
+    CHECK(table.choose(query(90'000)));
+    table.says_leaving({"r"}, at(90'000));
+    CHECK_FALSE(table.choose(query(150'000)));
+}
+
+TEST_CASE("a runner that warms up rests as others do")
+{
+    RunnerTable table = table_of({});
+    ListedRunner cold;
+    cold.id = "r";
+    cold.service = "s";
+    cold.zone = "a";
+    cold.cold_for = std::chrono::seconds(60);
+    table.put(cold, at(0));
+    RunnerQuery asked = query(100);
+    asked.warm_up = {std::chrono::seconds(60), 40};
+    CHECK(table.choose(asked));
+    table.asks_for_rest({"r"}, at(3000), at(100));
+    CHECK_FALSE(table.choose(asked));
+    asked.now = at(3000);
+    CHECK(table.choose(asked));
+}
+
+TEST_CASE("a call that waited for its place is not sent early into a rest")
+{
+    RunnerTable table = table_of({"r"});
+    table.refused("r", at(0), std::chrono::milliseconds(120));
+    const NextChance chance = table.next_chance(query(0));
+    REQUIRE(chance.at == at(120));
+    table.reserve(chance.incarnation());
+    table.asks_for_rest({"r"}, at(125), at(50));
+    CHECK_FALSE(table.choose_booked(query(124), chance.incarnation()));
+    CHECK(table.choose(query(125)));
+}
+
+TEST_CASE("a shorter rest does not end the one that was asked for before")
+{
+    RunnerTable table = table_of({"r"});
+    CHECK(table.asks_for_rest({"r"}, at(3000), at(0)));
+    CHECK_FALSE(table.asks_for_rest({"r"}, at(600), at(100)));
+    CHECK_FALSE(table.choose(query(2999)));
+    CHECK(table.asks_for_rest({"r"}, at(4000), at(2999)));
+    CHECK_FALSE(table.choose(query(3999)));
+    CHECK(table.choose(query(4000)));
+}
+
+TEST_CASE("no call waits for the end of a rest, and its time is told")
+{
+    RunnerTable table = table_of({"resting", "longer", "refused", "leaving"});
+    table.says_leaving({"leaving"}, at(0));
+    table.asks_for_rest({"resting"}, at(50), at(0));
+    table.asks_for_rest({"longer"}, at(5000), at(0));
+    table.refused("refused", at(0), std::chrono::milliseconds(120));
+    const NextChance chance = table.next_chance(query(0));
+    CHECK(chance.runner == "refused");
+    CHECK(chance.at == at(120));
+    CHECK(chance.rested_at == at(50));
+    CHECK(chance.earliest() == at(50));
+    table.says_leaving({"refused"}, at(0));
+    CHECK_FALSE(table.next_chance(query(0)).at);
+    CHECK(table.next_chance(query(0)).earliest() == at(50));
+    CHECK(table.next_chance(query(100)).rested_at == at(5000));
+}
+
 } // namespace crosslink
--- a/src/serve/forward/forward_end.cpp
+++ b/src/serve/forward/forward_end.cpp
@@ -63,21 +63,38 @@
 Micros
 ForwardRun::time_to_chance() const
 {
-    if (!m_next_chance.at)
+    const auto chance = m_next_chance.earliest();
+    if (!chance)
         return come_back_unknown;
-    return std::max(least_return, *m_next_chance.at - monotonic_now());
+    const Micros left = std::max(least_return, *chance - monotonic_now());
+    // Callers that are refused in a rest, or for a limit, would all come back
+    // at the same moment.
+    const bool come_together = m_next_chance.rested_at || m_next_chance.limited;
+    return come_together ? spread_return(left, random_bits()) : left;
+}
+
+/// Returns when a caller should come back whose call was refused by the runners
+/// that it was sent to, and may be sent to no more of them: at once where one
+/// takes work.
+Micros
+ForwardRun::time_after_refusals()
+{
+    m_choice.pass_over_none();
+    m_next_chance = m_choice.next_chance();
+    const auto chance = m_next_chance.earliest();
+    return chance && *chance <= monotonic_now() ? least_return
+                                                : time_to_chance();
 }
 
 /// Refuses a call for which runners have no place because of limits that they
-/// named. Callers that are refused together do not come back together.
+/// named.
 void
 ForwardRun::fail_limited()
 {
     ++m_state.counters.calls_limited;
     throw Error(ErrorCode::UpstreamsLimited,
                 "runners get as many calls as they named as their limits",
-                RunState::NotDispatched,
-                spread_return(time_to_chance(), random_bits()));
+                RunState::NotDispatched, time_to_chance());
 }
 
 void
@@ -93,11 +110,13 @@
     case Outcome::NotRun:
     case Outcome::Misdirected:
         throw Error(ErrorCode::UpstreamRefused, "runners have no room",
-                    RunState::RefusedBeforeRun, least_return);
+                    RunState::RefusedBeforeRun, time_after_refusals());
     default:
         if (m_next_chance.limited)
             fail_limited();
-        throw Error(ErrorCode::NoUpstream, "no runner takes work",
+        throw Error(ErrorCode::NoUpstream,
+                    m_next_chance.rested_at ? "runners want rest"
+                                            : "no runner takes work",
                     RunState::NotDispatched, time_to_chance());
     }
 }
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -86,6 +86,7 @@
     bool wait_for_runner();
     TimePoint latest_place() const;
     Micros time_to_chance() const;
+    Micros time_after_refusals();
     Outcome attempt(CallerLink& link);
     void note_sent();
     void note_ended(Outcome outcome);
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -80,6 +80,14 @@
     return chance;
 }
 
+NextChance
+RunnerChoice::next_chance()
+{
+    const RunnerQuery query = make_query();
+    return m_state.runners.with(
+        [&query](RunnerTable& table) { return table.next_chance(query); });
+}
+
 bool
 RunnerChoice::choose_kept()
 {
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -39,6 +39,8 @@
     /// Returns when a runner takes work again, and keeps a place there for the
     /// call where that is before `useful`.
     NextChance keep_place(TimePoint useful);
+    /// Returns when a runner takes work again, and keeps no place there.
+    NextChance next_chance();
     /// As choose(), with the place that was kept.
     bool choose_kept();
     /// Takes note that the call is sent to the chosen runner at `now`; see
