Limits hold for the process that named them, listed or not

It lies with the other words of the process now (RunnerWords). The new case failed before (no limit after the entry came back) and passes.

--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <crosslink/base/time.h>
-#include <crosslink/forward/named_limit.h>
 #include <crosslink/forward/runner_words.h>
 #include <crosslink/forward/send_window.h>
 
@@ -76,7 +75,6 @@
     TimePoint cold_until{};     ///< It bears little before, by its own word.
     /// When it last took no connection or broke one off: it may start anew.
     std::optional<TimePoint> contact_lost_at;
-    NamedLimit limit; ///< By its own word.
     RunnerWords words;
     SendWindow sends; ///< Of this instance.
     /// Calls of it that are about to be sent, or wait for their time.
--- a/src/include/crosslink/forward/runner_words.h
+++ b/src/include/crosslink/forward/runner_words.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/named_limit.h>
 
 #include <cstdint>
 
@@ -19,9 +20,14 @@
     bool leaving = false; ///< It will end: nothing new is sent to it.
     /// It wants nothing from this instance before.
     TimePoint rest_until{};
+    NamedLimit limit;     ///< What it takes from all instances together.
     TimePoint heard_at{}; ///< When it last said any of it.
 
-    bool empty() const { return heard_at == TimePoint{}; }
+    /// Returns whether it has said nothing that is of use later.
+    bool empty() const
+    {
+        return !leaving && rest_until == TimePoint{} && limit.change() == 0;
+    }
 };
 
 /// Returns when the `rest` is over that a runner asked for at `now`: not
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -153,7 +153,7 @@
 bool
 asks_silent(const RunnerEntry& entry, const RunnerQuery& query)
 {
-    const Micros beyond = silence_beyond(entry.limit, query.now);
+    const Micros beyond = silence_beyond(entry.words.limit, query.now);
     if (beyond.count() < 0)
         return false;
     const auto turns = std::min<std::int64_t>(beyond / asking_turn, most_turns);
@@ -172,8 +172,8 @@
 bool
 is_to_be_asked(const RunnerEntry& entry, TimePoint now)
 {
-    return entry.limit.in_force() &&
-           silence_beyond(entry.limit, now).count() >= 0;
+    return entry.words.limit.in_force() &&
+           silence_beyond(entry.words.limit, now).count() >= 0;
 }
 
 } // namespace
@@ -259,10 +259,10 @@
 RunnerTable::limit_free_at(const RunnerEntry& entry, const RunnerQuery& query,
                            std::size_t reserved) const
 {
-    if (!entry.limit.in_force())
+    if (!entry.words.limit.in_force())
         return {};
     RateShare share =
-        named_limit_share(entry.limit.per_second(),
+        named_limit_share(entry.words.limit.per_second(),
                           m_members.count(entry.listed.zone, query.now));
     if (!has_share(entry, query, share))
         return asks_silent(entry, query)
@@ -349,8 +349,8 @@
             entry.listed.zone,
             entry.version_of(query.model),
             expected_wait(entry, query, fleet),
-            entry.limit.in_force(),
-            entry.limit.change()};
+            entry.words.limit.in_force(),
+            entry.words.limit.change()};
 }
 
 NextChance
@@ -360,7 +360,7 @@
     for (const auto& [id, entry] : m_entries) {
         if (!may_take_work(entry, query))
             continue;
-        chance.limited = chance.limited || entry.limit.in_force();
+        chance.limited = chance.limited || entry.words.limit.in_force();
         const TimePoint free = free_at(entry, query);
         if (free == never)
             continue;
--- a/src/libcrosslink/forward/runner_limit_test.cpp
+++ b/src/libcrosslink/forward/runner_limit_test.cpp
@@ -204,4 +204,25 @@
     CHECK(table.limited_count() == 0);
 }
 
+TEST_CASE("a limit holds for its process, whether it is listed or not")
+{
+    RunnerTable table = table_of({"r"});
+    const ListedRunner listed = table.entries().at("r").listed;
+    table.limit_answered({"r"}, 2, 0, at(0));
+    const auto news = table.limit_news(at(0));
+    table.remove("r");
+    CHECK(table.limited_count() == 0);
+    table.put(listed, at(100));
+    CHECK(table.limited_count() == 1);
+    table.sync({}, at(200));
+    CHECK(table.limit_answered({"r"}, 3, 1, at(300)));
+    table.put(listed, at(400));
+    CHECK(table.limit_news(at(400))[0].per_second == 3);
+    // One that is told of before it is listed.
+    RunnerTable other = table_of({});
+    other.limit_told(news[0], at(0));
+    other.put(listed, at(100));
+    CHECK(other.limited_count() == 1);
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -186,12 +186,13 @@
 void
 RunnerTable::note_send(RunnerEntry& entry, TimePoint now) const
 {
-    if (!entry.limit.in_force()) {
+    if (!entry.words.limit.in_force()) {
         entry.sends.sent(now);
         return;
     }
-    const RateShare share = named_limit_share(
-        entry.limit.per_second(), m_members.count(entry.listed.zone, now));
+    const RateShare share =
+        named_limit_share(entry.words.limit.per_second(),
+                          m_members.count(entry.listed.zone, now));
     if (share.calls == 1)
         entry.sends.sent_in_turn(share.window, now);
     else
@@ -303,15 +304,21 @@
 RunnerTable::limit_answered(const RunnerIncarnation& runner, double per_second,
                             std::uint64_t known, TimePoint now)
 {
-    RunnerEntry* entry = find(runner);
-    return entry && entry->limit.answered(per_second, known, now);
+    RunnerWords* words = words_of(runner);
+    if (!words)
+        return false;
+    words->heard_at = now;
+    return words->limit.answered(per_second, known, now);
 }
 
 bool
 RunnerTable::limit_told(const LimitNews& news, TimePoint now)
 {
-    RunnerEntry* entry = find(RunnerIncarnation{news.runner, news.born});
-    return entry && entry->limit.told(news, now);
+    RunnerWords* words = words_of({news.runner, news.born});
+    if (!words)
+        return false;
+    words->heard_at = now;
+    return words->limit.told(news, now);
 }
 
 std::vector<LimitNews>
@@ -319,9 +326,10 @@
 {
     std::vector<LimitNews> news;
     for (const auto& [id, entry] : m_entries)
-        if (entry.limit.is_news(now))
-            news.push_back({id, entry.listed.born, entry.limit.per_second(),
-                            entry.limit.change(), entry.limit.heard()});
+        if (entry.words.limit.is_news(now))
+            news.push_back(
+                {id, entry.listed.born, entry.words.limit.per_second(),
+                 entry.words.limit.change(), entry.words.limit.heard()});
     return news;
 }
 
@@ -330,7 +338,7 @@
 {
     return static_cast<std::size_t>(
         std::count_if(m_entries.begin(), m_entries.end(), [](const auto& item) {
-            return item.second.limit.in_force();
+            return item.second.words.limit.in_force();
         }));
 }
 
