Refusals and failures are put down to the process that they came from

They go by process now. What may start anew soon (contact_lost), and what the holder of the duty tells of loading, stay with the id, as they mean whoever is there. The new case failed by the earlier signatures; a case of a runner that starts anew names the process that failed now.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -93,10 +93,12 @@
     /// the memory that it took.
     void ran(std::string_view id, std::uint64_t resident, Micros span);
     /// Takes note of a refusal: nothing goes there for `hold`.
-    void refused(std::string_view id, TimePoint now, Micros hold);
+    void refused(const RunnerIncarnation& runner, TimePoint now, Micros hold);
+    /// Takes note that a runner loads weights: nothing goes there for `hold`.
+    void loads(std::string_view id, TimePoint now, Micros hold);
     /// Takes note of a failure: it gets nothing for a time that doubles.
-    void failed(std::string_view id, TimePoint now);
-    void succeeded(std::string_view id);
+    void failed(const RunnerIncarnation& runner, TimePoint now);
+    void succeeded(const RunnerIncarnation& runner);
     /// Takes note that a runner took no connection at `at`, or broke one off:
     /// it may have ended and start again, and counts as warming up from then
     /// on. Its own word of that comes up to 2 s after the start.
@@ -116,7 +118,7 @@
     /// Without this, one wrong word would keep a runner from calls and from
     /// orders until it ends: 1,100 calls turned away in 30 s were seen, where
     /// a guess stood for its word.
-    void lacks_version(std::string_view id, std::string_view model,
+    void lacks_version(const RunnerIncarnation& runner, std::string_view model,
                        std::uint64_t version);
 
     /// Takes in the limit that a runner names in an answer, where its call was
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -224,16 +224,24 @@
 }
 
 void
-RunnerTable::refused(std::string_view id, TimePoint now, Micros hold)
+RunnerTable::refused(const RunnerIncarnation& runner, TimePoint now,
+                     Micros hold)
 {
-    if (RunnerEntry* entry = find(id))
+    if (RunnerEntry* entry = find(runner))
         entry->held_until = std::max(entry->held_until, now + hold);
 }
 
 void
-RunnerTable::failed(std::string_view id, TimePoint now)
+RunnerTable::loads(std::string_view id, TimePoint now, Micros hold)
 {
-    RunnerEntry* entry = find(id);
+    if (const RunnerEntry* entry = find(id))
+        refused(entry->incarnation(), now, hold);
+}
+
+void
+RunnerTable::failed(const RunnerIncarnation& runner, TimePoint now)
+{
+    RunnerEntry* entry = find(runner);
     if (!entry)
         return;
     const Micros hold =
@@ -243,9 +251,9 @@
 }
 
 void
-RunnerTable::succeeded(std::string_view id)
+RunnerTable::succeeded(const RunnerIncarnation& runner)
 {
-    RunnerEntry* entry = find(id);
+    RunnerEntry* entry = find(runner);
     if (!entry)
         return;
     if (entry->failures > 0)
@@ -292,10 +300,10 @@
 }
 
 void
-RunnerTable::lacks_version(std::string_view id, std::string_view model,
-                           std::uint64_t version)
+RunnerTable::lacks_version(const RunnerIncarnation& runner,
+                           std::string_view model, std::uint64_t version)
 {
-    RunnerEntry* entry = find(id);
+    RunnerEntry* entry = find(runner);
     if (entry && entry->version_of(model) == version)
         erase_model(entry->told, model);
 }
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -274,7 +274,7 @@
     CHECK(chosen(table, query(2600)) != "far");
     table.silent("near", at(3000));
     CHECK(chosen(table, query(3100)) == "far");
-    table.succeeded("near too");
+    table.succeeded({"near too"});
     CHECK(chosen(table, query(3200)) != "far");
 }
 
@@ -282,13 +282,13 @@
 {
     RunnerTable table;
     table.put(runner("r", "a"), at(0));
-    table.failed("r", at(0));
+    table.failed({"r"}, at(0));
     CHECK(chosen(table, query(100)).empty());
     CHECK(chosen(table, query(600)) == "r");
-    table.failed("r", at(600));
+    table.failed({"r"}, at(600));
     CHECK(chosen(table, query(1200)).empty());
     CHECK(chosen(table, query(1700)) == "r");
-    table.refused("r", at(2000), std::chrono::milliseconds(50));
+    table.refused({"r"}, at(2000), std::chrono::milliseconds(50));
     CHECK(chosen(table, query(2010)).empty());
 }
 
@@ -298,8 +298,8 @@
     CHECK_FALSE(table.next_chance(query()).at);
     table.put(runner("full", "a"), at(0));
     table.put(runner("fails", "a"), at(0));
-    table.refused("full", at(0), std::chrono::milliseconds(120));
-    table.failed("fails", at(0));
+    table.refused({"full"}, at(0), std::chrono::milliseconds(120));
+    table.failed({"fails"}, at(0));
     CHECK(table.next_chance(query()).at == at(120));
     table.put(runner("old", "a", 1), at(0));
     RunnerQuery asked = query();
@@ -337,12 +337,12 @@
     RunnerTable table;
     table.put(runner("r", "a", 1), at(0));
     table.has_version({"r"}, model, 3);
-    table.lacks_version("r", model, 2);
+    table.lacks_version({"r"}, model, 2);
     CHECK(table.choose(query())->version == 3);
-    table.lacks_version("r", model, 3);
+    table.lacks_version({"r"}, model, 3);
     CHECK(table.choose(query())->version == 1);
     // Its list may be late too: that alone is no reason to forget it.
-    table.lacks_version("r", model, 1);
+    table.lacks_version({"r"}, model, 1);
     CHECK(table.choose(query())->version == 1);
 }
 
@@ -376,7 +376,7 @@
     table.put(earlier, at(0));
     table.sent({"r", 100}, 9000, 20'000, at(0));
     table.has_version({"r", 100}, model, 4);
-    table.failed("r", at(0));
+    table.failed({"r", 100}, at(0));
     CHECK(chosen(table, query(10)).empty());
     ListedRunner later = earlier;
     later.born = 200;
--- a/src/libcrosslink/forward/runner_words_play_test.cpp
+++ b/src/libcrosslink/forward/runner_words_play_test.cpp
@@ -153,7 +153,7 @@
             process.is_sound = false;
             break;
         case 12:
-            m_table.refused(id, m_now, std::chrono::milliseconds(120));
+            m_table.refused(now, m_now, std::chrono::milliseconds(120));
             process.is_sound = false;
             break;
         default:
--- a/src/libcrosslink/forward/runner_words_test.cpp
+++ b/src/libcrosslink/forward/runner_words_test.cpp
@@ -98,7 +98,7 @@
 TEST_CASE("a call that waited for its place is not sent early into a rest")
 {
     RunnerTable table = table_of({"r"});
-    table.refused("r", at(0), std::chrono::milliseconds(120));
+    table.refused({"r"}, at(0), std::chrono::milliseconds(120));
     const NextChance chance = table.next_chance(query(0));
     REQUIRE(chance.at == at(120));
     table.reserve(chance.incarnation());
@@ -124,7 +124,7 @@
     table.says_leaving({"leaving"}, at(0));
     table.asks_for_rest({"resting"}, at(50), at(0));
     table.asks_for_rest({"longer"}, at(5000), at(0));
-    table.refused("refused", at(0), std::chrono::milliseconds(120));
+    table.refused({"refused"}, at(0), std::chrono::milliseconds(120));
     const NextChance chance = table.next_chance(query(0));
     CHECK(chance.runner == "refused");
     CHECK(chance.at == at(120));
@@ -136,4 +136,20 @@
     CHECK(table.next_chance(query(100)).rested_at == at(5000));
 }
 
+TEST_CASE("what befell calls at a process is not put down to the next one")
+{
+    RunnerTable table = table_of({"r"});
+    ListedRunner again = table.entries().at("r").listed;
+    again.born = 5;
+    again.models = {{"m", 1}};
+    table.put(again, at(10));
+    const RunnerIncarnation before{"r", 0};
+    table.refused(before, at(20), std::chrono::seconds(1));
+    table.failed(before, at(20));
+    table.has_version({"r", 5}, "m", 2);
+    table.lacks_version(before, "m", 2);
+    CHECK(table.choose(query(21)));
+    CHECK(table.entries().at("r").version_of("m") == 2);
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/testing/played_limits.h
+++ b/src/libcrosslink/testing/played_limits.h
@@ -366,7 +366,7 @@
         if (arrives)
             run_call(number, runner, *pick);
         else
-            instance.table.failed(pick->id, m_now);
+            instance.table.failed(pick->incarnation(), m_now);
     }
 
     void run_call(std::size_t number, std::size_t runner,
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -129,7 +129,7 @@
     m_state.runners.with([&](RunnerTable& table) {
         table.others_told(answer.others, asked - answer.load_age - pause());
         for (const std::string& runner : answer.loading)
-            table.refused(runner, now, loading_hold);
+            table.loads(runner, now, loading_hold);
     });
     m_state.kept.with(
         [&](KeptReplica& replica) { replica.take(answer.kept, asked); });
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -300,25 +300,24 @@
     const TimePoint now = monotonic_now();
     const bool loading = m_call.generation &&
                          m_choice.newest_weights() > m_choice.pick().version;
+    const RunnerIncarnation runner = m_choice.pick().incarnation();
     m_state.runners.with([&](RunnerTable& table) {
         switch (outcome) {
         case Outcome::Done:
-            table.succeeded(m_choice.pick().id);
+            table.succeeded(runner);
             break;
         case Outcome::NotRun:
-            table.refused(m_choice.pick().id, now,
-                          loading ? loading_hold : refusal_hold);
+            table.refused(runner, now, loading ? loading_hold : refusal_hold);
             break;
         case Outcome::Misdirected:
-            table.refused(m_choice.pick().id, now, refusal_hold);
+            table.refused(runner, now, refusal_hold);
             if (m_call.generation)
-                table.lacks_version(m_choice.pick().id,
-                                    m_call.generation->model,
+                table.lacks_version(runner, m_call.generation->model,
                                     m_choice.pick().version);
             break;
         case Outcome::NotSent:
         case Outcome::Broken:
-            table.failed(m_choice.pick().id, now);
+            table.failed(runner, now);
             break;
         case Outcome::CallerGone:
         case Outcome::TimedOut:
