Instances tell each other which runners said that they leave

A runner tells each instance by itself, in answers to calls that it will soon have no time for; the platform may be away and tell the others nothing. Rests are not told: they are of the instance that was asked. Cost: nothing where no runner leaves, 20 bytes for each that does.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -136,6 +136,9 @@
     /// Takes in that a process says that it leaves. Returns whether that was
     /// not known. It may be one that is not listed now.
     bool says_leaving(const RunnerIncarnation& runner, TimePoint now);
+    /// Returns what to tell other instances of such processes: of those that
+    /// the platform does not call leaving yet.
+    std::vector<LeavingNews> leaving_news() const;
     /// Takes in that a process wants nothing from this instance before `until`.
     /// Returns whether that is later than it said before: what it asked for
     /// earlier stands.
--- a/src/include/crosslink/forward/runner_words.h
+++ b/src/include/crosslink/forward/runner_words.h
@@ -7,6 +7,7 @@
 #include <crosslink/forward/named_limit.h>
 
 #include <cstdint>
+#include <string>
 
 namespace crosslink
 {
@@ -30,6 +31,13 @@
     }
 };
 
+/// A process of which an instance tells another that it leaves, by its own
+/// word.
+struct LeavingNews {
+    std::string runner;
+    std::uint64_t born = 0; ///< Its incarnation.
+};
+
 /// Returns when the `rest` is over that a runner asked for at `now`: not
 /// sooner, and at most an eighth of it, or a second, later, by `random` bits. A
 /// runner that asked many instances does not get calls of all of them at once.
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -360,6 +360,16 @@
     return !std::exchange(words->leaving, true);
 }
 
+std::vector<LeavingNews>
+RunnerTable::leaving_news() const
+{
+    std::vector<LeavingNews> news;
+    for (const auto& [id, entry] : m_entries)
+        if (entry.words.leaving && !entry.listed.leaving)
+            news.push_back({id, entry.listed.born});
+    return news;
+}
+
 bool
 RunnerTable::asks_for_rest(const RunnerIncarnation& runner, TimePoint until,
                            TimePoint now)
--- a/src/serve/fleet/exchange.h
+++ b/src/serve/fleet/exchange.h
@@ -44,6 +44,7 @@
     std::vector<LostContact> lost;     ///< Runners that may start anew.
     CrashNews crashes;                 ///< Learned lately.
     std::vector<LimitNews> limits;     ///< That runners named.
+    std::vector<LeavingNews> leaving;  ///< Runners, by their own word.
     std::vector<FetchSamples> fetches; ///< Seen since the last question.
     /// Up to where it knows the platform's store; nothing before all of it.
     std::optional<std::uint64_t> news_place;
@@ -80,6 +81,7 @@
     std::vector<LostContact> lost;      ///< Runners that may start anew.
     CrashNews crashes;                  ///< Learned lately.
     std::vector<LimitNews> limits;      ///< That runners named.
+    std::vector<LeavingNews> leaving;   ///< Runners, by their own word.
     std::vector<FetchLateness> fetches; ///< How late they are.
     KeptUpdate kept;
     std::vector<WeightsAge> weights; ///< As the first instance heard of them.
--- a/src/serve/fleet/exchange_desk.cpp
+++ b/src/serve/fleet/exchange_desk.cpp
@@ -23,6 +23,7 @@
     m_state.heard_of(question.lost, now);
     m_state.heard_of(question.crashes, now);
     m_state.heard_of(question.limits);
+    m_state.heard_of(question.leaving);
     const auto fetches = m_state.fetches.with([&](FetchWatch& watch) {
         for (const FetchSamples& samples : question.fetches)
             watch.seen_by_others(samples, now);
@@ -33,6 +34,7 @@
     answer.lost = m_state.lost_contacts(now);
     answer.crashes = m_state.crash_news(now);
     answer.limits = m_state.limit_news(now);
+    answer.leaving = m_state.leaving_news();
     answer.fetches = fetches;
     answer.holders = m_news.holders_seen(now);
     answer.news = m_news.since(question.news_place);
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -72,6 +72,7 @@
     question.lost = m_state.lost_contacts(now);
     question.crashes = m_state.crash_news(now);
     question.limits = m_state.limit_news(now);
+    question.leaving = m_state.leaving_news();
     question.fetches = m_state.fetches.with(
         [](FetchWatch& watch) { return watch.take_untold(); });
     question.news_place = m_news.place();
@@ -140,6 +141,7 @@
     m_state.heard_of(answer.lost, asked);
     m_state.heard_of(answer.crashes, asked);
     m_state.heard_of(answer.limits);
+    m_state.heard_of(answer.leaving);
     m_state.fetches.with([&](FetchWatch& watch) {
         for (const FetchLateness& fetch : answer.fetches)
             watch.told(fetch, asked);
--- a/src/serve/fleet/exchange_json.cpp
+++ b/src/serve/fleet/exchange_json.cpp
@@ -239,6 +239,24 @@
             row[2].asUInt64(), row[3].asUInt64()};
 }
 
+/// [RUNNER, BORN].
+Json::Value
+leaving_to_json(const LeavingNews& news)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(news.runner);
+    row.append(Json::UInt64(news.born));
+    return row;
+}
+
+LeavingNews
+leaving_from_json(const Json::Value& row)
+{
+    if (!row.isArray() || row.size() < 2)
+        throw Error(ErrorCode::BadJson, "a leaving runner without its start");
+    return {row[0].asString(), row[1].asUInt64()};
+}
+
 Json::Value
 samples_to_json(const FetchSamples& samples)
 {
@@ -319,6 +337,7 @@
     value["lost"] = json_list(question.lost, lost_to_json);
     value["crashes"] = crashes_to_json(question.crashes);
     value["limits"] = json_list(question.limits, limit_to_json);
+    value["leaving"] = json_list(question.leaving, leaving_to_json);
     value["fetches"] = json_list(question.fetches, samples_to_json);
     if (question.news_place)
         value["news_place"] = Json::UInt64(*question.news_place);
@@ -337,6 +356,7 @@
     question.lost = list_from_json(value["lost"], lost_from_json);
     question.crashes = crashes_from_json(value["crashes"]);
     question.limits = list_from_json(value["limits"], limit_from_json);
+    question.leaving = list_from_json(value["leaving"], leaving_from_json);
     question.fetches = list_from_json(value["fetches"], samples_from_json);
     if (value.isMember("news_place"))
         question.news_place = json_number(value, "news_place");
@@ -353,6 +373,7 @@
     value["lost"] = json_list(answer.lost, lost_to_json);
     value["crashes"] = crashes_to_json(answer.crashes);
     value["limits"] = json_list(answer.limits, limit_to_json);
+    value["leaving"] = json_list(answer.leaving, leaving_to_json);
     value["fetches"] = json_list(answer.fetches, lateness_to_json);
     value["kept"] = update_to_json(answer.kept);
     value["weights"] = json_list(answer.weights, age_to_json);
@@ -375,6 +396,7 @@
     answer.lost = list_from_json(value["lost"], lost_from_json);
     answer.crashes = crashes_from_json(value["crashes"]);
     answer.limits = list_from_json(value["limits"], limit_from_json);
+    answer.leaving = list_from_json(value["leaving"], leaving_from_json);
     answer.fetches = list_from_json(value["fetches"], lateness_from_json);
     answer.kept = update_from_json(value["kept"]);
     answer.weights = list_from_json(value["weights"], age_from_json);
--- a/src/serve/fleet/exchange_json_test.cpp
+++ b/src/serve/fleet/exchange_json_test.cpp
@@ -166,6 +166,25 @@
     CHECK_FALSE(read.news.entries[1].value);
 }
 
+TEST_CASE("an exchange brings runners that said that they leave")
+{
+    ExchangeQuestion question;
+    question.leaving = {{"r1", 7}, {"r2", 0}};
+    const auto asked = exchange_question_from_json(to_json(question)).leaving;
+    REQUIRE(asked.size() == 2);
+    CHECK(asked[0].runner == "r1");
+    CHECK(asked[0].born == 7);
+    ExchangeAnswer answer;
+    answer.leaving = question.leaving;
+    Json::Value value = to_json(answer);
+    CHECK(exchange_answer_from_json(value).leaving.size() == 2);
+    // An instance of an earlier version tells none.
+    value.removeMember("leaving");
+    CHECK(exchange_answer_from_json(value).leaving.empty());
+    value["leaving"].append(Json::Value("r1"));
+    CHECK_THROWS_AS(exchange_answer_from_json(value), Error);
+}
+
 TEST_CASE("news that are cut or of another build are a typed error")
 {
     for (const char* row : {"[]", "[\"a\"]", "[\"a\",\"5\"]", "[5,5]",
--- a/src/serve/forward/answer_intake.cpp
+++ b/src/serve/forward/answer_intake.cpp
@@ -69,7 +69,7 @@
     if (!head.leaving)
         unreadable("leaving", runner);
     else if (*head.leaving && is_of(head, runner))
-        m_state.learned_leaving(runner.incarnation());
+        m_state.learned_leaving(runner.incarnation(), "answer");
 }
 
 void
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -294,7 +294,8 @@
 }
 
 void
-ForwardState::learned_leaving(const RunnerIncarnation& runner)
+ForwardState::learned_leaving(const RunnerIncarnation& runner,
+                              const char* source)
 {
     const bool is_new = runners.with([&](RunnerTable& table) {
         return table.says_leaving(runner, monotonic_now());
@@ -305,7 +306,21 @@
     ++counters.runners_leaving;
     LogLine("runner_leaving")
         .field("runner", runner.id)
-        .field("source", "answer");
+        .field("source", source);
+}
+
+void
+ForwardState::heard_of(const std::vector<LeavingNews>& leaving)
+{
+    for (const LeavingNews& news : leaving)
+        learned_leaving({news.runner, news.born}, "instance");
+}
+
+std::vector<LeavingNews>
+ForwardState::leaving_news()
+{
+    return runners.with(
+        [](const RunnerTable& table) { return table.leaving_news(); });
 }
 
 void
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -182,9 +182,13 @@
     void heard_of(const std::vector<LimitNews>& limits);
     /// Returns what to tell other instances of them.
     std::vector<LimitNews> limit_news(TimePoint now);
-    /// Takes in that a runner says in an answer that it leaves, and logs it
-    /// where that was not known.
-    void learned_leaving(const RunnerIncarnation& runner);
+    /// Takes in that a runner says that it leaves, as `source` told, and logs
+    /// it where that was not known.
+    void learned_leaving(const RunnerIncarnation& runner, const char* source);
+    /// Takes in which runners told other instances that they leave.
+    void heard_of(const std::vector<LeavingNews>& leaving);
+    /// Returns what to tell other instances of them.
+    std::vector<LeavingNews> leaving_news();
     /// Takes in that a runner wants nothing from this instance for `rest`.
     void learned_rest(const RunnerIncarnation& runner, Micros rest);
     /// Takes in that a request is recorded as blocked, or no longer.
