A report of a runner that leaves is heeded: no order, and no calls

Reports to the holder of the duty are answers too, and their header was not read: a runner that said there that it leaves was ordered new weights, and got 2 of 8 calls. It is ordered nothing now, and all instances hear of it.

--- a/src/include/crosslink/ports/runner_orders.h
+++ b/src/include/crosslink/ports/runner_orders.h
@@ -18,6 +18,7 @@
     std::uint64_t born = 0;    ///< Its incarnation; 0 where it is not told.
     bool busy = false;         ///< An order is being carried out.
     std::uint64_t orders = 0;  ///< Orders that it took since its start.
+    bool leaving = false;      ///< It says that it will end.
 };
 
 /// Orders to runners. Calls block and do not throw: what can't be reached is
--- a/src/serve/steward/weights_duty.cpp
+++ b/src/serve/steward/weights_duty.cpp
@@ -140,20 +140,40 @@
         ask(task.order);
 }
 
-void
-WeightsDuty::give(const WeightsOrder& order)
+/// Asks the runner of `order` for its report, and takes in whether it leaves.
+std::optional<RunnerReport>
+WeightsDuty::report_for(const WeightsOrder& order)
 {
     const auto report = m_state.ports.orders.report(order.address, order.model);
-    OrderOutcome outcome = OrderOutcome::Refused;
-    if (report && report->busy) {
-        outcome = OrderOutcome::Busy;
-    } else if (report && report->version >= order.version) {
-        outcome = OrderOutcome::InForce;
-        m_state.learned_weights(incarnation_of(order, *report), order.model,
-                                report->version, "report");
-    } else if (const auto token = m_state.acting_token(); report && token) {
-        outcome = m_state.ports.orders.give(order, *token, report->orders);
+    if (report && report->leaving)
+        m_state.learned_leaving(incarnation_of(order, *report), "report");
+    return report;
+}
+
+/// Gives `order` where the runner's report calls for it.
+OrderOutcome
+WeightsDuty::give_after(const RunnerReport& report, const WeightsOrder& order)
+{
+    if (report.leaving)
+        return OrderOutcome::Refused;
+    if (report.busy)
+        return OrderOutcome::Busy;
+    if (report.version >= order.version) {
+        m_state.learned_weights(incarnation_of(order, report), order.model,
+                                report.version, "report");
+        return OrderOutcome::InForce;
     }
+    const auto token = m_state.acting_token();
+    return token ? m_state.ports.orders.give(order, *token, report.orders)
+                 : OrderOutcome::Refused;
+}
+
+void
+WeightsDuty::give(const WeightsOrder& order)
+{
+    const auto report = report_for(order);
+    const OrderOutcome outcome =
+        report ? give_after(*report, order) : OrderOutcome::Refused;
     LogLine("weights_order")
         .field("runner", order.runner)
         .field("version", order.version)
@@ -166,7 +186,7 @@
 void
 WeightsDuty::ask(const WeightsOrder& order)
 {
-    const auto report = m_state.ports.orders.report(order.address, order.model);
+    const auto report = report_for(order);
     if (!report) {
         m_plan.with([&order](WeightsPlan& plan) { plan.unanswered(order); });
         return;
--- a/src/serve/steward/weights_duty.h
+++ b/src/serve/steward/weights_duty.h
@@ -9,8 +9,10 @@
 #include <serve/forward/forward_state.h>
 #include <serve/guarded.h>
 
+#include <crosslink/ports/runner_orders.h>
 #include <crosslink/weights/weights_plan.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,9 @@
     void hand_in(const WeightsOrder& order);
     void talk(const RunnerTask& task);
     void give(const WeightsOrder& order);
+    std::optional<RunnerReport> report_for(const WeightsOrder& order);
+    OrderOutcome give_after(const RunnerReport& report,
+                            const WeightsOrder& order);
     void ask(const WeightsOrder& order);
 
     ForwardState& m_state;
