The own door keeps the rest that plain services and engines ask for

Each instance keeps what it was asked for (upstream_directory); where all rest, the caller is refused at once and told when one is free. The field is read in one place for both doors (base/retry_after).

--- a/src/adapters/engine_http.cpp
+++ b/src/adapters/engine_http.cpp
@@ -6,6 +6,7 @@
 #include "wire.h"
 
 #include <crosslink/base/error.h>
+#include <crosslink/base/retry_after.h>
 
 namespace crosslink
 {
@@ -19,17 +20,20 @@
 constexpr int unavailable = 503;
 constexpr std::string_view data_prefix = "data: ";
 
-/// Returns the error that an engine's refusal stands for.
+/// Returns the error that an engine's refusal stands for, with the rest that it
+/// asks for.
 Error
-refusal(const std::string& address, int status)
+refusal(const std::string& address, const HttpAnswer& answer)
 {
+    const int status = answer.status;
+    const auto rest = retry_after_time(answer.retry_after.value_or(""));
     const std::string detail = address + " answered " + std::to_string(status);
     if (status == wrong_weights)
         return Error(ErrorCode::WrongWeights, detail,
                      RunState::RefusedBeforeRun);
     if (status < first_server_error || status == unavailable)
         return Error(ErrorCode::UpstreamRefused, detail,
-                     RunState::RefusedBeforeRun);
+                     RunState::RefusedBeforeRun, rest);
     return Error(ErrorCode::UpstreamFailed, detail, RunState::MayHaveRun);
 }
 
@@ -61,7 +65,7 @@
             return !ended;
         });
     if (answer.status != success)
-        throw refusal(m_runs.address(), answer.status);
+        throw refusal(m_runs.address(), answer);
     if (!ended)
         throw Error(ErrorCode::StreamBroken, "the stream ended early",
                     RunState::MayHaveRun);
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -56,7 +56,8 @@
     HttpAnswer answer;
     answer.status = response.getStatus();
     answer.content_type = response.getContentType();
-    answer.has_retry_after = response.has("Retry-After");
+    if (response.has("Retry-After"))
+        answer.retry_after = response.get("Retry-After");
     return answer;
 }
 
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -42,7 +42,7 @@
     int status = 0;
     std::string content_type;
     std::string body;
-    bool has_retry_after = false; ///< It carries a Retry-After header.
+    std::optional<std::string> retry_after; ///< The header of that name.
 };
 
 /// HTTP/1.1 to one address, over kept connections. A failure is an Error with
--- a/src/adapters/plain_http.cpp
+++ b/src/adapters/plain_http.cpp
@@ -3,6 +3,8 @@
 
 #include "plain_http.h"
 
+#include <crosslink/base/retry_after.h>
+
 namespace crosslink
 {
 
@@ -31,8 +33,12 @@
     HttpAnswer answer = m_client.exchange(request, fresh_connection);
     const bool refusal =
         answer.status == too_many_requests || answer.status == unavailable;
-    return {answer.status, std::move(answer.content_type),
-            std::move(answer.body), refusal && answer.has_retry_after};
+    PlainAnswer result{answer.status, std::move(answer.content_type),
+                       std::move(answer.body)};
+    result.refused_before_run = refusal && answer.retry_after;
+    if (result.refused_before_run)
+        result.rest = retry_after_time(*answer.retry_after).value_or(Micros{0});
+    return result;
 }
 
 } // namespace crosslink
--- a/src/build-scripts/mutate.py
+++ b/src/build-scripts/mutate.py
@@ -131,7 +131,7 @@
     ("retry after a timeout", "src/serve/plain_calls.cpp",
      "!last && (not_run || repeatable)", "!last", "matrix"),
     ("take a bare 503 for not run", "src/adapters/plain_http.cpp",
-     "refusal && answer.has_retry_after", "refusal",
+     "refusal && answer.retry_after", "refusal",
      "dispatch.upstream-fails-late"),
     ("tell a lost answer as not run", "src/adapters/http_client.cpp",
      "    state = RunState::MayHaveRun;", "", "dispatch"),
--- a/src/include/crosslink/base/number.h
+++ b/src/include/crosslink/base/number.h
@@ -82,4 +82,14 @@
     return text;
 }
 
+/// Returns `text` without the spaces that it begins and ends with.
+inline std::string_view
+without_outer_spaces(std::string_view text)
+{
+    text = without_leading_spaces(text);
+    while (text.ends_with(' '))
+        text.remove_suffix(1);
+    return text;
+}
+
 } // namespace crosslink
--- a/src/include/crosslink/ports/plain_service.h
+++ b/src/include/crosslink/ports/plain_service.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <crosslink/base/time.h>
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +34,9 @@
     /// The service's own word that it did not run the call: 429 or 503 with
     /// Retry-After (RFC 9110, 10.2.3). A bare 503 says nothing of the kind.
     bool refused_before_run = false;
+    /// The time that it names there: it wants nothing from this instance so
+    /// long. 0 where it names none that can be read.
+    Micros rest{0};
 };
 
 /// One instance of a plain service. Throws Error whose run_state() says what
--- a/src/serve/plain_calls.cpp
+++ b/src/serve/plain_calls.cpp
@@ -6,6 +6,7 @@
 #include <adapters/clock.h>
 #include <adapters/random.h>
 #include <crosslink/base/error.h>
+#include <crosslink/forward/queue_limit.h>
 
 #include <spdlog/spdlog.h>
 
@@ -20,14 +21,6 @@
 
 constexpr Micros come_back = std::chrono::seconds(1);
 
-void
-check_refusal(const PlainAnswer& answer, const std::string& address)
-{
-    if (answer.refused_before_run)
-        throw Error(ErrorCode::UpstreamRefused, address + " refused the call",
-                    RunState::RefusedBeforeRun, come_back);
-}
-
 } // namespace
 
 bool
@@ -54,6 +47,33 @@
     return call;
 }
 
+/// Throws where the service refused the call, and keeps the rest that it asked
+/// for.
+void
+PlainCalls::check_refusal(const PlainAnswer& answer, const std::string& address)
+{
+    if (!answer.refused_before_run)
+        return;
+    m_state.directory.with([&](UpstreamDirectory& directory) {
+        directory.rests(address, monotonic_now() + answer.rest);
+    });
+    throw Error(ErrorCode::UpstreamRefused, address + " refused the call",
+                RunState::RefusedBeforeRun, come_back);
+}
+
+/// Returns when to come back to a service of which no instance takes work.
+Micros
+PlainCalls::time_to_chance(const std::string& service)
+{
+    const TimePoint now = monotonic_now();
+    const auto free = m_state.directory.with([&](UpstreamDirectory& directory) {
+        return directory.plain_free_at(service);
+    });
+    if (!free)
+        return come_back;
+    return spread_return(std::max(least_return, *free - now), random_bits());
+}
+
 PlainAnswer
 PlainCalls::run(const std::string& service, const std::string& account,
                 const PlainCall& call, bool repeatable)
@@ -66,7 +86,7 @@
     if (addresses.empty())
         throw Error(ErrorCode::NoUpstream,
                     "no instance of this service takes work now",
-                    RunState::NotDispatched, come_back);
+                    RunState::NotDispatched, time_to_chance(service));
     m_state.retry_budgets.with(
         [&](RetryBudgets& budgets) { budgets[account].first_try(); });
     bool may_have_run = false;
--- a/src/serve/plain_calls.h
+++ b/src/serve/plain_calls.h
@@ -27,6 +27,9 @@
                     const PlainCall& call, bool repeatable);
 
 private:
+    void check_refusal(const PlainAnswer& answer, const std::string& address);
+    Micros time_to_chance(const std::string& service);
+
     InstanceState& m_state;
 };
 
--- a/src/serve/upstream_directory.cpp
+++ b/src/serve/upstream_directory.cpp
@@ -72,7 +72,7 @@
     if (instance.leaving)
         return false;
     const auto found = m_troubles.find(instance.address);
-    return found == m_troubles.end() || now >= found->second.out_until;
+    return found == m_troubles.end() || now >= found->second.free_at();
 }
 
 std::vector<std::string>
@@ -121,8 +121,36 @@
 UpstreamDirectory::succeeded(std::string_view address)
 {
     const auto found = m_troubles.find(address);
-    if (found != m_troubles.end())
-        m_troubles.erase(found);
+    if (found == m_troubles.end())
+        return;
+    // The answer may be to a call from before the rest.
+    const TimePoint rest_until = found->second.rest_until;
+    found->second = {};
+    found->second.rest_until = rest_until;
+}
+
+void
+UpstreamDirectory::rests(std::string_view address, TimePoint until)
+{
+    Trouble& trouble = m_troubles[std::string(address)];
+    trouble.rest_until = std::max(trouble.rest_until, until);
+}
+
+std::optional<TimePoint>
+UpstreamDirectory::plain_free_at(std::string_view service) const
+{
+    std::optional<TimePoint> earliest;
+    for (const ListedInstance& instance : m_listed) {
+        const bool fits = instance.kind == ListedKind::Plain &&
+                          instance.service == service && !instance.leaving;
+        if (!fits)
+            continue;
+        const auto found = m_troubles.find(instance.address);
+        const TimePoint free =
+            found == m_troubles.end() ? TimePoint{} : found->second.free_at();
+        earliest = std::min(earliest.value_or(free), free);
+    }
+    return earliest;
 }
 
 } // namespace crosslink
--- a/src/serve/upstream_directory.h
+++ b/src/serve/upstream_directory.h
@@ -7,6 +7,7 @@
 #include <crosslink/ports/peer.h>
 #include <crosslink/ports/platform.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -43,6 +44,12 @@
                                        TimePoint now) const;
     void failed(std::string_view address, TimePoint now);
     void succeeded(std::string_view address);
+    /// Takes note that an upstream wants nothing from this instance before
+    /// `until`. What it asked for earlier stands.
+    void rests(std::string_view address, TimePoint until);
+    /// Returns when an instance of a plain service takes work again, as far as
+    /// is known; nothing where none is listed that stays.
+    std::optional<TimePoint> plain_free_at(std::string_view service) const;
 
     const std::vector<ListedInstance>& listed() const { return m_listed; }
 
@@ -50,6 +57,9 @@
     struct Trouble {
         std::uint32_t failures = 0;
         TimePoint out_until{};
+        TimePoint rest_until{};
+
+        TimePoint free_at() const { return std::max(out_until, rest_until); }
     };
 
     bool usable(const ListedInstance& instance, TimePoint now) const;
--- /dev/null
+++ b/src/serve/upstream_directory_test.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "upstream_directory.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+namespace crosslink
+{
+
+namespace
+{
+
+TimePoint
+at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+/// The plain services "a" and "b" at addresses of the same names.
+UpstreamDirectory
+directory()
+{
+    std::vector<ListedInstance> listed(2);
+    for (std::size_t i = 0; i < listed.size(); ++i) {
+        listed[i].address = i == 0 ? "a" : "b";
+        listed[i].zone = "z";
+        listed[i].service = "s";
+    }
+    UpstreamDirectory directory;
+    directory.sync(listed, at(0));
+    return directory;
+}
+
+std::vector<std::string>
+usable(const UpstreamDirectory& directory, int millis)
+{
+    return directory.plain_for("s", "z", 0, at(millis));
+}
+
+} // namespace
+
+TEST_CASE("an upstream gets nothing in the rest that it asked for")
+{
+    UpstreamDirectory table = directory();
+    table.rests("a", at(3000));
+    table.rests("a", at(1000));
+    table.failed("a", at(10));
+    CHECK(usable(table, 2999) == std::vector<std::string>{"b"});
+    // A call from before the rest ends well.
+    table.succeeded("a");
+    CHECK(usable(table, 2999) == std::vector<std::string>{"b"});
+    CHECK(usable(table, 3000).size() == 2);
+    // The list is read anew meanwhile.
+    table.sync(std::vector<ListedInstance>(table.listed()), at(20));
+    CHECK(usable(table, 2999).size() == 1);
+}
+
+TEST_CASE("where all upstreams rest, it is known when one takes work again")
+{
+    UpstreamDirectory table = directory();
+    CHECK(table.plain_free_at("s") == TimePoint{});
+    table.rests("a", at(3000));
+    table.rests("b", at(2000));
+    CHECK(usable(table, 1999).empty());
+    CHECK(table.plain_free_at("s") == at(2000));
+    CHECK_FALSE(table.plain_free_at("t"));
+}
+
+} // namespace crosslink
--- a/src/standins/standin_server.cpp
+++ b/src/standins/standin_server.cpp
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -32,6 +33,14 @@
     return body;
 }
 
+/// Returns the Retry-After of a refusal: seconds, as many as the fault orders.
+std::string
+retry_after(const Fault& fault)
+{
+    constexpr std::uint32_t millis_per_second = 1000;
+    return std::to_string(std::max(fault.ms / millis_per_second, 1U));
+}
+
 /// Sends the head of a longer answer and half of it, then cuts.
 void
 send_half(Poco::Net::HTTPServerRequest& request,
@@ -141,7 +150,7 @@
         m_faults.wait_for_clear();
         return false;
     case FaultKind::Refuse:
-        answer.set("Retry-After", "1");
+        answer.set("Retry-After", retry_after(fault));
         send_json(answer, unavailable, error_body("refused by order"));
         return true;
     case FaultKind::DropRequest:
--- a/testsuite/fault-matrix/cells.py
+++ b/testsuite/fault-matrix/cells.py
@@ -17,6 +17,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
@@ -33,7 +34,7 @@
           "engine-ends-each-time",
           "engine-refuses", "engine-frozen", "engine-swapped", "upstream-drops-request",
           "upstream-answer-lost", "upstream-answer-cut", "upstream-fails-late",
-          "upstream-gone",
+          "upstream-gone", "upstream-rests",
           "store-dead", "store-full", "store-slow", "block-freed",
           "block-reused", "late-writer", "events-lost", "caller-gone",
           "operators-race"]
@@ -498,6 +499,17 @@
         assert s.book_until_settled(key).status == 200
 
 
+@cell("dispatch", "upstream-rests")
+@scene(plains=2, entries=1)
+def dispatch_upstream_rests(s):
+    """One refuses once and asks for a minute: the other one gets the calls."""
+    s.plains[0].fault("/bookings", "refuse", ms=60_000, count=1)
+    for _ in range(30):
+        assert s.book_until_settled(f.uuid7()).status == 200
+        time.sleep(0.1)
+    assert s.plains[0].stats()["total"] <= 1, s.plains[0].stats()
+
+
 @cell("dispatch", "upstream-drops-request")
 @scene(plains=2)
 def dispatch_request_dropped(s):
