Runners that may be ending come after others, but for calls that may end them

Cause: a runner whose connection broke is held for 0.5 s at the instance that saw it, and has no calls then, so that it looks the cheapest again, and does to the others all the time; each call that may run once fails there.

Now a runner that took no connection, or broke one off, costs 400 ms more for 2 s at all instances (they tell each other of lost contacts already); it is chosen where nothing better is.

New case, red before.

--- a/src/include/crosslink/forward/runner_price.h
+++ b/src/include/crosslink/forward/runner_price.h
@@ -24,6 +24,9 @@
 /// A zone one of whose runners says nothing: a call that is sent there waits
 /// 400 ms for a connection, or seconds for an answer.
 inline constexpr double silent_zone_ms = 400;
+/// A runner that took no connection, or broke one off, a moment ago: what is
+/// sent there may be broken off too, and can't always be sent again.
+inline constexpr double lost_contact_ms = 400;
 
 /// So many instances may see the same runner as the best one at a time.
 inline constexpr std::size_t most_choosers = 4;
@@ -53,7 +56,8 @@
                      const FleetLoad& fleet);
 
 /// Returns the price of a runner by its load, its weights and its zone. The
-/// table applies affinity_ms and silent_zone_ms, which depend on more.
+/// table applies affinity_ms, silent_zone_ms and lost_contact_ms, which depend
+/// on more.
 double price_ms(const RunnerEntry& entry, const RunnerQuery& query,
                 const FleetLoad& fleet);
 
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -56,6 +56,9 @@
     WarmUpTerms warm_up;
     /// The call's account had more than its part of what limited runners take.
     bool account_ahead = false;
+    /// Runners that may be ending come after the others. Not where the call
+    /// itself may end them: sparing it such runners would cost sound ones.
+    bool spares_ending = true;
     std::size_t instances = 1; ///< Of the fleet.
     std::uint64_t random = 0;  ///< Random bits.
     TimePoint now{};
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -28,6 +28,9 @@
 /// its new start up to 1.2 s late; beyond its time to warm up.
 constexpr Micros restart_time = std::chrono::milliseconds(1500);
 
+/// A process that ends in steps is seldom longer about it.
+constexpr Micros ending_time = std::chrono::seconds(2);
+
 /// A call that waited for its time may be as much too early: the one before it
 /// was sent as much too late.
 constexpr Micros booked_early = std::chrono::milliseconds(20);
@@ -166,6 +169,14 @@
     return rendezvous_weight(turn, query.instance) / (1U << turns) < part;
 }
 
+/// Returns whether a runner may be ending: one that ends in steps takes
+/// connections, and breaks them, until its port closes.
+bool
+lost_contact_lately(const RunnerEntry& entry, TimePoint now)
+{
+    return entry.contact_lost_at && now < *entry.contact_lost_at + ending_time;
+}
+
 /// Returns whether a runner with a limit has said nothing for so long that the
 /// next call goes there, whatever it costs: else who finds it dear would not
 /// hear of the limit's end.
@@ -295,6 +306,8 @@
             price -= affinity_ms;
         if (is_silent(entry->listed.zone, query.now))
             price += silent_zone_ms;
+        if (query.spares_ending && lost_contact_lately(*entry, query.now))
+            price += lost_contact_ms;
         if (!best || price < best_price) {
             best = entry;
             best_price = price;
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -368,6 +368,26 @@
     CHECK(table.entries().size() == 1);
 }
 
+TEST_CASE("a runner that broke a connection off comes after others for a while")
+{
+    RunnerTable table;
+    table.put(runner("broke", "a"), at(0));
+    table.put(runner("busy", "a"), at(0));
+    table.sent({"busy"}, 2000, 0, at(0));
+    CHECK(chosen(table, query(1)) == "broke");
+    table.contact_lost("broke", at(1));
+    CHECK(chosen(table, query(2)) == "busy");
+    CHECK(chosen(table, query(1999)) == "busy");
+    CHECK(chosen(table, query(2001)) == "broke");
+    RunnerQuery suspect = query(2);
+    suspect.spares_ending = false;
+    CHECK(chosen(table, suspect) == "broke");
+    // Alone it is as good as before.
+    table.contact_lost("broke", at(2001));
+    table.remove("busy");
+    CHECK(chosen(table, query(2002)) == "broke");
+}
+
 TEST_CASE("a runner that starts anew under its id is a new one")
 {
     RunnerTable table;
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -101,7 +101,10 @@
 bool
 ForwardRun::find_runner()
 {
-    return !m_crashes.blocked() && (m_choice.choose() || wait_for_runner());
+    if (m_crashes.blocked())
+        return false;
+    m_choice.spare_ending(!m_crashes.failed_before());
+    return m_choice.choose() || wait_for_runner();
 }
 
 /// Refuses a call that was sent nowhere yet and would wait for too long.
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -169,6 +169,7 @@
     query.model = model;
     query.newest_version = m_newest;
     query.avoid = &m_avoid;
+    query.spares_ending = m_spares_ending;
     query.instance = m_state.settings.name;
     query.instances = m_state.instance_count();
     if (m_zones_allowed)
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -46,6 +46,8 @@
     /// Takes note that the call is sent to the chosen runner at `now`; see
     /// RunnerTable::sent().
     void sent(std::uint64_t tokens, std::uint64_t resident, TimePoint now);
+    /// See RunnerQuery::spares_ending.
+    void spare_ending(bool spares) { m_spares_ending = spares; }
     /// Lets the last runner not be chosen again.
     void pass_over_last() { m_avoid.insert(m_pick.id); }
     /// Lets all runners be chosen again.
@@ -92,7 +94,8 @@
     bool m_reserved = false; ///< The call is about to be sent to m_pick.
     /// Where a place is kept for the call while it waits.
     std::optional<NextChance> m_kept_place;
-    bool m_account_ahead = false;  ///< At the last choice.
+    bool m_account_ahead = false; ///< At the last choice.
+    bool m_spares_ending = true;
     std::set<std::string> m_avoid; ///< Runners that are not chosen.
     std::uint64_t m_newest = 0;    ///< Weights named at the last choice.
 };
--- a/src/serve/request_crashes.cpp
+++ b/src/serve/request_crashes.cpp
@@ -44,13 +44,14 @@
 
 /// A break without a verdict counts too: the next copy may be sent, and end the
 /// next runner, long before one comes.
-void
-RequestCrashes::sent()
+bool
+RequestCrashes::failed_before()
 {
-    m_again = is_suspect() && m_history.with([this](const auto& history) {
-        return history.ends(digest()) > 0;
-    });
-    m_again = m_again || m_breaks.with([this](const OpenBreaks& breaks) {
+    const bool ended =
+        is_suspect() && m_history.with([this](const auto& history) {
+            return history.ends(digest()) > 0;
+        });
+    return ended || m_breaks.with([this](const OpenBreaks& breaks) {
         return !breaks.empty() && breaks.has(digest(), monotonic_now());
     });
 }
--- a/src/serve/request_crashes.h
+++ b/src/serve/request_crashes.h
@@ -30,8 +30,11 @@
 
     /// Returns whether the request is to be sent nowhere.
     bool blocked();
+    /// Returns whether an upstream ended under it, or broke it off a moment
+    /// ago.
+    bool failed_before();
     /// Takes note that it is sent to an upstream.
-    void sent();
+    void sent() { m_again = failed_before(); }
     /// Takes note that an upstream answered it whole.
     void answered();
     /// Takes note that `upstream`, to which it was sent last, broke it off, or
