--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -41,6 +41,7 @@
 HEARTBEAT_SECONDS = 0.4
 CALM_SECONDS = 4.0    # until all instances can have heard of all that was
 LONGEST_LIMIT = 4.0   # seconds for which a runner is in need
+LEAVING_PART = 0.3    # of the words of runners: the others ask for rest
 LIMIT = 0.5           # calls a second, in the check at the end
 TOKENS = 12
 NOT_RUN = (408, 421, 429, 503)
@@ -213,6 +214,22 @@
         runner.limit = None
 
 
+def ask_for_rest(scene, rng, end):
+    """Runners turn calls away and want rest; others say that they leave, and
+    end."""
+    while time.monotonic() < end:
+        runner = rng.choice(scene.runners())
+        if rng.random() < LEAVING_PART:
+            runner.says_leaving = True
+            time.sleep(rng.uniform(0.2, LONGEST_FAULT))
+            runner.end()
+            runner.says_leaving = False
+        else:
+            runner.rest = rng.choice(["0.3", "1.5", "soon"])
+            time.sleep(rng.uniform(0.2, LONGEST_FAULT))
+            runner.rest = None
+
+
 def list_weights(scene, end):
     """Lets runners tell the platform which weights they have, as the wire's
     runners do with each heartbeat. Instances that start later know them from
@@ -389,6 +406,9 @@
         needs = random.Random("limits %d" % seed)
         threads.append(threading.Thread(target=name_limits,
                                         args=(scene, needs, end)))
+        words = random.Random("words %d" % seed)
+        threads.append(threading.Thread(target=ask_for_rest,
+                                        args=(scene, words, end)))
         for thread in threads:
             thread.start()
         for thread in threads:
