--- a/src/adapters/engine_http.cpp
+++ b/src/adapters/engine_http.cpp
@@ -20,20 +20,20 @@
 constexpr int unavailable = 503;
 constexpr std::string_view data_prefix = "data: ";
 
-/// Returns the error that an engine's refusal stands for, with the rest that it
-/// asks for.
+/// Returns the error that an engine's refusal stands for, with the backoff that
+/// it asks for.
 Error
 refusal(const std::string& address, const HttpAnswer& answer)
 {
     const int status = answer.status;
-    const auto rest = retry_after_time(answer.retry_after.value_or(""));
+    const auto backoff = retry_after_time(answer.retry_after.value_or(""));
     const std::string detail = address + " answered " + std::to_string(status);
     if (status == wrong_weights)
         return Error(ErrorCode::WrongWeights, detail,
                      RunState::RefusedBeforeRun);
     if (status < first_server_error || status == unavailable)
         return Error(ErrorCode::UpstreamRefused, detail,
-                     RunState::RefusedBeforeRun, rest);
+                     RunState::RefusedBeforeRun, backoff);
     return Error(ErrorCode::UpstreamFailed, detail, RunState::MayHaveRun);
 }
 
--- a/src/adapters/plain_http.cpp
+++ b/src/adapters/plain_http.cpp
@@ -37,7 +37,8 @@
                        std::move(answer.body)};
     result.refused_before_run = refusal && answer.retry_after;
     if (result.refused_before_run)
-        result.rest = retry_after_time(*answer.retry_after).value_or(Micros{0});
+        result.backoff =
+            retry_after_time(*answer.retry_after).value_or(Micros{0});
     return result;
 }
 
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -71,17 +71,18 @@
     std::string runner; ///< That takes it then; empty for none.
     std::uint64_t born = 0;
     bool limited = false; ///< One would, but for the limit that it named.
-    /// When one takes calls that wants rest until then; nothing where none
-    /// does. No call waits for it: all that came meanwhile would come at once.
-    std::optional<TimePoint> rested_at;
+    /// When one takes calls that asked for a backoff until then; nothing where
+    /// none does. No call waits for it: all that came meanwhile would come at
+    /// once.
+    std::optional<TimePoint> backoff_ends_at;
 
     RunnerIncarnation incarnation() const { return {runner, born}; }
     /// Returns the first time at which any runner takes a call.
     std::optional<TimePoint> earliest() const
     {
-        if (!at || !rested_at)
-            return at ? at : rested_at;
-        return std::min(*at, *rested_at);
+        if (!at || !backoff_ends_at)
+            return at ? at : backoff_ends_at;
+        return std::min(*at, *backoff_ends_at);
     }
 };
 
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -142,8 +142,8 @@
     /// Takes in that a process wants nothing from this instance before `until`.
     /// Returns whether that is later than it said before: what it asked for
     /// earlier stands.
-    bool asks_for_rest(const RunnerIncarnation& runner, TimePoint until,
-                       TimePoint now);
+    bool asks_for_backoff(const RunnerIncarnation& runner, TimePoint until,
+                          TimePoint now);
 
     /// Returns the load that this instance gives to each runner.
     std::map<std::string, RunnerLoad> own_load() const;
--- a/src/include/crosslink/forward/runner_words.h
+++ b/src/include/crosslink/forward/runner_words.h
@@ -20,14 +20,14 @@
 struct RunnerWords {
     bool leaving = false; ///< It will end: nothing new is sent to it.
     /// It wants nothing from this instance before.
-    TimePoint rest_until{};
+    TimePoint backoff_until{};
     NamedLimit limit;     ///< What it takes from all instances together.
     TimePoint heard_at{}; ///< When it last said any of it.
 
     /// Returns whether it has said nothing that is of use later.
     bool empty() const
     {
-        return !leaving && rest_until == TimePoint{} && limit.change() == 0;
+        return !leaving && backoff_until == TimePoint{} && limit.change() == 0;
     }
 };
 
@@ -38,9 +38,9 @@
     std::uint64_t born = 0; ///< Its incarnation.
 };
 
-/// Returns when the `rest` is over that a runner asked for at `now`: not
+/// Returns when the `backoff` is over that a runner asked for at `now`: not
 /// sooner, and at most an eighth of it, or a second, later, by `random` bits. A
 /// runner that asked many instances does not get calls of all of them at once.
-TimePoint rest_end(Micros rest, TimePoint now, std::uint64_t random);
+TimePoint backoff_end(Micros backoff, TimePoint now, std::uint64_t random);
 
 } // namespace crosslink
--- a/src/include/crosslink/ports/call_wire.h
+++ b/src/include/crosslink/ports/call_wire.h
@@ -66,7 +66,7 @@
     /// In this time the runner, which turned the call away, wants nothing from
     /// this instance; 0 where it does not say so; nothing where what it says
     /// can't be read.
-    std::optional<Micros> rest = Micros{0};
+    std::optional<Micros> backoff = Micros{0};
     std::string runner; ///< That answers, by its own word; empty: not told.
     bool event_stream = false;
     bool encoded = false; ///< The body is not as the runner made it.
--- a/src/include/crosslink/ports/plain_service.h
+++ b/src/include/crosslink/ports/plain_service.h
@@ -36,7 +36,7 @@
     bool refused_before_run = false;
     /// The time that it names there: it wants nothing from this instance so
     /// long. 0 where it names none that can be read.
-    Micros rest{0};
+    Micros backoff{0};
 };
 
 /// One instance of a plain service. Throws Error whose run_state() says what
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -231,7 +231,7 @@
 
 /// Returns when a runner takes a call of this instance, beside those that are
 /// reserved there: it is held back after a refusal or a failure, and for the
-/// rest that it asked for, and where it bears only so much, a few instances
+/// backoff that it asked for, and where it bears only so much, a few instances
 /// send to it, each a part of that.
 TimePoint
 RunnerTable::free_at(const RunnerEntry& entry, const RunnerQuery& query) const
@@ -243,7 +243,7 @@
 RunnerTable::free_at(const RunnerEntry& entry, const RunnerQuery& query,
                      std::size_t reserved) const
 {
-    return std::max({entry.held_until, entry.words.rest_until,
+    return std::max({entry.held_until, entry.words.backoff_until,
                      warm_up_free_at(entry, query, reserved),
                      limit_free_at(entry, query, reserved)});
 }
@@ -345,7 +345,7 @@
     const RunnerEntry* entry = find(booked);
     const bool is_its_turn =
         entry && may_take_work(*entry, query) &&
-        entry->words.rest_until <= query.now &&
+        entry->words.backoff_until <= query.now &&
         free_at(*entry, query, 0) <= query.now + booked_early;
     if (!is_its_turn)
         return std::nullopt;
@@ -377,8 +377,9 @@
         const TimePoint free = free_at(entry, query);
         if (free == never)
             continue;
-        if (entry.words.rest_until > query.now) {
-            chance.rested_at = std::min(chance.rested_at.value_or(free), free);
+        if (entry.words.backoff_until > query.now) {
+            chance.backoff_ends_at =
+                std::min(chance.backoff_ends_at.value_or(free), free);
             continue;
         }
         if (chance.at && *chance.at <= free)
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -371,16 +371,16 @@
 }
 
 bool
-RunnerTable::asks_for_rest(const RunnerIncarnation& runner, TimePoint until,
-                           TimePoint now)
+RunnerTable::asks_for_backoff(const RunnerIncarnation& runner, TimePoint until,
+                              TimePoint now)
 {
     RunnerWords* words = words_of(runner);
     if (!words)
         return false;
     words->heard_at = now;
-    if (until <= words->rest_until)
+    if (until <= words->backoff_until)
         return false;
-    words->rest_until = until;
+    words->backoff_until = until;
     return true;
 }
 
--- a/src/libcrosslink/forward/runner_words.cpp
+++ b/src/libcrosslink/forward/runner_words.cpp
@@ -11,19 +11,19 @@
 namespace
 {
 
-/// The most by which a rest is longer than what was asked for, as a part of it
-/// and as a time.
+/// The most by which a backoff is longer than what was asked for, as a part of
+/// it and as a time.
 constexpr int part_longer = 8;
 constexpr Micros most_longer = std::chrono::seconds(1);
 
 } // namespace
 
 TimePoint
-rest_end(Micros rest, TimePoint now, std::uint64_t random)
+backoff_end(Micros backoff, TimePoint now, std::uint64_t random)
 {
     constexpr std::uint64_t steps = 1000;
-    const Micros longest = std::min(rest / part_longer, most_longer);
-    return now + rest + longest * (random % steps) / steps;
+    const Micros longest = std::min(backoff / part_longer, most_longer);
+    return now + backoff + longest * (random % steps) / steps;
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_words_play_test.cpp
+++ b/src/libcrosslink/forward/runner_words_play_test.cpp
@@ -31,7 +31,7 @@
     std::uint64_t born = 1;
     bool listed = true;
     bool leaving = false;
-    TimePoint rest_until{};
+    TimePoint backoff_until{};
     /// Nothing but its words keeps calls from it.
     bool is_sound = true;
 };
@@ -140,13 +140,13 @@
         case 9: {
             const TimePoint until =
                 m_now + std::chrono::milliseconds(draw(900));
-            m_table.asks_for_rest(now, until, m_now);
-            process.rest_until = std::max(process.rest_until, until);
+            m_table.asks_for_backoff(now, until, m_now);
+            process.backoff_until = std::max(process.backoff_until, until);
             break;
         }
         case 10:
-            m_table.asks_for_rest({id, process.born - 1},
-                                  m_now + std::chrono::hours(1), m_now);
+            m_table.asks_for_backoff({id, process.born - 1},
+                                     m_now + std::chrono::hours(1), m_now);
             break;
         case 11:
             m_table.limit_answered(now, 0.2, 0, m_now);
@@ -178,7 +178,7 @@
     {
         const Process& process = m_processes.at(id);
         return process.listed && !process.leaving &&
-               process.rest_until <= m_now;
+               process.backoff_until <= m_now;
     }
     bool any_sound() const
     {
--- a/src/libcrosslink/forward/unlisted_words.cpp
+++ b/src/libcrosslink/forward/unlisted_words.cpp
@@ -54,7 +54,7 @@
 {
     std::erase_if(m_kept, [now](const auto& item) {
         const RunnerWords& words = item.second.words;
-        return now >= std::max(words.heard_at + kept_for, words.rest_until);
+        return now >= std::max(words.heard_at + kept_for, words.backoff_until);
     });
 }
 
--- a/src/libcrosslink/forward/unlisted_words_test.cpp
+++ b/src/libcrosslink/forward/unlisted_words_test.cpp
@@ -55,19 +55,19 @@
     CHECK(unlisted.take({"r", 3}).heard_at == at(2));
 }
 
-TEST_CASE("words of a process that stays unlisted are forgotten, not in a rest")
+TEST_CASE("words of an unlisted process are forgotten, but in its backoff")
 {
     UnlistedWords unlisted;
     unlisted.keep({"r"}, leaving_since(1));
-    RunnerWords resting;
-    resting.heard_at = at(1);
-    resting.rest_until = at(3600);
-    unlisted.keep({"s"}, resting);
+    RunnerWords backing_off;
+    backing_off.heard_at = at(1);
+    backing_off.backoff_until = at(3600);
+    unlisted.keep({"s"}, backing_off);
     unlisted.expire(at(600));
     CHECK(unlisted.find({"r"})->leaving);
     unlisted.expire(at(601));
     CHECK(unlisted.take({"r"}).empty());
-    CHECK(unlisted.find({"s"})->rest_until == at(3600));
+    CHECK(unlisted.find({"s"})->backoff_until == at(3600));
     unlisted.expire(at(3600));
     CHECK(unlisted.take({"s"}).empty());
 }
--- a/src/serve/completion_run.cpp
+++ b/src/serve/completion_run.cpp
@@ -355,13 +355,13 @@
                  error_name(failure.code()), failure.what());
     m_state.routing.with([&](Routing& routing) {
         // A refusal counts as the engine's word that it leaves or swaps: it
-        // gets nothing more until its next reports can tell, nor in the rest
+        // gets nothing more until its next reports can tell, nor in the backoff
         // that it asked for.
-        const Micros rest = failure.retry_after().value_or(leaving_mark);
+        const Micros backoff = failure.retry_after().value_or(leaving_mark);
         if (failure.code() == ErrorCode::UpstreamRefused ||
             failure.code() == ErrorCode::WrongWeights)
             routing.engines.mark_leaving(address,
-                                         now + std::max(leaving_mark, rest));
+                                         now + std::max(leaving_mark, backoff));
         else
             routing.engines.failed(address, now);
     });
--- a/src/serve/forward/answer_intake.cpp
+++ b/src/serve/forward/answer_intake.cpp
@@ -34,7 +34,7 @@
 {
     take_limit(head, runner);
     take_leaving(head, runner);
-    take_rest(head, runner);
+    take_backoff(head, runner);
     take_weights(head, runner);
 }
 
@@ -42,7 +42,7 @@
 AnswerIntake::take_surplus(const AnswerHead& head, const RunnerPick& runner)
 {
     take_leaving(head, runner);
-    take_rest(head, runner);
+    take_backoff(head, runner);
 }
 
 /// That a runner names no limit counts only where it ran the call: others may
@@ -73,12 +73,12 @@
 }
 
 void
-AnswerIntake::take_rest(const AnswerHead& head, const RunnerPick& runner)
+AnswerIntake::take_backoff(const AnswerHead& head, const RunnerPick& runner)
 {
-    if (!head.rest)
-        unreadable("rest", runner);
-    else if (head.rest->count() > 0 && is_of(head, runner))
-        m_state.learned_rest(runner.incarnation(), *head.rest);
+    if (!head.backoff)
+        unreadable("backoff", runner);
+    else if (head.backoff->count() > 0 && is_of(head, runner))
+        m_state.learned_backoff(runner.incarnation(), *head.backoff);
 }
 
 void
--- a/src/serve/forward/answer_intake.h
+++ b/src/serve/forward/answer_intake.h
@@ -30,7 +30,7 @@
 private:
     void take_limit(const AnswerHead& head, const RunnerPick& runner);
     void take_leaving(const AnswerHead& head, const RunnerPick& runner);
-    void take_rest(const AnswerHead& head, const RunnerPick& runner);
+    void take_backoff(const AnswerHead& head, const RunnerPick& runner);
     void take_weights(const AnswerHead& head, const RunnerPick& runner);
     void unreadable(const char* word, const RunnerPick& runner) const;
 
--- a/src/serve/forward/forward_end.cpp
+++ b/src/serve/forward/forward_end.cpp
@@ -67,9 +67,10 @@
     if (!chance)
         return come_back_unknown;
     const Micros left = std::max(least_return, *chance - monotonic_now());
-    // Callers that are refused in a rest, or for a limit, would all come back
-    // at the same moment.
-    const bool come_together = m_next_chance.rested_at || m_next_chance.limited;
+    // Callers that are refused in a backoff, or for a limit, would all come
+    // back at the same moment.
+    const bool come_together =
+        m_next_chance.backoff_ends_at || m_next_chance.limited;
     return come_together ? spread_return(left, random_bits()) : left;
 }
 
@@ -115,8 +116,8 @@
         if (m_next_chance.limited)
             fail_limited();
         throw Error(ErrorCode::NoUpstream,
-                    m_next_chance.rested_at ? "runners want rest"
-                                            : "no runner takes work",
+                    m_next_chance.backoff_ends_at ? "runners asked to back off"
+                                                  : "no runner takes work",
                     RunState::NotDispatched, time_to_chance());
     }
 }
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -324,14 +324,17 @@
 }
 
 void
-ForwardState::learned_rest(const RunnerIncarnation& runner, Micros rest)
+ForwardState::learned_backoff(const RunnerIncarnation& runner, Micros backoff)
 {
     const TimePoint now = monotonic_now();
-    const TimePoint until = rest_end(rest, now, random_bits());
-    runners.with(
-        [&](RunnerTable& table) { table.asks_for_rest(runner, until, now); });
-    ++counters.runner_rests;
-    LogLine("runner_rests").field("runner", runner.id).span("rest", rest);
+    const TimePoint until = backoff_end(backoff, now, random_bits());
+    runners.with([&](RunnerTable& table) {
+        table.asks_for_backoff(runner, until, now);
+    });
+    ++counters.runner_backoffs;
+    LogLine("runner_backs_off")
+        .field("runner", runner.id)
+        .span("backoff", backoff);
 }
 
 /// Logs and counts a limit that changed.
@@ -473,7 +476,7 @@
     counter("limits_changed_total", limits_changed);
     counter("calls_limited_total", calls_limited);
     counter("runners_leaving_total", runners_leaving);
-    counter("runner_rests_total", runner_rests);
+    counter("runner_backoffs_total", runner_backoffs);
     counter("parts_fetched_total", parts_fetched);
     counter("parts_saved_total", parts_saved);
     counter("parts_read_total", parts_read);
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -96,7 +96,7 @@
     Counter calls_blocked{0};
     Counter limits_changed{0};  ///< Of runners, as heard here.
     Counter runners_leaving{0}; ///< That said so in answers.
-    Counter runner_rests{0};    ///< That runners asked for here.
+    Counter runner_backoffs{0}; ///< That runners asked for here.
     Counter calls_limited{0};   ///< Refused for limits of runners.
     Counter parts_fetched{0};
     Counter parts_saved{0};
@@ -189,8 +189,8 @@
     void heard_of(const std::vector<LeavingNews>& leaving);
     /// Returns what to tell other instances of them.
     std::vector<LeavingNews> leaving_news();
-    /// Takes in that a runner wants nothing from this instance for `rest`.
-    void learned_rest(const RunnerIncarnation& runner, Micros rest);
+    /// Takes in that a runner wants nothing from this instance for `backoff`.
+    void learned_backoff(const RunnerIncarnation& runner, Micros backoff);
     /// Takes in that a request is recorded as blocked, or no longer.
     void recorded_block(const std::string& request, bool is_blocked);
     /// Takes in that a runner has `version` of `model`, as `source` told, and
--- a/src/serve/plain_calls.cpp
+++ b/src/serve/plain_calls.cpp
@@ -47,15 +47,15 @@
     return call;
 }
 
-/// Throws where the service refused the call, and keeps the rest that it asked
-/// for.
+/// Throws where the service refused the call, and keeps the backoff that it
+/// asked for.
 void
 PlainCalls::check_refusal(const PlainAnswer& answer, const std::string& address)
 {
     if (!answer.refused_before_run)
         return;
     m_state.directory.with([&](UpstreamDirectory& directory) {
-        directory.rests(address, monotonic_now() + answer.rest);
+        directory.backs_off(address, monotonic_now() + answer.backoff);
     });
     throw Error(ErrorCode::UpstreamRefused, address + " refused the call",
                 RunState::RefusedBeforeRun, come_back);
--- a/src/serve/upstream_directory.cpp
+++ b/src/serve/upstream_directory.cpp
@@ -123,17 +123,17 @@
     const auto found = m_troubles.find(address);
     if (found == m_troubles.end())
         return;
-    // The answer may be to a call from before the rest.
-    const TimePoint rest_until = found->second.rest_until;
+    // The answer may be to a call from before the backoff.
+    const TimePoint backoff_until = found->second.backoff_until;
     found->second = {};
-    found->second.rest_until = rest_until;
+    found->second.backoff_until = backoff_until;
 }
 
 void
-UpstreamDirectory::rests(std::string_view address, TimePoint until)
+UpstreamDirectory::backs_off(std::string_view address, TimePoint until)
 {
     Trouble& trouble = m_troubles[std::string(address)];
-    trouble.rest_until = std::max(trouble.rest_until, until);
+    trouble.backoff_until = std::max(trouble.backoff_until, until);
 }
 
 std::optional<TimePoint>
--- a/src/serve/upstream_directory.h
+++ b/src/serve/upstream_directory.h
@@ -46,7 +46,7 @@
     void succeeded(std::string_view address);
     /// Takes note that an upstream wants nothing from this instance before
     /// `until`. What it asked for earlier stands.
-    void rests(std::string_view address, TimePoint until);
+    void backs_off(std::string_view address, TimePoint until);
     /// Returns when an instance of a plain service takes work again, as far as
     /// is known; nothing where none is listed that stays.
     std::optional<TimePoint> plain_free_at(std::string_view service) const;
@@ -57,9 +57,9 @@
     struct Trouble {
         std::uint32_t failures = 0;
         TimePoint out_until{};
-        TimePoint rest_until{};
+        TimePoint backoff_until{};
 
-        TimePoint free_at() const { return std::max(out_until, rest_until); }
+        TimePoint free_at() const { return std::max(out_until, backoff_until); }
     };
 
     bool usable(const ListedInstance& instance, TimePoint now) const;
--- a/src/serve/upstream_directory_test.cpp
+++ b/src/serve/upstream_directory_test.cpp
@@ -43,14 +43,14 @@
 
 } // namespace
 
-TEST_CASE("an upstream gets nothing in the rest that it asked for")
+TEST_CASE("an upstream gets nothing in the backoff that it asked for")
 {
     UpstreamDirectory table = directory();
-    table.rests("a", at(3000));
-    table.rests("a", at(1000));
+    table.backs_off("a", at(3000));
+    table.backs_off("a", at(1000));
     table.failed("a", at(10));
     CHECK(usable(table, 2999) == std::vector<std::string>{"b"});
-    // A call from before the rest ends well.
+    // A call from before the backoff ends well.
     table.succeeded("a");
     CHECK(usable(table, 2999) == std::vector<std::string>{"b"});
     CHECK(usable(table, 3000).size() == 2);
@@ -59,12 +59,12 @@
     CHECK(usable(table, 2999).size() == 1);
 }
 
-TEST_CASE("where all upstreams rest, it is known when one takes work again")
+TEST_CASE("where all upstreams back off, it is known when one takes work again")
 {
     UpstreamDirectory table = directory();
     CHECK(table.plain_free_at("s") == TimePoint{});
-    table.rests("a", at(3000));
-    table.rests("b", at(2000));
+    table.backs_off("a", at(3000));
+    table.backs_off("b", at(2000));
     CHECK(usable(table, 1999).empty());
     CHECK(table.plain_free_at("s") == at(2000));
     CHECK_FALSE(table.plain_free_at("t"));
--- a/src/standins/fault_switch.h
+++ b/src/standins/fault_switch.h
@@ -30,7 +30,7 @@
 struct Fault {
     std::string path; ///< Prefix of the paths that it meets.
     FaultKind kind = FaultKind::Delay;
-    std::uint32_t ms = 0;    ///< Its delay, or the rest of a refusal.
+    std::uint32_t ms = 0;    ///< Its delay, or the backoff of a refusal.
     std::uint32_t skip = 0;  ///< Calls that pass before the first one met.
     std::uint32_t count = 0; ///< Calls it meets; 0: until cleared.
 };
--- a/testsuite/fault-matrix/cells.py
+++ b/testsuite/fault-matrix/cells.py
@@ -34,7 +34,7 @@
           "engine-ends-each-time",
           "engine-refuses", "engine-frozen", "engine-swapped", "upstream-drops-request",
           "upstream-answer-lost", "upstream-answer-cut", "upstream-fails-late",
-          "upstream-gone", "upstream-rests",
+          "upstream-gone", "upstream-backs-off",
           "store-dead", "store-full", "store-slow", "block-freed",
           "block-reused", "late-writer", "events-lost", "caller-gone",
           "operators-race"]
@@ -499,9 +499,9 @@
         assert s.book_until_settled(key).status == 200
 
 
-@cell("dispatch", "upstream-rests")
+@cell("dispatch", "upstream-backs-off")
 @scene(plains=2, entries=1)
-def dispatch_upstream_rests(s):
+def dispatch_upstream_backs_off(s):
     """One refuses once and asks for a minute: the other one gets the calls."""
     s.plains[0].fault("/bookings", "refuse", ms=60_000, count=1)
     for _ in range(30):
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -41,7 +41,7 @@
 HEARTBEAT_SECONDS = 0.4
 CALM_SECONDS = 4.0    # until all instances can have heard of all that was
 LONGEST_LIMIT = 4.0   # seconds for which a runner is in need
-LEAVING_PART = 0.3    # of the words of runners: the others ask for rest
+LEAVING_PART = 0.3    # of the words of runners: the others ask for a backoff
 LIMIT = 0.5           # calls a second, in the check at the end
 TOKENS = 12
 NOT_RUN = (408, 421, 429, 503)
@@ -214,8 +214,8 @@
         runner.limit = None
 
 
-def ask_for_rest(scene, rng, end):
-    """Runners turn calls away and want rest; others say that they leave, and
+def ask_for_backoff(scene, rng, end):
+    """Runners turn calls away and want a backoff; others say that they leave, and
     end."""
     while time.monotonic() < end:
         runner = rng.choice(scene.runners())
@@ -225,9 +225,9 @@
             runner.end()
             runner.says_leaving = False
         else:
-            runner.rest = rng.choice(["0.3", "1.5", "soon"])
+            runner.backoff = rng.choice(["0.3", "1.5", "soon"])
             time.sleep(rng.uniform(0.2, LONGEST_FAULT))
-            runner.rest = None
+            runner.backoff = None
 
 
 def list_weights(scene, end):
@@ -407,7 +407,7 @@
         threads.append(threading.Thread(target=name_limits,
                                         args=(scene, needs, end)))
         words = random.Random("words %d" % seed)
-        threads.append(threading.Thread(target=ask_for_rest,
+        threads.append(threading.Thread(target=ask_for_backoff,
                                         args=(scene, words, end)))
         for thread in threads:
             thread.start()
