--- a/src/adapters/call_connections.h
+++ b/src/adapters/call_connections.h
@@ -23,6 +23,9 @@
 class CallConnections
 {
 public:
+    /// An idle connection whose end its runner does not tell is used so long.
+    static constexpr Micros idle_untold = std::chrono::seconds(4);
+
     CallConnections();
     ~CallConnections();
     CallConnections(const CallConnections&) = delete;
--- a/src/libcrosslink/forward/runner_words_test.cpp
+++ b/src/libcrosslink/forward/runner_words_test.cpp
@@ -3,7 +3,7 @@
 
 #include <crosslink/forward/runner_words.h>
 
-#include <crosslink/forward/runner_table.h>
+#include "../testing/runners_of_a_zone.h"
 
 #include <catch2/catch.hpp>
 
@@ -15,38 +15,9 @@
 namespace
 {
 
-TimePoint
-at(int millis)
-{
-    return TimePoint(std::chrono::milliseconds(millis));
-}
-
-RunnerQuery
-query(int millis)
-{
-    RunnerQuery query;
-    query.service = "s";
-    query.zone = "a";
-    query.instance = "i";
-    query.now = at(millis);
-    return query;
-}
-
-/// A table of the only instance, before runners of its zone.
-RunnerTable
-table_of(const std::vector<std::string>& ids)
-{
-    RunnerTable table;
-    table.members().listed({"i", "", "a", 0}, at(-5000));
-    for (const std::string& id : ids) {
-        ListedRunner listed;
-        listed.id = id;
-        listed.service = "s";
-        listed.zone = "a";
-        table.put(listed, at(0));
-    }
-    return table;
-}
+using testing::at;
+using testing::query;
+using testing::table_of;
 
 } // namespace
 
--- a/src/serve/forward/crash_watch.cpp
+++ b/src/serve/forward/crash_watch.cpp
@@ -14,14 +14,6 @@
 namespace crosslink
 {
 
-namespace
-{
-
-/// A connection that was made to look is of use for the next call so long.
-constexpr Micros idle_untold = std::chrono::seconds(4);
-
-} // namespace
-
 CrashWatch::CrashWatch(ForwardState& state, const ForwardedCall& call,
                        const std::string& account)
     : RequestCrashes(
@@ -39,7 +31,8 @@
     PortLook look = look_at_port(runner.address);
     if (look.connection)
         m_state.connections.put_back(runner.address, std::move(look.connection),
-                                     idle_untold, monotonic_now());
+                                     CallConnections::idle_untold,
+                                     monotonic_now());
     return look.fate;
 }
 
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -32,8 +32,6 @@
 constexpr int first_server_error = 500;
 /// An answer that is not a stream is held whole before it goes out.
 constexpr std::size_t most_body_bytes = 16U << 20U;
-/// Idle connections whose end the runner does not tell are used this long.
-constexpr Micros idle_untold = std::chrono::seconds(4);
 /// An idle connection is given up so long before the runner closes it.
 constexpr Micros idle_margin = std::chrono::milliseconds(1200);
 
@@ -294,7 +292,7 @@
         return;
     const Micros idle = head.keep_alive->count() > 0
                             ? *head.keep_alive - idle_margin
-                            : idle_untold;
+                            : CallConnections::idle_untold;
     if (idle.count() > 0)
         m_state.connections.put_back(m_choice.pick().address,
                                      std::move(m_connection), idle,
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -28,9 +28,6 @@
 /// The stop ends so long before the platform would kill the process.
 constexpr Micros kill_margin = std::chrono::milliseconds(500);
 
-/// A connection that was made to look is of use for the next call so long.
-constexpr Micros look_idle = std::chrono::seconds(4);
-
 } // namespace
 
 ForwardInstance::ForwardInstance(const ForwardSettings& settings,
@@ -57,7 +54,8 @@
 {
     if (look.connection)
         m_state.connections.put_back(port.address, std::move(look.connection),
-                                     look_idle, monotonic_now());
+                                     CallConnections::idle_untold,
+                                     monotonic_now());
     else if (look.fate == ProcessFate::Ended)
         m_state.runner_ended({port.runner, port.born}, "port");
 }
--- /dev/null
+++ b/src/serve/forward/forward_state_ends.cpp
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+// The part of the state that tells under which requests runners ended.
+
+#include "forward_state.h"
+
+#include <adapters/clock.h>
+#include <serve/log_line.h>
+#include <serve/request_crashes.h>
+
+namespace crosslink
+{
+
+void
+ForwardState::heard_of(const CrashNews& news, TimePoint as_of)
+{
+    if (news.empty())
+        return;
+    crashes.with([&](CrashHistory& history) {
+        history.take(news, as_of, monotonic_now());
+    });
+    note_blocked();
+}
+
+void
+ForwardState::runner_ended(const RunnerIncarnation& runner,
+                           const char* evidence)
+{
+    const bool leaves = runners.with([&](const RunnerTable& table) {
+        const auto found = table.entries().find(runner.id);
+        return found != table.entries().end() &&
+               found->second.listed.born == runner.born &&
+               found->second.leaves();
+    });
+    if (leaves)
+        return;
+    count_ends(breaks.with([&](OpenBreaks& open) {
+        return open.ended(runner, monotonic_now());
+    }),
+               evidence);
+}
+
+void
+ForwardState::runner_replaced(const ListedRunner& runner)
+{
+    const RunnerIncarnation incarnation{runner.id, runner.born};
+    count_ends(breaks.with([&](OpenBreaks& open) {
+        if (runner.leaving)
+            open.leaves(incarnation);
+        return open.replaced_at(runner.address, incarnation, monotonic_now());
+    }),
+               "new process");
+}
+
+void
+ForwardState::settle_gone_runners()
+{
+    count_ends(breaks.with([](OpenBreaks& open) {
+        return open.take_gone(monotonic_now());
+    }),
+               "gone");
+}
+
+/// Counts calls under which a runner ended, and logs those of them that were
+/// not known before.
+void
+ForwardState::count_ends(const std::vector<BrokenCall>& calls,
+                         const char* evidence)
+{
+    if (calls.empty())
+        return;
+    counters.runner_ends += take_ends(crashes, calls);
+    for (const BrokenCall& call : calls)
+        LogLine("runner_ended")
+            .field("runner", call.runner)
+            .field("digest", call.request)
+            .field("again", call.again)
+            .field("evidence", evidence)
+            .span("after", monotonic_now() - call.ended_at);
+    note_blocked();
+}
+
+CrashNews
+ForwardState::crash_news(TimePoint now)
+{
+    return crashes.with(
+        [now](const CrashHistory& history) { return history.news(now); });
+}
+
+void
+ForwardState::recorded_block(const std::string& request, bool is_blocked)
+{
+    crashes.with([&](CrashHistory& history) {
+        if (is_blocked)
+            history.recorded(request, monotonic_now());
+        else
+            history.unrecorded(request);
+    });
+    note_blocked();
+}
+
+void
+ForwardState::note_blocked()
+{
+    const auto blocked = crashes.with([](CrashHistory& history) {
+        return history.take_newly_blocked(monotonic_now());
+    });
+    counters.requests_blocked += blocked.size();
+    for (const std::string& digest : blocked)
+        LogLine("request_blocked").field("digest", digest);
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/forward_state_words.cpp
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+// The part of the state that takes in what runners say of themselves, and what
+// other instances tell of that.
+
+#include "forward_state.h"
+
+#include <adapters/clock.h>
+#include <adapters/random.h>
+#include <serve/log_line.h>
+
+namespace crosslink
+{
+
+void
+ForwardState::learned_weights(const RunnerIncarnation& runner,
+                              std::string_view model, std::uint64_t version,
+                              const char* source)
+{
+    const bool changed = runners.with([&](RunnerTable& table) {
+        return table.has_version(runner, model, version);
+    });
+    if (changed)
+        LogLine("runner_weights")
+            .field("runner", runner.id)
+            .field("version", version)
+            .field("source", source);
+}
+
+void
+ForwardState::learned_limit(const RunnerIncarnation& runner, double per_second,
+                            std::uint64_t known)
+{
+    const bool changed = runners.with([&](RunnerTable& table) {
+        return table.limit_answered(runner, per_second, known, monotonic_now());
+    });
+    if (changed)
+        note_limit(runner.id, per_second, "answer");
+}
+
+void
+ForwardState::heard_of(const std::vector<LimitNews>& limits)
+{
+    for (const LimitNews& news : limits) {
+        const bool changed = runners.with([&](RunnerTable& table) {
+            return table.limit_told(news, monotonic_now());
+        });
+        if (changed)
+            note_limit(news.runner, news.per_second, "instance");
+    }
+}
+
+std::vector<LimitNews>
+ForwardState::limit_news(TimePoint now)
+{
+    return runners.with(
+        [now](RunnerTable& table) { return table.limit_news(now); });
+}
+
+void
+ForwardState::learned_leaving(const RunnerIncarnation& runner,
+                              const char* source)
+{
+    const bool is_new = runners.with([&](RunnerTable& table) {
+        return table.says_leaving(runner, monotonic_now());
+    });
+    if (!is_new)
+        return;
+    breaks.with([&](OpenBreaks& open) { open.leaves(runner); });
+    ++counters.runners_leaving;
+    LogLine("runner_leaving")
+        .field("runner", runner.id)
+        .field("source", source);
+}
+
+void
+ForwardState::heard_of(const std::vector<LeavingNews>& leaving)
+{
+    for (const LeavingNews& news : leaving)
+        learned_leaving({news.runner, news.born}, "instance");
+}
+
+std::vector<LeavingNews>
+ForwardState::leaving_news()
+{
+    return runners.with(
+        [](const RunnerTable& table) { return table.leaving_news(); });
+}
+
+void
+ForwardState::learned_backoff(const RunnerIncarnation& runner, Micros backoff)
+{
+    const TimePoint now = monotonic_now();
+    const TimePoint until = backoff_end(backoff, now, random_bits());
+    runners.with([&](RunnerTable& table) {
+        table.asks_for_backoff(runner, until, now);
+    });
+    ++counters.runner_backoffs;
+    LogLine("runner_backs_off")
+        .field("runner", runner.id)
+        .span("backoff", backoff);
+}
+
+/// Logs and counts a limit that changed.
+void
+ForwardState::note_limit(std::string_view runner, double per_second,
+                         const char* source)
+{
+    ++counters.limits_changed;
+    counters.runners_limited =
+        runners.with([](RunnerTable& table) { return table.limited_count(); });
+    LogLine line("runner_limit");
+    line.field("runner", runner).field("source", source);
+    if (per_second == no_rate_limit)
+        line.field("ended", true);
+    else
+        line.field("per_second", per_second);
+}
+
+} // namespace crosslink
