--- a/src/serve/forward/forward_end.cpp
+++ b/src/serve/forward/forward_end.cpp
@@ -64,9 +64,9 @@
 ForwardRun::time_to_chance() const
 {
     const auto chance = m_next_chance.earliest();
-    if (!chance)
-        return come_back_unknown;
-    const Micros left = std::max(least_return, *chance - monotonic_now());
+    const Micros left = chance
+                            ? std::max(least_return, *chance - monotonic_now())
+                            : come_back_unknown;
     // Callers that are refused in a backoff, or for a limit, would all come
     // back at the same moment.
     const bool come_together =
