Keep KV of prompts with allowed regions within them

Cause: allowed regions of a route or an account held for runners only. The directory assigned saves to any store of the fleet, and parts that one account had saved were found by accounts that may go anywhere, and the other way round, so that KV crossed between regions.

Change: the zones that a prompt may use are part of the space of its KV (KeptSpace::zones). A save goes to stores of these zones only, and parts are found by prompts with the same zones only, in the directory and in its copies.

--- a/src/include/crosslink/kept/kept_part.h
+++ b/src/include/crosslink/kept/kept_part.h
@@ -7,7 +7,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -38,12 +40,22 @@
     /// have calls save under the same space, so that the writes for one holder
     /// can't overlap with those for another.
     std::uint64_t term = 0;
+    /// Zones of the regions that the prompts must stay in; empty for all zones.
+    /// Their KV is saved only to stores of these zones, and found only by
+    /// prompts with the same zones.
+    std::set<std::string, std::less<>> zones{};
 
     /// Returns whether `other` differs in the term at most.
     bool same_but_term(const KeptSpace& other) const
     {
         return isolated_account == other.isolated_account &&
-               model == other.model && version == other.version;
+               model == other.model && version == other.version &&
+               zones == other.zones;
+    }
+    /// Returns whether KV of this space may be stored in `zone`.
+    bool allows(std::string_view zone) const
+    {
+        return zones.empty() || zones.contains(zone);
     }
     /// Returns the text by which runners and stores identify the space.
     std::string text() const;
--- a/src/include/crosslink/kept/store_capacity.h
+++ b/src/include/crosslink/kept/store_capacity.h
@@ -41,6 +41,8 @@
     void clear();
 
     bool contains(std::string_view store) const;
+    /// Returns the zone of a store; empty for an unknown store.
+    std::string_view zone(std::string_view store) const;
     /// Returns the boot that a store reported; 0 where it reported none.
     std::uint64_t boot(std::string_view store) const;
     /// Returns whether a store answers.
@@ -64,15 +66,15 @@
     /// Records that `tokens` of capacity are free again in a store.
     void release(std::string_view store, std::uint32_t tokens);
 
-    /// Returns the store that a part of `tokens` should be saved to, excluding
-    /// those that may have it already according to `may_have`; empty where none
-    /// has enough free capacity. A leading part, which other parts of the
+    /// Returns the store that a part of `tokens` should be saved to, without
+    /// those for which `excluded` returns true; empty where none has enough
+    /// free capacity. A leading part, which other parts of the
     /// prompt follow, goes to the store with the fastest link, since it is
     /// fetched for many prompts. Other parts fill the stores in proportion to
     /// their links, so that fetches are spread evenly.
     std::string
     select_store(std::uint32_t tokens, bool leading,
-                 const std::function<bool(const std::string&)>& may_have,
+                 const std::function<bool(const std::string&)>& excluded,
                  TimePoint now);
     /// Returns whether a part found no capacity since some was last freed up.
     bool is_full() const { return m_full; }
--- a/src/libcrosslink/kept/kept_directory_test.cpp
+++ b/src/libcrosslink/kept/kept_directory_test.cpp
@@ -519,10 +519,47 @@
     }));
 }
 
+TEST_CASE("parts that must stay in zones are saved in these zones only")
+{
+    KeptDirectory directory;
+    std::vector<KeptStoreInfo> stores{managed_store(fast, 16'000, 100),
+                                      managed_store(big, 16'000, 10)};
+    stores[0].zone = "zone-a";
+    stores[1].zone = "zone-b";
+    directory.set_stores(stores);
+    directory.begin(7, at(0));
+    for (const char* store : {fast, big})
+        directory.apply_listing(store, empty_listing(1, 1000), at(0));
+    KeptSpace bound = space();
+    bound.zones = {"zone-b"};
+
+    // The same part of a prompt that may go anywhere is not theirs.
+    save_part(directory, "p");
+    const KeptAnswer first = ask(directory, "p", 200, bound);
+    REQUIRE(first.places[0].kind == KeptPlace::Kind::Save);
+    CHECK(first.places[0].store == big);
+    directory.apply_changes(big, stored(first.space, "p", 1300), at(300));
+    const KeptAnswer fetch = ask(directory, "p", 400, bound);
+    CHECK(fetch.places[0].kind == KeptPlace::Kind::Fetch);
+    CHECK(fetch.places[0].store == big);
+    CHECK(ask(directory, "p", 500).places[0].store == fast);
+
+    // Not where the one store of the zone is away, nor where there is none.
+    directory.unreachable(big);
+    CHECK(ask(directory, "q", 600, bound).places[0].kind ==
+          KeptPlace::Kind::None);
+    bound.zones = {"zone-c"};
+    CHECK(ask(directory, "q", 700, bound).places[0].kind ==
+          KeptPlace::Kind::None);
+}
+
 TEST_CASE("a kept space is parsed from its own text")
 {
     const KeptSpace one{"account|with|bars", "model", 3, 12};
     CHECK(KeptSpace::parse(one.text()) == one);
+    const KeptSpace bound{"account@x|y", "model", 3, 12, {"zone-a", "zone-b"}};
+    CHECK(KeptSpace::parse(bound.text()) == bound);
+    CHECK_FALSE(KeptSpace::parse("m|1|@zone-a|"));
     CHECK_FALSE(KeptSpace::parse(""));
     CHECK_FALSE(KeptSpace::parse("m|x|1|"));
     CHECK_FALSE(KeptSpace::parse("m|1|"));
--- a/src/libcrosslink/kept/kept_placement.cpp
+++ b/src/libcrosslink/kept/kept_placement.cpp
@@ -97,14 +97,19 @@
     const auto unless_known = [&](KeptPlace::Reason reason) {
         return known ? place_of(*known, now) : KeptPlace::compute(reason);
     };
-    if (!is_own(part.space))
+    const auto space = KeptSpace::parse(part.space);
+    if (!space || space->term != m_term)
         return unless_known(KeptPlace::Reason::OtherTerm);
     // It may be in a store that is not listed yet.
     if (!knows_stores(now))
         return KeptPlace::compute(KeptPlace::Reason::Unknown);
     const std::string store = m_capacity.select_store(
         StoreCapacity::capacity_of(part.tokens), leading,
-        [&](const std::string& other) { return may_have(other, key); }, now);
+        [&](const std::string& other) {
+            return may_have(other, key) ||
+                   !space->allows(m_capacity.zone(other));
+        },
+        now);
     if (store.empty())
         return unless_known(m_capacity.is_full()
                                 ? KeptPlace::Reason::NoRoom
--- a/src/libcrosslink/kept/kept_replica_test.cpp
+++ b/src/libcrosslink/kept/kept_replica_test.cpp
@@ -102,6 +102,22 @@
     CHECK_FALSE(grandchild.find(space, parts, true, at(2900)));
 }
 
+TEST_CASE("a copy tells parts only to prompts with the same zones")
+{
+    KeptSpace bound = space;
+    bound.zones = {"zone-b"};
+    KeptReplica copy;
+    copy.take(
+        update(5, true, 1000, {kept("a", "s1"), {bound.text(), "b", "s2"}}),
+        at(0));
+    const std::vector<PromptPart> parts{{"a", 100}};
+    const std::vector<PromptPart> bound_parts{{"b", 100}};
+    CHECK(copy.find(space, parts, true, at(10)));
+    CHECK_FALSE(copy.find(bound, parts, true, at(10)));
+    CHECK(copy.find(bound, bound_parts, true, at(10)));
+    CHECK_FALSE(copy.find(space, bound_parts, true, at(10)));
+}
+
 TEST_CASE("a copy does not go back to an earlier holder's")
 {
     KeptReplica behind;
--- a/src/libcrosslink/kept/store_capacity.cpp
+++ b/src/libcrosslink/kept/store_capacity.cpp
@@ -81,6 +81,13 @@
     return find(store) != nullptr;
 }
 
+std::string_view
+StoreCapacity::zone(std::string_view store) const
+{
+    const Store* known = find(store);
+    return known ? std::string_view(known->info.zone) : std::string_view();
+}
+
 std::uint64_t
 StoreCapacity::boot(std::string_view store) const
 {
@@ -186,14 +193,14 @@
 std::string
 StoreCapacity::select_store(
     std::uint32_t tokens, bool leading,
-    const std::function<bool(const std::string&)>& may_have, TimePoint now)
+    const std::function<bool(const std::string&)>& excluded, TimePoint now)
 {
     using Rank = std::tuple<bool, double, double>;
     std::string best;
     Rank best_rank;
     bool any_full = false;
     for (const auto& [address, store] : m_stores) {
-        if (!is_writable(store, now) || may_have(address))
+        if (!is_writable(store, now) || excluded(address))
             continue;
         if (!has_capacity(store, tokens, leading)) {
             any_full = true;
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -239,6 +239,8 @@
     space.version = version;
     if (m_account && m_account->isolated)
         space.isolated_account = m_account->name;
+    if (m_zones_allowed)
+        space.zones = *m_zones_allowed;
     return space;
 }
 
