Give threads for the duty to its holder only

Cause: every instance had the threads of the work under the duty (eight for requests to runners, and those that order weights, record rollouts and blocked requests, and free parts), and each one that ever held the duty kept one for each store. 28 threads an instance at rest make 28,000 at 985 instances, where the kernel's ids of processes and threads end at 32,768: a tenth more instances, or a busy moment, and threads fail to start.

Change: a Duty may begin at start() or at its first wake(), and stop. The coordinator starts the threads with the duty and ends them once it may no longer answer for it. The pools of the servers keep one idle thread, not two.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -31,6 +31,8 @@
 
 constexpr int backlog = 1024;
 constexpr int idle_thread_seconds = 30;
+/// Threads that wait for connections at all times; more come with these.
+constexpr int least_threads = 1;
 constexpr int thread_stack_bytes = 512 * 1024;
 
 /// Connections beyond this part of the threads are not kept after their answer,
@@ -101,7 +103,8 @@
 public:
     Impl(const std::string& address, const HttpServerRules& rules,
          Handler handler)
-        : pool(2, rules.most_threads, idle_thread_seconds, thread_stack_bytes),
+        : pool(least_threads, rules.most_threads, idle_thread_seconds,
+               thread_stack_bytes),
           socket(bound_socket(address, rules)),
           server(new ConnectionFactory(shared), pool, socket, parameters(rules))
     {
--- a/src/serve/coordinator/block_duty.cpp
+++ b/src/serve/coordinator/block_duty.cpp
@@ -24,7 +24,9 @@
 } // namespace
 
 BlockDuty::BlockDuty(ForwardState& state)
-    : m_state(state), m_duty("blocked_requests", [this] { return round(); })
+    : m_state(state),
+      m_duty(
+          "blocked_requests", [this] { return round(); }, Duty::Begin::OnStart)
 {
 }
 
--- a/src/serve/coordinator/block_duty.h
+++ b/src/serve/coordinator/block_duty.h
@@ -21,6 +21,10 @@
     /// `state` must outlive this object.
     explicit BlockDuty(ForwardState& state);
 
+    /// Starts and ends the thread; see Duty.
+    void start() { m_duty.start(); }
+    void stop() { m_duty.stop(); }
+
 private:
     Micros round();
     void block(const std::string& request);
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -50,6 +50,8 @@
     }
     const bool may_be_own = m_state.coordinator_lease.with(
         [](DutyLease& lease) { return lease.token() != 0; });
+    if (!may_be_own)
+        stop_idle_threads();
     if (!may_be_own && !may_take_duty())
         return pause;
     try {
@@ -152,6 +154,26 @@
     LogLine("duty_taken").field("duty", duty_name).field("token", m_last_token);
     m_weights.begin();
     m_kept.begin(m_last_token);
+    m_weights.start();
+    m_rollouts.start();
+    m_blocks.start();
+    m_kept.start();
+    m_threads_run = true;
+}
+
+/// Ends the threads of the work under the duty once this instance answers no
+/// more. Without this, each instance that ever held the duty would keep one for
+/// each store.
+void
+Coordinator::stop_idle_threads()
+{
+    if (!m_threads_run || m_state.may_answer_kept(monotonic_now()))
+        return;
+    m_weights.stop();
+    m_rollouts.stop();
+    m_blocks.stop();
+    m_kept.stop();
+    m_threads_run = false;
 }
 
 bool
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -32,7 +32,7 @@
 /// and in the log. Its holder orders runners to load new weights, keeps the
 /// directory of stored KV, and collects and distributes the load of all
 /// instances. Every instance has an object of this class, which is idle unless
-/// the instance holds the duty.
+/// the instance holds the duty: only then it has threads for this work.
 class Coordinator
 {
 public:
@@ -72,10 +72,12 @@
     Micros takeover_wait(bool first);
     std::size_t takeover_rank();
     void begin_duty();
+    void stop_idle_threads();
     TimePoint require_may_answer() const;
 
     ForwardState& m_state;
     std::uint64_t m_last_token = 0;
+    bool m_threads_run = false; ///< Those of the work under the duty.
     /// When the lease is released, once a planned stop has begun.
     Guarded<std::optional<TimePoint>> m_release_at;
     std::map<std::string, std::uint64_t> m_seen_weights;
--- a/src/serve/coordinator/kept_duties.cpp
+++ b/src/serve/coordinator/kept_duties.cpp
@@ -34,10 +34,22 @@
 
 KeptDuties::KeptDuties(ForwardState& state, WeightsDuty& weights)
     : m_state(state), m_weights(weights),
-      m_free_duty("kept_free", [this] { return free_round(); })
+      m_free_duty(
+          "kept_free", [this] { return free_round(); }, Duty::Begin::OnStart)
 {
 }
 
+void
+KeptDuties::stop()
+{
+    // A round may wait for a store: all of them end at the same time.
+    for (const auto& [address, duty] : m_store_duties)
+        duty->request_stop();
+    m_store_duties.clear();
+    m_free_duty.stop();
+    m_kept.with([](DirectoryState& kept) { kept.map_version = 0; });
+}
+
 void
 KeptDuties::begin(std::uint64_t token)
 {
--- a/src/serve/coordinator/kept_duties.h
+++ b/src/serve/coordinator/kept_duties.h
@@ -31,6 +31,11 @@
     /// `state` and `weights` must outlive this object.
     KeptDuties(ForwardState& state, WeightsDuty& weights);
 
+    /// Starts the thread that frees parts; adopt_stores() starts one for each
+    /// store. To be called by the thread that calls adopt_stores(), as stop().
+    void start() { m_free_duty.start(); }
+    /// Ends all threads.
+    void stop();
     /// Begins with an empty directory when this instance takes the duty, with
     /// the fencing token `token`.
     void begin(std::uint64_t token);
--- a/src/serve/coordinator/rollout_duty.cpp
+++ b/src/serve/coordinator/rollout_duty.cpp
@@ -27,7 +27,9 @@
 } // namespace
 
 RolloutDuty::RolloutDuty(ForwardState& state)
-    : m_state(state), m_duty("rollouts", [this] { return round(); })
+    : m_state(state),
+      m_duty(
+          "rollouts", [this] { return round(); }, Duty::Begin::OnStart)
 {
 }
 
--- a/src/serve/coordinator/rollout_duty.h
+++ b/src/serve/coordinator/rollout_duty.h
@@ -23,6 +23,10 @@
     /// `state` must outlive this object.
     explicit RolloutDuty(ForwardState& state);
 
+    /// Starts and ends the thread; see Duty.
+    void start() { m_duty.start(); }
+    void stop() { m_duty.stop(); }
+
     /// Starts the next round at once.
     void wake() { m_duty.wake(); }
 
--- a/src/serve/coordinator/weights_duty.cpp
+++ b/src/serve/coordinator/weights_duty.cpp
@@ -37,11 +37,27 @@
 
 WeightsDuty::WeightsDuty(ForwardState& state)
     : m_state(state), m_plan(state.settings.weights_bound()),
-      m_tasks([this](const RunnerTask& task) { run_task(task); }),
-      m_duty("weights", [this] { return round(); })
+      m_duty(
+          "weights", [this] { return round(); }, Duty::Begin::OnStart)
 {
 }
 
+void
+WeightsDuty::start()
+{
+    if (!m_tasks)
+        m_tasks = std::make_unique<RunnerTaskPool>(
+            [this](const RunnerTask& task) { run_task(task); });
+    m_duty.start();
+}
+
+void
+WeightsDuty::stop()
+{
+    m_duty.stop();
+    m_tasks.reset();
+}
+
 void
 WeightsDuty::begin()
 {
@@ -104,7 +120,7 @@
     for (const WeightsOrder& order : due)
         submit_order(order);
     for (const WeightsOrder& order : open)
-        m_tasks.submit({RunnerTask::Kind::CheckOrder, order});
+        m_tasks->submit({RunnerTask::Kind::CheckOrder, order});
     return due.empty() && open.empty() ? idle_pause : busy_pause;
 }
 
@@ -128,7 +144,7 @@
 void
 WeightsDuty::submit_order(const WeightsOrder& order)
 {
-    if (m_tasks.submit({RunnerTask::Kind::GiveOrder, order}))
+    if (m_tasks->submit({RunnerTask::Kind::GiveOrder, order}))
         return;
     m_plan.with(
         [&order](WeightsPlan& plan) { plan.not_sent(order, monotonic_now()); });
--- a/src/serve/coordinator/weights_duty.h
+++ b/src/serve/coordinator/weights_duty.h
@@ -12,6 +12,7 @@
 #include <crosslink/ports/runner_orders.h>
 #include <crosslink/weights/weights_plan.h>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
 
     /// Begins with an empty plan when this instance takes the duty.
     void begin();
+    /// Starts the threads, and ends them; see Duty.
+    void start();
+    void stop();
     /// Starts the next round at once.
     void wake() { m_duty.wake(); }
     /// Returns the runners that were ordered to load weights and have not
@@ -52,7 +56,7 @@
 
     ForwardState& m_state;
     Guarded<WeightsPlan> m_plan;
-    RunnerTaskPool m_tasks;
+    std::unique_ptr<RunnerTaskPool> m_tasks; ///< Null while stopped.
     Duty m_duty;
 };
 
--- a/src/serve/duty.cpp
+++ b/src/serve/duty.cpp
@@ -17,20 +17,51 @@
 
 } // namespace
 
-Duty::Duty(std::string name, Round round)
-    : m_name(std::move(name)), m_round(std::move(round)),
-      m_thread([this] { run_rounds(); })
+Duty::Duty(std::string name, Round round, Begin begin)
+    : m_name(std::move(name)), m_round(std::move(round)), m_begin(begin)
 {
+    if (m_begin == Begin::AtOnce)
+        start();
 }
 
 Duty::~Duty()
+{
+    stop();
+}
+
+void
+Duty::start()
+{
+    const std::lock_guard lock(m_mutex);
+    start_locked();
+}
+
+void
+Duty::start_locked()
+{
+    if (m_thread.joinable())
+        return;
+    m_stop = false;
+    m_thread = std::thread([this] { run_rounds(); });
+}
+
+void
+Duty::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    request_stop();
+    m_thread.join();
+}
+
+void
+Duty::request_stop()
 {
     {
         const std::lock_guard lock(m_mutex);
         m_stop = true;
     }
     m_changed.notify_all();
-    m_thread.join();
 }
 
 void
@@ -39,6 +70,8 @@
     {
         const std::lock_guard lock(m_mutex);
         m_woken = true;
+        if (m_begin == Begin::OnWake)
+            start_locked();
     }
     m_changed.notify_all();
 }
--- a/src/serve/process_end_probe.cpp
+++ b/src/serve/process_end_probe.cpp
@@ -26,7 +26,8 @@
                                  ProbeCallback on_probe, RoundCallback on_round)
     : m_failures(failures), m_failure_added(failure_added),
       m_on_probe(std::move(on_probe)), m_on_round(std::move(on_round)),
-      m_duty("end_looks", [this] { return run_round(); })
+      m_duty(
+          "end_looks", [this] { return run_round(); }, Duty::Begin::OnWake)
 {
     m_failure_added.set_duty(&m_duty);
 }
--- a/src/serve/process_end_probe.h
+++ b/src/serve/process_end_probe.h
@@ -17,8 +17,8 @@
 
 /// Probes the ports of processes that interrupted calls, until it is known
 /// whether a process ended or the time for a verdict is over. Uses a thread of
-/// its own, so that no caller waits for a probe; the thread is idle where no
-/// call was interrupted lately.
+/// its own, so that no caller waits for a probe; it runs from the first failure
+/// on.
 class ProcessEndProbe
 {
 public:
