Let the fleet's tree grow in depth

Cause: the tree had two levels, so that those that ask the holder of the duty grew with the fleet: 62 at 985 instances, each seven times a second with the load of all busy runners. Where a zone had fewer strong links than parents, all of its instances asked the strong ones: 88 children at one of ten.

Change: where the parents of all zones are more than the holder can answer (24), a few of each zone ask it, and the other parents ask these. Fleets whose parents are 24 or fewer keep their tree.

Test: fleet_tree_test, "the tree grows in depth, not in width", at three sizes.

--- a/src/include/crosslink/membership/fleet_tree.h
+++ b/src/include/crosslink/membership/fleet_tree.h
@@ -22,14 +22,21 @@
 /// about seven times a second, and an answer takes 0.6 ms of CPU time
 /// (calculated): 16 of them take 7% of a core.
 constexpr std::size_t max_children = 16;
+/// The same for instances with strong links in a zone that has few of them.
+constexpr std::size_t max_children_of_strong = 32;
+/// Number of instances that poll the holder of the duty, seven times a second.
+/// It has a strong link where there is any.
+constexpr std::size_t max_children_of_holder = 24;
 
 /// Determines which instances each instance polls for changes and load, so that
-/// none answers more than about max_children others. In a small fleet all poll
-/// the holder of the duty; in a larger one some instances of each zone poll the
-/// holder, and the others of the zone poll these. Each instance computes the
-/// tree itself from its list of instances. Where the lists differ, some poll an
-/// instance that does not expect it; this only makes the data that they get
-/// older.
+/// none answers more than about as many others as the constants above. In a
+/// small fleet all poll the holder of the duty; in a larger one some instances
+/// of each zone, its parents, poll the holder, and the others of the zone poll
+/// these. Where the parents of all zones are too many for the holder, a few of
+/// each zone poll it, and the other parents poll these. Each instance computes
+/// the tree itself from its list of instances. Where the lists differ, some
+/// poll an instance that does not expect it; this only makes the data that they
+/// get older.
 class FleetTree
 {
 public:
@@ -47,9 +54,12 @@
 
 private:
     std::vector<InstanceInfo> zone_parents(std::string_view zone) const;
+    std::size_t count_under_holder() const;
 
     std::vector<InstanceInfo> m_instances;
     std::string m_holder;
+    /// Number of parents of a zone that poll the holder.
+    std::size_t m_under_holder;
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/membership/fleet_tree_test.cpp
+++ b/src/libcrosslink/membership/fleet_tree_test.cpp
@@ -131,6 +131,48 @@
     }));
 }
 
+TEST_CASE("the tree grows in depth, not in width")
+{
+    // 985 instances in five zones, twice and four times as many; ten strong
+    // ones in each zone.
+    for (const int each : {197, 394, 788}) {
+        const auto instances = fleet_of(5, each, 10);
+        const std::string holder = "z0-0:1";
+        const FleetTree tree(instances, holder);
+        const auto pollers = pollers_by_parent(instances, holder);
+        CHECK(pollers.at(holder) <= static_cast<int>(max_children_of_holder));
+        std::map<std::string, std::string> parent_of;
+        std::map<std::string, const InstanceInfo*> by_address;
+        for (const InstanceInfo& instance : instances) {
+            by_address[instance.address] = &instance;
+            if (instance.address != holder)
+                parent_of[instance.address] = parents(tree, instance).front();
+        }
+        for (const auto& [address, count] : pollers)
+            if (address != holder)
+                CHECK(count <= 2 * static_cast<int>(max_children_of_strong));
+        for (const auto& [address, parent] : parent_of) {
+            int depth = 1;
+            std::string next = parent;
+            for (; next != holder; next = parent_of.at(next))
+                ++depth;
+            CHECK(depth <= 3);
+            // Only the few that poll the holder do so across zones.
+            CHECK((depth == 1 || by_address.at(parent)->zone ==
+                                     by_address.at(address)->zone));
+        }
+    }
+}
+
+TEST_CASE("strong instances are polled by more where a zone has few of them")
+{
+    const auto instances = fleet_of(5, 197, 10);
+    const FleetTree tree(instances, "z0-0:1");
+    for (const InstanceInfo& instance : instances)
+        if (tree.is_parent(instance.name, instance.zone))
+            CHECK(instance.link_mbps == strong);
+}
+
 TEST_CASE("an instance keeps its other parents when one is gone")
 {
     auto instances = fleet_of(1, 64, 64);
