Look at the runners that a question is about, not at all

Cause: what is asked ten times a second of the table of runners walked all of them: the load of this instance and of the others, limits, announced exits and connection failures, for each exchange of each child; each choice of a runner; and each removal, so that the loss of a seventh of the runners cost R x R/7.

Change: RunnerIndex keeps the ids of busy, loaded, noticed and lapsed runners, and the runners of each service and zone. Of more than 128 runners in a zone a sample is drawn first and only it is looked at; smaller fleets choose as before.

--- a/src/include/crosslink/forward/runner_price.h
+++ b/src/include/crosslink/forward/runner_price.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace crosslink
 {
@@ -35,6 +36,8 @@
 struct FleetLoad {
     /// Whether the load of other instances is known; if not, it is estimated.
     bool others_known = false;
+    /// Zone to whose runners the above applies; empty for all.
+    std::string_view known_zone;
     /// Age of the load that other instances reported.
     Micros others_age{0};
     /// How long a call holds its KV memory.
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -6,6 +6,7 @@
 #include <crosslink/base/time.h>
 #include <crosslink/forward/holding_time.h>
 #include <crosslink/forward/runner_entry.h>
+#include <crosslink/forward/runner_index.h>
 #include <crosslink/forward/runner_query.h>
 #include <crosslink/forward/unlisted_notices.h>
 #include <crosslink/membership/settled_members.h>
@@ -14,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -155,11 +157,23 @@
     /// Returns the load that this instance puts on each runner.
     std::map<std::string, RunnerLoad> own_load() const;
     /// Sets the load that all other instances put on each runner, as of
-    /// `as_of`.
+    /// `as_of`. With `known_zone`, it is the load on the runners of that zone
+    /// only, and that on all others is not known.
     void set_remote_load(const std::map<std::string, RunnerLoad>& load,
-                         TimePoint as_of);
+                         TimePoint as_of, std::string_view known_zone = {});
+    /// Removes the load on runners of other zones than `zone` from `load`.
+    void keep_zone(std::map<std::string, RunnerLoad>& load,
+                   std::string_view zone) const;
 
     const Entries& entries() const { return m_entries; }
+    /// Returns the number of listed runners in `zone`.
+    std::size_t count_in_zone(std::string_view zone) const
+    {
+        return m_index.count_in_zone(zone);
+    }
+    /// Returns how many entries the queries and updates of this table have
+    /// looked at: a measure of their cost.
+    std::uint64_t entries_visited() const { return m_visited; }
 
 private:
     std::set<std::string_view> put_all(std::span<const ListedRunner> listed,
@@ -169,6 +183,9 @@
     RunnerEntry* find(const RunnerIncarnation& runner);
     RunnerNotices* notices_of(const RunnerIncarnation& runner);
     void drop_if(const std::function<bool(const RunnerEntry&)>& condition);
+    void drop(Entries::iterator entry);
+    const RunnerEntry* visit(std::string_view id) const;
+    void prune_noticed(TimePoint now);
     bool may_accept_work(const RunnerEntry& entry,
                          const RunnerQuery& query) const;
     TimePoint warm_at(const RunnerEntry& entry, const RunnerQuery& query) const;
@@ -189,9 +206,20 @@
                                 const RunnerQuery& query,
                                 const FleetLoad& fleet) const;
     FleetLoad fleet_load(const RunnerQuery& query) const;
+    bool accepts(const RunnerEntry& entry, const RunnerQuery& query) const;
+    const RunnerEntry* due_probe(const RunnerQuery& query) const;
+    std::vector<const RunnerEntry*> candidates(const RunnerQuery& query) const;
+    std::vector<const RunnerEntry*> walk(const RunnerIndex::Group& group,
+                                         const RunnerQuery& query) const;
+    std::vector<const RunnerEntry*> draw(const RunnerIndex::Group& group,
+                                         std::size_t count,
+                                         const RunnerQuery& query,
+                                         std::mt19937_64& generator) const;
     Micros holding_time(std::string_view service) const;
 
     Entries m_entries;
+    RunnerIndex m_index;
+    mutable std::uint64_t m_visited = 0; ///< See entries_visited().
     UnlistedNotices m_unlisted;
     /// Zones that may be cut off, and until when they are avoided.
     std::map<std::string, TimePoint, std::less<>> m_silent_zones;
@@ -203,6 +231,7 @@
     std::map<std::string, HoldingTime, std::less<>> m_holding_times;
     TimePoint m_others_at{}; ///< Time of the others' latest load.
     bool m_others_known = false;
+    std::string m_known_zone; ///< See set_remote_load().
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -54,13 +54,28 @@
 /// Minimum number of runners to choose from.
 constexpr std::size_t min_choice = 2;
 
+/// Largest number of runners of a service in one zone that are all looked at
+/// for a call. Of more runners, a random sample is drawn and only it is looked
+/// at, so that a choice costs the same in a fleet of any size.
+constexpr std::size_t max_walked = 128;
+/// Times that the size of a sample is drawn before all runners of a zone are
+/// looked at: so many of them accept no work.
+constexpr std::size_t max_draws = 4;
+
+/// Returns the size of the sample of `runners` from which one of `instances`
+/// chooses.
+std::size_t
+sample_size(std::size_t runners, std::size_t instances)
+{
+    return std::max(min_choice, max_choosers * runners / instances);
+}
+
 /// Reduces `candidates` to a random sample, from which `instances` choose.
 void
 sample_candidates(Candidates& candidates, std::size_t instances,
                   std::mt19937_64& generator)
 {
-    const std::size_t count =
-        std::max(min_choice, max_choosers * candidates.size() / instances);
+    const std::size_t count = sample_size(candidates.size(), instances);
     if (count >= candidates.size())
         return;
     std::shuffle(candidates.begin(), candidates.end(), generator);
@@ -328,18 +343,104 @@
 RunnerTable::choose(const RunnerQuery& query) const
 {
     const FleetLoad fleet = fleet_load(query);
-    Candidates candidates;
-    for (const auto& [id, entry] : m_entries) {
-        if (!may_accept_work(entry, query) || free_at(entry, query) > query.now)
-            continue;
-        if (needs_probe(entry, query.now))
-            return pick_of(entry, query, fleet);
-        candidates.push_back(&entry);
-    }
-    if (candidates.empty())
+    if (const RunnerEntry* probed = due_probe(query))
+        return pick_of(*probed, query, fleet);
+    const Candidates found = candidates(query);
+    if (found.empty())
         return std::nullopt;
-    sample(candidates, query);
-    return pick_of(*cheapest(candidates, query, fleet), query, fleet);
+    return pick_of(*cheapest(found, query, fleet), query, fleet);
+}
+
+/// Returns whether a runner accepts a call now.
+bool
+RunnerTable::accepts(const RunnerEntry& entry, const RunnerQuery& query) const
+{
+    return may_accept_work(entry, query) && free_at(entry, query) <= query.now;
+}
+
+/// Returns a runner that the call is to probe; null if there is none.
+const RunnerEntry*
+RunnerTable::due_probe(const RunnerQuery& query) const
+{
+    for (const std::string& id : m_index.noticed) {
+        const RunnerEntry* entry = visit(id);
+        if (entry && accepts(*entry, query) && needs_probe(*entry, query.now))
+            return entry;
+    }
+    return nullptr;
+}
+
+/// Returns the runners among which this instance chooses.
+Candidates
+RunnerTable::candidates(const RunnerQuery& query) const
+{
+    const RunnerIndex::Groups* groups = m_index.groups(query.service);
+    if (!groups)
+        return {};
+    Candidates found;
+    const bool draws =
+        std::any_of(groups->begin(), groups->end(), [](const auto& item) {
+            return item.second.ids.size() > max_walked;
+        });
+    if (!draws) {
+        for (const auto& [zone, group] : *groups) {
+            const Candidates part = walk(group, query);
+            found.insert(found.end(), part.begin(), part.end());
+        }
+        sample(found, query);
+        return found;
+    }
+    const std::size_t of_zone =
+        std::max<std::size_t>(query.instances / groups->size(), 1);
+    std::mt19937_64 generator(query.random);
+    for (const auto& [zone, group] : *groups) {
+        const Candidates part = draw(
+            group, sample_size(group.ids.size(), of_zone), query, generator);
+        found.insert(found.end(), part.begin(), part.end());
+    }
+    return found;
+}
+
+/// Returns all runners of `group` that accept the call.
+Candidates
+RunnerTable::walk(const RunnerIndex::Group& group,
+                  const RunnerQuery& query) const
+{
+    Candidates found;
+    for (const std::string& id : group.ids) {
+        const RunnerEntry* entry = visit(id);
+        if (entry && accepts(*entry, query))
+            found.push_back(entry);
+    }
+    return found;
+}
+
+/// Returns a random sample of `count` of the runners of `group` that accept the
+/// call, or fewer if not so many do.
+Candidates
+RunnerTable::draw(const RunnerIndex::Group& group, std::size_t count,
+                  const RunnerQuery& query, std::mt19937_64& generator) const
+{
+    const std::size_t draws = max_draws * count;
+    if (draws < group.ids.size()) {
+        std::set<std::size_t> drawn;
+        Candidates found;
+        std::uniform_int_distribution<std::size_t> any(0, group.ids.size() - 1);
+        for (std::size_t i = 0; i < draws && found.size() < count; ++i) {
+            const std::size_t position = any(generator);
+            if (!drawn.insert(position).second)
+                continue;
+            const RunnerEntry* entry = visit(group.ids[position]);
+            if (entry && accepts(*entry, query))
+                found.push_back(entry);
+        }
+        if (found.size() == count)
+            return found;
+    }
+    Candidates found = walk(group, query);
+    std::shuffle(found.begin(), found.end(), generator);
+    found.resize(std::min(found.size(), count));
+    return found;
 }
 
 std::optional<RunnerPick>
@@ -406,6 +507,7 @@
     FleetLoad fleet;
     fleet.others_known =
         m_others_known && query.now - m_others_at < load_lifetime;
+    fleet.known_zone = m_known_zone;
     fleet.others_age = std::max(
         std::chrono::duration_cast<Micros>(query.now - m_others_at), Micros{0});
     fleet.holding_time = holding_time(query.service);
--- a/src/libcrosslink/forward/runner_price.cpp
+++ b/src/libcrosslink/forward/runner_price.cpp
@@ -90,7 +90,10 @@
     const double alike =
         std::max(1.0, static_cast<double>(query.instances) / zones);
     KnownLoad known;
-    if (!fleet.others_known) {
+    const bool others_known =
+        fleet.others_known &&
+        (fleet.known_zone.empty() || fleet.known_zone == entry.listed.zone);
+    if (!others_known) {
         known.add(entry.own, alike);
         return known;
     }
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -6,6 +6,7 @@
 #include <crosslink/forward/rate_share.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace crosslink
@@ -25,6 +26,9 @@
 /// calls to a cold runner are counted.
 constexpr Micros settling_time = std::chrono::milliseconds(2000);
 
+/// How long a connection failure is remembered for other instances, at least.
+constexpr Micros failure_report_time = std::chrono::seconds(5);
+
 void
 erase_model(std::vector<LoadedModel>& models, std::string_view model)
 {
@@ -75,31 +79,75 @@
 void
 RunnerTable::drop_if(const std::function<bool(const RunnerEntry&)>& condition)
 {
-    std::erase_if(m_entries, [&](const auto& item) {
-        const RunnerEntry& entry = item.second;
-        if (!condition(entry))
-            return false;
-        m_unlisted.keep(entry.incarnation(), entry.notices);
-        return true;
-    });
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        const auto next = std::next(entry);
+        ++m_visited;
+        if (condition(entry->second))
+            drop(entry);
+        entry = next;
+    }
+}
+
+void
+RunnerTable::drop(Entries::iterator entry)
+{
+    m_unlisted.keep(entry->second.incarnation(), entry->second.notices);
+    m_index.remove(entry->first);
+    m_entries.erase(entry);
+}
+
+/// Returns an entry by its id, counted as visited; null if it is gone.
+const RunnerEntry*
+RunnerTable::visit(std::string_view id) const
+{
+    ++m_visited;
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
 }
 
 void
 RunnerTable::lapsed(std::string_view id, TimePoint gone_at)
 {
-    if (RunnerEntry* entry = find(id); entry && !entry->gone_at)
-        entry->gone_at = gone_at;
+    RunnerEntry* entry = find(id);
+    if (!entry || entry->gone_at)
+        return;
+    entry->gone_at = gone_at;
+    m_index.lapsed.emplace(id);
 }
 
 void
 RunnerTable::expire(TimePoint now)
 {
-    drop_if([now](const RunnerEntry& entry) {
-        return entry.gone_at && now >= *entry.gone_at;
-    });
+    const RunnerIndex::Ids lapsed = m_index.lapsed;
+    for (const std::string& id : lapsed) {
+        ++m_visited;
+        const auto entry = m_entries.find(id);
+        if (entry == m_entries.end() || !entry->second.gone_at)
+            m_index.lapsed.erase(id);
+        else if (now >= *entry->second.gone_at)
+            drop(entry);
+    }
+    prune_noticed(now);
     m_unlisted.expire(now);
 }
 
+/// Forgets which runners had notices that are over.
+void
+RunnerTable::prune_noticed(TimePoint now)
+{
+    std::erase_if(m_index.noticed, [&](const std::string& id) {
+        const RunnerEntry* entry = visit(id);
+        if (!entry)
+            return true;
+        const bool failed =
+            entry->connection_failed_at &&
+            now < *entry->connection_failed_at + failure_report_time;
+        const AdvertisedLimit& limit = entry->notices.limit;
+        return !failed && !entry->notices.leaving && !limit.in_force() &&
+               !limit.needs_reporting(now);
+    });
+}
+
 bool
 RunnerTable::put(const ListedRunner& listed, TimePoint now)
 {
@@ -113,11 +161,15 @@
         const SendWindow sends = entry.sends;
         entry = {};
         entry.sends = sends;
+        m_index.busy.erase(listed.id);
     }
     if (is_new || starts_anew)
         entry.notices = m_unlisted.take({listed.id, listed.start_ms});
+    if (!entry.notices.empty())
+        m_index.noticed.insert(listed.id);
     entry.gone_at.reset();
     entry.listed = listed;
+    m_index.add(listed.id, listed.service, listed.zone);
     entry.cold_until = now + listed.cold_for;
     return starts_anew;
 }
@@ -125,7 +177,8 @@
 void
 RunnerTable::remove(std::string_view id)
 {
-    drop_if([id](const RunnerEntry& entry) { return entry.listed.id == id; });
+    if (const auto entry = m_entries.find(id); entry != m_entries.end())
+        drop(entry);
 }
 
 void
@@ -180,6 +233,8 @@
         record_send(*entry, now);
         entry->own.add(tokens, resident);
         entry->unreported_load.add(tokens, resident);
+        m_index.busy.emplace(runner.id);
+        m_index.loaded.emplace(runner.id);
     }
 }
 
@@ -215,6 +270,8 @@
         return;
     --entry->own.calls;
     entry->own.resident -= std::min(entry->own.resident, resident);
+    if (entry->own.calls == 0)
+        m_index.busy.erase(entry->listed.id);
 }
 
 void
@@ -269,15 +326,20 @@
     if (entry &&
         (!entry->connection_failed_at || *entry->connection_failed_at < at))
         entry->connection_failed_at = at;
+    if (entry)
+        m_index.noticed.emplace(id);
 }
 
 std::map<std::string, TimePoint>
 RunnerTable::connection_failures(TimePoint since) const
 {
     std::map<std::string, TimePoint> lost;
-    for (const auto& [id, entry] : m_entries)
-        if (entry.connection_failed_at && *entry.connection_failed_at > since)
-            lost[id] = *entry.connection_failed_at;
+    for (const std::string& id : m_index.noticed) {
+        const RunnerEntry* entry = visit(id);
+        if (entry && entry->connection_failed_at &&
+            *entry->connection_failed_at > since)
+            lost[id] = *entry->connection_failed_at;
+    }
     return lost;
 }
 
@@ -336,12 +398,14 @@
 RunnerTable::limit_updates(TimePoint now) const
 {
     std::vector<LimitUpdate> updates;
-    for (const auto& [id, entry] : m_entries)
-        if (entry.notices.limit.needs_reporting(now))
-            updates.push_back({id, entry.listed.start_ms,
-                               entry.notices.limit.per_second(),
-                               entry.notices.limit.change(),
-                               entry.notices.limit.confirmations()});
+    for (const std::string& id : m_index.noticed) {
+        const RunnerEntry* entry = visit(id);
+        if (!entry || !entry->notices.limit.needs_reporting(now))
+            continue;
+        const AdvertisedLimit& limit = entry->notices.limit;
+        updates.push_back({id, entry->listed.start_ms, limit.per_second(),
+                           limit.change(), limit.confirmations()});
+    }
     return updates;
 }
 
@@ -349,9 +413,11 @@
 RunnerTable::limited_count() const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_entries.begin(), m_entries.end(), [](const auto& item) {
-            return item.second.notices.limit.in_force();
-        }));
+        std::count_if(m_index.noticed.begin(), m_index.noticed.end(),
+                      [this](const std::string& id) {
+                          const RunnerEntry* entry = visit(id);
+                          return entry && entry->notices.limit.in_force();
+                      }));
 }
 
 bool
@@ -368,9 +434,11 @@
 RunnerTable::leaving_updates() const
 {
     std::vector<LeavingUpdate> updates;
-    for (const auto& [id, entry] : m_entries)
-        if (entry.notices.leaving && !entry.listed.leaving)
-            updates.push_back({id, entry.listed.start_ms});
+    for (const std::string& id : m_index.noticed) {
+        const RunnerEntry* entry = visit(id);
+        if (entry && entry->notices.leaving && !entry->listed.leaving)
+            updates.push_back({id, entry->listed.start_ms});
+    }
     return updates;
 }
 
@@ -392,23 +460,48 @@
 RunnerTable::own_load() const
 {
     std::map<std::string, RunnerLoad> load;
-    for (const auto& [id, entry] : m_entries)
-        if (entry.own.calls > 0)
-            load[id] = entry.own;
+    for (const std::string& id : m_index.busy) {
+        const RunnerEntry* entry = visit(id);
+        if (entry && entry->own.calls > 0)
+            load[id] = entry->own;
+    }
     return load;
 }
 
 void
 RunnerTable::set_remote_load(const std::map<std::string, RunnerLoad>& load,
-                             TimePoint as_of)
+                             TimePoint as_of, std::string_view known_zone)
 {
     m_others_at = as_of;
     m_others_known = true;
-    for (auto& [id, entry] : m_entries) {
-        const auto found = load.find(id);
-        entry.others = found == load.end() ? RunnerLoad{} : found->second;
-        entry.unreported_load = {};
+    m_known_zone = known_zone;
+    const RunnerIndex::Ids before = std::exchange(m_index.loaded, {});
+    for (const std::string& id : before) {
+        ++m_visited;
+        RunnerEntry* entry = find(id);
+        if (!entry)
+            continue;
+        entry->others = {};
+        entry->unreported_load = {};
     }
+    for (const auto& [id, item] : load) {
+        ++m_visited;
+        RunnerEntry* entry = find(id);
+        if (!entry)
+            continue;
+        entry->others = item;
+        m_index.loaded.insert(id);
+    }
+}
+
+void
+RunnerTable::keep_zone(std::map<std::string, RunnerLoad>& load,
+                       std::string_view zone) const
+{
+    std::erase_if(load, [&](const auto& item) {
+        const RunnerEntry* entry = visit(item.first);
+        return !entry || entry->listed.zone != zone;
+    });
 }
 
 RunnerEntry*
@@ -427,16 +520,18 @@
     return entry && entry->listed.start_ms == runner.start_ms ? entry : nullptr;
 }
 
-/// Returns the notices of exactly this process, whether it is listed or not;
-/// null if a later process under its id is known.
+/// Returns the notices of exactly this process, to be updated, whether it is
+/// listed or not; null if a later process under its id is known.
 RunnerNotices*
 RunnerTable::notices_of(const RunnerIncarnation& runner)
 {
     RunnerEntry* entry = find(runner.id);
     if (!entry || entry->listed.start_ms < runner.start_ms)
         return m_unlisted.find(runner);
-    return entry->listed.start_ms == runner.start_ms ? &entry->notices
-                                                     : nullptr;
+    if (entry->listed.start_ms != runner.start_ms)
+        return nullptr;
+    m_index.noticed.emplace(runner.id);
+    return &entry->notices;
 }
 
 } // namespace crosslink
--- a/src/serve/fleet/change_applier.cpp
+++ b/src/serve/fleet/change_applier.cpp
@@ -139,8 +139,7 @@
             return;
         gone = found->second.listed;
         is_leaving = found->second.leaves();
-        for (const auto& [other, entry] : table.entries())
-            in_zone += entry.listed.zone == gone->zone ? 1 : 0;
+        in_zone = table.count_in_zone(gone->zone);
     });
     if (!gone)
         return;
