Let the instances of a large fleet learn their start from each other

Cause: each instance that starts read everything from the platform: 50 pages of runners and seven more at 985 instances, 56,000 calls when all start, each priced and against 16,000 a second; the same after a loss of power.

Change: an instance that finds many runners stops reading, finds the holder of the duty, and asks it for its parents in the fleet's tree; from these it gets the platform's data packed (zlib), one packing for all that ask within five seconds. Only the holder reads all. Who learns nothing for six seconds reads all after all, at a random time within twelve (membership/start_plan). Fleets with up to four pages of runners read as before. History of changes grows with the keys, and instances that miss news ask the platform within a span that grows with the fleet.

--- a/src/include/crosslink/membership/change_log.h
+++ b/src/include/crosslink/membership/change_log.h
@@ -5,6 +5,7 @@
 
 #include <crosslink/membership/change_page.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -30,6 +31,15 @@
     /// remembered, otherwise a snapshot. The page has no entries where nothing
     /// is known, or where `after` is ahead of this log.
     ChangePage since(std::optional<std::uint64_t> after) const;
+    /// Returns whether since() returns a snapshot, as far as anything is known.
+    bool needs_snapshot(std::optional<std::uint64_t> after) const
+    {
+        return m_revision && (!after || *after < m_history_start);
+    }
+    /// Returns the number of keys.
+    std::size_t size() const { return m_state.size(); }
+    /// Returns the number of changes that are remembered.
+    std::size_t history_size() const { return m_changes.size(); }
 
 private:
     void apply_snapshot(const ChangePage& page);
--- a/src/include/crosslink/membership/change_page.h
+++ b/src/include/crosslink/membership/change_page.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +28,9 @@
     std::uint64_t revision = 0; ///< Revision up to which the page is complete.
     bool is_snapshot = false;   ///< Holds the whole store; ignore `since`.
     std::vector<KeyChange> entries;
+    /// The entries of a large snapshot as they are sent, compressed, in place
+    /// of `entries`; null otherwise.
+    std::shared_ptr<const std::string> packed{};
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -85,6 +85,16 @@
                  RolloutMarked, RequestBlocked, ZoneEvacuated, RunnerListed,
                  RunnerGone, InstanceListed, DutyHolder>;
 
+/// What an instance that starts finds at the platform.
+struct FirstLook {
+    /// Reading everything takes many requests.
+    bool large = false;
+    ChangePage page; ///< A snapshot; empty in a large fleet.
+    /// Peer address of the holder of the duty; empty for none. Told for a large
+    /// fleet only.
+    std::string coordinator;
+};
+
 /// The platform's data that every instance follows: the operator's
 /// configuration, the named weights, the runners, and the entry instances with
 /// the duties that they hold. read() and wait() block,
@@ -97,6 +107,10 @@
 
     /// Returns a snapshot of all current entries.
     virtual ChangePage read() = 0;
+    /// As read(), unless that takes many requests.
+    virtual FirstLook read_unless_large() = 0;
+    /// Returns the peer address of the holder of the duty; empty for none.
+    virtual std::string coordinator() = 0;
     /// Waits up to `longest` for changes after `revision`. Returns a
     /// snapshot if the platform no longer has these changes.
     virtual ChangePage wait(std::uint64_t revision, Micros longest) = 0;
--- a/src/libcrosslink/membership/change_log.cpp
+++ b/src/libcrosslink/membership/change_log.cpp
@@ -12,11 +12,12 @@
 namespace
 {
 
-/// Number of changes that are remembered. An instance polls several times a
-/// second; a rollout over a thousand runners makes that many changes within
-/// seconds. An instance that missed more gets a snapshot, which costs its link
-/// about 100 KB.
-constexpr std::size_t max_changes = 4000;
+/// Number of changes that are remembered, at least, and for each key. An
+/// instance polls several times a second; a rollout over all runners changes
+/// the key of each some times within seconds. An instance that missed more gets
+/// a snapshot.
+constexpr std::size_t min_remembered = 4000;
+constexpr std::size_t remembered_per_key = 3;
 
 } // namespace
 
@@ -39,7 +40,9 @@
             m_state.erase(entry.key);
         m_changes.push_back(entry);
     }
-    while (m_changes.size() > max_changes) {
+    const std::size_t most =
+        std::max(min_remembered, remembered_per_key * m_state.size());
+    while (m_changes.size() > most) {
         m_history_start = std::max(m_history_start, m_changes.front().revision);
         m_changes.pop_front();
     }
@@ -74,7 +77,7 @@
 {
     if (!m_revision)
         return {};
-    if (!after || *after < m_history_start)
+    if (needs_snapshot(after))
         return snapshot();
     ChangePage page;
     page.since = *after;
--- a/src/libcrosslink/membership/change_log_test.cpp
+++ b/src/libcrosslink/membership/change_log_test.cpp
@@ -168,4 +168,24 @@
     }));
 }
 
+TEST_CASE("a change of every key, twice, is remembered in a fleet of any size")
+{
+    for (const std::uint64_t keys : {100, 1000, 10'000}) {
+        ChangeLog log;
+        std::vector<KeyChange> all;
+        for (std::uint64_t i = 1; i <= keys; ++i)
+            all.push_back(entry("k" + std::to_string(i), "1", i));
+        REQUIRE(log.apply(snapshot(keys, all)));
+        for (std::uint64_t round = 1; round <= 2; ++round) {
+            std::vector<KeyChange> next;
+            for (std::uint64_t i = 1; i <= keys; ++i)
+                next.push_back(
+                    entry("k" + std::to_string(i), "2", round * keys + i));
+            REQUIRE(log.apply(changes(round * keys, (round + 1) * keys, next)));
+        }
+        CHECK_FALSE(log.needs_snapshot(keys));
+        CHECK(log.since(keys).entries.size() == 2 * keys);
+    }
+}
+
 } // namespace crosslink
--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -3,10 +3,14 @@
 
 #include "change_receiver.h"
 
+#include "fleet_json.h"
+
 #include <adapters/clock.h>
 #include <serve/log_line.h>
 
 #include <algorithm>
+#include <memory>
+#include <string>
 
 namespace crosslink
 {
@@ -26,6 +30,11 @@
 /// again within two seconds of its return, as its operators state. This is that
 /// time, less the time in which a call reaches its runner.
 constexpr Micros relisting_time = std::chrono::milliseconds(1800);
+/// Number of keys from which a snapshot is sent packed.
+constexpr std::size_t min_packed = 1000;
+/// Time for which a packed snapshot is sent. Changes of that time come to the
+/// fraction of a snapshot.
+constexpr Micros packed_lifetime = std::chrono::seconds(5);
 /// Longer than any limit on an age.
 constexpr Micros unconfirmed_age = std::chrono::hours(1);
 
@@ -142,8 +151,38 @@
 ChangePage
 ChangeReceiver::changes_since(std::optional<std::uint64_t> revision)
 {
-    const std::lock_guard lock(m_mutex);
-    return m_log.since(revision);
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_log.needs_snapshot(revision) || m_log.size() < min_packed)
+            return m_log.since(revision);
+    }
+    return packed_snapshot(revision);
+}
+
+/// Returns a packed snapshot, which is made anew when it is too old. Many
+/// instances that start at once get the same one.
+ChangePage
+ChangeReceiver::packed_snapshot(std::optional<std::uint64_t> revision)
+{
+    const std::lock_guard packing(m_packing_mutex);
+    ChangePage page;
+    {
+        const std::lock_guard lock(m_mutex);
+        const bool usable = m_packed.packed &&
+                            !m_log.needs_snapshot(m_packed.revision) &&
+                            monotonic_now() < m_packed_at + packed_lifetime;
+        if (usable)
+            return m_packed;
+        page = m_log.since(revision);
+    }
+    if (!page.is_snapshot)
+        return page;
+    page.packed =
+        std::make_shared<const std::string>(pack_entries(page.entries));
+    page.entries.clear();
+    m_packed = page;
+    m_packed_at = monotonic_now();
+    return page;
 }
 
 Micros
@@ -153,6 +192,17 @@
     return m_confirmed ? now - *m_confirmed : unconfirmed_age;
 }
 
+Micros
+ChangeReceiver::age_of(const ChangePage& page, TimePoint now)
+{
+    Micros since_packed{0};
+    if (page.packed) {
+        const std::lock_guard packing(m_packing_mutex);
+        since_packed = std::chrono::duration_cast<Micros>(now - m_packed_at);
+    }
+    return age(now) + std::max(since_packed, Micros{0});
+}
+
 bool
 ChangeReceiver::peers_are_in_time(TimePoint now)
 {
--- a/src/serve/fleet/change_receiver.h
+++ b/src/serve/fleet/change_receiver.h
@@ -48,17 +48,22 @@
     /// Returns the revision up to which the platform's store is known; nothing
     /// before the first snapshot.
     std::optional<std::uint64_t> revision();
-    /// Returns the changes after `revision`, for another instance.
+    /// Returns the changes after `revision`, for another instance. A large
+    /// snapshot is packed, and may be some seconds old: the changes since then
+    /// follow with the next page.
     ChangePage changes_since(std::optional<std::uint64_t> revision);
     /// Returns the time at `now` since the platform last confirmed that all
     /// changes are known here; a large time before the first confirmation.
     Micros age(TimePoint now);
+    /// Returns the same for a page of changes_since(), which may be older.
+    Micros age_of(const ChangePage& page, TimePoint now);
     /// Returns whether other instances deliver changes in time, so that this
     /// one need not ask the platform.
     bool peers_are_in_time(TimePoint now);
 
 private:
     bool apply(const ChangePage& page, TimePoint confirmed);
+    ChangePage packed_snapshot(std::optional<std::uint64_t> revision);
     std::optional<TimePoint> lapsed_until(TimePoint now);
 
     ForwardState& m_state;
@@ -70,6 +75,10 @@
     TimePoint m_peer_confirmed{}; ///< The same, by other instances only.
     bool m_platform_lost = false; ///< The platform does not answer.
     TimePoint m_lapsed_until{};   ///< Unlisted runners may be healthy.
+    /// Held while a snapshot is packed, before m_mutex.
+    std::mutex m_packing_mutex;
+    ChangePage m_packed; ///< The last snapshot that was packed.
+    TimePoint m_packed_at{};
 };
 
 } // namespace crosslink
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -84,6 +84,17 @@
     return request;
 }
 
+/// Returns the addresses that this instance may poll.
+std::vector<std::string>
+ExchangeDuty::possible_parents()
+{
+    const auto named =
+        m_state.start_parents.with([](const auto& parents) { return parents; });
+    if (named && !m_changes.revision())
+        return *named;
+    return m_state.tree_position().parents;
+}
+
 /// Returns the address of the parent to ask at `now`; empty for none. Parents
 /// that failed recently come last, the earliest failure first.
 std::string
@@ -91,7 +102,7 @@
 {
     std::erase_if(m_avoided,
                   [now](const auto& item) { return item.second <= now; });
-    const std::vector<std::string> parents = m_state.tree_position().parents;
+    const std::vector<std::string> parents = possible_parents();
     const auto avoided_until = [this](const std::string& address) {
         const auto found = m_avoided.find(address);
         return found == m_avoided.end() ? TimePoint{} : found->second;
--- a/src/serve/fleet/exchange_duty.h
+++ b/src/serve/fleet/exchange_duty.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace crosslink
 {
@@ -32,6 +33,7 @@
     Micros round();
     ExchangeRequest make_request(TimePoint now);
     ExchangeResponse send(const ExchangeRequest& request);
+    std::vector<std::string> possible_parents();
     std::string choose_parent(TimePoint now);
     void apply(const ExchangeResponse& response, TimePoint asked);
     void avoid_if_outdated(const ExchangeResponse& response, TimePoint now);
--- a/src/serve/fleet/exchange_handler.cpp
+++ b/src/serve/fleet/exchange_handler.cpp
@@ -50,7 +50,7 @@
     response.fetches = fetches;
     response.holders = m_changes.former_holders(now);
     response.changes = m_changes.changes_since(request.known_revision);
-    response.changes_age = m_changes.age(now);
+    response.changes_age = m_changes.age_of(response.changes, now);
     return response;
 }
 
--- a/src/serve/fleet/exchange_json_test.cpp
+++ b/src/serve/fleet/exchange_json_test.cpp
@@ -9,7 +9,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <cstdint>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace crosslink
 {
@@ -241,4 +245,46 @@
     CHECK(text.size() < parts * most_bytes_each);
 }
 
+TEST_CASE("a packed snapshot is decoded as its entries, and is far shorter")
+{
+    ChangePage page;
+    page.revision = 20'000;
+    page.is_snapshot = true;
+    for (std::uint64_t i = 0; i < 10'000; ++i)
+        page.entries.push_back(
+            {"servers/i-" + std::to_string(i),
+             R"({"service":"s","address":"10.1.)" + std::to_string(i % 250) +
+                 "." + std::to_string(i / 250) +
+                 R"(:8080","zone":"zone-a","slots":24,"state":"ready"})",
+             i + 1});
+    const std::string plain = json_text(to_json(page));
+    ChangePage packed = page;
+    packed.packed =
+        std::make_shared<const std::string>(pack_entries(page.entries));
+    packed.entries.clear();
+    const std::string text = json_text(to_json(packed));
+    CHECK(text.size() * 5 < plain.size());
+    const ChangePage read = change_page_from_json(parse_json(text));
+    CHECK(read.revision == page.revision);
+    CHECK(read.is_snapshot);
+    REQUIRE(read.entries.size() == page.entries.size());
+    CHECK(std::equal(read.entries.begin(), read.entries.end(),
+                     page.entries.begin(), [](const auto& a, const auto& b) {
+                         return a.key == b.key && a.value == b.value &&
+                                a.revision == b.revision;
+                     }));
+}
+
+TEST_CASE("an exchange tells whether it brings the load of one zone only")
+{
+    ExchangeRequest request;
+    request.zone = "zone-a";
+    CHECK(exchange_request_from_json(to_json(request)).zone == "zone-a");
+    ExchangeResponse response;
+    response.own_zone_only = true;
+    CHECK(exchange_response_from_json(to_json(response)).own_zone_only);
+    CHECK_FALSE(exchange_response_from_json(Json::Value(Json::objectValue))
+                    .own_zone_only);
+}
+
 } // namespace crosslink
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -41,9 +41,12 @@
 /// Pause between two checks whether other instances still deliver changes.
 constexpr Micros check_pause = std::chrono::milliseconds(100);
 /// When changes from other instances stop, parents ask the platform at once,
-/// and the rest at random times within this span: by then, most of them get
-/// changes from a parent again.
-constexpr Micros max_random_delay = std::chrono::milliseconds(300);
+/// and the rest at random times within a span that grows with the fleet: by
+/// then, most of them get changes from a parent again. It ends before a change
+/// must be in force.
+constexpr Micros min_delay_span = std::chrono::milliseconds(300);
+constexpr Micros max_delay_span = std::chrono::milliseconds(1500);
+constexpr Micros delay_span_per_instance = std::chrono::milliseconds(2);
 /// Pause after a failed request to the platform's store.
 constexpr Micros retry_pause = std::chrono::milliseconds(250);
 /// The same for instances that no other asks. During an outage they try less
@@ -56,7 +59,7 @@
 } // namespace
 
 FeedDuty::FeedDuty(ForwardState& state, ChangeReceiver& changes)
-    : m_state(state), m_changes(changes),
+    : m_state(state), m_changes(changes), m_start(random_bits()),
       m_feed("feed", [this] { return feed_round(); }),
       m_presence("presence", [this] { return presence_round(); })
 {
@@ -68,6 +71,8 @@
     if (const auto pause = wait_for_peers())
         return *pause;
     try {
+        if (!m_changes.revision())
+            return learn_first();
         ask_platform();
         m_platform_lost = false;
         return m_state.has_duty() ? request_pause : request_pause_without_duty;
@@ -82,6 +87,84 @@
     }
 }
 
+/// Learns the platform's data after a start. Returns how long to wait until the
+/// next step.
+Micros
+FeedDuty::learn_first()
+{
+    const std::string holder = m_state.fleet.with(
+        [](const FleetView& view) { return view.coordinator_address(); });
+    const bool knows_holder =
+        !holder.empty() && holder != m_state.settings.peer_address();
+    switch (m_start.next(m_state.has_duty(), knows_holder, monotonic_now())) {
+    case StartPlan::Step::ReadUnlessLarge:
+        read_unless_large();
+        break;
+    case StartPlan::Step::ReadAll:
+        read_all();
+        break;
+    case StartPlan::Step::FindHolder:
+        set_holder(m_state.ports.feed.coordinator());
+        break;
+    case StartPlan::Step::AskHolder:
+        ask_holder(holder);
+        break;
+    case StartPlan::Step::Wait:
+        break;
+    }
+    m_platform_lost = false;
+    return m_changes.revision() ? request_pause : check_pause;
+}
+
+void
+FeedDuty::read_unless_large()
+{
+    const TimePoint asked = monotonic_now();
+    const FirstLook look = m_state.ports.feed.read_unless_large();
+    if (!look.large) {
+        m_changes.apply_from_platform(look.page, asked);
+        return;
+    }
+    m_start.found_large();
+    m_state.start_parents.with([](auto& parents) { parents.emplace(); });
+    set_holder(look.coordinator);
+    LogLine("fleet_is_large").field("holder", look.coordinator);
+}
+
+void
+FeedDuty::read_all()
+{
+    const TimePoint asked = monotonic_now();
+    m_changes.apply_from_platform(m_state.ports.feed.read(), asked);
+}
+
+/// Sets the holder of the duty until the platform's data tell it.
+void
+FeedDuty::set_holder(const std::string& address)
+{
+    m_state.fleet.with([&](FleetView& view) { view.coordinator = address; });
+}
+
+/// Asks the holder of the duty whom this instance polls.
+void
+FeedDuty::ask_holder(const std::string& holder)
+{
+    try {
+        const auto parents =
+            FleetClient(holder).parents_of(m_state.settings.instance_info());
+        m_state.start_parents.with([&](auto& named) { named = parents; });
+        LogLine("parents_named")
+            .field("holder", holder)
+            .field("count", static_cast<std::uint64_t>(parents.size()));
+    } catch (const Error& failure) {
+        LogLine("holder_unanswered")
+            .field("address", holder)
+            .field("error", failure.what());
+        m_start.holder_failed(monotonic_now());
+        set_holder("");
+    }
+}
+
 /// Returns how long to wait for changes from other instances; nothing where
 /// this instance is to ask the platform itself.
 std::optional<Micros>
@@ -103,15 +186,25 @@
                    static_cast<std::uint64_t>(m_changes.age(now) /
                                               std::chrono::milliseconds(1)));
         if (!m_state.is_parent())
-            *m_ask_platform_at += Micros(static_cast<Micros::rep>(
-                random_bits() %
-                static_cast<std::uint64_t>(max_random_delay.count())));
+            *m_ask_platform_at += random_delay();
     }
     if (now < *m_ask_platform_at)
         return std::min(check_pause, *m_ask_platform_at - now);
     return std::nullopt;
 }
 
+/// Returns how long this instance waits before it asks the platform, although
+/// changes are late.
+Micros
+FeedDuty::random_delay()
+{
+    const auto instances = static_cast<Micros::rep>(m_state.instance_count());
+    const Micros span = std::clamp(instances * delay_span_per_instance,
+                                   min_delay_span, max_delay_span);
+    return Micros(static_cast<Micros::rep>(
+        random_bits() % static_cast<std::uint64_t>(span.count())));
+}
+
 void
 FeedDuty::ask_platform()
 {
@@ -119,10 +212,6 @@
     const auto revision = m_changes.revision();
     const Micros timeout = asked_by_others ? max_wait_of_parent : max_wait;
     const TimePoint asked = monotonic_now();
-    if (!revision) {
-        m_changes.apply_from_platform(m_state.ports.feed.read(), asked);
-        return;
-    }
     const ChangePage page = m_state.ports.feed.wait(*revision, timeout);
     // The platform sends an answer without changes at the end of the wait, so
     // that it confirms the state as of then. Counted from the request, the
--- a/src/serve/fleet/feed_duty.h
+++ b/src/serve/fleet/feed_duty.h
@@ -9,8 +9,10 @@
 #include <serve/forward/forward_state.h>
 
 #include <crosslink/base/time.h>
+#include <crosslink/membership/start_plan.h>
 
 #include <optional>
+#include <string>
 
 namespace crosslink
 {
@@ -25,7 +27,13 @@
 
 private:
     Micros feed_round();
+    Micros learn_first();
+    void read_unless_large();
+    void read_all();
+    void ask_holder(const std::string& holder);
+    void set_holder(const std::string& address);
     std::optional<Micros> wait_for_peers();
+    Micros random_delay();
     void ask_platform();
     Micros failure_pause();
     void ask_seeds();
@@ -33,6 +41,7 @@
 
     ForwardState& m_state;
     ChangeReceiver& m_changes;
+    StartPlan m_start;
     /// When this instance asks the platform itself, since changes from other
     /// instances are late; empty while they are in time.
     std::optional<TimePoint> m_ask_platform_at;
--- a/src/serve/fleet/fleet_json.cpp
+++ b/src/serve/fleet/fleet_json.cpp
@@ -3,6 +3,8 @@
 
 #include "fleet_json.h"
 
+#include <adapters/packed_text.h>
+
 #include <crosslink/base/error.h>
 
 namespace crosslink
@@ -11,6 +13,9 @@
 namespace
 {
 
+/// Greatest length of an unpacked snapshot: five times that of 20,000 runners.
+constexpr std::size_t most_bytes = 40U << 20U;
+
 Json::Value
 place_to_json(const KeptPlace& place)
 {
@@ -91,10 +96,19 @@
     value["since"] = Json::UInt64(page.since);
     value["place"] = Json::UInt64(page.revision);
     value["whole"] = page.is_snapshot;
-    value["entries"] = json_list(page.entries, change_to_json);
+    if (page.packed)
+        value["packed"] = *page.packed;
+    else
+        value["entries"] = json_list(page.entries, change_to_json);
     return value;
 }
 
+std::string
+pack_entries(std::span<const KeyChange> entries)
+{
+    return pack_text(json_text(json_list(entries, change_to_json)));
+}
+
 ChangePage
 change_page_from_json(const Json::Value& value)
 {
@@ -102,7 +116,11 @@
     page.since = json_uint64(value, "since");
     page.revision = json_uint64(value, "place");
     page.is_snapshot = json_bool(value, "whole");
-    page.entries = list_from_json(value["entries"], change_from_json);
+    const Json::Value entries =
+        value.isMember("packed")
+            ? parse_json(unpack_text(json_string(value, "packed"), most_bytes))
+            : value["entries"];
+    page.entries = list_from_json(entries, change_from_json);
     return page;
 }
 
--- a/src/serve/fleet/fleet_json.h
+++ b/src/serve/fleet/fleet_json.h
@@ -21,8 +21,10 @@
 
 /// Encodes changes of the platform's store.
 Json::Value to_json(const ChangePage& page);
-/// Decodes them. Throws Error(BadJson) where a change has no key or no
-/// revision.
+/// Returns `entries` as ChangePage::packed holds them.
+std::string pack_entries(std::span<const KeyChange> entries);
+/// Decodes changes, packed or not. Throws Error(BadJson) where a change has no
+/// key or no revision.
 ChangePage change_page_from_json(const Json::Value& value);
 
 /// Encodes the parts of a prompt, and the space that they belong to.
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -23,6 +23,7 @@
 constexpr const char* exchange_method = "exchange";
 constexpr const char* stop_answering_method = "stop_telling";
 constexpr const char* coordinator_method = "holder";
+constexpr const char* parents_method = "parents";
 constexpr const char* store_snapshot_method = "news";
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
@@ -34,6 +35,9 @@
 /// Timeout where the answer may be a complete copy of the directory or of the
 /// platform's store: some hundred kilobytes. No caller waits for it.
 constexpr Micros large_answer_timeout = std::chrono::milliseconds(600);
+/// Timeout for an instance that starts: the holder of the duty may be asked by
+/// all instances at once.
+constexpr Micros start_timeout = std::chrono::milliseconds(600);
 constexpr Micros connect_timeout = std::chrono::milliseconds(60);
 
 } // namespace
@@ -69,14 +73,24 @@
             [](FleetView& view) { return view.coordinator_address(); });
         return result;
     });
+    m_rpc->add(parents_method, [&state](const Json::Value& parameters) {
+        Json::Value result;
+        result["parents"] = json_strings(
+            state.parents_of({json_string(parameters, "name"),
+                              json_string(parameters, "address"),
+                              json_string(parameters, "zone"), 0}));
+        return result;
+    });
     m_rpc->add(exchange_method, [&handler](const Json::Value& parameters) {
         return to_json(
             handler.exchange(exchange_request_from_json(parameters)));
     });
     m_rpc->add(store_snapshot_method, [&changes](const Json::Value&) {
         Json::Value result;
-        result["age_us"] = Json::Int64(changes.age(monotonic_now()).count());
-        result["page"] = to_json(changes.changes_since(std::nullopt));
+        const ChangePage page = changes.changes_since(std::nullopt);
+        result["page"] = to_json(page);
+        result["age_us"] =
+            Json::Int64(changes.age_of(page, monotonic_now()).count());
         return result;
     });
     HttpServerRules rules;
@@ -160,6 +174,17 @@
         "address");
 }
 
+std::vector<std::string>
+FleetClient::parents_of(const InstanceInfo& instance)
+{
+    Json::Value parameters;
+    parameters["name"] = instance.name;
+    parameters["address"] = instance.address;
+    parameters["zone"] = instance.zone;
+    return strings_from_json(
+        call(parents_method, parameters, start_timeout)["parents"]);
+}
+
 StoreSnapshot
 FleetClient::store_snapshot()
 {
--- a/src/serve/fleet/fleet_rpc.h
+++ b/src/serve/fleet/fleet_rpc.h
@@ -10,9 +10,12 @@
 #include <adapters/http_server.h>
 #include <serve/coordinator/coordinator.h>
 
+#include <crosslink/membership/instance_info.h>
+
 #include <memory>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace crosslink
 {
@@ -58,6 +61,10 @@
     /// Returns the coordinator's address as that instance knows it; empty for
     /// none.
     std::string coordinator_address();
+    /// Returns the addresses that `instance` may poll, in order of preference;
+    /// see FleetTree::parents(). Empty where the other instance does not know
+    /// the fleet yet.
+    std::vector<std::string> parents_of(const InstanceInfo& instance);
     /// Returns all that the other instance knows of the platform's store; a
     /// page that is no snapshot where it knows nothing.
     StoreSnapshot store_snapshot();
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -43,6 +43,16 @@
     return all.subspan(first);
 }
 
+FleetTree
+tree_of(const FleetView& view)
+{
+    std::vector<InstanceInfo> instances;
+    instances.reserve(view.instances.size());
+    for (const auto& [name, instance] : view.instances)
+        instances.push_back(instance);
+    return {instances, view.coordinator_address()};
+}
+
 } // namespace
 
 ForwardState::ForwardState(const ForwardSettings& settings_in,
@@ -227,6 +237,17 @@
         learned.notify();
 }
 
+std::vector<std::string>
+ForwardState::parents_of(const InstanceInfo& instance)
+{
+    return fleet.with([&](const FleetView& view) {
+        if (!view.runners_listed)
+            return std::vector<std::string>();
+        return tree_of(view).parents(instance.name, instance.zone,
+                                     instance.address);
+    });
+}
+
 TreePosition
 ForwardState::tree_position()
 {
@@ -238,12 +259,8 @@
     return m_position.with([&](CachedPosition& known) {
         if (known.instances_version == version && known.holder == holder)
             return known.position;
-        const FleetTree tree = fleet.with([&](const FleetView& view) {
-            std::vector<InstanceInfo> instances;
-            for (const auto& [name, instance] : view.instances)
-                instances.push_back(instance);
-            return FleetTree(instances, holder);
-        });
+        const FleetTree tree =
+            fleet.with([](const FleetView& view) { return tree_of(view); });
         known.position = {tree.is_parent(settings.name, settings.zone),
                           tree.parents(settings.name, settings.zone,
                                        settings.peer_address())};
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -146,6 +146,9 @@
     ForwardCounters counters;
     std::atomic<bool> stopping{false}; ///< A planned stop has begun.
     std::atomic<bool> refusing{false}; ///< New calls are refused.
+    /// Addresses to poll while this instance starts in a large fleet and does
+    /// not know the other instances; nothing otherwise.
+    Guarded<std::optional<std::vector<std::string>>> start_parents;
     /// Notified when the configuration and the runners have been read.
     LearnedSignal learned;
     const TimePoint started_at;
@@ -253,6 +256,9 @@
     /// Returns the current position of this instance in the tree in which
     /// instances ask each other for load and for the platform's changes.
     TreePosition tree_position();
+    /// Returns the addresses that `instance` may poll, for an instance that
+    /// starts; empty while this one does not know the fleet.
+    std::vector<std::string> parents_of(const InstanceInfo& instance);
     /// Returns whether other instances are to ask this one for load and for the
     /// platform's changes, although it does not hold the duty.
     bool is_parent() { return tree_position().is_parent; }
