Bound what an instance holds for slow callers and runners

Cause: an answer that is no stream was held whole, up to 16 MB, and bodies of requests were held without a bound in sum. Callers that stopped reading, or that sent large bodies slowly, could use up the memory of an instance and end it.

Change: bodies of all calls together take a quarter of the memory at most (forward/body_budget); a request that does not fit is refused at once, 503 queue_full, not run, with Retry-After. Of an answer over 64 KB, the caller gets each piece as it comes, and its runner is held back to the caller's pace; one that breaks off never looks complete.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -163,7 +163,8 @@
 }
 
 std::string
-read_body(Poco::Net::HTTPServerRequest& request, std::uint64_t most_bytes)
+read_body(Poco::Net::HTTPServerRequest& request, std::uint64_t most_bytes,
+          const PieceObserver& observe)
 {
     const auto length = request.getContentLength64();
     if (length > 0 && static_cast<std::uint64_t>(length) > most_bytes)
@@ -175,7 +176,10 @@
     constexpr std::size_t piece_bytes = 65'536;
     std::string piece(piece_bytes, '\0');
     while (in.read(piece.data(), piece_bytes) || in.gcount() > 0) {
-        body.append(piece, 0, static_cast<std::size_t>(in.gcount()));
+        const auto count = static_cast<std::size_t>(in.gcount());
+        if (observe)
+            observe(count);
+        body.append(piece, 0, count);
         if (body.size() > most_bytes)
             throw Error(ErrorCode::BodyTooLarge,
                         "the body is larger than " +
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -62,10 +62,13 @@
     std::unique_ptr<Impl> m_impl;
 };
 
+/// Called with the size of each piece of a body before it is kept.
+using PieceObserver = std::function<void(std::size_t)>;
 /// Reads a body of up to `most_bytes`. Throws Error(BodyTooLarge), and
-/// Error(BadRequest) where it ends early.
+/// Error(BadRequest) where it ends early. What `observe` throws passes through.
 std::string read_body(Poco::Net::HTTPServerRequest& request,
-                      std::uint64_t most_bytes);
+                      std::uint64_t most_bytes,
+                      const PieceObserver& observe = {});
 /// Sends `body` as the whole answer.
 void send_answer(Poco::Net::HTTPServerResponse& answer, int status,
                  std::string_view content_type, std::string_view body);
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -32,9 +32,10 @@
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
 constexpr int first_server_error = 500;
-/// Largest body of an answer that is not a stream; it is buffered whole before
-/// it is sent to the caller.
-constexpr std::size_t most_body_bytes = 16U << 20U;
+/// Largest body of an answer that is buffered whole before it is sent to the
+/// caller. Of a larger one, the caller gets each piece as it comes, and the
+/// runner is held back to the caller's pace.
+constexpr std::size_t most_buffered_bytes = 64U << 10U;
 /// An idle connection is closed this long before the runner would close it.
 constexpr Micros idle_margin = std::chrono::milliseconds(1200);
 
@@ -217,6 +218,7 @@
 ForwardRun::relay_whole(CallerLink& link, const AnswerHead& head)
 {
     std::string body;
+    HeldBytes held(m_state.bodies);
     while (!m_connection->ended()) {
         if (const auto ended = await_answer())
             return *ended;
@@ -224,8 +226,10 @@
         if (bytes.empty())
             break;
         body += bytes;
-        if (body.size() > most_body_bytes)
-            return Outcome::Broken;
+        const bool fits =
+            body.size() <= most_buffered_bytes && held.add(bytes.size());
+        if (!fits)
+            return relay_pieces(link, head, body);
     }
     if (!m_connection->whole())
         return Outcome::Broken;
@@ -240,6 +244,32 @@
     return Outcome::Done;
 }
 
+/// Relays an answer that is not buffered, piece by piece; `piece` is what has
+/// come of its body. An answer that breaks off cannot begin anew.
+ForwardRun::Outcome
+ForwardRun::relay_pieces(CallerLink& link, const AnswerHead& head,
+                         std::string piece)
+{
+    m_relays_pieces = true;
+    link.begin(head.status, head.headers);
+    for (;;) {
+        if (!link.send(piece))
+            return Outcome::CallerGone;
+        if (m_connection->ended())
+            break;
+        if (const auto ended = await_answer())
+            return *ended;
+        piece = m_connection->read_some();
+        if (piece.empty())
+            break;
+    }
+    if (!m_connection->whole())
+        return Outcome::Broken;
+    keep_connection(head);
+    link.finish();
+    return Outcome::Done;
+}
+
 /// Returns whether a call that failed at its runner is sent to another one: the
 /// route allows it, the retry budget grants it, and more time is left than this
 /// run took. If a service fails one run in seven, one caller in seven gets the
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -349,7 +349,8 @@
         ++m_runs;
     m_choice.exclude_last();
     const bool repeatable = m_route.repeatable();
-    if (outcome == Outcome::TimedOut || time_left().count() == 0)
+    if (outcome == Outcome::TimedOut || m_relays_pieces ||
+        time_left().count() == 0)
         return false;
     if (may_have_run && (!repeatable || m_runs >= m_route.most_attempts))
         return false;
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -115,6 +115,8 @@
     bool retries_silent();
     std::optional<AnswerHead> next_head();
     Outcome take_answer(CallerLink& link, const AnswerHead& head);
+    Outcome relay_pieces(CallerLink& link, const AnswerHead& head,
+                         std::string piece);
     bool retries_failed();
     Outcome relay_whole(CallerLink& link, const AnswerHead& head);
     Outcome relay_events(CallerLink& link, const AnswerHead& head);
@@ -150,6 +152,8 @@
     std::uint32_t m_runs = 0; ///< Sends that may have run.
     /// A runner's failure, sent to the caller if no retry succeeds.
     std::optional<FailedAnswer> m_failed_answer;
+    /// The answer is passed on as it comes: no other runner may begin one.
+    bool m_relays_pieces = false;
     bool m_answered_failure = false; ///< The last answer reports a failure.
     bool m_caller_gone = false;
     Micros m_first_event{0};
--- a/src/serve/forward/forward_server.cpp
+++ b/src/serve/forward/forward_server.cpp
@@ -9,6 +9,7 @@
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
+#include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/ports/call_wire.h>
 
@@ -30,6 +31,9 @@
 constexpr int success = 200;
 constexpr int unavailable = 503;
 constexpr int small_server_threads = 8;
+/// Retry time where the bodies of other calls take the instance's memory: a
+/// caller that sends slowly is cut within seconds.
+constexpr Micros full_retry_time = std::chrono::seconds(1);
 /// One connection with its thread takes about 60 KB of memory.
 constexpr std::uint64_t connections_per_mb = 8;
 constexpr std::uint64_t most_threads = 2000;
@@ -126,6 +130,17 @@
         throw Error(ErrorCode::BadRequest, "the chunked body is incomplete");
 }
 
+/// Takes `bytes` of a body out of the instance's budget. Throws
+/// Error(QueueFull) if they are not left.
+void
+require_held(HeldBytes& held, std::size_t bytes)
+{
+    if (!held.add(bytes))
+        throw Error(ErrorCode::QueueFull,
+                    "this instance holds too much of other requests",
+                    RunState::NotDispatched, full_retry_time);
+}
+
 } // namespace
 
 ForwardServer::ForwardServer(ForwardState& state, ForwardPath& path)
@@ -182,6 +197,7 @@
 {
     m_latest = monotonic_now();
     HttpCallerLink link(request, answer);
+    HeldBytes held(m_state.bodies);
     if (m_state.stopping)
         answer.setKeepAlive(false);
     try {
@@ -191,7 +207,10 @@
         ForwardedCall call = m_state.ports.wire.decode_call(
             head_of(request, limits.header_bytes));
         call.received_at = monotonic_now();
-        call.body = read_body(request, limits.body_bytes);
+        call.body =
+            read_body(request, limits.body_bytes, [&held](std::size_t bytes) {
+                require_held(held, bytes);
+            });
         if (request.getChunkedTransferEncoding())
             check_chunked_end(request);
         m_path.serve(call, link);
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -23,6 +23,11 @@
 /// Two exchanges up the tree and two down take 0.6 s.
 constexpr Micros lost_contact_report_time = std::chrono::milliseconds(1500);
 
+constexpr std::uint64_t bytes_per_mb = 1U << 20U;
+/// The part of the memory that bodies may take; threads, connections and what
+/// is known of the fleet take the rest.
+constexpr std::uint64_t body_memory_divisor = 4;
+
 /// An action may begin only if the lease lasts for longer than this: it must
 /// arrive well before the lease can lapse.
 constexpr Micros min_action_time = std::chrono::milliseconds(700);
@@ -61,6 +66,7 @@
       fleet(settings_in.order_spacing()), retries(settings_in.retry_rules()),
       coordinator_lease(DutyLease::takeover_delay(settings_in.order_spacing(),
                                                   settings_in.lease())),
+      bodies(settings_in.memory_mb * bytes_per_mb / body_memory_divisor),
       started_at(monotonic_now())
 {
 }
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -15,6 +15,7 @@
 #include <serve/metrics.h>
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/fair_share_tracker.h>
 #include <crosslink/forward/retry_window.h>
@@ -140,6 +141,7 @@
     Guarded<KeptReplica> kept;
     Guarded<DutyLease> coordinator_lease;
     CallConnections connections;
+    BodyBudget bodies; ///< Of requests and answers held in memory.
     /// Timeouts for the connections of callers, from the map in force.
     const std::shared_ptr<ConnectionTimes> caller_times =
         std::make_shared<ConnectionTimes>();
