Drop members that left when they end, not with each listing

Cause: each listing of an instance looked through all members for those that had left and ended, so that a start, or the loss of half of the fleet, cost the square of it: 970,000 looks at 985 instances, on 0.12 of a core.

Change: the earliest end is known, and only those that left are looked at then.

Figures, members looked at by a start of 2,000 and a loss of 1,000: none; 1,000 when they end. Test: settled_members_test counts them at 100, 1,000 and 2,000.

--- a/src/include/crosslink/membership/settled_members.h
+++ b/src/include/crosslink/membership/settled_members.h
@@ -7,6 +7,7 @@
 #include <crosslink/membership/instance_info.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -46,6 +47,10 @@
                    std::string_view zone, std::size_t max_instances,
                    TimePoint now) const;
 
+    /// Returns how many members the changes of the list have looked at: a
+    /// measure of their cost.
+    std::uint64_t members_visited() const { return m_visited; }
+
 private:
     struct Member {
         std::string zone;
@@ -88,6 +93,11 @@
 
     Micros m_settle;
     std::map<std::string, Member, std::less<>> m_members; ///< By name.
+    /// Names of the members that left. Looking for them among all members with
+    /// each listing would cost the square of the fleet at a start.
+    std::set<std::string, std::less<>> m_gone;
+    TimePoint m_expire_at = TimePoint::max(); ///< When the first of them ends.
+    std::uint64_t m_visited = 0;              ///< See members_visited().
     // Cached results. To compute one takes a pass over all members with a hash
     // for each, and each call asks for one for each runner. Cleared with each
     // change.
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -22,8 +22,8 @@
 constexpr Micros first_failure_hold = std::chrono::milliseconds(500);
 constexpr std::uint32_t max_doublings = 4;
 /// How far apart two instances may learn of the end of a third one (0.4 s from
-/// the platform, 0.15 s for each of two exchanges), plus the second over which
-/// calls to a cold runner are counted.
+/// the platform, and 0.15 s or less for each of three exchanges), plus the
+/// second over which calls to a cold runner are counted.
 constexpr Micros settling_time = std::chrono::milliseconds(2000);
 
 /// How long a connection failure is remembered for other instances, at least.
--- a/src/libcrosslink/membership/settled_members.cpp
+++ b/src/libcrosslink/membership/settled_members.cpp
@@ -30,6 +30,8 @@
     Member& member = found->second;
     if (is_new || member.gone_at)
         member.since = now;
+    if (member.gone_at)
+        m_gone.erase(instance.name);
     member.gone_at.reset();
     member.zone = instance.zone;
 }
@@ -41,6 +43,8 @@
     if (found == m_members.end() || found->second.gone_at)
         return;
     found->second.gone_at = now;
+    m_gone.emplace(name);
+    m_expire_at = std::min(m_expire_at, now + m_settle);
     invalidate();
 }
 
@@ -56,8 +60,18 @@
 void
 SettledMembers::expire(TimePoint now)
 {
-    std::erase_if(m_members, [this, now](const auto& item) {
-        return !counts(item.second, now);
+    if (now < m_expire_at)
+        return;
+    m_expire_at = TimePoint::max();
+    std::erase_if(m_gone, [this, now](const std::string& name) {
+        ++m_visited;
+        const auto member = m_members.find(name);
+        if (!counts(member->second, now)) {
+            m_members.erase(member);
+            return true;
+        }
+        m_expire_at = std::min(m_expire_at, *member->second.gone_at + m_settle);
+        return false;
     });
 }
 
--- a/src/libcrosslink/membership/settled_members_test.cpp
+++ b/src/libcrosslink/membership/settled_members_test.cpp
@@ -112,4 +112,25 @@
     CHECK(sharers(members, five, 9, 7000) == std::set<std::string>{"i3"});
 }
 
+TEST_CASE("a start or a loss of many instances costs by their number")
+{
+    for (const int size : {100, 1000, 2000}) {
+        SettledMembers members(settle);
+        for (int i = 0; i < size; ++i)
+            members.listed(instance("i" + std::to_string(i)), at(0));
+        CHECK(members.members_visited() == 0);
+        const int lost = size / 2;
+        for (int i = 0; i < lost; ++i)
+            members.gone("i" + std::to_string(i), at(10));
+        for (int i = 0; i < lost; ++i)
+            members.listed(instance("again-" + std::to_string(i)), at(20));
+        CHECK(members.members_visited() == 0);
+        // Those that left are dropped once, when they no longer count.
+        for (int i = 0; i < lost; ++i)
+            members.listed(instance("again-" + std::to_string(i)), at(5000));
+        CHECK(members.members_visited() <= static_cast<std::uint64_t>(lost));
+        CHECK(members.count("a", at(9000)) == static_cast<std::size_t>(size));
+    }
+}
+
 } // namespace crosslink
