Let strong instances take a free duty one after the other

Cause: the order in which instances try for a free duty counted all instances. In a large fleet nearly all strong ones came late in it, where it is cut off, and tried at the same moment, three calls each.

Change: a strong instance counts the strong ones only.

--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -137,9 +137,14 @@
 Coordinator::takeover_rank()
 {
     return m_state.fleet.with([this](FleetView& view) {
+        const bool strong = m_state.settings.link_mbps >= strong_link_mbps;
+        // Those with weak links begin later, and do not count before strong
+        // ones: else all strong ones of a large fleet would be late in the
+        // order, and try at the same time.
         std::vector<std::string> names;
         for (const auto& [name, instance] : view.instances)
-            names.push_back(name);
+            if (!strong || instance.link_mbps >= strong_link_mbps)
+                names.push_back(name);
         const auto order = rendezvous_order(duty_name, names);
         const auto own =
             std::find(order.begin(), order.end(), m_state.settings.name);
--- a/src/serve/coordinator/weights_duty.cpp
+++ b/src/serve/coordinator/weights_duty.cpp
@@ -92,10 +92,10 @@
 double
 WeightsDuty::updated_fraction()
 {
-    const RunnerTable runners =
-        m_state.runners.with([](RunnerTable& table) { return table; });
-    return m_plan.with([&runners](WeightsPlan& plan) {
-        return plan.updated_fraction(runners);
+    return m_state.runners.with([this](const RunnerTable& table) {
+        return m_plan.with([&table](const WeightsPlan& plan) {
+            return plan.updated_fraction(table);
+        });
     });
 }
 
