--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -124,8 +124,7 @@
     /// Records that a runner has other weights than `version`, which a call
     /// requested: the recorded version is discarded, and that of the list
     /// counts again. Without this, one wrong version would keep calls and
-    /// orders from a runner until it ends. A guessed version in place of a
-    /// reported one caused 1,100 refused calls in 30 s.
+    /// orders from a runner until it ends.
     void discard_version(const RunnerIncarnation& runner,
                          std::string_view model, std::uint64_t version);
 
--- a/src/include/crosslink/forward/start_wait.h
+++ b/src/include/crosslink/forward/start_wait.h
@@ -11,8 +11,7 @@
 /// Returns how long a call may wait for the configuration at an instance that
 /// started `since_start` ago. After a loss of all instances, callers return at
 /// once. If they were refused, they would stay away for longer than it takes to
-/// read the configuration, 0.1 to 0.3 s on machines of 0.12 cores; without the
-/// wait, 60 calls were refused after the loss of 71 instances. Calls do not
+/// read the configuration, 0.1 to 0.3 s on machines of 0.12 cores. Calls do not
 /// wait for the directory of kept parts: all of those that waited would be sent
 /// at the moment when it arrives.
 Micros wait_for_configuration(Micros since_start);
--- a/src/include/crosslink/membership/fleet_tree.h
+++ b/src/include/crosslink/membership/fleet_tree.h
@@ -14,13 +14,10 @@
 {
 
 /// Instances with a weaker link neither hold the duty nor answer many others as
-/// long as there are stronger ones. With the holder of the duty behind a link
-/// of 10 Mbit/s, most of 82 instances could not reach it, and nine in ten
-/// prompts were computed in full for 12 s.
+/// long as there are stronger ones: answers to all that ask would fill it.
 constexpr double strong_link_mbps = 50;
-/// Number of instances that poll the same instance for changes. Each polls
-/// about seven times a second, and an answer takes 0.6 ms of CPU time
-/// (calculated): 16 of them take 7% of a core.
+/// Number of instances that poll the same instance for changes, each about
+/// seven times a second.
 constexpr std::size_t max_children = 16;
 /// The same for instances with strong links in a zone that has few of them.
 constexpr std::size_t max_children_of_strong = 32;
--- a/src/libcrosslink/forward/crash_history.cpp
+++ b/src/libcrosslink/forward/crash_history.cpp
@@ -17,14 +17,13 @@
 constexpr Micros same_end_window = std::chrono::seconds(2);
 /// Time within which it is decided whether a runner ended, if at all.
 constexpr Micros decision_time = std::chrono::seconds(6);
-/// Time for which new information is reported to other instances. Two exchanges
-/// up the tree and two down take 0.6 s, and one that fails adds 0.4 s.
+/// Time for which new information is reported to other instances. Three
+/// exchanges up the tree and three down take 0.8 s, and one that fails adds 0.4
+/// s.
 constexpr Micros report_time = std::chrono::milliseconds(1500);
 /// The same if more than one runner ended. This concerns few requests, and
 /// zones that were cut off from each other must learn of them after the
-/// partition. With the shorter time, 300 instances sent such a request four
-/// more times after a partition of 5 s in one of eight simulations, where three
-/// are allowed.
+/// partition.
 constexpr Micros suspect_report_time = std::chrono::seconds(15);
 /// Maximum number of calls in one report, those of the most suspect requests
 /// first. At 30 bytes each they take 5 KB, or 4 ms on the slowest links.
@@ -170,8 +169,8 @@
 /// Remembers the answer, because other instances may later report that a runner
 /// had ended under the request before. Otherwise the fleet would block a
 /// popular request for a moment when runners are lost in waves a second apart:
-/// of 71 instances, the few that serve it then learn of the first wave only
-/// after they got answers.
+/// the few instances that serve it then learn of the first wave only after they
+/// got answers.
 void
 CrashHistory::remember_answer(std::string_view request, TimePoint at)
 {
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -103,12 +103,9 @@
 
 /// Reduces the candidates to a random sample if many instances choose by the
 /// same load reports. Otherwise all of them fill the same few runners that had
-/// room: with 82 instances and 60 runners, one runner got 35 calls in 0.6 s and
-/// then none for 3 s, and 0.59 of the calls were served, compared to 0.87 with
-/// sampling. With one sample over all zones, a third of the calls found no
-/// runner of their own zone at 71 instances and went to another one. Zones that
-/// are so small that none of their runners would be left out are sampled
-/// together.
+/// room. Each zone is sampled by itself, so that every call finds runners of
+/// its own zone. Zones that are so small that none of their runners would be
+/// left out are sampled together.
 void
 sample(Candidates& candidates, const RunnerQuery& query)
 {
@@ -140,8 +137,7 @@
 
 /// Returns whether a call may start on the weights of `entry`. Replaced weights
 /// get no calls past their bound, even if few runners have the new ones:
-/// otherwise each late rollout would break the promised bound. Of 36 rollouts
-/// that overlapped, five were late for half of the runners and broke it.
+/// otherwise each late rollout would break the promised bound.
 bool
 has_weights(const RunnerEntry& entry, const RunnerQuery& query)
 {
--- a/src/libcrosslink/forward/runner_price.cpp
+++ b/src/libcrosslink/forward/runner_price.cpp
@@ -21,10 +21,9 @@
 /// that the fleet runs in.
 constexpr double zones = 3;
 /// Added for weights that were replaced: callers prefer answers of the newest
-/// weights, but an early answer of older ones to a late answer of new ones. At
-/// 50 ms, calls crowded at the few runners that load first, where each prompt
-/// is prefilled in full: in the two worst windows of a day with rollouts, 0.80
-/// of the value of all calls was earned, compared to 0.82 at 5 ms.
+/// weights, but an early answer of older ones to a late answer of new ones. A
+/// higher price would crowd calls at the few runners that load first, where
+/// each prompt is prefilled in full.
 constexpr double old_weights_ms = 5;
 /// Added for another zone: two milliseconds of latency, and traffic between
 /// zones, which is expensive. The runners of the own zone should be well used
--- a/src/serve/coordinator/runner_task_pool.h
+++ b/src/serve/coordinator/runner_task_pool.h
@@ -28,8 +28,7 @@
 };
 
 /// Sends requests to several runners at a time, so that a runner that does not
-/// answer delays no other. With one request after the other, each such runner
-/// blocked all orders for 0.4 s, nine times in one rollout of 18 runners.
+/// answer delays no other.
 class RunnerTaskPool
 {
 public:
--- a/src/serve/fleet/exchange_json.cpp
+++ b/src/serve/fleet/exchange_json.cpp
@@ -46,11 +46,10 @@
     return load;
 }
 
-/// Groups ids by space and store: {"SPACE": {"STORE": ["ID", ..]}}. A directory
-/// of 3,000 parts takes 40 KB this way. With space and store beside each id it
-/// would take 280 KB, and 80 instances that request it from a new coordinator
-/// would fill its link of 10 Mbit/s for 18 s. Of several entries for one part,
-/// only the last is encoded.
+/// Groups ids by space and store: {"SPACE": {"STORE": ["ID", ..]}}. With space
+/// and store beside each id, a whole directory would be seven times as long,
+/// and a new coordinator sends it to all that poll it. Of several entries for
+/// one part, only the last is encoded.
 Json::Value
 entries_to_json(std::span<const KeptEntry> entries)
 {
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t max_reported_versions = 32;
 
 /// How long instances report to each other that a runner may have restarted.
-/// Two exchanges up the tree and two down take 0.6 s.
+/// Three exchanges up the tree and three down take 0.8 s.
 constexpr Micros lost_contact_report_time = std::chrono::milliseconds(1500);
 
 constexpr std::uint64_t bytes_per_mb = 1U << 20U;
