--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -3,8 +3,6 @@
 
 #include <crosslink/forward/runner_table.h>
 
-#include <crosslink/forward/rate_share.h>
-
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -15,8 +13,6 @@
 namespace
 {
 
-/// Time for which a zone is avoided after a runner there did not respond.
-constexpr Micros silent_zone_time = std::chrono::milliseconds(2500);
 /// Time for which a runner gets no calls after a first failure, and the number
 /// of times that it may double.
 constexpr Micros first_failure_hold = std::chrono::milliseconds(500);
@@ -26,17 +22,6 @@
 /// second over which calls to a cold runner are counted.
 constexpr Micros settling_time = std::chrono::milliseconds(2000);
 
-/// How long a connection failure is remembered for other instances, at least.
-constexpr Micros failure_report_time = std::chrono::seconds(5);
-
-void
-erase_model(std::vector<LoadedModel>& models, std::string_view model)
-{
-    std::erase_if(models, [model](const LoadedModel& loaded) {
-        return loaded.model == model;
-    });
-}
-
 } // namespace
 
 RunnerTable::RunnerTable() : m_members(settling_time)
@@ -131,23 +116,6 @@
     m_unlisted.expire(now);
 }
 
-/// Forgets which runners had notices that are over.
-void
-RunnerTable::prune_noticed(TimePoint now)
-{
-    std::erase_if(m_index.noticed, [&](const std::string& id) {
-        const RunnerEntry* entry = visit(id);
-        if (!entry)
-            return true;
-        const bool failed =
-            entry->connection_failed_at &&
-            now < *entry->connection_failed_at + failure_report_time;
-        const AdvertisedLimit& limit = entry->notices.limit;
-        return !failed && !entry->notices.leaving && !limit.in_force() &&
-               !limit.needs_reporting(now);
-    });
-}
-
 bool
 RunnerTable::put(const ListedRunner& listed, TimePoint now)
 {
@@ -209,78 +177,6 @@
     });
 }
 
-void
-RunnerTable::reserve(const RunnerIncarnation& runner)
-{
-    if (RunnerEntry* entry = find(runner))
-        ++entry->reserved;
-}
-
-void
-RunnerTable::release(const RunnerIncarnation& runner)
-{
-    RunnerEntry* entry = find(runner);
-    if (entry && entry->reserved > 0)
-        --entry->reserved;
-}
-
-void
-RunnerTable::sent(const RunnerIncarnation& runner, std::uint64_t tokens,
-                  std::uint64_t resident, TimePoint now)
-{
-    release(runner);
-    if (RunnerEntry* entry = find(runner)) {
-        record_send(*entry, now);
-        entry->own.add(tokens, resident);
-        entry->unreported_load.add(tokens, resident);
-        m_index.busy.emplace(runner.id);
-        m_index.loaded.emplace(runner.id);
-    }
-}
-
-/// Records a send. How it counts depends on the limit of its runner.
-void
-RunnerTable::record_send(RunnerEntry& entry, TimePoint now) const
-{
-    if (!entry.notices.limit.in_force()) {
-        entry.sends.sent(now);
-        return;
-    }
-    const RateShare share =
-        advertised_limit_share(entry.notices.limit.per_second(),
-                               m_members.count(entry.listed.zone, now));
-    if (share.calls == 1)
-        entry.sends.sent_in_turn(share.window, now);
-    else
-        entry.sends.sent(now);
-}
-
-void
-RunnerTable::prompt_read(const RunnerIncarnation& runner, std::uint64_t tokens)
-{
-    if (RunnerEntry* entry = find(runner))
-        entry->own.tokens -= std::min(entry->own.tokens, tokens);
-}
-
-void
-RunnerTable::ended(const RunnerIncarnation& runner, std::uint64_t resident)
-{
-    RunnerEntry* entry = find(runner);
-    if (!entry || entry->own.calls == 0)
-        return;
-    --entry->own.calls;
-    entry->own.resident -= std::min(entry->own.resident, resident);
-    if (entry->own.calls == 0)
-        m_index.busy.erase(entry->listed.id);
-}
-
-void
-RunnerTable::ran(std::string_view id, std::uint64_t resident, Micros span)
-{
-    if (const RunnerEntry* entry = find(id))
-        m_holding_times[entry->listed.service].add(resident, span);
-}
-
 void
 RunnerTable::refused(const RunnerIncarnation& runner, TimePoint now,
                      Micros hold)
@@ -319,191 +215,6 @@
     m_silent_zones.erase(entry->listed.zone);
 }
 
-void
-RunnerTable::connection_failed(std::string_view id, TimePoint at)
-{
-    RunnerEntry* entry = find(id);
-    if (entry &&
-        (!entry->connection_failed_at || *entry->connection_failed_at < at))
-        entry->connection_failed_at = at;
-    if (entry)
-        m_index.noticed.emplace(id);
-}
-
-std::map<std::string, TimePoint>
-RunnerTable::connection_failures(TimePoint since) const
-{
-    std::map<std::string, TimePoint> lost;
-    for (const std::string& id : m_index.noticed) {
-        const RunnerEntry* entry = visit(id);
-        if (entry && entry->connection_failed_at &&
-            *entry->connection_failed_at > since)
-            lost[id] = *entry->connection_failed_at;
-    }
-    return lost;
-}
-
-void
-RunnerTable::silent(std::string_view id, TimePoint now)
-{
-    if (const RunnerEntry* entry = find(id))
-        m_silent_zones[entry->listed.zone] = now + silent_zone_time;
-}
-
-bool
-RunnerTable::record_version(const RunnerIncarnation& runner,
-                            std::string_view model, std::uint64_t version)
-{
-    RunnerEntry* entry = find(runner);
-    const std::uint64_t known = entry ? entry->version_of(model) : 0;
-    if (known == 0 || known >= version)
-        return false;
-    erase_model(entry->reported_models, model);
-    entry->reported_models.push_back({std::string(model), version});
-    return true;
-}
-
-void
-RunnerTable::discard_version(const RunnerIncarnation& runner,
-                             std::string_view model, std::uint64_t version)
-{
-    RunnerEntry* entry = find(runner);
-    if (entry && entry->version_of(model) == version)
-        erase_model(entry->reported_models, model);
-}
-
-bool
-RunnerTable::apply_limit_answer(const RunnerIncarnation& runner,
-                                double per_second, std::uint64_t known,
-                                TimePoint now)
-{
-    RunnerNotices* notices = notices_of(runner);
-    if (!notices)
-        return false;
-    notices->reported_at = now;
-    return notices->limit.apply_answer(per_second, known, now);
-}
-
-bool
-RunnerTable::merge_limit(const LimitUpdate& update, TimePoint now)
-{
-    RunnerNotices* notices = notices_of({update.runner, update.start_ms});
-    if (!notices)
-        return false;
-    notices->reported_at = now;
-    return notices->limit.merge(update, now);
-}
-
-std::vector<LimitUpdate>
-RunnerTable::limit_updates(TimePoint now) const
-{
-    std::vector<LimitUpdate> updates;
-    for (const std::string& id : m_index.noticed) {
-        const RunnerEntry* entry = visit(id);
-        if (!entry || !entry->notices.limit.needs_reporting(now))
-            continue;
-        const AdvertisedLimit& limit = entry->notices.limit;
-        updates.push_back({id, entry->listed.start_ms, limit.per_second(),
-                           limit.change(), limit.confirmations()});
-    }
-    return updates;
-}
-
-std::size_t
-RunnerTable::limited_count() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_index.noticed.begin(), m_index.noticed.end(),
-                      [this](const std::string& id) {
-                          const RunnerEntry* entry = visit(id);
-                          return entry && entry->notices.limit.in_force();
-                      }));
-}
-
-bool
-RunnerTable::set_leaving(const RunnerIncarnation& runner, TimePoint now)
-{
-    RunnerNotices* notices = notices_of(runner);
-    if (!notices)
-        return false;
-    notices->reported_at = now;
-    return !std::exchange(notices->leaving, true);
-}
-
-std::vector<LeavingUpdate>
-RunnerTable::leaving_updates() const
-{
-    std::vector<LeavingUpdate> updates;
-    for (const std::string& id : m_index.noticed) {
-        const RunnerEntry* entry = visit(id);
-        if (entry && entry->notices.leaving && !entry->listed.leaving)
-            updates.push_back({id, entry->listed.start_ms});
-    }
-    return updates;
-}
-
-bool
-RunnerTable::set_backoff(const RunnerIncarnation& runner, TimePoint until,
-                         TimePoint now)
-{
-    RunnerNotices* notices = notices_of(runner);
-    if (!notices)
-        return false;
-    notices->reported_at = now;
-    if (until <= notices->backoff_until)
-        return false;
-    notices->backoff_until = until;
-    return true;
-}
-
-std::map<std::string, RunnerLoad>
-RunnerTable::own_load() const
-{
-    std::map<std::string, RunnerLoad> load;
-    for (const std::string& id : m_index.busy) {
-        const RunnerEntry* entry = visit(id);
-        if (entry && entry->own.calls > 0)
-            load[id] = entry->own;
-    }
-    return load;
-}
-
-void
-RunnerTable::set_remote_load(const std::map<std::string, RunnerLoad>& load,
-                             TimePoint as_of, std::string_view known_zone)
-{
-    m_others_at = as_of;
-    m_others_known = true;
-    m_known_zone = known_zone;
-    const RunnerIndex::Ids before = std::exchange(m_index.loaded, {});
-    for (const std::string& id : before) {
-        ++m_visited;
-        RunnerEntry* entry = find(id);
-        if (!entry)
-            continue;
-        entry->others = {};
-        entry->unreported_load = {};
-    }
-    for (const auto& [id, item] : load) {
-        ++m_visited;
-        RunnerEntry* entry = find(id);
-        if (!entry)
-            continue;
-        entry->others = item;
-        m_index.loaded.insert(id);
-    }
-}
-
-void
-RunnerTable::keep_zone(std::map<std::string, RunnerLoad>& load,
-                       std::string_view zone) const
-{
-    std::erase_if(load, [&](const auto& item) {
-        const RunnerEntry* entry = visit(item.first);
-        return !entry || entry->listed.zone != zone;
-    });
-}
-
 RunnerEntry*
 RunnerTable::find(std::string_view id)
 {
@@ -520,18 +231,4 @@
     return entry && entry->listed.start_ms == runner.start_ms ? entry : nullptr;
 }
 
-/// Returns the notices of exactly this process, to be updated, whether it is
-/// listed or not; null if a later process under its id is known.
-RunnerNotices*
-RunnerTable::notices_of(const RunnerIncarnation& runner)
-{
-    RunnerEntry* entry = find(runner.id);
-    if (!entry || entry->listed.start_ms < runner.start_ms)
-        return m_unlisted.find(runner);
-    if (entry->listed.start_ms != runner.start_ms)
-        return nullptr;
-    m_index.noticed.emplace(runner.id);
-    return &entry->notices;
-}
-
 } // namespace crosslink
