--- a/src/bench/fleet_costs.cpp
+++ b/src/bench/fleet_costs.cpp
@@ -103,7 +103,7 @@
                            }) /
                            rounds;
     figures["choice_entries"] =
-        static_cast<double>((table.entries_visited() - visited) / rounds);
+        static_cast<double>(table.entries_visited() - visited) / rounds;
     auto own_zone = load;
     table.keep_zone(own_zone, query.zone);
     visited = table.entries_visited();
@@ -119,7 +119,7 @@
         }) /
         rounds;
     figures["exchange_entries"] =
-        static_cast<double>((table.entries_visited() - visited) / rounds);
+        static_cast<double>(table.entries_visited() - visited) / rounds;
     figures["loss_of_a_seventh_ms"] =
         micros_of([&] {
             for (std::size_t i = 0; i < size.runners / 7; ++i)
--- a/src/libcrosslink/membership/fleet_tree.cpp
+++ b/src/libcrosslink/membership/fleet_tree.cpp
@@ -149,6 +149,7 @@
         candidates.resize(m_under_holder);
     sort_by_preference(candidates, name);
     std::vector<std::string> addresses;
+    addresses.reserve(candidates.size() + 1);
     for (const InstanceInfo& instance : candidates)
         addresses.push_back(instance.address);
     if (!m_holder.empty())
