--- a/src/serve/duty_test.cpp
+++ b/src/serve/duty_test.cpp
@@ -17,6 +17,16 @@
 
 constexpr Micros long_pause = std::chrono::seconds(60);
 
+/// Returns a round that counts itself, and is followed by a long pause.
+Duty::Round
+counting(std::atomic<int>& rounds)
+{
+    return [&rounds] {
+        ++rounds;
+        return long_pause;
+    };
+}
+
 void
 wait_for_rounds(const std::atomic<int>& rounds, int count)
 {
@@ -29,13 +39,7 @@
 TEST_CASE("a duty runs from its start to its stop, and may start again")
 {
     std::atomic<int> rounds{0};
-    Duty duty(
-        "test",
-        [&rounds] {
-            ++rounds;
-            return long_pause;
-        },
-        Duty::Begin::OnStart);
+    Duty duty("test", counting(rounds), Duty::Begin::OnStart);
     duty.wake();
     duty.stop();
     CHECK(rounds == 0);
@@ -53,13 +57,7 @@
 TEST_CASE("a duty that begins when it is woken has no thread before")
 {
     std::atomic<int> rounds{0};
-    Duty duty(
-        "test",
-        [&rounds] {
-            ++rounds;
-            return long_pause;
-        },
-        Duty::Begin::OnWake);
+    Duty duty("test", counting(rounds), Duty::Begin::OnWake);
     CHECK(rounds == 0);
     duty.wake();
     wait_for_rounds(rounds, 1);
