Back off where all instances ask the platform at once

Meanwhile the earlier holder answered that it knows no parents, and was believed to be the holder; where a whole reading was turned away in its middle, it began anew.

Change: an attempt at the duty that is turned away, or fails in a large fleet, comes again after 0.4 s, doubled up to 2 s, random by half (base/backoff). A holder that names no parents or does not answer is looked for again at the platform, with the same kind of pauses, and not forgotten before.

--- a/src/include/crosslink/membership/start_plan.h
+++ b/src/include/crosslink/membership/start_plan.h
@@ -3,10 +3,12 @@
 
 #pragma once
 
+#include <crosslink/base/backoff.h>
 #include <crosslink/base/time.h>
 
 #include <cstdint>
 #include <optional>
+#include <random>
 
 namespace crosslink
 {
@@ -31,8 +33,8 @@
         Wait,       ///< Nothing is due.
     };
 
-    /// `random` are random bits.
-    explicit StartPlan(std::uint64_t random) : m_random(random) {}
+    /// `random` are random bits, from which all random times are derived.
+    explicit StartPlan(std::uint64_t random);
 
     /// Returns the next step at `now`, and counts it as done. `has_duty` tells
     /// that this instance holds the duty, `holder_known` that it knows the
@@ -40,16 +42,21 @@
     Step next(bool has_duty, bool holder_known, TimePoint now);
     /// Records that the fleet is large.
     void found_large() { m_large = true; }
-    /// Records that the holder did not answer: it may be gone.
-    void holder_failed(TimePoint now) { m_find_at = now; }
+    /// Records that the holder did not answer, or named no parents: it may be
+    /// gone, or not know the fleet yet. The platform is asked for it again.
+    void holder_failed(TimePoint now);
 
 private:
-    const std::uint64_t m_random;
+    void begin(TimePoint now);
+
+    std::mt19937_64 m_random;
     bool m_large = false;
+    Backoff m_find_pause;
     /// When it reads all after all; empty before the first step.
     std::optional<TimePoint> m_read_all_at;
-    TimePoint m_find_at{}; ///< Not before, it looks for the holder.
-    TimePoint m_ask_at{};  ///< Not before, it asks the holder.
+    bool m_find_again = false; ///< Though a holder is known.
+    TimePoint m_find_at{};     ///< Not before, it looks for the holder.
+    TimePoint m_ask_at{};      ///< Not before, it asks the holder.
 };
 
 } // namespace crosslink
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -4,6 +4,7 @@
 #include "coordinator.h"
 
 #include <adapters/clock.h>
+#include <adapters/random.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
@@ -29,12 +30,17 @@
 constexpr std::size_t last_rank = 6;
 /// Extra delay of instances with weak links, which leaves the duty to others.
 constexpr Micros weak_link_wait = std::chrono::milliseconds(500);
+/// Pauses between attempts to take the duty that failed, in a large fleet or
+/// where the platform turns calls away for their rate.
+constexpr Micros first_take_pause = std::chrono::milliseconds(400);
+constexpr Micros longest_take_pause = std::chrono::seconds(2);
 
 } // namespace
 
 Coordinator::Coordinator(ForwardState& state)
     : m_state(state), m_weights(state), m_rollouts(state), m_blocks(state),
       m_kept(state, m_weights),
+      m_take_backoff(first_take_pause, longest_take_pause),
       m_lease_duty("steward_lease", [this] { return lease_round(); })
 {
 }
@@ -59,10 +65,23 @@
         return pause;
     } catch (const Error& failure) {
         LogLine("duty_not_held").field("error", failure.what());
-        return LeaseRenewal(span).retry_delay();
+        const bool crowded =
+            failure.code() == ErrorCode::PlatformThrottled || in_large_fleet();
+        return crowded && !may_be_own ? m_take_backoff.next(random_bits())
+                                      : LeaseRenewal(span).retry_delay();
     }
 }
 
+/// Returns whether so many instances may try for a free duty that together they
+/// exceed the platform's rate.
+bool
+Coordinator::in_large_fleet()
+{
+    const bool starts_in_one = m_state.start_parents.with(
+        [](const auto& parents) { return parents.has_value(); });
+    return starts_in_one || m_state.instance_count() > max_children;
+}
+
 /// Takes the lease of the duty, or renews it.
 void
 Coordinator::hold_duty(Micros span)
@@ -77,6 +96,7 @@
     const bool taken = lease->token != m_last_token;
     if (taken) {
         m_last_token = lease->token;
+        m_take_backoff.reset();
         begin_duty();
     }
     const bool granted = m_state.coordinator_lease.with([&](DutyLease& mine) {
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -12,6 +12,7 @@
 #include <serve/fleet/exchange.h>
 #include <serve/forward/forward_state.h>
 
+#include <crosslink/base/backoff.h>
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/load_aggregator.h>
 #include <crosslink/kept/kept_part.h>
@@ -69,6 +70,7 @@
     void schedule_release();
     void release_when_due();
     bool may_take_duty();
+    bool in_large_fleet();
     Micros takeover_wait(bool first);
     std::size_t takeover_rank();
     void begin_duty();
@@ -87,6 +89,7 @@
     RolloutDuty m_rollouts;
     BlockDuty m_blocks;
     KeptDuties m_kept;
+    Backoff m_take_backoff; ///< Of attempts to take the duty.
     Duty m_lease_duty;
 };
 
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -156,12 +156,13 @@
         LogLine("parents_named")
             .field("holder", holder)
             .field("count", static_cast<std::uint64_t>(parents.size()));
+        if (parents.empty())
+            m_start.holder_failed(monotonic_now());
     } catch (const Error& failure) {
         LogLine("holder_unanswered")
             .field("address", holder)
             .field("error", failure.what());
         m_start.holder_failed(monotonic_now());
-        set_holder("");
     }
 }
 
