Look for a holder that does not answer, however often it fails

Traced by the case of a lost holder, which took 23 s: each failure of the holder, a second apart, put off the question to the platform by up to two seconds, so that it was never asked; all read everything at the end of their patience.

Change: the first failure sets the time of the question.

--- a/src/libcrosslink/membership/start_plan.cpp
+++ b/src/libcrosslink/membership/start_plan.cpp
@@ -50,6 +50,9 @@
 void
 StartPlan::holder_failed(TimePoint now)
 {
+    // Failures come sooner one after the other than the longest pause ends.
+    if (m_find_again)
+        return;
     m_find_again = true;
     m_find_at = now + m_find_pause.next(m_random());
 }
--- a/src/libcrosslink/membership/start_plan_test.cpp
+++ b/src/libcrosslink/membership/start_plan_test.cpp
@@ -8,6 +8,7 @@
 #include <crosslink/membership/start_plan.h>
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include <algorithm>
 #include <optional>
@@ -198,6 +199,23 @@
     CHECK(plan.next(true, true, at(1530)) == Step::ReadAll);
 }
 
+TEST_CASE("a holder that never answers is looked for as often as it should")
+{
+    CHECK(rc::check([](std::uint64_t random) {
+        StartPlan plan(random);
+        plan.next(false, false, at(0));
+        plan.found_large();
+        int found = 0;
+        for (int millis = 0; millis < 5500; millis += 100) {
+            const auto step = plan.next(false, true, at(millis));
+            if (step == StartPlan::Step::AskHolder)
+                plan.holder_failed(at(millis));
+            found += step == StartPlan::Step::FindHolder ? 1 : 0;
+        }
+        RC_ASSERT(found >= 2);
+    }));
+}
+
 TEST_CASE("an instance of a small fleet reads all until it has it")
 {
     StartPlan plan(seed);
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -78,7 +78,8 @@
         result["parents"] = json_strings(
             state.parents_of({json_string(parameters, "name"),
                               json_string(parameters, "address"),
-                              json_string(parameters, "zone"), 0}));
+                              json_string(parameters, "zone"),
+                              json_double(parameters, "link_mbps")}));
         return result;
     });
     m_rpc->add(exchange_method, [&handler](const Json::Value& parameters) {
@@ -181,6 +182,7 @@
     parameters["name"] = instance.name;
     parameters["address"] = instance.address;
     parameters["zone"] = instance.zone;
+    parameters["link_mbps"] = instance.link_mbps;
     return strings_from_json(
         call(parents_method, parameters, start_timeout)["parents"]);
 }
