--- a/src/include/crosslink/membership/change_log.h
+++ b/src/include/crosslink/membership/change_log.h
@@ -38,8 +38,6 @@
     }
     /// Returns the number of keys.
     std::size_t size() const { return m_state.size(); }
-    /// Returns the number of changes that are remembered.
-    std::size_t history_size() const { return m_changes.size(); }
 
 private:
     void apply_snapshot(const ChangePage& page);
