Draw no sample from no candidates

Cause: since runners are drawn by zone, a choice for which no runner is left divides by a number of zones of zero. Change: nothing is drawn where nobody is left.

--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -61,7 +61,7 @@
 }
 
 /// Returns a random sample of the candidates of each zone, as if only the
-/// instances of that zone chose there.
+/// instances of that zone chose there. `candidates` must not be empty.
 Candidates
 sample_zones(const Candidates& candidates, std::size_t instances,
              std::mt19937_64& generator)
@@ -87,6 +87,8 @@
 void
 sample(Candidates& candidates, const RunnerQuery& query)
 {
+    if (candidates.empty())
+        return;
     const std::size_t instances = std::max<std::size_t>(query.instances, 1);
     std::mt19937_64 generator(query.random);
     Candidates sampled = sample_zones(candidates, instances, generator);
