Pause longer between questions that the holder does not answer

Cause: after a failed question for kept parts, each instance asked the holder of the duty again 0.4 s later. A holder that can't keep up gets as many questions as there are instances times 2.5 a second: 750 at 301, 2,460 at 985, and none is answered within its 80 ms. Seen after all of 301 instances lost power: the holder's questions ran into their timeout, and so did those of instances that started. Change: the pauses double while questions fail, up to 4 ms an instance, and begin anew with an answer or another holder. In a fleet of 100 or fewer they stay at 0.4 s.

--- /dev/null
+++ b/src/libcrosslink/kept/question_pacing.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/kept/question_pacing.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Pause after a question that failed: calls must not wait for a holder of the
+/// duty that is gone.
+constexpr Micros first_pause = std::chrono::milliseconds(400);
+/// What each instance adds to the longest pause. Pauses are three quarters of
+/// it on average, so that a holder that never answers gets about 330 questions
+/// a second from a fleet of any size.
+constexpr Micros pause_per_instance = std::chrono::milliseconds(4);
+
+Micros
+longest_pause(std::size_t instances)
+{
+    return std::max(first_pause,
+                    pause_per_instance * static_cast<Micros::rep>(instances));
+}
+
+} // namespace
+
+QuestionPacing::QuestionPacing() : m_pause(first_pause, first_pause)
+{
+}
+
+bool
+QuestionPacing::may_ask(std::string_view holder, TimePoint now)
+{
+    if (holder != m_holder) {
+        m_holder = holder;
+        m_pause.reset();
+        m_next_at = TimePoint{};
+    }
+    return !holder.empty() && now >= m_next_at;
+}
+
+void
+QuestionPacing::answered(TimePoint asked)
+{
+    // An answer to a question from before the pause does not end it: others
+    // that were asked with it failed.
+    if (asked >= m_next_at)
+        m_pause.reset();
+}
+
+void
+QuestionPacing::failed(TimePoint asked, std::size_t instances,
+                       std::uint64_t random)
+{
+    // Of the questions that are open at the same time, only the first that
+    // fails counts.
+    if (asked < m_next_at)
+        return;
+    m_pause.limit(longest_pause(instances));
+    m_next_at = asked + m_pause.next(random);
+}
+
+} // namespace crosslink
--- a/src/serve/coordinator/coordinator_link.cpp
+++ b/src/serve/coordinator/coordinator_link.cpp
@@ -13,6 +13,15 @@
 {
 }
 
+std::string
+CoordinatorLink::address() const
+{
+    if (m_coordinator.may_answer())
+        return m_state.settings.peer_address();
+    return m_state.fleet.with(
+        [](FleetView& view) { return view.coordinator_address(); });
+}
+
 std::shared_ptr<FleetClient>
 CoordinatorLink::client()
 {
--- a/src/serve/coordinator/coordinator_link.h
+++ b/src/serve/coordinator/coordinator_link.h
@@ -22,6 +22,9 @@
 public:
     CoordinatorLink(ForwardState& state, Coordinator& coordinator);
 
+    /// Returns the address of the instance that with() asks; empty if no holder
+    /// of the duty is known.
+    std::string address() const;
     /// Calls `ask` with the Coordinator of this process or with a FleetClient,
     /// which have the same member functions, and returns its result. Throws
     /// Error(LeaseLost) if no holder of the duty is known, and whatever `ask`
--- a/src/serve/forward/kept_locator.cpp
+++ b/src/serve/forward/kept_locator.cpp
@@ -4,6 +4,7 @@
 #include "kept_locator.h"
 
 #include <adapters/clock.h>
+#include <adapters/random.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
@@ -13,15 +14,6 @@
 namespace crosslink
 {
 
-namespace
-{
-
-/// Pause after a request that failed: calls must not wait for a holder of the
-/// duty that is gone.
-constexpr Micros failure_pause = std::chrono::milliseconds(400);
-
-} // namespace
-
 KeptLocator::KeptLocator(ForwardState& state, CoordinatorLink& coordinator)
     : m_state(state), m_coordinator(coordinator)
 {
@@ -39,7 +31,7 @@
     };
     if (auto answer = find(false))
         return *answer;
-    if (now >= m_next_request_at.load())
+    if (may_ask(now))
         if (auto answer = ask_coordinator(space, parts, longest, now))
             return *answer;
     if (auto answer = find(true))
@@ -60,6 +52,14 @@
     });
 }
 
+bool
+KeptLocator::may_ask(TimePoint now)
+{
+    const std::string holder = m_coordinator.address();
+    return m_pacing.with(
+        [&](QuestionPacing& pacing) { return pacing.may_ask(holder, now); });
+}
+
 std::optional<KeptAnswer>
 KeptLocator::ask_coordinator(const KeptSpace& space,
                              std::span<const PromptPart> parts, Micros longest,
@@ -70,10 +70,15 @@
             return coordinator.find_kept_parts(space, parts, longest);
         });
         m_state.counters.kept_question.add(monotonic_now() - asked);
+        m_pacing.with(
+            [asked](QuestionPacing& pacing) { pacing.answered(asked); });
         return answer;
     } catch (const std::exception& failure) {
         LogLine("kept_question_failed").field("error", failure.what());
-        m_next_request_at = asked + failure_pause;
+        const std::size_t instances = m_state.instance_count();
+        m_pacing.with([&](QuestionPacing& pacing) {
+            pacing.failed(asked, instances, random_bits());
+        });
         return std::nullopt;
     }
 }
--- a/src/serve/forward/kept_locator.h
+++ b/src/serve/forward/kept_locator.h
@@ -6,8 +6,10 @@
 #include "forward_state.h"
 
 #include <serve/coordinator/coordinator_link.h>
+#include <serve/guarded.h>
+
+#include <crosslink/kept/question_pacing.h>
 
-#include <atomic>
 #include <optional>
 #include <span>
 #include <string>
@@ -39,14 +41,14 @@
                       std::span<const KeptPlace> places);
 
 private:
+    bool may_ask(TimePoint now);
     std::optional<KeptAnswer> ask_coordinator(const KeptSpace& space,
                                               std::span<const PromptPart> parts,
                                               Micros longest, TimePoint asked);
 
     ForwardState& m_state;
     CoordinatorLink& m_coordinator;
-    /// No other instance is asked before this time.
-    std::atomic<TimePoint> m_next_request_at{TimePoint{}};
+    Guarded<QuestionPacing> m_pacing;
 };
 
 } // namespace crosslink
