Work the tree out for a whole fleet that starts, not for each instance

Cause: the holder of the duty built the fleet's tree anew for each instance that asked for its parents: 985 times a second, each time a copy of all instances and a sort of a zone's, on a quarter or half of a core. A tree keeps what it worked out for a zone, so that an instance's own position no longer works it out twice.

--- a/src/include/crosslink/membership/fleet_tree.h
+++ b/src/include/crosslink/membership/fleet_tree.h
@@ -5,6 +5,9 @@
 
 #include <crosslink/membership/instance_info.h>
 
+#include <cstddef>
+#include <functional>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,7 +36,7 @@
 /// each zone poll it, and the other parents poll these. Each instance computes
 /// the tree itself from its list of instances. Where the lists differ, some
 /// poll an instance that does not expect it; this only makes the data that they
-/// get older.
+/// get older. Not thread-safe: what is worked out for a zone is kept.
 class FleetTree
 {
 public:
@@ -50,13 +53,17 @@
     bool is_parent(std::string_view name, std::string_view zone) const;
 
 private:
-    std::vector<InstanceInfo> zone_parents(std::string_view zone) const;
+    const std::vector<InstanceInfo>& zone_parents(std::string_view zone) const;
+    std::vector<InstanceInfo> choose_zone_parents(std::string_view zone) const;
     std::size_t count_under_holder() const;
 
     std::vector<InstanceInfo> m_instances;
     std::string m_holder;
     /// Number of parents of a zone that poll the holder.
     std::size_t m_under_holder;
+    /// The results of zone_parents(), by zone.
+    mutable std::map<std::string, std::vector<InstanceInfo>, std::less<>>
+        m_zone_parents;
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/membership/fleet_tree.cpp
+++ b/src/libcrosslink/membership/fleet_tree.cpp
@@ -116,8 +116,18 @@
 
 /// Returns the instances that the others of `zone` poll, those that poll the
 /// holder first; none in a small fleet.
-std::vector<InstanceInfo>
+const std::vector<InstanceInfo>&
 FleetTree::zone_parents(std::string_view zone) const
+{
+    const auto known = m_zone_parents.find(zone);
+    if (known != m_zone_parents.end())
+        return known->second;
+    return m_zone_parents.emplace(zone, choose_zone_parents(zone))
+        .first->second;
+}
+
+std::vector<InstanceInfo>
+FleetTree::choose_zone_parents(std::string_view zone) const
 {
     if (m_instances.size() <= max_children)
         return {};
@@ -161,7 +171,7 @@
 bool
 FleetTree::is_parent(std::string_view name, std::string_view zone) const
 {
-    const std::vector<InstanceInfo> selected = zone_parents(zone);
+    const std::vector<InstanceInfo>& selected = zone_parents(zone);
     return std::any_of(
         selected.begin(), selected.end(),
         [name](const InstanceInfo& instance) { return instance.name == name; });
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -23,10 +23,6 @@
 /// Three exchanges up the tree and three down take 0.8 s.
 constexpr Micros lost_contact_report_time = std::chrono::milliseconds(1500);
 
-/// How long an instance that asked for its parents counts as a member before
-/// the platform lists it.
-constexpr Micros starter_lifetime = std::chrono::seconds(10);
-
 constexpr std::uint64_t bytes_per_mb = 1U << 20U;
 /// The part of the memory that bodies may take; threads, connections and what
 /// is known of the fleet take the rest.
@@ -52,18 +48,14 @@
     return all.subspan(first);
 }
 
-/// Returns the tree of the listed instances and of those of `more` that are not
-/// listed.
+/// Returns the tree of the listed instances.
 FleetTree
-tree_of(const FleetView& view, std::span<const InstanceInfo> more = {})
+tree_of(const FleetView& view)
 {
     std::vector<InstanceInfo> instances;
-    instances.reserve(view.instances.size() + more.size());
+    instances.reserve(view.instances.size());
     for (const auto& [name, instance] : view.instances)
         instances.push_back(instance);
-    for (const InstanceInfo& instance : more)
-        if (!view.instances.contains(instance.name))
-            instances.push_back(instance);
     return {instances, view.coordinator_address()};
 }
 
@@ -256,23 +248,13 @@
 ForwardState::parents_of(const InstanceInfo& instance)
 {
     const TimePoint now = monotonic_now();
-    const std::vector<InstanceInfo> starters =
-        m_starters.with([&](auto& known) {
-            known[instance.name] = {instance, now};
-            std::erase_if(known, [now](const auto& item) {
-                return now > item.second.asked + starter_lifetime;
-            });
-            std::vector<InstanceInfo> result;
-            result.reserve(known.size());
-            for (const auto& [name, starter] : known)
-                result.push_back(starter.instance);
-            return result;
-        });
     return fleet.with([&](const FleetView& view) {
         if (!view.runners_listed)
             return std::vector<std::string>();
-        return tree_of(view, starters)
-            .parents(instance.name, instance.zone, instance.address);
+        return m_starter_tree.with([&](StarterTree& tree) {
+            return tree.parents_of(instance, view.instances,
+                                   view.coordinator_address(), now);
+        });
     });
 }
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -28,6 +28,7 @@
 #include <crosslink/membership/fleet_tree.h>
 #include <crosslink/membership/holder_history.h>
 #include <crosslink/membership/platform_availability.h>
+#include <crosslink/membership/starter_tree.h>
 #include <crosslink/ports/fleet_feed.h>
 #include <crosslink/weights/rollout_record.h>
 #include <crosslink/weights/weights_history.h>
@@ -259,9 +260,7 @@
     /// instances ask each other for load and for the platform's changes.
     TreePosition tree_position();
     /// Returns the addresses that `instance` may poll, for an instance that
-    /// starts; empty while this one does not know the fleet. Instances that
-    /// asked lately count as members, though the platform may not list them
-    /// yet: else all of a fleet that starts would be sent to the few listed.
+    /// starts; empty while this one does not know the fleet.
     std::vector<std::string> parents_of(const InstanceInfo& instance);
     /// Returns whether other instances are to ask this one for load and for the
     /// platform's changes, although it does not hold the duty.
@@ -282,14 +281,8 @@
     void log_limit_change(std::string_view runner, double per_second,
                           const char* source);
 
-    /// An instance that starts, and when it asked for its parents.
-    struct Starter {
-        InstanceInfo instance;
-        TimePoint asked{};
-    };
-
     Guarded<CachedPosition> m_position;
-    Guarded<std::map<std::string, Starter>> m_starters; ///< By name.
+    Guarded<StarterTree> m_starter_tree;
 };
 
 } // namespace crosslink
