Bound how many instances poll the same one

Cause: an instance whose parents all fail, or are slow, polls the holder of the duty as the last of its list; so does one that starts and knows no other. At the worst all do: each of 985 seven times a second is nine times what half a core answers, nobody gets an answer in time, and all stay there. Change: an instance answers 48 others at a time, half as many again as the tree plans for the busiest; the next ones are refused at once, and go to another parent or ask the platform. Counted by crosslink_polls_refused_total. Measured (child_admission_test): of 301, 985 and 1,970 that poll the same instance, as many polls are answered as of 48.

--- a/src/serve/fleet/exchange_handler.cpp
+++ b/src/serve/fleet/exchange_handler.cpp
@@ -5,6 +5,7 @@
 
 #include <adapters/clock.h>
 
+#include <crosslink/base/error.h>
 #include <crosslink/forward/runner_price.h>
 
 namespace crosslink
@@ -30,6 +31,7 @@
 ExchangeHandler::exchange(const ExchangeRequest& request)
 {
     const TimePoint now = monotonic_now();
+    require_admission(request, now);
     m_state.merge_peer_report(request.lost, now);
     m_state.merge_peer_report(request.crashes, now);
     m_state.merge_peer_report(request.limits);
@@ -54,6 +56,19 @@
     return response;
 }
 
+void
+ExchangeHandler::require_admission(const ExchangeRequest& request,
+                                   TimePoint now)
+{
+    const bool admitted = m_admission.with([&](ChildAdmission& admission) {
+        return admission.admit(request.instance, now);
+    });
+    if (admitted)
+        return;
+    ++m_state.counters.polls_refused;
+    throw Error(ErrorCode::PeerUnavailable, "too many instances poll this one");
+}
+
 /// Leaves out the load on runners of other zones than `zone` where it is large:
 /// an instance sends there only when its own zone has no room, and the load
 /// grows with the fleet.
--- a/src/serve/fleet/exchange_handler.h
+++ b/src/serve/fleet/exchange_handler.h
@@ -12,6 +12,7 @@
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/load_aggregator.h>
+#include <crosslink/membership/child_admission.h>
 
 #include <map>
 #include <string>
@@ -31,7 +32,8 @@
                     ChangeReceiver& changes);
 
     /// Applies the report of an instance, and returns the state of the fleet
-    /// for it. Throws Error(LeaseLost).
+    /// for it. Throws Error(LeaseLost), or Error(PeerUnavailable) if too many
+    /// others poll this instance.
     ExchangeResponse exchange(const ExchangeRequest& request);
     /// Returns, by runner, the load of this instance and of all instances that
     /// ask it.
@@ -50,6 +52,7 @@
         TimePoint sent_at{}; ///< When the coordinator sent its data.
     };
 
+    void require_admission(const ExchangeRequest& request, TimePoint now);
     void limit_load(ExchangeResponse& response, std::string_view zone);
     ExchangeResponse forward_parent_response(const ExchangeRequest& request,
                                              TimePoint now);
@@ -57,6 +60,7 @@
     ForwardState& m_state;
     Coordinator& m_coordinator;
     ChangeReceiver& m_changes;
+    Guarded<ChildAdmission> m_admission;
     Guarded<LoadAggregator> m_children;
     Guarded<ParentResponse> m_parent_response;
 };
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -305,6 +305,7 @@
     counter("parts_fetched_total", parts_fetched);
     counter("parts_saved_total", parts_saved);
     counter("parts_read_total", parts_read);
+    counter("polls_refused_total", polls_refused);
     out << "# TYPE crosslink_runners_limited gauge\ncrosslink_runners_limited "
         << runners_limited.load() << '\n';
     out << first_event.text("crosslink_first_event_seconds",
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -111,6 +111,7 @@
     Counter parts_fetched{0};   ///< Prompt parts fetched from a store.
     Counter parts_saved{0};     ///< Prompt parts read and saved to a store.
     Counter parts_read{0};      ///< Prompt parts read and not saved.
+    Counter polls_refused{0};   ///< Polls of too many other instances.
     Counter runners_limited{0}; ///< Gauge: runners with a limit in force.
     TimeSummary first_event;
     TimeSummary whole_answer;
