--- a/src/libcrosslink/kept/kept_directory_test.cpp
+++ b/src/libcrosslink/kept/kept_directory_test.cpp
@@ -1,98 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright Contributors to the crosslink project.
 
-#include "../testing/managed_store.h"
-
-#include <crosslink/kept/kept_directory.h>
+#include "../testing/two_stores.h"
 
 #include <catch2/catch.hpp>
-#include <rapidcheck.h>
 
-#include <map>
 #include <optional>
 #include <set>
 
 namespace crosslink
 {
 
-namespace
-{
-
+using namespace testing::two_stores;
 using testing::managed_store;
 
-constexpr const char* fast = "127.0.0.1:1";
-constexpr const char* big = "127.0.0.1:2";
-constexpr Micros call_time = std::chrono::seconds(4);
-
-TimePoint
-at(std::int64_t millis)
-{
-    return TimePoint(std::chrono::milliseconds(millis));
-}
-
-KeptSpace
-space(std::uint64_t version = 1, const std::string& isolated_account = "")
-{
-    return {isolated_account, "m", version, 0};
-}
-
-KeptListing
-empty_listing(std::uint64_t boot, RunnerMillis clock)
-{
-    KeptListing listing;
-    listing.boot = boot;
-    listing.next = 1;
-    listing.clock = clock;
-    return listing;
-}
-
-KeptDirectory
-directory_with_stores(std::uint64_t term = 7)
-{
-    KeptDirectory directory;
-    const std::vector<KeptStoreInfo> stores{managed_store(fast, 1600, 100),
-                                            managed_store(big, 16'000, 10)};
-    directory.set_stores(stores);
-    directory.begin(term, at(0));
-    directory.apply_listing(fast, empty_listing(1, 1000), at(0));
-    directory.apply_listing(big, empty_listing(1, 1000), at(0));
-    return directory;
-}
-
-KeptAnswer
-ask(KeptDirectory& directory, const std::string& id, std::int64_t now,
-    const KeptSpace& wanted = space())
-{
-    const std::vector<PromptPart> parts{{id, 160}};
-    return directory.ask(wanted, parts, call_time, at(now));
-}
-
-KeptChanges
-stored(const std::string& space_text, const std::string& id, RunnerMillis clock)
-{
-    KeptChanges changes;
-    changes.boot = 1;
-    changes.next = 2;
-    changes.clock = clock;
-    changes.changes.push_back({{space_text, id, 160}, true});
-    return changes;
-}
-
-/// Has a part saved at 0 ms and reported as complete at 100 ms. Returns the
-/// answer to the call that saves it.
-KeptAnswer
-save_part(KeptDirectory& directory, const std::string& id)
-{
-    KeptAnswer answer = ask(directory, id, 0);
-    directory.apply_changes(answer.places[0].store,
-                            stored(answer.space, id, 1100), at(100));
-    return answer;
-}
-
-const auto never = [](const KeptSpace&) { return false; };
-
-} // namespace
-
 TEST_CASE("one call saves a part, and others compute it until it is complete")
 {
     KeptDirectory directory = directory_with_stores();
@@ -221,103 +142,6 @@
     CHECK_FALSE(replica.find(space(), parts, true, at(2010)));
 }
 
-namespace
-{
-
-/// Simulates stores, with calls that save to and fetch from them, for the
-/// random runs below. Fails where a part is saved twice to a store, or freed
-/// during a fetch or a save.
-class StoreSimulation
-{
-public:
-    explicit StoreSimulation(KeptDirectory& directory) { add(directory); }
-
-    /// Adds the directory of another instance, to which the stores report their
-    /// changes too.
-    void add(KeptDirectory& directory) { m_directories.push_back(&directory); }
-
-    void call(KeptDirectory& directory, const std::string& id, std::int64_t now,
-              std::int64_t length)
-    {
-        const KeptAnswer answer = ask(directory, id, now);
-        const KeptPlace& place = answer.places[0];
-        const Key key{place.store, answer.space, id};
-        if (place.kind == KeptPlace::Kind::Save) {
-            RC_ASSERT(!m_writing.contains(key));
-            RC_ASSERT(!m_whole.contains(key));
-            m_writing[key] = now + length;
-        } else if (place.kind == KeptPlace::Kind::Fetch) {
-            m_fetches.push_back({key, static_cast<std::int64_t>(place.until)});
-        }
-    }
-
-    void advance(std::int64_t now, bool report)
-    {
-        for (auto item = m_writing.begin(); item != m_writing.end();) {
-            if (now < item->second) {
-                ++item;
-                continue;
-            }
-            const auto& [where, text, id] = item->first;
-            m_whole.insert(item->first);
-            for (KeptDirectory* directory : m_directories)
-                if (report)
-                    directory->apply_changes(
-                        where, stored(text, id, clock(now)), at(now));
-            item = m_writing.erase(item);
-        }
-        std::erase_if(m_fetches, [&](const Fetch& fetch) {
-            return static_cast<std::int64_t>(clock(now)) > fetch.until;
-        });
-    }
-
-    void free_due(KeptDirectory& directory, std::int64_t now,
-                  bool all_obsolete = false)
-    {
-        const auto obsolete = [all_obsolete](const KeptSpace&) {
-            return all_obsolete;
-        };
-        for (const KeptFree& free :
-             directory.take_due_frees(obsolete, 1, at(now)))
-            for (const KeptPart& part : free.parts) {
-                const Key key{free.store, part.space, part.id};
-                for (const Fetch& fetch : m_fetches)
-                    RC_ASSERT(fetch.key != key);
-                RC_ASSERT(!m_writing.contains(key));
-                m_whole.erase(key);
-            }
-    }
-
-    void list(KeptDirectory& directory, const std::string& where,
-              std::int64_t now)
-    {
-        KeptListing listing = empty_listing(1, clock(now));
-        for (const auto& [place, text, id] : m_whole)
-            if (place == where)
-                listing.whole.push_back({text, id, 160});
-        directory.apply_listing(where, listing, at(now));
-    }
-
-    static RunnerMillis clock(std::int64_t now)
-    {
-        return static_cast<RunnerMillis>(now + 1000);
-    }
-
-private:
-    using Key = std::tuple<std::string, std::string, std::string>;
-    struct Fetch {
-        Key key;
-        std::int64_t until;
-    };
-
-    std::vector<KeptDirectory*> m_directories;
-    std::map<Key, std::int64_t> m_writing;
-    std::set<Key> m_whole;
-    std::vector<Fetch> m_fetches;
-};
-
-} // namespace
-
 TEST_CASE("a new holder frees parts early where earlier holders have stopped")
 {
     const auto all = [](const KeptSpace&) { return true; };
@@ -444,81 +268,6 @@
     CHECK(ask(directory, "q", 30'100).places[0].kind == KeptPlace::Kind::Save);
 }
 
-TEST_CASE("whatever is told, lost and freed, no fetch meets a write or a free")
-{
-    CHECK(rc::check("no fetch of an incomplete part", [] {
-        KeptDirectory directory = directory_with_stores();
-        StoreSimulation simulation(directory);
-        std::int64_t now = 0;
-        const auto steps = *rc::gen::inRange(1, 200);
-        for (int i = 0; i < steps; ++i) {
-            now += *rc::gen::inRange<std::int64_t>(1, 1500);
-            simulation.advance(now, *rc::gen::inRange(0, 4) > 0);
-            const auto id = std::to_string(*rc::gen::inRange(0, 150));
-            switch (*rc::gen::inRange(0, 8)) {
-            case 0:
-                simulation.free_due(directory, now);
-                break;
-            case 1:
-                simulation.list(directory, fast, now);
-                simulation.list(directory, big, now);
-                break;
-            default:
-                simulation.call(directory, id, now,
-                                *rc::gen::inRange<std::int64_t>(1, 3900));
-            }
-        }
-    }));
-}
-
-TEST_CASE("a new holder frees no part that an earlier one still reports")
-{
-    CHECK(rc::check("no fetch of a part that another holder frees", [] {
-        KeptDirectory earlier = directory_with_stores(7);
-        StoreSimulation simulation(earlier);
-        KeptDirectory next;
-        std::int64_t now = 0;
-        const auto take_over = *rc::gen::inRange<std::int64_t>(2000, 20'000);
-        // The earlier holder answers until its grace time ends, or stops
-        // earlier where the next one asks it to.
-        const bool stops = *rc::gen::arbitrary<bool>();
-        const auto grace =
-            stops ? *rc::gen::inRange<std::int64_t>(0, kept_grace_time.count())
-                  : kept_grace_time.count();
-        const std::int64_t end = take_over + grace;
-        bool taken = false;
-        bool silent = false;
-        while (now < end + 12'000) {
-            now += *rc::gen::inRange<std::int64_t>(1, 700);
-            simulation.advance(now, *rc::gen::inRange(0, 4) > 0);
-            if (!taken && now >= take_over) {
-                taken = true;
-                const std::vector<KeptStoreInfo> stores{
-                    managed_store(fast, 1600, 100),
-                    managed_store(big, 16'000, 10)};
-                next.set_stores(stores);
-                next.begin(9, at(now));
-                simulation.add(next);
-                simulation.list(next, fast, now);
-                simulation.list(next, big, now);
-            }
-            if (taken && stops && !silent && now >= end) {
-                silent = true;
-                next.earlier_holders_stopped(at(now));
-            }
-            const auto id = std::to_string(*rc::gen::inRange(0, 150));
-            const auto length = *rc::gen::inRange<std::int64_t>(1, 3900);
-            const bool asks_next = taken && *rc::gen::inRange(0, 2) == 0;
-            if (asks_next)
-                simulation.call(next, id, now, length);
-            else if (now < end)
-                simulation.call(earlier, id, now, length);
-            simulation.free_due(taken ? next : earlier, now,
-                                *rc::gen::inRange(0, 20) == 0);
-        }
-    }));
-}
-
 TEST_CASE("parts that must stay in zones are saved in these zones only")
 {
     KeptDirectory directory;
