Let the holder alone read all again when the platform forgets its history

Cause: an instance whose changes the platform no longer had read all of its data at once. After a compaction the holder reads for a second, news grow late everywhere, each instance asks the platform, finds its history gone, and reads all too: 57 pages and some 3.4 MB each. Change: a lost history is a result of its own of the port, and a plan in the core (RereadPlan) says who reads: the holder at once; the others learn from it, and else read at a random time within the span in which the platform sends all to all on half of its link, parents within a sixteenth of that. Small fleets read at once as before (a span of 0.02 s at 60 instances).

--- a/src/include/crosslink/membership/child_admission.h
+++ b/src/include/crosslink/membership/child_admission.h
@@ -17,7 +17,7 @@
 
 /// Number of instances that may poll the same instance at a time: half as many
 /// again as the tree plans for the busiest, for the children of parents that
-/// failed. Seven times a second each, they take most of half a core.
+/// failed.
 constexpr std::size_t max_admitted_children = 3 * max_children_of_strong / 2;
 
 /// Bounds how many instances poll this one. Instances whose parents all fail,
--- /dev/null
+++ b/src/include/crosslink/membership/reread_plan.h
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace crosslink
+{
+
+/// What decides how soon an instance reads all of the platform's data.
+struct RereadRole {
+    bool is_parent = false;    ///< Other instances poll this one.
+    std::size_t instances = 1; ///< Of the fleet.
+    std::size_t runners = 0;   ///< Of the fleet.
+};
+
+/// Decides when an instance reads all of the platform's data again, because the
+/// platform no longer has the changes since the instance's revision. That
+/// happens to all instances at the same moment, and all of them together read
+/// instances times runners. The holder of the duty reads at once, and the
+/// others learn from it through the tree. An instance that does not reads at a
+/// random time within the span in which the platform can send all to all;
+/// parents, which are few, read within a part of it.
+class RereadPlan
+{
+public:
+    /// `random` are random bits, from which all random times are derived.
+    explicit RereadPlan(std::uint64_t random);
+
+    /// Records that the platform no longer has the changes since `revision`.
+    void history_lost(std::uint64_t revision, const RereadRole& role,
+                      TimePoint now);
+    /// Returns whether to read all at `now`, if `revision` is still the last
+    /// one that this instance knows. `has_duty` tells that it holds the duty.
+    bool is_due(std::uint64_t revision, bool has_duty, TimePoint now) const;
+    /// Returns whether to leave the platform alone at `now`.
+    bool must_wait(std::uint64_t revision, bool has_duty, TimePoint now) const;
+
+private:
+    std::mt19937_64 m_random;
+    std::optional<std::uint64_t> m_lost; ///< The revision that was lost last.
+    TimePoint m_read_at{};
+};
+
+} // namespace crosslink
--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -111,9 +112,10 @@
     virtual FirstLook read_unless_large() = 0;
     /// Returns the peer address of the holder of the duty; empty for none.
     virtual std::string coordinator() = 0;
-    /// Waits up to `longest` for changes after `revision`. Returns a
-    /// snapshot if the platform no longer has these changes.
-    virtual ChangePage wait(std::uint64_t revision, Micros longest) = 0;
+    /// Waits up to `longest` for changes after `revision`. Returns nothing if
+    /// the platform no longer has these changes.
+    virtual std::optional<ChangePage> wait(std::uint64_t revision,
+                                           Micros longest) = 0;
     /// Decodes the entries of `page`, in their order. Skips entries that are of
     /// no use here or can't be decoded, and logs the latter.
     virtual std::vector<FleetChange> decode(const ChangePage& page) const = 0;
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -60,7 +60,7 @@
 
 FeedDuty::FeedDuty(ForwardState& state, ChangeReceiver& changes)
     : m_state(state), m_changes(changes), m_start(random_bits()),
-      m_feed("feed", [this] { return feed_round(); }),
+      m_reread(random_bits()), m_feed("feed", [this] { return feed_round(); }),
       m_presence("presence", [this] { return presence_round(); })
 {
 }
@@ -191,6 +191,8 @@
     }
     if (now < *m_ask_platform_at)
         return std::min(check_pause, *m_ask_platform_at - now);
+    if (m_reread.must_wait(*m_changes.revision(), m_state.has_duty(), now))
+        return check_pause;
     return std::nullopt;
 }
 
@@ -210,20 +212,40 @@
 FeedDuty::ask_platform()
 {
     const bool asked_by_others = m_state.has_duty() || m_state.is_parent();
-    const auto revision = m_changes.revision();
+    const std::uint64_t revision = *m_changes.revision();
     const Micros timeout = asked_by_others ? max_wait_of_parent : max_wait;
     const TimePoint asked = monotonic_now();
-    const ChangePage page = m_state.ports.feed.wait(*revision, timeout);
+    if (m_reread.is_due(revision, m_state.has_duty(), asked)) {
+        read_all();
+        return;
+    }
+    const auto page = m_state.ports.feed.wait(revision, timeout);
+    if (!page) {
+        LogLine("history_lost").field("revision", revision);
+        m_reread.history_lost(revision, reread_role(), monotonic_now());
+        return;
+    }
     // The platform sends an answer without changes at the end of the wait, so
     // that it confirms the state as of then. Counted from the request, the
     // state would seem 0.4 s older than it is, and instances two exchanges away
     // would take it for late.
     const bool waited_in_full =
-        page.entries.empty() && monotonic_now() >= asked + timeout;
-    m_changes.apply_from_platform(page,
+        page->entries.empty() && monotonic_now() >= asked + timeout;
+    m_changes.apply_from_platform(*page,
                                   waited_in_full ? asked + timeout : asked);
 }
 
+RereadRole
+FeedDuty::reread_role()
+{
+    RereadRole role;
+    role.is_parent = m_state.is_parent();
+    role.instances = m_state.instance_count();
+    role.runners = m_state.runners.with(
+        [](const RunnerTable& table) { return table.entries().size(); });
+    return role;
+}
+
 Micros
 FeedDuty::failure_pause()
 {
--- a/src/serve/fleet/feed_duty.h
+++ b/src/serve/fleet/feed_duty.h
@@ -9,6 +9,7 @@
 #include <serve/forward/forward_state.h>
 
 #include <crosslink/base/time.h>
+#include <crosslink/membership/reread_plan.h>
 #include <crosslink/membership/start_plan.h>
 
 #include <optional>
@@ -35,6 +36,7 @@
     std::optional<Micros> wait_for_peers();
     Micros random_delay();
     void ask_platform();
+    RereadRole reread_role();
     Micros failure_pause();
     void ask_seeds();
     Micros presence_round();
@@ -42,6 +44,7 @@
     ForwardState& m_state;
     ChangeReceiver& m_changes;
     StartPlan m_start;
+    RereadPlan m_reread;
     /// When this instance asks the platform itself, since changes from other
     /// instances are late; empty while they are in time.
     std::optional<TimePoint> m_ask_platform_at;
