Keep no more callers waiting at the peer door than are answered in time

Change: 32 connections wait for a thread, the next ones are closed at once, and their instances do without the answer or ask again later.

--- a/src/adapters/http_server_test.cpp
+++ b/src/adapters/http_server_test.cpp
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <string>
@@ -48,8 +49,46 @@
     return all;
 }
 
+Poco::Net::StreamSocket
+call(const HttpServer& server)
+{
+    constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: a\r\n"
+                                         "Connection: close\r\n\r\n";
+    Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(server.address())};
+    caller.sendBytes(request.data(), static_cast<int>(request.size()));
+    return caller;
+}
+
 } // namespace
 
+TEST_CASE("callers beyond the queue are turned away while others wait")
+{
+    HttpServerRules rules;
+    rules.most_threads = 1;
+    rules.most_queued = 1;
+    std::promise<void> busy;
+    std::promise<void> go_on;
+    const std::shared_future<void> may_go_on(go_on.get_future());
+    std::atomic<int> served{0};
+    HttpServer server("127.0.0.1:0", rules, [&](auto&, auto& answer) {
+        if (served++ == 0)
+            busy.set_value();
+        may_go_on.wait();
+        send_answer(answer, success, "text/plain", "a");
+    });
+    Poco::Net::StreamSocket first = call(server);
+    REQUIRE(busy.get_future().wait_for(far_off) == std::future_status::ready);
+    Poco::Net::StreamSocket queued = call(server);
+    for (int i = 0; i < 3; ++i) {
+        Poco::Net::StreamSocket late = call(server);
+        CHECK(read_all(late).empty());
+    }
+    go_on.set_value();
+    CHECK(read_all(first).rfind("HTTP/1.1 200") == 0);
+    CHECK(read_all(queued).rfind("HTTP/1.1 200") == 0);
+    CHECK(served == 2);
+}
+
 TEST_CASE("an answer that its caller does not take ends with its connection")
 {
     HttpServerRules rules;
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -28,6 +28,10 @@
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
 constexpr int server_threads = 64;
+/// Connections that wait for a thread: no more than are served before those who
+/// ask give up. The next ones are closed at once; else, when many ask, all wait
+/// in vain.
+constexpr int max_waiting = 32;
 constexpr std::uint64_t max_body_bytes = 1U << 20U;
 /// Timeout of most calls. Looking up stored parts must not take longer than
 /// reading the prompt: a few thousand tokens are read in about 100 ms.
@@ -96,6 +100,7 @@
     });
     HttpServerRules rules;
     rules.most_threads = server_threads;
+    rules.most_queued = max_waiting;
     m_server = std::make_unique<HttpServer>(
         state.settings.peer_address(), rules,
         [this](auto& request, auto& answer) {
