Read again without a pause where the plan says at once

Cause: since a lost history is planned, an instance without the duty in a small fleet read 0.4 s after it had found its changes gone, not at once. Change: the pause after that is that of the holder, 0.06 s. Measured: reread_plan_test; the case of a platform that forgets passes.

--- a/src/include/crosslink/membership/reread_plan.h
+++ b/src/include/crosslink/membership/reread_plan.h
@@ -36,6 +36,8 @@
     /// Records that the platform no longer has the changes since `revision`.
     void history_lost(std::uint64_t revision, const RereadRole& role,
                       TimePoint now);
+    /// Returns whether the platform no longer has the changes since `revision`.
+    bool is_lost(std::uint64_t revision) const { return m_lost == revision; }
     /// Returns whether to read all at `now`, if `revision` is still the last
     /// one that this instance knows. `has_duty` tells that it holds the duty.
     bool is_due(std::uint64_t revision, bool has_duty, TimePoint now) const;
--- a/src/libcrosslink/membership/reread_plan.cpp
+++ b/src/libcrosslink/membership/reread_plan.cpp
@@ -36,7 +36,7 @@
 RereadPlan::history_lost(std::uint64_t revision, const RereadRole& role,
                          TimePoint now)
 {
-    if (m_lost == revision)
+    if (is_lost(revision))
         return;
     m_lost = revision;
     const auto span = static_cast<std::uint64_t>(
@@ -47,14 +47,14 @@
 bool
 RereadPlan::is_due(std::uint64_t revision, bool has_duty, TimePoint now) const
 {
-    return m_lost == revision && (has_duty || now >= m_read_at);
+    return is_lost(revision) && (has_duty || now >= m_read_at);
 }
 
 bool
 RereadPlan::must_wait(std::uint64_t revision, bool has_duty,
                       TimePoint now) const
 {
-    return m_lost == revision && !is_due(revision, has_duty, now);
+    return is_lost(revision) && !is_due(revision, has_duty, now);
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/membership/reread_plan_test.cpp
+++ b/src/libcrosslink/membership/reread_plan_test.cpp
@@ -101,12 +101,14 @@
 {
     RereadPlan plan(seed);
     const RereadRole role{false, 985, 9773};
+    CHECK_FALSE(plan.is_lost(lost_revision));
     CHECK_FALSE(plan.must_wait(lost_revision, false, at(0)));
     CHECK_FALSE(plan.is_due(lost_revision, true, at(0)));
     plan.history_lost(lost_revision, role, at(0));
     CHECK(plan.is_due(lost_revision, true, at(0)));
     CHECK(plan.must_wait(lost_revision, false, at(0)));
     CHECK(plan.is_due(lost_revision, false, at(60'000)));
+    CHECK(plan.is_lost(lost_revision));
     // Changes from another instance have come since.
     CHECK_FALSE(plan.must_wait(lost_revision + 1, false, at(0)));
     CHECK_FALSE(plan.is_due(lost_revision + 1, false, at(60'000)));
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -75,6 +75,8 @@
             return learn_first();
         ask_platform();
         m_platform_lost = false;
+        if (m_reread.is_lost(*m_changes.revision()))
+            return request_pause;
         return m_state.has_duty() ? request_pause : request_pause_without_duty;
     } catch (const Error& failure) {
         if (!m_platform_lost)
