Ask for changes again after everything was read

Cause: found by reading: an instance whose whole reading has the revision that was lost (nothing changed since) would read all again and again, and never ask for changes. Change: the plan forgets the loss with the reading. Measured: reread_plan_test, which reads again and again without it.

--- a/src/include/crosslink/membership/reread_plan.h
+++ b/src/include/crosslink/membership/reread_plan.h
@@ -24,9 +24,9 @@
 /// platform no longer has the changes since the instance's revision. That
 /// happens to all instances at the same moment, and all of them together read
 /// instances times runners. The holder of the duty reads at once, and the
-/// others learn from it through the tree. An instance that does not reads at a
-/// random time within the span in which the platform can send all to all;
-/// parents, which are few, read within a part of it.
+/// others learn from it through the tree. An instance that learns nothing that
+/// way reads at a random time within the span in which the platform can send
+/// all to all; parents, which are few, within a part of it.
 class RereadPlan
 {
 public:
@@ -43,6 +43,8 @@
     bool is_due(std::uint64_t revision, bool has_duty, TimePoint now) const;
     /// Returns whether to leave the platform alone at `now`.
     bool must_wait(std::uint64_t revision, bool has_duty, TimePoint now) const;
+    /// Records that this instance has read all.
+    void read_all_done() { m_lost.reset(); }
 
 private:
     std::mt19937_64 m_random;
--- a/src/libcrosslink/membership/reread_plan_test.cpp
+++ b/src/libcrosslink/membership/reread_plan_test.cpp
@@ -112,6 +112,9 @@
     // Changes from another instance have come since.
     CHECK_FALSE(plan.must_wait(lost_revision + 1, false, at(0)));
     CHECK_FALSE(plan.is_due(lost_revision + 1, false, at(60'000)));
+    // What was read is of the same revision: the platform is asked again.
+    plan.read_all_done();
+    CHECK_FALSE(plan.is_due(lost_revision, true, at(60'000)));
 }
 
 } // namespace crosslink
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -219,6 +219,7 @@
     const TimePoint asked = monotonic_now();
     if (m_reread.is_due(revision, m_state.has_duty(), asked)) {
         read_all();
+        m_reread.read_all_done();
         return;
     }
     const auto page = m_state.ports.feed.wait(revision, timeout);
