--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -20,8 +20,8 @@
 
 /// Largest age of changes that are in time: older ones come from an instance
 /// that has lost contact with the platform or its own parent. The coordinator
-/// gets an answer of the platform every 0.4 s, and each of two exchanges adds
-/// 0.15 s; a change must be in force within two seconds.
+/// gets an answer of the platform every 0.4 s, and each of up to three
+/// exchanges adds 0.15 s or less; a change must be in force within two seconds.
 constexpr Micros max_peer_age = std::chrono::milliseconds(1200);
 /// Without any confirmation for so long, the platform may have been unavailable
 /// to all instances. Waits for its answers take 1.8 s or less.
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -29,7 +29,7 @@
 constexpr Micros max_wait = std::chrono::milliseconds(1800);
 /// The same where other instances get the changes from this one: they take it
 /// for cut off from the platform when it has had no answer for 1.2 s, and the
-/// transfer to them takes 0.3 s.
+/// transfer to the farthest takes 0.35 s.
 constexpr Micros max_wait_of_parent = std::chrono::milliseconds(400);
 /// Pause between two requests, so that changes in quick succession arrive
 /// together.
@@ -230,8 +230,8 @@
     }
     // The platform sends an answer without changes at the end of the wait, so
     // that it confirms the state as of then. Counted from the request, the
-    // state would seem 0.4 s older than it is, and instances two exchanges away
-    // would take it for late.
+    // state would seem 0.4 s older than it is, and instances that are several
+    // exchanges away would take it for late.
     const bool waited_in_full =
         page->entries.empty() && monotonic_now() >= asked + timeout;
     m_changes.apply_from_platform(*page,
