--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -49,15 +49,18 @@
     throw Error(code, failure.displayText(), state);
 }
 
-/// Returns the answer without its body.
+/// Returns the answer to `request` without its body.
 HttpAnswer
-head_of(const Poco::Net::HTTPResponse& response)
+head_of(const Poco::Net::HTTPResponse& response, const HttpRequest& request)
 {
     HttpAnswer answer;
     answer.status = response.getStatus();
     answer.content_type = response.getContentType();
     if (response.has("Retry-After"))
         answer.retry_after = response.get("Retry-After");
+    const std::string wanted(request.wanted_header);
+    if (!wanted.empty() && response.has(wanted))
+        answer.wanted_header = response.get(wanted);
     return answer;
 }
 
@@ -169,7 +172,7 @@
         Session session = begin(request, fresh_connection, state);
         Poco::Net::HTTPResponse response;
         std::istream& in = session->receiveResponse(response);
-        HttpAnswer answer = head_of(response);
+        HttpAnswer answer = head_of(response, request);
         Poco::StreamCopier::copyToString(in, answer.body);
         const bool chunked = response.getChunkedTransferEncoding();
         const auto length = response.getContentLength64();
@@ -214,7 +217,7 @@
         Session session = begin(request, false, state);
         Poco::Net::HTTPResponse response;
         std::istream& in = session->receiveResponse(response);
-        HttpAnswer answer = head_of(response);
+        HttpAnswer answer = head_of(response, request);
         if (!is_success(answer.status)) {
             Poco::StreamCopier::copyToString(in, answer.body);
             return answer;
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -35,6 +35,8 @@
     std::string body;
     /// Time to wait for the answer; empty for the client's own.
     std::optional<Micros> receive_timeout;
+    /// Name of a header of the answer that the caller reads; empty for none.
+    std::string_view wanted_header;
 };
 
 /// A whole answer.
@@ -43,6 +45,8 @@
     std::string content_type;
     std::string body;
     std::optional<std::string> retry_after; ///< The header of that name.
+    /// Value of HttpRequest::wanted_header.
+    std::optional<std::string> wanted_header;
 };
 
 /// HTTP/1.1 to one address, over kept connections. A failure is an Error with
--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -67,8 +67,13 @@
     // An old state, which may be applied at a start, does not show that the
     // platform is available now.
     const bool fresh = now - confirmed <= max_silence;
-    if (!m_log.apply(page))
+    if (!m_log.apply(page)) {
+        if (page.is_snapshot)
+            LogLine("snapshot_refused")
+                .field("known", m_log.revision().value_or(0))
+                .field("revision", page.revision);
         return false;
+    }
     const auto lapsed = fresh ? lapsed_until(now) : std::nullopt;
     if (page.is_snapshot)
         m_snapshot_revision = page.revision;
