Read all again when the platform's store begins a later era

Cause: positions in the store's history were bare revisions. Where the store comes back from a copy, its revisions go back and are given out again: a whole reading was dropped as older until the store had passed the known revision, the watch then went on from there, and instances at the same revision of another history confirmed each other. Change: StorePosition, an era with a revision, takes the place of the bare revision in pages, log, exchange, former holders and reading plan; a later era is later whatever its revision. A watch that is answered from a later era, with or without 410, leads to a whole reading, paced as after a lost history. Pages of two eras make no reading, and a log of an earlier era confirms nothing to one of a later.

--- a/src/bench/fleet_costs.cpp
+++ b/src/bench/fleet_costs.cpp
@@ -194,11 +194,11 @@
                  R"("coldRemainingMs":0,"sequence":1,"stage":"both",)"
                  R"("models":[{"name":"model-a","version":1,"adapters":[]}]})",
              i + 1});
-    page.revision = size.runners;
+    page.position.revision = size.runners;
     figures["snapshot_bytes"] = Json::UInt64(json_text(to_json(page)).size());
     ChangePage packed;
     packed.is_snapshot = true;
-    packed.revision = page.revision;
+    packed.position.revision = page.position.revision;
     figures["snapshot_pack_ms"] =
         micros_of([&] {
             packed.packed =
--- a/src/include/crosslink/membership/change_page.h
+++ b/src/include/crosslink/membership/change_page.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <crosslink/membership/store_position.h>
+
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -17,16 +19,18 @@
 struct KeyChange {
     std::string key;
     std::optional<std::string> value; ///< Nothing where the key was removed.
-    std::uint64_t revision = 0;       ///< Revision of the store at this change.
+    /// Revision of the store at this change, in the era of its page.
+    std::uint64_t revision = 0;
 };
 
 /// Changes of the platform's store in the order in which they were made.
-/// Revisions are those of the store, so pages from different sources can be
+/// Positions are those of the store, so pages from different sources can be
 /// combined.
 struct ChangePage {
-    std::uint64_t since = 0;    ///< Revision that the page continues from.
-    std::uint64_t revision = 0; ///< Revision up to which the page is complete.
-    bool is_snapshot = false;   ///< Holds the whole store; ignore `since`.
+    /// Revision, in the era of `position`, that the page continues from.
+    std::uint64_t since = 0;
+    StorePosition position;   ///< Up to which the page is complete.
+    bool is_snapshot = false; ///< Holds the whole store; ignore `since`.
     std::vector<KeyChange> entries;
     /// The entries of a large snapshot as they are sent, compressed, in place
     /// of `entries`; null otherwise.
--- a/src/include/crosslink/membership/reread_plan.h
+++ b/src/include/crosslink/membership/reread_plan.h
@@ -4,9 +4,9 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/membership/store_position.h>
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 #include <random>
 
@@ -21,7 +21,8 @@
 };
 
 /// Decides when an instance reads all of the platform's data again, because the
-/// platform no longer has the changes since the instance's revision. That
+/// platform no longer has the changes since the instance's position, or its
+/// store was restored from a copy. That
 /// happens to all instances at the same moment, and all of them together read
 /// instances times runners. The holder of the duty reads at once, and the
 /// others learn from it through the tree. An instance that learns nothing that
@@ -33,22 +34,27 @@
     /// `random` are random bits, from which all random times are derived.
     explicit RereadPlan(std::uint64_t random);
 
-    /// Records that the platform no longer has the changes since `revision`.
-    void history_lost(std::uint64_t revision, const RereadRole& role,
+    /// Records that the platform no longer has the changes since `position`.
+    void history_lost(const StorePosition& position, const RereadRole& role,
                       TimePoint now);
-    /// Returns whether the platform no longer has the changes since `revision`.
-    bool is_lost(std::uint64_t revision) const { return m_lost == revision; }
-    /// Returns whether to read all at `now`, if `revision` is still the last
+    /// Returns whether the platform no longer has the changes since `position`.
+    bool is_lost(const StorePosition& position) const
+    {
+        return m_lost == position;
+    }
+    /// Returns whether to read all at `now`, if `position` is still the last
     /// one that this instance knows. `has_duty` tells that it holds the duty.
-    bool is_due(std::uint64_t revision, bool has_duty, TimePoint now) const;
+    bool is_due(const StorePosition& position, bool has_duty,
+                TimePoint now) const;
     /// Returns whether to leave the platform alone at `now`.
-    bool must_wait(std::uint64_t revision, bool has_duty, TimePoint now) const;
+    bool must_wait(const StorePosition& position, bool has_duty,
+                   TimePoint now) const;
     /// Records that this instance has read all.
     void read_all_done() { m_lost.reset(); }
 
 private:
     std::mt19937_64 m_random;
-    std::optional<std::uint64_t> m_lost; ///< The revision that was lost last.
+    std::optional<StorePosition> m_lost; ///< The position that was lost last.
     TimePoint m_read_at{};
 };
 
--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -11,7 +11,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -96,6 +95,18 @@
     std::string coordinator;
 };
 
+/// What a wait for changes brought.
+struct FeedChanges {
+    enum class Outcome {
+        Received,
+        HistoryLost,   ///< The platform no longer has these changes.
+        StoreRestored, ///< Its store came back from a copy: a later era.
+    };
+
+    Outcome outcome = Outcome::Received;
+    ChangePage page; ///< Empty unless they were received.
+};
+
 /// The platform's data that every instance follows: the operator's
 /// configuration, the named weights, the runners, and the entry instances with
 /// the duties that they hold. read() and wait() block,
@@ -112,10 +123,8 @@
     virtual FirstLook read_unless_large() = 0;
     /// Returns the peer address of the holder of the duty; empty for none.
     virtual std::string coordinator() = 0;
-    /// Waits up to `longest` for changes after `revision`. Returns nothing if
-    /// the platform no longer has these changes.
-    virtual std::optional<ChangePage> wait(std::uint64_t revision,
-                                           Micros longest) = 0;
+    /// Waits up to `longest` for changes after `position`.
+    virtual FeedChanges wait(const StorePosition& position, Micros longest) = 0;
     /// Decodes the entries of `page`, in their order. Skips entries that are of
     /// no use here or can't be decoded, and logs the latter.
     virtual std::vector<FleetChange> decode(const ChangePage& page) const = 0;
--- a/src/libcrosslink/membership/change_log.cpp
+++ b/src/libcrosslink/membership/change_log.cpp
@@ -24,15 +24,16 @@
 bool
 ChangeLog::apply(const ChangePage& page)
 {
+    if (m_position && page.position < *m_position)
+        return false;
     if (page.is_snapshot) {
-        if (m_revision && page.revision < *m_revision)
-            return false;
         apply_snapshot(page);
         return true;
     }
-    if (!m_revision || page.since != *m_revision || page.revision < *m_revision)
+    const StorePosition since{page.position.era, page.since};
+    if (m_position != since)
         return false;
-    m_revision = page.revision;
+    m_position = page.position;
     for (const KeyChange& entry : page.entries) {
         if (entry.value)
             m_state[entry.key] = entry;
@@ -43,7 +44,8 @@
     const std::size_t most =
         std::max(min_remembered, remembered_per_key * m_state.size());
     while (m_changes.size() > most) {
-        m_history_start = std::max(m_history_start, m_changes.front().revision);
+        m_history_start.revision =
+            std::max(m_history_start.revision, m_changes.front().revision);
         m_changes.pop_front();
     }
     return true;
@@ -52,8 +54,8 @@
 void
 ChangeLog::apply_snapshot(const ChangePage& page)
 {
-    m_revision = page.revision;
-    m_history_start = page.revision;
+    m_position = page.position;
+    m_history_start = page.position;
     m_changes.clear();
     m_state.clear();
     for (const KeyChange& entry : page.entries)
@@ -65,7 +67,7 @@
 ChangeLog::snapshot() const
 {
     ChangePage page;
-    page.revision = *m_revision;
+    page.position = *m_position;
     page.is_snapshot = true;
     for (const auto& [key, entry] : m_state)
         page.entries.push_back(entry);
@@ -73,17 +75,20 @@
 }
 
 ChangePage
-ChangeLog::since(std::optional<std::uint64_t> after) const
+ChangeLog::since(std::optional<StorePosition> after) const
 {
-    if (!m_revision)
+    if (!m_position)
         return {};
     if (needs_snapshot(after))
         return snapshot();
     ChangePage page;
-    page.since = *after;
-    page.revision = std::max(*after, *m_revision);
+    page.position = *m_position;
+    if (after->era > m_position->era)
+        return page;
+    page.since = after->revision;
+    page.position = std::max(*after, *m_position);
     for (const KeyChange& entry : m_changes)
-        if (entry.revision > *after)
+        if (entry.revision > after->revision)
             page.entries.push_back(entry);
     return page;
 }
--- a/src/libcrosslink/membership/reread_plan.cpp
+++ b/src/libcrosslink/membership/reread_plan.cpp
@@ -5,6 +5,7 @@
 #include <crosslink/membership/reread_plan.h>
 
 #include <algorithm>
+#include <cstdint>
 
 namespace crosslink
 {
@@ -33,28 +34,29 @@
 }
 
 void
-RereadPlan::history_lost(std::uint64_t revision, const RereadRole& role,
+RereadPlan::history_lost(const StorePosition& position, const RereadRole& role,
                          TimePoint now)
 {
-    if (is_lost(revision))
+    if (is_lost(position))
         return;
-    m_lost = revision;
+    m_lost = position;
     const auto span = static_cast<std::uint64_t>(
         std::max(read_span(role), Micros{1}).count());
     m_read_at = now + Micros(static_cast<Micros::rep>(m_random() % span));
 }
 
 bool
-RereadPlan::is_due(std::uint64_t revision, bool has_duty, TimePoint now) const
+RereadPlan::is_due(const StorePosition& position, bool has_duty,
+                   TimePoint now) const
 {
-    return is_lost(revision) && (has_duty || now >= m_read_at);
+    return is_lost(position) && (has_duty || now >= m_read_at);
 }
 
 bool
-RereadPlan::must_wait(std::uint64_t revision, bool has_duty,
+RereadPlan::must_wait(const StorePosition& position, bool has_duty,
                       TimePoint now) const
 {
-    return is_lost(revision) && !is_due(revision, has_duty, now);
+    return is_lost(position) && !is_due(position, has_duty, now);
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/membership/reread_plan_test.cpp
+++ b/src/libcrosslink/membership/reread_plan_test.cpp
@@ -19,7 +19,8 @@
 {
 
 constexpr std::uint64_t seed = 44;
-constexpr std::uint64_t lost_revision = 7;
+constexpr StorePosition lost_position{1, 7};
+constexpr StorePosition next_position{1, 8};
 constexpr Micros round_pause = std::chrono::milliseconds(100);
 constexpr std::size_t children_of_parent = 16;
 
@@ -41,12 +42,12 @@
         RereadPlan plan(random());
         const bool has_duty = i == 0;
         const RereadRole role{i % children_of_parent == 0, instances, runners};
-        plan.history_lost(lost_revision, role, at(0));
+        plan.history_lost(lost_position, role, at(0));
         const TimePoint end = has_duty
                                   ? at(1000 * seconds)
                                   : std::min(others_know, at(1000 * seconds));
         for (TimePoint now = at(0); now < end; now += round_pause) {
-            if (!plan.is_due(lost_revision, has_duty, now))
+            if (!plan.is_due(lost_position, has_duty, now))
                 continue;
             ++reads[static_cast<std::size_t>((now - at(0)) /
                                              std::chrono::seconds(1))];
@@ -101,20 +102,20 @@
 {
     RereadPlan plan(seed);
     const RereadRole role{false, 985, 9773};
-    CHECK_FALSE(plan.is_lost(lost_revision));
-    CHECK_FALSE(plan.must_wait(lost_revision, false, at(0)));
-    CHECK_FALSE(plan.is_due(lost_revision, true, at(0)));
-    plan.history_lost(lost_revision, role, at(0));
-    CHECK(plan.is_due(lost_revision, true, at(0)));
-    CHECK(plan.must_wait(lost_revision, false, at(0)));
-    CHECK(plan.is_due(lost_revision, false, at(60'000)));
-    CHECK(plan.is_lost(lost_revision));
+    CHECK_FALSE(plan.is_lost(lost_position));
+    CHECK_FALSE(plan.must_wait(lost_position, false, at(0)));
+    CHECK_FALSE(plan.is_due(lost_position, true, at(0)));
+    plan.history_lost(lost_position, role, at(0));
+    CHECK(plan.is_due(lost_position, true, at(0)));
+    CHECK(plan.must_wait(lost_position, false, at(0)));
+    CHECK(plan.is_due(lost_position, false, at(60'000)));
+    CHECK(plan.is_lost(lost_position));
     // Changes from another instance have come since.
-    CHECK_FALSE(plan.must_wait(lost_revision + 1, false, at(0)));
-    CHECK_FALSE(plan.is_due(lost_revision + 1, false, at(60'000)));
+    CHECK_FALSE(plan.must_wait(next_position, false, at(0)));
+    CHECK_FALSE(plan.is_due(next_position, false, at(60'000)));
     // What was read is of the same revision: the platform is asked again.
     plan.read_all_done();
-    CHECK_FALSE(plan.is_due(lost_revision, true, at(60'000)));
+    CHECK_FALSE(plan.is_due(lost_position, true, at(60'000)));
 }
 
 } // namespace crosslink
--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -69,20 +69,20 @@
     const bool fresh = now - confirmed <= max_silence;
     if (!m_log.apply(page)) {
         if (page.is_snapshot)
-            LogLine("snapshot_refused")
-                .field("known", m_log.revision().value_or(0))
-                .field("revision", page.revision);
+            log_refused(page);
         return false;
     }
     const auto lapsed = fresh ? lapsed_until(now) : std::nullopt;
     if (page.is_snapshot)
-        m_snapshot_revision = page.revision;
+        m_snapshot_position = page.position;
     m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
     if (fresh) {
         m_state.fleet.with(
             [now](FleetView& view) { view.reach.regained(now); });
         if (m_platform_lost)
-            LogLine("platform_regained").field("place", page.revision);
+            LogLine("platform_regained")
+                .field("era", page.position.era)
+                .field("place", page.position.revision);
         m_platform_lost = false;
     }
     if (!page.is_snapshot && page.entries.empty())
@@ -93,6 +93,18 @@
     return true;
 }
 
+/// Logs a snapshot that is older than what is known.
+void
+ChangeReceiver::log_refused(const ChangePage& page) const
+{
+    const StorePosition known = m_log.position().value_or(StorePosition{});
+    LogLine("snapshot_refused")
+        .field("known_era", known.era)
+        .field("known", known.revision)
+        .field("era", page.position.era)
+        .field("revision", page.position.revision);
+}
+
 /// Returns until when runners that are no longer listed may be healthy, since
 /// the platform was unavailable until a moment ago; nothing otherwise.
 std::optional<TimePoint>
@@ -109,7 +121,7 @@
 ChangeReceiver::merge_former_holders(const FormerHolders& seen)
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_log.revision() || seen.revision < m_snapshot_revision)
+    if (!m_log.position() || seen.position < m_snapshot_position)
         return;
     std::vector<HolderHistory::Ended> ended;
     ended.reserve(seen.ended.size());
@@ -128,7 +140,7 @@
 {
     const std::lock_guard lock(m_mutex);
     FormerHolders seen;
-    seen.revision = m_log.revision().value_or(0);
+    seen.position = m_log.position().value_or(StorePosition{});
     m_state.fleet.with([&](const FleetView& view) {
         seen.observed_for = now - view.holders.from();
         for (const HolderHistory::Ended& item : view.holders.ended())
@@ -146,39 +158,39 @@
         [](FleetView& view) { view.reach.lost(monotonic_now()); });
 }
 
-std::optional<std::uint64_t>
-ChangeReceiver::revision()
+std::optional<StorePosition>
+ChangeReceiver::position()
 {
     const std::lock_guard lock(m_mutex);
-    return m_log.revision();
+    return m_log.position();
 }
 
 ChangePage
-ChangeReceiver::changes_since(std::optional<std::uint64_t> revision)
+ChangeReceiver::changes_since(std::optional<StorePosition> position)
 {
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_log.needs_snapshot(revision) || m_log.size() < min_packed)
-            return m_log.since(revision);
+        if (!m_log.needs_snapshot(position) || m_log.size() < min_packed)
+            return m_log.since(position);
     }
-    return packed_snapshot(revision);
+    return packed_snapshot(position);
 }
 
 /// Returns a packed snapshot, which is made anew when it is too old. Many
 /// instances that start at once get the same one.
 ChangePage
-ChangeReceiver::packed_snapshot(std::optional<std::uint64_t> revision)
+ChangeReceiver::packed_snapshot(std::optional<StorePosition> position)
 {
     const std::lock_guard packing(m_packing_mutex);
     ChangePage page;
     {
         const std::lock_guard lock(m_mutex);
         const bool usable = m_packed.packed &&
-                            !m_log.needs_snapshot(m_packed.revision) &&
+                            !m_log.needs_snapshot(m_packed.position) &&
                             monotonic_now() < m_packed_at + packed_lifetime;
         if (usable)
             return m_packed;
-        page = m_log.since(revision);
+        page = m_log.since(position);
     }
     if (!page.is_snapshot)
         return page;
--- a/src/serve/fleet/change_receiver.h
+++ b/src/serve/fleet/change_receiver.h
@@ -11,7 +11,6 @@
 #include <crosslink/base/time.h>
 #include <crosslink/membership/change_log.h>
 
-#include <cstdint>
 #include <mutex>
 #include <optional>
 
@@ -20,7 +19,7 @@
 
 /// Receives all changes of the platform's store, from the platform itself and
 /// from other instances. Applies them in order, never reverts to an earlier
-/// revision, and keeps the time as of which they are known to be complete.
+/// position, and keeps the time as of which they are known to be complete.
 /// Thread-safe.
 class ChangeReceiver
 {
@@ -35,7 +34,7 @@
     /// `confirmed`.
     void apply_from_peer(const ChangePage& page, TimePoint confirmed);
     /// Takes over what another instance knows of former holders of the duty,
-    /// where that instance is at least at the revision of the last snapshot
+    /// where that instance is at least at the position of the last snapshot
     /// received here. Without this, a fresh instance that took the duty would
     /// wait 8 s to be sure that no former holder still answers, while the
     /// stores stay full of parts of replaced weights.
@@ -45,13 +44,13 @@
     /// Records that the platform does not answer this instance.
     void note_platform_lost();
 
-    /// Returns the revision up to which the platform's store is known; nothing
+    /// Returns the position up to which the platform's store is known; nothing
     /// before the first snapshot.
-    std::optional<std::uint64_t> revision();
-    /// Returns the changes after `revision`, for another instance. A large
+    std::optional<StorePosition> position();
+    /// Returns the changes after `position`, for another instance. A large
     /// snapshot is packed, and may be some seconds old: the changes since then
     /// follow with the next page.
-    ChangePage changes_since(std::optional<std::uint64_t> revision);
+    ChangePage changes_since(std::optional<StorePosition> position);
     /// Returns the time at `now` since the platform last confirmed that all
     /// changes are known here; a large time before the first confirmation.
     Micros age(TimePoint now);
@@ -63,14 +62,15 @@
 
 private:
     bool apply(const ChangePage& page, TimePoint confirmed);
-    ChangePage packed_snapshot(std::optional<std::uint64_t> revision);
+    void log_refused(const ChangePage& page) const;
+    ChangePage packed_snapshot(std::optional<StorePosition> position);
     std::optional<TimePoint> lapsed_until(TimePoint now);
 
     ForwardState& m_state;
     Coordinator& m_coordinator;
     std::mutex m_mutex;
     ChangeLog m_log;
-    std::uint64_t m_snapshot_revision = 0; ///< Revision of the last snapshot.
+    StorePosition m_snapshot_position; ///< Of the last snapshot.
     std::optional<TimePoint> m_confirmed;
     TimePoint m_peer_confirmed{}; ///< The same, by other instances only.
     bool m_platform_lost = false; ///< The platform does not answer.
--- a/src/serve/fleet/exchange.h
+++ b/src/serve/fleet/exchange.h
@@ -50,9 +50,9 @@
     std::vector<LimitUpdate> limits;     ///< Limits that runners stated.
     std::vector<LeavingUpdate> leaving;  ///< Runners that announced leaving.
     std::vector<FetchSamples> fetches;   ///< Seen since the last request.
-    /// Revision up to which it knows the platform's store; nothing before it
+    /// Position up to which it knows the platform's store; nothing before it
     /// knows all of it.
-    std::optional<std::uint64_t> known_revision;
+    std::optional<StorePosition> known_position;
 };
 
 /// Weights that a runner itself reports to have.
@@ -71,8 +71,8 @@
         Micros ago{0};
     };
 
-    std::uint64_t revision = 0; ///< Revision of the platform's store.
-    Micros observed_for{0};     ///< How long no change of holder was missed.
+    StorePosition position; ///< Of the platform's store.
+    Micros observed_for{0}; ///< How long no change of holder was missed.
     std::vector<Ended> ended;
 };
 
@@ -98,7 +98,7 @@
     Micros load_age{0}; ///< Age of `others` beyond the pause between exchanges.
     Micros age{0};      ///< Time since the coordinator sent its data.
     FormerHolders holders;
-    ChangePage changes;    ///< After the revision in the request.
+    ChangePage changes;    ///< After the position in the request.
     Micros changes_age{0}; ///< Since the platform confirmed `changes`.
 };
 
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -80,7 +80,7 @@
     request.leaving = m_state.leaving_updates();
     request.fetches = m_state.fetches.with(
         [](FetchDelayTracker& tracker) { return tracker.take_unreported(); });
-    request.known_revision = m_changes.revision();
+    request.known_position = m_changes.position();
     return request;
 }
 
@@ -90,7 +90,7 @@
 {
     const auto named =
         m_state.start_parents.with([](const auto& parents) { return parents; });
-    if (named && !m_changes.revision())
+    if (named && !m_changes.position())
         return *named;
     return m_state.tree_position().parents;
 }
--- a/src/serve/fleet/exchange_handler.cpp
+++ b/src/serve/fleet/exchange_handler.cpp
@@ -51,7 +51,7 @@
     response.leaving = m_state.leaving_updates();
     response.fetches = fetches;
     response.holders = m_changes.former_holders(now);
-    response.changes = m_changes.changes_since(request.known_revision);
+    response.changes = m_changes.changes_since(request.known_position);
     response.changes_age = m_changes.age_of(response.changes, now);
     return response;
 }
--- a/src/serve/fleet/exchange_json.cpp
+++ b/src/serve/fleet/exchange_json.cpp
@@ -303,7 +303,7 @@
 holders_to_json(const FormerHolders& holders)
 {
     Json::Value value;
-    value["place"] = Json::UInt64(holders.revision);
+    value["place"] = to_json(holders.position);
     value["watched_us"] = Json::Int64(holders.observed_for.count());
     value["ended"] = Json::Value(Json::objectValue);
     for (const FormerHolders::Ended& item : holders.ended)
@@ -315,7 +315,7 @@
 holders_from_json(const Json::Value& value)
 {
     FormerHolders holders;
-    holders.revision = json_uint64(value, "place");
+    holders.position = store_position_from_json(value["place"]);
     holders.observed_for = json_micros(value, "watched_us");
     for (const std::string& address : value["ended"].getMemberNames())
         holders.ended.push_back(
@@ -340,8 +340,8 @@
     value["limits"] = json_list(request.limits, limit_to_json);
     value["leaving"] = json_list(request.leaving, leaving_to_json);
     value["fetches"] = json_list(request.fetches, samples_to_json);
-    if (request.known_revision)
-        value["news_place"] = Json::UInt64(*request.known_revision);
+    if (request.known_position)
+        value["news_place"] = to_json(*request.known_position);
     return value;
 }
 
@@ -361,7 +361,7 @@
     request.leaving = list_from_json(value["leaving"], leaving_from_json);
     request.fetches = list_from_json(value["fetches"], samples_from_json);
     if (value.isMember("news_place"))
-        request.known_revision = json_uint64(value, "news_place");
+        request.known_position = store_position_from_json(value["news_place"]);
     return request;
 }
 
--- a/src/serve/fleet/exchange_json_test.cpp
+++ b/src/serve/fleet/exchange_json_test.cpp
@@ -149,21 +149,24 @@
     response.load_age = std::chrono::milliseconds(90);
     response.kept.age = std::chrono::milliseconds(56);
     response.holders = {
-        8, std::chrono::seconds(9), {{"a:1", std::chrono::seconds(2)}}};
+        {3, 8}, std::chrono::seconds(9), {{"a:1", std::chrono::seconds(2)}}};
     response.changes = {
-        4, 9, false, {{"a", "{\"x\":\"\u00fc\"}", 5}, {"b", std::nullopt, 9}}};
+        4,
+        {3, 9},
+        false,
+        {{"a", "{\"x\":\"\u00fc\"}", 5}, {"b", std::nullopt, 9}}};
     const auto read = exchange_response_from_json(to_json(response));
     CHECK(read.age == response.age);
     CHECK(read.changes_age == response.changes_age);
     CHECK(read.load_age == response.load_age);
     CHECK(read.kept.age == response.kept.age);
-    CHECK(read.holders.revision == 8);
+    CHECK(read.holders.position == response.holders.position);
     CHECK(read.holders.observed_for == response.holders.observed_for);
     REQUIRE(read.holders.ended.size() == 1);
     CHECK(read.holders.ended[0].address == "a:1");
     CHECK(read.holders.ended[0].ago == response.holders.ended[0].ago);
     CHECK(read.changes.since == 4);
-    CHECK(read.changes.revision == 9);
+    CHECK(read.changes.position == response.changes.position);
     CHECK_FALSE(read.changes.is_snapshot);
     REQUIRE(read.changes.entries.size() == 2);
     CHECK(read.changes.entries[0].value == response.changes.entries[0].value);
@@ -210,9 +213,15 @@
 TEST_CASE("an instance that knows nothing asks for a snapshot")
 {
     ExchangeRequest request;
-    CHECK_FALSE(exchange_request_from_json(to_json(request)).known_revision);
-    request.known_revision = 0;
-    CHECK(exchange_request_from_json(to_json(request)).known_revision == 0);
+    CHECK_FALSE(exchange_request_from_json(to_json(request)).known_position);
+    request.known_position = StorePosition{};
+    CHECK(exchange_request_from_json(to_json(request)).known_position ==
+          StorePosition{});
+    CHECK_THROWS_AS(store_position_from_json(Json::Value("7")), Error);
+    CHECK_THROWS_AS(store_position_from_json(Json::Value(7)), Error);
+    request.known_position = StorePosition{2, 7};
+    CHECK(exchange_request_from_json(to_json(request)).known_position ==
+          StorePosition{2, 7});
 }
 
 TEST_CASE("of several changes of a part, the last one is encoded")
@@ -248,7 +257,7 @@
 TEST_CASE("a packed snapshot is decoded as its entries, and is far shorter")
 {
     ChangePage page;
-    page.revision = 20'000;
+    page.position.revision = 20'000;
     page.is_snapshot = true;
     for (std::uint64_t i = 0; i < 10'000; ++i)
         page.entries.push_back(
@@ -265,7 +274,7 @@
     const std::string text = json_text(to_json(packed));
     CHECK(text.size() * 5 < plain.size());
     const ChangePage read = change_page_from_json(parse_json(text));
-    CHECK(read.revision == page.revision);
+    CHECK(read.position.revision == page.position.revision);
     CHECK(read.is_snapshot);
     REQUIRE(read.entries.size() == page.entries.size());
     CHECK(std::equal(read.entries.begin(), read.entries.end(),
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -71,11 +71,11 @@
     if (const auto pause = wait_for_peers())
         return *pause;
     try {
-        if (!m_changes.revision())
+        if (!m_changes.position())
             return learn_first();
         ask_platform();
         m_platform_lost = false;
-        if (m_reread.is_lost(*m_changes.revision()))
+        if (m_reread.is_lost(*m_changes.position()))
             return request_pause;
         return m_state.has_duty() ? request_pause : request_pause_without_duty;
     } catch (const Error& failure) {
@@ -115,7 +115,7 @@
         break;
     }
     m_platform_lost = false;
-    return m_changes.revision() ? request_pause : check_pause;
+    return m_changes.position() ? request_pause : check_pause;
 }
 
 void
@@ -174,7 +174,7 @@
 FeedDuty::wait_for_peers()
 {
     const TimePoint now = monotonic_now();
-    if (m_state.has_duty() || !m_changes.revision()) {
+    if (m_state.has_duty() || !m_changes.position()) {
         m_ask_platform_at.reset();
         return std::nullopt;
     }
@@ -193,7 +193,7 @@
     }
     if (now < *m_ask_platform_at)
         return std::min(check_pause, *m_ask_platform_at - now);
-    if (m_reread.must_wait(*m_changes.revision(), m_state.has_duty(), now))
+    if (m_reread.must_wait(*m_changes.position(), m_state.has_duty(), now))
         return check_pause;
     return std::nullopt;
 }
@@ -214,18 +214,22 @@
 FeedDuty::ask_platform()
 {
     const bool asked_by_others = m_state.has_duty() || m_state.is_parent();
-    const std::uint64_t revision = *m_changes.revision();
+    const StorePosition position = *m_changes.position();
     const Micros timeout = asked_by_others ? max_wait_of_parent : max_wait;
     const TimePoint asked = monotonic_now();
-    if (m_reread.is_due(revision, m_state.has_duty(), asked)) {
+    if (m_reread.is_due(position, m_state.has_duty(), asked)) {
         read_all();
         m_reread.read_all_done();
         return;
     }
-    const auto page = m_state.ports.feed.wait(revision, timeout);
-    if (!page) {
-        LogLine("history_lost").field("revision", revision);
-        m_reread.history_lost(revision, reread_role(), monotonic_now());
+    const FeedChanges changes = m_state.ports.feed.wait(position, timeout);
+    if (changes.outcome != FeedChanges::Outcome::Received) {
+        const bool restored =
+            changes.outcome == FeedChanges::Outcome::StoreRestored;
+        LogLine(restored ? "store_restored" : "history_lost")
+            .field("era", position.era)
+            .field("revision", position.revision);
+        m_reread.history_lost(position, reread_role(), monotonic_now());
         return;
     }
     // The platform sends an answer without changes at the end of the wait, so
@@ -233,8 +237,8 @@
     // state would seem 0.4 s older than it is, and instances that are several
     // exchanges away would take it for late.
     const bool waited_in_full =
-        page->entries.empty() && monotonic_now() >= asked + timeout;
-    m_changes.apply_from_platform(*page,
+        changes.page.entries.empty() && monotonic_now() >= asked + timeout;
+    m_changes.apply_from_platform(changes.page,
                                   waited_in_full ? asked + timeout : asked);
 }
 
--- a/src/serve/fleet/fleet_json.cpp
+++ b/src/serve/fleet/fleet_json.cpp
@@ -89,12 +89,32 @@
 
 } // namespace
 
+Json::Value
+to_json(const StorePosition& position)
+{
+    Json::Value value(Json::arrayValue);
+    value.append(Json::UInt64(position.era));
+    value.append(Json::UInt64(position.revision));
+    return value;
+}
+
+StorePosition
+store_position_from_json(const Json::Value& value)
+{
+    if (value.isNull())
+        return {};
+    if (!value.isArray() || value.size() != 2 || !value[0].isUInt64() ||
+        !value[1].isUInt64())
+        throw Error(ErrorCode::BadJson, "a position without era or revision");
+    return {value[0].asUInt64(), value[1].asUInt64()};
+}
+
 Json::Value
 to_json(const ChangePage& page)
 {
     Json::Value value;
     value["since"] = Json::UInt64(page.since);
-    value["place"] = Json::UInt64(page.revision);
+    value["place"] = to_json(page.position);
     value["whole"] = page.is_snapshot;
     if (page.packed)
         value["packed"] = *page.packed;
@@ -114,7 +134,7 @@
 {
     ChangePage page;
     page.since = json_uint64(value, "since");
-    page.revision = json_uint64(value, "place");
+    page.position = store_position_from_json(value["place"]);
     page.is_snapshot = json_bool(value, "whole");
     const Json::Value entries =
         value.isMember("packed")
--- a/src/serve/fleet/fleet_json.h
+++ b/src/serve/fleet/fleet_json.h
@@ -19,6 +19,13 @@
 // JSON encoding of the calls between instances of the fleet, except for the
 // exchange. A missing member decodes as 0, false or empty.
 
+/// Encodes a position in the history of the platform's store as
+/// [ERA, REVISION].
+Json::Value to_json(const StorePosition& position);
+/// Decodes it; a missing one is the first of all. Throws Error(BadJson) where
+/// it is anything else.
+StorePosition store_position_from_json(const Json::Value& value);
+
 /// Encodes changes of the platform's store.
 Json::Value to_json(const ChangePage& page);
 /// Returns `entries` as ChangePage::packed holds them.
