Keep what was confirmed in force until a restored store has it again

Cause: a whole reading replaces what is known, though a copy is older. Class: the platform's latest answer is taken for its newest. Change: of the first reading of a later era only what differs is applied (ChangeLog::differences), as a copy: a process that was reported as leaving or gone stays so (EndedProcesses), runners that it lacks lapse in the time in which they write again, weights become no older, evacuated zones, instances and blocked requests stay, a block that it lacks is recorded again by the holder, a record that came back does not block an answered request.

--- a/src/include/crosslink/forward/crash_history.h
+++ b/src/include/crosslink/forward/crash_history.h
@@ -126,6 +126,12 @@
     /// Records that the platform's record is gone: its lease expired, or an
     /// operator removed it. Everything known of the request is dropped.
     void unrecorded(std::string_view request);
+    /// Records that a copy, from which the platform's store was restored, has a
+    /// record of a request. An answer that is known came after it.
+    void record_restored(std::string_view request, TimePoint now);
+    /// Records that such a copy lacks a record: it holds, and is to be made
+    /// again.
+    void record_lost(std::string_view request);
     /// Drops the recorded requests that are not in `requests`, the complete set
     /// of the platform's records.
     void recorded_only(const std::set<std::string>& requests);
@@ -149,6 +155,7 @@
         std::optional<TimePoint> answered_at;
         TimePoint answer_learned_at{};
         std::optional<TimePoint> recorded_at;
+        bool is_record_lost = false;      ///< See record_lost().
         std::optional<TimePoint> held_at; ///< See hold().
         TimePoint report_until{};         ///< It is reported to others before.
         TimePoint last_at{}; ///< Time of the last end, or of its record.
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/ended_processes.h>
 #include <crosslink/forward/holding_time.h>
 #include <crosslink/forward/runner_entry.h>
 #include <crosslink/forward/runner_index.h>
@@ -44,6 +45,13 @@
     /// earlier one is then discarded. An entry of an earlier incarnation than
     /// the known one is ignored.
     bool put(const ListedRunner& listed, TimePoint now);
+    /// As put(), for an entry of a copy from which the platform's list was
+    /// restored. A process that the list lately reported as leaving or gone
+    /// does not become ready by it, and no weights become older.
+    bool put_restored(const ListedRunner& listed, TimePoint now);
+    /// Returns whether `listed` describes a process that the list lately
+    /// reported as leaving or gone, or one before the known one.
+    bool is_outdated(const ListedRunner& listed) const;
     /// Removes a runner that is no longer listed and is known to be gone.
     void remove(std::string_view id);
     /// Records that a runner is no longer listed. Its entry may have expired by
@@ -177,6 +185,7 @@
 private:
     std::set<std::string_view> put_all(std::span<const ListedRunner> listed,
                                        TimePoint now);
+    bool apply_listed(const ListedRunner& listed, TimePoint now);
     void record_send(RunnerEntry& entry, TimePoint now) const;
     RunnerEntry* find(std::string_view id);
     RunnerEntry* find(const RunnerIncarnation& runner);
@@ -220,6 +229,7 @@
     RunnerIndex m_index;
     mutable std::uint64_t m_visited = 0; ///< See entries_visited().
     UnlistedNotices m_unlisted;
+    EndedProcesses m_ended;
     /// Zones that may be cut off, and until when they are avoided.
     std::map<std::string, TimePoint, std::less<>> m_silent_zones;
     std::set<std::string, std::less<>> m_evacuated; ///< Zones.
--- a/src/include/crosslink/membership/change_log.h
+++ b/src/include/crosslink/membership/change_log.h
@@ -9,7 +9,9 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace crosslink
 {
@@ -25,6 +27,11 @@
     /// Applies a page. Returns false, and changes nothing, where the page does
     /// not continue from position() or is older than the known state.
     bool apply(const ChangePage& page);
+    /// Returns what changes where `snapshot` replaces the state: the entries
+    /// that differ, and the keys that it does not have as removed.
+    std::vector<KeyChange> differences(const ChangePage& snapshot) const;
+    /// Returns the state of `keys`; a key that is not there as removed.
+    ChangePage state_of(const std::set<std::string>& keys) const;
     /// Returns the position up to which the state is complete; nothing before
     /// the first snapshot.
     std::optional<StorePosition> position() const { return m_position; }
--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -85,6 +85,16 @@
                  RolloutMarked, RequestBlocked, ZoneEvacuated, RunnerListed,
                  RunnerGone, InstanceListed, DutyHolder>;
 
+/// What a list of changes describes.
+enum class ChangesKind {
+    Update,   ///< What was written.
+    Snapshot, ///< The complete state: entries that it does not name are gone.
+    /// How a copy, from which the platform's store was restored, differs from
+    /// what was known. The latter is newer, and holds until it is written
+    /// again.
+    RestoredCopy,
+};
+
 /// What an instance that starts finds at the platform.
 struct FirstLook {
     /// Reading everything takes many requests.
--- a/src/libcrosslink/forward/crash_history.cpp
+++ b/src/libcrosslink/forward/crash_history.cpp
@@ -277,14 +277,33 @@
     Request& known = find_or_add(request, now);
     if (!known.recorded_at)
         known.recorded_at = now;
+    known.is_record_lost = false;
     known.last_at = std::max(known.last_at, now);
 }
 
 void
-CrashHistory::unrecorded(std::string_view request)
+CrashHistory::record_restored(std::string_view request, TimePoint now)
+{
+    Request& known = find_or_add(request, now);
+    if (!known.recorded_at)
+        known.recorded_at = known.answered_at.value_or(now);
+    known.last_at = std::max(known.last_at, now);
+}
+
+void
+CrashHistory::record_lost(std::string_view request)
 {
     const auto found = m_requests.find(request);
     if (found != m_requests.end() && found->second.recorded_at)
+        found->second.is_record_lost = true;
+}
+
+void
+CrashHistory::unrecorded(std::string_view request)
+{
+    const auto found = m_requests.find(request);
+    if (found != m_requests.end() && found->second.recorded_at &&
+        !found->second.is_record_lost)
         m_requests.erase(found);
 }
 
@@ -292,7 +311,8 @@
 CrashHistory::recorded_only(const std::set<std::string>& requests)
 {
     std::erase_if(m_requests, [&requests](const auto& item) {
-        return item.second.recorded_at && !requests.contains(item.first);
+        return item.second.recorded_at && !item.second.is_record_lost &&
+               !requests.contains(item.first);
     });
 }
 
@@ -300,9 +320,11 @@
 CrashHistory::to_record(TimePoint now) const
 {
     std::vector<std::string> requests;
-    for (const auto& [digest, request] : m_requests)
-        if (!request.recorded_at && find(digest, now) && request.is_blocked())
+    for (const auto& [digest, request] : m_requests) {
+        const bool has_record = request.recorded_at && !request.is_record_lost;
+        if (!has_record && find(digest, now) && request.is_blocked())
             requests.push_back(digest);
+    }
     return requests;
 }
 
--- a/src/libcrosslink/forward/crash_history_test.cpp
+++ b/src/libcrosslink/forward/crash_history_test.cpp
@@ -232,4 +232,36 @@
     CHECK(history.take_newly_blocked(at(1300)).empty());
 }
 
+TEST_CASE("a block whose record a restored store lacks holds and is made again")
+{
+    CrashHistory history;
+    history.recorded(request, at(0));
+    CHECK(history.to_record(at(100)).empty());
+    history.record_lost(request);
+    CHECK(history.blocked(request, at(100)));
+    CHECK(history.to_record(at(100)).size() == 1);
+    history.unrecorded(request);
+    history.recorded_only({});
+    CHECK(history.blocked(request, at(100)));
+    history.recorded(request, at(200));
+    CHECK(history.to_record(at(300)).empty());
+    history.unrecorded(request);
+    CHECK_FALSE(history.blocked(request, at(300)));
+}
+
+TEST_CASE("a record that a restored store has again blocks no answered request")
+{
+    CrashHistory history;
+    history.recorded(request, at(0));
+    history.answered(request, at(100), at(100));
+    history.unrecorded(request);
+    history.answered(request, at(200), at(200));
+    history.record_restored(request, at(300));
+    CHECK_FALSE(history.blocked(request, at(300)));
+    CHECK(history.to_unrecord().size() == 1);
+    CrashHistory unknown;
+    unknown.record_restored(request, at(300));
+    CHECK(unknown.blocked(request, at(300)));
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -77,6 +77,7 @@
 RunnerTable::drop(Entries::iterator entry)
 {
     m_unlisted.keep(entry->second.incarnation(), entry->second.notices);
+    m_ended.add(entry->second.incarnation());
     m_index.remove(entry->first);
     m_entries.erase(entry);
 }
@@ -114,10 +115,47 @@
     }
     prune_noticed(now);
     m_unlisted.expire(now);
+    m_ended.expire(now);
 }
 
 bool
 RunnerTable::put(const ListedRunner& listed, TimePoint now)
+{
+    const RunnerIncarnation incarnation{listed.id, listed.start_ms};
+    if (listed.leaving)
+        m_ended.add(incarnation);
+    else
+        m_ended.remove(incarnation);
+    return apply_listed(listed, now);
+}
+
+bool
+RunnerTable::put_restored(const ListedRunner& listed, TimePoint now)
+{
+    const RunnerIncarnation incarnation{listed.id, listed.start_ms};
+    ListedRunner latest = listed;
+    latest.leaving = listed.leaving || m_ended.contains(incarnation);
+    if (latest.leaving)
+        m_ended.add(incarnation);
+    if (const RunnerEntry* known = find(incarnation))
+        for (LoadedModel& model : latest.models)
+            model.version =
+                std::max(model.version, known->version_of(model.model));
+    return apply_listed(latest, now);
+}
+
+bool
+RunnerTable::is_outdated(const ListedRunner& listed) const
+{
+    const auto known = m_entries.find(listed.id);
+    const bool is_earlier = known != m_entries.end() &&
+                            listed.start_ms < known->second.listed.start_ms;
+    return is_earlier || m_ended.contains({listed.id, listed.start_ms});
+}
+
+/// As put(), without a record of whether the process ends.
+bool
+RunnerTable::apply_listed(const ListedRunner& listed, TimePoint now)
 {
     const auto [found, is_new] = m_entries.try_emplace(listed.id);
     RunnerEntry& entry = found->second;
--- a/src/libcrosslink/membership/change_log.cpp
+++ b/src/libcrosslink/membership/change_log.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <string_view>
 
 namespace crosslink
 {
@@ -51,6 +52,38 @@
     return true;
 }
 
+std::vector<KeyChange>
+ChangeLog::differences(const ChangePage& snapshot) const
+{
+    std::vector<KeyChange> changes;
+    std::set<std::string_view> present;
+    for (const KeyChange& entry : snapshot.entries) {
+        present.insert(entry.key);
+        const auto known = m_state.find(entry.key);
+        if (known == m_state.end() || known->second.value != entry.value)
+            changes.push_back(entry);
+    }
+    for (const auto& [key, entry] : m_state)
+        if (!present.contains(key))
+            changes.push_back({key, std::nullopt, snapshot.position.revision});
+    return changes;
+}
+
+ChangePage
+ChangeLog::state_of(const std::set<std::string>& keys) const
+{
+    ChangePage page;
+    page.position = m_position.value_or(StorePosition{});
+    for (const std::string& key : keys) {
+        const auto known = m_state.find(key);
+        if (known == m_state.end())
+            page.entries.push_back({key, std::nullopt, page.position.revision});
+        else
+            page.entries.push_back(known->second);
+    }
+    return page;
+}
+
 void
 ChangeLog::apply_snapshot(const ChangePage& page)
 {
--- a/src/libcrosslink/membership/change_log_test.cpp
+++ b/src/libcrosslink/membership/change_log_test.cpp
@@ -163,6 +163,30 @@
     CHECK_FALSE(ahead.apply(page));
 }
 
+TEST_CASE("the differences of a copy are what it has otherwise, and lacks")
+{
+    ChangeLog log;
+    REQUIRE(
+        log.apply(snapshot(9, {entry("same", "1", 1), entry("other", "2", 8),
+                               entry("new", "1", 9)})));
+    const ChangePage copy = snapshot(
+        7,
+        {entry("same", "1", 1), entry("other", "1", 3), entry("old", "1", 5)},
+        2);
+    const auto differences = log.differences(copy);
+    REQUIRE(differences.size() == 3);
+    CHECK(differences[0].key == "other");
+    CHECK(differences[0].value == "1");
+    CHECK(differences[1].key == "old");
+    CHECK(differences[2].key == "new");
+    CHECK_FALSE(differences[2].value);
+    REQUIRE(log.apply(copy));
+    const ChangePage state = log.state_of({"new", "other"});
+    REQUIRE(state.entries.size() == 2);
+    CHECK_FALSE(state.entries[0].value);
+    CHECK(state.entries[1].value == "1");
+}
+
 TEST_CASE("logs end with the store's state, however often it is restored")
 {
     CHECK(rc::check([] {
--- a/src/serve/fleet/change_applier.cpp
+++ b/src/serve/fleet/change_applier.cpp
@@ -13,11 +13,11 @@
 namespace crosslink
 {
 
-ChangeApplier::ChangeApplier(ForwardState& state, bool is_snapshot,
+ChangeApplier::ChangeApplier(ForwardState& state, ChangesKind kind,
                              std::optional<TimePoint> lapsed_until)
-    : m_state(state), m_is_snapshot(is_snapshot), m_lapsed_until(lapsed_until)
+    : m_state(state), m_kind(kind), m_lapsed_until(lapsed_until)
 {
-    if (is_snapshot)
+    if (is_snapshot())
         state.fleet.with([](FleetView& view) { view.rollouts.clear(); });
 }
 
@@ -44,11 +44,11 @@
 {
     m_state.fleet.with([&](FleetView& view) {
         WeightsHistory& history = view.weights[change.model];
-        // A snapshot may name weights that are long in use.
-        if (m_is_snapshot)
-            history.found(change.version, monotonic_now());
-        else
+        // Outside of updates, weights may be named that are long in use.
+        if (m_kind == ChangesKind::Update)
             history.named(change.version, monotonic_now());
+        else
+            history.found(change.version, monotonic_now());
     });
     LogLine("weights_named")
         .field("model", change.model)
@@ -80,12 +80,17 @@
 {
     if (change.blocked)
         m_blocked.insert(change.request);
-    m_state.note_block_record(change.request, change.blocked);
+    if (is_copy())
+        m_state.note_restored_block_record(change.request, change.blocked);
+    else
+        m_state.note_block_record(change.request, change.blocked);
 }
 
 void
 ChangeApplier::operator()(const ZoneEvacuated& change)
 {
+    if (is_copy() && !change.evacuated)
+        return;
     if (change.evacuated)
         m_evacuated.insert(change.zone);
     m_state.runners.with([&](RunnerTable& table) {
@@ -159,9 +164,15 @@
 ChangeApplier::operator()(const RunnerListed& change)
 {
     m_runners.push_back(change.runner);
-    note_replaced(change.runner);
+    const bool is_outdated =
+        is_copy() && m_state.runners.with([&](const RunnerTable& table) {
+            return table.is_outdated(change.runner);
+        });
+    if (!is_outdated)
+        note_replaced(change.runner);
     const bool restarted = m_state.runners.with([&](RunnerTable& table) {
-        return table.put(change.runner, monotonic_now());
+        return is_copy() ? table.put_restored(change.runner, monotonic_now())
+                         : table.put(change.runner, monotonic_now());
     });
     if (restarted)
         handle_restart(change.runner);
@@ -192,6 +203,8 @@
 ChangeApplier::operator()(const InstanceListed& change)
 {
     const InstanceInfo& instance = change.instance;
+    if (is_copy() && instance.address.empty())
+        return;
     m_instances.insert(instance.name);
     m_state.fleet.with([&](FleetView& view) {
         ++view.instances_version;
@@ -225,8 +238,10 @@
 void
 ChangeApplier::finish()
 {
-    if (m_is_snapshot)
+    if (is_snapshot())
         finish_snapshot();
+    if (is_copy())
+        finish_copy();
     const Micros limit = m_state.settings.sending_bound();
     const TimePoint now = monotonic_now();
     m_state.fleet.with([&](FleetView& view) {
@@ -235,6 +250,15 @@
     });
 }
 
+/// Former holders of the duty may be missing from what is known: the copy has
+/// not seen those since it was taken.
+void
+ChangeApplier::finish_copy()
+{
+    m_state.fleet.with(
+        [](FleetView& view) { view.holders.record_gap(monotonic_now()); });
+}
+
 void
 ChangeApplier::finish_snapshot()
 {
--- a/src/serve/fleet/change_applier.h
+++ b/src/serve/fleet/change_applier.h
@@ -22,10 +22,9 @@
 class ChangeApplier
 {
 public:
-    /// `is_snapshot` tells that the changes describe the complete state. See
-    /// ForwardState::apply_changes() for `lapsed_until`. `state` must outlive
-    /// this object.
-    ChangeApplier(ForwardState& state, bool is_snapshot,
+    /// See ForwardState::apply_changes() for `lapsed_until`. `state` must
+    /// outlive this object.
+    ChangeApplier(ForwardState& state, ChangesKind kind,
                   std::optional<TimePoint> lapsed_until);
 
     void operator()(const ServiceMapChanged& change);
@@ -43,13 +42,16 @@
     void finish();
 
 private:
+    bool is_snapshot() const { return m_kind == ChangesKind::Snapshot; }
+    bool is_copy() const { return m_kind == ChangesKind::RestoredCopy; }
+    void finish_copy();
     void finish_snapshot();
     void handle_restart(const ListedRunner& runner);
     void note_replaced(const ListedRunner& runner);
     void note_unlisted(const std::string& id);
 
     ForwardState& m_state;
-    const bool m_is_snapshot;
+    const ChangesKind m_kind;
     const std::optional<TimePoint> m_lapsed_until;
     std::vector<ListedRunner> m_runners;
     std::set<std::string> m_instances;
--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -9,7 +9,9 @@
 #include <serve/log_line.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace crosslink
@@ -67,6 +69,9 @@
     // An old state, which may be applied at a start, does not show that the
     // platform is available now.
     const bool fresh = now - confirmed <= max_silence;
+    const bool restored = comes_from_copy(page);
+    const auto differences =
+        restored ? m_log.differences(page) : std::vector<KeyChange>();
     if (!m_log.apply(page)) {
         if (page.is_snapshot)
             log_refused(page);
@@ -85,14 +90,68 @@
                 .field("place", page.position.revision);
         m_platform_lost = false;
     }
-    if (!page.is_snapshot && page.entries.empty())
-        return true;
-    m_state.apply_changes(m_state.ports.feed.decode(page), page.is_snapshot,
-                          lapsed);
-    m_coordinator.fleet_changed();
+    if (restored)
+        apply_restored(differences, now);
+    else if (page.is_snapshot)
+        apply_to_state(page, ChangesKind::Snapshot, lapsed);
+    else if (!page.entries.empty())
+        apply_to_state(page, ChangesKind::Update, lapsed);
+    if (!restored)
+        m_restored.written(page.entries);
+    settle_restored(now);
     return true;
 }
 
+/// Returns whether `page` is of a store that was restored from a copy, for
+/// whose keys others have the time to write theirs again.
+bool
+ChangeReceiver::comes_from_copy(const ChangePage& page) const
+{
+    const auto known = m_log.position();
+    if (!page.is_snapshot || !known)
+        return false;
+    return page.position.era > known->era || m_restored.is_pending();
+}
+
+void
+ChangeReceiver::apply_to_state(const ChangePage& page, ChangesKind kind,
+                               std::optional<TimePoint> lapsed)
+{
+    m_state.apply_changes(m_state.ports.feed.decode(page), kind, lapsed);
+    m_coordinator.fleet_changed();
+}
+
+/// Applies a copy from which the platform's store was restored, as far as it
+/// may be newer than what is known.
+void
+ChangeReceiver::apply_restored(const std::vector<KeyChange>& differences,
+                               TimePoint now)
+{
+    LogLine("store_copy_read")
+        .field("era", m_snapshot_position.era)
+        .field("revision", m_snapshot_position.revision)
+        .field("differences", static_cast<std::uint64_t>(differences.size()));
+    m_restored.begin(differences, now);
+    m_lapsed_until = now + relisting_time;
+    ChangePage page;
+    page.position = m_snapshot_position;
+    page.entries = differences;
+    apply_to_state(page, ChangesKind::RestoredCopy, m_lapsed_until);
+}
+
+/// Lets the keys that nobody has written again hold as the store has them.
+void
+ChangeReceiver::settle_restored(TimePoint now)
+{
+    const std::set<std::string> keys = m_restored.take_due(now);
+    if (keys.empty())
+        return;
+    LogLine("store_copy_settled")
+        .field("era", m_snapshot_position.era)
+        .field("not_rewritten", static_cast<std::uint64_t>(keys.size()));
+    apply_to_state(m_log.state_of(keys), ChangesKind::Update, std::nullopt);
+}
+
 /// Logs a snapshot that is older than what is known.
 void
 ChangeReceiver::log_refused(const ChangePage& page) const
--- a/src/serve/fleet/change_receiver.h
+++ b/src/serve/fleet/change_receiver.h
@@ -10,9 +10,11 @@
 
 #include <crosslink/base/time.h>
 #include <crosslink/membership/change_log.h>
+#include <crosslink/membership/restored_copy.h>
 
 #include <mutex>
 #include <optional>
+#include <vector>
 
 namespace crosslink
 {
@@ -62,6 +64,12 @@
 
 private:
     bool apply(const ChangePage& page, TimePoint confirmed);
+    bool comes_from_copy(const ChangePage& page) const;
+    void apply_to_state(const ChangePage& page, ChangesKind kind,
+                        std::optional<TimePoint> lapsed);
+    void apply_restored(const std::vector<KeyChange>& differences,
+                        TimePoint now);
+    void settle_restored(TimePoint now);
     void log_refused(const ChangePage& page) const;
     ChangePage packed_snapshot(std::optional<StorePosition> position);
     std::optional<TimePoint> lapsed_until(TimePoint now);
@@ -70,6 +78,7 @@
     Coordinator& m_coordinator;
     std::mutex m_mutex;
     ChangeLog m_log;
+    RestoredCopy m_restored;
     StorePosition m_snapshot_position; ///< Of the last snapshot.
     std::optional<TimePoint> m_confirmed;
     TimePoint m_peer_confirmed{}; ///< The same, by other instances only.
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -230,17 +230,18 @@
 }
 
 void
-ForwardState::apply_changes(const std::vector<FleetChange>& changes, bool whole,
+ForwardState::apply_changes(const std::vector<FleetChange>& changes,
+                            ChangesKind kind,
                             std::optional<TimePoint> lapsed_until)
 {
     runners.with([](RunnerTable& table) { table.expire(monotonic_now()); });
-    ChangeApplier taker(*this, whole, lapsed_until);
+    ChangeApplier taker(*this, kind, lapsed_until);
     for (const FleetChange& change : changes)
         std::visit(taker, change);
     taker.finish();
     counters.runners_limited =
         runners.with([](RunnerTable& table) { return table.limited_count(); });
-    if (whole)
+    if (kind == ChangesKind::Snapshot)
         learned.notify();
 }
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -224,6 +224,9 @@
     void note_runner_backoff(const RunnerIncarnation& runner, Micros backoff);
     /// Records whether the platform has a record that blocks the request.
     void note_block_record(const std::string& request, bool is_blocked);
+    /// Records the same of a copy from which the platform's store was restored.
+    void note_restored_block_record(const std::string& request,
+                                    bool is_blocked);
     /// Records that a runner has loaded `version` of `model`, and logs it if
     /// that was not known. `source` is who reported it, for the log.
     void note_runner_weights(const RunnerIncarnation& runner,
@@ -250,13 +253,11 @@
     bool knows_fleet();
     /// Returns whether this instance can serve calls.
     bool ready();
-    /// Applies changes that were read from the platform. With `whole`, they are
-    /// the complete state: entries that they do not name are gone. With
-    /// `lapsed_until`, the platform was unreachable until a moment ago: runners
-    /// that are no longer listed may be healthy, and count as gone only from
-    /// that time on.
-    void apply_changes(const std::vector<FleetChange>& changes, bool whole,
-                       std::optional<TimePoint> lapsed_until);
+    /// Applies changes that were read from the platform. With `lapsed_until`,
+    /// the platform was unreachable until a moment ago: runners that are no
+    /// longer listed may be healthy, and count as gone only from that time on.
+    void apply_changes(const std::vector<FleetChange>& changes,
+                       ChangesKind kind, std::optional<TimePoint> lapsed_until);
     /// Returns the current position of this instance in the tree in which
     /// instances ask each other for load and for the platform's changes.
     TreePosition tree_position();
--- a/src/serve/forward/forward_state_crashes.cpp
+++ b/src/serve/forward/forward_state_crashes.cpp
@@ -100,6 +100,19 @@
     log_newly_blocked();
 }
 
+void
+ForwardState::note_restored_block_record(const std::string& request,
+                                         bool is_blocked)
+{
+    crashes.with([&](CrashHistory& history) {
+        if (is_blocked)
+            history.record_restored(request, monotonic_now());
+        else
+            history.record_lost(request);
+    });
+    log_newly_blocked();
+}
+
 void
 ForwardState::log_newly_blocked()
 {
