Hold the duty by era: suspend, go on or take anew after a restore

What callers saw: nothing yet; orders of two holders 2.75 s apart where 3 s are asked, and by reading: a lower token after a higher one, a lease whose number is another instance's, which keeps a duty or a presence that is gone. Cause: tokens were bare revisions, and leases bare numbers; both go back with the store. A holder whose key is lost acts on until its lease runs out. Change: a holder that is answered from a later era stops acting, then asks again. It goes on with its token where the copy has its key as it wrote it and its lease can't have expired; else it takes the duty anew. A token is the era (24 bits) over the revision (40 bits): higher than any earlier one, also than those of the code before. Until a holder has recorded that it may act in the era (crosslink/settled/DUTY), a duty counts as just extended by an unknown holder, so that its first action waits a lease longer.

--- a/src/include/crosslink/membership/duty_lease.h
+++ b/src/include/crosslink/membership/duty_lease.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/membership/lease_origin.h>
 
 #include <cstdint>
 #include <optional>
@@ -23,12 +24,10 @@
     explicit DutyLease(Micros settle) : m_settle(settle) {}
 
     /// Records a lease that was granted under `token` for `span` from
-    /// `requested_at` on, the time of the request. Also called for extensions.
-    /// Set `replaces_own` where the earlier holder was a process of this
-    /// instance that stopped a moment ago, rather than at the end of the part
-    /// of its lease that it used.
+    /// `requested_at` on, the time of the request. Also called for extensions,
+    /// whose `origin` does not count.
     void granted(std::uint64_t token, TimePoint requested_at, Micros span,
-                 bool replaces_own = false);
+                 LeaseOrigin origin = LeaseOrigin::Free);
     /// Records that the lease has ended or that another instance holds it.
     void lost() { m_token.reset(); }
 
--- a/src/libcrosslink/membership/duty_lease.cpp
+++ b/src/libcrosslink/membership/duty_lease.cpp
@@ -15,6 +15,31 @@
 /// flight.
 constexpr Micros max_action_flight_time = std::chrono::milliseconds(400);
 
+/// Returns the part of a lease of `span` in which its holder acts.
+Micros
+used_part(Micros span)
+{
+    return span - DutyLease::safety_margin(span);
+}
+
+/// Returns how long after the grant of a lease of `span` the part of an earlier
+/// lease ends in which its holder may have acted, beyond what is usual: a
+/// holder whose lease expires stopped acting a safety margin before.
+Micros
+earlier_use(LeaseOrigin origin, Micros span)
+{
+    switch (origin) {
+    case LeaseOrigin::OwnEarlierProcess:
+        return DutyLease::safety_margin(span);
+    case LeaseOrigin::StoreRestored:
+        return span;
+    case LeaseOrigin::Free:
+    case LeaseOrigin::Continued:
+        break;
+    }
+    return Micros{0};
+}
+
 } // namespace
 
 Micros
@@ -32,14 +57,12 @@
 
 void
 DutyLease::granted(std::uint64_t token, TimePoint requested_at, Micros span,
-                   bool replaces_own)
+                   LeaseOrigin origin)
 {
-    const Micros used(static_cast<Micros::rep>(
-        static_cast<double>(span.count()) * used_fraction));
-    if (m_token != token)
-        m_since = replaces_own ? requested_at + (span - used) : requested_at;
+    if (m_token != token && origin != LeaseOrigin::Continued)
+        m_since = requested_at + earlier_use(origin, span);
     m_token = token;
-    m_until = std::max(m_until, requested_at + used);
+    m_until = std::max(m_until, requested_at + used_part(span));
 }
 
 bool
--- a/src/libcrosslink/membership/duty_lease_test.cpp
+++ b/src/libcrosslink/membership/duty_lease_test.cpp
@@ -2,6 +2,7 @@
 // Copyright Contributors to the crosslink project.
 
 #include <crosslink/membership/duty_lease.h>
+#include <crosslink/membership/fencing_token.h>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -92,7 +93,7 @@
 TEST_CASE("a process that takes its predecessor's lease waits for longer")
 {
     DutyLease lease(std::chrono::seconds(1));
-    lease.granted(7, at(0), span, true);
+    lease.granted(7, at(0), span, LeaseOrigin::OwnEarlierProcess);
     CHECK(lease.held(at(100)));
     CHECK_FALSE(lease.may_act(at(1001)));
     lease.granted(7, at(1000), span);
@@ -138,4 +139,44 @@
     }));
 }
 
+TEST_CASE(
+    "a holder in a restored store keeps apart from one that does not know")
+{
+    constexpr Micros spacing = std::chrono::seconds(3);
+    const Micros settle = DutyLease::takeover_delay(spacing, span);
+    DutyLease unaware(settle);
+    unaware.granted(7, at(-5000), span);
+    unaware.granted(7, at(0), span);
+    const TimePoint last_act = at(1299);
+    REQUIRE(unaware.may_act(last_act));
+    DutyLease later(settle);
+    TimePoint now = at(1);
+    later.granted(9, now, span, LeaseOrigin::StoreRestored);
+    while (!later.may_act(now)) {
+        now += std::chrono::milliseconds(10);
+        later.granted(9, now, span);
+    }
+    CHECK(now - last_act >= spacing);
+}
+
+TEST_CASE("a holder that held the duty all along acts on at once")
+{
+    DutyLease lease(std::chrono::seconds(1));
+    lease.granted(7, at(0), span);
+    lease.lost();
+    CHECK_FALSE(lease.may_act(at(1100)));
+    lease.granted(7, at(1200), span, LeaseOrigin::Continued);
+    CHECK(lease.may_act(at(1201)));
+}
+
+TEST_CASE("tokens grow with the era first")
+{
+    constexpr std::uint64_t most_revision =
+        (std::uint64_t{1} << token_revision_bits) - 1;
+    CHECK(fencing_token({0, 41}) == 41);
+    CHECK(fencing_token({1, 1}) > fencing_token({0, most_revision}));
+    CHECK(fencing_token({2, 1}) > fencing_token({1, most_revision}));
+    CHECK(fencing_token({2, 8}) > fencing_token({2, 7}));
+}
+
 } // namespace crosslink
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -61,8 +61,8 @@
     if (!may_be_own && !may_take_duty())
         return pause;
     try {
-        hold_duty(span);
-        return pause;
+        const bool lost = !hold_duty(span) && may_be_own;
+        return lost ? LeaseRenewal(span).retry_delay() : pause;
     } catch (const Error& failure) {
         LogLine("duty_not_held").field("error", failure.what());
         const bool crowded =
@@ -82,8 +82,9 @@
     return starts_in_one || m_state.instance_count() > max_children;
 }
 
-/// Takes the lease of the duty, or renews it.
-void
+/// Takes the lease of the duty, or renews it. Returns whether this instance has
+/// it.
+bool
 Coordinator::hold_duty(Micros span)
 {
     const TimePoint asked = monotonic_now();
@@ -91,7 +92,7 @@
         duty_name, m_state.settings.peer_address(), span);
     if (!lease) {
         m_state.coordinator_lease.with([](DutyLease& mine) { mine.lost(); });
-        return;
+        return false;
     }
     const bool taken = lease->token != m_last_token;
     if (taken) {
@@ -101,7 +102,7 @@
     }
     const bool granted = m_state.coordinator_lease.with([&](DutyLease& mine) {
         if (!m_state.stopping)
-            mine.granted(lease->token, asked, lease->span, lease->replaces_own);
+            mine.granted(lease->token, asked, lease->span, lease->origin);
         return !m_state.stopping;
     });
     // A stop began in the meantime and found no lease to release.
@@ -112,6 +113,23 @@
         m_weights.wake();
         m_kept.wake();
     }
+    record_settled(lease->origin);
+    return true;
+}
+
+/// Records, once it may act, that no earlier holder of the duty can act any
+/// more.
+void
+Coordinator::record_settled(LeaseOrigin origin)
+{
+    if (origin == LeaseOrigin::StoreRestored ||
+        origin == LeaseOrigin::Continued)
+        m_settle_due = true;
+    if (!m_settle_due || !m_state.may_act())
+        return;
+    m_state.ports.duties.record_settled(duty_name);
+    m_settle_due = false;
+    LogLine("duty_settled").field("duty", duty_name);
 }
 
 /// Returns whether this instance should try to take the duty. It does not try
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -60,13 +60,17 @@
     ExchangeResponse exchange(const ExchangeRequest& request);
     /// Reacts at once to changes that were read from the platform.
     void fleet_changed();
+    /// Checks the lease of the duty at once: the platform's store came back
+    /// from a copy.
+    void store_restored() { m_lease_duty.wake(); }
     /// Stops acting under the duty at once, and releases its lease a moment
     /// later. For a planned stop.
     void resign();
 
 private:
     Micros lease_round();
-    void hold_duty(Micros span);
+    bool hold_duty(Micros span);
+    void record_settled(LeaseOrigin origin);
     void schedule_release();
     void release_when_due();
     bool may_take_duty();
@@ -79,6 +83,7 @@
 
     ForwardState& m_state;
     std::uint64_t m_last_token = 0;
+    bool m_settle_due = false;  ///< See record_settled().
     bool m_threads_run = false; ///< Those of the work under the duty.
     /// When the lease is released, once a planned stop has begun.
     Guarded<std::optional<TimePoint>> m_release_at;
--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -136,6 +136,7 @@
     ChangePage page;
     page.position = m_snapshot_position;
     page.entries = differences;
+    m_coordinator.store_restored();
     apply_to_state(page, ChangesKind::RestoredCopy, m_lapsed_until);
 }
 
