--- a/src/build-scripts/mutate.py
+++ b/src/build-scripts/mutate.py
@@ -45,6 +45,19 @@
     ("let an answer count only where an end is known",
      "src/libcrosslink/forward/crash_history.cpp",
      "remember_answer(request, at);", "", "unit.*popular|unit.*an answer"),
+    ("compare positions of the store without their era",
+     "src/include/crosslink/membership/store_position.h",
+     "auto operator<=>(const StorePosition&) const = default;",
+     "auto operator<=>(const StorePosition& other) const\n"
+     "    {\n        return revision <=> other.revision;\n    }\n"
+     "    bool operator==(const StorePosition& other) const\n"
+     "    {\n        return revision == other.revision;\n    }",
+     "unit.*later era|platform.changes_after_a_restore_are"),
+    ("believe a copy of the list about runners that left",
+     "src/libcrosslink/forward/runner_table.cpp",
+     "latest.leaving = listed.leaving || m_ended.contains(incarnation);",
+     "latest.leaving = listed.leaving;",
+     "unit.*a copy makes no runner|platform.runners_that_left"),
     ("pass over that a runner says that it leaves",
      "src/include/crosslink/forward/runner_entry.h",
      "return listed.leaving || notices.leaving;", "return listed.leaving;",
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -55,6 +55,9 @@
 /// Longest time for which an instance that is gone stays listed.
 constexpr Micros presence_lifetime = std::chrono::seconds(9);
 constexpr Micros presence_pause = std::chrono::seconds(3);
+/// Random part of that pause: instances that start together must not all write
+/// at the same moment when the platform's store is restored.
+constexpr Micros presence_jitter = std::chrono::seconds(1);
 
 } // namespace
 
@@ -294,11 +297,12 @@
 Micros
 FeedDuty::presence_round()
 {
-    if (m_state.stopping)
-        return presence_pause;
-    m_state.ports.duties.present(m_state.settings.instance_info(),
-                                 presence_lifetime);
-    return presence_pause;
+    if (!m_state.stopping)
+        m_state.ports.duties.present(m_state.settings.instance_info(),
+                                     presence_lifetime);
+    const Micros jitter(static_cast<Micros::rep>(
+        random_bits() % static_cast<std::uint64_t>(presence_jitter.count())));
+    return presence_pause - presence_jitter / 2 + jitter;
 }
 
 } // namespace crosslink
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -41,6 +41,10 @@
 HEARTBEAT_SECONDS = 0.4
 CALM_SECONDS = 4.0    # until all instances can have heard of all that was
 LONGEST_LIMIT = 4.0   # seconds for which a runner is in need
+LONGEST_BETWEEN_RESTORES = 8.0
+OLDEST_COPY = 3.0     # seconds
+LONGEST_AWAY = 1.0    # the platform's store, before it comes back from a copy
+LONGEST_REWRITE = 1.0 # until others have written theirs again
 LEAVING_PART = 0.3    # of the words of runners: the others ask for a backoff
 LIMIT = 0.5           # calls a second, in the check at the end
 TOKENS = 12
@@ -230,6 +234,26 @@
             runner.backoff = None
 
 
+def restore_store(scene, rng, end):
+    """The platform's store comes back from a copy, with or without its history,
+    and others write theirs again."""
+    store = scene.world.store
+    while time.monotonic() < end:
+        time.sleep(rng.uniform(0, LONGEST_BETWEEN_RESTORES))
+        copy = store.copy()
+        time.sleep(rng.uniform(0, OLDEST_COPY))
+        store.down = True
+        if rng.random() < 0.5:
+            store.server.break_connections()
+        time.sleep(rng.uniform(0, LONGEST_AWAY))
+        with store.changed:
+            entries = store.others_entries()
+            store.restore(copy, with_history=rng.random() < 0.5)
+        store.down = False
+        time.sleep(rng.uniform(0, LONGEST_REWRITE))
+        store.write_again(entries)
+
+
 def list_weights(scene, end):
     """Lets runners tell the platform which weights they have, as the wire's
     runners do with each heartbeat. Instances that start later know them from
@@ -358,6 +382,16 @@
                 "%s is served again" % path)
 
 
+def check_in_force(scene):
+    """The newest configuration is, everywhere."""
+    for instance in scene.world.instances:
+        path = "/v%d/" % scene.version if scene.version > 1 else "/safe/"
+        status = crash.send(instance, path, w.headers,
+                            crash.OTHER_BODY).status
+        if status != 200:
+            scene.fail("%s is answered %d" % (path, status))
+
+
 def check_blocked(scene):
     plain = scene.endings["plain"]
     before = plain.arrived()
@@ -409,12 +443,16 @@
         words = random.Random("words %d" % seed)
         threads.append(threading.Thread(target=ask_for_backoff,
                                         args=(scene, words, end)))
+        copies = random.Random("copies %d" % seed)
+        threads.append(threading.Thread(target=restore_store,
+                                        args=(scene, copies, end)))
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
         check_served_again(scene)
         time.sleep(CALM_SECONDS)
+        check_in_force(scene)
         check_blocked(scene)
         check_limit(scene)
         check_runs(scene, callers)
