Test that a kept copy follows a holder of a later era

Cause: terms of the kept directory are tokens; no test had terms of two eras. Change: a case of KeptReplica, with tokens as they are given now. Measured: it passes; no product code changes.

--- a/src/libcrosslink/kept/kept_replica_test.cpp
+++ b/src/libcrosslink/kept/kept_replica_test.cpp
@@ -2,6 +2,7 @@
 // Copyright Contributors to the crosslink project.
 
 #include <crosslink/kept/kept_replica.h>
+#include <crosslink/membership/fencing_token.h>
 
 #include <catch2/catch.hpp>
 
@@ -131,6 +132,23 @@
     CHECK(store_of(copy, "a", at(120)).empty());
 }
 
+TEST_CASE("a holder of a later era of the platform's store has a later term")
+{
+    KeptReplica copy;
+    KeptUpdate earlier = update(5, true, 1000, {kept("a", "s1")});
+    earlier.term = fencing_token({1, 900});
+    copy.take(earlier, at(0));
+    KeptUpdate later = update(1, true, 1100, {kept("a", "s2")});
+    later.term = fencing_token({2, 300});
+    copy.take(later, at(100));
+    CHECK(copy.position().first == later.term);
+    copy.take(earlier, at(200));
+    CHECK(copy.position().first == later.term);
+    KeptSpace big = space;
+    big.term = later.term;
+    CHECK(KeptSpace::parse(big.text())->term == later.term);
+}
+
 TEST_CASE("a copy that knows more than its parent keeps what it knows")
 {
     KeptReplica behind;
