Hand the differences of a restored copy on as one page

Cause: ChangeLog gave them as a list, and the receiver built a page around a copy of it; apply() had grown to a screen. Change: differences() is a page, as state_of() is; what a fresh answer shows is noted in a function of its own. Behaviour as before.

--- a/src/include/crosslink/membership/change_log.h
+++ b/src/include/crosslink/membership/change_log.h
@@ -11,7 +11,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace crosslink
 {
@@ -29,7 +28,7 @@
     bool apply(const ChangePage& page);
     /// Returns what changes where `snapshot` replaces the state: the entries
     /// that differ, and the keys that it does not have as removed.
-    std::vector<KeyChange> differences(const ChangePage& snapshot) const;
+    ChangePage differences(const ChangePage& snapshot) const;
     /// Returns the state of `keys`; a key that is not there as removed.
     ChangePage state_of(const std::set<std::string>& keys) const;
     /// Returns the position up to which the state is complete; nothing before
--- a/src/libcrosslink/membership/change_log.cpp
+++ b/src/libcrosslink/membership/change_log.cpp
@@ -52,20 +52,22 @@
     return true;
 }
 
-std::vector<KeyChange>
+ChangePage
 ChangeLog::differences(const ChangePage& snapshot) const
 {
-    std::vector<KeyChange> changes;
+    ChangePage changes;
+    changes.position = snapshot.position;
     std::set<std::string_view> present;
     for (const KeyChange& entry : snapshot.entries) {
         present.insert(entry.key);
         const auto known = m_state.find(entry.key);
         if (known == m_state.end() || known->second.value != entry.value)
-            changes.push_back(entry);
+            changes.entries.push_back(entry);
     }
     for (const auto& [key, entry] : m_state)
         if (!present.contains(key))
-            changes.push_back({key, std::nullopt, snapshot.position.revision});
+            changes.entries.push_back(
+                {key, std::nullopt, snapshot.position.revision});
     return changes;
 }
 
--- a/src/libcrosslink/membership/change_log_test.cpp
+++ b/src/libcrosslink/membership/change_log_test.cpp
@@ -173,7 +173,7 @@
         7,
         {entry("same", "1", 1), entry("other", "1", 3), entry("old", "1", 5)},
         2);
-    const auto differences = log.differences(copy);
+    const auto differences = log.differences(copy).entries;
     REQUIRE(differences.size() == 3);
     CHECK(differences[0].key == "other");
     CHECK(differences[0].value == "1");
--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -70,8 +70,8 @@
     // platform is available now.
     const bool fresh = now - confirmed <= max_silence;
     const bool restored = comes_from_copy(page);
-    const auto differences =
-        restored ? m_log.differences(page) : std::vector<KeyChange>();
+    const ChangePage differences =
+        restored ? m_log.differences(page) : ChangePage();
     if (!m_log.apply(page)) {
         if (page.is_snapshot)
             log_refused(page);
@@ -81,15 +81,8 @@
     if (page.is_snapshot)
         m_snapshot_position = page.position;
     m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
-    if (fresh) {
-        m_state.fleet.with(
-            [now](FleetView& view) { view.reach.regained(now); });
-        if (m_platform_lost)
-            LogLine("platform_regained")
-                .field("era", page.position.era)
-                .field("place", page.position.revision);
-        m_platform_lost = false;
-    }
+    if (fresh)
+        note_fresh(page.position, now);
     if (restored)
         apply_restored(differences, now);
     else if (page.is_snapshot)
@@ -102,6 +95,18 @@
     return true;
 }
 
+/// Records that the platform answers, as of a moment ago.
+void
+ChangeReceiver::note_fresh(const StorePosition& position, TimePoint now)
+{
+    m_state.fleet.with([now](FleetView& view) { view.reach.regained(now); });
+    if (m_platform_lost)
+        LogLine("platform_regained")
+            .field("era", position.era)
+            .field("place", position.revision);
+    m_platform_lost = false;
+}
+
 /// Returns whether `page` is of a store that was restored from a copy, for
 /// whose keys others have the time to write theirs again.
 bool
@@ -124,20 +129,17 @@
 /// Applies a copy from which the platform's store was restored, as far as it
 /// may be newer than what is known.
 void
-ChangeReceiver::apply_restored(const std::vector<KeyChange>& differences,
-                               TimePoint now)
+ChangeReceiver::apply_restored(const ChangePage& differences, TimePoint now)
 {
     LogLine("store_copy_read")
-        .field("era", m_snapshot_position.era)
-        .field("revision", m_snapshot_position.revision)
-        .field("differences", static_cast<std::uint64_t>(differences.size()));
-    m_restored.begin(differences, now);
+        .field("era", differences.position.era)
+        .field("revision", differences.position.revision)
+        .field("differences",
+               static_cast<std::uint64_t>(differences.entries.size()));
+    m_restored.begin(differences.entries, now);
     m_lapsed_until = now + relisting_time;
-    ChangePage page;
-    page.position = m_snapshot_position;
-    page.entries = differences;
     m_coordinator.store_restored();
-    apply_to_state(page, ChangesKind::RestoredCopy, m_lapsed_until);
+    apply_to_state(differences, ChangesKind::RestoredCopy, m_lapsed_until);
 }
 
 /// Lets the keys that nobody has written again hold as the store has them.
--- a/src/serve/fleet/change_receiver.h
+++ b/src/serve/fleet/change_receiver.h
@@ -14,7 +14,6 @@
 
 #include <mutex>
 #include <optional>
-#include <vector>
 
 namespace crosslink
 {
@@ -67,8 +66,8 @@
     bool comes_from_copy(const ChangePage& page) const;
     void apply_to_state(const ChangePage& page, ChangesKind kind,
                         std::optional<TimePoint> lapsed);
-    void apply_restored(const std::vector<KeyChange>& differences,
-                        TimePoint now);
+    void note_fresh(const StorePosition& position, TimePoint now);
+    void apply_restored(const ChangePage& differences, TimePoint now);
     void settle_restored(TimePoint now);
     void log_refused(const ChangePage& page) const;
     ChangePage packed_snapshot(std::optional<StorePosition> position);
