Ask neither the reading plan nor the coordinator's link twice

Cause: RereadPlan::must_wait took whether the caller has the duty, and its one caller never has; CoordinatorLink looked the holder's address up in two places alike. Change: the parameter goes, with it in its test; holder_address() serves both.

--- a/src/include/crosslink/membership/reread_plan.h
+++ b/src/include/crosslink/membership/reread_plan.h
@@ -46,9 +46,9 @@
     /// one that this instance knows. `has_duty` tells that it holds the duty.
     bool is_due(const StorePosition& position, bool has_duty,
                 TimePoint now) const;
-    /// Returns whether to leave the platform alone at `now`.
-    bool must_wait(const StorePosition& position, bool has_duty,
-                   TimePoint now) const;
+    /// Returns whether an instance without the duty is to leave the platform
+    /// alone at `now`.
+    bool must_wait(const StorePosition& position, TimePoint now) const;
     /// Records that this instance has read all.
     void read_all_done() { m_lost.reset(); }
 
--- a/src/libcrosslink/membership/reread_plan.cpp
+++ b/src/libcrosslink/membership/reread_plan.cpp
@@ -53,10 +53,9 @@
 }
 
 bool
-RereadPlan::must_wait(const StorePosition& position, bool has_duty,
-                      TimePoint now) const
+RereadPlan::must_wait(const StorePosition& position, TimePoint now) const
 {
-    return is_lost(position) && !is_due(position, has_duty, now);
+    return is_lost(position) && now < m_read_at;
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/membership/reread_plan_test.cpp
+++ b/src/libcrosslink/membership/reread_plan_test.cpp
@@ -103,15 +103,15 @@
     RereadPlan plan(seed);
     const RereadRole role{false, 985, 9773};
     CHECK_FALSE(plan.is_lost(lost_position));
-    CHECK_FALSE(plan.must_wait(lost_position, false, at(0)));
+    CHECK_FALSE(plan.must_wait(lost_position, at(0)));
     CHECK_FALSE(plan.is_due(lost_position, true, at(0)));
     plan.history_lost(lost_position, role, at(0));
     CHECK(plan.is_due(lost_position, true, at(0)));
-    CHECK(plan.must_wait(lost_position, false, at(0)));
+    CHECK(plan.must_wait(lost_position, at(0)));
     CHECK(plan.is_due(lost_position, false, at(60'000)));
     CHECK(plan.is_lost(lost_position));
     // Changes from another instance have come since.
-    CHECK_FALSE(plan.must_wait(next_position, false, at(0)));
+    CHECK_FALSE(plan.must_wait(next_position, at(0)));
     CHECK_FALSE(plan.is_due(next_position, false, at(60'000)));
     // What was read is of the same revision: the platform is asked again.
     plan.read_all_done();
--- a/src/serve/coordinator/coordinator_link.cpp
+++ b/src/serve/coordinator/coordinator_link.cpp
@@ -18,6 +18,12 @@
 {
     if (m_coordinator.may_answer())
         return m_state.settings.peer_address();
+    return holder_address();
+}
+
+std::string
+CoordinatorLink::holder_address() const
+{
     return m_state.fleet.with(
         [](FleetView& view) { return view.coordinator_address(); });
 }
@@ -25,8 +31,7 @@
 std::shared_ptr<FleetClient>
 CoordinatorLink::client()
 {
-    const std::string address = m_state.fleet.with(
-        [](FleetView& view) { return view.coordinator_address(); });
+    const std::string address = holder_address();
     if (address.empty())
         throw Error(ErrorCode::LeaseLost,
                     "no instance is known to hold the duty");
--- a/src/serve/coordinator/coordinator_link.h
+++ b/src/serve/coordinator/coordinator_link.h
@@ -37,6 +37,7 @@
     }
 
 private:
+    std::string holder_address() const;
     std::shared_ptr<FleetClient> client();
 
     ForwardState& m_state;
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -196,7 +196,7 @@
     }
     if (now < *m_ask_platform_at)
         return std::min(check_pause, *m_ask_platform_at - now);
-    if (m_reread.must_wait(*m_changes.position(), m_state.has_duty(), now))
+    if (m_reread.must_wait(*m_changes.position(), now))
         return check_pause;
     return std::nullopt;
 }
