--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -116,8 +116,9 @@
     void succeeded(const RunnerIncarnation& runner);
     /// Records that a runner refused or broke a connection at `at`. It may be
     /// restarting, and counts as warming up from then on. Its own report of
-    /// that arrives up to 2 s after the start.
-    void connection_failed(std::string_view id, TimePoint at);
+    /// that arrives up to 2 s after the start. Returns whether no failure of
+    /// the last seconds was known.
+    bool connection_failed(std::string_view id, TimePoint at);
     /// Returns the runners with a connection failure after `since`, and when it
     /// was.
     std::map<std::string, TimePoint> connection_failures(TimePoint since) const;
--- a/src/libcrosslink/forward/runner_availability_test.cpp
+++ b/src/libcrosslink/forward/runner_availability_test.cpp
@@ -204,8 +204,9 @@
     asked.instance = "i";
     asked.warm_up = {std::chrono::seconds(3), 20};
     CHECK(chosen(table, asked) == "r");
-    table.connection_failed("r", at(100));
-    table.connection_failed("r", at(50));
+    CHECK(table.connection_failed("r", at(100)));
+    CHECK(!table.connection_failed("r", at(50)));
+    CHECK(!table.connection_failed("unlisted", at(50)));
     CHECK(table.connection_failures(at(99)).at("r") == at(100));
     CHECK(table.connection_failures(at(100)).empty());
     CHECK(chosen(table, asked).empty());
--- a/src/libcrosslink/forward/runner_table_notices.cpp
+++ b/src/libcrosslink/forward/runner_table_notices.cpp
@@ -46,15 +46,18 @@
     });
 }
 
-void
+bool
 RunnerTable::connection_failed(std::string_view id, TimePoint at)
 {
     RunnerEntry* entry = find(id);
-    if (entry &&
-        (!entry->connection_failed_at || *entry->connection_failed_at < at))
-        entry->connection_failed_at = at;
-    if (entry)
-        m_index.noticed.emplace(id);
+    if (!entry)
+        return false;
+    m_index.noticed.emplace(id);
+    const auto known = entry->connection_failed_at;
+    if (known && *known >= at)
+        return false;
+    entry->connection_failed_at = at;
+    return !known || at - *known > failure_report_time;
 }
 
 std::map<std::string, TimePoint>
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -242,11 +242,12 @@
 {
     const bool silent =
         dynamic_cast<const Poco::TimeoutException*>(&failure) != nullptr;
-    m_state.runners.with([&](RunnerTable& table) {
-        table.connection_failed(m_choice.pick().id, monotonic_now());
-        if (silent)
-            table.silent(m_choice.pick().id, monotonic_now());
-    });
+    const TimePoint now = monotonic_now();
+    m_state.note_connection_failed(m_choice.pick().id, now, "connection");
+    if (silent)
+        m_state.runners.with([&](RunnerTable& table) {
+            table.silent(m_choice.pick().id, now);
+        });
     return silent;
 }
 
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -5,6 +5,7 @@
 
 #include <adapters/clock.h>
 #include <serve/fleet/change_applier.h>
+#include <serve/log_line.h>
 
 #include <algorithm>
 #include <span>
@@ -162,10 +163,21 @@
 ForwardState::merge_peer_report(const std::vector<ConnectionFailure>& lost,
                                 TimePoint now)
 {
-    runners.with([&](RunnerTable& table) {
-        for (const ConnectionFailure& item : lost)
-            table.connection_failed(item.runner, now - item.age);
+    for (const ConnectionFailure& item : lost)
+        note_connection_failed(item.runner, now - item.age, "instance");
+}
+
+void
+ForwardState::note_connection_failed(std::string_view runner, TimePoint at,
+                                     const char* source)
+{
+    const bool is_new = runners.with([&](RunnerTable& table) {
+        return table.connection_failed(runner, at);
     });
+    if (is_new)
+        LogLine("runner_lost_contact")
+            .field("runner", runner)
+            .field("source", source);
 }
 
 std::size_t
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -184,6 +184,10 @@
     /// `now`.
     void merge_peer_report(const std::vector<ConnectionFailure>& lost,
                            TimePoint now);
+    /// Records that `runner` refused or broke a connection at `at`, and logs
+    /// it if that was not known. `source` is who saw it, for the log.
+    void note_connection_failed(std::string_view runner, TimePoint at,
+                                const char* source);
     /// Logs and counts the requests that were blocked since the last call.
     void log_newly_blocked();
     /// Records that a runner's process exited; `evidence` is how this was
