--- a/src/adapters/call_connections.cpp
+++ b/src/adapters/call_connections.cpp
@@ -19,6 +19,8 @@
 /// Between two looks at all idle connections. They are kept for some seconds,
 /// and looking at the few hundred that there may be takes microseconds.
 constexpr Micros drop_pause = std::chrono::seconds(1);
+/// An idle connection is closed this long before the other side would close it.
+constexpr Micros idle_margin = std::chrono::milliseconds(1200);
 
 } // namespace
 
@@ -26,7 +28,8 @@
 CallConnections::~CallConnections() = default;
 
 std::unique_ptr<CallConnection>
-CallConnections::take(const std::string& address, TimePoint now)
+CallConnections::take(const std::string& address, TimePoint now,
+                      TimePoint proven_since)
 {
     Idle dropped; // Closed after the lock.
     const std::lock_guard lock(m_mutex);
@@ -39,7 +42,8 @@
     while (!taken && !idle.empty()) {
         IdleConnection last = std::move(idle.back());
         idle.pop_back();
-        if (now < last.usable_until && last.connection->quiet())
+        if (now < last.usable_until && last.put_back_at >= proven_since &&
+            last.connection->quiet())
             taken = std::move(last.connection);
         else
             dropped.push_back(std::move(last));
@@ -62,6 +66,19 @@
         idle.push_back({std::move(connection), now, now + idle_time});
 }
 
+void
+CallConnections::put_back_told(const std::string& address,
+                               std::unique_ptr<CallConnection> connection,
+                               std::optional<Micros> keep_alive, TimePoint now)
+{
+    if (!keep_alive)
+        return;
+    const Micros idle =
+        keep_alive->count() > 0 ? *keep_alive - idle_margin : idle_untold;
+    if (idle.count() > 0)
+        put_back(address, std::move(connection), idle, now);
+}
+
 void
 CallConnections::drop_unproven(const std::string& address, TimePoint proven)
 {
--- a/src/adapters/call_connections.h
+++ b/src/adapters/call_connections.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,13 +32,21 @@
     CallConnections(const CallConnections&) = delete;
     CallConnections& operator=(const CallConnections&) = delete;
 
-    /// Returns an idle connection to `address` that is still usable, or null.
+    /// Returns an idle connection to `address` that is still usable and was
+    /// put back after `proven_since`, or null.
     std::unique_ptr<CallConnection> take(const std::string& address,
-                                         TimePoint now);
+                                         TimePoint now,
+                                         TimePoint proven_since = {});
     /// Keeps a connection whose answer was read to its end, for `idle_time`.
     void put_back(const std::string& address,
                   std::unique_ptr<CallConnection> connection, Micros idle_time,
                   TimePoint now);
+    /// As put_back(), for as long as the other side keeps an idle connection
+    /// open, less a margin: `keep_alive` as it states; 0 if it does not, and
+    /// nothing if it closes the connection now.
+    void put_back_told(const std::string& address,
+                       std::unique_ptr<CallConnection> connection,
+                       std::optional<Micros> keep_alive, TimePoint now);
     /// Closes the idle connections to `address` that were put back before
     /// `proven`: one that was used then says nothing, and they may be as dead.
     void drop_unproven(const std::string& address, TimePoint proven);
--- a/src/adapters/port_look.cpp
+++ b/src/adapters/port_look.cpp
@@ -45,4 +45,14 @@
     return "unknown";
 }
 
+std::optional<ProcessFate>
+fate_from_name(std::string_view name)
+{
+    for (const ProcessFate fate :
+         {ProcessFate::Alive, ProcessFate::Ended, ProcessFate::Unknown})
+        if (name == fate_name(fate))
+            return fate;
+    return std::nullopt;
+}
+
 } // namespace crosslink
--- a/src/adapters/port_look.h
+++ b/src/adapters/port_look.h
@@ -6,7 +6,9 @@
 #include <crosslink/base/time.h>
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace crosslink
 {
@@ -34,5 +36,7 @@
 
 /// Returns the name of `fate` for the log.
 const char* fate_name(ProcessFate fate);
+/// Returns the fate with the name; nothing if there is none.
+std::optional<ProcessFate> fate_from_name(std::string_view name);
 
 } // namespace crosslink
--- /dev/null
+++ b/src/include/crosslink/forward/relay_selector.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+#include <crosslink/membership/instance_info.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace crosslink
+{
+
+/// Chooses the instance that passes a call on to a runner which this instance
+/// does not reach. Answers the load of instances without a path to runners:
+/// it is spread evenly over the others of the zone, and over other zones only
+/// where none of the own zone is left.
+class RelaySelector
+{
+public:
+    using Instances = std::map<std::string, InstanceInfo, std::less<>>;
+
+    /// An instance that could not help is not asked again for this time.
+    static constexpr Micros retry_pause = std::chrono::milliseconds(500);
+
+    /// Returns one of `instances` other than `own`; nothing if none is left.
+    std::optional<InstanceInfo> choose(const Instances& instances,
+                                       const InstanceInfo& own, TimePoint now,
+                                       std::uint64_t random) const;
+    /// Records that the instance at `address` could not help.
+    void failed(std::string_view address, TimePoint now);
+
+private:
+    bool is_paused(std::string_view address, TimePoint now) const;
+
+    /// Until when instances are not asked, by address.
+    std::map<std::string, TimePoint, std::less<>> m_paused_until;
+};
+
+} // namespace crosslink
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -174,6 +174,8 @@
                    std::string_view zone) const;
 
     const Entries& entries() const { return m_entries; }
+    /// Returns what is known of a listed runner; null for another one.
+    const RunnerEntry* entry(std::string_view id) const;
     /// Returns the number of listed runners in `zone`.
     std::size_t count_in_zone(std::string_view zone) const
     {
--- /dev/null
+++ b/src/libcrosslink/forward/relay_selector_test.cpp
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/relay_selector.h>
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+namespace crosslink
+{
+
+namespace
+{
+
+constexpr TimePoint start{std::chrono::seconds(100)};
+
+RelaySelector::Instances
+fleet()
+{
+    return {{"own", {"own", "1:1", "a"}},
+            {"near", {"near", "2:1", "a"}},
+            {"also near", {"also near", "3:1", "a"}},
+            {"far", {"far", "4:1", "b"}}};
+}
+
+const InstanceInfo own{"own", "1:1", "a"};
+
+std::set<std::string>
+chosen(const RelaySelector& selector, TimePoint now)
+{
+    std::set<std::string> names;
+    for (std::uint64_t random = 0; random < 8; ++random)
+        if (const auto one = selector.choose(fleet(), own, now, random))
+            names.insert(one->name);
+    return names;
+}
+
+} // namespace
+
+TEST_CASE("calls are relayed by all other instances of the zone")
+{
+    CHECK(chosen({}, start) == std::set<std::string>{"near", "also near"});
+}
+
+TEST_CASE("other zones relay where no instance of the zone can")
+{
+    RelaySelector selector;
+    selector.failed("2:1", start);
+    CHECK(chosen(selector, start) == std::set<std::string>{"also near"});
+    selector.failed("3:1", start);
+    CHECK(chosen(selector, start) == std::set<std::string>{"far"});
+    selector.failed("4:1", start);
+    CHECK(chosen(selector, start).empty());
+    CHECK(chosen(selector, start + RelaySelector::retry_pause) ==
+          std::set<std::string>{"near", "also near"});
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -253,6 +253,13 @@
     m_silent_zones.erase(entry->listed.zone);
 }
 
+const RunnerEntry*
+RunnerTable::entry(std::string_view id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
 RunnerEntry*
 RunnerTable::find(std::string_view id)
 {
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -8,6 +8,8 @@
 
 #include <adapters/clock.h>
 #include <peer_rpc/rpc.h>
+#include <serve/forward/relay_handler.h>
+#include <serve/forward/runner_look.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
@@ -25,6 +27,7 @@
 constexpr const char* coordinator_method = "holder";
 constexpr const char* parents_method = "parents";
 constexpr const char* store_snapshot_method = "news";
+constexpr const char* look_method = "look_at_runner";
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
 constexpr int server_threads = 64;
@@ -42,12 +45,15 @@
 /// Timeout for an instance that starts: the holder of the duty may be asked by
 /// all instances at once.
 constexpr Micros start_timeout = std::chrono::milliseconds(600);
+/// Timeout of a look at a runner: the other instance may look at others too.
+constexpr Micros look_timeout = std::chrono::milliseconds(450);
 constexpr Micros connect_timeout = std::chrono::milliseconds(60);
 
 } // namespace
 
 FleetServer::FleetServer(ForwardState& state, Coordinator& coordinator,
-                         ExchangeHandler& handler, ChangeReceiver& changes)
+                         ExchangeHandler& handler, ChangeReceiver& changes,
+                         RelayHandler& relay)
     : m_rpc(std::make_unique<RpcServer>())
 {
     m_rpc->add(find_kept_parts_method,
@@ -86,6 +92,14 @@
                               json_double(parameters, "link_mbps")}));
         return result;
     });
+    m_rpc->add(look_method, [&state](const Json::Value& parameters) {
+        const auto fate =
+            look_for_peer(state, json_string(parameters, "runner"));
+        Json::Value result(Json::objectValue);
+        if (fate)
+            result["fate"] = fate_name(*fate);
+        return result;
+    });
     m_rpc->add(exchange_method, [&handler](const Json::Value& parameters) {
         return to_json(
             handler.exchange(exchange_request_from_json(parameters)));
@@ -99,11 +113,15 @@
         return result;
     });
     HttpServerRules rules;
-    rules.most_threads = server_threads;
+    rules.most_threads = server_threads + static_cast<int>(relay.most_open());
     rules.most_queued = max_waiting;
     m_server = std::make_unique<HttpServer>(
         state.settings.peer_address(), rules,
-        [this](auto& request, auto& answer) {
+        [this, &relay](auto& request, auto& answer) {
+            if (RelayHandler::is_relayed(request)) {
+                relay.handle(request, answer);
+                return;
+            }
             try {
                 send_answer(answer, success, "application/json",
                             m_rpc->handle(read_body(request, max_body_bytes)));
@@ -202,6 +220,15 @@
             json_micros(answer, "age_us")};
 }
 
+std::optional<ProcessFate>
+FleetClient::look_at_runner(const std::string& runner)
+{
+    Json::Value parameters;
+    parameters["runner"] = runner;
+    return fate_from_name(
+        json_string(call(look_method, parameters, look_timeout), "fate"));
+}
+
 ExchangeResponse
 FleetClient::exchange(const ExchangeRequest& request)
 {
--- a/src/serve/fleet/fleet_rpc.h
+++ b/src/serve/fleet/fleet_rpc.h
@@ -8,11 +8,13 @@
 
 #include <adapters/http_client.h>
 #include <adapters/http_server.h>
+#include <adapters/port_look.h>
 #include <serve/coordinator/coordinator.h>
 
 #include <crosslink/membership/instance_info.h>
 
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -20,6 +22,7 @@
 namespace crosslink
 {
 
+class RelayHandler;
 class RpcServer;
 
 /// What an instance knows of the platform's store, and the time since the
@@ -29,12 +32,14 @@
     Micros age{0};
 };
 
-/// JSON-RPC server for the calls of other instances of the fleet.
+/// Server for the other instances of the fleet: their JSON-RPC calls, and calls
+/// that this instance passes on to runners for them.
 class FleetServer
 {
 public:
     FleetServer(ForwardState& state, Coordinator& coordinator,
-                ExchangeHandler& handler, ChangeReceiver& changes);
+                ExchangeHandler& handler, ChangeReceiver& changes,
+                RelayHandler& relay);
     ~FleetServer();
 
 private:
@@ -68,6 +73,8 @@
     /// Returns all that the other instance knows of the platform's store; a
     /// page that is no snapshot where it knows nothing.
     StoreSnapshot store_snapshot();
+    /// See look_for_peer().
+    std::optional<ProcessFate> look_at_runner(const std::string& runner);
     /// See ExchangeHandler::exchange().
     ExchangeResponse exchange(const ExchangeRequest& request);
 
--- a/src/serve/forward/crash_watch.cpp
+++ b/src/serve/forward/crash_watch.cpp
@@ -3,14 +3,12 @@
 
 #include "crash_watch.h"
 
-#include <adapters/call_connection.h>
-#include <adapters/clock.h>
+#include "runner_look.h"
+
 #include <serve/log_line.h>
 
 #include <crosslink/forward/request_digest.h>
 
-#include <utility>
-
 namespace crosslink
 {
 
@@ -26,21 +24,13 @@
 /// Distinguishes a process that exited from a connection that broke, by its
 /// port. The platform's list shows an exit only three heartbeats later, when
 /// the request has already been sent to other runners.
-ProcessFate
-CrashWatch::check_process(const RunnerPick& runner)
-{
-    PortLook look = look_at_port(runner.address);
-    if (look.connection)
-        m_state.connections.put_back(runner.address, std::move(look.connection),
-                                     CallConnections::idle_untold,
-                                     monotonic_now());
-    return look.fate;
-}
-
-void
-CrashWatch::note_broken(const RunnerPick& runner)
+bool
+CrashWatch::note_broken(const RunnerPick& runner, bool direct)
 {
-    const ProcessFate fate = check_process(runner);
+    const RunnerLook look = look_at_runner(m_state, runner.id, runner.address);
+    if (direct && look.path_cut)
+        return false;
+    const ProcessFate fate = look.fate;
     const bool known =
         record_failure({runner.id, runner.start_ms, runner.address}, true);
     if (fate == ProcessFate::Ended || known)
@@ -53,6 +43,7 @@
         .field("runner", runner.id)
         .field("fate", fate_name(fate))
         .field("again", again());
+    return true;
 }
 
 void
--- a/src/serve/forward/crash_watch.h
+++ b/src/serve/forward/crash_watch.h
@@ -5,7 +5,6 @@
 
 #include "forward_state.h"
 
-#include <adapters/port_look.h>
 #include <serve/request_crashes.h>
 
 #include <crosslink/forward/forwarded_call.h>
@@ -27,9 +26,10 @@
                const std::string& account);
 
     /// Records that the connection to `runner` broke before the answer was
-    /// complete. Checks whether the runner still accepts connections, which
-    /// takes up to 100 ms.
-    void note_broken(const RunnerPick& runner);
+    /// complete. Looks whether the runner still accepts connections, which
+    /// takes up to 0.5 s. Returns false, and records nothing, if a `direct`
+    /// connection broke because this instance lost its path to the runner.
+    bool note_broken(const RunnerPick& runner, bool direct);
     /// Records that `runner` answered that the call failed there. A process may
     /// send such an answer just before it exits.
     void note_failed(const RunnerPick& runner);
@@ -37,8 +37,6 @@
     void note_served(const RunnerPick& runner, TimePoint sent_at);
 
 private:
-    ProcessFate check_process(const RunnerPick& runner);
-
     ForwardState& m_state;
     const ForwardedCall& m_call;
 };
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -29,6 +29,8 @@
 /// Greatest number of answers to earlier calls on the connection that are
 /// skipped.
 constexpr int max_surplus_answers = 3;
+/// Time between two looks at whether a silent runner is out of reach.
+constexpr Micros path_check_interval = std::chrono::milliseconds(150);
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
 constexpr int first_server_error = 500;
@@ -36,8 +38,6 @@
 /// caller. Of a larger one, the caller gets each piece as it comes, and the
 /// runner is held back to the caller's pace.
 constexpr std::size_t most_buffered_bytes = 64U << 10U;
-/// An idle connection is closed this long before the runner would close it.
-constexpr Micros idle_margin = std::chrono::milliseconds(1200);
 
 /// Returns whether `status` tells a caller that its call has not run.
 bool
@@ -58,14 +58,14 @@
 
 /// Sends the call to the chosen runner and relays its answer.
 ForwardRun::Outcome
-ForwardRun::exchange(CallerLink& link, const SendOptions& options)
+ForwardRun::exchange(CallerLink& link)
 {
-    m_connection->watch(link.socket(), m_deadline);
+    m_link.connection->watch(link.socket(), m_deadline);
     try {
-        return send_and_relay(link, options);
+        return send_and_relay(link);
     } catch (const Poco::Exception&) {
         const auto why =
-            m_connection ? m_connection->interrupted() : std::nullopt;
+            m_link.connection ? m_link.connection->interrupted() : std::nullopt;
         if (!why)
             throw;
         return *why == CallConnection::Wait::CallerGone ? Outcome::CallerGone
@@ -74,14 +74,18 @@
 }
 
 ForwardRun::Outcome
-ForwardRun::send_and_relay(CallerLink& link, const SendOptions& options)
+ForwardRun::send_and_relay(CallerLink& link)
 {
-    m_connection->send(m_state.ports.wire.encode_call(m_call, options),
-                       m_call.body);
+    m_link.connection->send(encode_call(), m_call.body);
     for (int i = 0; i < max_surplus_answers; ++i) {
         if (const auto ended = await_answer())
             return *ended;
-        const auto head = next_head();
+        const RawHead raw = m_link.connection->receive_head();
+        if (m_link.relay)
+            for (const HeaderField& field : raw.headers)
+                if (field.name == relay_wire::failure)
+                    return take_relay_failure(field.value);
+        const auto head = next_head(raw);
         if (!head)
             continue;
         return take_answer(link, *head);
@@ -93,11 +97,15 @@
 ForwardRun::await_answer()
 {
     for (;;) {
-        switch (m_connection->wait(time_to_next_check())) {
+        switch (m_link.connection->wait(time_to_next_check())) {
         case CallConnection::Wait::CallerGone:
             return Outcome::CallerGone;
         case CallConnection::Wait::Ready:
             m_silent_at.reset();
+            m_path_check_at.reset();
+            if (!m_link.relay)
+                m_state.paths.with(
+                    [](RunnerPaths& paths) { paths.heard(monotonic_now()); });
             return std::nullopt;
         case CallConnection::Wait::TimedOut:
             break;
@@ -106,11 +114,37 @@
             return Outcome::TimedOut;
         if (may_be_withdrawn() && m_choice.is_outdated())
             return Outcome::Outdated;
+        check_path();
         if (m_silent_at && monotonic_now() >= *m_silent_at && retries_silent())
             return Outcome::Silent;
     }
 }
 
+/// Asks for a probe of this instance's path if nothing has come from the runner
+/// for some time. Once the path is known to be cut, the connection counts as
+/// silent.
+void
+ForwardRun::check_path()
+{
+    const TimePoint now = monotonic_now();
+    if (!m_path_check_at || now < *m_path_check_at)
+        return;
+    m_path_check_at = now + path_check_interval;
+    const std::string& runner = m_choice.pick().id;
+    const auto [is_cut,
+                is_suspect] = m_state.paths.with([&](RunnerPaths& paths) {
+        const auto path = paths.path_to(runner);
+        return std::pair(path.relayed && path.proven_since > m_link.opened_at,
+                         paths.suspect(runner, now));
+    });
+    if (is_suspect)
+        m_state.path_changed.wake();
+    if (!is_cut)
+        return;
+    m_path_check_at.reset();
+    m_silent_at = now;
+}
+
 /// Returns whether the call is to be withdrawn when its weights are forbidden.
 bool
 ForwardRun::may_be_withdrawn() const
@@ -127,7 +161,9 @@
         next = std::min(next, time_to_weights_check());
     if (m_silent_at)
         next = std::min(next, *m_silent_at - monotonic_now());
-    return next;
+    if (m_path_check_at)
+        next = std::min(next, *m_path_check_at - monotonic_now());
+    return std::max(next, Micros{0});
 }
 
 /// Returns the time until the call must be withdrawn, within the bounds above.
@@ -149,7 +185,8 @@
 ForwardRun::retries_silent()
 {
     m_silent_at.reset();
-    m_state.connections.drop_unproven(m_choice.pick().address, m_connected_at);
+    auto& idle = m_link.relay ? m_state.relay_connections : m_state.connections;
+    idle.drop_unproven(link_address(), m_link.opened_at);
     const bool retries = m_route.repeatable() &&
                          m_runs + 1 < m_route.most_attempts && take_retry();
     LogLine("connection_silent")
@@ -162,9 +199,8 @@
 /// Returns the head of the answer to this call. Returns nothing if the answer
 /// belongs to an earlier call on the same connection; that answer is skipped.
 std::optional<AnswerHead>
-ForwardRun::next_head()
+ForwardRun::next_head(const RawHead& raw)
 {
-    const RawHead raw = m_connection->receive_head();
     AnswerHead head = m_state.ports.wire.decode_answer(raw.status, raw.headers);
     if (head.call_id.empty() || head.call_id == m_call.id)
         return head;
@@ -173,14 +209,31 @@
         .field("runner", m_choice.pick().id)
         .field("of_request", head.call_id);
     m_intake.apply_surplus(head, m_choice.pick());
-    while (!m_connection->read_some().empty()) {
+    while (!m_link.connection->read_some().empty()) {
     }
     return std::nullopt;
 }
 
+/// Takes the answer of an instance that has none of the runner.
+ForwardRun::Outcome
+ForwardRun::take_relay_failure(std::string_view name)
+{
+    const RelayFailure failure = relay_failure_from(name);
+    LogLine("call_not_relayed")
+        .field("request", m_call.id)
+        .field("runner", m_choice.pick().id)
+        .field("relay", relay())
+        .field("why", name);
+    if (failure == RelayFailure::Broken)
+        return Outcome::Broken;
+    m_connector.not_relayed(m_link, failure);
+    return Outcome::NotRelayed;
+}
+
 ForwardRun::Outcome
 ForwardRun::take_answer(CallerLink& link, const AnswerHead& head)
 {
+    m_connector.answered(m_link);
     m_intake.apply(head, m_choice.pick());
     if (head.not_run) {
         LogLine("call_refused")
@@ -219,10 +272,10 @@
 {
     std::string body;
     HeldBytes held(m_state.bodies);
-    while (!m_connection->ended()) {
+    while (!m_link.connection->ended()) {
         if (const auto ended = await_answer())
             return *ended;
-        const std::string bytes = m_connection->read_some();
+        const std::string bytes = m_link.connection->read_some();
         if (bytes.empty())
             break;
         body += bytes;
@@ -231,7 +284,7 @@
         if (!fits)
             return relay_pieces(link, head, body);
     }
-    if (!m_connection->whole())
+    if (!m_link.connection->whole())
         return Outcome::Broken;
     keep_connection(head);
     m_answered_failure =
@@ -255,15 +308,15 @@
     for (;;) {
         if (!link.send(piece))
             return Outcome::CallerGone;
-        if (m_connection->ended())
+        if (m_link.connection->ended())
             break;
         if (const auto ended = await_answer())
             return *ended;
-        piece = m_connection->read_some();
+        piece = m_link.connection->read_some();
         if (piece.empty())
             break;
     }
-    if (!m_connection->whole())
+    if (!m_link.connection->whole())
         return Outcome::Broken;
     keep_connection(head);
     link.finish();
@@ -286,10 +339,10 @@
 ForwardRun::relay_events(CallerLink& link, const AnswerHead& head)
 {
     m_events.begin_run();
-    while (!m_connection->ended()) {
+    while (!m_link.connection->ended()) {
         if (const auto ended = await_answer())
             return *ended;
-        const std::string bytes = m_connection->read_some();
+        const std::string bytes = m_link.connection->read_some();
         if (bytes.empty())
             break;
         const std::string events = m_events.take(bytes);
@@ -300,7 +353,7 @@
         if (!send_events(link, head, events))
             return Outcome::CallerGone;
     }
-    if (!m_connection->whole() || m_events.within_event())
+    if (!m_link.connection->whole() || m_events.within_event())
         return Outcome::Broken;
     keep_connection(head);
     if (!link.begun())
@@ -327,15 +380,9 @@
 void
 ForwardRun::keep_connection(const AnswerHead& head)
 {
-    if (!head.keep_alive)
-        return;
-    const Micros idle = head.keep_alive->count() > 0
-                            ? *head.keep_alive - idle_margin
-                            : CallConnections::idle_untold;
-    if (idle.count() > 0)
-        m_state.connections.put_back(m_choice.pick().address,
-                                     std::move(m_connection), idle,
-                                     monotonic_now());
+    auto& idle = m_link.relay ? m_state.relay_connections : m_state.connections;
+    idle.put_back_told(link_address(), std::move(m_link.connection),
+                       head.keep_alive, monotonic_now());
 }
 
 } // namespace crosslink
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -3,6 +3,8 @@
 
 #include "forward_instance.h"
 
+#include "runner_look.h"
+
 #include <adapters/call_connection.h>
 #include <adapters/clock.h>
 #include <serve/log_line.h>
@@ -36,8 +38,8 @@
       m_coordinator_link(m_state, m_coordinator),
       m_kept(m_state, m_coordinator_link), m_path(m_state, m_kept),
       m_changes(m_state, m_coordinator),
-      m_exchange_handler(m_state, m_coordinator, m_changes),
-      m_fleet(m_state, m_coordinator, m_exchange_handler, m_changes),
+      m_exchange_handler(m_state, m_coordinator, m_changes), m_relay(m_state),
+      m_fleet(m_state, m_coordinator, m_exchange_handler, m_changes, m_relay),
       m_feed(m_state, m_changes),
       m_exchange(m_state, m_coordinator, m_exchange_handler, m_changes),
       m_end_probe(
@@ -46,7 +48,7 @@
               port_checked(port, std::move(look));
           },
           [this] { m_state.note_gone_runners(); }),
-      m_server(m_state, m_path)
+      m_path_probe(m_state), m_server(m_state, m_path)
 {
 }
 
@@ -54,11 +56,9 @@
 void
 ForwardInstance::port_checked(const ProbeTarget& port, PortLook look)
 {
-    if (look.connection)
-        m_state.connections.put_back(port.address, std::move(look.connection),
-                                     CallConnections::idle_untold,
-                                     monotonic_now());
-    else if (look.fate == ProcessFate::Ended)
+    const RunnerLook confirmed =
+        confirm_look(m_state, port.runner, port.address, std::move(look));
+    if (confirmed.fate == ProcessFate::Ended)
         m_state.note_runner_exit({port.runner, port.start_ms}, "port");
 }
 
@@ -74,10 +74,17 @@
     stop();
 }
 
+/// Returns the number of calls in progress, of callers and for other instances.
+std::uint64_t
+ForwardInstance::open_calls() const
+{
+    return m_server.open_calls() + m_state.counters.relays_open;
+}
+
 void
 ForwardInstance::stop()
 {
-    LogLine("stop_began").field("open", m_server.open_calls());
+    LogLine("stop_began").field("open", open_calls());
     m_state.stopping = true;
     m_coordinator.resign();
     const TimePoint began = monotonic_now();
@@ -91,7 +98,7 @@
     m_state.refusing = true;
     m_server.stop_listening();
     const auto quiet = [&] {
-        return m_server.open_calls() == 0 &&
+        return open_calls() == 0 &&
                monotonic_now() >= m_server.latest_call() + quiet_time;
     };
     while (!quiet() && monotonic_now() < last)
@@ -100,9 +107,9 @@
     // one is not read: its caller knows from the closed connection that it did
     // not run.
     m_server.stop_reading();
-    while (m_server.open_calls() > 0 && monotonic_now() < last)
+    while (open_calls() > 0 && monotonic_now() < last)
         std::this_thread::sleep_for(poll_interval);
-    LogLine("stopped").field("open", m_server.open_calls());
+    LogLine("stopped").field("open", open_calls());
 }
 
 } // namespace crosslink
--- a/src/serve/forward/forward_instance.h
+++ b/src/serve/forward/forward_instance.h
@@ -7,6 +7,8 @@
 #include "forward_server.h"
 #include "forward_state.h"
 #include "kept_locator.h"
+#include "path_probe.h"
+#include "relay_handler.h"
 
 #include <serve/coordinator/coordinator.h>
 #include <serve/fleet/exchange_duty.h>
@@ -14,6 +16,7 @@
 #include <serve/fleet/fleet_rpc.h>
 #include <serve/process_end_probe.h>
 
+#include <cstdint>
 #include <functional>
 
 namespace crosslink
@@ -32,6 +35,7 @@
 
 private:
     void port_checked(const ProbeTarget& port, PortLook look);
+    std::uint64_t open_calls() const;
     void stop();
 
     ForwardState m_state;
@@ -41,10 +45,12 @@
     ForwardPath m_path;
     ChangeReceiver m_changes;
     ExchangeHandler m_exchange_handler;
+    RelayHandler m_relay;
     FleetServer m_fleet;
     FeedDuty m_feed;
     ExchangeDuty m_exchange;
     ProcessEndProbe m_end_probe;
+    PathProbe m_path_probe;
     ForwardServer m_server;
 };
 
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -14,6 +14,7 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
+#include <array>
 #include <thread>
 
 namespace crosslink
@@ -22,8 +23,6 @@
 namespace
 {
 
-/// A runner that does not accept a connection within this time is skipped.
-constexpr Micros connect_time = std::chrono::milliseconds(400);
 /// A runner that refused a call has no room: it gets no call for this time.
 constexpr Micros refusal_hold = std::chrono::milliseconds(120);
 /// The same for a refusal while newer weights than the runner's are named: the
@@ -33,6 +32,8 @@
 /// this may be dead. The rest of the time is enough for a new connection, and
 /// a healthy runner answers far sooner.
 constexpr int silence_divisor = 2;
+/// A runner from which nothing comes for this time may be out of reach.
+constexpr Micros path_check_time = std::chrono::milliseconds(400);
 /// Least time between two searches for a runner: the first slot that a runner
 /// has free may go to another call.
 constexpr Micros min_wait = std::chrono::milliseconds(15);
@@ -47,7 +48,7 @@
       m_prompt(state, kept, call, route.objective),
       m_choice(state, m_prompt, call, route, account),
       m_crashes(state, call, account ? account->name : std::string()),
-      m_intake(state, call)
+      m_intake(state, call), m_connector(state, call.id)
 {
 }
 
@@ -163,28 +164,47 @@
     return now + (useful - now) / 2;
 }
 
+/// Sends the call to the chosen runner: over this instance's own path, or,
+/// where that fails before anything is sent, through another instance.
 ForwardRun::Outcome
 ForwardRun::attempt(CallerLink& link)
 {
-    bool reused = false;
-    if (!connect(reused))
-        return Outcome::NotSent;
-    const SendOptions sent = send_options();
+    m_options.reset();
+    m_path_failed = false;
+    m_connector.begin(m_choice.pick(), m_runs > 0);
+    while (connect()) {
+        const Outcome outcome = send_once(link);
+        if (outcome != Outcome::NotRelayed)
+            return outcome;
+        m_choice.reserve_again();
+    }
+    note_unreachable();
+    return Outcome::NotSent;
+}
+
+ForwardRun::Outcome
+ForwardRun::send_once(CallerLink& link)
+{
+    if (!m_options)
+        m_options = make_options();
+    m_options->time_left = time_left();
     note_sent();
     Outcome outcome = Outcome::Broken;
     bool silent = false;
     try {
-        outcome = exchange(link, sent);
+        outcome = exchange(link);
     } catch (const std::exception& failure) {
-        silent = note_connection_failure(failure);
+        silent = dynamic_cast<const Poco::TimeoutException*>(&failure);
         LogLine("answer_broken")
             .field("request", m_call.id)
             .field("runner", m_choice.pick().id)
-            .field("reused", reused)
+            .field("reused", m_link.reused)
+            .field("relay", relay())
             .field("error", failure.what());
     }
     note_ended(outcome);
-    check_runner(outcome, silent);
+    if (outcome == Outcome::Broken)
+        note_broken(silent);
     return outcome;
 }
 
@@ -199,6 +219,8 @@
     m_crashes.record_send();
     ++m_sends;
     ++m_state.counters.sends;
+    if (m_link.relay)
+        ++m_state.counters.calls_relayed;
 }
 
 /// Records that the call ended at the chosen runner, with or without an answer.
@@ -211,7 +233,7 @@
             .field("runner", m_choice.pick().id)
             .field("version", m_choice.pick().version)
             .field("newest", m_choice.newest_weights());
-    m_connection.reset();
+    m_link.connection.reset();
     m_prompt.note_ended();
     m_state.runners.with([this, outcome](RunnerTable& table) {
         if (!m_prompt.is_read())
@@ -226,62 +248,87 @@
         m_prompt.cancel_saves();
 }
 
-/// Checks whether the runner's process exited, if the connection broke. A
-/// runner that sends nothing would not answer this check either.
+/// Records that no connection led to the chosen runner.
 void
-ForwardRun::check_runner(Outcome outcome, bool silent)
+ForwardRun::note_unreachable()
 {
-    if (outcome == Outcome::Broken && !silent)
-        m_crashes.note_broken(m_choice.pick());
+    if (m_options)
+        m_prompt.cancel_saves();
+    m_path_failed = !m_connector.runner_failed();
+    if (!m_path_failed)
+        note_connection_failure(m_connector.was_silent());
 }
 
-/// Records that the chosen runner did not accept a connection or broke it.
-/// Returns whether the failure is a timeout: the runner sends nothing at all.
-bool
-ForwardRun::note_connection_failure(const std::exception& failure)
+/// Finds out whether a connection broke because of the runner, and records it
+/// if so. A runner that sends nothing would not answer a look at its port
+/// either.
+void
+ForwardRun::note_broken(bool silent)
+{
+    if (m_link.relay)
+        m_state.relay_failed(m_link.relay->address);
+    else if (silent)
+        note_connection_failure(true);
+    if (silent)
+        return;
+    m_path_failed = !m_crashes.note_broken(m_choice.pick(), !m_link.relay);
+    if (!m_path_failed && !m_link.relay)
+        note_connection_failure(false);
+}
+
+/// Records that the chosen runner did not accept a connection or broke it, and
+/// whether it sends nothing at all.
+void
+ForwardRun::note_connection_failure(bool silent)
 {
-    const bool silent =
-        dynamic_cast<const Poco::TimeoutException*>(&failure) != nullptr;
     const TimePoint now = monotonic_now();
     m_state.note_connection_failed(m_choice.pick().id, now, "connection");
     if (silent)
-        m_state.runners.with([&](RunnerTable& table) {
-            table.silent(m_choice.pick().id, now);
-        });
-    return silent;
+        m_state.runners.with(
+            [&](RunnerTable& table) { table.silent(m_choice.pick().id, now); });
 }
 
+/// Opens the next connection that leads to the chosen runner. Returns false if
+/// there is none.
 bool
-ForwardRun::connect(bool& reused)
+ForwardRun::connect()
 {
-    m_connected_at = monotonic_now();
+    m_link = m_connector.next(time_left());
     m_silent_at.reset();
-    // Idle connections die together: a retry opens a new one, as it has no
-    // time to find out that it got another dead one.
-    if (m_runs == 0)
-        m_connection =
-            m_state.connections.take(m_choice.pick().address, m_connected_at);
-    reused = m_connection != nullptr;
-    if (reused) {
-        m_silent_at = m_connected_at + time_left() / silence_divisor;
-        return true;
-    }
-    try {
-        m_connection = std::make_unique<CallConnection>(
-            m_choice.pick().address, std::min(connect_time, time_left()));
-        return true;
-    } catch (const Poco::Exception& failure) {
-        note_connection_failure(failure);
-        LogLine("not_connected")
-            .field("request", m_call.id)
-            .field("runner", m_choice.pick().id)
-            .field("error", failure.displayText());
-        return false;
-    }
+    m_path_check_at.reset();
+    if (m_link.reused)
+        m_silent_at = m_link.opened_at + time_left() / silence_divisor;
+    if (!m_link.relay)
+        m_path_check_at = m_link.opened_at + path_check_time;
+    return m_link.connection != nullptr;
+}
+
+/// Returns the address that the call is sent to.
+const std::string&
+ForwardRun::link_address() const
+{
+    return m_link.relay ? m_link.relay->address : m_choice.pick().address;
+}
+
+/// Returns the call as the runner gets it, with what another instance needs to
+/// pass it on.
+OutgoingCall
+ForwardRun::encode_call() const
+{
+    OutgoingCall call = m_state.ports.wire.encode_call(m_call, *m_options);
+    if (!m_link.relay)
+        return call;
+    const auto millis = m_options->time_left / std::chrono::milliseconds(1);
+    const std::array relay_headers{
+        HeaderField{relay_wire::runner, m_choice.pick().id},
+        HeaderField{relay_wire::time_ms, std::to_string(millis)}};
+    call.headers.insert(call.headers.begin(), relay_headers.begin(),
+                        relay_headers.end());
+    return call;
 }
 
 SendOptions
-ForwardRun::send_options()
+ForwardRun::make_options()
 {
     SendOptions options;
     options.runner = m_choice.pick().id;
@@ -328,13 +375,17 @@
             break;
         case Outcome::NotSent:
         case Outcome::Broken:
-            table.failed(runner, now);
+            if (m_path_failed)
+                table.refused(runner, now, refusal_hold);
+            else
+                table.failed(runner, now);
             break;
         case Outcome::CallerGone:
         case Outcome::TimedOut:
         case Outcome::Outdated:
         case Outcome::Silent:
         case Outcome::Failed:
+        case Outcome::NotRelayed:
             break;
         }
     });
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -10,6 +10,7 @@
 #include "forward_state.h"
 #include "kept_locator.h"
 #include "runner_choice.h"
+#include "runner_connector.h"
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/event_tracker.h>
@@ -19,14 +20,14 @@
 
 #include <cstdint>
 #include <exception>
-#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace crosslink
 {
 
-class CallConnection;
+struct RawHead;
 
 /// Sends one call to a runner, retries it at other runners as far as the route
 /// allows, and relays the answer to the caller.
@@ -58,6 +59,12 @@
     /// Returns how long the last runner was expected to take before it starts
     /// on the call.
     Micros expected_wait() const { return m_choice.pick().wait; }
+    /// Returns the name of the instance that the call was sent through last;
+    /// empty if it was sent to the runner directly.
+    std::string relay() const
+    {
+        return m_link.relay ? m_link.relay->name : std::string();
+    }
     /// See CallPrompt::summary().
     std::string kept_summary() const { return m_prompt.summary(); }
 
@@ -82,6 +89,8 @@
         /// The runner answered that it ran the call and failed. A retry was
         /// granted.
         Failed,
+        /// The instance that was to pass the call on did not send it.
+        NotRelayed,
     };
 
     /// An answer in which a runner reports that the call failed there.
@@ -97,24 +106,30 @@
     Micros retry_time() const;
     Micros retry_time_after_refusals();
     Outcome attempt(CallerLink& link);
+    Outcome send_once(CallerLink& link);
     void note_sent();
     void note_ended(Outcome outcome);
-    void check_runner(Outcome outcome, bool silent);
+    void note_unreachable();
+    void note_broken(bool silent);
     bool may_send_again(Outcome outcome);
     bool take_retry();
     void record_outcome(Outcome outcome);
-    SendOptions send_options();
-    bool connect(bool& reused);
-    bool note_connection_failure(const std::exception& failure);
-    Outcome exchange(CallerLink& link, const SendOptions& options);
-    Outcome send_and_relay(CallerLink& link, const SendOptions& options);
+    SendOptions make_options();
+    bool connect();
+    OutgoingCall encode_call() const;
+    const std::string& link_address() const;
+    void note_connection_failure(bool silent);
+    Outcome exchange(CallerLink& link);
+    Outcome send_and_relay(CallerLink& link);
     std::optional<Outcome> await_answer();
+    void check_path();
     bool may_be_withdrawn() const;
     Micros time_to_next_check() const;
     Micros time_to_weights_check() const;
     bool retries_silent();
-    std::optional<AnswerHead> next_head();
+    std::optional<AnswerHead> next_head(const RawHead& raw);
     Outcome take_answer(CallerLink& link, const AnswerHead& head);
+    Outcome take_relay_failure(std::string_view name);
     Outcome relay_pieces(CallerLink& link, const AnswerHead& head,
                          std::string piece);
     bool retries_failed();
@@ -142,9 +157,16 @@
     RunnerChoice m_choice;
     CrashWatch m_crashes;
     AnswerIntake m_intake;
-    std::unique_ptr<CallConnection> m_connection;
-    TimePoint m_sent_at{};      ///< Time of the last send.
-    TimePoint m_connected_at{}; ///< When m_connection was reused or opened.
+    RunnerConnector m_connector;
+    RunnerLink m_link; ///< Of the last send; without connection after its end.
+    /// Of the current runner; nothing before the first send to it.
+    std::optional<SendOptions> m_options;
+    TimePoint m_sent_at{}; ///< Time of the last send.
+    /// When the runner's silence leads to a look at this instance's path;
+    /// nothing once it has answered.
+    std::optional<TimePoint> m_path_check_at;
+    /// The last send failed, or was not made, because of this instance's path.
+    bool m_path_failed = false;
     /// When a reused connection counts as silent; nothing once it has answered.
     std::optional<TimePoint> m_silent_at;
     NextAvailability m_next_available; ///< As of the last search for a runner.
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -319,6 +319,12 @@
     counter("parts_saved_total", parts_saved);
     counter("parts_read_total", parts_read);
     counter("polls_refused_total", polls_refused);
+    counter("paths_cut_total", paths_cut);
+    counter("calls_relayed_total", calls_relayed);
+    counter("relays_served_total", relays_served);
+    counter("relays_refused_total", relays_refused);
+    out << "# TYPE crosslink_relays_open gauge\ncrosslink_relays_open "
+        << relays_open.load() << '\n';
     out << "# TYPE crosslink_runners_limited gauge\ncrosslink_runners_limited "
         << runners_limited.load() << '\n';
     out << first_event.text("crosslink_first_event_seconds",
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -18,7 +18,9 @@
 #include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/fair_share_tracker.h>
+#include <crosslink/forward/relay_selector.h>
 #include <crosslink/forward/retry_window.h>
+#include <crosslink/forward/runner_paths.h>
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/forward/service_map.h>
 #include <crosslink/forward/unresolved_failures.h>
@@ -112,6 +114,11 @@
     Counter parts_saved{0};     ///< Prompt parts read and saved to a store.
     Counter parts_read{0};      ///< Prompt parts read and not saved.
     Counter polls_refused{0};   ///< Polls of too many other instances.
+    Counter paths_cut{0};       ///< Runners that only other instances reach.
+    Counter calls_relayed{0};   ///< Sent to runners by other instances.
+    Counter relays_served{0};   ///< Calls sent to runners for others.
+    Counter relays_refused{0};  ///< Calls not sent on for others.
+    Counter relays_open{0};     ///< Gauge: calls in progress for others.
     Counter runners_limited{0}; ///< Gauge: runners with a limit in force.
     TimeSummary first_event;
     TimeSummary whole_answer;
@@ -142,7 +149,13 @@
     Guarded<FetchDelayTracker> fetches;
     Guarded<KeptReplica> kept;
     Guarded<DutyLease> coordinator_lease;
-    CallConnections connections;
+    /// Which runners this instance reaches by itself.
+    Guarded<RunnerPaths> paths;
+    /// Wakes the thread that probes paths, if it runs.
+    DutyWaker path_changed;
+    Guarded<RelaySelector> relays;
+    CallConnections connections;       ///< To runners.
+    CallConnections relay_connections; ///< To instances that pass calls on.
     BodyBudget bodies; ///< Of requests and answers held in memory.
     /// Timeouts for the connections of callers, from the map in force.
     const std::shared_ptr<ConnectionTimes> caller_times =
@@ -188,6 +201,18 @@
     /// it if that was not known. `source` is who saw it, for the log.
     void note_connection_failed(std::string_view runner, TimePoint at,
                                 const char* source);
+    /// Records that another instance reaches `runner`, which this one does not
+    /// reach, and logs it if that is new.
+    void note_path_cut(const std::string& runner);
+    /// Records that a new connection to `runner` was made.
+    void note_runner_connected(const std::string& runner);
+    /// Returns an instance to pass a call on; nothing if there is none.
+    std::optional<InstanceInfo> choose_relay();
+    /// Records that the instance at `address` could not pass a call on.
+    void relay_failed(std::string_view address);
+    /// Returns a random listed runner other than `except` that does not leave;
+    /// nothing if there is none.
+    std::optional<ListedRunner> draw_runner(std::string_view except);
     /// Logs and counts the requests that were blocked since the last call.
     void log_newly_blocked();
     /// Records that a runner's process exited; `evidence` is how this was
--- /dev/null
+++ b/src/serve/forward/forward_state_paths.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+// The part of ForwardState that records which runners this instance reaches by
+// itself, and which only through others.
+
+#include "forward_state.h"
+
+#include <adapters/clock.h>
+#include <adapters/random.h>
+#include <serve/log_line.h>
+
+#include <iterator>
+
+namespace crosslink
+{
+
+void
+ForwardState::note_path_cut(const std::string& runner)
+{
+    const auto [is_new, all] = paths.with([&](RunnerPaths& known) {
+        const bool added = known.cut(runner, monotonic_now());
+        return std::pair(added, known.all_cut());
+    });
+    if (!is_new)
+        return;
+    ++counters.paths_cut;
+    path_changed.wake();
+    LogLine("path_cut").field("runner", runner).field("all", all);
+}
+
+void
+ForwardState::note_runner_connected(const std::string& runner)
+{
+    const bool was_cut = paths.with([&](RunnerPaths& known) {
+        return known.connected(runner, monotonic_now());
+    });
+    if (was_cut)
+        LogLine("path_regained").field("runner", runner);
+}
+
+std::optional<InstanceInfo>
+ForwardState::choose_relay()
+{
+    const TimePoint now = monotonic_now();
+    const std::uint64_t random = random_bits();
+    const InstanceInfo own = settings.instance_info();
+    return fleet.with([&](const FleetView& view) {
+        return relays.with([&](const RelaySelector& selector) {
+            return selector.choose(view.instances, own, now, random);
+        });
+    });
+}
+
+void
+ForwardState::relay_failed(std::string_view address)
+{
+    relays.with([&](RelaySelector& selector) {
+        selector.failed(address, monotonic_now());
+    });
+}
+
+std::optional<ListedRunner>
+ForwardState::draw_runner(std::string_view except)
+{
+    return runners.with([&](const RunnerTable& table) {
+        const auto& entries = table.entries();
+        std::optional<ListedRunner> drawn;
+        if (entries.empty())
+            return drawn;
+        const auto start =
+            static_cast<std::ptrdiff_t>(random_bits() % entries.size());
+        auto next = std::next(entries.begin(), start);
+        for (std::size_t seen = 0; seen < entries.size() && !drawn; ++seen) {
+            if (next->first != except && !next->second.leaves())
+                drawn = next->second.listed;
+            if (++next == entries.end())
+                next = entries.begin();
+        }
+        return drawn;
+    });
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/path_probe.cpp
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "path_probe.h"
+
+#include "forward_state.h"
+#include "runner_look.h"
+
+#include <adapters/call_connection.h>
+#include <adapters/clock.h>
+
+#include <algorithm>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Time between two rounds where no probe is due; a new failure wakes the duty.
+constexpr Micros idle_pause = std::chrono::seconds(60);
+constexpr Micros min_pause = std::chrono::milliseconds(2);
+
+} // namespace
+
+PathProbe::PathProbe(ForwardState& state)
+    : m_state(state),
+      m_duty(
+          "path_probe", [this] { return run_round(); }, Duty::Begin::OnWake)
+{
+    m_state.path_changed.set_duty(&m_duty);
+}
+
+PathProbe::~PathProbe()
+{
+    m_state.path_changed.set_duty(nullptr);
+}
+
+Micros
+PathProbe::run_round()
+{
+    const TimePoint now = monotonic_now();
+    const auto runner = m_state.paths.with(
+        [now](RunnerPaths& paths) { return paths.take_probe(now); });
+    if (runner) {
+        const bool is_suspect = m_state.paths.with([&](RunnerPaths& paths) {
+            return !runner->empty() && !paths.path_to(*runner).relayed;
+        });
+        if (!probe(*runner, is_suspect))
+            m_state.paths.with([](RunnerPaths& paths) {
+                paths.probe_failed(monotonic_now());
+            });
+    }
+    const auto next = m_state.paths.with(
+        [](const RunnerPaths& paths) { return paths.next_probe(); });
+    if (!next)
+        return idle_pause;
+    return std::clamp(
+        std::chrono::duration_cast<Micros>(*next - monotonic_now()), min_pause,
+        idle_pause);
+}
+
+/// Returns whether a runner was reached. An empty name stands for any runner.
+bool
+PathProbe::probe(const std::string& runner, bool is_suspect)
+{
+    if (runner.empty())
+        return reaches_others(m_state, {});
+    const std::string address =
+        m_state.runners.with([&runner](const RunnerTable& table) {
+            const RunnerEntry* entry = table.entry(runner);
+            return entry ? entry->listed.address : std::string();
+        });
+    if (address.empty()) {
+        m_state.paths.with(
+            [&runner](RunnerPaths& paths) { paths.forget(runner); });
+        return true;
+    }
+    if (is_suspect) {
+        const RunnerLook look = look_at_runner(m_state, runner, address);
+        return look.fate == ProcessFate::Alive && !look.path_cut;
+    }
+    return keep_look(m_state, runner, address, look_at_port(address));
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/path_probe.h
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <serve/duty.h>
+
+#include <crosslink/base/time.h>
+
+#include <string>
+
+namespace crosslink
+{
+
+struct ForwardState;
+
+/// Finds out which runners this instance reaches again, and whether a runner
+/// from which nothing comes is out of reach, so that no caller waits for it.
+/// Four probes a second at most fail. Uses a thread of its own from the first
+/// runner on that is out of reach.
+class PathProbe
+{
+public:
+    /// `state` must outlive this object.
+    explicit PathProbe(ForwardState& state);
+    ~PathProbe();
+
+private:
+    Micros run_round();
+    bool probe(const std::string& runner, bool is_suspect);
+
+    ForwardState& m_state;
+    Duty m_duty;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/relay_handler.cpp
@@ -0,0 +1,293 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "relay_handler.h"
+
+#include "answer_intake.h"
+#include "forward_state.h"
+#include "http_caller_link.h"
+#include "runner_look.h"
+
+#include <adapters/call_connection.h>
+#include <adapters/clock.h>
+#include <adapters/http_server.h>
+#include <serve/log_line.h>
+
+#include <crosslink/base/error.h>
+#include <crosslink/base/number.h>
+#include <crosslink/forward/body_budget.h>
+#include <crosslink/forward/service_map.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// A relayed call takes a thread and two connections: about 0.1 MB.
+constexpr std::uint64_t relays_per_mb = 1;
+constexpr std::uint64_t min_relays = 64;
+constexpr std::uint64_t max_relays = 512;
+/// Shorter than the time in which the other instance would have connected
+/// itself: it has used that up already.
+constexpr Micros connect_time = std::chrono::milliseconds(250);
+/// See ForwardRun: answers to earlier calls on the connection.
+constexpr int max_surplus_answers = 3;
+constexpr int unavailable = 503;
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+
+constexpr std::array connection_headers{
+    "Connection",       "Content-Length",    "Transfer-Encoding",
+    relay_wire::runner, relay_wire::time_ms, relay_wire::failure};
+
+bool
+belongs_to_connection(const std::string& name)
+{
+    return std::any_of(connection_headers.begin(), connection_headers.end(),
+                       [&name](const char* header) {
+                           return Poco::icompare(name, header) == 0;
+                       });
+}
+
+/// Counts a call as in progress for as long as it lives.
+class OpenRelay
+{
+public:
+    explicit OpenRelay(ForwardCounters::Counter& count) : m_count(count)
+    {
+        m_number = ++m_count;
+    }
+    ~OpenRelay() { --m_count; }
+    OpenRelay(const OpenRelay&) = delete;
+    OpenRelay& operator=(const OpenRelay&) = delete;
+
+    std::uint64_t number() const { return m_number; }
+
+private:
+    ForwardCounters::Counter& m_count;
+    std::uint64_t m_number;
+};
+
+/// Waits for more of the answer. Returns false where the call is over: its
+/// caller has gone, or its time.
+bool
+wait_for_more(CallConnection& connection, TimePoint deadline)
+{
+    return connection.wait(deadline - monotonic_now()) ==
+           CallConnection::Wait::Ready;
+}
+
+} // namespace
+
+/// A call as the other instance sent it.
+struct RelayHandler::RelayedCall {
+    std::string runner;
+    TimePoint deadline{};
+    OutgoingCall outgoing;
+    std::string body;
+    ForwardedCall decoded;
+};
+
+RelayHandler::RelayHandler(ForwardState& state) : m_state(state)
+{
+}
+
+bool
+RelayHandler::is_relayed(const Poco::Net::HTTPServerRequest& request)
+{
+    return request.has(relay_wire::runner);
+}
+
+std::uint64_t
+RelayHandler::most_open() const
+{
+    return std::clamp(m_state.settings.memory_mb * relays_per_mb, min_relays,
+                      max_relays);
+}
+
+void
+RelayHandler::handle(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& answer)
+{
+    const TimePoint began = monotonic_now();
+    HttpCallerLink link(request, answer);
+    const OpenRelay open(m_state.counters.relays_open);
+    HeldBytes held(m_state.bodies);
+    RelayedCall call;
+    try {
+        call.runner = request.get(relay_wire::runner);
+        call.deadline = began + std::chrono::milliseconds(
+                                    parse_leading_integer<std::int64_t>(
+                                        request.get(relay_wire::time_ms, ""))
+                                        .value_or(0));
+        call.outgoing = {request.getMethod(), request.getURI(), {}};
+        for (const auto& [name, value] : request)
+            if (!belongs_to_connection(name))
+                call.outgoing.headers.push_back({name, value});
+        call.decoded = m_state.ports.wire.decode_call(
+            {call.outgoing.method, call.outgoing.target,
+             request.get("Host", ""), call.outgoing.headers});
+        bool fits = true;
+        const auto map = m_state.map();
+        call.body =
+            read_body(request, map ? map->limits.body_bytes : 0,
+                      [&](std::size_t bytes) { fits &= held.add(bytes); });
+        answer.erase("Date"); // The runner's own is passed on.
+        if (!fits || open.number() > most_open())
+            refuse(call, RelayFailure::Busy, link);
+        else if (m_state.stopping)
+            refuse(call, RelayFailure::NoPath, link);
+        else
+            pass_on(call, link);
+    } catch (const std::exception& failure) {
+        LogLine("call_not_relayed")
+            .field("request", call.decoded.id)
+            .field("runner", call.runner)
+            .field("error", failure.what());
+        if (link.begun())
+            link.abort();
+        else
+            refuse(call, RelayFailure::Broken, link);
+    }
+}
+
+void
+RelayHandler::refuse(const RelayedCall& call, RelayFailure failure,
+                     CallerLink& link)
+{
+    ++m_state.counters.relays_refused;
+    LogLine("relay_refused")
+        .field("request", call.decoded.id)
+        .field("runner", call.runner)
+        .field("why", relay_failure_name(failure));
+    const std::array headers{
+        HeaderField{relay_wire::failure, relay_failure_name(failure)}};
+    link.answer(unavailable, headers, "");
+}
+
+void
+RelayHandler::pass_on(const RelayedCall& call, CallerLink& link)
+{
+    const auto runner = m_state.runners.with(
+        [&call](const RunnerTable& table) -> std::optional<RunnerPick> {
+            const RunnerEntry* entry = table.entry(call.runner);
+            if (!entry)
+                return std::nullopt;
+            RunnerPick pick;
+            pick.id = entry->listed.id;
+            pick.start_ms = entry->listed.start_ms;
+            pick.address = entry->listed.address;
+            pick.limit_change = entry->notices.limit.change();
+            return pick;
+        });
+    if (!runner) {
+        refuse(call, RelayFailure::NoPath, link);
+        return;
+    }
+    auto connection = connect(*runner);
+    if (connection)
+        relay(call, *runner, std::move(connection), link);
+    else
+        refuse(call,
+               reaches_others(m_state, runner->id) ? RelayFailure::Unreachable
+                                                   : RelayFailure::NoPath,
+               link);
+}
+
+/// Returns a connection over this instance's own path; null if there is none.
+std::unique_ptr<CallConnection>
+RelayHandler::connect(const RunnerPick& runner)
+{
+    const auto path = m_state.paths.with([&runner](const RunnerPaths& paths) {
+        return paths.path_to(runner.id);
+    });
+    auto idle = m_state.connections.take(runner.address, monotonic_now(),
+                                         path.proven_since);
+    if (idle || path.relayed)
+        return idle;
+    try {
+        auto fresh =
+            std::make_unique<CallConnection>(runner.address, connect_time);
+        m_state.note_runner_connected(runner.id);
+        return fresh;
+    } catch (const Poco::Exception& failure) {
+        LogLine("not_connected")
+            .field("runner", runner.id)
+            .field("error", failure.displayText());
+        return nullptr;
+    }
+}
+
+void
+RelayHandler::relay(const RelayedCall& call, const RunnerPick& runner,
+                    std::unique_ptr<CallConnection> connection,
+                    CallerLink& link)
+{
+    ++m_state.counters.relays_served;
+    LogLine("call_relayed")
+        .field("request", call.decoded.id)
+        .field("runner", runner.id);
+    AnswerIntake intake(m_state, call.decoded);
+    connection->watch(link.socket(), call.deadline);
+    connection->send(call.outgoing, call.body);
+    std::optional<AnswerHead> head;
+    for (int i = 0; i < max_surplus_answers && !head; ++i) {
+        if (!wait_for_more(*connection, call.deadline)) {
+            link.abort();
+            return;
+        }
+        const RawHead raw = connection->receive_head();
+        head = m_state.ports.wire.decode_answer(raw.status, raw.headers);
+        if (head->call_id.empty() || head->call_id == call.decoded.id)
+            break;
+        intake.apply_surplus(*head, runner);
+        head.reset();
+        while (!connection->read_some().empty()) {
+        }
+    }
+    if (!head) {
+        refuse(call, RelayFailure::Broken, link);
+        return;
+    }
+    m_state.paths.with(
+        [](RunnerPaths& paths) { paths.heard(monotonic_now()); });
+    intake.apply(*head, runner);
+    std::erase_if(head->headers, [](const HeaderField& field) {
+        return belongs_to_connection(field.name);
+    });
+    if (head->status == no_content || head->status == not_modified) {
+        link.answer(head->status, head->headers, "");
+        return;
+    }
+    link.begin(head->status, head->headers);
+    while (!connection->ended()) {
+        if (!wait_for_more(*connection, call.deadline))
+            break;
+        const std::string bytes = connection->read_some();
+        if (bytes.empty())
+            break;
+        if (!link.send(bytes))
+            return;
+    }
+    const bool interrupted = connection->interrupted().has_value();
+    if (interrupted || !connection->whole()) {
+        link.abort();
+        return;
+    }
+    link.finish();
+    m_state.connections.put_back_told(runner.address, std::move(connection),
+                                      head->keep_alive, monotonic_now());
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/relay_handler.h
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include "relay_wire.h"
+
+#include <crosslink/ports/call_wire.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Poco::Net
+{
+class HTTPServerRequest;
+class HTTPServerResponse;
+} // namespace Poco::Net
+
+namespace crosslink
+{
+
+class CallConnection;
+class CallerLink;
+struct ForwardState;
+struct RunnerPick;
+
+/// Passes calls on to runners for instances that do not reach these. The
+/// instance that the caller is connected to has authenticated the call, chosen
+/// the runner and taken the call out of the budgets; this one sends it once,
+/// to that runner, over its own path only. Never to another instance, so that
+/// calls go in no circles.
+class RelayHandler
+{
+public:
+    explicit RelayHandler(ForwardState& state);
+
+    /// Returns whether `request` is a call to pass on.
+    static bool is_relayed(const Poco::Net::HTTPServerRequest& request);
+    /// Answers with the runner's answer, or with a RelayFailure. An answer that
+    /// breaks off at the runner breaks off here.
+    void handle(Poco::Net::HTTPServerRequest& request,
+                Poco::Net::HTTPServerResponse& answer);
+    /// Returns how many calls are passed on at a time.
+    std::uint64_t most_open() const;
+
+private:
+    struct RelayedCall;
+
+    void pass_on(const RelayedCall& call, CallerLink& link);
+    std::unique_ptr<CallConnection> connect(const RunnerPick& runner);
+    void relay(const RelayedCall& call, const RunnerPick& runner,
+               std::unique_ptr<CallConnection> connection, CallerLink& link);
+    void refuse(const RelayedCall& call, RelayFailure failure,
+                CallerLink& link);
+
+    ForwardState& m_state;
+};
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/relay_wire.cpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "relay_wire.h"
+
+namespace crosslink
+{
+
+const char*
+relay_failure_name(RelayFailure failure)
+{
+    switch (failure) {
+    case RelayFailure::NoPath:
+        return "no_path";
+    case RelayFailure::Busy:
+        return "busy";
+    case RelayFailure::Unreachable:
+        return "unreachable";
+    case RelayFailure::Broken:
+        break;
+    }
+    return "broken";
+}
+
+RelayFailure
+relay_failure_from(std::string_view name)
+{
+    for (const RelayFailure failure :
+         {RelayFailure::NoPath, RelayFailure::Busy, RelayFailure::Unreachable})
+        if (name == relay_failure_name(failure))
+            return failure;
+    return RelayFailure::Broken;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/relay_wire.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+namespace crosslink
+{
+
+/// The headers with which an instance has another one pass a call on to a
+/// runner. The call is otherwise sent as to the runner itself, to the port for
+/// instances, and the runner's answer comes back in chunks.
+namespace relay_wire
+{
+
+constexpr const char* runner = "Relay-Runner";   ///< Id of the runner.
+constexpr const char* time_ms = "Relay-Time-Ms"; ///< Time left, in ms.
+/// In an answer of the other instance itself: why there is none of the runner.
+constexpr const char* failure = "Relay-Failure";
+
+} // namespace relay_wire
+
+/// Why an instance that was to pass a call on has no answer of the runner.
+enum class RelayFailure {
+    NoPath,      ///< It may be out of reach of runners itself. Not sent.
+    Busy,        ///< It passes on as many calls as it can. Not sent.
+    Unreachable, ///< The runner takes no connection of it. Not sent.
+    Broken,      ///< The call was sent, and the connection broke.
+};
+
+/// Returns the value of relay_wire::failure for `failure`.
+const char* relay_failure_name(RelayFailure failure);
+/// Returns the failure with the name; Broken for an unknown one, as the call
+/// may have run.
+RelayFailure relay_failure_from(std::string_view name);
+
+} // namespace crosslink
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -132,6 +132,14 @@
         });
 }
 
+void
+RunnerChoice::reserve_again()
+{
+    m_reserved = true;
+    m_state.runners.with(
+        [this](RunnerTable& table) { table.reserve(m_pick.incarnation()); });
+}
+
 /// Releases the reservations of a call that was not sent.
 void
 RunnerChoice::release()
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -47,6 +47,8 @@
     /// Records that the call is sent to the chosen runner at `now`; see
     /// RunnerTable::sent().
     void sent(std::uint64_t tokens, std::uint64_t resident, TimePoint now);
+    /// Reserves a place for another send of the call to the chosen runner.
+    void reserve_again();
     /// See RunnerQuery::avoids_exiting.
     void avoid_exiting(bool avoids) { m_avoids_exiting = avoids; }
     /// Excludes the last runner from further choices.
--- /dev/null
+++ b/src/serve/forward/runner_look.cpp
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "runner_look.h"
+
+#include "forward_state.h"
+
+#include <adapters/call_connection.h>
+#include <adapters/clock.h>
+#include <adapters/random.h>
+#include <serve/fleet/fleet_rpc.h>
+#include <serve/log_line.h>
+
+#include <crosslink/base/error.h>
+
+#include <utility>
+
+namespace crosslink
+{
+
+namespace
+{
+
+/// Instances that are asked about a runner, one after the other.
+constexpr int max_asked = 2;
+/// Runners that are tried to find out whether the own path works.
+constexpr int max_tried = 3;
+
+/// Asks other instances whether they reach `runner`. Nothing if none can tell.
+std::optional<ProcessFate>
+ask_others(ForwardState& state, const std::string& runner)
+{
+    for (int asked = 0; asked < max_asked; ++asked) {
+        const auto peer = state.choose_relay();
+        if (!peer)
+            break;
+        try {
+            const auto fate = FleetClient(peer->address).look_at_runner(runner);
+            if (fate)
+                return fate;
+        } catch (const Error& failure) {
+            LogLine("look_not_answered")
+                .field("instance", peer->name)
+                .field("error", failure.what());
+        }
+        state.relay_failed(peer->address);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+bool
+keep_look(ForwardState& state, const std::string& runner,
+          const std::string& address, PortLook look)
+{
+    if (!look.connection)
+        return false;
+    state.note_runner_connected(runner);
+    state.connections.put_back(address, std::move(look.connection),
+                               CallConnections::idle_untold, monotonic_now());
+    return true;
+}
+
+RunnerLook
+look_at_runner(ForwardState& state, const std::string& runner,
+               const std::string& address)
+{
+    return confirm_look(state, runner, address, look_at_port(address));
+}
+
+RunnerLook
+confirm_look(ForwardState& state, const std::string& runner,
+             const std::string& address, PortLook direct)
+{
+    const TimePoint now = monotonic_now();
+    const ProcessFate fate = direct.fate;
+    if (keep_look(state, runner, address, std::move(direct)))
+        return {ProcessFate::Alive, false};
+    const bool known_down = state.paths.with(
+        [&](const RunnerPaths& paths) { return paths.is_down(runner, now); });
+    if (known_down)
+        return {fate, false};
+    const auto told = ask_others(state, runner);
+    if (told == ProcessFate::Alive) {
+        state.note_path_cut(runner);
+        return {ProcessFate::Alive, true};
+    }
+    if (told) {
+        state.paths.with(
+            [&](RunnerPaths& paths) { paths.down(runner, monotonic_now()); });
+        return {fate, false};
+    }
+    const bool is_alone = state.instance_count() == 1;
+    const bool is_sure = is_alone || reaches_others(state, runner);
+    return {is_sure ? fate : ProcessFate::Unknown, false};
+}
+
+bool
+reaches_others(ForwardState& state, const std::string& except)
+{
+    for (int tried = 0; tried < max_tried; ++tried) {
+        const auto other = state.draw_runner(except);
+        if (!other)
+            return false;
+        if (keep_look(state, other->id, other->address,
+                      look_at_port(other->address)))
+            return true;
+    }
+    return false;
+}
+
+std::optional<ProcessFate>
+look_for_peer(ForwardState& state, const std::string& runner)
+{
+    const auto address =
+        state.runners.with([&runner](const RunnerTable& table) {
+            const RunnerEntry* entry = table.entry(runner);
+            return entry ? entry->listed.address : std::string();
+        });
+    if (address.empty())
+        return std::nullopt;
+    PortLook look = look_at_port(address);
+    const ProcessFate fate = look.fate;
+    if (keep_look(state, runner, address, std::move(look)))
+        return fate;
+    return reaches_others(state, runner) ? std::optional(fate) : std::nullopt;
+}
+
+} // namespace crosslink
--- /dev/null
+++ b/src/serve/forward/runner_look.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <adapters/port_look.h>
+
+#include <optional>
+#include <string>
+
+namespace crosslink
+{
+
+struct ForwardState;
+
+/// What a look at a runner found.
+struct RunnerLook {
+    ProcessFate fate = ProcessFate::Unknown;
+    /// This instance does not reach the runner, and another one does.
+    bool path_cut = false;
+};
+
+/// Looks whether a runner takes connections: directly, and through other
+/// instances where it does not. A connection that is made is kept for the next
+/// call. Blocks for up to 0.5 s.
+RunnerLook look_at_runner(ForwardState& state, const std::string& runner,
+                          const std::string& address);
+
+/// As above, where the port was just looked at directly, with the result
+/// `direct`.
+RunnerLook confirm_look(ForwardState& state, const std::string& runner,
+                        const std::string& address, PortLook direct);
+
+/// Records that a direct look made a connection, and keeps that for the next
+/// call. Returns false, and does nothing, if `look` has none.
+bool keep_look(ForwardState& state, const std::string& runner,
+               const std::string& address, PortLook look);
+
+/// Returns whether this instance reaches some runner other than `except`, so
+/// that a failure to reach that one is not due to its own path.
+bool reaches_others(ForwardState& state, const std::string& except);
+
+/// Looks at a listed runner directly, for another instance. Nothing if this
+/// instance can't tell, because it may be out of reach of runners itself.
+std::optional<ProcessFate> look_for_peer(ForwardState& state,
+                                         const std::string& runner);
+
+} // namespace crosslink
