Leave the duty to another instance while an own path is cut

What callers saw: nothing of their own. Change: a holder for which all runners count as cut for a second stops acting, releases the lease once its margin is over, as at a planned stop, and takes no duty while they do.

--- a/src/include/crosslink/forward/runner_paths.h
+++ b/src/include/crosslink/forward/runner_paths.h
@@ -48,6 +48,8 @@
     /// Returns whether runners are presumed out of reach although no failure
     /// at each of them is known.
     bool all_cut() const { return m_all_cut_since.has_value(); }
+    /// Returns for how long they are at `now`; 0 if they are not.
+    Micros all_cut_for(TimePoint now) const;
 
     /// Records that another instance reaches `runner`, which this one does not
     /// reach. Returns whether that is new.
--- a/src/libcrosslink/forward/runner_paths.cpp
+++ b/src/libcrosslink/forward/runner_paths.cpp
@@ -20,6 +20,14 @@
     return path;
 }
 
+Micros
+RunnerPaths::all_cut_for(TimePoint now) const
+{
+    if (!m_all_cut_since)
+        return Micros{0};
+    return std::chrono::duration_cast<Micros>(now - *m_all_cut_since);
+}
+
 bool
 RunnerPaths::cut(std::string_view runner, TimePoint now)
 {
--- a/src/libcrosslink/forward/runner_paths_test.cpp
+++ b/src/libcrosslink/forward/runner_paths_test.cpp
@@ -38,10 +38,12 @@
     paths.cut("a", at(0));
     paths.cut("b", at(10));
     CHECK(paths.all_cut());
+    CHECK(paths.all_cut_for(at(30)) == std::chrono::milliseconds(20));
     CHECK(paths.path_to("c").relayed);
     CHECK(paths.path_to("c").proven_since == at(10));
     CHECK(!paths.connected("c", at(20)));
     CHECK(!paths.path_to("c").relayed);
+    CHECK(paths.all_cut_for(at(30)).count() == 0);
     CHECK(paths.path_to("a").relayed);
     CHECK(paths.path_to("b").relayed);
 }
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -34,6 +34,9 @@
 /// where the platform turns calls away for their rate.
 constexpr Micros first_take_pause = std::chrono::milliseconds(400);
 constexpr Micros longest_take_pause = std::chrono::seconds(2);
+/// A holder that reaches no runner for this time gives the duty up. It costs
+/// the next one a reading of all stores.
+constexpr Micros yield_after = std::chrono::seconds(1);
 
 } // namespace
 
@@ -50,7 +53,9 @@
 {
     const Micros span = m_state.settings.lease();
     const Micros pause = LeaseRenewal(span).pause();
-    if (m_state.stopping) {
+    if (must_yield())
+        yield();
+    if (m_state.stopping || is_release_due()) {
         release_when_due();
         return pause;
     }
@@ -72,6 +77,34 @@
     }
 }
 
+/// Returns whether another instance should have the duty: this one reaches
+/// neither runners nor stores of prompt parts, and others do.
+bool
+Coordinator::must_yield()
+{
+    if (!m_state.has_duty())
+        return false;
+    return m_state.paths.with([](const RunnerPaths& paths) {
+        return paths.all_cut_for(monotonic_now()) >= yield_after;
+    });
+}
+
+void
+Coordinator::yield()
+{
+    LogLine("duty_yielded").field("duty", duty_name);
+    resign();
+    // Taken again under the same token, the duty begins anew.
+    m_last_token = 0;
+}
+
+/// Returns whether the lease is to be released.
+bool
+Coordinator::is_release_due()
+{
+    return m_release_at.with([](const auto& at) { return at.has_value(); });
+}
+
 /// Returns whether so many instances may try for a free duty that together they
 /// exceed the platform's rate.
 bool
@@ -143,6 +176,10 @@
         return m_state.fleet.with(
             [](FleetView& view) { return view.coordinator; });
     };
+    const bool out_of_reach = m_state.paths.with(
+        [](const RunnerPaths& paths) { return paths.all_cut(); });
+    if (out_of_reach)
+        return false;
     const std::string known = holder();
     // The holder is an earlier process at this address, which is gone.
     if (known == m_state.settings.peer_address())
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -74,6 +74,9 @@
     void schedule_release();
     void release_when_due();
     bool may_take_duty();
+    bool must_yield();
+    void yield();
+    bool is_release_due();
     bool in_large_fleet();
     Micros takeover_wait(bool first);
     std::size_t takeover_rank();
