Relay: say that a call was not sent where it was not; shorter steps

What callers saw: nothing; by reading. An instance that has no configuration yet, or whose read of the relayed body failed, answered as if the call might have run, which fails calls that may run once. Change: only after the send has begun a failure counts as such; the handler is cut into steps. Cases: a caller that leaves ends its run through another instance; a killed relay runs a call once and is no refusal; a stream that breaks off behind a relay does not look complete.

--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -97,6 +97,7 @@
     OutgoingCall outgoing;
     std::string body;
     ForwardedCall decoded;
+    bool sent = false; ///< It may have reached the runner.
 };
 
 RelayHandler::RelayHandler(ForwardState& state) : m_state(state)
@@ -120,31 +121,14 @@
 RelayHandler::handle(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& answer)
 {
-    const TimePoint began = monotonic_now();
     HttpCallerLink link(request, answer);
     const OpenRelay open(m_state.counters.relays_open);
     HeldBytes held(m_state.bodies);
     RelayedCall call;
+    answer.erase("Date"); // The runner's own is passed on.
     try {
-        call.runner = request.get(relay_wire::runner);
-        call.deadline = began + std::chrono::milliseconds(
-                                    parse_leading_integer<std::int64_t>(
-                                        request.get(relay_wire::time_ms, ""))
-                                        .value_or(0));
-        call.outgoing = {request.getMethod(), request.getURI(), {}};
-        for (const auto& [name, value] : request)
-            if (!belongs_to_connection(name))
-                call.outgoing.headers.push_back({name, value});
-        call.decoded = m_state.ports.wire.decode_call(
-            {call.outgoing.method, call.outgoing.target,
-             request.get("Host", ""), call.outgoing.headers});
-        bool fits = true;
-        const auto map = m_state.map();
-        call.body =
-            read_body(request, map ? map->limits.body_bytes : 0,
-                      [&](std::size_t bytes) { fits &= held.add(bytes); });
-        answer.erase("Date"); // The runner's own is passed on.
-        if (!fits || open.number() > most_open())
+        read_head(request, call);
+        if (!read_call_body(request, call, held) || open.number() > most_open())
             refuse(call, RelayFailure::Busy, link);
         else if (m_state.stopping)
             refuse(call, RelayFailure::NoPath, link);
@@ -155,13 +139,48 @@
             .field("request", call.decoded.id)
             .field("runner", call.runner)
             .field("error", failure.what());
+        // Of a body that was not read, bytes may follow.
+        answer.setKeepAlive(false);
         if (link.begun())
             link.abort();
         else
-            refuse(call, RelayFailure::Broken, link);
+            refuse(call,
+                   call.sent ? RelayFailure::Broken : RelayFailure::NoPath,
+                   link);
     }
 }
 
+void
+RelayHandler::read_head(const Poco::Net::HTTPServerRequest& request,
+                        RelayedCall& call) const
+{
+    const auto millis = parse_leading_integer<std::int64_t>(
+        request.get(relay_wire::time_ms, ""));
+    call.runner = request.get(relay_wire::runner);
+    call.deadline =
+        monotonic_now() + std::chrono::milliseconds(millis.value_or(0));
+    call.outgoing = {request.getMethod(), request.getURI(), {}};
+    for (const auto& [name, value] : request)
+        if (!belongs_to_connection(name))
+            call.outgoing.headers.push_back({name, value});
+    call.decoded = m_state.ports.wire.decode_call(
+        {call.outgoing.method, call.outgoing.target, request.get("Host", ""),
+         call.outgoing.headers});
+}
+
+/// Returns false if the bodies of other calls leave no room for this one.
+bool
+RelayHandler::read_call_body(Poco::Net::HTTPServerRequest& request,
+                             RelayedCall& call, HeldBytes& held)
+{
+    bool fits = true;
+    const auto map = m_state.map();
+    call.body =
+        read_body(request, map ? map->limits.body_bytes : 0,
+                  [&](std::size_t bytes) { fits = held.add(bytes) && fits; });
+    return fits;
+}
+
 void
 RelayHandler::refuse(const RelayedCall& call, RelayFailure failure,
                      CallerLink& link)
@@ -177,7 +196,7 @@
 }
 
 void
-RelayHandler::pass_on(const RelayedCall& call, CallerLink& link)
+RelayHandler::pass_on(RelayedCall& call, CallerLink& link)
 {
     const auto runner = m_state.runners.with(
         [&call](const RunnerTable& table) -> std::optional<RunnerPick> {
@@ -230,7 +249,7 @@
 }
 
 void
-RelayHandler::relay(const RelayedCall& call, const RunnerPick& runner,
+RelayHandler::relay(RelayedCall& call, const RunnerPick& runner,
                     std::unique_ptr<CallConnection> connection,
                     CallerLink& link)
 {
@@ -238,50 +257,20 @@
     LogLine("call_relayed")
         .field("request", call.decoded.id)
         .field("runner", runner.id);
-    AnswerIntake intake(m_state, call.decoded);
     connection->watch(link.socket(), call.deadline);
+    call.sent = true;
     connection->send(call.outgoing, call.body);
-    std::optional<AnswerHead> head;
-    for (int i = 0; i < max_surplus_answers && !head; ++i) {
-        if (!wait_for_more(*connection, call.deadline)) {
-            link.abort();
-            return;
-        }
-        const RawHead raw = connection->receive_head();
-        head = m_state.ports.wire.decode_answer(raw.status, raw.headers);
-        if (head->call_id.empty() || head->call_id == call.decoded.id)
-            break;
-        intake.apply_surplus(*head, runner);
-        head.reset();
-        while (!connection->read_some().empty()) {
-        }
-    }
+    const auto head = receive_head(call, runner, *connection);
     if (!head) {
-        refuse(call, RelayFailure::Broken, link);
+        link.abort();
         return;
     }
-    m_state.paths.with(
-        [](RunnerPaths& paths) { paths.heard(monotonic_now()); });
-    intake.apply(*head, runner);
-    std::erase_if(head->headers, [](const HeaderField& field) {
-        return belongs_to_connection(field.name);
-    });
     if (head->status == no_content || head->status == not_modified) {
         link.answer(head->status, head->headers, "");
         return;
     }
     link.begin(head->status, head->headers);
-    while (!connection->ended()) {
-        if (!wait_for_more(*connection, call.deadline))
-            break;
-        const std::string bytes = connection->read_some();
-        if (bytes.empty())
-            break;
-        if (!link.send(bytes))
-            return;
-    }
-    const bool interrupted = connection->interrupted().has_value();
-    if (interrupted || !connection->whole()) {
+    if (!pass_body(call, *connection, link)) {
         link.abort();
         return;
     }
@@ -290,4 +279,51 @@
                                       head->keep_alive, monotonic_now());
 }
 
+/// Returns the head of the runner's answer to the call, and takes in what it
+/// says of the runner. Nothing if the call is over before it comes.
+std::optional<AnswerHead>
+RelayHandler::receive_head(const RelayedCall& call, const RunnerPick& runner,
+                           CallConnection& connection)
+{
+    AnswerIntake intake(m_state, call.decoded);
+    for (int i = 0; i < max_surplus_answers; ++i) {
+        if (!wait_for_more(connection, call.deadline))
+            return std::nullopt;
+        const RawHead raw = connection.receive_head();
+        AnswerHead head =
+            m_state.ports.wire.decode_answer(raw.status, raw.headers);
+        if (head.call_id.empty() || head.call_id == call.decoded.id) {
+            m_state.paths.with(
+                [](RunnerPaths& paths) { paths.heard(monotonic_now()); });
+            intake.apply(head, runner);
+            std::erase_if(head.headers, [](const HeaderField& field) {
+                return belongs_to_connection(field.name);
+            });
+            return head;
+        }
+        intake.apply_surplus(head, runner);
+        while (!connection.read_some().empty()) {
+        }
+    }
+    throw Error(ErrorCode::UpstreamFailed, "no answer to this call",
+                RunState::MayHaveRun);
+}
+
+/// Returns whether the whole body was passed on.
+bool
+RelayHandler::pass_body(const RelayedCall& call, CallConnection& connection,
+                        CallerLink& link)
+{
+    while (!connection.ended()) {
+        if (!wait_for_more(connection, call.deadline))
+            return false;
+        const std::string bytes = connection.read_some();
+        if (bytes.empty())
+            break;
+        if (!link.send(bytes))
+            return false;
+    }
+    return !connection.interrupted() && connection.whole();
+}
+
 } // namespace crosslink
--- a/src/serve/forward/relay_handler.h
+++ b/src/serve/forward/relay_handler.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Poco::Net
@@ -22,6 +23,7 @@
 
 class CallConnection;
 class CallerLink;
+class HeldBytes;
 struct ForwardState;
 struct RunnerPick;
 
@@ -47,10 +49,19 @@
 private:
     struct RelayedCall;
 
-    void pass_on(const RelayedCall& call, CallerLink& link);
+    void pass_on(RelayedCall& call, CallerLink& link);
     std::unique_ptr<CallConnection> connect(const RunnerPick& runner);
-    void relay(const RelayedCall& call, const RunnerPick& runner,
+    void relay(RelayedCall& call, const RunnerPick& runner,
                std::unique_ptr<CallConnection> connection, CallerLink& link);
+    void read_head(const Poco::Net::HTTPServerRequest& request,
+                   RelayedCall& call) const;
+    bool read_call_body(Poco::Net::HTTPServerRequest& request,
+                        RelayedCall& call, HeldBytes& held);
+    std::optional<AnswerHead> receive_head(const RelayedCall& call,
+                                           const RunnerPick& runner,
+                                           CallConnection& connection);
+    bool pass_body(const RelayedCall& call, CallConnection& connection,
+                   CallerLink& link);
     void refuse(const RelayedCall& call, RelayFailure failure,
                 CallerLink& link);
 
