A relay that is cut off from one runner does not say that the runner is down

Change: an instance that knows of any runner that it alone does not reach says "runner_cut", and is asked for other runners only; the next one is tried.

--- a/src/include/crosslink/forward/relay_selector.h
+++ b/src/include/crosslink/forward/relay_selector.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace crosslink
 {
@@ -27,18 +28,27 @@
     /// An instance that could not help is not asked again for this time.
     static constexpr Micros retry_pause = std::chrono::milliseconds(500);
 
-    /// Returns one of `instances` other than `own`; nothing if none is left.
+    /// Returns one of `instances` other than `own` for a call to `runner`;
+    /// nothing if none is left.
     std::optional<InstanceInfo> choose(const Instances& instances,
-                                       const InstanceInfo& own, TimePoint now,
+                                       const InstanceInfo& own,
+                                       std::string_view runner, TimePoint now,
                                        std::uint64_t random) const;
     /// Records that the instance at `address` could not help.
     void failed(std::string_view address, TimePoint now);
+    /// Records that it could not help with calls to `runner`.
+    void failed(std::string_view address, std::string_view runner,
+                TimePoint now);
 
 private:
-    bool is_paused(std::string_view address, TimePoint now) const;
+    /// The address of an instance, and a runner; empty for all runners.
+    using Key = std::pair<std::string, std::string>;
 
-    /// Until when instances are not asked, by address.
-    std::map<std::string, TimePoint, std::less<>> m_paused_until;
+    bool is_paused(std::string_view address, std::string_view runner,
+                   TimePoint now) const;
+
+    /// Until when instances are not asked.
+    std::map<Key, TimePoint> m_paused_until;
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/forward/runner_paths.h
+++ b/src/include/crosslink/forward/runner_paths.h
@@ -48,6 +48,9 @@
     /// Returns whether runners are presumed out of reach although no failure
     /// at each of them is known.
     bool all_cut() const { return m_all_cut_since.has_value(); }
+    /// Returns whether some runner is known to be out of reach of this instance
+    /// alone: its failure to reach another one then says little about that one.
+    bool any_cut() const { return !m_cut.empty(); }
     /// Returns for how long they are at `now`; 0 if they are not.
     Micros all_cut_for(TimePoint now) const;
 
--- a/src/libcrosslink/forward/relay_selector_test.cpp
+++ b/src/libcrosslink/forward/relay_selector_test.cpp
@@ -27,11 +27,12 @@
 const InstanceInfo own{"own", "1:1", "a"};
 
 std::set<std::string>
-chosen(const RelaySelector& selector, TimePoint now)
+chosen(const RelaySelector& selector, TimePoint now,
+       std::string_view runner = "r")
 {
     std::set<std::string> names;
     for (std::uint64_t random = 0; random < 8; ++random)
-        if (const auto one = selector.choose(fleet(), own, now, random))
+        if (const auto one = selector.choose(fleet(), own, runner, now, random))
             names.insert(one->name);
     return names;
 }
@@ -56,4 +57,15 @@
           std::set<std::string>{"near", "also near"});
 }
 
+TEST_CASE("an instance that is cut off from one runner relays to others")
+{
+    RelaySelector selector;
+    selector.failed("2:1", "r", start);
+    CHECK(chosen(selector, start) == std::set<std::string>{"also near"});
+    CHECK(chosen(selector, start, "s") ==
+          std::set<std::string>{"near", "also near"});
+    CHECK(chosen(selector, start + RelaySelector::retry_pause) ==
+          std::set<std::string>{"near", "also near"});
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_paths_test.cpp
+++ b/src/libcrosslink/forward/runner_paths_test.cpp
@@ -23,13 +23,16 @@
 {
     RunnerPaths paths;
     CHECK(!paths.path_to("a").relayed);
+    CHECK(!paths.any_cut());
     CHECK(paths.cut("a", at(0)));
     CHECK(!paths.cut("a", at(10)));
+    CHECK(paths.any_cut());
     CHECK(paths.path_to("a").relayed);
     CHECK(paths.path_to("a").proven_since == at(0));
     CHECK(!paths.path_to("b").relayed);
     CHECK(paths.connected("a", at(20)));
     CHECK(!paths.path_to("a").relayed);
+    CHECK(!paths.any_cut());
 }
 
 TEST_CASE("two cut runners stand for all until a connection is made")
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -206,10 +206,13 @@
     void note_path_cut(const std::string& runner);
     /// Records that a new connection to `runner` was made.
     void note_runner_connected(const std::string& runner);
-    /// Returns an instance to pass a call on; nothing if there is none.
-    std::optional<InstanceInfo> choose_relay();
+    /// Returns an instance to pass a call on to `runner`; nothing if there is
+    /// none.
+    std::optional<InstanceInfo> choose_relay(std::string_view runner);
     /// Records that the instance at `address` could not pass a call on.
     void relay_failed(std::string_view address);
+    /// Records that it could not pass a call on to `runner`.
+    void relay_failed(std::string_view address, std::string_view runner);
     /// Returns a random listed runner other than `except` that does not leave;
     /// nothing if there is none.
     std::optional<ListedRunner> draw_runner(std::string_view except);
--- a/src/serve/forward/forward_state_paths.cpp
+++ b/src/serve/forward/forward_state_paths.cpp
@@ -40,23 +40,29 @@
 }
 
 std::optional<InstanceInfo>
-ForwardState::choose_relay()
+ForwardState::choose_relay(std::string_view runner)
 {
     const TimePoint now = monotonic_now();
     const std::uint64_t random = random_bits();
     const InstanceInfo own = settings.instance_info();
     return fleet.with([&](const FleetView& view) {
         return relays.with([&](const RelaySelector& selector) {
-            return selector.choose(view.instances, own, now, random);
+            return selector.choose(view.instances, own, runner, now, random);
         });
     });
 }
 
 void
 ForwardState::relay_failed(std::string_view address)
+{
+    relay_failed(address, {});
+}
+
+void
+ForwardState::relay_failed(std::string_view address, std::string_view runner)
 {
     relays.with([&](RelaySelector& selector) {
-        selector.failed(address, monotonic_now());
+        selector.failed(address, runner, monotonic_now());
     });
 }
 
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -218,10 +218,7 @@
     if (connection)
         relay(call, *runner, std::move(connection), link);
     else
-        refuse(call,
-               reaches_others(m_state, runner->id) ? RelayFailure::Unreachable
-                                                   : RelayFailure::NoPath,
-               link);
+        refuse(call, why_unreachable(m_state, runner->id), link);
 }
 
 /// Returns a connection over this instance's own path; null if there is none.
--- a/src/serve/forward/relay_wire.h
+++ b/src/serve/forward/relay_wire.h
@@ -24,8 +24,11 @@
 
 /// Why an instance that was to pass a call on has no answer of the runner.
 enum class RelayFailure {
-    NoPath,      ///< It may be out of reach of runners itself. Not sent.
-    Busy,        ///< It passes on as many calls as it can. Not sent.
+    NoPath, ///< It may be out of reach of runners itself. Not sent.
+    Busy,   ///< It passes on as many calls as it can. Not sent.
+    /// The runner takes no connection of it, and it can't tell whether that is
+    /// the runner's fault. It may reach others. Not sent.
+    RunnerCut,
     Unreachable, ///< The runner takes no connection of it. Not sent.
     Broken,      ///< The call was sent, and the connection broke.
 };
--- a/src/serve/forward/runner_connector.cpp
+++ b/src/serve/forward/runner_connector.cpp
@@ -103,7 +103,7 @@
 RunnerConnector::open_relay(Micros time_left)
 {
     RunnerLink link;
-    link.relay = m_state.choose_relay();
+    link.relay = m_state.choose_relay(m_runner->id);
     if (!link.relay)
         return link;
     link.opened_at = monotonic_now();
@@ -140,6 +140,8 @@
         m_state.paths.with([this](RunnerPaths& paths) {
             paths.down(m_runner->id, monotonic_now());
         });
+    } else if (failure == RelayFailure::RunnerCut) {
+        m_state.relay_failed(link.relay->address, m_runner->id);
     } else {
         m_state.relay_failed(link.relay->address);
     }
--- a/src/serve/forward/runner_look.cpp
+++ b/src/serve/forward/runner_look.cpp
@@ -31,7 +31,7 @@
 ask_others(ForwardState& state, const std::string& runner)
 {
     for (int asked = 0; asked < max_asked; ++asked) {
-        const auto peer = state.choose_relay();
+        const auto peer = state.choose_relay(runner);
         if (!peer)
             break;
         try {
@@ -43,7 +43,7 @@
                 .field("instance", peer->name)
                 .field("error", failure.what());
         }
-        state.relay_failed(peer->address);
+        state.relay_failed(peer->address, runner);
     }
     return std::nullopt;
 }
@@ -110,6 +110,17 @@
     return false;
 }
 
+RelayFailure
+why_unreachable(ForwardState& state, const std::string& runner)
+{
+    const auto [all, any] = state.paths.with([](const RunnerPaths& paths) {
+        return std::pair(paths.all_cut(), paths.any_cut());
+    });
+    if (all || !reaches_others(state, runner))
+        return RelayFailure::NoPath;
+    return any ? RelayFailure::RunnerCut : RelayFailure::Unreachable;
+}
+
 std::optional<ProcessFate>
 look_for_peer(ForwardState& state, const std::string& runner)
 {
@@ -124,7 +135,9 @@
     const ProcessFate fate = look.fate;
     if (keep_look(state, runner, address, std::move(look)))
         return fate;
-    return reaches_others(state, runner) ? std::optional(fate) : std::nullopt;
+    const bool tells =
+        why_unreachable(state, runner) == RelayFailure::Unreachable;
+    return tells ? std::optional(fate) : std::nullopt;
 }
 
 } // namespace crosslink
--- a/src/serve/forward/runner_look.h
+++ b/src/serve/forward/runner_look.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include "relay_wire.h"
+
 #include <adapters/port_look.h>
 
 #include <optional>
@@ -40,6 +42,11 @@
 /// that a failure to reach that one is not due to its own path.
 bool reaches_others(ForwardState& state, const std::string& except);
 
+/// Returns what this instance can tell another one of `runner`, which it failed
+/// to reach: Unreachable only if it reaches other runners, and is cut off from
+/// none.
+RelayFailure why_unreachable(ForwardState& state, const std::string& runner);
+
 /// Looks at a listed runner directly, for another instance. Nothing if this
 /// instance can't tell, because it may be out of reach of runners itself.
 std::optional<ProcessFate> look_for_peer(ForwardState& state,
