Ask for one probe of a path for each send that stays silent

What callers saw: nothing; by reading. At an instance with few calls, each call that waited long for its first event asked for a probe every 0.15 s, each of which is a new connection to its runner. Change: one probe a send; the send goes on looking whether its path is known to be cut. The eleven cases of cuts pass."

--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -120,9 +120,9 @@
     }
 }
 
-/// Asks for a probe of this instance's path if nothing has come from the runner
-/// for some time. Once the path is known to be cut, the connection counts as
-/// silent.
+/// Asks once for a probe of this instance's path if nothing has come from the
+/// runner for some time. Once the path is known to be cut, the connection
+/// counts as silent.
 void
 ForwardRun::check_path()
 {
@@ -131,18 +131,19 @@
         return;
     m_path_check_at = now + path_check_interval;
     const std::string& runner = m_choice.pick().id;
-    const auto [is_cut,
-                is_suspect] = m_state.paths.with([&](RunnerPaths& paths) {
+    const bool is_cut = m_state.paths.with([&](const RunnerPaths& paths) {
         const auto path = paths.path_to(runner);
-        return std::pair(path.relayed && path.proven_since > m_link.opened_at,
-                         paths.suspect(runner, now));
+        return path.relayed && path.proven_since > m_link.opened_at;
     });
-    if (is_suspect)
-        m_state.path_changed.wake();
-    if (!is_cut)
-        return;
-    m_path_check_at.reset();
-    m_silent_at = now;
+    if (is_cut) {
+        m_path_check_at.reset();
+        m_silent_at = now;
+    } else if (!m_suspects) {
+        m_suspects = m_state.paths.with(
+            [&](RunnerPaths& paths) { return paths.suspect(runner, now); });
+        if (m_suspects)
+            m_state.path_changed.wake();
+    }
 }
 
 /// Returns whether the call is to be withdrawn when its weights are forbidden.
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -296,6 +296,7 @@
     m_link = m_connector.next(time_left());
     m_silent_at.reset();
     m_path_check_at.reset();
+    m_suspects = false;
     if (m_link.reused)
         m_silent_at = m_link.opened_at + time_left() / silence_divisor;
     if (!m_link.relay)
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -165,6 +165,7 @@
     /// When the runner's silence leads to a look at this instance's path;
     /// nothing once it has answered.
     std::optional<TimePoint> m_path_check_at;
+    bool m_suspects = false; ///< A probe was asked for since the last send.
     /// The last send failed, or was not made, because of this instance's path.
     bool m_path_failed = false;
     /// When a reused connection counts as silent; nothing once it has answered.
