Log which runners due for new weights give no report, and by what path

Change: weights_unreached names the runner, the version that is due and whether others are known to reach it. Nothing acts on it.

--- a/src/serve/coordinator/weights_duty.cpp
+++ b/src/serve/coordinator/weights_duty.cpp
@@ -190,10 +190,26 @@
                  : OrderOutcome::Refused;
 }
 
+/// Logs that the runner of `order` gave no report, and whether others are known
+/// to reach it.
+void
+WeightsDuty::log_unreached(const WeightsOrder& order)
+{
+    const bool cut = m_state.paths.with([&order](const RunnerPaths& paths) {
+        return paths.path_to(order.runner).relayed;
+    });
+    LogLine("weights_unreached")
+        .field("runner", order.runner)
+        .field("version", order.version)
+        .field("path_cut", cut);
+}
+
 void
 WeightsDuty::give_order(const WeightsOrder& order)
 {
     const auto report = request_report(order);
+    if (!report)
+        log_unreached(order);
     const OrderOutcome outcome =
         report ? give_if_needed(*report, order) : OrderOutcome::Refused;
     LogLine("weights_order")
--- a/src/serve/coordinator/weights_duty.h
+++ b/src/serve/coordinator/weights_duty.h
@@ -49,6 +49,7 @@
     void submit_order(const WeightsOrder& order);
     void run_task(const RunnerTask& task);
     void give_order(const WeightsOrder& order);
+    void log_unreached(const WeightsOrder& order);
     std::optional<RunnerReport> request_report(const WeightsOrder& order);
     OrderOutcome give_if_needed(const RunnerReport& report,
                                 const WeightsOrder& order);
