Pass the duty on to an instance that reaches the runners which are due

What callers saw: runners behind a cut way of the holder kept replaced weights as long as it held the duty; past the bound they got no calls, and two of fifteen had old weights 30 s after the naming. Cause: what the holder does not reach was taken for what can't be ordered. It orders over its own paths only, and left the duty only where it reached no runner at all. Orders can't go through another instance as calls do: for the runners each machine that sends orders is a holder of its own, so that two would share a fencing token. Change: a failed report asks others for the runner, so that the holder knows its cut paths also without calls. While it misses runners that are due, or many, it asks others what they reach, and offers the duty to one that is better placed (DutyPlacement, core; PlacementDuty, threads). Why it works: orders come from one instance at a time, under a token that grows, spaced as for any other change of the holder.

--- a/src/include/crosslink/forward/runner_paths.h
+++ b/src/include/crosslink/forward/runner_paths.h
@@ -51,7 +51,14 @@
     /// Returns whether some runner is known to be out of reach of this instance
     /// alone: its failure to reach another one then says little about that one.
     bool any_cut() const { return !m_cut.empty(); }
-    /// Returns for how long they are at `now`; 0 if they are not.
+    /// Returns the runners that only other instances reach, and since when
+    /// that is known.
+    const std::map<std::string, TimePoint, std::less<>>& cut_runners() const
+    {
+        return m_cut;
+    }
+    /// Returns for how long all runners are presumed out of reach at `now`; 0
+    /// if they are not.
     Micros all_cut_for(TimePoint now) const;
 
     /// Records that another instance reaches `runner`, which this one does not
--- a/src/include/crosslink/weights/weights_plan.h
+++ b/src/include/crosslink/weights/weights_plan.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -70,6 +71,10 @@
     /// Records that a runner did not answer a request for its state. It may
     /// still carry out its order, but other runners need not wait for it.
     void report_failed(const WeightsOrder& order);
+    /// Returns the listed runners that have older weights than the newest, and
+    /// have not accepted an order to load these.
+    std::set<std::string, std::less<>>
+    outdated(const RunnerTable& runners) const;
     /// Returns the fraction, 0 to 1, of the listed runners that have the newest
     /// weights of each model.
     double updated_fraction(const RunnerTable& runners) const;
--- a/src/libcrosslink/weights/weights_plan.cpp
+++ b/src/libcrosslink/weights/weights_plan.cpp
@@ -325,6 +325,24 @@
         open->second.unanswered = true;
 }
 
+std::set<std::string, std::less<>>
+WeightsPlan::outdated(const RunnerTable& runners) const
+{
+    std::set<std::string, std::less<>> result;
+    for (const auto& [id, entry] : runners.entries()) {
+        const auto open = m_open.find(id);
+        const bool loads = open != m_open.end() && open->second.accepted;
+        if (loads || entry.leaves())
+            continue;
+        for (const auto& [model, history] : m_models) {
+            const std::uint64_t has = entry.version_of(model);
+            if (has > 0 && has < history.newest())
+                result.insert(id);
+        }
+    }
+    return result;
+}
+
 double
 WeightsPlan::updated_fraction(const RunnerTable& runners) const
 {
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -5,6 +5,7 @@
 
 #include <adapters/clock.h>
 #include <adapters/random.h>
+#include <serve/fleet/fleet_rpc.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
@@ -15,6 +16,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace crosslink
@@ -37,12 +39,19 @@
 /// A holder that reaches no runner for this time gives the duty up. It costs
 /// the next one a reading of all stores.
 constexpr Micros yield_after = std::chrono::seconds(1);
+/// A holder that gave the duty up leaves it to others for this time. Then it
+/// tries as well, as nobody else may.
+constexpr Micros yielded_time = std::chrono::seconds(3);
+/// An instance that was offered the duty tries before others for this time.
+constexpr Micros offer_time = std::chrono::seconds(2);
 
 } // namespace
 
 Coordinator::Coordinator(ForwardState& state)
     : m_state(state), m_weights(state), m_rollouts(state), m_blocks(state),
       m_kept(state, m_weights),
+      m_placement(state, m_weights,
+                  [this](const InstanceInfo& peer) { pass_on(peer); }),
       m_take_backoff(first_take_pause, longest_take_pause),
       m_lease_duty("steward_lease", [this] { return lease_round(); })
 {
@@ -78,12 +87,15 @@
 }
 
 /// Returns whether another instance should have the duty: this one reaches
-/// neither runners nor stores of prompt parts, and others do.
+/// neither runners nor stores of prompt parts, and others do, or one was found
+/// that reaches runners which this one misses.
 bool
 Coordinator::must_yield()
 {
     if (!m_state.has_duty())
         return false;
+    if (m_successor.with([](const auto& next) { return next.has_value(); }))
+        return true;
     return m_state.paths.with([](const RunnerPaths& paths) {
         return paths.all_cut_for(monotonic_now()) >= yield_after;
     });
@@ -92,12 +104,49 @@
 void
 Coordinator::yield()
 {
-    LogLine("duty_yielded").field("duty", duty_name);
+    const std::string successor = m_successor.with(
+        [](const auto& next) { return next ? next->name : std::string(); });
+    LogLine("duty_yielded").field("duty", duty_name).field("to", successor);
     resign();
+    m_yielded_until = monotonic_now() + yielded_time;
     // Taken again under the same token, the duty begins anew.
     m_last_token = 0;
 }
 
+/// Leaves the duty to `successor`.
+void
+Coordinator::pass_on(const InstanceInfo& successor)
+{
+    m_successor.with([&successor](auto& next) { next = successor; });
+    m_lease_duty.wake();
+}
+
+/// Tells the instance that is to have the duty next, if any, that it is free.
+/// Another one may take it where that is not heard.
+void
+Coordinator::offer_to_successor()
+{
+    const auto successor = m_successor.with(
+        [](auto& next) { return std::exchange(next, std::nullopt); });
+    if (!successor)
+        return;
+    try {
+        FleetClient(successor->address).offer_duty();
+    } catch (const Error& failure) {
+        LogLine("duty_not_offered")
+            .field("instance", successor->name)
+            .field("error", failure.what());
+    }
+}
+
+void
+Coordinator::offer_duty()
+{
+    m_offered_until.with(
+        [](TimePoint& until) { until = monotonic_now() + offer_time; });
+    m_lease_duty.wake();
+}
+
 /// Returns whether the lease is to be released.
 bool
 Coordinator::is_release_due()
@@ -178,8 +227,13 @@
     };
     const bool out_of_reach = m_state.paths.with(
         [](const RunnerPaths& paths) { return paths.all_cut(); });
-    if (out_of_reach)
+    const TimePoint now = monotonic_now();
+    if (out_of_reach || now < m_yielded_until)
         return false;
+    const bool offered = m_offered_until.with(
+        [now](const TimePoint& until) { return now < until; });
+    if (offered)
+        return true;
     const std::string known = holder();
     // The holder is an earlier process at this address, which is gone.
     if (known == m_state.settings.peer_address())
@@ -232,12 +286,14 @@
 Coordinator::begin_duty()
 {
     LogLine("duty_taken").field("duty", duty_name).field("token", m_last_token);
+    m_successor.with([](auto& next) { next.reset(); });
     m_weights.begin();
     m_kept.begin(m_last_token);
     m_weights.start();
     m_rollouts.start();
     m_blocks.start();
     m_kept.start();
+    m_placement.start();
     m_threads_run = true;
 }
 
@@ -249,6 +305,7 @@
 {
     if (!m_threads_run || m_state.may_answer_kept(monotonic_now()))
         return;
+    m_placement.stop();
     m_weights.stop();
     m_rollouts.stop();
     m_blocks.stop();
@@ -394,6 +451,7 @@
     } catch (const Error& failure) {
         LogLine("duty_not_released").field("error", failure.what());
     }
+    offer_to_successor();
 }
 
 } // namespace crosslink
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -5,6 +5,7 @@
 
 #include "block_duty.h"
 #include "kept_duties.h"
+#include "placement_duty.h"
 #include "rollout_duty.h"
 #include "weights_duty.h"
 
@@ -63,6 +64,9 @@
     /// Checks the lease of the duty at once: the platform's store came back
     /// from a copy.
     void store_restored() { m_lease_duty.wake(); }
+    /// Lets this instance take the duty before others: its holder leaves the
+    /// duty to it.
+    void offer_duty();
     /// Stops acting under the duty at once, and releases its lease a moment
     /// later. For a planned stop.
     void resign();
@@ -76,6 +80,8 @@
     bool may_take_duty();
     bool must_yield();
     void yield();
+    void pass_on(const InstanceInfo& successor);
+    void offer_to_successor();
     bool is_release_due();
     bool in_large_fleet();
     Micros takeover_wait(bool first);
@@ -90,6 +96,12 @@
     bool m_threads_run = false; ///< Those of the work under the duty.
     /// When the lease is released, once a planned stop has begun.
     Guarded<std::optional<TimePoint>> m_release_at;
+    /// The instance that is to have the duty next, if this one passes it on.
+    Guarded<std::optional<InstanceInfo>> m_successor;
+    /// Until when the duty is left to others.
+    TimePoint m_yielded_until{};
+    /// Until when a holder that leaves the duty lets this instance take it.
+    Guarded<TimePoint> m_offered_until;
     std::map<std::string, std::uint64_t> m_seen_weights;
     std::uint64_t m_seen_map = 0; ///< Version of the configuration.
     Guarded<LoadAggregator> m_loads;
@@ -97,6 +109,7 @@
     RolloutDuty m_rollouts;
     BlockDuty m_blocks;
     KeptDuties m_kept;
+    PlacementDuty m_placement;
     Backoff m_take_backoff; ///< Of attempts to take the duty.
     Duty m_lease_duty;
 };
--- a/src/serve/coordinator/weights_duty.cpp
+++ b/src/serve/coordinator/weights_duty.cpp
@@ -4,6 +4,7 @@
 #include "weights_duty.h"
 
 #include <adapters/clock.h>
+#include <serve/forward/runner_look.h>
 #include <serve/log_line.h>
 
 #include <crosslink/ports/runner_orders.h>
@@ -89,6 +90,14 @@
     return result;
 }
 
+std::set<std::string, std::less<>>
+WeightsDuty::outdated()
+{
+    const RunnerTable runners = known_runners();
+    return m_plan.with(
+        [&runners](const WeightsPlan& plan) { return plan.outdated(runners); });
+}
+
 double
 WeightsDuty::updated_fraction()
 {
@@ -106,9 +115,7 @@
         return m_state.has_duty() ? busy_pause : idle_pause;
     const auto weights =
         m_state.fleet.with([](FleetView& view) { return view.weights; });
-    RunnerTable runners =
-        m_state.runners.with([](RunnerTable& table) { return table; });
-    keep_known_services(runners);
+    const RunnerTable runners = known_runners();
     const TimePoint now = monotonic_now();
     std::vector<WeightsOrder> open;
     const auto due = m_plan.with([&](WeightsPlan& plan) {
@@ -124,6 +131,16 @@
     return due.empty() && open.empty() ? idle_pause : busy_pause;
 }
 
+/// Returns the runners of services that the configuration names.
+RunnerTable
+WeightsDuty::known_runners()
+{
+    RunnerTable runners =
+        m_state.runners.with([](RunnerTable& table) { return table; });
+    keep_known_services(runners);
+    return runners;
+}
+
 /// Drops the runners of services that the configuration does not name. Such
 /// entries come from other writers, and would count against the number of
 /// runners that may load at once in a rollout.
@@ -190,18 +207,17 @@
                  : OrderOutcome::Refused;
 }
 
-/// Logs that the runner of `order` gave no report, and whether others are known
-/// to reach it.
+/// Finds out whether other instances reach the runner of `order`, which gave no
+/// report: the duty is passed on if they do.
 void
-WeightsDuty::log_unreached(const WeightsOrder& order)
+WeightsDuty::find_path(const WeightsOrder& order)
 {
-    const bool cut = m_state.paths.with([&order](const RunnerPaths& paths) {
-        return paths.path_to(order.runner).relayed;
-    });
+    const RunnerLook look =
+        look_at_runner(m_state, order.runner, order.address);
     LogLine("weights_unreached")
         .field("runner", order.runner)
         .field("version", order.version)
-        .field("path_cut", cut);
+        .field("path_cut", look.path_cut);
 }
 
 void
@@ -209,7 +225,7 @@
 {
     const auto report = request_report(order);
     if (!report)
-        log_unreached(order);
+        find_path(order);
     const OrderOutcome outcome =
         report ? give_if_needed(*report, order) : OrderOutcome::Refused;
     LogLine("weights_order")
--- a/src/serve/coordinator/weights_duty.h
+++ b/src/serve/coordinator/weights_duty.h
@@ -14,6 +14,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,16 +41,19 @@
     std::vector<std::string> loading();
     /// Returns the weights that runners finished loading a moment ago.
     std::vector<RunnerWeights> loaded();
+    /// See WeightsPlan::outdated().
+    std::set<std::string, std::less<>> outdated();
     /// See WeightsPlan::updated_fraction().
     double updated_fraction();
 
 private:
     Micros round();
+    RunnerTable known_runners();
     void keep_known_services(RunnerTable& runners);
     void submit_order(const WeightsOrder& order);
     void run_task(const RunnerTask& task);
     void give_order(const WeightsOrder& order);
-    void log_unreached(const WeightsOrder& order);
+    void find_path(const WeightsOrder& order);
     std::optional<RunnerReport> request_report(const WeightsOrder& order);
     OrderOutcome give_if_needed(const RunnerReport& report,
                                 const WeightsOrder& order);
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -28,6 +28,8 @@
 constexpr const char* parents_method = "parents";
 constexpr const char* store_snapshot_method = "news";
 constexpr const char* look_method = "look_at_runner";
+constexpr const char* reach_method = "reach";
+constexpr const char* offer_method = "offer_duty";
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
 constexpr int server_threads = 64;
@@ -100,6 +102,18 @@
             result["fate"] = fate_name(*fate);
         return result;
     });
+    m_rpc->add(reach_method, [&state](const Json::Value& parameters) {
+        const auto reach =
+            own_reach(state, strings_from_json(parameters["runners"]));
+        Json::Value result;
+        result["reached"] = json_strings(reach.reached);
+        result["missed"] = Json::UInt64(reach.unreached);
+        return result;
+    });
+    m_rpc->add(offer_method, [&coordinator](const Json::Value&) {
+        coordinator.offer_duty();
+        return Json::Value(Json::objectValue);
+    });
     m_rpc->add(exchange_method, [&handler](const Json::Value& parameters) {
         return to_json(
             handler.exchange(exchange_request_from_json(parameters)));
@@ -229,6 +243,22 @@
         json_string(call(look_method, parameters, look_timeout), "fate"));
 }
 
+DutyPlacement::PeerReach
+FleetClient::reach(const std::vector<std::string>& runners)
+{
+    Json::Value parameters;
+    parameters["runners"] = json_strings(runners);
+    const Json::Value answer = call(reach_method, parameters, look_timeout);
+    return {strings_from_json(answer["reached"]),
+            json_uint64(answer, "missed")};
+}
+
+void
+FleetClient::offer_duty()
+{
+    call(offer_method, Json::Value(Json::objectValue), call_timeout);
+}
+
 ExchangeResponse
 FleetClient::exchange(const ExchangeRequest& request)
 {
--- a/src/serve/fleet/fleet_rpc.h
+++ b/src/serve/fleet/fleet_rpc.h
@@ -11,6 +11,7 @@
 #include <adapters/port_look.h>
 #include <serve/coordinator/coordinator.h>
 
+#include <crosslink/forward/duty_placement.h>
 #include <crosslink/membership/instance_info.h>
 
 #include <memory>
@@ -75,6 +76,11 @@
     StoreSnapshot store_snapshot();
     /// See look_for_peer().
     std::optional<ProcessFate> look_at_runner(const std::string& runner);
+    /// Returns which of `runners` the other instance reaches itself; see
+    /// DutyPlacement.
+    DutyPlacement::PeerReach reach(const std::vector<std::string>& runners);
+    /// See Coordinator::offer_duty().
+    void offer_duty();
     /// See ExchangeHandler::exchange().
     ExchangeResponse exchange(const ExchangeRequest& request);
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -213,6 +213,8 @@
     void relay_failed(std::string_view address);
     /// Records that it could not pass a call on to `runner`.
     void relay_failed(std::string_view address, std::string_view runner);
+    /// Returns the address of a listed runner; empty if it is not listed.
+    std::string runner_address(std::string_view runner);
     /// Returns a random listed runner other than `except` that does not leave;
     /// nothing if there is none.
     std::optional<ListedRunner> draw_runner(std::string_view except);
--- a/src/serve/forward/forward_state_paths.cpp
+++ b/src/serve/forward/forward_state_paths.cpp
@@ -66,6 +66,15 @@
     });
 }
 
+std::string
+ForwardState::runner_address(std::string_view runner)
+{
+    return runners.with([runner](const RunnerTable& table) {
+        const RunnerEntry* entry = table.entry(runner);
+        return entry ? entry->listed.address : std::string();
+    });
+}
+
 std::optional<ListedRunner>
 ForwardState::draw_runner(std::string_view except)
 {
--- a/src/serve/forward/path_probe.cpp
+++ b/src/serve/forward/path_probe.cpp
@@ -66,11 +66,7 @@
 {
     if (runner.empty())
         return reaches_others(m_state, {});
-    const std::string address =
-        m_state.runners.with([&runner](const RunnerTable& table) {
-            const RunnerEntry* entry = table.entry(runner);
-            return entry ? entry->listed.address : std::string();
-        });
+    const std::string address = m_state.runner_address(runner);
     if (address.empty()) {
         m_state.paths.with(
             [&runner](RunnerPaths& paths) { paths.forget(runner); });
--- a/src/serve/forward/runner_look.cpp
+++ b/src/serve/forward/runner_look.cpp
@@ -121,14 +121,26 @@
     return any ? RelayFailure::RunnerCut : RelayFailure::Unreachable;
 }
 
+DutyPlacement::PeerReach
+own_reach(ForwardState& state, std::span<const std::string> runners)
+{
+    DutyPlacement::PeerReach reach;
+    for (const std::string& runner : runners) {
+        const std::string address = state.runner_address(runner);
+        if (address.empty())
+            continue;
+        if (keep_look(state, runner, address, look_at_port(address)))
+            reach.reached.push_back(runner);
+    }
+    reach.unreached = state.paths.with(
+        [](const RunnerPaths& paths) { return paths.cut_runners().size(); });
+    return reach;
+}
+
 std::optional<ProcessFate>
 look_for_peer(ForwardState& state, const std::string& runner)
 {
-    const auto address =
-        state.runners.with([&runner](const RunnerTable& table) {
-            const RunnerEntry* entry = table.entry(runner);
-            return entry ? entry->listed.address : std::string();
-        });
+    const std::string address = state.runner_address(runner);
     if (address.empty())
         return std::nullopt;
     PortLook look = look_at_port(address);
--- a/src/serve/forward/runner_look.h
+++ b/src/serve/forward/runner_look.h
@@ -7,7 +7,10 @@
 
 #include <adapters/port_look.h>
 
+#include <crosslink/forward/duty_placement.h>
+
 #include <optional>
+#include <span>
 #include <string>
 
 namespace crosslink
@@ -47,6 +50,11 @@
 /// none.
 RelayFailure why_unreachable(ForwardState& state, const std::string& runner);
 
+/// Returns which of `runners` this instance reaches itself, for another one.
+/// Blocks for up to 0.1 s for each.
+DutyPlacement::PeerReach own_reach(ForwardState& state,
+                                   std::span<const std::string> runners);
+
 /// Looks at a listed runner directly, for another instance. Nothing if this
 /// instance can't tell, because it may be out of reach of runners itself.
 std::optional<ProcessFate> look_for_peer(ForwardState& state,
