--- a/src/include/crosslink/forward/forwarded_call.h
+++ b/src/include/crosslink/forward/forwarded_call.h
@@ -60,6 +60,9 @@
     std::optional<Generation> generation;
     /// Number of the last event that the caller received of a broken stream.
     std::string last_event;
+    /// Id of the attempt that brought the first event of that stream; empty if
+    /// it is not told.
+    std::string resumes;
 
     /// Returns the path without the query.
     std::string_view path() const
--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -31,6 +31,9 @@
     std::string service;
     std::string address; ///< "ip:port"; another process may reuse it.
     std::string zone;
+    /// Version of its software, not of its weights; empty if it is not told. A
+    /// process keeps the one that it starts with.
+    std::string software;
     std::uint32_t slots = 1; ///< Calls that it works on at once.
     bool leaving = false;    ///< It announced that it will end.
     /// Time for which it warms up and accepts few calls, counted from its
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -97,6 +97,7 @@
     Micros wait{0};            ///< Expected time until it starts on the call.
     bool limited = false;      ///< It advertises a rate limit.
     std::uint64_t limit_change = 0; ///< See AdvertisedLimit.
+    std::string software;           ///< See ListedRunner.
 
     RunnerIncarnation incarnation() const { return {id, start_ms}; }
 };
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -270,7 +270,8 @@
             entry.version_of(query.model),
             expected_wait(entry, query, fleet),
             entry.notices.limit.in_force(),
-            entry.notices.limit.change()};
+            entry.notices.limit.change(),
+            entry.listed.software};
 }
 
 /// Returns what is known of the load of all runners of the service.
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -52,6 +52,8 @@
     /// Returns the version of the weights that the last send asked for; 0 if
     /// it asked for none.
     std::uint64_t weights() const { return m_choice.pick().version; }
+    /// Returns the software version of the runner that was chosen last.
+    const std::string& software() const { return m_choice.pick().software; }
     bool caller_gone() const { return m_caller_gone; }
     /// Returns the time from the call's arrival to its first event; 0 if there
     /// was none.
