Let streams go on only at the software version that began them

Cause: the software version of runners was read nowhere. A stream went on at any runner of its service, and no instance but the one that began it could have known which version that was. Change: once a first event is passed on, a call goes to runners of that version only. An instance remembers which version each resumable stream was sent to, and, while several versions serve or did in the last 30 s, tells three others (homes), of three zones, chosen by a digest of account and attempt. A caller that takes a stream up is asked nothing but the attempt that it names; where its version serves no more, or is not known while several serve, it is refused at once, and nothing has run. An instance that starts asks others for the streams whose home it is. Why it works: the version is known before the first event leaves, at instances that don't fail together, and bounds replace knowledge only where one version served.

--- a/src/include/crosslink/base/error.h
+++ b/src/include/crosslink/base/error.h
@@ -37,6 +37,7 @@
     UpstreamTimeout,
     RequestEndsUpstreams,
     StreamBroken,
+    StreamNotResumable,
     WrongWeights,
     ClaimUnavailable,
     ClaimInProgress,
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -50,6 +50,8 @@
     /// Runners with older weights are not chosen.
     std::uint64_t least_version = 0;
     const std::set<std::string>* avoid = nullptr; ///< Runners already tried.
+    /// Software version of the runners that may serve the call; null for all.
+    const std::string* software = nullptr;
     /// Zones whose runners may serve the call; null for all.
     const std::set<std::string, std::less<>>* zones_allowed = nullptr;
     std::string_view instance; ///< Name of this one.
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -9,6 +9,7 @@
 #include <crosslink/forward/runner_entry.h>
 #include <crosslink/forward/runner_index.h>
 #include <crosslink/forward/runner_query.h>
+#include <crosslink/forward/software_history.h>
 #include <crosslink/forward/unlisted_notices.h>
 #include <crosslink/membership/settled_members.h>
 
@@ -79,6 +80,8 @@
     /// Drops the runners of all services but `services`.
     void keep_services(const std::set<std::string_view, std::less<>>& services);
 
+    /// Returns how many listed runners each software version has.
+    const SoftwareCounts& software() const { return m_software; }
     /// Returns the runner for a call, or nothing if none accepts work.
     std::optional<RunnerPick> choose(const RunnerQuery& query) const;
     /// Returns the runner for a call that waited at the runner of
@@ -195,6 +198,7 @@
     RunnerNotices* notices_of(const RunnerIncarnation& runner);
     void drop_if(const std::function<bool(const RunnerEntry&)>& condition);
     void drop(Entries::iterator entry);
+    void uncount_software(const ListedRunner& listed);
     const RunnerEntry* visit(std::string_view id) const;
     void prune_noticed(TimePoint now);
     bool may_accept_work(const RunnerEntry& entry,
@@ -229,6 +233,7 @@
     Micros holding_time(std::string_view service) const;
 
     Entries m_entries;
+    SoftwareCounts m_software;
     RunnerIndex m_index;
     mutable std::uint64_t m_visited = 0; ///< See entries_visited().
     UnlistedNotices m_unlisted;
--- a/src/libcrosslink/base/error.cpp
+++ b/src/libcrosslink/base/error.cpp
@@ -32,6 +32,7 @@
     ErrorInfo{ErrorCode::UpstreamTimeout, "upstream_timeout", 504},
     ErrorInfo{ErrorCode::RequestEndsUpstreams, "request_ends_upstreams", 502},
     ErrorInfo{ErrorCode::StreamBroken, "stream_broken", 502},
+    ErrorInfo{ErrorCode::StreamNotResumable, "stream_not_resumable", 503},
     ErrorInfo{ErrorCode::WrongWeights, "wrong_weights", 503},
     ErrorInfo{ErrorCode::ClaimUnavailable, "claim_unavailable", 503},
     ErrorInfo{ErrorCode::ClaimInProgress, "claim_in_progress", 409},
--- a/src/libcrosslink/forward/runner_availability.cpp
+++ b/src/libcrosslink/forward/runner_availability.cpp
@@ -111,6 +111,7 @@
            !(query.zones_allowed &&
              !query.zones_allowed->contains(listed.zone)) &&
            !(entry.gone_at && query.now >= *entry.gone_at) &&
+           !(query.software && listed.software != *query.software) &&
            !(query.avoid && query.avoid->contains(listed.id)) &&
            (query.model.empty() || has_weights(entry, query));
 }
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -79,9 +79,23 @@
     m_unlisted.keep(entry->second.incarnation(), entry->second.notices);
     m_ended.add(entry->second.incarnation());
     m_index.remove(entry->first);
+    uncount_software(entry->second.listed);
     m_entries.erase(entry);
 }
 
+void
+RunnerTable::uncount_software(const ListedRunner& listed)
+{
+    const auto versions = m_software.find(listed.service);
+    if (versions == m_software.end())
+        return;
+    const auto found = versions->second.find(listed.software);
+    if (found != versions->second.end() && --found->second == 0)
+        versions->second.erase(found);
+    if (versions->second.empty())
+        m_software.erase(versions);
+}
+
 /// Returns an entry by its id, counted as visited; null if it is gone.
 const RunnerEntry*
 RunnerTable::visit(std::string_view id) const
@@ -161,6 +175,9 @@
     RunnerEntry& entry = found->second;
     if (!is_new && listed.start_ms < entry.listed.start_ms)
         return false;
+    if (!is_new)
+        uncount_software(entry.listed);
+    ++m_software[listed.service][listed.software];
     const bool starts_anew = !is_new && listed.start_ms > entry.listed.start_ms;
     if (starts_anew) {
         // Recent sends also count for the new process.
--- /dev/null
+++ b/src/libcrosslink/forward/software_history_test.cpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/runner_table.h>
+#include <crosslink/forward/software_history.h>
+#include <crosslink/forward/stream_origins.h>
+
+#include <catch2/catch.hpp>
+
+using namespace crosslink;
+
+namespace
+{
+
+const TimePoint start{std::chrono::hours(1)};
+
+ListedRunner
+runner(const std::string& id, const std::string& software)
+{
+    ListedRunner listed;
+    listed.id = id;
+    listed.service = "llm";
+    listed.address = "10.0.0.1:80";
+    listed.zone = "a";
+    listed.software = software;
+    return listed;
+}
+
+RunnerQuery
+query(const std::string* software)
+{
+    RunnerQuery asked;
+    asked.service = "llm";
+    asked.now = start;
+    asked.software = software;
+    return asked;
+}
+
+} // namespace
+
+TEST_CASE("a version that is gone counts until no stream of it can go on")
+{
+    SoftwareHistory history;
+    history.observe({{"llm", {{"v1", 4}}}}, start);
+    CHECK_FALSE(history.several("llm", start));
+    history.observe({{"llm", {{"v2", 4}}}}, start);
+    CHECK(history.several("llm", start));
+    CHECK(history.any_several(start));
+    CHECK_FALSE(history.several("other", start));
+    const TimePoint end = start + StreamOrigins::lifetime;
+    history.observe({{"llm", {{"v2", 4}}}}, end);
+    CHECK_FALSE(history.several("llm", end));
+    CHECK_FALSE(history.any_several(end));
+}
+
+TEST_CASE("listed runners are counted by their software")
+{
+    RunnerTable table;
+    table.put(runner("a", "v1"), start);
+    table.put(runner("a", "v1"), start);
+    table.put(runner("b", "v2"), start);
+    CHECK(table.software() == SoftwareCounts{{"llm", {{"v1", 1}, {"v2", 1}}}});
+    // A process at the same id, of another version.
+    table.put(runner("b", "v1"), start);
+    CHECK(table.software() == SoftwareCounts{{"llm", {{"v1", 2}}}});
+    table.remove("a");
+    table.remove("b");
+    CHECK(table.software().empty());
+}
+
+TEST_CASE("a stream that has begun goes to runners of its software only")
+{
+    RunnerTable table;
+    table.put(runner("a", "v1"), start);
+    table.put(runner("b", "v2"), start);
+    const std::string second = "v2";
+    const std::string gone = "v3";
+    for (std::uint64_t random = 0; random < 20; ++random) {
+        RunnerQuery asked = query(&second);
+        asked.random = random;
+        REQUIRE(table.choose(asked));
+        CHECK(table.choose(asked)->id == "b");
+        CHECK(table.choose(asked)->software == "v2");
+    }
+    CHECK_FALSE(table.choose(query(&gone)));
+    CHECK(table.choose(query(nullptr)));
+    CHECK_FALSE(table.next_available(query(&gone)).at);
+}
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -30,6 +30,9 @@
 constexpr const char* look_method = "look_at_runner";
 constexpr const char* reach_method = "reach";
 constexpr const char* offer_method = "offer_duty";
+constexpr const char* find_stream_method = "find_stream";
+constexpr const char* tell_streams_method = "tell_streams";
+constexpr const char* streams_of_method = "streams_of";
 constexpr const char* rpc_path = "/peer";
 constexpr int success = 200;
 constexpr int server_threads = 64;
@@ -51,6 +54,29 @@
 constexpr Micros look_timeout = std::chrono::milliseconds(450);
 constexpr Micros connect_timeout = std::chrono::milliseconds(60);
 
+/// [STREAM, SERVICE, SOFTWARE, SENDS, AGE], the age in microseconds.
+Json::Value
+stream_to_json(const StreamOrigin& origin)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(origin.stream);
+    row.append(origin.service);
+    row.append(origin.software);
+    row.append(origin.sends);
+    row.append(Json::Int64(origin.age.count()));
+    return row;
+}
+
+StreamOrigin
+stream_from_json(const Json::Value& row)
+{
+    constexpr Json::ArrayIndex fields = 5;
+    if (!row.isArray() || row.size() < fields)
+        throw Error(ErrorCode::BadJson, "a stream without its origin");
+    return {row[0].asString(), row[1].asString(), row[2].asString(),
+            row[3].asUInt(), Micros(row[4].asInt64())};
+}
+
 } // namespace
 
 FleetServer::FleetServer(ForwardState& state, Coordinator& coordinator,
@@ -114,6 +140,33 @@
         coordinator.offer_duty();
         return Json::Value(Json::objectValue);
     });
+    m_rpc->add(find_stream_method, [&state](const Json::Value& parameters) {
+        const auto origin = state.origins.with([&](const StreamOrigins& known) {
+            return known.find(json_string(parameters, "stream"),
+                              monotonic_now());
+        });
+        Json::Value result;
+        result["several"] =
+            state.several_software(json_string(parameters, "service"));
+        if (origin)
+            result["origin"] = stream_to_json(*origin);
+        return result;
+    });
+    m_rpc->add(tell_streams_method, [&state](const Json::Value& parameters) {
+        const auto origins =
+            list_from_json(parameters["streams"], stream_from_json);
+        state.origins.with([&origins](StreamOrigins& known) {
+            for (const StreamOrigin& origin : origins)
+                known.merge(origin, monotonic_now());
+        });
+        return Json::Value(Json::objectValue);
+    });
+    m_rpc->add(streams_of_method, [&state](const Json::Value& parameters) {
+        Json::Value result;
+        result["streams"] = json_list(
+            state.streams_of(json_string(parameters, "name")), stream_to_json);
+        return result;
+    });
     m_rpc->add(exchange_method, [&handler](const Json::Value& parameters) {
         return to_json(
             handler.exchange(exchange_request_from_json(parameters)));
@@ -259,6 +312,39 @@
     call(offer_method, Json::Value(Json::objectValue), call_timeout);
 }
 
+StreamAnswer
+FleetClient::find_stream(const std::string& stream, const std::string& service)
+{
+    Json::Value parameters;
+    parameters["stream"] = stream;
+    parameters["service"] = service;
+    const Json::Value answer =
+        call(find_stream_method, parameters, call_timeout);
+    StreamAnswer result;
+    result.several = json_bool(answer, "several");
+    if (answer.isMember("origin"))
+        result.origin = stream_from_json(answer["origin"]);
+    return result;
+}
+
+void
+FleetClient::tell_streams(std::span<const StreamOrigin> origins)
+{
+    Json::Value parameters;
+    parameters["streams"] = json_list(origins, stream_to_json);
+    call(tell_streams_method, parameters, large_answer_timeout);
+}
+
+std::vector<StreamOrigin>
+FleetClient::streams_of(const std::string& name)
+{
+    Json::Value parameters;
+    parameters["name"] = name;
+    return list_from_json(
+        call(streams_of_method, parameters, large_answer_timeout)["streams"],
+        stream_from_json);
+}
+
 ExchangeResponse
 FleetClient::exchange(const ExchangeRequest& request)
 {
--- a/src/serve/fleet/fleet_rpc.h
+++ b/src/serve/fleet/fleet_rpc.h
@@ -12,6 +12,7 @@
 #include <serve/coordinator/coordinator.h>
 
 #include <crosslink/forward/duty_placement.h>
+#include <crosslink/forward/stream_origins.h>
 #include <crosslink/membership/instance_info.h>
 
 #include <memory>
@@ -33,6 +34,12 @@
     Micros age{0};
 };
 
+/// What an instance knows of a stream that a caller takes up.
+struct StreamAnswer {
+    std::optional<StreamOrigin> origin; ///< Nothing if it does not know it.
+    bool several = false; ///< Several versions of the service served lately.
+};
+
 /// Server for the other instances of the fleet: their JSON-RPC calls, and calls
 /// that this instance passes on to runners for them.
 class FleetServer
@@ -81,6 +88,14 @@
     DutyPlacement::PeerReach reach(const std::vector<std::string>& runners);
     /// See Coordinator::offer_duty().
     void offer_duty();
+    /// Returns what the other instance knows of `stream`, of `service`.
+    StreamAnswer find_stream(const std::string& stream,
+                             const std::string& service);
+    /// Lets the other instance remember `origins`.
+    void tell_streams(std::span<const StreamOrigin> origins);
+    /// Returns the origins that the other instance knows and whose home the
+    /// instance `name` is.
+    std::vector<StreamOrigin> streams_of(const std::string& name);
     /// See ExchangeHandler::exchange().
     ExchangeResponse exchange(const ExchangeRequest& request);
 
--- a/src/serve/forward/forward_instance.h
+++ b/src/serve/forward/forward_instance.h
@@ -14,6 +14,7 @@
 #include <serve/fleet/exchange_duty.h>
 #include <serve/fleet/feed_duty.h>
 #include <serve/fleet/fleet_rpc.h>
+#include <serve/fleet/origin_duty.h>
 #include <serve/process_end_probe.h>
 
 #include <cstdint>
@@ -51,6 +52,7 @@
     ExchangeDuty m_exchange;
     ProcessEndProbe m_end_probe;
     PathProbe m_path_probe;
+    OriginDuty m_origins;
     ForwardServer m_server;
 };
 
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -48,7 +48,8 @@
       m_prompt(state, kept, call, route.objective),
       m_choice(state, m_prompt, call, route, account),
       m_crashes(state, call, account ? account->name : std::string()),
-      m_intake(state, call), m_connector(state, call.id)
+      m_intake(state, call), m_connector(state, call.id),
+      m_resumption(state, call, route, account)
 {
 }
 
@@ -70,6 +71,8 @@
 void
 ForwardRun::run(CallerLink& link)
 {
+    if (const auto origin = m_resumption.origin())
+        m_choice.require(origin->service, origin->software);
     m_state.retries.with([this](RetryWindow& window) {
         window.called(m_choice.service(), monotonic_now());
     });
@@ -218,6 +221,7 @@
     m_prompt.note_sent(m_sent_at, m_choice.pick().wait);
     m_crashes.record_send();
     ++m_sends;
+    m_resumption.sent(m_choice.service(), m_choice.pick().software, m_sends);
     ++m_state.counters.sends;
     if (m_link.relay)
         ++m_state.counters.calls_relayed;
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -11,6 +11,7 @@
 #include "kept_locator.h"
 #include "runner_choice.h"
 #include "runner_connector.h"
+#include "stream_resumption.h"
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/event_tracker.h>
@@ -160,6 +161,7 @@
     CrashWatch m_crashes;
     AnswerIntake m_intake;
     RunnerConnector m_connector;
+    StreamResumption m_resumption;
     RunnerLink m_link; ///< Of the last send; without connection after its end.
     /// Of the current runner; nothing before the first send to it.
     std::optional<SendOptions> m_options;
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -246,11 +246,13 @@
                             ChangesKind kind,
                             std::optional<TimePoint> lapsed_until)
 {
+    note_software();
     runners.with([](RunnerTable& table) { table.expire(monotonic_now()); });
     ChangeApplier taker(*this, kind, lapsed_until);
     for (const FleetChange& change : changes)
         std::visit(taker, change);
     taker.finish();
+    note_software();
     counters.runners_limited =
         runners.with([](RunnerTable& table) { return table.limited_count(); });
     if (kind == ChangesKind::Snapshot)
@@ -323,6 +325,7 @@
     counter("calls_relayed_total", calls_relayed);
     counter("relays_served_total", relays_served);
     counter("relays_refused_total", relays_refused);
+    counter("streams_refused_total", streams_refused);
     out << "# TYPE crosslink_relays_open gauge\ncrosslink_relays_open "
         << relays_open.load() << '\n';
     out << "# TYPE crosslink_runners_limited gauge\ncrosslink_runners_limited "
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -23,6 +23,8 @@
 #include <crosslink/forward/runner_paths.h>
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/forward/service_map.h>
+#include <crosslink/forward/software_history.h>
+#include <crosslink/forward/stream_origins.h>
 #include <crosslink/forward/unresolved_failures.h>
 #include <crosslink/kept/fetch_delay_tracker.h>
 #include <crosslink/kept/kept_replica.h>
@@ -118,6 +120,7 @@
     Counter calls_relayed{0};   ///< Sent to runners by other instances.
     Counter relays_served{0};   ///< Calls sent to runners for others.
     Counter relays_refused{0};  ///< Calls not sent on for others.
+    Counter streams_refused{0}; ///< Taken up, and can't go on.
     Counter relays_open{0};     ///< Gauge: calls in progress for others.
     Counter runners_limited{0}; ///< Gauge: runners with a limit in force.
     TimeSummary first_event;
@@ -149,6 +152,12 @@
     Guarded<FetchDelayTracker> fetches;
     Guarded<KeptReplica> kept;
     Guarded<DutyLease> coordinator_lease;
+    /// Which software began the streams of the last seconds.
+    Guarded<StreamOrigins> origins;
+    /// Wakes the thread that tells other instances of them.
+    DutyWaker origin_noted;
+    /// Which software versions served lately.
+    Guarded<SoftwareHistory> software;
     /// Which runners this instance reaches by itself.
     Guarded<RunnerPaths> paths;
     /// Wakes the thread that probes paths, if it runs.
@@ -213,6 +222,19 @@
     void relay_failed(std::string_view address);
     /// Records that it could not pass a call on to `runner`.
     void relay_failed(std::string_view address, std::string_view runner);
+    /// Returns whether several software versions of `service` served within
+    /// StreamOrigins::lifetime.
+    bool several_software(std::string_view service);
+    /// Records which software versions are listed. To be called before and
+    /// after each change of the list.
+    void note_software();
+    /// Returns whether a runner of `service` with `software` is listed.
+    bool serves(std::string_view service, std::string_view software);
+    /// Returns the other instances among the homes of `stream`; see
+    /// crosslink::stream_homes().
+    std::vector<InstanceInfo> stream_homes(std::string_view stream);
+    /// Returns the known origins of streams whose home the instance `name` is.
+    std::vector<StreamOrigin> streams_of(const std::string& name);
     /// Returns the address of a listed runner; empty if it is not listed.
     std::string runner_address(std::string_view runner);
     /// Returns a random listed runner other than `except` that does not leave;
@@ -312,6 +334,7 @@
         TreePosition position;
     };
 
+    void observe_software();
     void count_ends(const std::vector<InterruptedCall>& calls,
                     const char* evidence);
     void log_limit_change(std::string_view runner, double per_second,
--- a/src/serve/forward/forward_state_runners.cpp
+++ b/src/serve/forward/forward_state_runners.cpp
@@ -10,9 +10,79 @@
 #include <adapters/random.h>
 #include <serve/log_line.h>
 
+#include <algorithm>
+
 namespace crosslink
 {
 
+bool
+ForwardState::several_software(std::string_view service)
+{
+    observe_software();
+    return software.with([service](const SoftwareHistory& history) {
+        return history.several(service, monotonic_now());
+    });
+}
+
+void
+ForwardState::note_software()
+{
+    observe_software();
+    const bool several = software.with([](const SoftwareHistory& history) {
+        return history.any_several(monotonic_now());
+    });
+    if (several)
+        origin_noted.wake();
+}
+
+void
+ForwardState::observe_software()
+{
+    const SoftwareCounts listed =
+        runners.with([](const RunnerTable& table) { return table.software(); });
+    software.with([&listed](SoftwareHistory& history) {
+        history.observe(listed, monotonic_now());
+    });
+}
+
+bool
+ForwardState::serves(std::string_view service, std::string_view version)
+{
+    return runners.with([&](const RunnerTable& table) {
+        const auto versions = table.software().find(service);
+        return versions != table.software().end() &&
+               versions->second.contains(version);
+    });
+}
+
+std::vector<StreamOrigin>
+ForwardState::streams_of(const std::string& name)
+{
+    auto known = origins.with(
+        [](const StreamOrigins& all) { return all.all(monotonic_now()); });
+    const auto instances =
+        fleet.with([](const FleetView& view) { return view.instances; });
+    std::erase_if(known, [&](const StreamOrigin& origin) {
+        const auto homes = crosslink::stream_homes(instances, origin.stream);
+        return std::none_of(
+            homes.begin(), homes.end(),
+            [&name](const InstanceInfo& home) { return home.name == name; });
+    });
+    return known;
+}
+
+std::vector<InstanceInfo>
+ForwardState::stream_homes(std::string_view stream)
+{
+    auto homes = fleet.with([&](const FleetView& view) {
+        return crosslink::stream_homes(view.instances, stream);
+    });
+    std::erase_if(homes, [this](const InstanceInfo& home) {
+        return home.name == settings.name;
+    });
+    return homes;
+}
+
 void
 ForwardState::note_runner_weights(const RunnerIncarnation& runner,
                                   std::string_view model, std::uint64_t version,
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -63,6 +63,13 @@
     }));
 }
 
+void
+RunnerChoice::require(const std::string& service, const std::string& software)
+{
+    m_service = service;
+    m_software = software;
+}
+
 /// Calls that wait for a runner with a rate limit are sent one after the other.
 /// Without a reservation each, all of them would wait for the runner's next
 /// slot, and all but one in vain.
@@ -181,6 +188,7 @@
     query.model = model;
     query.newest_version = m_newest;
     query.avoid = &m_excluded;
+    query.software = m_software ? &*m_software : nullptr;
     query.avoids_exiting = m_avoids_exiting;
     query.instance = m_state.settings.name;
     query.instances = m_state.instance_count();
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -51,6 +51,9 @@
     void reserve_again();
     /// See RunnerQuery::avoids_exiting.
     void avoid_exiting(bool avoids) { m_avoids_exiting = avoids; }
+    /// From now on chooses runners of `service` with `software` only: one began
+    /// the stream of the call.
+    void require(const std::string& service, const std::string& software);
     /// Excludes the last runner from further choices.
     void exclude_last() { m_excluded.insert(m_pick.id); }
     /// Allows all runners to be chosen again.
@@ -91,7 +94,8 @@
     CallPrompt& m_prompt;
     const ForwardedCall& m_call;
     const AccountSettings* m_account;
-    const std::string m_service;
+    std::string m_service;
+    std::optional<std::string> m_software; ///< See require().
     const std::string m_affinity; ///< Id of the prompt's last shared part.
     /// Zones whose runners may get the call; nothing for all.
     const std::optional<ZoneSet> m_zones_allowed;
--- /dev/null
+++ b/src/serve/forward/stream_resumption.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/forward/stream_origins.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace crosslink
+{
+
+struct AccountSettings;
+struct ForwardedCall;
+struct ForwardState;
+struct ServiceRoute;
+
+/// Finds out which software began a stream that a caller takes up, and
+/// remembers which one begins a stream of this call. Does nothing for calls
+/// whose stream can't be taken up.
+class StreamResumption
+{
+public:
+    /// All references must outlive this object. `account` is the account of the
+    /// call; null on open routes.
+    StreamResumption(ForwardState& state, const ForwardedCall& call,
+                     const ServiceRoute& route, const AccountSettings* account);
+
+    /// Returns the service and the software that the stream must go on at;
+    /// nothing if the choice is free. Asks other instances where this one does
+    /// not know. Throws Error(StreamNotResumable), and nothing has run, if the
+    /// stream can't go on: its software serves no more, or is not known while
+    /// several serve.
+    std::optional<StreamOrigin> origin();
+    /// Records that the call is sent for the `sends`-th time, to a runner of
+    /// `service` with `software`.
+    void sent(const std::string& service, const std::string& software,
+              std::uint32_t sends);
+
+private:
+    bool takes_up() const;
+    std::optional<StreamOrigin> find();
+    std::optional<StreamOrigin> ask_homes();
+    [[noreturn]] void refuse(const char* why) const;
+
+    ForwardState& m_state;
+    const ForwardedCall& m_call;
+    const ServiceRoute& m_route;
+    const std::string m_account;
+    bool m_several = false;    ///< Several versions served lately.
+    bool m_unanswered = false; ///< A home did not answer.
+};
+
+} // namespace crosslink
