--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -332,7 +332,7 @@
 {
     Json::Value parameters;
     parameters["streams"] = json_list(origins, stream_to_json);
-    call(tell_streams_method, parameters, large_answer_timeout);
+    call(tell_streams_method, parameters, call_timeout);
 }
 
 std::vector<StreamOrigin>
