--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -41,7 +41,7 @@
 {
     if (!takes_up())
         return std::nullopt;
-    const auto origin = find();
+    auto origin = find();
     if (!origin) {
         if (m_several)
             refuse("the software that began the stream is not known");
@@ -65,7 +65,7 @@
     if (m_call.resumes.empty())
         return std::nullopt;
     const std::string stream = stream_key(m_account, m_call.resumes);
-    const auto known = m_state.origins.with([&](const StreamOrigins& origins) {
+    auto known = m_state.origins.with([&](const StreamOrigins& origins) {
         return origins.find(stream, now);
     });
     // One that has just started does not know which versions served before.
