Judge by reports which runners a holder misses, and hand the duty to the one asked

Runners behind ways that accept a connection and then break it kept old weights, and one runner that nobody reaches kept the duty where it was, so that two more stayed on old weights. A connection that was made counted as reached, and a runner that is due and not known as cut counted as one that the holder can order. Change: a runner misses a report or gives one, to the holder and to those it asks; questions no longer block the threads that give orders. The duty is offered before it is released, so that the one that was found tries first, and a holder that passed it on stays away for 8 s, longer than a term. A question of an earlier term moves no later one. Why it works: a report is what an order needs as well.

--- a/src/include/crosslink/forward/duty_placement.h
+++ b/src/include/crosslink/forward/duty_placement.h
@@ -31,7 +31,7 @@
     /// about.
     static constexpr std::size_t max_asked = 3;
 
-    /// A runner that the holder does not reach, and another instance does.
+    /// A runner that the holder does not reach; another instance may.
     struct Unreached {
         std::string runner;
         Micros since{0};  ///< How long that is known.
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -39,9 +39,9 @@
 /// A holder that reaches no runner for this time gives the duty up. It costs
 /// the next one a reading of all stores.
 constexpr Micros yield_after = std::chrono::seconds(1);
-/// A holder that gave the duty up leaves it to others for this time. Then it
-/// tries as well, as nobody else may.
-constexpr Micros yielded_time = std::chrono::seconds(3);
+/// A holder that passed the duty on leaves it to others for this time, which is
+/// longer than the shortest term of the next one.
+constexpr Micros yielded_time = std::chrono::seconds(8);
 /// An instance that was offered the duty tries before others for this time.
 constexpr Micros offer_time = std::chrono::seconds(2);
 
@@ -108,7 +108,8 @@
         [](const auto& next) { return next ? next->name : std::string(); });
     LogLine("duty_yielded").field("duty", duty_name).field("to", successor);
     resign();
-    m_yielded_until = monotonic_now() + yielded_time;
+    if (!successor.empty())
+        m_yielded_until = monotonic_now() + yielded_time;
     // Taken again under the same token, the duty begins anew.
     m_last_token = 0;
 }
@@ -121,30 +122,28 @@
     m_lease_duty.wake();
 }
 
-/// Tells the instance that is to have the duty next, if any, that it is free.
-/// Another one may take it where that is not heard.
+/// Offers the duty to the instance that is to have it next. Another one may
+/// take it where that is not heard.
 void
-Coordinator::offer_to_successor()
+Coordinator::offer_to(const InstanceInfo& successor, bool is_free)
 {
-    const auto successor = m_successor.with(
-        [](auto& next) { return std::exchange(next, std::nullopt); });
-    if (!successor)
-        return;
     try {
-        FleetClient(successor->address).offer_duty();
+        FleetClient(successor.address).offer_duty(is_free);
     } catch (const Error& failure) {
         LogLine("duty_not_offered")
-            .field("instance", successor->name)
+            .field("instance", successor.name)
             .field("error", failure.what());
     }
 }
 
 void
-Coordinator::offer_duty()
+Coordinator::offer_duty(bool is_free)
 {
     m_offered_until.with(
         [](TimePoint& until) { until = monotonic_now() + offer_time; });
-    m_lease_duty.wake();
+    m_told_free = is_free;
+    if (is_free)
+        m_lease_duty.wake();
 }
 
 /// Returns whether the lease is to be released.
@@ -230,9 +229,8 @@
     const TimePoint now = monotonic_now();
     if (out_of_reach || now < m_yielded_until)
         return false;
-    const bool offered = m_offered_until.with(
-        [now](const TimePoint& until) { return now < until; });
-    if (offered)
+    // The platform's word of it may come later.
+    if (m_told_free.exchange(false))
         return true;
     const std::string known = holder();
     // The holder is an earlier process at this address, which is gone.
@@ -240,6 +238,10 @@
         return true;
     if (!known.empty())
         return false;
+    const bool offered = m_offered_until.with(
+        [now](const TimePoint& until) { return now < until; });
+    if (offered)
+        return true;
     const bool first = !m_state.fleet.with(
         [](FleetView& view) { return view.runners_listed; });
     const Micros wait = takeover_wait(first);
@@ -259,7 +261,8 @@
                                  : Micros{0};
     if (first)
         return link_wait;
-    return link_wait + takeover_step * static_cast<int>(takeover_rank());
+    // The first step is for an instance that was offered the duty.
+    return link_wait + takeover_step * static_cast<int>(1 + takeover_rank());
 }
 
 std::size_t
@@ -286,7 +289,6 @@
 Coordinator::begin_duty()
 {
     LogLine("duty_taken").field("duty", duty_name).field("token", m_last_token);
-    m_successor.with([](auto& next) { next.reset(); });
     m_weights.begin();
     m_kept.begin(m_last_token);
     m_weights.start();
@@ -294,6 +296,8 @@
     m_blocks.start();
     m_kept.start();
     m_placement.start();
+    // A question of an earlier term may have ended until then.
+    m_successor.with([](auto& next) { next.reset(); });
     m_threads_run = true;
 }
 
@@ -446,12 +450,17 @@
     });
     if (!due)
         return;
+    const auto successor = m_successor.with(
+        [](auto& next) { return std::exchange(next, std::nullopt); });
+    if (successor)
+        offer_to(*successor, false);
     try {
         m_state.ports.duties.release(duty_name);
     } catch (const Error& failure) {
         LogLine("duty_not_released").field("error", failure.what());
     }
-    offer_to_successor();
+    if (successor)
+        offer_to(*successor, true);
 }
 
 } // namespace crosslink
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -19,6 +19,7 @@
 #include <crosslink/kept/kept_part.h>
 #include <crosslink/kept/kept_replica.h>
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -64,9 +65,9 @@
     /// Checks the lease of the duty at once: the platform's store came back
     /// from a copy.
     void store_restored() { m_lease_duty.wake(); }
-    /// Lets this instance take the duty before others: its holder leaves the
-    /// duty to it.
-    void offer_duty();
+    /// Lets this instance take the duty before others: its holder is about to
+    /// leave the duty to it, or with `is_free` has just done so.
+    void offer_duty(bool is_free);
     /// Stops acting under the duty at once, and releases its lease a moment
     /// later. For a planned stop.
     void resign();
@@ -81,7 +82,7 @@
     bool must_yield();
     void yield();
     void pass_on(const InstanceInfo& successor);
-    void offer_to_successor();
+    void offer_to(const InstanceInfo& successor, bool is_free);
     bool is_release_due();
     bool in_large_fleet();
     Micros takeover_wait(bool first);
@@ -102,6 +103,8 @@
     TimePoint m_yielded_until{};
     /// Until when a holder that leaves the duty lets this instance take it.
     Guarded<TimePoint> m_offered_until;
+    /// The holder said that the duty is free.
+    std::atomic<bool> m_told_free{false};
     std::map<std::string, std::uint64_t> m_seen_weights;
     std::uint64_t m_seen_map = 0; ///< Version of the configuration.
     Guarded<LoadAggregator> m_loads;
--- a/src/serve/coordinator/placement_duty.cpp
+++ b/src/serve/coordinator/placement_duty.cpp
@@ -26,9 +26,10 @@
 {
 
 constexpr Micros round_pause = std::chrono::milliseconds(250);
-/// Pauses between two questions to other instances.
-constexpr Micros first_ask_pause = round_pause;
-constexpr Micros longest_ask_pause = std::chrono::seconds(4);
+/// Pauses between two questions to other instances: while runners that this
+/// one does not reach are due for new weights, and otherwise.
+constexpr Micros urgent_ask_pause = round_pause;
+constexpr Micros calm_ask_pause = std::chrono::seconds(4);
 /// A new holder first orders the runners that it reaches.
 constexpr Micros min_acting_time = std::chrono::milliseconds(1500);
 
@@ -37,7 +38,6 @@
 PlacementDuty::PlacementDuty(ForwardState& state, WeightsDuty& weights,
                              std::function<void(const InstanceInfo&)> pass_on)
     : m_state(state), m_weights(weights), m_pass_on(std::move(pass_on)),
-      m_ask_backoff(first_ask_pause, longest_ask_pause),
       m_duty(
           "placement", [this] { return round(); }, Duty::Begin::OnStart)
 {
@@ -55,18 +55,38 @@
 PlacementDuty::round()
 {
     const TimePoint now = monotonic_now();
-    const bool any_cut = m_state.paths.with(
-        [](const RunnerPaths& paths) { return paths.any_cut(); });
-    if (!has_acted(now) || !any_cut)
+    const auto missed = missed_runners();
+    if (!has_acted(now) || missed.empty())
         return round_pause;
-    const DutyPlacement::HolderReach own = own_reach(now);
+    const DutyPlacement::HolderReach own = own_reach(missed, now);
     const auto runners = DutyPlacement::runners_to_ask(own);
-    if (runners.empty()) {
-        m_ask_backoff.reset();
+    if (runners.empty())
         return round_pause;
-    }
     ask(own, runners);
-    return m_ask_backoff.next(random_bits());
+    const bool urgent = std::any_of(own.unreached.begin(), own.unreached.end(),
+                                    [](const auto& item) { return item.due; });
+    return urgent ? urgent_ask_pause : calm_ask_pause;
+}
+
+/// Returns the listed runners that this instance does not reach, and since when
+/// that is known: only others reach them, or they gave no report.
+std::map<std::string, TimePoint, std::less<>>
+PlacementDuty::missed_runners()
+{
+    auto missed = m_weights.silent_runners();
+    const auto cut = m_state.paths.with(
+        [](const RunnerPaths& paths) { return paths.cut_runners(); });
+    for (const auto& [runner, since] : cut) {
+        const auto [known, is_new] = missed.emplace(runner, since);
+        known->second = std::min(known->second, since);
+    }
+    if (!missed.empty())
+        m_state.runners.with([&missed](const RunnerTable& table) {
+            std::erase_if(missed, [&table](const auto& item) {
+                return !table.entry(item.first);
+            });
+        });
+    return missed;
 }
 
 /// Returns whether this instance has acted under the duty for long enough.
@@ -81,21 +101,22 @@
 }
 
 DutyPlacement::HolderReach
-PlacementDuty::own_reach(TimePoint now)
+PlacementDuty::own_reach(
+    const std::map<std::string, TimePoint, std::less<>>& missed, TimePoint now)
 {
-    const auto cut = m_state.paths.with(
-        [](const RunnerPaths& paths) { return paths.cut_runners(); });
     const auto outdated = m_weights.outdated();
     DutyPlacement::HolderReach own;
     own.listed = m_state.runners.with(
         [](const RunnerTable& table) { return table.entries().size(); });
-    for (const auto& [runner, since] : cut)
+    for (const auto& [runner, since] : missed)
         own.unreached.push_back(
             {runner, std::chrono::duration_cast<Micros>(now - since),
              outdated.contains(runner)});
-    std::copy_if(
-        outdated.begin(), outdated.end(), std::back_inserter(own.reached_due),
-        [&cut](const std::string& runner) { return !cut.contains(runner); });
+    std::copy_if(outdated.begin(), outdated.end(),
+                 std::back_inserter(own.reached_due),
+                 [&missed](const std::string& runner) {
+                     return !missed.contains(runner);
+                 });
     // Those that are asked about are drawn anew each time.
     if (!own.reached_due.empty())
         std::rotate(own.reached_due.begin(),
--- a/src/serve/coordinator/placement_duty.h
+++ b/src/serve/coordinator/placement_duty.h
@@ -6,11 +6,12 @@
 #include <serve/duty.h>
 #include <serve/forward/forward_state.h>
 
-#include <crosslink/base/backoff.h>
+#include <crosslink/base/time.h>
 #include <crosslink/forward/duty_placement.h>
 #include <crosslink/membership/instance_info.h>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -38,7 +39,10 @@
 private:
     Micros round();
     bool has_acted(TimePoint now);
-    DutyPlacement::HolderReach own_reach(TimePoint now);
+    std::map<std::string, TimePoint, std::less<>> missed_runners();
+    DutyPlacement::HolderReach
+    own_reach(const std::map<std::string, TimePoint, std::less<>>& missed,
+              TimePoint now);
     std::optional<InstanceInfo> draw_instance();
     void ask(const DutyPlacement::HolderReach& own,
              const std::vector<std::string>& runners);
@@ -47,7 +51,6 @@
     WeightsDuty& m_weights;
     const std::function<void(const InstanceInfo&)> m_pass_on;
     std::optional<TimePoint> m_acts_since; ///< Of this term of the duty.
-    Backoff m_ask_backoff; ///< Of questions that found no better place.
     Duty m_duty;
 };
 
--- a/src/serve/coordinator/weights_duty.cpp
+++ b/src/serve/coordinator/weights_duty.cpp
@@ -4,7 +4,6 @@
 #include "weights_duty.h"
 
 #include <adapters/clock.h>
-#include <serve/forward/runner_look.h>
 #include <serve/log_line.h>
 
 #include <crosslink/ports/runner_orders.h>
@@ -65,6 +64,7 @@
     m_plan.with([this](WeightsPlan& plan) {
         plan = WeightsPlan(m_state.settings.weights_bound());
     });
+    m_silent.with([](auto& silent) { silent.clear(); });
 }
 
 std::vector<std::string>
@@ -98,6 +98,12 @@
         [&runners](const WeightsPlan& plan) { return plan.outdated(runners); });
 }
 
+std::map<std::string, TimePoint, std::less<>>
+WeightsDuty::silent_runners()
+{
+    return m_silent.with([](const auto& silent) { return silent; });
+}
+
 double
 WeightsDuty::updated_fraction()
 {
@@ -176,12 +182,29 @@
         check_order(task.order);
 }
 
+/// Records whether the runner of `order` gave a report.
+void
+WeightsDuty::note_reported(const WeightsOrder& order, bool reported)
+{
+    const bool is_new = m_silent.with([&](auto& silent) {
+        if (!reported)
+            return silent.emplace(order.runner, monotonic_now()).second;
+        silent.erase(order.runner);
+        return false;
+    });
+    if (is_new)
+        LogLine("weights_unreached")
+            .field("runner", order.runner)
+            .field("version", order.version);
+}
+
 /// Asks the runner of `order` for its report, and records whether it announces
 /// its exit.
 std::optional<RunnerReport>
 WeightsDuty::request_report(const WeightsOrder& order)
 {
     const auto report = m_state.ports.orders.report(order.address, order.model);
+    note_reported(order, report.has_value());
     if (report && report->leaving)
         m_state.note_runner_leaving(incarnation_of(order, *report), "report");
     return report;
@@ -207,25 +230,10 @@
                  : OrderOutcome::Refused;
 }
 
-/// Finds out whether other instances reach the runner of `order`, which gave no
-/// report: the duty is passed on if they do.
-void
-WeightsDuty::find_path(const WeightsOrder& order)
-{
-    const RunnerLook look =
-        look_at_runner(m_state, order.runner, order.address);
-    LogLine("weights_unreached")
-        .field("runner", order.runner)
-        .field("version", order.version)
-        .field("path_cut", look.path_cut);
-}
-
 void
 WeightsDuty::give_order(const WeightsOrder& order)
 {
     const auto report = request_report(order);
-    if (!report)
-        find_path(order);
     const OrderOutcome outcome =
         report ? give_if_needed(*report, order) : OrderOutcome::Refused;
     LogLine("weights_order")
--- a/src/serve/coordinator/weights_duty.h
+++ b/src/serve/coordinator/weights_duty.h
@@ -9,9 +9,11 @@
 #include <serve/forward/forward_state.h>
 #include <serve/guarded.h>
 
+#include <crosslink/base/time.h>
 #include <crosslink/ports/runner_orders.h>
 #include <crosslink/weights/weights_plan.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -43,6 +45,9 @@
     std::vector<RunnerWeights> loaded();
     /// See WeightsPlan::outdated().
     std::set<std::string, std::less<>> outdated();
+    /// Returns the runners whose last request for a report got none, and since
+    /// when that is so.
+    std::map<std::string, TimePoint, std::less<>> silent_runners();
     /// See WeightsPlan::updated_fraction().
     double updated_fraction();
 
@@ -53,14 +58,15 @@
     void submit_order(const WeightsOrder& order);
     void run_task(const RunnerTask& task);
     void give_order(const WeightsOrder& order);
-    void find_path(const WeightsOrder& order);
     std::optional<RunnerReport> request_report(const WeightsOrder& order);
     OrderOutcome give_if_needed(const RunnerReport& report,
                                 const WeightsOrder& order);
+    void note_reported(const WeightsOrder& order, bool reported);
     void check_order(const WeightsOrder& order);
 
     ForwardState& m_state;
     Guarded<WeightsPlan> m_plan;
+    Guarded<std::map<std::string, TimePoint, std::less<>>> m_silent;
     std::unique_ptr<RunnerTaskPool> m_tasks; ///< Null while stopped.
     Duty m_duty;
 };
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -52,6 +52,8 @@
 constexpr Micros start_timeout = std::chrono::milliseconds(600);
 /// Timeout of a look at a runner: the other instance may look at others too.
 constexpr Micros look_timeout = std::chrono::milliseconds(450);
+/// Timeout of reports of a few runners; no caller waits for it.
+constexpr Micros reach_timeout = std::chrono::milliseconds(1000);
 constexpr Micros connect_timeout = std::chrono::milliseconds(60);
 
 /// [STREAM, SERVICE, SOFTWARE, SENDS, AGE], the age in microseconds.
@@ -136,8 +138,8 @@
         result["missed"] = Json::UInt64(reach.unreached);
         return result;
     });
-    m_rpc->add(offer_method, [&coordinator](const Json::Value&) {
-        coordinator.offer_duty();
+    m_rpc->add(offer_method, [&coordinator](const Json::Value& parameters) {
+        coordinator.offer_duty(json_bool(parameters, "free"));
         return Json::Value(Json::objectValue);
     });
     m_rpc->add(find_stream_method, [&state](const Json::Value& parameters) {
@@ -301,15 +303,17 @@
 {
     Json::Value parameters;
     parameters["runners"] = json_strings(runners);
-    const Json::Value answer = call(reach_method, parameters, look_timeout);
+    const Json::Value answer = call(reach_method, parameters, reach_timeout);
     return {strings_from_json(answer["reached"]),
             json_uint64(answer, "missed")};
 }
 
 void
-FleetClient::offer_duty()
+FleetClient::offer_duty(bool is_free)
 {
-    call(offer_method, Json::Value(Json::objectValue), call_timeout);
+    Json::Value parameters;
+    parameters["free"] = is_free;
+    call(offer_method, parameters, call_timeout);
 }
 
 StreamAnswer
--- a/src/serve/fleet/fleet_rpc.h
+++ b/src/serve/fleet/fleet_rpc.h
@@ -87,7 +87,7 @@
     /// DutyPlacement.
     DutyPlacement::PeerReach reach(const std::vector<std::string>& runners);
     /// See Coordinator::offer_duty().
-    void offer_duty();
+    void offer_duty(bool is_free);
     /// Returns what the other instance knows of `stream`, of `service`.
     StreamAnswer find_stream(const std::string& stream,
                              const std::string& service);
--- a/src/serve/forward/runner_look.cpp
+++ b/src/serve/forward/runner_look.cpp
@@ -23,6 +23,8 @@
 
 /// Instances that are asked about a runner, one after the other.
 constexpr int max_asked = 2;
+/// Time after which own_reach() asks no more runners.
+constexpr Micros reach_time = std::chrono::milliseconds(300);
 /// Runners that are tried to find out whether the own path works.
 constexpr int max_tried = 3;
 
@@ -125,11 +127,12 @@
 own_reach(ForwardState& state, std::span<const std::string> runners)
 {
     DutyPlacement::PeerReach reach;
+    const TimePoint last = monotonic_now() + reach_time;
     for (const std::string& runner : runners) {
         const std::string address = state.runner_address(runner);
-        if (address.empty())
+        if (address.empty() || monotonic_now() >= last)
             continue;
-        if (keep_look(state, runner, address, look_at_port(address)))
+        if (state.ports.orders.report(address, {}))
             reach.reached.push_back(runner);
     }
     reach.unreached = state.paths.with(
--- a/src/serve/forward/runner_look.h
+++ b/src/serve/forward/runner_look.h
@@ -50,8 +50,9 @@
 /// none.
 RelayFailure why_unreachable(ForwardState& state, const std::string& runner);
 
-/// Returns which of `runners` this instance reaches itself, for another one.
-/// Blocks for up to 0.1 s for each.
+/// Returns which of `runners` give a report to this instance, for another one.
+/// A connection alone is no proof: what stands between may accept it. Blocks
+/// for up to a second; the last ones count as not reached then.
 DutyPlacement::PeerReach own_reach(ForwardState& state,
                                    std::span<const std::string> runners);
 
