Log what calls at an end of a runner have in common

The log named digests of whole requests only, so that it could not tell an end under one part of a prompt from one of another cause. runner_looked_at has the ids of the shared parts now, and whether the answer had begun. No logic changes.

--- a/src/serve/forward/crash_watch.cpp
+++ b/src/serve/forward/crash_watch.cpp
@@ -12,6 +12,27 @@
 namespace crosslink
 {
 
+namespace
+{
+
+/// Returns the ids of the parts of a call's prompt that other calls may share,
+/// in their order.
+std::string
+part_ids(const ForwardedCall& call)
+{
+    std::string ids;
+    if (!call.generation)
+        return ids;
+    for (const PromptPart& part : call.generation->shared_parts()) {
+        if (!ids.empty())
+            ids += ',';
+        ids += part.id;
+    }
+    return ids;
+}
+
+} // namespace
+
 CrashWatch::CrashWatch(ForwardState& state, const ForwardedCall& call,
                        const std::string& account)
     : RequestCrashes(
@@ -25,7 +46,7 @@
 /// port. The platform's list shows an exit only three heartbeats later, when
 /// the request has already been sent to other runners.
 bool
-CrashWatch::note_broken(const RunnerPick& runner, bool direct)
+CrashWatch::note_broken(const RunnerPick& runner, bool direct, bool begun)
 {
     const RunnerLook look = look_at_runner(m_state, runner.id, runner.address);
     if (direct && look.path_cut)
@@ -42,7 +63,9 @@
         .field("digest", digest())
         .field("runner", runner.id)
         .field("fate", fate_name(fate))
-        .field("again", again());
+        .field("again", again())
+        .field("parts", part_ids(m_call))
+        .field("begun", begun);
     return true;
 }
 
--- a/src/serve/forward/crash_watch.h
+++ b/src/serve/forward/crash_watch.h
@@ -26,10 +26,11 @@
                const std::string& account);
 
     /// Records that the connection to `runner` broke before the answer was
-    /// complete. Looks whether the runner still accepts connections, which
-    /// takes up to 0.5 s. Returns false, and records nothing, if a `direct`
-    /// connection broke because this instance lost its path to the runner.
-    bool note_broken(const RunnerPick& runner, bool direct);
+    /// complete; `begun`: an event of it had come. Looks whether the runner
+    /// still accepts connections, which takes up to 0.5 s. Returns false, and
+    /// records nothing, if a `direct` connection broke because this instance
+    /// lost its path to the runner.
+    bool note_broken(const RunnerPick& runner, bool direct, bool begun);
     /// Records that `runner` answered that the call failed there. A process may
     /// send such an answer just before it exits.
     void note_failed(const RunnerPick& runner);
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -275,7 +275,8 @@
         note_connection_failure(true);
     if (silent)
         return;
-    m_path_failed = !m_crashes.note_broken(m_choice.pick(), !m_link.relay);
+    m_path_failed =
+        !m_crashes.note_broken(m_choice.pick(), !m_link.relay, has_begun());
     if (!m_path_failed && !m_link.relay)
         note_connection_failure(false);
 }
