Block a part of a prompt under which runners end, not only whole requests

Cause: the history of ends was kept by the digest of the whole request.

Now the history answers for keys: the whole request, and each part of its prompt that others may share. A part is suspect at an end only in a call whose answer had not gone on past its begin, and an answer that does clears it. Of the suspects, a small set that explains all ends is blocked (crash_suspects), so that what was in flight beside the part at fault is not. One way of reporting and of recording for both, as before.

--- a/src/include/crosslink/forward/unresolved_failures.h
+++ b/src/include/crosslink/forward/unresolved_failures.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
-#include <crosslink/forward/crash_history.h>
+#include <crosslink/forward/crash_update.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -18,14 +18,19 @@
 
 struct RunnerIncarnation;
 
+/// A key of a failed call.
+struct FailedKey {
+    std::string key;    ///< See InterruptedCall.
+    bool again = false; ///< See InterruptedCall.
+};
+
 /// A call that its runner broke off or failed, for which it is not yet known
 /// whether the runner's process ended.
 struct UnresolvedFailure {
-    std::string request; ///< See request_digest().
+    std::vector<FailedKey> keys;
     std::string runner;
     std::uint64_t start_ms = 0; ///< See ListedRunner.
     std::string address;        ///< "ip:port".
-    bool again = false;         ///< See InterruptedCall.
     TimePoint failed_at{};
     /// Whether the runner's port is probed: only if the connection broke. A
     /// runner that answered with a failure is not probed, since some services
@@ -70,10 +75,10 @@
     /// Adds a broken or failed call. Returns whether its process is known to
     /// have ended; ended() must then be called for the calls concerned.
     bool add(UnresolvedFailure call, TimePoint now);
-    /// Returns whether a failure of `request` is undecided.
-    bool has(std::string_view request, TimePoint now) const;
-    /// Records that a process ended, as learned at `now`. Returns the calls
-    /// that count as in flight at its end.
+    /// Returns whether a failure of a call with `key` is undecided.
+    bool has(std::string_view key, TimePoint now) const;
+    /// Records that a process ended, as learned at `now`. Returns the keys of
+    /// the calls that count as in flight at its end, each once.
     std::vector<InterruptedCall> ended(const RunnerIncarnation& runner,
                                        TimePoint now);
     /// As ended(), for all other processes that were at `address`, where
--- a/src/libcrosslink/forward/crash_history_test.cpp
+++ b/src/libcrosslink/forward/crash_history_test.cpp
@@ -2,10 +2,12 @@
 // Copyright Contributors to the crosslink project.
 
 #include <crosslink/forward/crash_history.h>
+#include <crosslink/forward/crash_key.h>
 
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <vector>
 
 namespace crosslink
 {
@@ -52,6 +54,22 @@
     return history;
 }
 
+const std::string part = part_crash_key("part", "");
+const std::string shared = part_crash_key("shared", "");
+
+/// Runners from `first` on end, `count` of them, under all of `keys`.
+void
+end_runners(CrashHistory& history, const std::vector<std::string>& keys,
+            int first, int count)
+{
+    for (int i = first; i < first + count; ++i)
+        for (const std::string& key : keys) {
+            InterruptedCall call = interrupted_again(i, 1000 + 10 * i);
+            call.key = key;
+            history.ended(call, at(1100));
+        }
+}
+
 } // namespace
 
 TEST_CASE("a request is blocked once three runners ended under it")
@@ -186,13 +204,13 @@
 TEST_CASE("the number of requests is bounded, and the most suspect stays")
 {
     CrashHistory history = ended_in_turn(3);
-    for (std::size_t i = 0; i < 2 * CrashHistory::most_requests; ++i)
+    for (std::size_t i = 0; i < 2 * CrashHistory::most_keys; ++i)
         history.ended(interrupted(1, 2000, "other-" + std::to_string(i)),
                       at(2100) + Micros(i));
     CHECK(history.blocked(request, at(2200)));
     CHECK(history.ends("other-0") == 0);
     const std::string last =
-        "other-" + std::to_string(2 * CrashHistory::most_requests - 1);
+        "other-" + std::to_string(2 * CrashHistory::most_keys - 1);
     CHECK(history.ends(last) == 1);
     CHECK(history.update(at(2200)).broken.size() <= 160);
 }
@@ -264,4 +282,87 @@
     CHECK(unknown.blocked(request, at(300)));
 }
 
+TEST_CASE("what was in flight beside the part at fault is not blocked")
+{
+    CrashHistory history;
+    end_runners(history, {part, shared}, 0, 3);
+    end_runners(history, {part}, 3, 1);
+    CHECK(history.blocked(part, at(1100)));
+    CHECK_FALSE(history.blocked(shared, at(1100)));
+    CHECK(history.to_record(at(1100)) == std::vector<std::string>{part});
+    // It is at fault itself where more ends come.
+    end_runners(history, {shared}, 4, 3);
+    CHECK(history.blocked(shared, at(1100)));
+}
+
+TEST_CASE("a part that was answered before is blocked once answers settled")
+{
+    CrashHistory history;
+    history.answered(part, at(500), at(500));
+    end_runners(history, {part}, 0, 3);
+    CHECK_FALSE(history.blocked(part, at(1100)));
+    const TimePoint settled = at(1100) + CrashHistory::settle_time;
+    CHECK(history.blocked(part, settled));
+    // Others know of that answer too.
+    CrashHistory other;
+    other.merge(history.update(at(1200)), at(1200), at(1200));
+    CHECK_FALSE(other.blocked(part, at(1200)));
+    CHECK(other.blocked(part, at(1200) + CrashHistory::settle_time));
+}
+
+TEST_CASE("a blocked part that may be harmless is tried twice")
+{
+    CrashHistory history;
+    history.answered(part, at(500), at(500));
+    end_runners(history, {part}, 0, 3);
+    const std::vector<std::string> keys{part, "own"};
+    const TimePoint last = at(1020);
+    CHECK_FALSE(history.take_trial(keys, at(2000)));
+    const TimePoint first = last + CrashHistory::trial_pauses[0];
+    CHECK(history.take_trial(keys, first));
+    CHECK_FALSE(history.take_trial(keys, first + Micros(1)));
+    const TimePoint second = last + CrashHistory::trial_pauses[1];
+    CHECK(history.take_trial(keys, second));
+    CHECK_FALSE(history.take_trial(keys, second + CrashHistory::settle_time));
+    history.answered(part, second, second);
+    CHECK_FALSE(history.blocked(part, second));
+}
+
+TEST_CASE("a part that nothing else explains and that was never answered is "
+          "not tried")
+{
+    CrashHistory history;
+    end_runners(history, {part}, 0, 3);
+    CHECK_FALSE(history.take_trial(std::vector<std::string>{part}, at(60'000)));
+}
+
+TEST_CASE("a part that another explains as well is tried without that one")
+{
+    CrashHistory history;
+    end_runners(history, {part, shared}, 0, 3);
+    const bool part_blocked = history.blocked(part, at(1100));
+    CHECK(part_blocked != history.blocked(shared, at(1100)));
+    const std::string& blocked = part_blocked ? part : shared;
+    const TimePoint later = at(1020) + CrashHistory::trial_pauses[0];
+    CHECK_FALSE(
+        history.take_trial(std::vector<std::string>{part, shared}, later));
+    CHECK(history.take_trial(std::vector<std::string>{blocked, "own"}, later));
+    // The answer shows that the other one is at fault.
+    history.answered(blocked, later, later);
+    CHECK(history.blocked(part_blocked ? shared : part, later));
+}
+
+TEST_CASE("the record of a part whose ends another explains is taken back")
+{
+    CrashHistory history;
+    end_runners(history, {shared}, 0, 3);
+    CHECK(history.blocked(shared, at(1100)));
+    history.recorded(shared, at(1100));
+    // The part at fault was seen at these runners by another instance.
+    end_runners(history, {part}, 0, 4);
+    CHECK_FALSE(history.blocked(shared, at(1100)));
+    CHECK(history.to_unrecord() == std::vector<std::string>{shared});
+    CHECK(history.to_record(at(1100)) == std::vector<std::string>{part});
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/forward/unresolved_failures.cpp
+++ b/src/libcrosslink/forward/unresolved_failures.cpp
@@ -31,22 +31,31 @@
     return call.runner == runner.id && call.start_ms == runner.start_ms;
 }
 
-/// Adds a call under which a process ended. A request that the process broke
-/// several times while it ended in steps counts as one end, at the time of the
-/// first failure. An answer after that counts against it, however late it is
-/// decided that the process ended.
+/// Adds a key under which a process ended. One that the process broke several
+/// times while it ended in steps counts as one end, at the time of the first
+/// failure. An answer after that counts against it, however late it is decided
+/// that the process ended.
 void
-add_call(const UnresolvedFailure& call, std::vector<InterruptedCall>& calls)
+add_key(const FailedKey& failed, const UnresolvedFailure& call,
+        std::vector<InterruptedCall>& calls)
 {
     const auto found = std::find_if(calls.begin(), calls.end(),
-                                    [&call](const InterruptedCall& known) {
-                                        return known.request == call.request;
+                                    [&failed](const InterruptedCall& known) {
+                                        return known.key == failed.key;
                                     });
     if (found == calls.end())
-        calls.push_back({call.request, call.runner, call.start_ms, call.again,
+        calls.push_back({failed.key, call.runner, call.start_ms, failed.again,
                          call.failed_at});
     else
-        found->again = found->again || call.again;
+        found->again = found->again || failed.again;
+}
+
+bool
+has_key(const UnresolvedFailure& call, std::string_view key)
+{
+    return std::any_of(
+        call.keys.begin(), call.keys.end(),
+        [key](const FailedKey& failed) { return failed.key == key; });
 }
 
 } // namespace
@@ -73,11 +82,11 @@
 }
 
 bool
-UnresolvedFailures::has(std::string_view request, TimePoint now) const
+UnresolvedFailures::has(std::string_view key, TimePoint now) const
 {
     return std::any_of(m_failures.begin(), m_failures.end(),
                        [&](const Open& open) {
-                           return open.call.request == request &&
+                           return has_key(open.call, key) &&
                                   now < open.call.failed_at + decision_time;
                        });
 }
@@ -89,7 +98,8 @@
     std::vector<InterruptedCall> calls;
     for (const Open& open : m_failures)
         if (is_of(open.call, runner))
-            add_call(open.call, calls);
+            for (const FailedKey& key : open.call.keys)
+                add_key(key, open.call, calls);
     std::erase_if(m_failures, [&runner](const Open& open) {
         return is_of(open.call, runner);
     });
--- a/src/libcrosslink/forward/unresolved_failures_test.cpp
+++ b/src/libcrosslink/forward/unresolved_failures_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright Contributors to the crosslink project.
 
+#include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/unresolved_failures.h>
 
 #include <crosslink/forward/runner_entry.h>
@@ -26,7 +27,7 @@
 UnresolvedFailure
 failed_call(const std::string& request, const std::string& runner, int millis)
 {
-    return {request, runner, 1, "a:" + runner, false, at(millis), true};
+    return {{{request, false}}, runner, 1, "a:" + runner, at(millis), true};
 }
 
 } // namespace
@@ -55,7 +56,7 @@
     UnresolvedFailures failures;
     failures.add(failed_call("d", "r", 0), at(0));
     UnresolvedFailure again = failed_call("d", "r", 1500);
-    again.again = true;
+    again.keys.front().again = true;
     failures.add(again, at(1500));
     const auto calls = failures.ended({"r", 1}, at(2500));
     REQUIRE(calls.size() == 1);
--- a/src/serve/fleet/exchange_json.cpp
+++ b/src/serve/fleet/exchange_json.cpp
@@ -154,8 +154,8 @@
 }
 
 /// Groups broken calls by runner, since a runner that ends breaks some tens of
-/// calls: {"broken": [[RUNNER, START_MS, AGE, DIGEST, AGAIN, DIGEST, ..]],
-/// "answered": {DIGEST: AGE}, "held": {DIGEST: AGE}}, ages in microseconds.
+/// calls: {"broken": [[RUNNER, START_MS, AGE, KEY, AGAIN, KEY, ..]],
+/// "answered": {KEY: AGE}, "held": {KEY: AGE}}, ages in microseconds.
 /// Empty members are left out; nearly always all are empty.
 Json::Value
 crashes_to_json(const CrashUpdate& update)
@@ -170,15 +170,15 @@
             row.append(Json::UInt64(call.start_ms));
             row.append(Json::Int64(call.since_end.count()));
         }
-        row.append(call.request);
+        row.append(call.key);
         row.append(call.again);
     }
     for (const auto& [end, row] : rows)
         value["broken"].append(row);
     for (const CrashUpdate::Answered& answer : update.answered)
-        value["answered"][answer.request] = Json::Int64(answer.since.count());
+        value["answered"][answer.key] = Json::Int64(answer.since.count());
     for (const CrashUpdate::Held& item : update.held)
-        value["held"][item.request] = Json::Int64(item.since.count());
+        value["held"][item.key] = Json::Int64(item.since.count());
     return value;
 }
 
--- a/src/serve/fleet/exchange_json_test.cpp
+++ b/src/serve/fleet/exchange_json_test.cpp
@@ -77,7 +77,7 @@
     const auto asked = exchange_request_from_json(to_json(request)).crashes;
     REQUIRE(asked.broken.size() == 3);
     for (std::size_t i = 0; i < 3; ++i) {
-        CHECK(asked.broken[i].request == update.broken[i].request);
+        CHECK(asked.broken[i].key == update.broken[i].key);
         CHECK(asked.broken[i].runner == update.broken[i].runner);
         CHECK(asked.broken[i].start_ms == update.broken[i].start_ms);
         CHECK(asked.broken[i].again == update.broken[i].again);
@@ -89,9 +89,9 @@
     CHECK(read.broken.size() == 3);
     REQUIRE(read.answered.size() == 1);
     REQUIRE(read.held.size() == 1);
-    CHECK(read.held[0].request == "digest-a");
+    CHECK(read.held[0].key == "digest-a");
     CHECK(read.held[0].since == update.held[0].since);
-    CHECK(read.answered[0].request == "digest-b");
+    CHECK(read.answered[0].key == "digest-b");
     CHECK(read.answered[0].since == update.answered[0].since);
 }
 
--- a/src/serve/forward/crash_watch.cpp
+++ b/src/serve/forward/crash_watch.cpp
@@ -7,7 +7,12 @@
 
 #include <serve/log_line.h>
 
+#include <crosslink/forward/crash_key.h>
 #include <crosslink/forward/request_digest.h>
+#include <crosslink/forward/service_map.h>
+
+#include <string>
+#include <vector>
 
 namespace crosslink
 {
@@ -31,17 +36,47 @@
     return ids;
 }
 
+std::vector<std::string>
+part_keys(const ForwardedCall& call, const AccountSettings* account)
+{
+    std::vector<std::string> keys;
+    if (!call.generation)
+        return keys;
+    const std::string isolated =
+        account && account->isolated ? account->name : std::string();
+    for (const PromptPart& part : call.generation->shared_parts())
+        keys.push_back(part_crash_key(part.id, isolated));
+    return keys;
+}
+
 } // namespace
 
 CrashWatch::CrashWatch(ForwardState& state, const ForwardedCall& call,
-                       const std::string& account)
+                       const AccountSettings* account)
     : RequestCrashes(
           state.crashes, state.unresolved_failures,
-          [&call, account] { return request_digest(call, account); }),
+          [&call, account] {
+              return request_digest(call,
+                                    account ? account->name : std::string());
+          },
+          part_keys(call, account)),
       m_state(state), m_call(call)
 {
 }
 
+bool
+CrashWatch::rejects()
+{
+    if (!blocked())
+        return false;
+    if (!m_state.has_duty() || !take_trial())
+        return true;
+    LogLine("blocked_part_tried")
+        .field("request", m_call.id)
+        .field("parts", part_ids(m_call));
+    return false;
+}
+
 /// Distinguishes a process that exited from a connection that broke, by its
 /// port. The platform's list shows an exit only three heartbeats later, when
 /// the request has already been sent to other runners.
--- a/src/serve/forward/crash_watch.h
+++ b/src/serve/forward/crash_watch.h
@@ -10,20 +10,25 @@
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/runner_table.h>
 
-#include <string>
-
 namespace crosslink
 {
 
+struct AccountSettings;
+
 /// Finds out whether runner processes exit while they run a forwarded call,
-/// and records it in the crash history of the call's request.
+/// and records it in the crash history of the call's request and of the parts
+/// of its prompt.
 class CrashWatch : public RequestCrashes
 {
 public:
-    /// `state` and `call` must outlive this object. `account` is empty on open
+    /// `state` and `call` must outlive this object. `account` is null on open
     /// routes.
     CrashWatch(ForwardState& state, const ForwardedCall& call,
-               const std::string& account);
+               const AccountSettings* account);
+
+    /// Returns whether the call must not be sent to any runner now. The holder
+    /// of the coordinator duty alone may try a blocked part.
+    bool rejects();
 
     /// Records that the connection to `runner` broke before the answer was
     /// complete; `begun`: an event of it had come. Looks whether the runner
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -351,6 +351,8 @@
             return Outcome::Broken;
         if (events.empty())
             continue;
+        if (has_begun())
+            m_crashes.record_begun();
         if (!send_events(link, head, events))
             return Outcome::CallerGone;
     }
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -47,9 +47,8 @@
       m_events(parse_leading_integer<std::uint64_t>(call.last_event)),
       m_prompt(state, kept, call, route.objective),
       m_choice(state, m_prompt, call, route, account),
-      m_crashes(state, call, account ? account->name : std::string()),
-      m_intake(state, call), m_connector(state, call.id),
-      m_resumption(state, call, route, account)
+      m_crashes(state, call, account), m_intake(state, call),
+      m_connector(state, call.id), m_resumption(state, call, route, account)
 {
 }
 
@@ -78,7 +77,7 @@
     });
     for (;;) {
         const bool found = find_runner();
-        if (m_crashes.blocked()) {
+        if (m_crashes.rejects()) {
             end_blocked(link);
             return;
         }
@@ -108,7 +107,7 @@
 bool
 ForwardRun::find_runner()
 {
-    if (m_crashes.blocked())
+    if (m_crashes.rejects())
         return false;
     m_choice.avoid_exiting(!m_crashes.failed_before());
     return m_choice.choose() || wait_for_runner();
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -279,7 +279,7 @@
     /// Records that a runner asked this instance to send nothing for `backoff`.
     void note_runner_backoff(const RunnerIncarnation& runner, Micros backoff);
     /// Records whether the platform has a record that blocks the request.
-    void note_block_record(const std::string& request, bool is_blocked);
+    void note_block_record(const std::string& key, bool is_blocked);
     /// Records the same of a copy from which the platform's store was restored.
     void note_restored_block_record(const std::string& request,
                                     bool is_blocked);
--- a/src/serve/forward/forward_state_crashes.cpp
+++ b/src/serve/forward/forward_state_crashes.cpp
@@ -74,7 +74,7 @@
     for (const InterruptedCall& call : calls)
         LogLine("runner_ended")
             .field("runner", call.runner)
-            .field("digest", call.request)
+            .field("digest", call.key)
             .field("again", call.again)
             .field("evidence", evidence)
             .span("after", monotonic_now() - call.ended_at);
@@ -89,26 +89,26 @@
 }
 
 void
-ForwardState::note_block_record(const std::string& request, bool is_blocked)
+ForwardState::note_block_record(const std::string& key, bool is_blocked)
 {
     crashes.with([&](CrashHistory& history) {
         if (is_blocked)
-            history.recorded(request, monotonic_now());
+            history.recorded(key, monotonic_now());
         else
-            history.unrecorded(request);
+            history.unrecorded(key);
     });
     log_newly_blocked();
 }
 
 void
-ForwardState::note_restored_block_record(const std::string& request,
+ForwardState::note_restored_block_record(const std::string& key,
                                          bool is_blocked)
 {
     crashes.with([&](CrashHistory& history) {
         if (is_blocked)
-            history.record_restored(request, monotonic_now());
+            history.record_restored(key, monotonic_now());
         else
-            history.record_lost(request);
+            history.record_lost(key);
     });
     log_newly_blocked();
 }
--- a/src/serve/instance_state.cpp
+++ b/src/serve/instance_state.cpp
@@ -34,7 +34,7 @@
     record_process_ends(crashes, calls);
     for (const InterruptedCall& call : calls)
         spdlog::info("engine={} ended while running digest={}", address,
-                     call.request);
+                     call.key);
 }
 
 std::vector<Member>
--- a/src/serve/request_crashes.cpp
+++ b/src/serve/request_crashes.cpp
@@ -5,6 +5,7 @@
 
 #include <adapters/clock.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace crosslink
@@ -12,9 +13,11 @@
 
 RequestCrashes::RequestCrashes(Guarded<CrashHistory>& history,
                                Guarded<UnresolvedFailures>& failures,
-                               DigestFunction compute_digest)
+                               DigestFunction compute_digest,
+                               std::vector<std::string> parts)
     : m_history(history), m_failures(failures),
-      m_compute_digest(std::move(compute_digest))
+      m_compute_digest(std::move(compute_digest)), m_parts(std::move(parts)),
+      m_parts_again(m_parts.size())
 {
 }
 
@@ -38,29 +41,57 @@
 bool
 RequestCrashes::blocked()
 {
-    return has_recent_ends() &&
-           m_history.with([this](const CrashHistory& history) {
-               return history.blocked(digest(), monotonic_now());
-           });
+    if (m_is_trial || !has_recent_ends())
+        return false;
+    return m_history.with([this](const CrashHistory& history) {
+        const TimePoint now = monotonic_now();
+        return history.blocked(digest(), now) ||
+               std::any_of(m_parts.begin(), m_parts.end(),
+                           [&](const std::string& part) {
+                               return history.blocked(part, now);
+                           });
+    });
+}
+
+bool
+RequestCrashes::take_trial()
+{
+    std::vector<std::string> keys = m_parts;
+    keys.push_back(digest());
+    m_is_trial = m_history.with([&keys](CrashHistory& history) {
+        return history.take_trial(keys, monotonic_now());
+    });
+    return m_is_trial;
 }
 
 /// A failure without a verdict counts too: long before the verdict, the next
 /// copy of the request may be sent and end the next runner.
 bool
-RequestCrashes::failed_before()
+RequestCrashes::failed_before(const std::string& key)
 {
     const bool ended =
-        has_recent_ends() && m_history.with([this](const auto& history) {
-            return history.ends(digest()) > 0;
+        has_recent_ends() && m_history.with([&key](const auto& history) {
+            return history.ends(key) > 0;
         });
-    return ended || m_failures.with([this](const UnresolvedFailures& failures) {
-        return !failures.empty() && failures.has(digest(), monotonic_now());
+    return ended || m_failures.with([&key](const UnresolvedFailures& failures) {
+        return !failures.empty() && failures.has(key, monotonic_now());
     });
 }
 
+void
+RequestCrashes::record_send()
+{
+    m_begun = false;
+    m_is_trial = false;
+    m_again = failed_before();
+    for (std::size_t i = 0; i < m_parts.size(); ++i)
+        m_parts_again[i] = failed_before(m_parts[i]);
+}
+
 void
 RequestCrashes::record_answer()
 {
+    record_answered_parts();
     if (!has_recent_ends())
         return;
     m_history.with([this](CrashHistory& history) {
@@ -69,6 +100,40 @@
     });
 }
 
+void
+RequestCrashes::record_begun()
+{
+    if (m_begun)
+        return;
+    m_begun = true;
+    record_answered_parts();
+}
+
+/// Records answers although nothing has ended: what stood in an answer before
+/// is suspected later; see CrashHistory::settle_time.
+void
+RequestCrashes::record_answered_parts()
+{
+    if (m_parts.empty())
+        return;
+    m_history.with([this](CrashHistory& history) {
+        const TimePoint now = monotonic_now();
+        for (const std::string& part : m_parts)
+            history.answered(part, now, now);
+    });
+}
+
+/// Returns the keys of the request that may be why its upstream ended.
+std::vector<FailedKey>
+RequestCrashes::suspect_keys()
+{
+    std::vector<FailedKey> keys{{digest(), m_again}};
+    if (!m_begun)
+        for (std::size_t i = 0; i < m_parts.size(); ++i)
+            keys.push_back({m_parts[i], m_parts_again[i]});
+    return keys;
+}
+
 bool
 RequestCrashes::record_failure(const ProbeTarget& upstream, bool is_probed)
 {
@@ -77,8 +142,8 @@
         m_history.with(
             [&](CrashHistory& history) { history.hold(digest(), now, now); });
     return m_failures.with([&](UnresolvedFailures& failures) {
-        return failures.add({digest(), upstream.runner, upstream.start_ms,
-                             upstream.address, m_again, now, is_probed},
+        return failures.add({suspect_keys(), upstream.runner, upstream.start_ms,
+                             upstream.address, now, is_probed},
                             now);
     });
 }
