Keep times of ends and answers from drifting as they are reported

Cause: an instance takes the earliest time of an end and the latest of an answer that it hears of, and each report adds its delay, or takes off more than it. A report that goes to and fro for its 15 s moves both, until the answer before the ends counts as one after them.

Now an end gets at most 0.15 s earlier than it was first told, and answers for parts count 60 ms earlier a report.

--- a/src/include/crosslink/forward/crash_history.h
+++ b/src/include/crosslink/forward/crash_history.h
@@ -124,6 +124,7 @@
         std::uint64_t start_ms = 0;
         bool again = false;
         TimePoint ended_at{};
+        TimePoint earliest_at{}; ///< Bound of ended_at.
         TimePoint learned_at{};
 
         ProcessEnd process_end() const { return {runner, start_ms, ended_at}; }
--- a/src/libcrosslink/forward/crash_history.cpp
+++ b/src/libcrosslink/forward/crash_history.cpp
@@ -22,6 +22,13 @@
 /// zones that were cut off from each other must learn of them after the
 /// partition.
 constexpr Micros suspect_report_time = std::chrono::seconds(15);
+/// Delay that a report from one instance to another may have. Answers count as
+/// this much earlier: otherwise one that comes back to its sender would be a
+/// later answer, and clear ends that came after it.
+constexpr Micros max_report_delay = std::chrono::milliseconds(60);
+/// Error of the time of an end that an instance reports. A report that comes
+/// back again and again must not make the end earlier each time.
+constexpr Micros max_time_error = std::chrono::milliseconds(150);
 /// Maximum number of ends, and of answers, in one report, those of the most
 /// suspect keys first.
 /// At 30 bytes each they take 5 KB, or 4 ms on the slowest links.
@@ -152,15 +159,16 @@
         if (!is_same_end(known.process_end(), end))
             continue;
         // Most paths add their delay, so that an earlier time is more accurate.
-        known.ended_at = std::min(known.ended_at, call.ended_at);
+        known.ended_at = std::max(std::min(known.ended_at, call.ended_at),
+                                  known.earliest_at);
         known.again = known.again || call.again;
         return false;
     }
     if (key.ends.size() >=
         (key.is_part ? max_ends_of_part : max_ends_of_request))
         key.ends.erase(key.ends.begin());
-    key.ends.push_back(
-        {call.runner, call.start_ms, call.again, call.ended_at, now});
+    key.ends.push_back({call.runner, call.start_ms, call.again, call.ended_at,
+                        call.ended_at - max_time_error, now});
     key.last_at = std::max(key.last_at, call.ended_at);
     // The instance that reported the end may not know of the answer.
     if (key.answered_at && (key.is_part || !key.counts(key.ends.back())))
@@ -343,7 +351,10 @@
                  as_of - call.since_end},
                 now);
     for (const CrashUpdate::Answered& answer : update.answered)
-        add_answer(answer.key, as_of - answer.since, now);
+        add_answer(answer.key,
+                   as_of - answer.since -
+                       (is_part_key(answer.key) ? max_report_delay : Micros(0)),
+                   now);
     if (!update.broken.empty() || !update.answered.empty())
         find_culprits_anew();
     for (const CrashUpdate::Held& item : update.held)
--- a/src/libcrosslink/forward/crash_history_test.cpp
+++ b/src/libcrosslink/forward/crash_history_test.cpp
@@ -310,6 +310,36 @@
     CHECK(other.blocked(part, at(1200) + CrashHistory::settle_time));
 }
 
+TEST_CASE("an answer that is reported to and fro gets no later")
+{
+    CrashHistory one;
+    CrashHistory other;
+    end_runners(one, {part}, 0, 1);
+    other.merge(one.update(at(1100)), at(1100), at(1100));
+    one.answered(part, at(1200), at(1200));
+    for (int millis = 1300; millis < 2500; millis += 120) {
+        other.merge(one.update(at(millis)), at(millis + 60), at(millis + 60));
+        one.merge(other.update(at(millis + 60)), at(millis + 120),
+                  at(millis + 120));
+    }
+    end_runners(one, {part}, 50, 1);
+    CHECK(one.ends(part) == 1);
+}
+
+TEST_CASE("an end that is reported to and fro gets no earlier")
+{
+    CrashHistory one;
+    CrashHistory other;
+    one.answered(request, at(500), at(500));
+    one.ended(interrupted(1, 1000), at(1000));
+    one.ended(interrupted(2, 1000), at(1000));
+    for (int millis = 1100; millis < 9000; millis += 120) {
+        other.merge(one.update(at(millis)), at(millis - 60), at(millis));
+        one.merge(other.update(at(millis)), at(millis - 60), at(millis));
+    }
+    CHECK(one.ends(request) == 2);
+}
+
 TEST_CASE("a blocked part that may be harmless is tried twice")
 {
     CrashHistory history;
--- a/src/libcrosslink/forward/part_crash_simulation_test.cpp
+++ b/src/libcrosslink/forward/part_crash_simulation_test.cpp
@@ -89,6 +89,14 @@
     check_all(play);
 }
 
+TEST_CASE("so it is where the part was sound before")
+{
+    PartPlay play;
+    play.sound_before = std::chrono::seconds(5);
+    play.time = std::chrono::seconds(24);
+    check_all(play);
+}
+
 TEST_CASE("so it is where runners are lost in waves as well")
 {
     PartPlay play;
