Tell which part blocks a call, and the ids of its parts

call_blocked named the digest of the request, also where a part of its prompt is what is blocked. It names the blocked key now, and the parts' ids.

--- a/src/serve/forward/crash_watch.cpp
+++ b/src/serve/forward/crash_watch.cpp
@@ -20,22 +20,6 @@
 namespace
 {
 
-/// Returns the ids of the parts of a call's prompt that other calls may share,
-/// in their order.
-std::string
-part_ids(const ForwardedCall& call)
-{
-    std::string ids;
-    if (!call.generation)
-        return ids;
-    for (const PromptPart& part : call.generation->shared_parts()) {
-        if (!ids.empty())
-            ids += ',';
-        ids += part.id;
-    }
-    return ids;
-}
-
 std::vector<std::string>
 part_keys(const ForwardedCall& call, const AccountSettings* account)
 {
@@ -73,10 +57,24 @@
         return true;
     LogLine("blocked_part_tried")
         .field("request", m_call.id)
-        .field("parts", part_ids(m_call));
+        .field("parts", part_ids());
     return false;
 }
 
+std::string
+CrashWatch::part_ids() const
+{
+    std::string ids;
+    if (!m_call.generation)
+        return ids;
+    for (const PromptPart& part : m_call.generation->shared_parts()) {
+        if (!ids.empty())
+            ids += ',';
+        ids += part.id;
+    }
+    return ids;
+}
+
 /// Distinguishes a process that exited from a connection that broke, by its
 /// port. The platform's list shows an exit only three heartbeats later, when
 /// the request has already been sent to other runners.
@@ -99,7 +97,7 @@
         .field("runner", runner.id)
         .field("fate", fate_name(fate))
         .field("again", again())
-        .field("parts", part_ids(m_call))
+        .field("parts", part_ids())
         .field("begun", begun);
     return true;
 }
--- a/src/serve/forward/crash_watch.h
+++ b/src/serve/forward/crash_watch.h
@@ -10,6 +10,8 @@
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/runner_table.h>
 
+#include <string>
+
 namespace crosslink
 {
 
@@ -30,6 +32,10 @@
     /// of the coordinator duty alone may try a blocked part.
     bool rejects();
 
+    /// Returns the ids of the parts of the call's prompt that other calls may
+    /// share, in their order, joined by commas.
+    std::string part_ids() const;
+
     /// Records that the connection to `runner` broke before the answer was
     /// complete; `begun`: an event of it had come. Looks whether the runner
     /// still accepts connections, which takes up to 0.5 s. Returns false, and
--- a/src/serve/forward/forward_end.cpp
+++ b/src/serve/forward/forward_end.cpp
@@ -42,23 +42,25 @@
         fail(outcome);
 }
 
-/// Ends a call whose request is blocked because too many runners exited while
-/// running it. The error has no retry time: the next runner would exit as well.
-/// It must not have a status that promises that nothing ran, as the caller
-/// would retry on that.
+/// Ends a call whose request, or a part of whose prompt, is blocked because too
+/// many runners exited while running it. The error has no retry time: the next
+/// runner would exit as well. It must not have a status that promises that
+/// nothing ran, as the caller would retry on that.
 void
 ForwardRun::end_blocked(CallerLink& link)
 {
     ++m_state.counters.calls_blocked;
     LogLine("call_blocked")
         .field("request", m_call.id)
-        .field("digest", m_crashes.digest());
+        .field("digest", m_crashes.blocked_key())
+        .field("parts", m_crashes.part_ids());
     if (link.begun()) {
         link.abort();
         return;
     }
     throw Error(ErrorCode::RequestEndsUpstreams,
-                "runners exited each time they ran this request",
+                "runners exited each time they ran this request or a part of "
+                "its prompt",
                 m_runs > 0 ? RunState::MayHaveRun : RunState::NotDispatched);
 }
 
--- a/src/serve/request_crashes.cpp
+++ b/src/serve/request_crashes.cpp
@@ -45,11 +45,19 @@
         return false;
     return m_history.with([this](const CrashHistory& history) {
         const TimePoint now = monotonic_now();
-        return history.blocked(digest(), now) ||
-               std::any_of(m_parts.begin(), m_parts.end(),
-                           [&](const std::string& part) {
-                               return history.blocked(part, now);
-                           });
+        const auto is_blocked = [&](const std::string& key) {
+            return history.blocked(key, now);
+        };
+        if (is_blocked(digest())) {
+            m_blocked_key = digest();
+            return true;
+        }
+        const auto part =
+            std::find_if(m_parts.begin(), m_parts.end(), is_blocked);
+        if (part == m_parts.end())
+            return false;
+        m_blocked_key = *part;
+        return true;
     });
 }
 
--- a/src/serve/request_crashes.h
+++ b/src/serve/request_crashes.h
@@ -36,6 +36,8 @@
     /// Returns whether the request, or a part of its prompt, must not be sent
     /// to any upstream.
     bool blocked();
+    /// Returns the key that blocked() found to be blocked.
+    const std::string& blocked_key() const { return m_blocked_key; }
     /// Returns whether the next attempt may be made although the request is
     /// blocked; see CrashHistory::take_trial().
     bool take_trial();
@@ -72,6 +74,7 @@
     const DigestFunction m_compute_digest;
     std::string m_digest; ///< Empty until digest() is called.
     const std::vector<std::string> m_parts;
+    std::string m_blocked_key;
     // Of the last attempt:
     bool m_again = false;
     std::vector<bool> m_parts_again; ///< The same, for each part.
