Block a part also where more ends come than are kept

Cause: of more than twelve ends the first ones were dropped, came back by reports of other instances as new ones, and the time from which the part counts as suspect began again each time. Evidence: twelve ends known everywhere for 15 s, blocked at 60 of 82 instances and then at none, while no answer came.

Now the time at which a part became suspect is kept, and an end that is older than all that are kept is not learned again.

--- a/src/include/crosslink/forward/crash_history.h
+++ b/src/include/crosslink/forward/crash_history.h
@@ -130,7 +130,8 @@
         ProcessEnd process_end() const { return {runner, start_ms, ended_at}; }
     };
     struct Key {
-        /// The newest ones, in the order in which they were learned.
+        /// In the order in which they were learned: of a part the latest ones,
+        /// of a request those that were learned last.
         std::vector<End> ends;
         std::optional<TimePoint> answered_at;
         TimePoint answer_learned_at{};
@@ -141,9 +142,10 @@
         TimePoint last_at{}; ///< Time of the last end, or of its record.
         bool reported_blocked = false; ///< See take_newly_blocked().
         bool is_part = false;
-        bool is_culprit = false; ///< See find_culprits().
-        bool is_tied = false;    ///< See Culprit.
-        std::size_t trials = 0;  ///< See take_trial().
+        std::optional<TimePoint> suspect_since; ///< See is_suspect().
+        bool is_culprit = false;                ///< See find_culprits().
+        bool is_tied = false;                   ///< See Culprit.
+        std::size_t trials = 0;                 ///< See take_trial().
 
         bool counts(const End& end) const;
         std::size_t end_count() const;
@@ -152,6 +154,7 @@
         Micros report_span() const;
         bool has_valid_record() const;
         bool is_settled(TimePoint now) const;
+        bool make_room(TimePoint ended_at);
         bool is_explained() const;
         bool is_blocked(TimePoint now) const;
         bool is_held(TimePoint now) const;
@@ -164,7 +167,7 @@
                               TimePoint now, CrashUpdate& update);
     bool add_end(const InterruptedCall& call, TimePoint now);
     bool add_answer(std::string_view name, TimePoint at, TimePoint now);
-    void find_culprits_anew();
+    void find_culprits_anew(TimePoint now);
     Key& find_or_add(std::string_view name, TimePoint now);
     void mark_changed(Key& key, TimePoint now);
     void expire(TimePoint now);
--- a/src/libcrosslink/forward/crash_history.cpp
+++ b/src/libcrosslink/forward/crash_history.cpp
@@ -93,11 +93,25 @@
 {
     if (!is_part || !answered_at)
         return true;
-    std::size_t counted = 0;
-    for (const End& end : ends)
-        if (counts(end) && ++counted == most_ends)
-            return now >= end.learned_at + settle_time;
-    return false;
+    return suspect_since && now >= *suspect_since + settle_time;
+}
+
+/// Makes room for one more end. Returns false if that one is older than all
+/// that are kept of a part: it would be dropped, and reported by others, again
+/// and again.
+bool
+CrashHistory::Key::make_room(TimePoint ended_at)
+{
+    if (ends.size() < (is_part ? max_ends_of_part : max_ends_of_request))
+        return true;
+    const auto oldest = std::min_element(
+        ends.begin(), ends.end(), [](const End& one, const End& other) {
+            return one.ended_at < other.ended_at;
+        });
+    if (is_part && ended_at <= oldest->ended_at)
+        return false;
+    ends.erase(is_part ? oldest : ends.begin());
+    return true;
 }
 
 /// Returns whether other keys explain the ends under this one.
@@ -144,7 +158,7 @@
 CrashHistory::ended(const InterruptedCall& call, TimePoint now)
 {
     const bool is_new = add_end(call, now);
-    find_culprits_anew();
+    find_culprits_anew(now);
     return is_new;
 }
 
@@ -164,9 +178,8 @@
         known.again = known.again || call.again;
         return false;
     }
-    if (key.ends.size() >=
-        (key.is_part ? max_ends_of_part : max_ends_of_request))
-        key.ends.erase(key.ends.begin());
+    if (!key.make_room(call.ended_at))
+        return false;
     key.ends.push_back({call.runner, call.start_ms, call.again, call.ended_at,
                         call.ended_at - max_time_error, now});
     key.last_at = std::max(key.last_at, call.ended_at);
@@ -181,7 +194,7 @@
 CrashHistory::answered(std::string_view key, TimePoint at, TimePoint now)
 {
     if (add_answer(key, at, now))
-        find_culprits_anew();
+        find_culprits_anew(now);
 }
 
 /// Returns whether the answer clears ends or a record of the key.
@@ -208,14 +221,18 @@
 
 /// Decides anew which of the suspect keys are at fault.
 void
-CrashHistory::find_culprits_anew()
+CrashHistory::find_culprits_anew(TimePoint now)
 {
     std::vector<CrashSuspect> suspects;
     for (auto& [name, key] : m_keys) {
         key.is_culprit = false;
         key.is_tied = false;
-        if (!key.is_suspect())
+        if (!key.is_suspect()) {
+            key.suspect_since.reset();
             continue;
+        }
+        if (!key.suspect_since)
+            key.suspect_since = now;
         suspects.push_back({name, {}, key.answered_at});
         for (const End& end : key.ends)
             if (key.counts(end))
@@ -356,7 +373,7 @@
                        (is_part_key(answer.key) ? max_report_delay : Micros(0)),
                    now);
     if (!update.broken.empty() || !update.answered.empty())
-        find_culprits_anew();
+        find_culprits_anew(now);
     for (const CrashUpdate::Held& item : update.held)
         hold(item.key, as_of - item.since, now);
 }
--- a/src/libcrosslink/forward/crash_history_test.cpp
+++ b/src/libcrosslink/forward/crash_history_test.cpp
@@ -340,6 +340,21 @@
     CHECK(one.ends(request) == 2);
 }
 
+TEST_CASE("more ends than are kept do not put off that a part is blocked")
+{
+    CrashHistory one;
+    CrashHistory other;
+    one.answered(part, at(500), at(500));
+    end_runners(one, {part}, 0, 40);
+    for (int millis = 1200; millis < 3000; millis += 120) {
+        other.merge(one.update(at(millis)), at(millis), at(millis));
+        end_runners(one, {part}, 0, 40);
+        one.merge(other.update(at(millis)), at(millis), at(millis));
+    }
+    CHECK(one.blocked(part, at(3000)));
+    CHECK(other.blocked(part, at(3000)));
+}
+
 TEST_CASE("a blocked part that may be harmless is tried twice")
 {
     CrashHistory history;
--- a/src/libcrosslink/forward/part_crash_simulation_test.cpp
+++ b/src/libcrosslink/forward/part_crash_simulation_test.cpp
@@ -95,6 +95,14 @@
     play.sound_before = std::chrono::seconds(5);
     play.time = std::chrono::seconds(24);
     check_all(play);
+    // More ends than are kept come before others hear of them.
+    play.instances = 82;
+    play.runners = 200;
+    play.sound_calls = 200;
+    for (const std::uint32_t seed : {16U, 18U}) {
+        play.seed = seed;
+        check_one(play);
+    }
 }
 
 TEST_CASE("so it is where runners are lost in waves as well")
