--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -9,9 +9,9 @@
 The seed gives the plan of faults and what callers send; how threads meet is the
 machine's. Checks, from what callers and runners saw: own and whole answers, events
 in order, at most one run of what may run once, "not run" that is true, the right
-account, no configuration that goes back, few sends of a request under which runners
-end, runners with limits that are spared, and that all is served again afterwards. It
-ends only what it started.
+account, no configuration that goes back, few sends of a request, or of a part of
+prompts, under which runners end, runners with limits that are spared, and that all is
+served again afterwards. It ends only what it started.
 SEEDS.md keeps each seed that failed."""
 
 import argparse
@@ -31,6 +31,7 @@
 sys.path.insert(0, os.path.join(ROOT, "platform", "testsuite"))
 import crash_cases as crash  # noqa: E402
 import limit_cases as limits  # noqa: E402
+import part_crash_cases as parts  # noqa: E402
 import world as w  # noqa: E402
 from world import f  # noqa: E402
 
@@ -47,6 +48,10 @@
 LONGEST_REWRITE = 1.0 # until others have written theirs again
 LEAVING_PART = 0.3    # of the words of runners: the others ask for a backoff
 LIMIT = 0.5           # calls a second, in the check at the end
+ENDING_PART = "bad"   # of prompts: runners end as they would begin to answer
+ENDING_PREFIX = "aa:160,bad:320,own:16"
+CROWDED_PART = 0.85   # of the new connections go to one instance, at times
+LONGEST_CROWD = 4.0   # seconds
 TOKENS = 12
 NOT_RUN = (408, 421, 429, 503)
 KEYS = {w.KEY: "one", "key-alone": "alone"}
@@ -91,6 +96,7 @@
                 types.SimpleNamespace(address=proxy.address)))
             self.lives.append(0)
         self.locks = [threading.Lock() for _ in range(processes)]
+        self.crowded = None  # the number of the instance that most connect to
         self.version = 1  # of the configuration
         self.weights = 1
         self.lock = threading.Lock()
@@ -254,6 +260,22 @@
         store.write_again(entries)
 
 
+def answer_unframed(scene, rng, end):
+    """Answers of some runners have neither a length nor chunks."""
+    while time.monotonic() < end:
+        runner = rng.choice(scene.runners())
+        runner.unframed = True
+        time.sleep(rng.uniform(0.2, LONGEST_FAULT))
+        runner.unframed = False
+
+
+def crowd_instances(scene, rng, end):
+    """Most new connections go to one instance, then to another one."""
+    while time.monotonic() < end:
+        scene.crowded = rng.choice([None, *range(len(scene.lives))])
+        time.sleep(rng.uniform(0.5, LONGEST_CROWD))
+
+
 def list_weights(scene, end):
     """Lets runners tell the platform which weights they have, as the wire's
     runners do with each heartbeat. Instances that start later know them from
@@ -277,6 +299,7 @@
     def __init__(self, scene, seed):
         self.scene = scene
         self.rng = random.Random(seed)
+        self.crowd = random.Random("crowd %d" % seed)
         self.name = "s%d" % seed
         self.connection = None
         self.sent = []  # (id, path, key, status)
@@ -285,6 +308,9 @@
 
     def connect(self):
         self.number = self.rng.randrange(len(self.scene.lives))
+        crowded = self.scene.crowded
+        if crowded is not None and self.crowd.random() < CROWDED_PART:
+            self.number = crowded
         self.life = (self.number, self.scene.lives[self.number])
         address = self.scene.world.instances[self.number].address
         self.connection = http.client.HTTPConnection(address, timeout=15)
@@ -350,6 +376,22 @@
         time.sleep(rng.uniform(0.05, 0.7))
 
 
+def send_ending_part(scene, rng, end):
+    """Requests that share a part under which runners end, no two alike."""
+    for runner in scene.world.llm:
+        runner.ending_parts = {ENDING_PART}
+    while time.monotonic() < end:
+        instance = rng.choice(scene.world.instances)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            send_part(instance, rng.random())
+        time.sleep(rng.uniform(0.05, 1.0))
+
+
+def send_part(instance, body):
+    crash.send(instance, "/stream/",
+               lambda: w.generation(prefix=ENDING_PREFIX), str(body))
+
+
 # --- checks at the end ---------------------------------------------------------
 
 def check_runs(scene, callers):
@@ -404,6 +446,23 @@
                    % (plain.arrived() - before))
 
 
+def arrived_with_part(scene):
+    """How many calls with the part under which runners end reached them."""
+    return sum(ENDING_PART in w.standins.shared_parts(head)
+               for runner in scene.world.llm for _, head in runner.seen)
+
+
+def check_part_blocked(scene):
+    before = arrived_with_part(scene)
+    for number, instance in enumerate(scene.world.instances):
+        with contextlib.suppress(http.client.HTTPException):
+            send_part(instance, number)
+        scene.endings["llm"].all_are_back()
+    more = arrived_with_part(scene) - before
+    if more > parts.MOST_SENT_LATER:
+        scene.fail("a part that ends runners reached %d more" % more)
+
+
 def check_limit(scene):
     """All instances together spare a runner that is in need."""
     runner = scene.world.plain[0]
@@ -446,6 +505,11 @@
         copies = random.Random("copies %d" % seed)
         threads.append(threading.Thread(target=restore_store,
                                         args=(scene, copies, end)))
+        for what, series in (("parts", send_ending_part),
+                             ("unframed", answer_unframed),
+                             ("crowds", crowd_instances)):
+            threads.append(threading.Thread(target=series, args=(
+                scene, random.Random("%s %d" % (what, seed)), end)))
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -454,6 +518,7 @@
         time.sleep(CALM_SECONDS)
         check_in_force(scene)
         check_blocked(scene)
+        check_part_blocked(scene)
         check_limit(scene)
         check_runs(scene, callers)
     served = sum(c.served for c in callers)
