Mutations that had nothing left to take out, and seven of parts of prompts

Parts of prompts under which runners end had none.

Seven new ones: whole requests only, the caller's own part, answers that clear no part, two drifts of reports, what was in flight beside, no trial. A unit test holds that the last part of a prompt is no shared one.

That each mutation is caught is a run by hand (docs/PROMISES.md).

--- a/src/build-scripts/mutate.py
+++ b/src/build-scripts/mutate.py
@@ -1,9 +1,10 @@
 # SPDX-License-Identifier: Apache-2.0
 # Copyright Contributors to the crosslink project.
 """Takes each mechanism out, in a copy of the tree, and tells which tests catch
-it:  mutate.py FOLDER [NAME ...]
+it:  mutate.py FOLDER [NAME ...] | mutate.py --check
 
 FOLDER is a new or earlier folder for the copy. Every mutation must be caught.
+--check builds nothing: it tells which mutations have nothing to take out.
 """
 
 import os
@@ -44,7 +45,34 @@
      "unit.*behind a cut"),
     ("let an answer count only where an end is known",
      "src/libcrosslink/forward/crash_history.cpp",
-     "remember_answer(request, at);", "", "unit.*popular|unit.*an answer"),
+     "m_answers.answered(name, at);", "", "unit.*popular|unit.*an answer"),
+    ("remember whole requests only", "src/serve/forward/crash_watch.cpp",
+     "if (!call.generation)", "if (true)",
+     "platform.few_runners_end_under_requests_with_one_part"),
+    ("take the caller's own part for a shared one",
+     "src/include/crosslink/forward/forwarded_call.h",
+     "parts.empty() ? 0 : 1", "0", "unit.*shared|unit.*own part"),
+    ("let no answer clear a part",
+     "src/libcrosslink/forward/crash_history.cpp",
+     "known.answered_at = at;",
+     "if (!known.is_part)\n        known.answered_at = at;",
+     "unit.*sound calls|unit.*part"),
+    ("let an old report of an end make it earlier each time",
+     "src/libcrosslink/forward/crash_history.cpp",
+     "known.ended_at = std::max(std::min(known.ended_at, call.ended_at),\n"
+     "                                  known.earliest_at);",
+     "known.ended_at = std::min(known.ended_at, call.ended_at);",
+     "unit.*to and fro"),
+    ("let an answer count as later with each report",
+     "src/libcrosslink/forward/crash_history.cpp",
+     "(is_part_key(answer.key) ? max_report_delay : Micros(0))", "Micros(0)",
+     "unit.*to and fro"),
+    ("block also what was in flight beside the part at fault",
+     "src/libcrosslink/forward/crash_suspects.cpp",
+     "other.ends.erase(end);", "(void)end;", "unit.*explains|unit.*beside"),
+    ("never try a blocked part", "src/serve/forward/crash_watch.cpp",
+     "!m_state.has_duty() || !take_trial()", "true",
+     "platform.a_part_is_served_again"),
     ("compare positions of the store without their era",
      "src/include/crosslink/membership/store_position.h",
      "auto operator<=>(const StorePosition&) const = default;",
@@ -64,7 +92,7 @@
      "unit.*process says|unit.*says that it leaves|platform.runners_that_say"),
     ("forget what processes said where their entries lapse",
      "src/libcrosslink/forward/runner_table.cpp",
-     "m_unlisted.keep(entry.incarnation(), entry.notices);", "",
+     "m_unlisted.keep(entry->second.incarnation(), entry->second.notices);", "",
      "unit.*process says|unit.*a limit holds"),
     ("give a process the words of the one before",
      "src/libcrosslink/forward/unlisted_notices.cpp",
@@ -78,18 +106,18 @@
     ("tell nobody which runners leave", "src/serve/fleet/exchange_duty.cpp",
      "request.leaving = m_state.leaving_updates();", "", "platform.all_hear"),
     ("pass over the backoff that a runner asks for",
-     "src/libcrosslink/forward/runner_choosing.cpp",
+     "src/libcrosslink/forward/runner_availability.cpp",
      "{entry.paused_until, entry.notices.backoff_until,", "{entry.paused_until,",
      "unit.*process says|unit.*backoff"),
     ("send a call that waited into a backoff",
      "src/libcrosslink/forward/runner_choosing.cpp",
      "entry->notices.backoff_until <= query.now &&", "", "unit.*that waited"),
     ("let calls wait for the end of a backoff",
-     "src/libcrosslink/forward/runner_choosing.cpp",
+     "src/libcrosslink/forward/runner_availability.cpp",
      "if (entry.notices.backoff_until > query.now) {", "if (false) {",
      "unit.*no call waits"),
     ("let a shorter backoff end an earlier one",
-     "src/libcrosslink/forward/runner_table.cpp",
+     "src/libcrosslink/forward/runner_table_notices.cpp",
      "if (until <= notices->backoff_until)", "if (false)",
      "unit.*shorter backoff"),
     ("put failures of a process down to the next one",
@@ -119,11 +147,11 @@
      "const double each = rate / static_cast<double>(share.instances);",
      "const double each = rate;", "unit.*shares of a limit|unit.*spares"),
     ("never ask a silent runner with a limit",
-     "src/libcrosslink/forward/runner_choosing.cpp",
+     "src/libcrosslink/forward/runner_availability.cpp",
      "return silence - longest_silence(limit.per_second());",
      "return Micros{-1} + 0 * silence;", "unit.*limit's end|unit.*silent"),
     ("let calls that wait for a limited runner share one place",
-     "src/libcrosslink/forward/runner_choosing.cpp",
+     "src/libcrosslink/forward/runner_availability.cpp",
      "+ windows * share.window", "", "unit.*places of their own"),
     ("give places of limited runners to who comes first",
      "src/libcrosslink/forward/fair_share_tracker.cpp",
@@ -144,9 +172,10 @@
      "CLOCK_BOOTTIME", "CLOCK_MONOTONIC", "unit.*suspended"),
     ("take news that leave a gap",
      "src/libcrosslink/membership/change_log.cpp",
-     "page.since != *m_revision || ", "", "unit.*log"),
+     "if (m_position != since)", "if (!m_position)", "unit.*log"),
     ("take older news", "src/libcrosslink/membership/change_log.cpp",
-     "if (m_revision && page.revision < *m_revision)", "if (false)", "unit.*log"),
+     "if (m_position && page.position < *m_position)", "if (false)",
+     "unit.*log"),
     ("go back to an earlier holder's directory",
      "src/libcrosslink/kept/kept_replica.cpp",
      "update.term < m_term || ", "", "unit.*copy"),
@@ -155,7 +184,8 @@
      "asked - update.age", "asked", "unit.*handed on"),
     ("let all of a zone ask the holder",
      "src/libcrosslink/membership/fleet_tree.cpp",
-     "if (!is_parent(name, zone)) {", "if (false) {", "unit.*zone|unit.*none"),
+     "if (rank < m_under_holder && self != candidates.end())", "if (true)",
+     "unit.*zone|unit.*none"),
     ("go on with old news", "src/serve/fleet/change_receiver.cpp",
      "now - m_peer_confirmed <= max_peer_age", "now >= m_peer_confirmed",
      "platform.changes_reach|platform.a_large_fleet"),
@@ -252,21 +282,30 @@
             if "(Failed)" in line or "(Timeout)" in line]
 
 
+def mutated(folder, name, path, old, new):
+    """The text of the file without the mechanism."""
+    text = open(os.path.join(folder, path)).read()
+    edits = [(old, new)] if isinstance(old, str) else zip(old, new)
+    for there, instead in edits:
+        if there not in text:
+            raise SystemExit("nothing to take out: " + name)
+        text = text.replace(there, instead, 1)
+    return text
+
+
 def main():
+    if sys.argv[1:] == ["--check"]:
+        for name, path, old, new, _ in MUTATIONS:
+            mutated(ROOT, name, path, old, new)
+        return 0
     folder, names = sys.argv[1], sys.argv[2:]
     missed = 0
     for name, path, old, new, pattern in MUTATIONS:
         if names and name not in names:
             continue
         prepare(folder)
-        target = os.path.join(folder, path)
-        text = open(target).read()
-        edits = [(old, new)] if isinstance(old, str) else zip(old, new)
-        for there, instead in edits:
-            if there not in text:
-                raise SystemExit("nothing to take out: " + name)
-            text = text.replace(there, instead, 1)
-        open(target, "w").write(text)
+        text = mutated(folder, name, path, old, new)
+        open(os.path.join(folder, path), "w").write(text)
         caught = caught_by(folder, pattern)
         missed += not caught
         print("%-40s %s" % (name, ", ".join(caught) or "NOT CAUGHT"),
