Choose the longest unanswered suspect in every build, not by luck

Callers: of two parts of prompts that explain the same ends, the one that was never answered is to be blocked. Where the compiler did not happen to turn the comparison round, the harmless one was, with all sound requests that share it.

Cause: suspects were compared by the negated time of their last answer, and the time for "never" can't be negated: it stayed the smallest. The optimized program was right by luck; without optimization and under the sanitizer for undefined behaviour the harmless part was at fault.

Change: the two times are compared the other way round.

Evidence: two equal suspects, one never answered, before: at fault was the never answered one at -O1 and -O2, the answered one at -O0 and under the sanitizer ("negation of -"). After: the never answered one in all four. crash_suspects_test asserts one more order.

--- a/src/libcrosslink/forward/crash_suspects.cpp
+++ b/src/libcrosslink/forward/crash_suspects.cpp
@@ -47,18 +47,23 @@
     std::set<std::size_t> ends;
 };
 
+/// Returns when the last answer before the ends came: long ago if none did.
+TimePoint
+last_answer(const OpenSuspect& open)
+{
+    return open.suspect->answered_at.value_or(TimePoint::min());
+}
+
 /// Returns whether `one` explains less than `other`, or would be blocked after
 /// it.
 bool
 is_less_suspect(const OpenSuspect& one, const OpenSuspect& other)
 {
-    const auto rank = [](const OpenSuspect& open) {
-        const TimePoint answered =
-            open.suspect->answered_at.value_or(TimePoint::min());
+    const auto rank = [](const OpenSuspect& open, TimePoint answered_by_rival) {
         return std::tuple(open.ends.size(), !is_part_key(open.suspect->key),
-                          -answered.time_since_epoch(), open.suspect->key);
+                          answered_by_rival, open.suspect->key);
     };
-    return rank(one) < rank(other);
+    return rank(one, last_answer(other)) < rank(other, last_answer(one));
 }
 
 } // namespace
--- a/src/libcrosslink/forward/crash_suspects_test.cpp
+++ b/src/libcrosslink/forward/crash_suspects_test.cpp
@@ -81,6 +81,9 @@
     CHECK(culprits({suspect(shared, {1, 2, 3}, at(900)),
                     suspect(part, {1, 2, 3}, at(100))}) ==
           Names{part + " tied"});
+    CHECK(culprits({suspect(part, {1, 2, 3}),
+                    suspect(shared, {1, 2, 3}, at(900))}) ==
+          Names{part + " tied"});
     // One more end decides.
     CHECK(culprits({suspect(shared, {1, 2, 3, 4}, at(900)),
                     suspect(part, {1, 2, 3})}) == Names{shared});
