Decide once for all calls of a process that ended which keys are at fault

Callers: none told; seen by counting. While an instance records an end, each of its answers waits for the history's lock.

Cause: a process takes all its calls with it, and after each key of each of them the suspects were weighed anew: 450 times for 50 calls of eight parts.

Change: CrashHistory::ended() takes all calls of an end and weighs the suspects once; the outcome is the same (a test compares both ways).

--- a/src/include/crosslink/forward/crash_history.h
+++ b/src/include/crosslink/forward/crash_history.h
@@ -69,6 +69,9 @@
     /// Records that a runner ended under a key. Returns whether this is new:
     /// several instances may report the same end.
     bool ended(const InterruptedCall& call, TimePoint now);
+    /// The same for the keys of all calls that a process took with it. Which
+    /// keys are at fault is decided once for all of them.
+    void ended(std::span<const InterruptedCall> calls, TimePoint now);
     /// Records that a runner answered a call with a key at `at`: completely,
     /// or, for a part, at least past the begin of the answer.
     void answered(std::string_view key, TimePoint at, TimePoint now);
--- a/src/libcrosslink/forward/crash_history.cpp
+++ b/src/libcrosslink/forward/crash_history.cpp
@@ -43,6 +43,14 @@
     return is_new;
 }
 
+void
+CrashHistory::ended(std::span<const InterruptedCall> calls, TimePoint now)
+{
+    for (const InterruptedCall& call : calls)
+        add_end(call, now);
+    find_culprits_anew(now);
+}
+
 bool
 CrashHistory::add_end(const InterruptedCall& call, TimePoint now)
 {
--- a/src/libcrosslink/forward/crash_history_test.cpp
+++ b/src/libcrosslink/forward/crash_history_test.cpp
@@ -134,6 +134,31 @@
     CHECK(history.ends(request) == 3);
 }
 
+TEST_CASE("calls that one process took with it count as one by one")
+{
+    CrashHistory together;
+    CrashHistory one_by_one;
+    for (int runner = 0; runner < 4; ++runner) {
+        std::vector<InterruptedCall> calls;
+        for (const std::string_view key : {request, std::string_view(part)})
+            calls.push_back(interrupted(runner, 1000 + 50 * runner, key));
+        for (InterruptedCall& call : calls) {
+            call.again = runner > 0;
+            one_by_one.ended(call, at(1500));
+        }
+        together.ended(calls, at(1500));
+    }
+    for (const std::string_view key : {request, std::string_view(part)}) {
+        CHECK(together.ends(key) == 4);
+        CHECK(one_by_one.ends(key) == 4);
+        CHECK(together.blocked(key, at(1600)) ==
+              one_by_one.blocked(key, at(1600)));
+    }
+    CHECK(together.take_newly_blocked(at(1600)) ==
+          one_by_one.take_newly_blocked(at(1600)));
+    CHECK(together.blocked(request, at(1600)));
+}
+
 TEST_CASE("instances that exchange reports reach the same result")
 {
     const CrashHistory seen = ended_in_turn(3);
--- a/src/serve/request_crashes.cpp
+++ b/src/serve/request_crashes.cpp
@@ -162,10 +162,8 @@
 {
     if (calls.empty())
         return 0;
-    history.with([&](CrashHistory& known) {
-        for (const InterruptedCall& call : calls)
-            known.ended(call, monotonic_now());
-    });
+    history.with(
+        [calls](CrashHistory& known) { known.ended(calls, monotonic_now()); });
     return calls.size();
 }
 
