--- a/src/libcrosslink/testing/played_crash_fleet.h
+++ b/src/libcrosslink/testing/played_crash_fleet.h
@@ -3,16 +3,15 @@
 
 #pragma once
 
+#include "fleet_parents.h"
+#include "played_events.h"
+
 #include <crosslink/base/time.h>
 #include <crosslink/forward/crash_history.h>
-#include <crosslink/membership/fleet_tree.h>
 #include <crosslink/membership/instance_info.h>
 
 #include <cstddef>
-#include <functional>
-#include <map>
 #include <optional>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -38,7 +37,7 @@
 /// fleet's tree, played without threads or sockets. The holder of the duty
 /// records what is blocked at the platform, which the instances that reach it
 /// read with some delay. What callers send is told by derived classes.
-class PlayedCrashFleet
+class PlayedCrashFleet : protected PlayedEvents
 {
 public:
     virtual ~PlayedCrashFleet() = default;
@@ -47,17 +46,12 @@
     void run()
     {
         plan();
-        while (!m_events.empty()) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.at;
-            event.act();
-        }
+        run_events();
     }
 
 protected:
     explicit PlayedCrashFleet(const CrashFleetPlay& play)
-        : m_play(play), m_random(play.seed)
+        : PlayedEvents(play.time), m_play(play), m_random(play.seed)
     {
         for (std::size_t i = 0; i < play.instances; ++i)
             add_instance(TimePoint{} - contact);
@@ -79,11 +73,6 @@
         TimePoint cut_until{};
         std::size_t life = 0; ///< Words for an earlier one are lost.
     };
-    struct Event {
-        TimePoint at{};
-        std::function<void()> act;
-        bool operator<(const Event& other) const { return at > other.at; }
-    };
 
     Micros between(int least_ms, int most_ms)
     {
@@ -91,12 +80,6 @@
             std::uniform_int_distribution<int>(least_ms, most_ms)(m_random));
     }
 
-    void in(Micros span, std::function<void()> act)
-    {
-        if (m_now + span < TimePoint{} + m_play.time)
-            m_events.push({m_now + span, std::move(act)});
-    }
-
     void add_instance(TimePoint started_at)
     {
         const std::size_t number = m_fleet.size();
@@ -159,17 +142,9 @@
     void plant_tree()
     {
         std::vector<InstanceInfo> infos;
-        std::map<std::string, std::size_t> numbers;
-        for (std::size_t i = 0; i < m_fleet.size(); ++i) {
-            infos.push_back(m_fleet[i].info);
-            numbers[m_fleet[i].info.address] = i;
-        }
-        const FleetTree tree(infos, m_fleet[m_holder].info.address);
-        m_parents.assign(m_fleet.size(), {});
-        for (std::size_t i = 0; i < m_fleet.size(); ++i)
-            for (const std::string& address :
-                 tree.parents(infos[i].name, infos[i].zone, infos[i].address))
-                m_parents[i].push_back(numbers.at(address));
+        for (const Instance& instance : m_fleet)
+            infos.push_back(instance.info);
+        m_parents = fleet_parents(infos, m_holder);
         m_tree_is_old = false;
     }
 
@@ -269,11 +244,9 @@
     const CrashFleetPlay m_play;
     std::mt19937 m_random;
     std::vector<Instance> m_fleet;
-    std::priority_queue<Event> m_events;
     std::vector<std::vector<std::size_t>> m_parents; ///< Of each instance.
     bool m_tree_is_old = true;
     std::size_t m_holder = 0;
-    TimePoint m_now{};
     std::set<std::string> m_record; ///< What the platform keeps.
 };
 
--- a/src/libcrosslink/testing/played_limits.h
+++ b/src/libcrosslink/testing/played_limits.h
@@ -3,18 +3,17 @@
 
 #pragma once
 
+#include "fleet_parents.h"
+#include "played_events.h"
+
 #include <crosslink/base/time.h>
 #include <crosslink/forward/fair_share_tracker.h>
 #include <crosslink/forward/runner_table.h>
-#include <crosslink/membership/fleet_tree.h>
 #include <crosslink/membership/instance_info.h>
 
 #include <algorithm>
 #include <cstddef>
-#include <functional>
-#include <map>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -50,7 +49,7 @@
 /// A fleet in which each instance keeps a RunnerTable and exchanges limits by
 /// the fleet's tree, played without threads or sockets. Calls that find no
 /// runner are refused.
-class PlayedLimits
+class PlayedLimits : private PlayedEvents
 {
 public:
     static constexpr Micros span = std::chrono::seconds(4);
@@ -59,8 +58,8 @@
     static constexpr Micros contact = std::chrono::seconds(3);
 
     explicit PlayedLimits(const LimitPlay& play)
-        : m_play(play), m_random(play.seed), m_runners(play.runners),
-          m_fleet(play.instances)
+        : PlayedEvents(play.time), m_play(play), m_random(play.seed),
+          m_runners(play.runners), m_fleet(play.instances)
     {
         for (std::size_t i = 0; i < m_fleet.size(); ++i)
             start(i, TimePoint{} - contact);
@@ -70,12 +69,7 @@
     void run()
     {
         plan();
-        while (!m_events.empty()) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.at;
-            event.act();
-        }
+        run_events();
     }
 
     /// Returns by how many calls a runner got more, in any span after instances
@@ -140,11 +134,6 @@
         TimePoint cut_until{};
         std::size_t life = 0; ///< Words for an earlier one are lost.
     };
-    struct Event {
-        TimePoint at{};
-        std::function<void()> act;
-        bool operator<(const Event& other) const { return at > other.at; }
-    };
 
     static std::string zone_of(std::size_t number)
     {
@@ -168,11 +157,6 @@
     {
         return chance(m_play.late) ? between(500, 2000) : between(1, 40);
     }
-    void in(Micros time, std::function<void()> act)
-    {
-        if (m_now + time < TimePoint{} + m_play.time)
-            m_events.push({m_now + time, std::move(act)});
-    }
 
     double limit_at(TimePoint at) const
     {
@@ -308,17 +292,9 @@
     void plant_tree()
     {
         std::vector<InstanceInfo> infos;
-        std::map<std::string, std::size_t> numbers;
-        for (std::size_t i = 0; i < m_fleet.size(); ++i) {
-            infos.push_back(m_fleet[i].info);
-            numbers[m_fleet[i].info.address] = i;
-        }
-        const FleetTree tree(infos, m_fleet[m_holder].info.address);
-        m_parents.assign(m_fleet.size(), {});
-        for (std::size_t i = 0; i < m_fleet.size(); ++i)
-            for (const std::string& address :
-                 tree.parents(infos[i].name, infos[i].zone, infos[i].address))
-                m_parents[i].push_back(numbers.at(address));
+        for (const Instance& instance : m_fleet)
+            infos.push_back(instance.info);
+        m_parents = fleet_parents(infos, m_holder);
     }
 
     void call()
@@ -472,10 +448,8 @@
     std::mt19937_64 m_random;
     std::vector<Runner> m_runners;
     std::vector<Instance> m_fleet;
-    std::priority_queue<Event> m_events;
     std::vector<std::vector<std::size_t>> m_parents; ///< Of each instance.
     std::size_t m_holder = 0;
-    TimePoint m_now{};
     TimePoint m_cut_until{};
     std::size_t m_asked = 0;
     std::size_t m_refused = 0;
