Try a blocked part only with a call that reaches a runner

Callers: where all runners of a service end at a moment and are away for longer than four seconds, the part that all requests share is blocked, and sound requests with it were refused for 30 s more after the runners were back, or for ten minutes.

Cause: the holder of the duty lets one call try such a part, and counted the trial when it allowed it. While the runners are away the call finds none, or no connection, and the trial is gone.

Change: whether a trial is due is asked when a runner is looked for; it is taken when the call is about to be sent, and given back if nothing reached a runner. One call at a time has it, two in all, as before.

--- a/src/include/crosslink/forward/crash_history.h
+++ b/src/include/crosslink/forward/crash_history.h
@@ -91,6 +91,10 @@
     /// ends, or another key, which the call does not have, explains them as
     /// well.
     bool take_trial(std::span<const std::string> keys, TimePoint now);
+    /// Returns whether take_trial() would return true.
+    bool may_try(std::span<const std::string> keys, TimePoint now) const;
+    /// Records that the call that tries the blocked part `key` was not sent.
+    void return_trial(std::string_view key);
     /// Returns the keys that became blocked since the previous call.
     std::vector<std::string> take_newly_blocked(TimePoint now);
     /// Returns whether nothing is known of any key.
@@ -171,6 +175,8 @@
     bool add_end(const InterruptedCall& call, TimePoint now);
     bool add_answer(std::string_view name, TimePoint at, TimePoint now);
     void find_culprits_anew(TimePoint now);
+    const std::string* tried_key(std::span<const std::string> keys,
+                                 TimePoint now) const;
     Key& find_or_add(std::string_view name, TimePoint now);
     void mark_changed(Key& key, TimePoint now);
     void expire(TimePoint now);
--- a/src/libcrosslink/forward/crash_history.cpp
+++ b/src/libcrosslink/forward/crash_history.cpp
@@ -147,17 +147,19 @@
     return names;
 }
 
-bool
-CrashHistory::take_trial(std::span<const std::string> keys, TimePoint now)
+/// Returns the blocked one of `keys` that a call with them may try; null if
+/// there is none.
+const std::string*
+CrashHistory::tried_key(std::span<const std::string> keys, TimePoint now) const
 {
-    Key* tried = nullptr;
+    const std::string* tried = nullptr;
     std::size_t suspects = 0;
     bool all_answered = true;
     for (const std::string& name : keys) {
         const auto found = m_keys.find(name);
         if (found == m_keys.end())
             continue;
-        Key& key = found->second;
+        const Key& key = found->second;
         const bool is_blocked = key.is_blocked(now);
         if (!is_blocked && !key.is_suspect())
             continue;
@@ -166,15 +168,36 @@
         if (!is_blocked)
             continue;
         if (tried || !key.may_be_tried(now))
-            return false;
-        tried = &key;
+            return nullptr;
+        tried = &name;
     }
-    if (!tried || (suspects > 1 && !all_answered))
+    return suspects > 1 && !all_answered ? nullptr : tried;
+}
+
+bool
+CrashHistory::may_try(std::span<const std::string> keys, TimePoint now) const
+{
+    return tried_key(keys, now) != nullptr;
+}
+
+bool
+CrashHistory::take_trial(std::span<const std::string> keys, TimePoint now)
+{
+    const std::string* tried = tried_key(keys, now);
+    if (!tried)
         return false;
-    ++tried->trials;
+    ++m_keys.find(*tried)->second.trials;
     return true;
 }
 
+void
+CrashHistory::return_trial(std::string_view key)
+{
+    const auto found = m_keys.find(key);
+    if (found != m_keys.end() && found->second.trials > 0)
+        --found->second.trials;
+}
+
 bool
 CrashHistory::blocked(std::string_view key, TimePoint now) const
 {
--- a/src/libcrosslink/forward/crash_history_test.cpp
+++ b/src/libcrosslink/forward/crash_history_test.cpp
@@ -389,7 +389,12 @@
     const TimePoint last = at(1020);
     CHECK_FALSE(history.take_trial(keys, at(2000)));
     const TimePoint first = last + CrashHistory::trial_pauses[0];
+    CHECK(history.may_try(keys, first));
     CHECK(history.take_trial(keys, first));
+    // The call was not sent.
+    history.return_trial(part);
+    CHECK(history.take_trial(keys, first));
+    CHECK_FALSE(history.may_try(keys, first + Micros(1)));
     CHECK_FALSE(history.take_trial(keys, first + Micros(1)));
     const TimePoint second = last + CrashHistory::trial_pauses[1];
     CHECK(history.take_trial(keys, second));
--- a/src/serve/forward/crash_watch.cpp
+++ b/src/serve/forward/crash_watch.cpp
@@ -50,6 +50,12 @@
 
 bool
 CrashWatch::rejects()
+{
+    return blocked() && !(m_state.has_duty() && may_try());
+}
+
+bool
+CrashWatch::rejects_send()
 {
     if (!blocked())
         return false;
--- a/src/serve/forward/crash_watch.h
+++ b/src/serve/forward/crash_watch.h
@@ -28,9 +28,13 @@
     CrashWatch(ForwardState& state, const ForwardedCall& call,
                const AccountSettings* account);
 
-    /// Returns whether the call must not be sent to any runner now. The holder
-    /// of the coordinator duty alone may try a blocked part.
+    /// Returns whether no runner needs to be looked for: the call must not be
+    /// sent to any. The holder of the coordinator duty alone may try a blocked
+    /// part.
     bool rejects();
+    /// Returns whether the call must not be sent to the runner that was found
+    /// for it. A call that tries a blocked part is the only one to do so.
+    bool rejects_send();
 
     /// Returns the ids of the parts of the call's prompt that other calls may
     /// share, in their order, joined by commas.
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -87,6 +87,10 @@
             return;
         }
         refuse_if_queue_too_long();
+        if (m_crashes.rejects_send()) {
+            end_blocked(link);
+            return;
+        }
         const Outcome outcome = attempt(link);
         record_outcome(outcome);
         if (outcome == Outcome::Done)
@@ -178,6 +182,7 @@
         const Outcome outcome = send_once(link);
         if (outcome != Outcome::NotRelayed)
             return outcome;
+        m_crashes.record_unsent();
         m_choice.reserve_again();
     }
     note_unreachable();
--- a/src/serve/request_crashes.cpp
+++ b/src/serve/request_crashes.cpp
@@ -21,6 +21,14 @@
 {
 }
 
+RequestCrashes::~RequestCrashes()
+{
+    if (m_is_trial)
+        m_history.with([this](CrashHistory& history) {
+            history.return_trial(m_blocked_key);
+        });
+}
+
 const std::string&
 RequestCrashes::digest()
 {
@@ -61,11 +69,27 @@
     });
 }
 
-bool
-RequestCrashes::take_trial()
+std::vector<std::string>
+RequestCrashes::all_keys()
 {
     std::vector<std::string> keys = m_parts;
     keys.push_back(digest());
+    return keys;
+}
+
+bool
+RequestCrashes::may_try()
+{
+    const std::vector<std::string> keys = all_keys();
+    return m_history.with([&keys](const CrashHistory& history) {
+        return history.may_try(keys, monotonic_now());
+    });
+}
+
+bool
+RequestCrashes::take_trial()
+{
+    const std::vector<std::string> keys = all_keys();
     m_is_trial = m_history.with([&keys](CrashHistory& history) {
         return history.take_trial(keys, monotonic_now());
     });
@@ -90,12 +114,18 @@
 RequestCrashes::record_send()
 {
     m_begun = false;
-    m_is_trial = false;
+    m_was_trial = std::exchange(m_is_trial, false);
     m_again = failed_before();
     for (std::size_t i = 0; i < m_parts.size(); ++i)
         m_parts_again[i] = failed_before(m_parts[i]);
 }
 
+void
+RequestCrashes::record_unsent()
+{
+    m_is_trial = m_was_trial;
+}
+
 void
 RequestCrashes::record_answer()
 {
--- a/src/serve/request_crashes.h
+++ b/src/serve/request_crashes.h
@@ -32,20 +32,29 @@
                    Guarded<UnresolvedFailures>& failures,
                    DigestFunction compute_digest,
                    std::vector<std::string> parts = {});
+    ~RequestCrashes();
+    RequestCrashes(const RequestCrashes&) = delete;
+    RequestCrashes& operator=(const RequestCrashes&) = delete;
 
     /// Returns whether the request, or a part of its prompt, must not be sent
     /// to any upstream.
     bool blocked();
     /// Returns the key that blocked() found to be blocked.
     const std::string& blocked_key() const { return m_blocked_key; }
-    /// Returns whether the next attempt may be made although the request is
-    /// blocked; see CrashHistory::take_trial().
+    /// Returns whether the request may be sent although it is blocked; see
+    /// CrashHistory::may_try().
+    bool may_try();
+    /// Returns whether the next attempt is made although the request is
+    /// blocked; see CrashHistory::take_trial(). If it is not sent, the trial is
+    /// returned.
     bool take_trial();
     /// Returns whether an upstream ended while it ran the request, or recently
     /// interrupted it.
     bool failed_before() { return failed_before(digest()); }
     /// Records that the request is sent to an upstream.
     void record_send();
+    /// Records that what was sent last reached no upstream.
+    void record_unsent();
     /// Records that an upstream answered the request completely.
     void record_answer();
     /// Records that an upstream has gone on past the begin of its answer: no
@@ -67,6 +76,7 @@
     bool has_recent_ends();
     bool failed_before(const std::string& key);
     void record_answered_parts();
+    std::vector<std::string> all_keys();
     std::vector<FailedKey> suspect_keys();
 
     Guarded<CrashHistory>& m_history;
@@ -75,11 +85,12 @@
     std::string m_digest; ///< Empty until digest() is called.
     const std::vector<std::string> m_parts;
     std::string m_blocked_key;
+    bool m_is_trial = false; ///< The next attempt is made despite a block.
     // Of the last attempt:
+    bool m_was_trial = false; ///< It was made despite a block.
     bool m_again = false;
     std::vector<bool> m_parts_again; ///< The same, for each part.
     bool m_begun = false;            ///< See record_begun().
-    bool m_is_trial = false; ///< The next attempt is made despite a block.
 };
 
 /// Records under which keys a process ended. Returns their number.
