Play the large fleets of the longest simulations seed by seed

Cause: "so it is where runners are lost in waves as well" took 27.7 s in the run of all tests beside a build; a test may take 300 s, and the address sanitizer makes the simulations about seven times slower (a case of 9 s alone took about a minute there). On a busy machine little was left.

Change: the large fleet of the two longest cases is a test for each of its three seeds; sizes, seeds, bounds and assertions are the same.

--- a/src/libcrosslink/forward/part_crash_simulation_test.cpp
+++ b/src/libcrosslink/forward/part_crash_simulation_test.cpp
@@ -31,8 +31,8 @@
     std::size_t runners;
     double sound_calls;
 };
-constexpr std::array<FleetSize, 3> sizes{
-    {{4, 12, 30}, {82, 200, 200}, {295, 800, 400}}};
+constexpr FleetSize large{295, 800, 400};
+constexpr std::array<FleetSize, 3> sizes{{{4, 12, 30}, {82, 200, 200}, large}};
 
 void
 check_one(const PartPlay& play)
@@ -50,18 +50,42 @@
           most_refused);
 }
 
-/// Simulates fleets of all sizes with all seeds.
 void
-check_all(PartPlay play)
+check_size(PartPlay play, const FleetSize& size, std::uint32_t seed)
+{
+    play.instances = size.instances;
+    play.runners = size.runners;
+    play.sound_calls = size.sound_calls;
+    play.seed = seed;
+    check_one(play);
+}
+
+/// Simulates fleets of all sizes up to `most` instances with all seeds.
+void
+check_all(const PartPlay& play, std::size_t most = large.instances)
 {
     for (const FleetSize& size : sizes)
-        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
-            play.instances = size.instances;
-            play.runners = size.runners;
-            play.sound_calls = size.sound_calls;
-            play.seed = seed;
-            check_one(play);
-        }
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed)
+            if (size.instances <= most)
+                check_size(play, size, seed);
+}
+
+PartPlay
+play_with_waves()
+{
+    PartPlay play;
+    play.wave = std::chrono::seconds(2);
+    return play;
+}
+
+PartPlay
+play_of_waves()
+{
+    PartPlay play;
+    play.bad_calls = 0;
+    play.wave = std::chrono::seconds(1);
+    play.time = std::chrono::seconds(12);
+    return play;
 }
 
 } // namespace
@@ -107,9 +131,13 @@
 
 TEST_CASE("so it is where runners are lost in waves as well")
 {
-    PartPlay play;
-    play.wave = std::chrono::seconds(2);
-    check_all(play);
+    check_all(play_with_waves(), large.instances - 1);
+}
+
+TEMPLATE_TEST_CASE_SIG("so it is in a large fleet with waves by seed", "",
+                       ((std::uint32_t Seed), Seed), 1, 2, 3)
+{
+    check_size(play_with_waves(), large, Seed);
 }
 
 TEST_CASE("a part that ends runners is soon sent to none despite a cut zone")
@@ -132,11 +160,13 @@
 
 TEST_CASE("sound calls are not refused where runners are lost in waves")
 {
-    PartPlay play;
-    play.bad_calls = 0;
-    play.wave = std::chrono::seconds(1);
-    play.time = std::chrono::seconds(12);
-    check_all(play);
+    check_all(play_of_waves(), large.instances - 1);
+}
+
+TEMPLATE_TEST_CASE_SIG("sound calls are served in a large fleet by seed", "",
+                       ((std::uint32_t Seed), Seed), 1, 2, 3)
+{
+    check_size(play_of_waves(), large, Seed);
 }
 
 } // namespace crosslink
