--- a/src/include/crosslink/forward/crash_key.h
+++ b/src/include/crosslink/forward/crash_key.h
@@ -9,10 +9,8 @@
 namespace crosslink
 {
 
-/// Keys under which CrashHistory remembers what runners ended under: the digest
-/// of a whole request (see request_digest()), or a part of a prompt.
-
-/// Returns the key of the part of a prompt with the id `part`. Accounts that
+/// Returns the key under which CrashHistory remembers the part of a prompt with
+/// the id `part`; that of a whole request is request_digest(). Accounts that
 /// send the same part share its key. The parts of an account that shares
 /// nothing with others are its own: `isolated_account` is its name, and empty
 /// for all other accounts.
--- a/src/libcrosslink/forward/part_crash_simulation_test.cpp
+++ b/src/libcrosslink/forward/part_crash_simulation_test.cpp
@@ -71,7 +71,7 @@
 }
 
 PartPlay
-play_with_waves()
+bad_part_and_waves()
 {
     PartPlay play;
     play.wave = std::chrono::seconds(2);
@@ -79,7 +79,7 @@
 }
 
 PartPlay
-play_of_waves()
+waves_alone()
 {
     PartPlay play;
     play.bad_calls = 0;
@@ -131,13 +131,13 @@
 
 TEST_CASE("so it is where runners are lost in waves as well")
 {
-    check_all(play_with_waves(), large.instances - 1);
+    check_all(bad_part_and_waves(), large.instances - 1);
 }
 
 TEMPLATE_TEST_CASE_SIG("so it is in a large fleet with waves by seed", "",
                        ((std::uint32_t Seed), Seed), 1, 2, 3)
 {
-    check_size(play_with_waves(), large, Seed);
+    check_size(bad_part_and_waves(), large, Seed);
 }
 
 TEST_CASE("a part that ends runners is soon sent to none despite a cut zone")
@@ -160,13 +160,13 @@
 
 TEST_CASE("sound calls are not refused where runners are lost in waves")
 {
-    check_all(play_of_waves(), large.instances - 1);
+    check_all(waves_alone(), large.instances - 1);
 }
 
 TEMPLATE_TEST_CASE_SIG("sound calls are served in a large fleet by seed", "",
                        ((std::uint32_t Seed), Seed), 1, 2, 3)
 {
-    check_size(play_of_waves(), large, Seed);
+    check_size(waves_alone(), large, Seed);
 }
 
 } // namespace crosslink
