--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -224,9 +224,11 @@
         .field("request", m_call.id)
         .field("runner", m_choice.pick().id)
         .field("relay", relay())
+        .field("zone", m_link.relay->zone)
         .field("why", name);
     if (failure == RelayFailure::Broken)
         return Outcome::Broken;
+    ++m_state.counters.relays_vain;
     m_connector.not_relayed(m_link, failure);
     return Outcome::NotRelayed;
 }
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -323,6 +323,7 @@
     counter("polls_refused_total", polls_refused);
     counter("paths_cut_total", paths_cut);
     counter("calls_relayed_total", calls_relayed);
+    counter("relays_vain_total", relays_vain);
     counter("relays_served_total", relays_served);
     counter("relays_refused_total", relays_refused);
     counter("streams_refused_total", streams_refused);
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -118,6 +118,7 @@
     Counter polls_refused{0};   ///< Polls of too many other instances.
     Counter paths_cut{0};       ///< Runners that only other instances reach.
     Counter calls_relayed{0};   ///< Sent to runners by other instances.
+    Counter relays_vain{0};     ///< Instances that did not send a call on.
     Counter relays_served{0};   ///< Calls sent to runners for others.
     Counter relays_refused{0};  ///< Calls not sent on for others.
     Counter streams_refused{0}; ///< Taken up, and can't go on.
--- a/src/serve/forward/runner_connector.cpp
+++ b/src/serve/forward/runner_connector.cpp
@@ -117,9 +117,11 @@
             address, std::min(relay_connect_time, time_left));
     } catch (const Poco::Exception& failure) {
         m_state.relay_failed(address);
+        ++m_state.counters.relays_vain;
         LogLine("relay_not_connected")
             .field("request", m_call_id)
             .field("instance", link.relay->name)
+            .field("zone", link.relay->zone)
             .field("error", failure.displayText());
     }
     return link;
