Ask an instance of another zone once one of the own zone has no path

What callers saw: in a zone of twelve instances whose ways to all runners fell silent, none of 19 to 25 calls served, 503 after their time. Cause: a call was passed to up to three instances a runner, all of the own zone as long as one there was not asked within 0.5 s, and the next runner began anew. Each of them took up to 0.55 s to find that it had no path either, and learned nothing by it; so none learned that its way was cut, which takes one that reaches the runner. Evidence: 26 calls asked six instances of their own zone each, none of the other; all said no_path. Now a call goes to zones that have not failed it first; the own zone serves its own while half of it can help, else the load is spread over all; one that can't help is paused twice as long each time, up to 4 s; an instance that finds no path for another's call asks for a probe of it. So two tries reach every zone, however many instances a zone has.

--- a/src/include/crosslink/forward/relay_selector.h
+++ b/src/include/crosslink/forward/relay_selector.h
@@ -6,49 +6,73 @@
 #include <crosslink/base/time.h>
 #include <crosslink/membership/instance_info.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace crosslink
 {
 
+/// Zones whose instances could not help with one call.
+using FailedZones = std::set<std::string, std::less<>>;
+
 /// Chooses the instance that passes a call on to a runner which this instance
-/// does not reach. Answers the load of instances without a path to runners:
-/// it is spread evenly over the others of the zone, and over other zones only
-/// where none of the own zone is left.
+/// does not reach. Answers the load of instances without a path to runners: it
+/// is spread evenly over the others of the zone, as long as half of them can
+/// help, and over all zones otherwise. Instances of a zone may all be without a
+/// path, so that a call goes to another zone after one failure.
 class RelaySelector
 {
 public:
     using Instances = std::map<std::string, InstanceInfo, std::less<>>;
 
-    /// An instance that could not help is not asked again for this time.
-    static constexpr Micros retry_pause = std::chrono::milliseconds(500);
+    /// An instance that could not help is not asked again for this time, which
+    /// doubles with each further failure.
+    static constexpr Micros min_pause = std::chrono::milliseconds(500);
+    static constexpr Micros max_pause = std::chrono::seconds(4);
 
-    /// Returns one of `instances` other than `own` for a call to `runner`;
-    /// nothing if none is left.
-    std::optional<InstanceInfo> choose(const Instances& instances,
-                                       const InstanceInfo& own,
-                                       std::string_view runner, TimePoint now,
-                                       std::uint64_t random) const;
+    /// Returns one of `instances` other than `own` for a call to `runner`, not
+    /// of `failed_zones` if there are others; nothing if no instance is left.
+    std::optional<InstanceInfo>
+    choose(const Instances& instances, const InstanceInfo& own,
+           std::string_view runner, const FailedZones& failed_zones,
+           TimePoint now, std::uint64_t random) const;
     /// Records that the instance at `address` could not help.
     void failed(std::string_view address, TimePoint now);
     /// Records that it could not help with calls to `runner`.
     void failed(std::string_view address, std::string_view runner,
                 TimePoint now);
+    /// Records that it passed a call on.
+    void helped(std::string_view address);
 
 private:
     /// The address of an instance, and a runner; empty for all runners.
     using Key = std::pair<std::string, std::string>;
 
-    bool is_paused(std::string_view address, std::string_view runner,
-                   TimePoint now) const;
+    struct Pause {
+        Micros length{0};
+        TimePoint until{};
+    };
+
+    /// The instances of one zone that may help, and how many may not now.
+    struct Zone {
+        std::vector<const InstanceInfo*> open;
+        std::size_t paused = 0;
+    };
+    using Zones = std::map<std::string_view, Zone>;
+
+    Zones zones_of(const Instances& instances, const InstanceInfo& own,
+                   std::string_view runner, TimePoint now) const;
+    std::set<std::string_view> paused_for(std::string_view runner,
+                                          TimePoint now) const;
 
-    /// Until when instances are not asked.
-    std::map<Key, TimePoint> m_paused_until;
+    std::map<Key, Pause> m_pauses;
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/relay_selector.cpp
+++ b/src/libcrosslink/forward/relay_selector.cpp
@@ -3,31 +3,51 @@
 
 #include <crosslink/forward/relay_selector.h>
 
-#include <vector>
+#include <algorithm>
 
 namespace crosslink
 {
 
 std::optional<InstanceInfo>
 RelaySelector::choose(const Instances& instances, const InstanceInfo& own,
-                      std::string_view runner, TimePoint now,
-                      std::uint64_t random) const
+                      std::string_view runner, const FailedZones& failed_zones,
+                      TimePoint now, std::uint64_t random) const
 {
-    std::vector<const InstanceInfo*> near;
-    std::vector<const InstanceInfo*> far;
-    for (const auto& [name, instance] : instances) {
-        if (name == own.name || instance.address == own.address ||
-            is_paused(instance.address, {}, now) ||
-            is_paused(instance.address, runner, now))
-            continue;
-        (instance.zone == own.zone ? near : far).push_back(&instance);
-    }
-    const auto& choice = near.empty() ? far : near;
+    Zones zones = zones_of(instances, own, runner, now);
+    const Zone& near = zones[own.zone];
+    std::vector<const InstanceInfo*> choice;
+    if (near.open.size() >= near.paused && !failed_zones.contains(own.zone))
+        choice = near.open;
+    if (choice.empty())
+        for (const auto& [name, zone] : zones)
+            if (!failed_zones.contains(name))
+                choice.insert(choice.end(), zone.open.begin(), zone.open.end());
+    if (choice.empty())
+        for (const auto& [name, zone] : zones)
+            choice.insert(choice.end(), zone.open.begin(), zone.open.end());
     if (choice.empty())
         return std::nullopt;
     return *choice[random % choice.size()];
 }
 
+RelaySelector::Zones
+RelaySelector::zones_of(const Instances& instances, const InstanceInfo& own,
+                        std::string_view runner, TimePoint now) const
+{
+    const std::set<std::string_view> paused = paused_for(runner, now);
+    Zones zones;
+    for (const auto& [name, instance] : instances) {
+        if (name == own.name || instance.address == own.address)
+            continue;
+        Zone& zone = zones[instance.zone];
+        if (paused.contains(instance.address))
+            ++zone.paused;
+        else
+            zone.open.push_back(&instance);
+    }
+    return zones;
+}
+
 void
 RelaySelector::failed(std::string_view address, TimePoint now)
 {
@@ -38,19 +58,31 @@
 RelaySelector::failed(std::string_view address, std::string_view runner,
                       TimePoint now)
 {
-    std::erase_if(m_paused_until,
-                  [now](const auto& item) { return item.second <= now; });
-    m_paused_until.insert_or_assign(
-        Key(std::string(address), std::string(runner)), now + retry_pause);
+    std::erase_if(m_pauses, [now](const auto& item) {
+        return item.second.until + max_pause <= now;
+    });
+    Pause& pause = m_pauses[Key(std::string(address), std::string(runner))];
+    if (now < pause.until)
+        return;
+    pause.length = std::clamp(2 * pause.length, min_pause, max_pause);
+    pause.until = now + pause.length;
+}
+
+void
+RelaySelector::helped(std::string_view address)
+{
+    m_pauses.erase(Key(std::string(address), std::string()));
 }
 
-bool
-RelaySelector::is_paused(std::string_view address, std::string_view runner,
-                         TimePoint now) const
+/// Returns the addresses of the instances that are not asked about `runner`.
+std::set<std::string_view>
+RelaySelector::paused_for(std::string_view runner, TimePoint now) const
 {
-    const auto found =
-        m_paused_until.find(Key(std::string(address), std::string(runner)));
-    return found != m_paused_until.end() && now < found->second;
+    std::set<std::string_view> paused;
+    for (const auto& [key, pause] : m_pauses)
+        if (now < pause.until && (key.second.empty() || key.second == runner))
+            paused.insert(key.first);
+    return paused;
 }
 
 } // namespace crosslink
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -139,10 +139,7 @@
         m_path_check_at.reset();
         m_silent_at = now;
     } else if (!m_suspects) {
-        m_suspects = m_state.paths.with(
-            [&](RunnerPaths& paths) { return paths.suspect(runner, now); });
-        if (m_suspects)
-            m_state.path_changed.wake();
+        m_suspects = m_state.suspect_path(runner);
     }
 }
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -214,11 +214,17 @@
     /// Records that another instance reaches `runner`, which this one does not
     /// reach, and logs it if that is new.
     void note_path_cut(const std::string& runner);
+    /// Asks for a probe of the path to `runner`, from which nothing comes.
+    /// Returns whether one is due; see RunnerPaths::suspect().
+    bool suspect_path(std::string_view runner);
     /// Records that a new connection to `runner` was made.
     void note_runner_connected(const std::string& runner);
-    /// Returns an instance to pass a call on to `runner`; nothing if there is
-    /// none.
-    std::optional<InstanceInfo> choose_relay(std::string_view runner);
+    /// Returns an instance to pass a call on to `runner`, not of
+    /// `failed_zones` if there is another one; nothing if there is none.
+    std::optional<InstanceInfo> choose_relay(std::string_view runner,
+                                             const FailedZones& failed_zones);
+    /// Records that the instance at `address` passed a call on.
+    void relay_helped(std::string_view address);
     /// Records that the instance at `address` could not pass a call on.
     void relay_failed(std::string_view address);
     /// Records that it could not pass a call on to `runner`.
--- a/src/serve/forward/forward_state_paths.cpp
+++ b/src/serve/forward/forward_state_paths.cpp
@@ -29,6 +29,17 @@
     LogLine("path_cut").field("runner", runner).field("all", all);
 }
 
+bool
+ForwardState::suspect_path(std::string_view runner)
+{
+    const bool is_due = paths.with([runner](RunnerPaths& known) {
+        return known.suspect(runner, monotonic_now());
+    });
+    if (is_due)
+        path_changed.wake();
+    return is_due;
+}
+
 void
 ForwardState::note_runner_connected(const std::string& runner)
 {
@@ -40,18 +51,27 @@
 }
 
 std::optional<InstanceInfo>
-ForwardState::choose_relay(std::string_view runner)
+ForwardState::choose_relay(std::string_view runner,
+                           const FailedZones& failed_zones)
 {
     const TimePoint now = monotonic_now();
     const std::uint64_t random = random_bits();
     const InstanceInfo own = settings.instance_info();
     return fleet.with([&](const FleetView& view) {
         return relays.with([&](const RelaySelector& selector) {
-            return selector.choose(view.instances, own, runner, now, random);
+            return selector.choose(view.instances, own, runner, failed_zones,
+                                   now, random);
         });
     });
 }
 
+void
+ForwardState::relay_helped(std::string_view address)
+{
+    relays.with(
+        [address](RelaySelector& selector) { selector.helped(address); });
+}
+
 void
 ForwardState::relay_failed(std::string_view address)
 {
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -241,6 +241,7 @@
         LogLine("not_connected")
             .field("runner", runner.id)
             .field("error", failure.displayText());
+        m_state.suspect_path(runner.id);
         return nullptr;
     }
 }
--- a/src/serve/forward/runner_connector.cpp
+++ b/src/serve/forward/runner_connector.cpp
@@ -103,7 +103,7 @@
 RunnerConnector::open_relay(Micros time_left)
 {
     RunnerLink link;
-    link.relay = m_state.choose_relay(m_runner->id);
+    link.relay = m_state.choose_relay(m_runner->id, m_failed_zones);
     if (!link.relay)
         return link;
     link.opened_at = monotonic_now();
@@ -117,6 +117,7 @@
             address, std::min(relay_connect_time, time_left));
     } catch (const Poco::Exception& failure) {
         m_state.relay_failed(address);
+        m_failed_zones.insert(link.relay->zone);
         ++m_state.counters.relays_vain;
         LogLine("relay_not_connected")
             .field("request", m_call_id)
@@ -130,13 +131,17 @@
 void
 RunnerConnector::answered(const RunnerLink& link)
 {
-    if (link.relay && m_direct_failed)
+    if (!link.relay)
+        return;
+    m_state.relay_helped(link.relay->address);
+    if (m_direct_failed)
         m_state.note_path_cut(m_runner->id);
 }
 
 void
 RunnerConnector::not_relayed(const RunnerLink& link, RelayFailure failure)
 {
+    m_failed_zones.insert(link.relay->zone);
     if (failure == RelayFailure::Unreachable) {
         m_down = true;
         m_state.paths.with([this](RunnerPaths& paths) {
--- a/src/serve/forward/runner_connector.h
+++ b/src/serve/forward/runner_connector.h
@@ -6,6 +6,7 @@
 #include "relay_wire.h"
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/relay_selector.h>
 #include <crosslink/forward/runner_query.h>
 #include <crosslink/membership/instance_info.h>
 
@@ -66,6 +67,7 @@
     bool m_direct_failed = false;
     bool m_silent = false;
     int m_relays_tried = 0;
+    FailedZones m_failed_zones; ///< Of the instances tried for this call.
     /// An instance that reaches runners does not reach this one.
     bool m_down = false;
 };
--- a/src/serve/forward/runner_look.cpp
+++ b/src/serve/forward/runner_look.cpp
@@ -32,8 +32,9 @@
 std::optional<ProcessFate>
 ask_others(ForwardState& state, const std::string& runner)
 {
+    FailedZones failed_zones;
     for (int asked = 0; asked < max_asked; ++asked) {
-        const auto peer = state.choose_relay(runner);
+        const auto peer = state.choose_relay(runner, failed_zones);
         if (!peer)
             break;
         try {
@@ -46,6 +47,7 @@
                 .field("error", failure.what());
         }
         state.relay_failed(peer->address, runner);
+        failed_zones.insert(peer->zone);
     }
     return std::nullopt;
 }
