Presume cut paths by service and by zone, and tell neighbours of a service apart

Cause: two cut paths stood for all only where no connection was made in between, to whatever runner; so with another service in use each of 60 ways was learned by a call that waited, and a probe was asked for only where nothing at all was heard. Now they stand for their service, their zone, both, or all, until a connection to one of these; groups are probed in turn; a runner's silence counts where its own service and zone are not heard. Unit cases of services and zones failed before.

--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -5,6 +5,7 @@
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/runner_notices.h>
+#include <crosslink/forward/runner_place.h>
 #include <crosslink/forward/send_window.h>
 
 #include <cstdint>
@@ -40,6 +41,8 @@
     /// report.
     Micros cold_for{0};
     std::vector<LoadedModel> models;
+
+    RunnerPlace place() const { return {id, service, zone}; }
 };
 
 /// One of the processes that have, or had, the same id.
--- a/src/include/crosslink/forward/runner_paths.h
+++ b/src/include/crosslink/forward/runner_paths.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/runner_place.h>
 
+#include <array>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -19,11 +21,13 @@
 /// that this instance fails to reach may be down, or the path to it may be;
 /// another instance that reaches the runner tells the two apart. This
 /// knowledge concerns the instance alone and says nothing about the runners.
+/// Paths fail together: two runners of a service, of a zone or of any stand for
+/// their group, so that calls need not find out path by path.
 class RunnerPaths
 {
 public:
-    /// Two runners that others reach show that the path to all may be down,
-    /// unless a connection was made in between.
+    /// Two runners that others reach show that the paths to their group may be
+    /// down, unless a connection to another of it was made in between.
     static constexpr std::size_t min_cut_runners = 2;
     /// They show it within this time of each other.
     static constexpr Micros cut_window = std::chrono::seconds(3);
@@ -43,45 +47,50 @@
         TimePoint proven_since{};
     };
 
-    /// Returns how to send a call to `runner`.
-    Path path_to(std::string_view runner) const;
-    /// Returns whether runners are presumed out of reach although no failure
-    /// at each of them is known.
-    bool all_cut() const { return m_all_cut_since.has_value(); }
+    /// What to probe.
+    struct Probe {
+        std::string runner;   ///< Empty for any runner of `group`.
+        RunnerGroup group;    ///< See `runner`.
+        bool suspect = false; ///< The runner does not count as cut yet.
+    };
+
+    /// Returns how to send a call to the runner at `place`.
+    Path path_to(const RunnerPlace& place) const;
+    /// Returns whether all runners are presumed out of reach although no
+    /// failure at each of them is known.
+    bool all_cut() const { return all_cut_since().has_value(); }
     /// Returns whether some runner is known to be out of reach of this instance
     /// alone: its failure to reach another one then says little about that one.
     bool any_cut() const { return !m_cut.empty(); }
     /// Returns the runners that only other instances reach, and since when
     /// that is known.
-    const std::map<std::string, TimePoint, std::less<>>& cut_runners() const
-    {
-        return m_cut;
-    }
+    std::map<std::string, TimePoint, std::less<>> cut_runners() const;
     /// Returns for how long all runners are presumed out of reach at `now`; 0
     /// if they are not.
     Micros all_cut_for(TimePoint now) const;
 
-    /// Records that another instance reaches `runner`, which this one does not
-    /// reach. Returns whether that is new.
-    bool cut(std::string_view runner, TimePoint now);
-    /// Records that a new connection to `runner` was made. Returns whether it
-    /// counted as cut.
-    bool connected(std::string_view runner, TimePoint now);
-    /// Records that bytes of `runner` arrived on a direct connection.
-    void heard(TimePoint now) { m_heard_at = now; }
+    /// Records that another instance reaches the runner at `place`, which this
+    /// one does not reach. Returns whether that is new.
+    bool cut(const RunnerPlace& place, TimePoint now);
+    /// Records that a new connection to the runner at `place` was made. Returns
+    /// whether it counted as cut.
+    bool connected(const RunnerPlace& place, TimePoint now);
+    /// Records that bytes of the runner at `place` arrived on a direct
+    /// connection.
+    void heard(const RunnerPlace& place, TimePoint now);
 
     /// Records that another instance does not reach `runner` either.
     void down(std::string_view runner, TimePoint now);
     /// Returns whether that was recorded lately.
     bool is_down(std::string_view runner, TimePoint now) const;
 
-    /// Asks for a probe of `runner`, from which nothing comes. Does nothing
-    /// while runners are heard. Returns whether a probe is due.
-    bool suspect(std::string_view runner, TimePoint now);
-    /// Returns a runner to probe: one that is suspected, or whose path is cut.
-    /// An empty name stands for any runner without a known failure. Nothing if
-    /// none is due.
-    std::optional<std::string> take_probe(TimePoint now);
+    /// Asks for a probe of the runner at `place`, from which nothing comes.
+    /// Does nothing while runners of its service and zone are heard. Returns
+    /// whether a probe is due.
+    bool suspect(const RunnerPlace& place, TimePoint now);
+    /// Returns what to probe: a runner that is suspected, or one whose path is
+    /// cut, or a group that is presumed cut. Nothing if none is due.
+    std::optional<Probe> take_probe(TimePoint now);
     /// Records that a probe failed.
     void probe_failed(TimePoint now) { m_next_probe = now + probe_pause; }
     /// Returns when the next probe is due; nothing if none will be.
@@ -90,17 +99,42 @@
     void forget(std::string_view runner);
 
 private:
-    /// Since when each runner counts as cut, by id.
-    std::map<std::string, TimePoint, std::less<>> m_cut;
+    /// A runner that only others reach.
+    struct CutPath {
+        TimePoint since{};
+        std::string service;
+        std::string zone;
+
+        RunnerPlace place(std::string_view runner) const
+        {
+            return {runner, service, zone};
+        }
+    };
+
+    /// What is known of the paths to a group of runners.
+    struct GroupPath {
+        std::optional<TimePoint> cut_since;    ///< Presumed.
+        std::optional<TimePoint> connected_at; ///< Latest new connection.
+        std::optional<TimePoint> heard_at;
+    };
+
+    static std::array<RunnerGroup, 4> groups_of(const RunnerPlace& place);
+    std::optional<TimePoint> all_cut_since() const;
+    bool shows_cut(const RunnerGroup& group, const GroupPath& path,
+                   TimePoint now) const;
+    void drop_empty_groups();
+    std::optional<RunnerGroup> next_cut_group();
+    std::string next_cut_runner();
+
+    std::map<std::string, CutPath, std::less<>> m_cut; ///< By id.
+    std::map<RunnerGroup, GroupPath> m_groups;
     std::set<std::string, std::less<>> m_suspects;
     /// Until when each runner counts as down, by id.
     std::map<std::string, TimePoint, std::less<>> m_down;
-    std::optional<TimePoint> m_all_cut_since;
-    std::optional<TimePoint> m_connected_at; ///< Latest new connection.
-    std::optional<TimePoint> m_heard_at;
     TimePoint m_next_probe{};
-    std::string m_last_probe; ///< Cut runners are probed in turn.
-    bool m_probe_any = false; ///< The next probe is of any runner.
+    std::string m_last_probe;    ///< Cut runners are probed in turn.
+    RunnerGroup m_last_group;    ///< Groups as well.
+    bool m_probes_group = false; ///< The last probe was of a group.
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -100,8 +100,10 @@
     bool limited = false;      ///< It advertises a rate limit.
     std::uint64_t limit_change = 0; ///< See AdvertisedLimit.
     std::string software;           ///< See ListedRunner.
+    std::string service;
 
     RunnerIncarnation incarnation() const { return {id, start_ms}; }
+    RunnerPlace place() const { return {id, service, zone}; }
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -271,7 +271,8 @@
             expected_wait(entry, query, fleet),
             entry.notices.limit.in_force(),
             entry.notices.limit.change(),
-            entry.listed.software};
+            entry.listed.software,
+            entry.listed.service};
 }
 
 /// Returns what is known of the load of all runners of the service.
--- a/src/libcrosslink/forward/runner_paths.cpp
+++ b/src/libcrosslink/forward/runner_paths.cpp
@@ -4,64 +4,114 @@
 #include <crosslink/forward/runner_paths.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace crosslink
 {
 
+std::array<RunnerGroup, 4>
+RunnerPaths::groups_of(const RunnerPlace& place)
+{
+    const std::string service(place.service);
+    const std::string zone(place.zone);
+    return {RunnerGroup{}, {service, {}}, {{}, zone}, {service, zone}};
+}
+
 RunnerPaths::Path
-RunnerPaths::path_to(std::string_view runner) const
+RunnerPaths::path_to(const RunnerPlace& place) const
 {
     Path path;
-    if (m_all_cut_since)
-        path = {true, *m_all_cut_since};
-    const auto found = m_cut.find(runner);
+    for (const auto& [group, known] : m_groups)
+        if (known.cut_since && group.contains(place))
+            path = {true, std::max(path.proven_since, *known.cut_since)};
+    const auto found = m_cut.find(place.runner);
     if (found != m_cut.end())
-        path = {true, std::max(path.proven_since, found->second)};
+        path = {true, std::max(path.proven_since, found->second.since)};
     return path;
 }
 
+std::map<std::string, TimePoint, std::less<>>
+RunnerPaths::cut_runners() const
+{
+    std::map<std::string, TimePoint, std::less<>> runners;
+    for (const auto& [runner, path] : m_cut)
+        runners.emplace(runner, path.since);
+    return runners;
+}
+
+std::optional<TimePoint>
+RunnerPaths::all_cut_since() const
+{
+    const auto found = m_groups.find(RunnerGroup{});
+    return found == m_groups.end() ? std::nullopt : found->second.cut_since;
+}
+
 Micros
 RunnerPaths::all_cut_for(TimePoint now) const
 {
-    if (!m_all_cut_since)
+    const auto since = all_cut_since();
+    if (!since)
         return Micros{0};
-    return std::chrono::duration_cast<Micros>(now - *m_all_cut_since);
+    return std::chrono::duration_cast<Micros>(now - *since);
 }
 
 bool
-RunnerPaths::cut(std::string_view runner, TimePoint now)
+RunnerPaths::cut(const RunnerPlace& place, TimePoint now)
 {
-    m_suspects.erase(std::string(runner));
-    const bool known = m_cut.contains(runner);
+    m_suspects.erase(std::string(place.runner));
+    const bool known = m_cut.contains(place.runner);
     if (!known && m_cut.size() >= max_cut_runners)
         return false;
     if (!known)
-        m_cut.emplace(runner, now);
-    const TimePoint since =
-        std::max(now - cut_window, m_connected_at.value_or(TimePoint::min()));
+        m_cut.emplace(place.runner, CutPath{now, std::string(place.service),
+                                            std::string(place.zone)});
+    for (const RunnerGroup& group : groups_of(place)) {
+        GroupPath& path = m_groups[group];
+        if (!path.cut_since && shows_cut(group, path, now))
+            path.cut_since = now;
+    }
+    return !known;
+}
+
+/// Returns whether enough paths to runners of a group are cut for the others to
+/// be presumed cut.
+bool
+RunnerPaths::shows_cut(const RunnerGroup& group, const GroupPath& path,
+                       TimePoint now) const
+{
+    const TimePoint since = std::max(
+        now - cut_window, path.connected_at.value_or(TimePoint::min()));
     const auto count =
-        std::count_if(m_cut.begin(), m_cut.end(), [since](const auto& item) {
-            return item.second > since;
+        std::count_if(m_cut.begin(), m_cut.end(), [&](const auto& item) {
+            return item.second.since > since &&
+                   group.contains(item.second.place(item.first));
         });
-    if (!m_all_cut_since && static_cast<std::size_t>(count) >= min_cut_runners)
-        m_all_cut_since = now;
-    return !known;
+    return static_cast<std::size_t>(count) >= min_cut_runners;
 }
 
 bool
-RunnerPaths::connected(std::string_view runner, TimePoint now)
+RunnerPaths::connected(const RunnerPlace& place, TimePoint now)
 {
-    m_connected_at = now;
-    m_heard_at = now;
-    m_all_cut_since.reset();
-    m_suspects.erase(std::string(runner));
-    const auto found = m_cut.find(runner);
+    for (const RunnerGroup& group : groups_of(place)) {
+        GroupPath& path = m_groups[group];
+        path.connected_at = now;
+        path.cut_since.reset();
+    }
+    heard(place, now);
+    m_suspects.erase(std::string(place.runner));
+    const auto found = m_cut.find(place.runner);
     if (found == m_cut.end())
         return false;
     m_cut.erase(found);
     return true;
 }
 
+void
+RunnerPaths::heard(const RunnerPlace& place, TimePoint now)
+{
+    m_groups[groups_of(place).back()].heard_at = now;
+}
+
 void
 RunnerPaths::down(std::string_view runner, TimePoint now)
 {
@@ -78,28 +128,57 @@
 }
 
 bool
-RunnerPaths::suspect(std::string_view runner, TimePoint now)
+RunnerPaths::suspect(const RunnerPlace& place, TimePoint now)
 {
-    const bool heard = m_heard_at && now < *m_heard_at + probe_pause;
-    if (heard || m_cut.contains(runner) || m_suspects.size() >= max_cut_runners)
+    const auto& heard_at = m_groups[groups_of(place).back()].heard_at;
+    const bool heard = heard_at && now < *heard_at + probe_pause;
+    if (heard || m_cut.contains(place.runner) ||
+        m_suspects.size() >= max_cut_runners)
         return false;
-    m_suspects.emplace(runner);
+    m_suspects.emplace(place.runner);
     return true;
 }
 
-std::optional<std::string>
+std::optional<RunnerPaths::Probe>
 RunnerPaths::take_probe(TimePoint now)
 {
     if (now < m_next_probe)
         return std::nullopt;
     if (!m_suspects.empty())
-        return m_suspects.extract(m_suspects.begin()).value();
+        return Probe{m_suspects.extract(m_suspects.begin()).value(), {}, true};
+    // The paths to others of a group may be open: these are tried every other
+    // time.
+    m_probes_group = !m_probes_group;
+    const auto group = next_cut_group();
+    if (group && (m_probes_group || m_cut.empty())) {
+        m_last_group = *group;
+        return Probe{{}, *group, false};
+    }
     if (m_cut.empty())
         return std::nullopt;
-    // The path to other runners may be open: it is tried every other time.
-    m_probe_any = m_all_cut_since && !m_probe_any;
-    if (m_probe_any)
-        return std::string();
+    return Probe{next_cut_runner(), {}, false};
+}
+
+/// Returns the group that is presumed cut and to be probed next.
+std::optional<RunnerGroup>
+RunnerPaths::next_cut_group()
+{
+    std::optional<RunnerGroup> first;
+    for (const auto& [group, path] : m_groups) {
+        if (!path.cut_since)
+            continue;
+        if (m_last_group < group)
+            return group;
+        if (!first)
+            first = group;
+    }
+    return first;
+}
+
+/// Returns the cut runner to be probed next; there must be one.
+std::string
+RunnerPaths::next_cut_runner()
+{
     auto next = m_cut.upper_bound(m_last_probe);
     if (next == m_cut.end())
         next = m_cut.begin();
@@ -122,8 +201,21 @@
     if (found != m_cut.end())
         m_cut.erase(found);
     m_suspects.erase(std::string(runner));
-    if (m_cut.empty())
-        m_all_cut_since.reset();
+    drop_empty_groups();
+}
+
+/// Ends the presumption for groups of which no cut runner is left.
+void
+RunnerPaths::drop_empty_groups()
+{
+    for (auto& [group, path] : m_groups) {
+        const bool has_cut =
+            std::any_of(m_cut.begin(), m_cut.end(), [&](const auto& item) {
+                return group.contains(item.second.place(item.first));
+            });
+        if (!has_cut)
+            path.cut_since.reset();
+    }
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_paths_test.cpp
+++ b/src/libcrosslink/forward/runner_paths_test.cpp
@@ -5,6 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+#include <string>
+
 namespace crosslink
 {
 
@@ -17,49 +20,56 @@
     return TimePoint(std::chrono::seconds(100)) + std::chrono::milliseconds(ms);
 }
 
+/// A runner of the same service and zone as all others.
+RunnerPlace
+runner(std::string_view id)
+{
+    return {id, "s", "z"};
+}
+
 } // namespace
 
 TEST_CASE("a runner that only others reach is called through them")
 {
     RunnerPaths paths;
-    CHECK(!paths.path_to("a").relayed);
+    CHECK(!paths.path_to(runner("a")).relayed);
     CHECK(!paths.any_cut());
-    CHECK(paths.cut("a", at(0)));
-    CHECK(!paths.cut("a", at(10)));
+    CHECK(paths.cut(runner("a"), at(0)));
+    CHECK(!paths.cut(runner("a"), at(10)));
     CHECK(paths.any_cut());
-    CHECK(paths.path_to("a").relayed);
-    CHECK(paths.path_to("a").proven_since == at(0));
-    CHECK(!paths.path_to("b").relayed);
-    CHECK(paths.connected("a", at(20)));
-    CHECK(!paths.path_to("a").relayed);
+    CHECK(paths.path_to(runner("a")).relayed);
+    CHECK(paths.path_to(runner("a")).proven_since == at(0));
+    CHECK(!paths.path_to(runner("b")).relayed);
+    CHECK(paths.connected(runner("a"), at(20)));
+    CHECK(!paths.path_to(runner("a")).relayed);
     CHECK(!paths.any_cut());
 }
 
 TEST_CASE("two cut runners stand for all until a connection is made")
 {
     RunnerPaths paths;
-    paths.cut("a", at(0));
-    paths.cut("b", at(10));
+    paths.cut(runner("a"), at(0));
+    paths.cut(runner("b"), at(10));
     CHECK(paths.all_cut());
     CHECK(paths.all_cut_for(at(30)) == std::chrono::milliseconds(20));
-    CHECK(paths.path_to("c").relayed);
-    CHECK(paths.path_to("c").proven_since == at(10));
-    CHECK(!paths.connected("c", at(20)));
-    CHECK(!paths.path_to("c").relayed);
+    CHECK(paths.path_to(runner("c")).relayed);
+    CHECK(paths.path_to(runner("c")).proven_since == at(10));
+    CHECK(!paths.connected(runner("c"), at(20)));
+    CHECK(!paths.path_to(runner("c")).relayed);
     CHECK(paths.all_cut_for(at(30)).count() == 0);
-    CHECK(paths.path_to("a").relayed);
-    CHECK(paths.path_to("b").relayed);
+    CHECK(paths.path_to(runner("a")).relayed);
+    CHECK(paths.path_to(runner("b")).relayed);
 }
 
 TEST_CASE("cuts before a connection do not stand for all runners")
 {
     RunnerPaths paths;
-    paths.cut("a", at(0));
-    paths.connected("c", at(10));
-    paths.cut("b", at(20));
+    paths.cut(runner("a"), at(0));
+    paths.connected(runner("c"), at(10));
+    paths.cut(runner("b"), at(20));
     CHECK(!paths.all_cut());
     paths.forget("a");
-    paths.cut("d", at(20 + 3000));
+    paths.cut(runner("d"), at(20 + 3000));
     CHECK(!paths.all_cut());
 }
 
@@ -70,61 +80,116 @@
     CHECK(paths.is_down("a", at(999)));
     CHECK(!paths.is_down("a", at(1000)));
     CHECK(!paths.is_down("b", at(0)));
-    CHECK(!paths.path_to("a").relayed);
+    CHECK(!paths.path_to(runner("a")).relayed);
 }
 
 TEST_CASE("a silent runner is probed where no other is heard")
 {
     RunnerPaths paths;
-    paths.heard(at(0));
-    CHECK(!paths.suspect("a", at(200)));
+    paths.heard(runner("x"), at(0));
+    CHECK(!paths.suspect(runner("a"), at(200)));
     CHECK(!paths.next_probe());
-    CHECK(paths.suspect("a", at(250)));
-    CHECK(paths.take_probe(at(250)) == "a");
+    CHECK(paths.suspect(runner("a"), at(250)));
+    CHECK(paths.take_probe(at(250))->runner == "a");
     CHECK(!paths.take_probe(at(250)));
 }
 
 TEST_CASE("cut runners are probed in turn, with a pause after each failure")
 {
     RunnerPaths paths;
-    paths.cut("a", at(0));
-    paths.connected("x", at(1));
-    paths.cut("b", at(2));
-    CHECK(paths.take_probe(at(10)) == "a");
+    paths.cut(runner("a"), at(0));
+    paths.connected(runner("x"), at(1));
+    paths.cut(runner("b"), at(2));
+    CHECK(paths.take_probe(at(10))->runner == "a");
     paths.probe_failed(at(10));
     CHECK(!paths.take_probe(at(200)));
     CHECK(paths.next_probe() == at(260));
-    CHECK(paths.take_probe(at(260)) == "b");
-    paths.connected("b", at(261));
-    CHECK(paths.take_probe(at(262)) == "a");
+    CHECK(paths.take_probe(at(260))->runner == "b");
+    paths.connected(runner("b"), at(261));
+    CHECK(paths.take_probe(at(262))->runner == "a");
 }
 
 TEST_CASE("while all runners count as cut, any of them is probed as well")
 {
     RunnerPaths paths;
-    paths.cut("a", at(0));
-    paths.cut("b", at(1));
-    CHECK(paths.take_probe(at(10)) == "");
-    CHECK(paths.take_probe(at(20)) == "a");
-    CHECK(paths.take_probe(at(30)) == "");
-    paths.connected("c", at(30));
-    CHECK(paths.take_probe(at(40)) == "b");
+    paths.cut(runner("a"), at(0));
+    paths.cut(runner("b"), at(1));
+    CHECK(paths.take_probe(at(10))->runner == "");
+    CHECK(paths.take_probe(at(20))->runner == "a");
+    CHECK(paths.take_probe(at(30))->runner == "");
+    paths.connected(runner("c"), at(30));
+    CHECK(paths.take_probe(at(40))->runner == "b");
+}
+
+TEST_CASE("two cut runners of a service stand for it while others connect")
+{
+    const RunnerPlace other{"c", "other", "z"};
+    RunnerPaths paths;
+    paths.cut({"a", "s", "z"}, at(0));
+    paths.connected(other, at(1));
+    paths.cut({"b", "s", "y"}, at(2));
+    CHECK(!paths.all_cut());
+    CHECK(!paths.path_to(other).relayed);
+    CHECK(paths.path_to({"d", "s", "x"}).relayed);
+    CHECK(paths.path_to({"d", "s", "x"}).proven_since == at(2));
+    CHECK(paths.connected({"d", "s", "x"}, at(3)) == false);
+    CHECK(!paths.path_to({"e", "s", "x"}).relayed);
+}
+
+TEST_CASE("two cut runners of a zone stand for it while others connect")
+{
+    RunnerPaths paths;
+    paths.cut({"a", "s", "z"}, at(0));
+    paths.connected({"c", "s", "y"}, at(1));
+    paths.cut({"b", "s", "z"}, at(2));
+    CHECK(paths.path_to({"d", "s", "z"}).relayed);
+    CHECK(paths.path_to({"d", "other", "z"}).relayed);
+    CHECK(!paths.path_to({"d", "s", "y"}).relayed);
+    CHECK(!paths.connected({"d", "other", "z"}, at(3)));
+    CHECK(!paths.path_to({"d", "other", "z"}).relayed);
+    CHECK(paths.path_to({"d", "s", "z"}).relayed);
+}
+
+TEST_CASE("a group that is presumed cut is probed until one is reached")
+{
+    RunnerPaths paths;
+    paths.cut({"a", "s", "z"}, at(0));
+    paths.connected({"c", "other", "y"}, at(1));
+    paths.cut({"b", "s", "z"}, at(2));
+    std::set<std::string> services;
+    for (int i = 0; i < 8; ++i)
+        if (const auto probe = paths.take_probe(at(10)))
+            services.insert(probe->runner.empty() ? probe->group.service
+                                                  : probe->runner);
+    CHECK(services == std::set<std::string>{"", "s", "a", "b"});
+    paths.connected({"a", "s", "z"}, at(11));
+    paths.connected({"b", "s", "z"}, at(12));
+    CHECK(!paths.next_probe());
+    CHECK(!paths.take_probe(at(20)));
+}
+
+TEST_CASE("a silent runner is probed though those of another service are heard")
+{
+    RunnerPaths paths;
+    paths.heard({"c", "other", "z"}, at(0));
+    CHECK(paths.suspect({"a", "s", "z"}, at(1)));
+    CHECK(paths.take_probe(at(2))->suspect);
 }
 
 TEST_CASE("the number of cut runners is bounded")
 {
     RunnerPaths paths;
     for (std::size_t i = 0; i < RunnerPaths::max_cut_runners; ++i)
-        CHECK(paths.cut("r" + std::to_string(i), at(0)));
-    CHECK(!paths.cut("one more", at(1)));
-    CHECK(paths.path_to("one more").relayed);
+        CHECK(paths.cut(runner("r" + std::to_string(i)), at(0)));
+    CHECK(!paths.cut(runner("one more"), at(1)));
+    CHECK(paths.path_to(runner("one more")).relayed);
 }
 
 TEST_CASE("a runner that is no longer listed is not probed")
 {
     RunnerPaths paths;
-    paths.cut("a", at(0));
-    paths.cut("b", at(0));
+    paths.cut(runner("a"), at(0));
+    paths.cut(runner("b"), at(0));
     paths.forget("a");
     CHECK(paths.all_cut());
     paths.forget("b");
--- a/src/serve/forward/crash_watch.cpp
+++ b/src/serve/forward/crash_watch.cpp
@@ -87,7 +87,8 @@
 bool
 CrashWatch::note_broken(const RunnerPick& runner, bool direct, bool begun)
 {
-    const RunnerLook look = look_at_runner(m_state, runner.id, runner.address);
+    const RunnerLook look =
+        look_at_runner(m_state, runner.place(), runner.address);
     if (direct && look.path_cut)
         return false;
     const ProcessFate fate = look.fate;
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -104,8 +104,7 @@
             m_silent_at.reset();
             m_path_check_at.reset();
             if (!m_link.relay)
-                m_state.paths.with(
-                    [](RunnerPaths& paths) { paths.heard(monotonic_now()); });
+                m_state.note_runner_heard(m_choice.pick().place());
             return std::nullopt;
         case CallConnection::Wait::TimedOut:
             break;
@@ -130,16 +129,13 @@
     if (!m_path_check_at || now < *m_path_check_at)
         return;
     m_path_check_at = now + path_check_interval;
-    const std::string& runner = m_choice.pick().id;
-    const bool is_cut = m_state.paths.with([&](const RunnerPaths& paths) {
-        const auto path = paths.path_to(runner);
-        return path.relayed && path.proven_since > m_link.opened_at;
-    });
-    if (is_cut) {
+    const RunnerPlace place = m_choice.pick().place();
+    const auto path = m_state.path_to(place);
+    if (path.relayed && path.proven_since > m_link.opened_at) {
         m_path_check_at.reset();
         m_silent_at = now;
     } else if (!m_suspects) {
-        m_suspects = m_state.suspect_path(runner);
+        m_suspects = m_state.suspect_path(place);
     }
 }
 
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -56,8 +56,11 @@
 void
 ForwardInstance::port_checked(const ProbeTarget& port, PortLook look)
 {
+    const auto listed = m_state.listed_runner(port.runner);
+    const RunnerPlace place =
+        listed ? listed->place() : RunnerPlace{port.runner, {}, {}};
     const RunnerLook confirmed =
-        confirm_look(m_state, port.runner, port.address, std::move(look));
+        confirm_look(m_state, place, port.address, std::move(look));
     if (confirmed.fate == ProcessFate::Ended)
         m_state.note_runner_exit({port.runner, port.start_ms}, "port");
 }
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -211,14 +211,19 @@
     /// it if that was not known. `source` is who saw it, for the log.
     void note_connection_failed(std::string_view runner, TimePoint at,
                                 const char* source);
-    /// Records that another instance reaches `runner`, which this one does not
-    /// reach, and logs it if that is new.
-    void note_path_cut(const std::string& runner);
-    /// Asks for a probe of the path to `runner`, from which nothing comes.
+    /// Records that another instance reaches the runner at `place`, which this
+    /// one does not reach, and logs it if that is new.
+    void note_path_cut(const RunnerPlace& place);
+    /// Asks for a probe of the path to a runner from which nothing comes.
     /// Returns whether one is due; see RunnerPaths::suspect().
-    bool suspect_path(std::string_view runner);
-    /// Records that a new connection to `runner` was made.
-    void note_runner_connected(const std::string& runner);
+    bool suspect_path(const RunnerPlace& place);
+    /// Records that a new connection to the runner at `place` was made.
+    void note_runner_connected(const RunnerPlace& place);
+    /// Records that bytes of the runner at `place` arrived on a direct
+    /// connection.
+    void note_runner_heard(const RunnerPlace& place);
+    /// Returns how calls to the runner at `place` are to be sent.
+    RunnerPaths::Path path_to(const RunnerPlace& place);
     /// Returns an instance to pass a call on to `runner`, not of
     /// `failed_zones` if there is another one; nothing if there is none.
     std::optional<InstanceInfo> choose_relay(std::string_view runner,
@@ -242,11 +247,12 @@
     std::vector<InstanceInfo> stream_homes(std::string_view stream);
     /// Returns the known origins of streams whose home the instance `name` is.
     std::vector<StreamOrigin> streams_of(const std::string& name);
-    /// Returns the address of a listed runner; empty if it is not listed.
-    std::string runner_address(std::string_view runner);
-    /// Returns a random listed runner other than `except` that does not leave;
-    /// nothing if there is none.
-    std::optional<ListedRunner> draw_runner(std::string_view except);
+    /// Returns what the platform lists of `runner`; nothing if it does not.
+    std::optional<ListedRunner> listed_runner(std::string_view runner);
+    /// Returns a random listed runner of `group` other than `except` that does
+    /// not leave; nothing if there is none.
+    std::optional<ListedRunner> draw_runner(const RunnerGroup& group,
+                                            std::string_view except);
     /// Logs and counts the requests that were blocked since the last call.
     void log_newly_blocked();
     /// Records that a runner's process exited; `evidence` is how this was
--- a/src/serve/forward/forward_state_paths.cpp
+++ b/src/serve/forward/forward_state_paths.cpp
@@ -15,25 +15,36 @@
 namespace crosslink
 {
 
+RunnerPaths::Path
+ForwardState::path_to(const RunnerPlace& place)
+{
+    return paths.with(
+        [&place](const RunnerPaths& known) { return known.path_to(place); });
+}
+
 void
-ForwardState::note_path_cut(const std::string& runner)
+ForwardState::note_path_cut(const RunnerPlace& place)
 {
     const auto [is_new, all] = paths.with([&](RunnerPaths& known) {
-        const bool added = known.cut(runner, monotonic_now());
+        const bool added = known.cut(place, monotonic_now());
         return std::pair(added, known.all_cut());
     });
     if (!is_new)
         return;
     ++counters.paths_cut;
     path_changed.wake();
-    LogLine("path_cut").field("runner", runner).field("all", all);
+    LogLine("path_cut")
+        .field("runner", place.runner)
+        .field("service", place.service)
+        .field("zone", place.zone)
+        .field("all", all);
 }
 
 bool
-ForwardState::suspect_path(std::string_view runner)
+ForwardState::suspect_path(const RunnerPlace& place)
 {
-    const bool is_due = paths.with([runner](RunnerPaths& known) {
-        return known.suspect(runner, monotonic_now());
+    const bool is_due = paths.with([&place](RunnerPaths& known) {
+        return known.suspect(place, monotonic_now());
     });
     if (is_due)
         path_changed.wake();
@@ -41,13 +52,20 @@
 }
 
 void
-ForwardState::note_runner_connected(const std::string& runner)
+ForwardState::note_runner_connected(const RunnerPlace& place)
 {
-    const bool was_cut = paths.with([&](RunnerPaths& known) {
-        return known.connected(runner, monotonic_now());
+    const bool was_cut = paths.with([&place](RunnerPaths& known) {
+        return known.connected(place, monotonic_now());
     });
     if (was_cut)
-        LogLine("path_regained").field("runner", runner);
+        LogLine("path_regained").field("runner", place.runner);
+}
+
+void
+ForwardState::note_runner_heard(const RunnerPlace& place)
+{
+    paths.with(
+        [&place](RunnerPaths& known) { known.heard(place, monotonic_now()); });
 }
 
 std::optional<InstanceInfo>
@@ -86,17 +104,17 @@
     });
 }
 
-std::string
-ForwardState::runner_address(std::string_view runner)
+std::optional<ListedRunner>
+ForwardState::listed_runner(std::string_view runner)
 {
     return runners.with([runner](const RunnerTable& table) {
         const RunnerEntry* entry = table.entry(runner);
-        return entry ? entry->listed.address : std::string();
+        return entry ? std::optional(entry->listed) : std::nullopt;
     });
 }
 
 std::optional<ListedRunner>
-ForwardState::draw_runner(std::string_view except)
+ForwardState::draw_runner(const RunnerGroup& group, std::string_view except)
 {
     return runners.with([&](const RunnerTable& table) {
         const auto& entries = table.entries();
@@ -107,8 +125,10 @@
             static_cast<std::ptrdiff_t>(random_bits() % entries.size());
         auto next = std::next(entries.begin(), start);
         for (std::size_t seen = 0; seen < entries.size() && !drawn; ++seen) {
-            if (next->first != except && !next->second.leaves())
-                drawn = next->second.listed;
+            const RunnerEntry& entry = next->second;
+            if (next->first != except && !entry.leaves() &&
+                group.contains(entry.listed.place()))
+                drawn = entry.listed;
             if (++next == entries.end())
                 next = entries.begin();
         }
--- a/src/serve/forward/path_probe.cpp
+++ b/src/serve/forward/path_probe.cpp
@@ -40,17 +40,11 @@
 PathProbe::run_round()
 {
     const TimePoint now = monotonic_now();
-    const auto runner = m_state.paths.with(
+    const auto due = m_state.paths.with(
         [now](RunnerPaths& paths) { return paths.take_probe(now); });
-    if (runner) {
-        const bool is_suspect = m_state.paths.with([&](RunnerPaths& paths) {
-            return !runner->empty() && !paths.path_to(*runner).relayed;
-        });
-        if (!probe(*runner, is_suspect))
-            m_state.paths.with([](RunnerPaths& paths) {
-                paths.probe_failed(monotonic_now());
-            });
-    }
+    if (due && !probe(*due))
+        m_state.paths.with(
+            [](RunnerPaths& paths) { paths.probe_failed(monotonic_now()); });
     const auto next = m_state.paths.with(
         [](const RunnerPaths& paths) { return paths.next_probe(); });
     if (!next)
@@ -60,23 +54,24 @@
         idle_pause);
 }
 
-/// Returns whether a runner was reached. An empty name stands for any runner.
+/// Returns whether a runner was reached, or none is to be.
 bool
-PathProbe::probe(const std::string& runner, bool is_suspect)
+PathProbe::probe(const RunnerPaths::Probe& due)
 {
-    if (runner.empty())
-        return reaches_others(m_state, {});
-    const std::string address = m_state.runner_address(runner);
-    if (address.empty()) {
+    const auto listed = due.runner.empty() ? m_state.draw_runner(due.group, {})
+                                           : m_state.listed_runner(due.runner);
+    if (!listed) {
         m_state.paths.with(
-            [&runner](RunnerPaths& paths) { paths.forget(runner); });
-        return true;
+            [&due](RunnerPaths& paths) { paths.forget(due.runner); });
+        return !due.runner.empty();
     }
-    if (is_suspect) {
-        const RunnerLook look = look_at_runner(m_state, runner, address);
+    if (due.suspect) {
+        const RunnerLook look =
+            look_at_runner(m_state, listed->place(), listed->address);
         return look.fate == ProcessFate::Alive && !look.path_cut;
     }
-    return keep_look(m_state, runner, address, look_at_port(address));
+    return keep_look(m_state, listed->place(), listed->address,
+                     look_at_port(listed->address));
 }
 
 } // namespace crosslink
--- a/src/serve/forward/path_probe.h
+++ b/src/serve/forward/path_probe.h
@@ -7,7 +7,7 @@
 
 #include <crosslink/base/time.h>
 
-#include <string>
+#include <crosslink/forward/runner_paths.h>
 
 namespace crosslink
 {
@@ -27,7 +27,7 @@
 
 private:
     Micros run_round();
-    bool probe(const std::string& runner, bool is_suspect);
+    bool probe(const RunnerPaths::Probe& due);
 
     ForwardState& m_state;
     Duty m_duty;
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -208,6 +208,8 @@
             pick.start_ms = entry->listed.start_ms;
             pick.address = entry->listed.address;
             pick.limit_change = entry->notices.limit.change();
+            pick.service = entry->listed.service;
+            pick.zone = entry->listed.zone;
             return pick;
         });
     if (!runner) {
@@ -218,16 +220,14 @@
     if (connection)
         relay(call, *runner, std::move(connection), link);
     else
-        refuse(call, why_unreachable(m_state, runner->id), link);
+        refuse(call, why_unreachable(m_state, runner->place()), link);
 }
 
 /// Returns a connection over this instance's own path; null if there is none.
 std::unique_ptr<CallConnection>
 RelayHandler::connect(const RunnerPick& runner)
 {
-    const auto path = m_state.paths.with([&runner](const RunnerPaths& paths) {
-        return paths.path_to(runner.id);
-    });
+    const auto path = m_state.path_to(runner.place());
     auto idle = m_state.connections.take(runner.address, monotonic_now(),
                                          path.proven_since);
     if (idle || path.relayed)
@@ -235,13 +235,13 @@
     try {
         auto fresh =
             std::make_unique<CallConnection>(runner.address, connect_time);
-        m_state.note_runner_connected(runner.id);
+        m_state.note_runner_connected(runner.place());
         return fresh;
     } catch (const Poco::Exception& failure) {
         LogLine("not_connected")
             .field("runner", runner.id)
             .field("error", failure.displayText());
-        m_state.suspect_path(runner.id);
+        m_state.suspect_path(runner.place());
         return nullptr;
     }
 }
@@ -291,8 +291,7 @@
         AnswerHead head =
             m_state.ports.wire.decode_answer(raw.status, raw.headers);
         if (head.call_id.empty() || head.call_id == call.decoded.id) {
-            m_state.paths.with(
-                [](RunnerPaths& paths) { paths.heard(monotonic_now()); });
+            m_state.note_runner_heard(runner.place());
             intake.apply(head, runner);
             std::erase_if(head.headers, [](const HeaderField& field) {
                 return belongs_to_connection(field.name);
--- a/src/serve/forward/runner_connector.cpp
+++ b/src/serve/forward/runner_connector.cpp
@@ -68,9 +68,7 @@
 RunnerConnector::open_direct(Micros time_left)
 {
     m_tried_direct = true;
-    const auto path = m_state.paths.with([this](const RunnerPaths& paths) {
-        return paths.path_to(m_runner->id);
-    });
+    const auto path = m_state.path_to(m_runner->place());
     RunnerLink link;
     link.opened_at = monotonic_now();
     // Idle connections die together: a retry opens a new one, as it has no
@@ -84,7 +82,7 @@
     try {
         link.connection = std::make_unique<CallConnection>(
             m_runner->address, std::min(connect_time, time_left));
-        m_state.note_runner_connected(m_runner->id);
+        m_state.note_runner_connected(m_runner->place());
     } catch (const Poco::Exception& failure) {
         m_direct_failed = true;
         m_silent =
@@ -135,7 +133,7 @@
         return;
     m_state.relay_helped(link.relay->address);
     if (m_direct_failed)
-        m_state.note_path_cut(m_runner->id);
+        m_state.note_path_cut(m_runner->place());
 }
 
 void
@@ -160,7 +158,7 @@
     if (m_down)
         return true;
     return m_direct_failed && (m_state.instance_count() == 1 ||
-                               reaches_others(m_state, m_runner->id));
+                               reaches_others(m_state, m_runner->place()));
 }
 
 } // namespace crosslink
--- a/src/serve/forward/runner_look.cpp
+++ b/src/serve/forward/runner_look.cpp
@@ -25,12 +25,12 @@
 constexpr int max_asked = 2;
 /// Time after which own_reach() asks no more runners.
 constexpr Micros reach_time = std::chrono::milliseconds(300);
-/// Runners that are tried to find out whether the own path works.
-constexpr int max_tried = 3;
+/// Runners of a group that are tried to find out whether the own path works.
+constexpr int max_tried = 2;
 
 /// Asks other instances whether they reach `runner`. Nothing if none can tell.
 std::optional<ProcessFate>
-ask_others(ForwardState& state, const std::string& runner)
+ask_others(ForwardState& state, std::string_view runner)
 {
     FailedZones failed_zones;
     for (int asked = 0; asked < max_asked; ++asked) {
@@ -38,7 +38,8 @@
         if (!peer)
             break;
         try {
-            const auto fate = FleetClient(peer->address).look_at_runner(runner);
+            const auto fate =
+                FleetClient(peer->address).look_at_runner(std::string(runner));
             if (fate)
                 return fate;
         } catch (const Error& failure) {
@@ -52,77 +53,93 @@
     return std::nullopt;
 }
 
+/// Returns whether one of a few runners of `group` takes a connection.
+bool
+reaches_group(ForwardState& state, const RunnerGroup& group,
+              std::string_view except)
+{
+    for (int tried = 0; tried < max_tried; ++tried) {
+        const auto other = state.draw_runner(group, except);
+        if (!other)
+            return false;
+        if (keep_look(state, other->place(), other->address,
+                      look_at_port(other->address)))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 bool
-keep_look(ForwardState& state, const std::string& runner,
+keep_look(ForwardState& state, const RunnerPlace& place,
           const std::string& address, PortLook look)
 {
     if (!look.connection)
         return false;
-    state.note_runner_connected(runner);
+    state.note_runner_connected(place);
     state.connections.put_back(address, std::move(look.connection),
                                CallConnections::idle_untold, monotonic_now());
     return true;
 }
 
 RunnerLook
-look_at_runner(ForwardState& state, const std::string& runner,
+look_at_runner(ForwardState& state, const RunnerPlace& place,
                const std::string& address)
 {
-    return confirm_look(state, runner, address, look_at_port(address));
+    return confirm_look(state, place, address, look_at_port(address));
 }
 
 RunnerLook
-confirm_look(ForwardState& state, const std::string& runner,
+confirm_look(ForwardState& state, const RunnerPlace& place,
              const std::string& address, PortLook direct)
 {
     const TimePoint now = monotonic_now();
     const ProcessFate fate = direct.fate;
-    if (keep_look(state, runner, address, std::move(direct)))
+    if (keep_look(state, place, address, std::move(direct)))
         return {ProcessFate::Alive, false};
-    const bool known_down = state.paths.with(
-        [&](const RunnerPaths& paths) { return paths.is_down(runner, now); });
+    const bool known_down = state.paths.with([&](const RunnerPaths& paths) {
+        return paths.is_down(place.runner, now);
+    });
     if (known_down)
         return {fate, false};
-    const auto told = ask_others(state, runner);
+    const auto told = ask_others(state, place.runner);
     if (told == ProcessFate::Alive) {
-        state.note_path_cut(runner);
+        state.note_path_cut(place);
         return {ProcessFate::Alive, true};
     }
     if (told) {
-        state.paths.with(
-            [&](RunnerPaths& paths) { paths.down(runner, monotonic_now()); });
+        state.paths.with([&](RunnerPaths& paths) {
+            paths.down(place.runner, monotonic_now());
+        });
         return {fate, false};
     }
     const bool is_alone = state.instance_count() == 1;
-    const bool is_sure = is_alone || reaches_others(state, runner);
+    const bool is_sure = is_alone || reaches_others(state, place);
     return {is_sure ? fate : ProcessFate::Unknown, false};
 }
 
 bool
-reaches_others(ForwardState& state, const std::string& except)
+reaches_others(ForwardState& state, const RunnerPlace& except)
 {
-    for (int tried = 0; tried < max_tried; ++tried) {
-        const auto other = state.draw_runner(except);
-        if (!other)
-            return false;
-        if (keep_look(state, other->id, other->address,
-                      look_at_port(other->address)))
-            return true;
-    }
-    return false;
+    const RunnerGroup service{std::string(except.service), {}};
+    const bool is_only = !state.draw_runner(service, except.runner);
+    return reaches_group(state, is_only ? RunnerGroup() : service,
+                         except.runner);
 }
 
 RelayFailure
-why_unreachable(ForwardState& state, const std::string& runner)
+why_unreachable(ForwardState& state, const RunnerPlace& place)
 {
     const auto [all, any] = state.paths.with([](const RunnerPaths& paths) {
         return std::pair(paths.all_cut(), paths.any_cut());
     });
-    if (all || !reaches_others(state, runner))
+    if (all)
         return RelayFailure::NoPath;
-    return any ? RelayFailure::RunnerCut : RelayFailure::Unreachable;
+    if (reaches_others(state, place))
+        return any ? RelayFailure::RunnerCut : RelayFailure::Unreachable;
+    return reaches_group(state, {}, place.runner) ? RelayFailure::RunnerCut
+                                                  : RelayFailure::NoPath;
 }
 
 DutyPlacement::PeerReach
@@ -131,10 +148,10 @@
     DutyPlacement::PeerReach reach;
     const TimePoint last = monotonic_now() + reach_time;
     for (const std::string& runner : runners) {
-        const std::string address = state.runner_address(runner);
-        if (address.empty() || monotonic_now() >= last)
+        const auto listed = state.listed_runner(runner);
+        if (!listed || monotonic_now() >= last)
             continue;
-        if (state.ports.orders.report(address, {}))
+        if (state.ports.orders.report(listed->address, {}))
             reach.reached.push_back(runner);
     }
     reach.unreached = state.paths.with(
@@ -145,15 +162,15 @@
 std::optional<ProcessFate>
 look_for_peer(ForwardState& state, const std::string& runner)
 {
-    const std::string address = state.runner_address(runner);
-    if (address.empty())
+    const auto listed = state.listed_runner(runner);
+    if (!listed)
         return std::nullopt;
-    PortLook look = look_at_port(address);
+    PortLook look = look_at_port(listed->address);
     const ProcessFate fate = look.fate;
-    if (keep_look(state, runner, address, std::move(look)))
+    if (keep_look(state, listed->place(), listed->address, std::move(look)))
         return fate;
     const bool tells =
-        why_unreachable(state, runner) == RelayFailure::Unreachable;
+        why_unreachable(state, listed->place()) == RelayFailure::Unreachable;
     return tells ? std::optional(fate) : std::nullopt;
 }
 
--- a/src/serve/forward/runner_look.h
+++ b/src/serve/forward/runner_look.h
@@ -8,6 +8,7 @@
 #include <adapters/port_look.h>
 
 #include <crosslink/forward/duty_placement.h>
+#include <crosslink/forward/runner_place.h>
 
 #include <optional>
 #include <span>
@@ -28,27 +29,28 @@
 /// Looks whether a runner takes connections: directly, and through other
 /// instances where it does not. A connection that is made is kept for the next
 /// call. Blocks for up to 0.5 s.
-RunnerLook look_at_runner(ForwardState& state, const std::string& runner,
+RunnerLook look_at_runner(ForwardState& state, const RunnerPlace& place,
                           const std::string& address);
 
 /// As above, where the port was just looked at directly, with the result
 /// `direct`.
-RunnerLook confirm_look(ForwardState& state, const std::string& runner,
+RunnerLook confirm_look(ForwardState& state, const RunnerPlace& place,
                         const std::string& address, PortLook direct);
 
 /// Records that a direct look made a connection, and keeps that for the next
 /// call. Returns false, and does nothing, if `look` has none.
-bool keep_look(ForwardState& state, const std::string& runner,
+bool keep_look(ForwardState& state, const RunnerPlace& place,
                const std::string& address, PortLook look);
 
-/// Returns whether this instance reaches some runner other than `except`, so
-/// that a failure to reach that one is not due to its own path.
-bool reaches_others(ForwardState& state, const std::string& except);
+/// Returns whether this instance reaches some runner other than `except`, of
+/// the same service if there is one, so that a failure to reach that one is not
+/// due to its own path.
+bool reaches_others(ForwardState& state, const RunnerPlace& except);
 
 /// Returns what this instance can tell another one of `runner`, which it failed
-/// to reach: Unreachable only if it reaches other runners, and is cut off from
-/// none.
-RelayFailure why_unreachable(ForwardState& state, const std::string& runner);
+/// to reach: Unreachable only if it reaches others of its service, and is cut
+/// off from none.
+RelayFailure why_unreachable(ForwardState& state, const RunnerPlace& place);
 
 /// Returns which of `runners` give a report to this instance, for another one.
 /// A connection alone is no proof: what stands between may accept it. Blocks
