Take an answer for the proof of a path, not a connection

What callers saw: where ways accept each connection and then reset it or stay mute (a side-car, a forwarder), no first try at the instances behind them is served: 203 of 215 refused, 12 failed; with mute ways all 6 failed, each after its time. Cause: a connection that was made counted as a path that works, and a look at a port as a runner that answers. Neighbours see a runner that ends, hangs or is slow alike, so it is not taken for a cut way.

--- a/src/include/crosslink/forward/runner_paths.h
+++ b/src/include/crosslink/forward/runner_paths.h
@@ -27,7 +27,7 @@
 {
 public:
     /// Two runners that others reach show that the paths to their group may be
-    /// down, unless a connection to another of it was made in between.
+    /// down, unless another of it answered on a connection made in between.
     static constexpr std::size_t min_cut_runners = 2;
     /// They show it within this time of each other.
     static constexpr Micros cut_window = std::chrono::seconds(3);
@@ -72,9 +72,9 @@
     /// Records that another instance reaches the runner at `place`, which this
     /// one does not reach. Returns whether that is new.
     bool cut(const RunnerPlace& place, TimePoint now);
-    /// Records that a new connection to the runner at `place` was made. Returns
-    /// whether it counted as cut.
-    bool connected(const RunnerPlace& place, TimePoint now);
+    /// Records that the runner at `place` answered on a connection that was
+    /// made at `opened_at`. Returns whether it counted as cut before.
+    bool answered(const RunnerPlace& place, TimePoint opened_at);
     /// Records that bytes of the runner at `place` arrived on a direct
     /// connection.
     void heard(const RunnerPlace& place, TimePoint now);
@@ -113,8 +113,9 @@
 
     /// What is known of the paths to a group of runners.
     struct GroupPath {
-        std::optional<TimePoint> cut_since;    ///< Presumed.
-        std::optional<TimePoint> connected_at; ///< Latest new connection.
+        std::optional<TimePoint> cut_since; ///< Presumed.
+        /// When the latest connection was made that carried an answer.
+        std::optional<TimePoint> proven_at;
         std::optional<TimePoint> heard_at;
     };
 
--- a/src/include/crosslink/ports/runner_orders.h
+++ b/src/include/crosslink/ports/runner_orders.h
@@ -32,6 +32,10 @@
     /// std::nullopt if it does not answer.
     virtual std::optional<RunnerReport> report(std::string_view address,
                                                std::string_view model) = 0;
+    /// Returns whether the process at `address` answers a question, whatever
+    /// the answer: more than a connection shows, which something in between may
+    /// have accepted. Blocks for up to 0.3 s.
+    virtual bool answers(std::string_view address) = 0;
     /// Sends `order` under the fencing token `token`. The runner refuses it
     /// unless it has accepted exactly `orders` orders since its start, so that
     /// a delayed copy of an order is refused.
--- a/src/libcrosslink/forward/runner_paths.cpp
+++ b/src/libcrosslink/forward/runner_paths.cpp
@@ -79,8 +79,8 @@
 RunnerPaths::shows_cut(const RunnerGroup& group, const GroupPath& path,
                        TimePoint now) const
 {
-    const TimePoint since = std::max(
-        now - cut_window, path.connected_at.value_or(TimePoint::min()));
+    const TimePoint since =
+        std::max(now - cut_window, path.proven_at.value_or(TimePoint::min()));
     const auto count =
         std::count_if(m_cut.begin(), m_cut.end(), [&](const auto& item) {
             return item.second.since > since &&
@@ -90,17 +90,19 @@
 }
 
 bool
-RunnerPaths::connected(const RunnerPlace& place, TimePoint now)
+RunnerPaths::answered(const RunnerPlace& place, TimePoint opened_at)
 {
     for (const RunnerGroup& group : groups_of(place)) {
         GroupPath& path = m_groups[group];
-        path.connected_at = now;
-        path.cut_since.reset();
+        path.proven_at =
+            std::max(path.proven_at.value_or(opened_at), opened_at);
+        if (path.cut_since && *path.cut_since <= opened_at)
+            path.cut_since.reset();
     }
-    heard(place, now);
+    heard(place, opened_at);
     m_suspects.erase(std::string(place.runner));
     const auto found = m_cut.find(place.runner);
-    if (found == m_cut.end())
+    if (found == m_cut.end() || opened_at < found->second.since)
         return false;
     m_cut.erase(found);
     return true;
@@ -109,7 +111,8 @@
 void
 RunnerPaths::heard(const RunnerPlace& place, TimePoint now)
 {
-    m_groups[groups_of(place).back()].heard_at = now;
+    auto& heard_at = m_groups[groups_of(place).back()].heard_at;
+    heard_at = std::max(heard_at.value_or(now), now);
 }
 
 void
--- a/src/libcrosslink/forward/runner_paths_test.cpp
+++ b/src/libcrosslink/forward/runner_paths_test.cpp
@@ -40,7 +40,7 @@
     CHECK(paths.path_to(runner("a")).relayed);
     CHECK(paths.path_to(runner("a")).proven_since == at(0));
     CHECK(!paths.path_to(runner("b")).relayed);
-    CHECK(paths.connected(runner("a"), at(20)));
+    CHECK(paths.answered(runner("a"), at(20)));
     CHECK(!paths.path_to(runner("a")).relayed);
     CHECK(!paths.any_cut());
 }
@@ -54,18 +54,30 @@
     CHECK(paths.all_cut_for(at(30)) == std::chrono::milliseconds(20));
     CHECK(paths.path_to(runner("c")).relayed);
     CHECK(paths.path_to(runner("c")).proven_since == at(10));
-    CHECK(!paths.connected(runner("c"), at(20)));
+    CHECK(!paths.answered(runner("c"), at(20)));
     CHECK(!paths.path_to(runner("c")).relayed);
     CHECK(paths.all_cut_for(at(30)).count() == 0);
     CHECK(paths.path_to(runner("a")).relayed);
     CHECK(paths.path_to(runner("b")).relayed);
 }
 
+TEST_CASE("an answer on a connection from before the cut proves no path")
+{
+    RunnerPaths paths;
+    paths.cut(runner("a"), at(10));
+    paths.cut(runner("b"), at(11));
+    CHECK(!paths.answered(runner("a"), at(9)));
+    CHECK(paths.path_to(runner("a")).relayed);
+    CHECK(paths.all_cut());
+    CHECK(paths.answered(runner("a"), at(11)));
+    CHECK(!paths.all_cut());
+}
+
 TEST_CASE("cuts before a connection do not stand for all runners")
 {
     RunnerPaths paths;
     paths.cut(runner("a"), at(0));
-    paths.connected(runner("c"), at(10));
+    paths.answered(runner("c"), at(10));
     paths.cut(runner("b"), at(20));
     CHECK(!paths.all_cut());
     paths.forget("a");
@@ -98,14 +110,14 @@
 {
     RunnerPaths paths;
     paths.cut(runner("a"), at(0));
-    paths.connected(runner("x"), at(1));
+    paths.answered(runner("x"), at(1));
     paths.cut(runner("b"), at(2));
     CHECK(paths.take_probe(at(10))->runner == "a");
     paths.probe_failed(at(10));
     CHECK(!paths.take_probe(at(200)));
     CHECK(paths.next_probe() == at(260));
     CHECK(paths.take_probe(at(260))->runner == "b");
-    paths.connected(runner("b"), at(261));
+    paths.answered(runner("b"), at(261));
     CHECK(paths.take_probe(at(262))->runner == "a");
 }
 
@@ -117,7 +129,7 @@
     CHECK(paths.take_probe(at(10))->runner == "");
     CHECK(paths.take_probe(at(20))->runner == "a");
     CHECK(paths.take_probe(at(30))->runner == "");
-    paths.connected(runner("c"), at(30));
+    paths.answered(runner("c"), at(30));
     CHECK(paths.take_probe(at(40))->runner == "b");
 }
 
@@ -126,13 +138,13 @@
     const RunnerPlace other{"c", "other", "z"};
     RunnerPaths paths;
     paths.cut({"a", "s", "z"}, at(0));
-    paths.connected(other, at(1));
+    paths.answered(other, at(1));
     paths.cut({"b", "s", "y"}, at(2));
     CHECK(!paths.all_cut());
     CHECK(!paths.path_to(other).relayed);
     CHECK(paths.path_to({"d", "s", "x"}).relayed);
     CHECK(paths.path_to({"d", "s", "x"}).proven_since == at(2));
-    CHECK(paths.connected({"d", "s", "x"}, at(3)) == false);
+    CHECK(paths.answered({"d", "s", "x"}, at(3)) == false);
     CHECK(!paths.path_to({"e", "s", "x"}).relayed);
 }
 
@@ -140,12 +152,12 @@
 {
     RunnerPaths paths;
     paths.cut({"a", "s", "z"}, at(0));
-    paths.connected({"c", "s", "y"}, at(1));
+    paths.answered({"c", "s", "y"}, at(1));
     paths.cut({"b", "s", "z"}, at(2));
     CHECK(paths.path_to({"d", "s", "z"}).relayed);
     CHECK(paths.path_to({"d", "other", "z"}).relayed);
     CHECK(!paths.path_to({"d", "s", "y"}).relayed);
-    CHECK(!paths.connected({"d", "other", "z"}, at(3)));
+    CHECK(!paths.answered({"d", "other", "z"}, at(3)));
     CHECK(!paths.path_to({"d", "other", "z"}).relayed);
     CHECK(paths.path_to({"d", "s", "z"}).relayed);
 }
@@ -154,7 +166,7 @@
 {
     RunnerPaths paths;
     paths.cut({"a", "s", "z"}, at(0));
-    paths.connected({"c", "other", "y"}, at(1));
+    paths.answered({"c", "other", "y"}, at(1));
     paths.cut({"b", "s", "z"}, at(2));
     std::set<std::string> services;
     for (int i = 0; i < 8; ++i)
@@ -162,8 +174,8 @@
             services.insert(probe->runner.empty() ? probe->group.service
                                                   : probe->runner);
     CHECK(services == std::set<std::string>{"", "s", "a", "b"});
-    paths.connected({"a", "s", "z"}, at(11));
-    paths.connected({"b", "s", "z"}, at(12));
+    paths.answered({"a", "s", "z"}, at(11));
+    paths.answered({"b", "s", "z"}, at(12));
     CHECK(!paths.next_probe());
     CHECK(!paths.take_probe(at(20)));
 }
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -217,8 +217,9 @@
     /// Asks for a probe of the path to a runner from which nothing comes.
     /// Returns whether one is due; see RunnerPaths::suspect().
     bool suspect_path(const RunnerPlace& place);
-    /// Records that a new connection to the runner at `place` was made.
-    void note_runner_connected(const RunnerPlace& place);
+    /// Records that the runner at `place` answered on a direct connection that
+    /// was made at `opened_at`.
+    void note_runner_answered(const RunnerPlace& place, TimePoint opened_at);
     /// Records that bytes of the runner at `place` arrived on a direct
     /// connection.
     void note_runner_heard(const RunnerPlace& place);
--- a/src/serve/forward/forward_state_paths.cpp
+++ b/src/serve/forward/forward_state_paths.cpp
@@ -52,11 +52,11 @@
 }
 
 void
-ForwardState::note_runner_connected(const RunnerPlace& place)
+ForwardState::note_runner_answered(const RunnerPlace& place,
+                                   TimePoint opened_at)
 {
-    const bool was_cut = paths.with([&place](RunnerPaths& known) {
-        return known.connected(place, monotonic_now());
-    });
+    const bool was_cut = paths.with(
+        [&](RunnerPaths& known) { return known.answered(place, opened_at); });
     if (was_cut)
         LogLine("path_regained").field("runner", place.runner);
 }
--- a/src/serve/forward/path_probe.cpp
+++ b/src/serve/forward/path_probe.cpp
@@ -70,8 +70,7 @@
             look_at_runner(m_state, listed->place(), listed->address);
         return look.fate == ProcessFate::Alive && !look.path_cut;
     }
-    return keep_look(m_state, listed->place(), listed->address,
-                     look_at_port(listed->address));
+    return reaches_runner(m_state, *listed);
 }
 
 } // namespace crosslink
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -6,6 +6,7 @@
 #include "answer_intake.h"
 #include "forward_state.h"
 #include "http_caller_link.h"
+#include "runner_connector.h"
 #include "runner_look.h"
 
 #include <adapters/call_connection.h>
@@ -216,64 +217,68 @@
         refuse(call, RelayFailure::NoPath, link);
         return;
     }
-    auto connection = connect(*runner);
-    if (connection)
-        relay(call, *runner, std::move(connection), link);
+    RunnerLink path = connect(*runner);
+    if (path.connection)
+        relay(call, *runner, std::move(path), link);
     else
         refuse(call, why_unreachable(m_state, runner->place()), link);
 }
 
-/// Returns a connection over this instance's own path; null if there is none.
-std::unique_ptr<CallConnection>
+/// Returns a connection over this instance's own path, if there is one.
+RunnerLink
 RelayHandler::connect(const RunnerPick& runner)
 {
     const auto path = m_state.path_to(runner.place());
-    auto idle = m_state.connections.take(runner.address, monotonic_now(),
-                                         path.proven_since);
-    if (idle || path.relayed)
-        return idle;
+    RunnerLink link;
+    link.opened_at = monotonic_now();
+    link.connection = m_state.connections.take(runner.address, link.opened_at,
+                                               path.proven_since);
+    link.reused = link.connection != nullptr;
+    if (link.reused || path.relayed)
+        return link;
     try {
-        auto fresh =
+        link.connection =
             std::make_unique<CallConnection>(runner.address, connect_time);
-        m_state.note_runner_connected(runner.place());
-        return fresh;
     } catch (const Poco::Exception& failure) {
         LogLine("not_connected")
             .field("runner", runner.id)
             .field("error", failure.displayText());
         m_state.suspect_path(runner.place());
-        return nullptr;
     }
+    return link;
 }
 
 void
 RelayHandler::relay(RelayedCall& call, const RunnerPick& runner,
-                    std::unique_ptr<CallConnection> connection,
-                    CallerLink& link)
+                    RunnerLink path, CallerLink& link)
 {
+    CallConnection& connection = *path.connection;
     ++m_state.counters.relays_served;
     LogLine("call_relayed")
         .field("request", call.decoded.id)
         .field("runner", runner.id);
-    connection->watch(link.socket(), call.deadline);
+    connection.watch(link.socket(), call.deadline);
     call.sent = true;
-    connection->send(call.outgoing, call.body);
-    const auto head = receive_head(call, runner, *connection);
+    connection.send(call.outgoing, call.body);
+    const auto head = receive_head(call, runner, connection);
     if (!head) {
         link.abort();
         return;
     }
+    if (!path.reused)
+        m_state.note_runner_answered(runner.place(), path.opened_at);
     if (head->status == no_content || head->status == not_modified) {
         link.answer(head->status, head->headers, "");
         return;
     }
     link.begin(head->status, head->headers);
-    if (!pass_body(call, *connection, link)) {
+    if (!pass_body(call, connection, link)) {
         link.abort();
         return;
     }
     link.finish();
-    m_state.connections.put_back_told(runner.address, std::move(connection),
+    m_state.connections.put_back_told(runner.address,
+                                      std::move(path.connection),
                                       head->keep_alive, monotonic_now());
 }
 
--- a/src/serve/forward/relay_handler.h
+++ b/src/serve/forward/relay_handler.h
@@ -8,7 +8,6 @@
 #include <crosslink/ports/call_wire.h>
 
 #include <cstdint>
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -25,6 +24,7 @@
 class CallerLink;
 class HeldBytes;
 struct ForwardState;
+struct RunnerLink;
 struct RunnerPick;
 
 /// Passes calls on to runners for instances that do not reach these. The
@@ -50,9 +50,9 @@
     struct RelayedCall;
 
     void pass_on(RelayedCall& call, CallerLink& link);
-    std::unique_ptr<CallConnection> connect(const RunnerPick& runner);
-    void relay(RelayedCall& call, const RunnerPick& runner,
-               std::unique_ptr<CallConnection> connection, CallerLink& link);
+    RunnerLink connect(const RunnerPick& runner);
+    void relay(RelayedCall& call, const RunnerPick& runner, RunnerLink path,
+               CallerLink& link);
     void read_head(const Poco::Net::HTTPServerRequest& request,
                    RelayedCall& call) const;
     bool read_call_body(Poco::Net::HTTPServerRequest& request,
--- a/src/serve/forward/runner_connector.cpp
+++ b/src/serve/forward/runner_connector.cpp
@@ -82,7 +82,6 @@
     try {
         link.connection = std::make_unique<CallConnection>(
             m_runner->address, std::min(connect_time, time_left));
-        m_state.note_runner_connected(m_runner->place());
     } catch (const Poco::Exception& failure) {
         m_direct_failed = true;
         m_silent =
@@ -129,8 +128,11 @@
 void
 RunnerConnector::answered(const RunnerLink& link)
 {
-    if (!link.relay)
+    if (!link.relay) {
+        if (!link.reused)
+            m_state.note_runner_answered(m_runner->place(), link.opened_at);
         return;
+    }
     m_state.relay_helped(link.relay->address);
     if (m_direct_failed)
         m_state.note_path_cut(m_runner->place());
--- a/src/serve/forward/runner_look.cpp
+++ b/src/serve/forward/runner_look.cpp
@@ -53,7 +53,33 @@
     return std::nullopt;
 }
 
-/// Returns whether one of a few runners of `group` takes a connection.
+/// Returns whether a runner answers on a connection that was just made, and
+/// keeps that for the next call if so.
+bool
+keep_look(ForwardState& state, const RunnerPlace& place,
+          const std::string& address, PortLook look)
+{
+    const TimePoint opened_at = monotonic_now();
+    if (!look.connection || !state.ports.orders.answers(address))
+        return false;
+    state.note_runner_answered(place, opened_at);
+    state.connections.put_back(address, std::move(look.connection),
+                               CallConnections::idle_untold, opened_at);
+    return true;
+}
+
+/// Tells a runner whose port takes connections, but which answers nothing, from
+/// one of which something in between takes them: others get answers of that.
+RunnerLook
+look_at_mute(ForwardState& state, const RunnerPlace& place)
+{
+    const bool is_cut = ask_others(state, place.runner) == ProcessFate::Alive;
+    if (is_cut)
+        state.note_path_cut(place);
+    return {ProcessFate::Alive, is_cut};
+}
+
+/// Returns whether one of a few runners of `group` answers.
 bool
 reaches_group(ForwardState& state, const RunnerGroup& group,
               std::string_view except)
@@ -62,8 +88,7 @@
         const auto other = state.draw_runner(group, except);
         if (!other)
             return false;
-        if (keep_look(state, other->place(), other->address,
-                      look_at_port(other->address)))
+        if (reaches_runner(state, *other))
             return true;
     }
     return false;
@@ -72,15 +97,10 @@
 } // namespace
 
 bool
-keep_look(ForwardState& state, const RunnerPlace& place,
-          const std::string& address, PortLook look)
+reaches_runner(ForwardState& state, const ListedRunner& runner)
 {
-    if (!look.connection)
-        return false;
-    state.note_runner_connected(place);
-    state.connections.put_back(address, std::move(look.connection),
-                               CallConnections::idle_untold, monotonic_now());
-    return true;
+    return keep_look(state, runner.place(), runner.address,
+                     look_at_port(runner.address));
 }
 
 RunnerLook
@@ -98,6 +118,8 @@
     const ProcessFate fate = direct.fate;
     if (keep_look(state, place, address, std::move(direct)))
         return {ProcessFate::Alive, false};
+    if (fate == ProcessFate::Alive)
+        return look_at_mute(state, place);
     const bool known_down = state.paths.with([&](const RunnerPaths& paths) {
         return paths.is_down(place.runner, now);
     });
@@ -170,6 +192,7 @@
     if (keep_look(state, listed->place(), listed->address, std::move(look)))
         return fate;
     const bool tells =
+        fate != ProcessFate::Alive &&
         why_unreachable(state, listed->place()) == RelayFailure::Unreachable;
     return tells ? std::optional(fate) : std::nullopt;
 }
--- a/src/serve/forward/runner_look.h
+++ b/src/serve/forward/runner_look.h
@@ -18,6 +18,7 @@
 {
 
 struct ForwardState;
+struct ListedRunner;
 
 /// What a look at a runner found.
 struct RunnerLook {
@@ -26,9 +27,9 @@
     bool path_cut = false;
 };
 
-/// Looks whether a runner takes connections: directly, and through other
-/// instances where it does not. A connection that is made is kept for the next
-/// call. Blocks for up to 0.5 s.
+/// Looks whether a runner answers: directly, and through other instances where
+/// it does not. A connection that is made is kept for the next call. Blocks for
+/// up to 1.3 s.
 RunnerLook look_at_runner(ForwardState& state, const RunnerPlace& place,
                           const std::string& address);
 
@@ -37,10 +38,10 @@
 RunnerLook confirm_look(ForwardState& state, const RunnerPlace& place,
                         const std::string& address, PortLook direct);
 
-/// Records that a direct look made a connection, and keeps that for the next
-/// call. Returns false, and does nothing, if `look` has none.
-bool keep_look(ForwardState& state, const RunnerPlace& place,
-               const std::string& address, PortLook look);
+/// Returns whether `runner` answers this instance on a new connection. A
+/// connection alone is no proof: what stands between may accept it. It is kept
+/// for the next call.
+bool reaches_runner(ForwardState& state, const ListedRunner& runner);
 
 /// Returns whether this instance reaches some runner other than `except`, of
 /// the same service if there is one, so that a failure to reach that one is not
