An instance that is cut off from a runner too says so at once, and for its service

What callers saw: while half of 91 instances are cut off from a service, calls through others wait 0.42 s for each one that is cut off too, and there are up to seven of these a call (315 of 1,326 calls asked two, 138 three, 86 four). Cause: an instance that knew that its path to the runner was cut still looked at up to three other runners before it said so, and was believed for that one runner only. Now it answers at once where it knows, and names the service; it isn't asked again for that.

--- a/src/include/crosslink/forward/relay_selector.h
+++ b/src/include/crosslink/forward/relay_selector.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/runner_place.h>
 #include <crosslink/membership/instance_info.h>
 
 #include <cstddef>
@@ -13,7 +14,7 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace crosslink
@@ -37,23 +38,39 @@
     static constexpr Micros min_pause = std::chrono::milliseconds(500);
     static constexpr Micros max_pause = std::chrono::seconds(4);
 
-    /// Returns one of `instances` other than `own` for a call to `runner`, not
-    /// of `failed_zones` if there are others; nothing if no instance is left.
+    /// Returns one of `instances` other than `own` for a call to the runner at
+    /// `place`, not of `failed_zones` if there are others; nothing if no
+    /// instance is left.
     std::optional<InstanceInfo>
     choose(const Instances& instances, const InstanceInfo& own,
-           std::string_view runner, const FailedZones& failed_zones,
+           const RunnerPlace& place, const FailedZones& failed_zones,
            TimePoint now, std::uint64_t random) const;
-    /// Records that the instance at `address` could not help.
-    void failed(std::string_view address, TimePoint now);
-    /// Records that it could not help with calls to `runner`.
-    void failed(std::string_view address, std::string_view runner,
+    /// Records that the instance at `address` could not help with calls to the
+    /// runner at `place`, or, where `place` names none, to its whole service,
+    /// or to any service.
+    void failed(std::string_view address, const RunnerPlace& place,
                 TimePoint now);
     /// Records that it passed a call on.
     void helped(std::string_view address);
 
 private:
-    /// The address of an instance, and a runner; empty for all runners.
-    using Key = std::pair<std::string, std::string>;
+    /// What an instance could not help with.
+    struct Key {
+        std::string address;
+        std::string service; ///< Empty for all, or where there is a runner.
+        std::string runner;  ///< Empty for all of the service.
+
+        bool concerns(const RunnerPlace& place) const
+        {
+            return runner.empty() ? service.empty() || service == place.service
+                                  : runner == place.runner;
+        }
+        bool operator<(const Key& other) const
+        {
+            return std::tie(address, service, runner) <
+                   std::tie(other.address, other.service, other.runner);
+        }
+    };
 
     struct Pause {
         Micros length{0};
@@ -68,8 +85,8 @@
     using Zones = std::map<std::string_view, Zone>;
 
     Zones zones_of(const Instances& instances, const InstanceInfo& own,
-                   std::string_view runner, TimePoint now) const;
-    std::set<std::string_view> paused_for(std::string_view runner,
+                   const RunnerPlace& place, TimePoint now) const;
+    std::set<std::string_view> paused_for(const RunnerPlace& place,
                                           TimePoint now) const;
 
     std::map<Key, Pause> m_pauses;
--- a/src/include/crosslink/forward/runner_paths.h
+++ b/src/include/crosslink/forward/runner_paths.h
@@ -58,7 +58,12 @@
     Path path_to(const RunnerPlace& place) const;
     /// Returns whether all runners are presumed out of reach although no
     /// failure at each of them is known.
-    bool all_cut() const { return all_cut_since().has_value(); }
+    bool all_cut() const { return cut_since({}).has_value(); }
+    /// Returns whether all runners of `service` are presumed out of reach.
+    bool service_cut(const std::string& service) const
+    {
+        return cut_since({service, {}}).has_value();
+    }
     /// Returns whether some runner is known to be out of reach of this instance
     /// alone: its failure to reach another one then says little about that one.
     bool any_cut() const { return !m_cut.empty(); }
@@ -120,7 +125,7 @@
     };
 
     static std::array<RunnerGroup, 4> groups_of(const RunnerPlace& place);
-    std::optional<TimePoint> all_cut_since() const;
+    std::optional<TimePoint> cut_since(const RunnerGroup& group) const;
     bool shows_cut(const RunnerGroup& group, const GroupPath& path,
                    TimePoint now) const;
     void drop_empty_groups();
--- a/src/libcrosslink/forward/relay_selector.cpp
+++ b/src/libcrosslink/forward/relay_selector.cpp
@@ -4,16 +4,17 @@
 #include <crosslink/forward/relay_selector.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace crosslink
 {
 
 std::optional<InstanceInfo>
 RelaySelector::choose(const Instances& instances, const InstanceInfo& own,
-                      std::string_view runner, const FailedZones& failed_zones,
+                      const RunnerPlace& place, const FailedZones& failed_zones,
                       TimePoint now, std::uint64_t random) const
 {
-    Zones zones = zones_of(instances, own, runner, now);
+    Zones zones = zones_of(instances, own, place, now);
     const Zone& near = zones[own.zone];
     std::vector<const InstanceInfo*> choice;
     if (near.open.size() >= near.paused && !failed_zones.contains(own.zone))
@@ -32,9 +33,9 @@
 
 RelaySelector::Zones
 RelaySelector::zones_of(const Instances& instances, const InstanceInfo& own,
-                        std::string_view runner, TimePoint now) const
+                        const RunnerPlace& place, TimePoint now) const
 {
-    const std::set<std::string_view> paused = paused_for(runner, now);
+    const std::set<std::string_view> paused = paused_for(place, now);
     Zones zones;
     for (const auto& [name, instance] : instances) {
         if (name == own.name || instance.address == own.address)
@@ -49,19 +50,16 @@
 }
 
 void
-RelaySelector::failed(std::string_view address, TimePoint now)
-{
-    failed(address, {}, now);
-}
-
-void
-RelaySelector::failed(std::string_view address, std::string_view runner,
+RelaySelector::failed(std::string_view address, const RunnerPlace& place,
                       TimePoint now)
 {
     std::erase_if(m_pauses, [now](const auto& item) {
         return item.second.until + max_pause <= now;
     });
-    Pause& pause = m_pauses[Key(std::string(address), std::string(runner))];
+    Key key{std::string(address), {}, std::string(place.runner)};
+    if (key.runner.empty())
+        key.service = place.service;
+    Pause& pause = m_pauses[std::move(key)];
     if (now < pause.until)
         return;
     pause.length = std::clamp(2 * pause.length, min_pause, max_pause);
@@ -71,17 +69,18 @@
 void
 RelaySelector::helped(std::string_view address)
 {
-    m_pauses.erase(Key(std::string(address), std::string()));
+    m_pauses.erase(Key{std::string(address), {}, {}});
 }
 
-/// Returns the addresses of the instances that are not asked about `runner`.
+/// Returns the addresses of the instances that are not asked about the runner
+/// at `place`.
 std::set<std::string_view>
-RelaySelector::paused_for(std::string_view runner, TimePoint now) const
+RelaySelector::paused_for(const RunnerPlace& place, TimePoint now) const
 {
     std::set<std::string_view> paused;
     for (const auto& [key, pause] : m_pauses)
-        if (now < pause.until && (key.second.empty() || key.second == runner))
-            paused.insert(key.first);
+        if (now < pause.until && key.concerns(place))
+            paused.insert(key.address);
     return paused;
 }
 
--- a/src/libcrosslink/forward/relay_selector_test.cpp
+++ b/src/libcrosslink/forward/relay_selector_test.cpp
@@ -28,12 +28,14 @@
 
 std::set<std::string>
 chosen(const RelaySelector& selector, TimePoint now,
-       std::string_view runner = "r", const FailedZones& failed_zones = {})
+       std::string_view runner = "r", const FailedZones& failed_zones = {},
+       std::string_view service = "s")
 {
     std::set<std::string> names;
     for (std::uint64_t random = 0; random < 8; ++random)
-        if (const auto one = selector.choose(fleet(), own, runner, failed_zones,
-                                             now, random))
+        if (const auto one =
+                selector.choose(fleet(), own, {runner, service, "z"},
+                                failed_zones, now, random))
             names.insert(one->name);
     return names;
 }
@@ -48,11 +50,11 @@
 TEST_CASE("other zones relay where no instance of the zone can")
 {
     RelaySelector selector;
-    selector.failed("2:1", start);
+    selector.failed("2:1", {}, start);
     CHECK(chosen(selector, start) == std::set<std::string>{"also near"});
-    selector.failed("3:1", start);
+    selector.failed("3:1", {}, start);
     CHECK(chosen(selector, start) == std::set<std::string>{"far"});
-    selector.failed("4:1", start);
+    selector.failed("4:1", {}, start);
     CHECK(chosen(selector, start).empty());
     CHECK(chosen(selector, start + RelaySelector::min_pause) ==
           std::set<std::string>{"near", "also near"});
@@ -70,12 +72,13 @@
     RelaySelector::Instances instances = fleet();
     instances["third"] = {"third", "5:1", "a"};
     RelaySelector selector;
-    selector.failed("2:1", start);
-    selector.failed("3:1", start);
+    selector.failed("2:1", {}, start);
+    selector.failed("3:1", {}, start);
     std::set<std::string> names;
     for (std::uint64_t random = 0; random < 8; ++random)
         names.insert(
-            selector.choose(instances, own, "r", {}, start, random)->name);
+            selector.choose(instances, own, {"r", "s", "z"}, {}, start, random)
+                ->name);
     CHECK(names == std::set<std::string>{"third", "far"});
 }
 
@@ -85,23 +88,23 @@
     TimePoint now = start;
     for (Micros pause = RelaySelector::min_pause;
          pause <= RelaySelector::max_pause; pause *= 2) {
-        selector.failed("2:1", now);
+        selector.failed("2:1", {}, now);
         CHECK(!chosen(selector, now + pause - Micros(1)).contains("near"));
         now += pause;
         CHECK(chosen(selector, now).contains("near"));
     }
-    selector.failed("2:1", now);
+    selector.failed("2:1", {}, now);
     now += RelaySelector::max_pause;
     CHECK(chosen(selector, now).contains("near"));
     selector.helped("2:1");
-    selector.failed("2:1", now);
+    selector.failed("2:1", {}, now);
     CHECK(chosen(selector, now + RelaySelector::min_pause).contains("near"));
 }
 
 TEST_CASE("an instance that is cut off from one runner relays to others")
 {
     RelaySelector selector;
-    selector.failed("2:1", "r", start);
+    selector.failed("2:1", {"r", "s", "z"}, start);
     CHECK(chosen(selector, start) == std::set<std::string>{"also near"});
     CHECK(chosen(selector, start, "s") ==
           std::set<std::string>{"near", "also near"});
@@ -109,4 +112,14 @@
           std::set<std::string>{"near", "also near"});
 }
 
+TEST_CASE("an instance that is cut off from a service relays to others")
+{
+    RelaySelector selector;
+    selector.failed("2:1", {{}, "s", {}}, start);
+    CHECK(chosen(selector, start, "r") == std::set<std::string>{"also near"});
+    CHECK(chosen(selector, start, "q") == std::set<std::string>{"also near"});
+    CHECK(chosen(selector, start, "r", {}, "other") ==
+          std::set<std::string>{"near", "also near"});
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_paths.cpp
+++ b/src/libcrosslink/forward/runner_paths.cpp
@@ -40,16 +40,16 @@
 }
 
 std::optional<TimePoint>
-RunnerPaths::all_cut_since() const
+RunnerPaths::cut_since(const RunnerGroup& group) const
 {
-    const auto found = m_groups.find(RunnerGroup{});
+    const auto found = m_groups.find(group);
     return found == m_groups.end() ? std::nullopt : found->second.cut_since;
 }
 
 Micros
 RunnerPaths::all_cut_for(TimePoint now) const
 {
-    const auto since = all_cut_since();
+    const auto since = cut_since({});
     if (!since)
         return Micros{0};
     return std::chrono::duration_cast<Micros>(now - *since);
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -274,7 +274,7 @@
 ForwardRun::note_broken(bool silent)
 {
     if (m_link.relay)
-        m_state.relay_failed(m_link.relay->address);
+        m_state.relay_failed(m_link.relay->address, {});
     else if (silent)
         note_connection_failure(true);
     if (silent)
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -225,16 +225,14 @@
     void note_runner_heard(const RunnerPlace& place);
     /// Returns how calls to the runner at `place` are to be sent.
     RunnerPaths::Path path_to(const RunnerPlace& place);
-    /// Returns an instance to pass a call on to `runner`, not of
+    /// Returns an instance to pass a call on to the runner at `place`, not of
     /// `failed_zones` if there is another one; nothing if there is none.
-    std::optional<InstanceInfo> choose_relay(std::string_view runner,
+    std::optional<InstanceInfo> choose_relay(const RunnerPlace& place,
                                              const FailedZones& failed_zones);
     /// Records that the instance at `address` passed a call on.
     void relay_helped(std::string_view address);
-    /// Records that the instance at `address` could not pass a call on.
-    void relay_failed(std::string_view address);
-    /// Records that it could not pass a call on to `runner`.
-    void relay_failed(std::string_view address, std::string_view runner);
+    /// Records that it could not; see RelaySelector::failed().
+    void relay_failed(std::string_view address, const RunnerPlace& place);
     /// Returns whether several software versions of `service` served within
     /// StreamOrigins::lifetime.
     bool several_software(std::string_view service);
--- a/src/serve/forward/forward_state_paths.cpp
+++ b/src/serve/forward/forward_state_paths.cpp
@@ -69,7 +69,7 @@
 }
 
 std::optional<InstanceInfo>
-ForwardState::choose_relay(std::string_view runner,
+ForwardState::choose_relay(const RunnerPlace& place,
                            const FailedZones& failed_zones)
 {
     const TimePoint now = monotonic_now();
@@ -77,7 +77,7 @@
     const InstanceInfo own = settings.instance_info();
     return fleet.with([&](const FleetView& view) {
         return relays.with([&](const RelaySelector& selector) {
-            return selector.choose(view.instances, own, runner, failed_zones,
+            return selector.choose(view.instances, own, place, failed_zones,
                                    now, random);
         });
     });
@@ -91,16 +91,10 @@
 }
 
 void
-ForwardState::relay_failed(std::string_view address)
-{
-    relay_failed(address, {});
-}
-
-void
-ForwardState::relay_failed(std::string_view address, std::string_view runner)
+ForwardState::relay_failed(std::string_view address, const RunnerPlace& place)
 {
     relays.with([&](RelaySelector& selector) {
-        selector.failed(address, runner, monotonic_now());
+        selector.failed(address, place, monotonic_now());
     });
 }
 
--- a/src/serve/forward/relay_wire.cpp
+++ b/src/serve/forward/relay_wire.cpp
@@ -14,6 +14,8 @@
         return "no_path";
     case RelayFailure::Busy:
         return "busy";
+    case RelayFailure::ServiceCut:
+        return "service_cut";
     case RelayFailure::RunnerCut:
         return "runner_cut";
     case RelayFailure::Unreachable:
@@ -28,8 +30,8 @@
 relay_failure_from(std::string_view name)
 {
     for (const RelayFailure failure :
-         {RelayFailure::NoPath, RelayFailure::Busy, RelayFailure::RunnerCut,
-          RelayFailure::Unreachable})
+         {RelayFailure::NoPath, RelayFailure::Busy, RelayFailure::ServiceCut,
+          RelayFailure::RunnerCut, RelayFailure::Unreachable})
         if (name == relay_failure_name(failure))
             return failure;
     return RelayFailure::Broken;
--- a/src/serve/forward/relay_wire.h
+++ b/src/serve/forward/relay_wire.h
@@ -26,6 +26,8 @@
 enum class RelayFailure {
     NoPath, ///< It may be out of reach of runners itself. Not sent.
     Busy,   ///< It passes on as many calls as it can. Not sent.
+    /// It is out of reach of all runners of the service. Not sent.
+    ServiceCut,
     /// The runner takes no connection of it, and it can't tell whether that is
     /// the runner's fault. It may reach others. Not sent.
     RunnerCut,
--- a/src/serve/forward/runner_connector.cpp
+++ b/src/serve/forward/runner_connector.cpp
@@ -100,7 +100,7 @@
 RunnerConnector::open_relay(Micros time_left)
 {
     RunnerLink link;
-    link.relay = m_state.choose_relay(m_runner->id, m_failed_zones);
+    link.relay = m_state.choose_relay(m_runner->place(), m_failed_zones);
     if (!link.relay)
         return link;
     link.opened_at = monotonic_now();
@@ -113,7 +113,7 @@
         link.connection = std::make_unique<CallConnection>(
             address, std::min(relay_connect_time, time_left));
     } catch (const Poco::Exception& failure) {
-        m_state.relay_failed(address);
+        m_state.relay_failed(address, {});
         m_failed_zones.insert(link.relay->zone);
         ++m_state.counters.relays_vain;
         LogLine("relay_not_connected")
@@ -142,15 +142,25 @@
 RunnerConnector::not_relayed(const RunnerLink& link, RelayFailure failure)
 {
     m_failed_zones.insert(link.relay->zone);
-    if (failure == RelayFailure::Unreachable) {
+    const std::string& address = link.relay->address;
+    switch (failure) {
+    case RelayFailure::Unreachable:
         m_down = true;
         m_state.paths.with([this](RunnerPaths& paths) {
             paths.down(m_runner->id, monotonic_now());
         });
-    } else if (failure == RelayFailure::RunnerCut) {
-        m_state.relay_failed(link.relay->address, m_runner->id);
-    } else {
-        m_state.relay_failed(link.relay->address);
+        break;
+    case RelayFailure::RunnerCut:
+        m_state.relay_failed(address, m_runner->place());
+        break;
+    case RelayFailure::ServiceCut:
+        m_state.relay_failed(address, {{}, m_runner->service, {}});
+        break;
+    case RelayFailure::NoPath:
+    case RelayFailure::Busy:
+    case RelayFailure::Broken:
+        m_state.relay_failed(address, {});
+        break;
     }
 }
 
--- a/src/serve/forward/runner_look.cpp
+++ b/src/serve/forward/runner_look.cpp
@@ -25,21 +25,21 @@
 constexpr int max_asked = 2;
 /// Time after which own_reach() asks no more runners.
 constexpr Micros reach_time = std::chrono::milliseconds(300);
-/// Runners of a group that are tried to find out whether the own path works.
-constexpr int max_tried = 2;
+/// Runners that are tried to find out whether the own path works.
+constexpr int max_tried = 3;
 
 /// Asks other instances whether they reach `runner`. Nothing if none can tell.
 std::optional<ProcessFate>
-ask_others(ForwardState& state, std::string_view runner)
+ask_others(ForwardState& state, const RunnerPlace& place)
 {
     FailedZones failed_zones;
     for (int asked = 0; asked < max_asked; ++asked) {
-        const auto peer = state.choose_relay(runner, failed_zones);
+        const auto peer = state.choose_relay(place, failed_zones);
         if (!peer)
             break;
         try {
-            const auto fate =
-                FleetClient(peer->address).look_at_runner(std::string(runner));
+            const auto fate = FleetClient(peer->address)
+                                  .look_at_runner(std::string(place.runner));
             if (fate)
                 return fate;
         } catch (const Error& failure) {
@@ -47,7 +47,7 @@
                 .field("instance", peer->name)
                 .field("error", failure.what());
         }
-        state.relay_failed(peer->address, runner);
+        state.relay_failed(peer->address, place);
         failed_zones.insert(peer->zone);
     }
     return std::nullopt;
@@ -73,25 +73,23 @@
 RunnerLook
 look_at_mute(ForwardState& state, const RunnerPlace& place)
 {
-    const bool is_cut = ask_others(state, place.runner) == ProcessFate::Alive;
+    const bool is_cut = ask_others(state, place) == ProcessFate::Alive;
     if (is_cut)
         state.note_path_cut(place);
     return {ProcessFate::Alive, is_cut};
 }
 
-/// Returns whether one of a few runners of `group` answers.
-bool
-reaches_group(ForwardState& state, const RunnerGroup& group,
-              std::string_view except)
+/// Returns how much of its path this instance presumes cut.
+RelayFailure
+known_cut(ForwardState& state, const RunnerPlace& place)
 {
-    for (int tried = 0; tried < max_tried; ++tried) {
-        const auto other = state.draw_runner(group, except);
-        if (!other)
-            return false;
-        if (reaches_runner(state, *other))
-            return true;
-    }
-    return false;
+    return state.paths.with([&place](const RunnerPaths& paths) {
+        if (paths.all_cut())
+            return RelayFailure::NoPath;
+        return paths.service_cut(std::string(place.service))
+                   ? RelayFailure::ServiceCut
+                   : RelayFailure::RunnerCut;
+    });
 }
 
 } // namespace
@@ -125,7 +123,7 @@
     });
     if (known_down)
         return {fate, false};
-    const auto told = ask_others(state, place.runner);
+    const auto told = ask_others(state, place);
     if (told == ProcessFate::Alive) {
         state.note_path_cut(place);
         return {ProcessFate::Alive, true};
@@ -144,24 +142,26 @@
 bool
 reaches_others(ForwardState& state, const RunnerPlace& except)
 {
-    const RunnerGroup service{std::string(except.service), {}};
-    const bool is_only = !state.draw_runner(service, except.runner);
-    return reaches_group(state, is_only ? RunnerGroup() : service,
-                         except.runner);
+    for (int tried = 0; tried < max_tried; ++tried) {
+        const auto other = state.draw_runner({}, except.runner);
+        if (!other)
+            return false;
+        if (reaches_runner(state, *other))
+            return true;
+    }
+    return false;
 }
 
 RelayFailure
 why_unreachable(ForwardState& state, const RunnerPlace& place)
 {
-    const auto [all, any] = state.paths.with([](const RunnerPaths& paths) {
-        return std::pair(paths.all_cut(), paths.any_cut());
-    });
-    if (all)
+    if (state.path_to(place).relayed)
+        return known_cut(state, place);
+    if (!reaches_others(state, place))
         return RelayFailure::NoPath;
-    if (reaches_others(state, place))
-        return any ? RelayFailure::RunnerCut : RelayFailure::Unreachable;
-    return reaches_group(state, {}, place.runner) ? RelayFailure::RunnerCut
-                                                  : RelayFailure::NoPath;
+    const bool any = state.paths.with(
+        [](const RunnerPaths& paths) { return paths.any_cut(); });
+    return any ? RelayFailure::RunnerCut : RelayFailure::Unreachable;
 }
 
 DutyPlacement::PeerReach
--- a/src/serve/forward/runner_look.h
+++ b/src/serve/forward/runner_look.h
@@ -43,14 +43,13 @@
 /// for the next call.
 bool reaches_runner(ForwardState& state, const ListedRunner& runner);
 
-/// Returns whether this instance reaches some runner other than `except`, of
-/// the same service if there is one, so that a failure to reach that one is not
-/// due to its own path.
+/// Returns whether this instance reaches some runner other than `except`, so
+/// that a failure to reach that one is not due to its own path.
 bool reaches_others(ForwardState& state, const RunnerPlace& except);
 
-/// Returns what this instance can tell another one of `runner`, which it failed
-/// to reach: Unreachable only if it reaches others of its service, and is cut
-/// off from none.
+/// Returns what this instance can tell another one of the runner at `place`,
+/// which it failed to reach: at once where its path is known to be cut;
+/// Unreachable only if it reaches other runners, and is cut off from none.
 RelayFailure why_unreachable(ForwardState& state, const RunnerPlace& place);
 
 /// Returns which of `runners` give a report to this instance, for another one.
