Hold back from brittle runners that refuse calls, before they fall

Cause: the word was read by nobody; a runner that refused got calls again after 0.12 s from every instance, those that waited all at the same moment, and one that was back got all of its neighbours' calls and fell again. Now the word is decoded and holds for the service, also for processes that have not answered yet. One that refused a call gets none of this instance for 1.1 to 1.4 s, then no more at a time than before, one in 30 ms; for 15 s from a refusal on no more instances send to each runner of the service than it bears refusals, so that a refusal of each of them in a second does no harm. Nothing is held back where none refuses.

--- /dev/null
+++ b/src/include/crosslink/forward/room_estimate.h
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace crosslink
+{
+
+/// How many calls of this instance one process of a brittle runner has room
+/// for, as far as it has shown. A brittle runner states how many calls it can
+/// refuse in a second for want of room; one more and its process fails. Answers
+/// the load of instances that together send more than such a runner can take:
+/// one that was refused waits for over a second, and then sends no more calls
+/// at a time than before. RunnerTable sees to it that no more instances send to
+/// the runner than it bears refusals, while it or another one refuses calls.
+class RoomEstimate
+{
+public:
+    /// Time without a refusal after which one more call at a time is sent.
+    static constexpr Micros growth_time = std::chrono::seconds(3);
+    /// Least and greatest time for which nothing is sent after a refusal.
+    static constexpr Micros min_hold = std::chrono::milliseconds(1100);
+    static constexpr Micros max_hold = std::chrono::milliseconds(1400);
+    /// Time between two calls of one instance, so that the second is not sent
+    /// before it can know that the first was refused.
+    static constexpr Micros send_interval = std::chrono::milliseconds(30);
+
+    bool empty() const { return !m_refused_at; }
+    /// Records a refusal at `now`, while the runner had `own_calls` other calls
+    /// of this instance. `random` bits spread the instances.
+    void refused(std::uint32_t own_calls, TimePoint now, std::uint64_t random);
+    /// Returns when a call may be sent in addition to `own_calls`: at once,
+    /// after the hold, or at a later look if the runner has no room for it.
+    TimePoint free_at(std::uint32_t own_calls, TimePoint now) const;
+
+private:
+    std::uint32_t room_at(TimePoint now) const;
+
+    std::optional<TimePoint> m_refused_at;
+    std::uint32_t m_room = 0; ///< After the hold of the last refusal.
+    TimePoint m_held_until{};
+};
+
+} // namespace crosslink
--- a/src/include/crosslink/forward/runner_notices.h
+++ b/src/include/crosslink/forward/runner_notices.h
@@ -5,6 +5,7 @@
 
 #include <crosslink/base/time.h>
 #include <crosslink/forward/advertised_limit.h>
+#include <crosslink/forward/room_estimate.h>
 
 #include <cstdint>
 #include <string>
@@ -22,12 +23,14 @@
     /// It requested no calls from this instance before.
     TimePoint backoff_until{};
     AdvertisedLimit limit;   ///< Calls accepted from all instances together.
+    RoomEstimate room;       ///< Used while its service is brittle.
     TimePoint reported_at{}; ///< When the latest one was given.
 
     /// Returns whether there is nothing that matters later.
     bool empty() const
     {
-        return !leaving && backoff_until == TimePoint{} && limit.change() == 0;
+        return !leaving && backoff_until == TimePoint{} &&
+               limit.change() == 0 && room.empty();
     }
 };
 
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -101,6 +101,8 @@
     std::uint64_t limit_change = 0; ///< See AdvertisedLimit.
     std::string software;           ///< See ListedRunner.
     std::string service;
+    /// That each runner of the service bears in a second; 0 for any number.
+    std::uint32_t bearable_refusals = 0;
 
     RunnerIncarnation incarnation() const { return {id, start_ms}; }
     RunnerPlace place() const { return {id, service, zone}; }
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -111,6 +111,19 @@
     void ran(std::string_view id, std::uint64_t resident, Micros span);
     /// Records a refusal: no calls are sent to the runner for `hold`.
     void refused(const RunnerIncarnation& runner, TimePoint now, Micros hold);
+    /// Records how many refusals a second a runner states that it bears; 0 if
+    /// it is not brittle. That holds for all runners of its service, also for
+    /// processes that have not answered yet.
+    void set_bearable_refusals(const RunnerIncarnation& runner,
+                               std::uint32_t refusals);
+    /// Returns how many refusals each runner of `service` bears in a second; 0
+    /// for any number.
+    std::uint32_t bearable_refusals(std::string_view service) const;
+    /// Records that a runner refused a call. If it is brittle, it gets no more
+    /// calls at a time than now from here on. `random` bits spread the
+    /// instances.
+    void found_no_room(const RunnerIncarnation& runner, TimePoint now,
+                       std::uint64_t random);
     /// Records that a runner loads weights: no calls are sent to it for `hold`.
     void loads(std::string_view id, TimePoint now, Micros hold);
     /// Records a failure: no calls are sent to the runner for a time that
@@ -212,6 +225,9 @@
                               std::size_t reserved) const;
     TimePoint limit_free_at(const RunnerEntry& entry, const RunnerQuery& query,
                             std::size_t reserved) const;
+    TimePoint shared_until(std::string_view service) const;
+    TimePoint room_free_at(const RunnerEntry& entry, const RunnerQuery& query,
+                           std::size_t reserved) const;
     bool has_share(const RunnerEntry& entry, const RunnerQuery& query,
                    const RateShare& share) const;
     RunnerPick pick_of(const RunnerEntry& entry, const RunnerQuery& query,
@@ -238,6 +254,13 @@
     mutable std::uint64_t m_visited = 0; ///< See entries_visited().
     UnlistedNotices m_unlisted;
     EndedProcesses m_ended;
+    /// What the runners of a brittle service state and show.
+    struct Brittleness {
+        std::uint32_t bearable_refusals = 0; ///< Of each, in a second.
+        /// Until when few instances send to each; see room_free_at().
+        TimePoint shared_until{};
+    };
+    std::map<std::string, Brittleness, std::less<>> m_brittle; ///< By service.
     /// Zones that may be cut off, and until when they are avoided.
     std::map<std::string, TimePoint, std::less<>> m_silent_zones;
     std::set<std::string, std::less<>> m_evacuated; ///< Zones.
--- a/src/include/crosslink/ports/call_wire.h
+++ b/src/include/crosslink/ports/call_wire.h
@@ -64,6 +64,9 @@
     /// together; no_rate_limit if it states no limit; std::nullopt if the
     /// stated limit can't be parsed.
     std::optional<double> rate_limit = no_rate_limit;
+    /// Calls that the runner can refuse in a second for want of room; 0 if it
+    /// states no such number; std::nullopt if it can't be parsed.
+    std::optional<std::uint32_t> bearable_refusals = 0;
     /// Whether the runner states that it will end; std::nullopt if that can't
     /// be parsed.
     std::optional<bool> leaving = false;
--- a/src/libcrosslink/forward/runner_availability.cpp
+++ b/src/libcrosslink/forward/runner_availability.cpp
@@ -157,7 +157,31 @@
 {
     return std::max({entry.paused_until, entry.notices.backoff_until,
                      warm_up_free_at(entry, query, reserved),
-                     limit_free_at(entry, query, reserved)});
+                     limit_free_at(entry, query, reserved),
+                     room_free_at(entry, query, reserved)});
+}
+
+/// Returns the same for the refusals that a brittle runner bears. Once one of
+/// its service refused a call, each gets calls of so few instances that a
+/// refusal of each of them in a second does no harm.
+TimePoint
+RunnerTable::room_free_at(const RunnerEntry& entry, const RunnerQuery& query,
+                          std::size_t reserved) const
+{
+    const std::uint32_t refusals = bearable_refusals(entry.listed.service);
+    if (refusals == 0)
+        return {};
+    RateShare share;
+    share.instances = std::min<std::size_t>(
+        refusals, m_members.count(entry.listed.zone, query.now));
+    share.calls = 1;
+    if (query.now < shared_until(entry.listed.service) &&
+        !has_share(entry, query, share))
+        return never;
+    const auto calls = static_cast<std::uint32_t>(reserved) + entry.own.calls;
+    return std::max(
+        entry.notices.room.free_at(calls, query.now),
+        entry.sends.free_at(1, RoomEstimate::send_interval, query.now));
 }
 
 TimePoint
--- /dev/null
+++ b/src/libcrosslink/forward/runner_brittle_test.cpp
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include "../testing/runners_of_a_zone.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace crosslink
+{
+
+namespace
+{
+
+using testing::at;
+using testing::query;
+using testing::table_of;
+
+constexpr std::uint32_t bearable = 2;
+constexpr int instances = 6;
+constexpr std::uint64_t no_jitter = 0;
+
+std::string
+instance(int number)
+{
+    return "instance-" + std::to_string(number);
+}
+
+/// A table of one brittle runner before several instances, long after they
+/// joined.
+RunnerTable
+brittle_table()
+{
+    RunnerTable table = table_of({"r"});
+    for (int i = 0; i < instances; ++i)
+        table.members().listed({instance(i), "1:1", "a"},
+                               at(0) - std::chrono::seconds(60));
+    table.set_bearable_refusals({"r"}, bearable);
+    return table;
+}
+
+int
+senders(RunnerTable& table, int millis)
+{
+    int found = 0;
+    for (int i = 0; i < instances; ++i) {
+        const std::string name = instance(i);
+        RunnerQuery asked = query(millis);
+        asked.instance = name;
+        found += table.choose(asked) ? 1 : 0;
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("all instances send to a brittle runner that refuses nothing")
+{
+    RunnerTable table = brittle_table();
+    CHECK(senders(table, 100) == instances);
+}
+
+TEST_CASE("no more instances send to a brittle runner than it bears refusals")
+{
+    RunnerTable table = brittle_table();
+    table.found_no_room({"r"}, at(100), no_jitter);
+    CHECK(senders(table, 100) == 0);
+    CHECK(senders(table, 2000) == static_cast<int>(bearable));
+    CHECK(senders(table, 20'000) == instances);
+}
+
+TEST_CASE(
+    "a refusal of a runner that is not brittle holds nothing back for long")
+{
+    RunnerTable table = brittle_table();
+    table.set_bearable_refusals({"r"}, 0);
+    table.found_no_room({"r"}, at(100), no_jitter);
+    CHECK(senders(table, 100) == instances);
+}
+
+TEST_CASE(
+    "calls that wait for a brittle runner are not sent at the same moment")
+{
+    RunnerTable table = brittle_table();
+    table.found_no_room({"r"}, at(0), no_jitter);
+    for (int i = 0; i < instances; ++i)
+        table.reserve({"r"});
+    int sent = 0;
+    for (int i = 0; i < instances; ++i) {
+        RunnerQuery asked = query(2000);
+        const std::string name = instance(i);
+        asked.instance = name;
+        if (table.choose_reserved(asked, {"r"})) {
+            table.reserve({"r"});
+            ++sent;
+        }
+    }
+    CHECK(sent <= 1);
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -250,8 +250,10 @@
         return pick;
     // The places of other calls that wait there come later.
     const RunnerEntry* entry = find(reservation);
+    // Calls that wait for the end of the same hold would all be sent at once.
     const bool is_its_turn =
-        entry && may_accept_work(*entry, query) &&
+        entry && bearable_refusals(query.service) == 0 &&
+        may_accept_work(*entry, query) &&
         entry->notices.backoff_until <= query.now &&
         free_at(*entry, query, 0) <= query.now + early_tolerance;
     if (!is_its_turn)
@@ -272,7 +274,8 @@
             entry.notices.limit.in_force(),
             entry.notices.limit.change(),
             entry.listed.software,
-            entry.listed.service};
+            entry.listed.service,
+            bearable_refusals(entry.listed.service)};
 }
 
 /// Returns what is known of the load of all runners of the service.
--- a/src/libcrosslink/forward/runner_table_notices.cpp
+++ b/src/libcrosslink/forward/runner_table_notices.cpp
@@ -16,6 +16,9 @@
 
 /// Time for which a zone is avoided after a runner there did not respond.
 constexpr Micros silent_zone_time = std::chrono::milliseconds(2500);
+/// Time for which few instances send to each runner of a brittle service, from
+/// a refusal on.
+constexpr Micros shared_time = std::chrono::seconds(15);
 /// How long a connection failure is remembered for other instances, at least.
 constexpr Micros failure_report_time = std::chrono::seconds(5);
 
@@ -150,6 +153,46 @@
                       }));
 }
 
+void
+RunnerTable::set_bearable_refusals(const RunnerIncarnation& runner,
+                                   std::uint32_t refusals)
+{
+    const RunnerEntry* entry = find(runner);
+    if (!entry)
+        return;
+    if (refusals == 0)
+        m_brittle.erase(entry->listed.service);
+    else
+        m_brittle[entry->listed.service].bearable_refusals = refusals;
+}
+
+std::uint32_t
+RunnerTable::bearable_refusals(std::string_view service) const
+{
+    const auto found = m_brittle.find(service);
+    return found == m_brittle.end() ? 0 : found->second.bearable_refusals;
+}
+
+TimePoint
+RunnerTable::shared_until(std::string_view service) const
+{
+    const auto found = m_brittle.find(service);
+    return found == m_brittle.end() ? TimePoint() : found->second.shared_until;
+}
+
+void
+RunnerTable::found_no_room(const RunnerIncarnation& runner, TimePoint now,
+                           std::uint64_t random)
+{
+    RunnerEntry* entry = find(runner);
+    const auto brittle =
+        entry ? m_brittle.find(entry->listed.service) : m_brittle.end();
+    if (brittle == m_brittle.end())
+        return;
+    brittle->second.shared_until = now + shared_time;
+    entry->notices.room.refused(entry->own.calls, now, random);
+}
+
 bool
 RunnerTable::set_leaving(const RunnerIncarnation& runner, TimePoint now)
 {
--- a/src/serve/forward/answer_intake.cpp
+++ b/src/serve/forward/answer_intake.cpp
@@ -33,6 +33,7 @@
 AnswerIntake::apply(const AnswerHead& head, const RunnerPick& runner)
 {
     apply_limit(head, runner);
+    apply_bearable_refusals(head, runner);
     apply_leaving(head, runner);
     apply_backoff(head, runner);
     apply_weights(head, runner);
@@ -64,6 +65,18 @@
                               runner.limit_change);
 }
 
+void
+AnswerIntake::apply_bearable_refusals(const AnswerHead& head,
+                                      const RunnerPick& runner)
+{
+    if (!head.bearable_refusals)
+        log_unreadable("brittle", runner);
+    else if (*head.bearable_refusals != runner.bearable_refusals &&
+             !head.misdirected && is_from(head, runner))
+        m_state.note_bearable_refusals(runner.incarnation(),
+                                       *head.bearable_refusals);
+}
+
 void
 AnswerIntake::apply_leaving(const AnswerHead& head, const RunnerPick& runner)
 {
--- a/src/serve/forward/answer_intake.h
+++ b/src/serve/forward/answer_intake.h
@@ -30,6 +30,8 @@
 
 private:
     void apply_limit(const AnswerHead& head, const RunnerPick& runner);
+    void apply_bearable_refusals(const AnswerHead& head,
+                                 const RunnerPick& runner);
     void apply_leaving(const AnswerHead& head, const RunnerPick& runner);
     void apply_backoff(const AnswerHead& head, const RunnerPick& runner);
     void apply_weights(const AnswerHead& head, const RunnerPick& runner);
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -376,6 +376,7 @@
             break;
         case Outcome::NotRun:
             table.refused(runner, now, loading ? loading_hold : refusal_hold);
+            table.found_no_room(runner, now, random_bits());
             break;
         case Outcome::Misdirected:
             table.refused(runner, now, refusal_hold);
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -288,6 +288,10 @@
     void merge_peer_report(const std::vector<LeavingUpdate>& leaving);
     /// Returns the runners that announced their exit, for other instances.
     std::vector<LeavingUpdate> leaving_updates();
+    /// Records how many refusals a second a process states that it bears; 0 if
+    /// it is not brittle.
+    void note_bearable_refusals(const RunnerIncarnation& runner,
+                                std::uint32_t refusals);
     /// Records that a runner asked this instance to send nothing for `backoff`.
     void note_runner_backoff(const RunnerIncarnation& runner, Micros backoff);
     /// Records whether the platform has a record that blocks the request.
--- a/src/serve/forward/forward_state_runners.cpp
+++ b/src/serve/forward/forward_state_runners.cpp
@@ -160,6 +160,18 @@
         [](const RunnerTable& table) { return table.leaving_updates(); });
 }
 
+void
+ForwardState::note_bearable_refusals(const RunnerIncarnation& runner,
+                                     std::uint32_t refusals)
+{
+    runners.with([&](RunnerTable& table) {
+        table.set_bearable_refusals(runner, refusals);
+    });
+    LogLine("runner_brittle")
+        .field("runner", runner.id)
+        .field("bears", refusals);
+}
+
 void
 ForwardState::note_runner_backoff(const RunnerIncarnation& runner,
                                   Micros backoff)
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -209,6 +209,8 @@
             pick.start_ms = entry->listed.start_ms;
             pick.address = entry->listed.address;
             pick.limit_change = entry->notices.limit.change();
+            pick.bearable_refusals =
+                table.bearable_refusals(entry->listed.service);
             pick.service = entry->listed.service;
             pick.zone = entry->listed.zone;
             return pick;
