Let the linter pass over the paths of groups

A structured binding in a lambda is an error of the linter's compiler, and an empty name is asked for as such. No change of behaviour; unit cases of paths and brittle runners pass.

--- a/src/include/crosslink/forward/runner_paths.h
+++ b/src/include/crosslink/forward/runner_paths.h
@@ -129,6 +129,7 @@
     bool shows_cut(const RunnerGroup& group, const GroupPath& path,
                    TimePoint now) const;
     void drop_empty_groups();
+    bool has_cut_runner(const RunnerGroup& group) const;
     std::optional<RunnerGroup> next_cut_group();
     std::string next_cut_runner();
 
--- a/src/libcrosslink/forward/runner_paths.cpp
+++ b/src/libcrosslink/forward/runner_paths.cpp
@@ -211,14 +211,17 @@
 void
 RunnerPaths::drop_empty_groups()
 {
-    for (auto& [group, path] : m_groups) {
-        const bool has_cut =
-            std::any_of(m_cut.begin(), m_cut.end(), [&](const auto& item) {
-                return group.contains(item.second.place(item.first));
-            });
-        if (!has_cut)
+    for (auto& [group, path] : m_groups)
+        if (!has_cut_runner(group))
             path.cut_since.reset();
-    }
+}
+
+bool
+RunnerPaths::has_cut_runner(const RunnerGroup& group) const
+{
+    return std::any_of(m_cut.begin(), m_cut.end(), [&group](const auto& item) {
+        return group.contains(item.second.place(item.first));
+    });
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_paths_test.cpp
+++ b/src/libcrosslink/forward/runner_paths_test.cpp
@@ -126,9 +126,9 @@
     RunnerPaths paths;
     paths.cut(runner("a"), at(0));
     paths.cut(runner("b"), at(1));
-    CHECK(paths.take_probe(at(10))->runner == "");
+    CHECK(paths.take_probe(at(10))->runner.empty());
     CHECK(paths.take_probe(at(20))->runner == "a");
-    CHECK(paths.take_probe(at(30))->runner == "");
+    CHECK(paths.take_probe(at(30))->runner.empty());
     paths.answered(runner("c"), at(30));
     CHECK(paths.take_probe(at(40))->runner == "b");
 }
