--- a/src/include/crosslink/forward/runner_paths.h
+++ b/src/include/crosslink/forward/runner_paths.h
@@ -36,6 +36,10 @@
     /// Pause after a probe that failed.
     static constexpr Micros probe_pause = std::chrono::milliseconds(250);
 
+    /// A runner is probed where nothing was heard for this time of its service,
+    /// or of the runners of its service in its zone.
+    static constexpr Micros service_silence = std::chrono::milliseconds(250);
+    static constexpr Micros zone_silence = std::chrono::seconds(1);
     /// What another instance says of a runner that it does not reach holds for
     /// this time.
     static constexpr Micros down_time = std::chrono::seconds(1);
@@ -90,8 +94,8 @@
     bool is_down(std::string_view runner, TimePoint now) const;
 
     /// Asks for a probe of the runner at `place`, from which nothing comes.
-    /// Does nothing while runners of its service and zone are heard. Returns
-    /// whether a probe is due.
+    /// Does nothing while runners of its service and zone are heard; see
+    /// service_silence. Returns whether a probe is due.
     bool suspect(const RunnerPlace& place, TimePoint now);
     /// Returns what to probe: a runner that is suspected, or one whose path is
     /// cut, or a group that is presumed cut. Nothing if none is due.
@@ -129,6 +133,8 @@
     bool shows_cut(const RunnerGroup& group, const GroupPath& path,
                    TimePoint now) const;
     void drop_empty_groups();
+    static std::array<RunnerGroup, 2> heard_groups(const RunnerPlace& place);
+    bool heard_since(const RunnerGroup& group, TimePoint since) const;
     bool has_cut_runner(const RunnerGroup& group) const;
     std::optional<RunnerGroup> next_cut_group();
     std::string next_cut_runner();
--- a/src/libcrosslink/forward/runner_paths.cpp
+++ b/src/libcrosslink/forward/runner_paths.cpp
@@ -111,8 +111,27 @@
 void
 RunnerPaths::heard(const RunnerPlace& place, TimePoint now)
 {
-    auto& heard_at = m_groups[groups_of(place).back()].heard_at;
-    heard_at = std::max(heard_at.value_or(now), now);
+    for (const RunnerGroup& group : heard_groups(place)) {
+        auto& heard_at = m_groups[group].heard_at;
+        heard_at = std::max(heard_at.value_or(now), now);
+    }
+}
+
+/// Returns the groups whose silence counts: the service, and the part of it in
+/// one zone.
+std::array<RunnerGroup, 2>
+RunnerPaths::heard_groups(const RunnerPlace& place)
+{
+    const std::string service(place.service);
+    return {RunnerGroup{service, {}}, {service, std::string(place.zone)}};
+}
+
+bool
+RunnerPaths::heard_since(const RunnerGroup& group, TimePoint since) const
+{
+    const auto found = m_groups.find(group);
+    return found != m_groups.end() && found->second.heard_at &&
+           *found->second.heard_at > since;
 }
 
 void
@@ -133,8 +152,9 @@
 bool
 RunnerPaths::suspect(const RunnerPlace& place, TimePoint now)
 {
-    const auto& heard_at = m_groups[groups_of(place).back()].heard_at;
-    const bool heard = heard_at && now < *heard_at + probe_pause;
+    const auto [service, in_zone] = heard_groups(place);
+    const bool heard = heard_since(service, now - service_silence) &&
+                       heard_since(in_zone, now - zone_silence);
     if (heard || m_cut.contains(place.runner) ||
         m_suspects.size() >= max_cut_runners)
         return false;
--- a/src/libcrosslink/forward/runner_paths_test.cpp
+++ b/src/libcrosslink/forward/runner_paths_test.cpp
@@ -188,6 +188,15 @@
     CHECK(paths.take_probe(at(2))->suspect);
 }
 
+TEST_CASE("a silent zone is probed later while its service is heard elsewhere")
+{
+    RunnerPaths paths;
+    paths.heard({"a", "s", "z"}, at(0));
+    paths.heard({"c", "s", "y"}, at(1000));
+    CHECK(!paths.suspect({"b", "s", "z"}, at(999)));
+    CHECK(paths.suspect({"b", "s", "z"}, at(1000)));
+}
+
 TEST_CASE("the number of cut runners is bounded")
 {
     RunnerPaths paths;
