Take an answer without a length for whole only with a byte; bound endless ones

Cause: an answer with neither a length nor chunks ends with its connection. A runner whose process ends in order between the head and the first byte looks the same as one that has answered, and passed as whole.

Change: such a body must have a byte. Also, heads, interim answers, chunk sizes and trailers without end are given up after 256 KB, an event after 1 MB and an answer to an earlier call after 4 MB: they took memory or a thread until the deadline. The send counts as broken by that process.

--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -20,6 +20,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <istream>
 #include <ostream>
 
@@ -35,6 +36,15 @@
 constexpr int probe_after_s = 1;
 constexpr int probe_count = 2;
 
+/// Returns whether answers with `status` have no body whatever their head says.
+bool
+has_no_body(int status)
+{
+    constexpr std::array statuses{204, 304};
+    return std::find(statuses.begin(), statuses.end(), status) !=
+           statuses.end();
+}
+
 void
 set_liveness(Poco::Net::StreamSocket& socket)
 {
@@ -117,6 +127,7 @@
 CallConnection::send(const OutgoingCall& call, std::string_view body)
 {
     m_broken = false;
+    m_bodiless = call.method == "HEAD";
     m_body = nullptr; // The session drops the last one with a new request.
     Poco::Net::HTTPRequest head(call.method, call.target,
                                 Poco::Net::HTTPMessage::HTTP_1_1);
@@ -144,13 +155,16 @@
 CallConnection::receive_head()
 {
     Poco::Net::HTTPResponse response;
+    m_session->watched().progressed();
     m_body = &m_session->receiveResponse(response);
     m_session->check_head();
+    m_session->watched().progressed();
     m_chunked = response.getChunkedTransferEncoding();
     m_length = m_chunked ? -1 : response.getContentLength64();
     m_read = 0;
     RawHead head;
     head.status = response.getStatus();
+    m_bodiless = m_bodiless || has_no_body(head.status);
     for (const auto& [name, value] : response)
         head.headers.push_back({name, value});
     return head;
@@ -168,6 +182,7 @@
         m_body->read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
         bytes.resize(static_cast<std::size_t>(m_body->gcount()));
         m_read += static_cast<long long>(bytes.size());
+        m_session->watched().progressed();
     } else if (m_session->networkException()) {
         m_session->check_interrupted();
         m_broken = true;
@@ -182,7 +197,22 @@
         return false;
     if (m_chunked)
         return m_session->watched().ended_in_chunks();
-    return m_length < 0 || m_read == m_length;
+    if (m_length < 0)
+        return m_read > 0 || m_bodiless;
+    return m_read == m_length;
+}
+
+bool
+CallConnection::skip_body()
+{
+    long long skipped = 0;
+    while (skipped <= max_skipped_bytes) {
+        const std::string bytes = read_some();
+        if (bytes.empty())
+            return true;
+        skipped += static_cast<long long>(bytes.size());
+    }
+    return false;
 }
 
 bool
--- a/src/adapters/call_connection.h
+++ b/src/adapters/call_connection.h
@@ -55,8 +55,13 @@
     std::string read_some();
     /// True where no more of the body is to be waited for.
     bool ended() const { return m_length >= 0 && m_read >= m_length; }
-    /// After the end: true where the body came whole.
+    /// After the end: true where the body came whole. A body that only its
+    /// connection ends is not whole if it has no byte: a peer whose process
+    /// ended between the head and the first byte looks the same.
     bool whole() const;
+    /// Reads the rest of the body, which nobody wants. Returns false if it is
+    /// larger than `max_skipped_bytes`.
+    bool skip_body();
 
     /// True where nothing came and the other side has not closed, so that an
     /// idle connection can carry a call.
@@ -65,12 +70,16 @@
 private:
     class Session;
 
+    /// Largest body of an answer to an earlier call that is skipped.
+    static constexpr long long max_skipped_bytes = 4LL << 20U;
+
     std::unique_ptr<Session> m_session;
     std::istream* m_body = nullptr; ///< Of the session; null before a head.
     bool m_chunked = false;
     long long m_length = -1; ///< Told bytes of the body; -1: not told.
     long long m_read = 0;    ///< Bytes of the body.
     bool m_broken = false;   ///< The connection failed within the body.
+    bool m_bodiless = false; ///< An answer of its kind has no body.
 };
 
 } // namespace crosslink
--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -15,7 +15,11 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <string>
+#include <thread>
+#include <utility>
+#include <vector>
 
 namespace crosslink
 {
@@ -67,6 +71,63 @@
     return call;
 }
 
+/// What a peer sends that never ends its answer: `begin`, then `rest` again and
+/// again.
+struct EndlessAnswer {
+    std::string begin;
+    std::string rest;
+};
+
+/// Sends an answer without end until the other side closes its connection, or
+/// this object ends.
+class EndlessSpeech
+{
+public:
+    EndlessSpeech(RawPeer& peer, EndlessAnswer answer)
+        : m_peer(peer), m_answer(std::move(answer)),
+          m_thread([this] { speak(); })
+    {
+    }
+    ~EndlessSpeech()
+    {
+        m_stopped = true;
+        m_thread.join();
+    }
+    EndlessSpeech(const EndlessSpeech&) = delete;
+    EndlessSpeech& operator=(const EndlessSpeech&) = delete;
+
+private:
+    void speak()
+    {
+        constexpr std::size_t piece_bytes = 4096;
+        std::string piece;
+        while (piece.size() < piece_bytes)
+            piece += m_answer.rest;
+        m_peer.say(m_answer.begin);
+        while (!m_stopped && m_peer.try_say(piece)) {
+        }
+    }
+
+    RawPeer& m_peer;
+    EndlessAnswer m_answer;
+    std::atomic<bool> m_stopped{false};
+    std::thread m_thread;
+};
+
+/// Returns whether the answer on `connection` comes whole.
+bool
+reads_whole_answer(CallConnection& connection)
+{
+    try {
+        connection.receive_head();
+        while (!connection.read_some().empty()) {
+        }
+        return connection.whole();
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+}
+
 } // namespace
 
 TEST_CASE("a head that trickles in is waited for until the deadline")
@@ -107,6 +168,63 @@
     }
 }
 
+TEST_CASE("a body that only its connection ends is not whole without a byte")
+{
+    RawPeer runner;
+    CallConnection connection(runner.address(), connect_time);
+    connection.watch(-1, monotonic_now() + far_off);
+    connection.send(get_call(), {});
+    runner.say("HTTP/1.1 200 OK\r\nX-Signed: ab\r\n\r\n");
+    runner.end();
+    CHECK(connection.receive_head().status == 200);
+    CHECK(connection.read_some().empty());
+    CHECK_FALSE(connection.whole());
+}
+
+TEST_CASE("an answer that has no body is whole without a byte")
+{
+    RawPeer runner;
+    CallConnection connection(runner.address(), connect_time);
+    connection.watch(-1, monotonic_now() + far_off);
+    connection.send(get_call(), {});
+    runner.say("HTTP/1.1 204 No Content\r\n\r\n");
+    runner.end();
+    CHECK(connection.receive_head().status == 204);
+    CHECK(connection.read_some().empty());
+    CHECK(connection.whole());
+}
+
+TEST_CASE("bytes without end that are no answer end a call before its deadline")
+{
+    const std::vector<EndlessAnswer> answers{
+        {"", "\r\n"},
+        {"HTTP/1.1 200 OK\r\n", "X-Filler: abcdefghijklmnopqrstuvwxyz\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", "abcd"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "abcd"},
+    };
+    for (const EndlessAnswer& answer : answers) {
+        RawPeer runner;
+        CallConnection connection(runner.address(), connect_time);
+        connection.watch(-1, monotonic_now() + far_off);
+        connection.send(get_call(), {});
+        const EndlessSpeech speech(runner, answer);
+        CHECK_FALSE(reads_whole_answer(connection));
+        CHECK_FALSE(connection.interrupted());
+    }
+}
+
+TEST_CASE("an answer to an earlier call without end is not skipped for ever")
+{
+    RawPeer runner;
+    CallConnection connection(runner.address(), connect_time);
+    connection.watch(-1, monotonic_now() + far_off);
+    connection.send(get_call(), {});
+    const EndlessSpeech speech(runner, {"HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"});
+    CHECK(connection.receive_head().status == 200);
+    CHECK_FALSE(connection.skip_body());
+}
+
 TEST_CASE("a body is read until the caller leaves, however many bytes wait")
 {
     RawPeer runner;
--- a/src/adapters/testing/raw_peer.h
+++ b/src/adapters/testing/raw_peer.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -31,6 +32,20 @@
             accept();
         m_connection->sendBytes(bytes.data(), static_cast<int>(bytes.size()));
     }
+    /// Sends bytes as far as the other side takes them. Returns false once it
+    /// has closed its connection.
+    bool try_say(std::string_view bytes)
+    {
+        m_connection->setSendTimeout(Poco::Timespan(0, 20'000));
+        try {
+            say(bytes);
+        } catch (const Poco::TimeoutException&) {
+            return true;
+        } catch (const Poco::Exception&) {
+            return false;
+        }
+        return true;
+    }
     /// Ends what it says, as a runner that closes its connection does.
     void end() { m_connection->shutdownSend(); }
     /// True where the other side has closed its connection.
--- a/src/adapters/watched_socket.h
+++ b/src/adapters/watched_socket.h
@@ -29,11 +29,20 @@
     /// Begins a call: from here on, no wait lasts beyond `deadline` or the end
     /// of `caller_socket`; -1 for none.
     void watch(int caller_socket, TimePoint deadline);
+    /// To be called when a head, or a piece of a body, has been taken from the
+    /// bytes received.
+    void progressed() { m_unused_bytes = 0; }
     /// Waits until `end` for bytes of the other side.
     Wait wait(TimePoint end);
 
+    /// Largest number of bytes from which neither a head nor a piece of a body
+    /// can be taken: header fields, interim responses, chunk sizes or trailers
+    /// without end. Larger than the heads that runners send.
+    static constexpr std::size_t max_unused_bytes = 256U << 10U;
+
     /// Both throw Poco::TimeoutException where the caller has gone or the
-    /// deadline has passed, and where the other side is silent.
+    /// deadline has passed, and where the other side is silent. The first
+    /// throws Poco::Net::MessageException beyond max_unused_bytes.
     int receiveBytes(void* buffer, int length, int flags) override;
     int sendBytes(const void* buffer, int length, int flags) override;
 
@@ -59,7 +68,8 @@
     TimePoint m_deadline = TimePoint::max();
     std::optional<Wait> m_interrupted;
     bool m_at_end = false;
-    std::string m_tail; ///< The last bytes that came in.
+    std::string m_tail;             ///< The last bytes that came in.
+    std::size_t m_unused_bytes = 0; ///< Received since progressed().
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/forward/event_tracker.h
+++ b/src/include/crosslink/forward/event_tracker.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,6 +17,9 @@
 class EventTracker
 {
 public:
+    /// Largest event that is held until it is complete.
+    static constexpr std::size_t max_event_bytes = 1U << 20U;
+
     /// `last_event` is the number of the last event that the caller received in
     /// an earlier call, or nothing if it received none.
     explicit EventTracker(std::optional<std::uint64_t> last_event);
@@ -30,7 +34,8 @@
     std::optional<std::uint64_t> last_event() const { return m_last; }
     /// Returns whether the bytes so far end within an event.
     bool within_event() const { return !m_rest.empty(); }
-    /// Returns whether a run skipped an event. The stream must not be used
+    /// Returns whether a run skipped an event, or sent more than
+    /// max_event_bytes without an end of an event. The stream must not be used
     /// then.
     bool gap() const { return m_gap; }
 
--- a/src/libcrosslink/forward/event_tracker.cpp
+++ b/src/libcrosslink/forward/event_tracker.cpp
@@ -66,6 +66,8 @@
         whole += event;
     }
     m_rest.erase(0, begin);
+    if (m_rest.size() > max_event_bytes)
+        m_gap = true;
     return whole;
 }
 
--- a/src/libcrosslink/forward/event_tracker_test.cpp
+++ b/src/libcrosslink/forward/event_tracker_test.cpp
@@ -43,6 +43,19 @@
     CHECK(tracker.gap());
 }
 
+TEST_CASE("an event without end takes bounded memory")
+{
+    EventTracker tracker(std::nullopt);
+    const std::string piece(8U << 10U, 'a');
+    std::size_t taken = 0;
+    while (!tracker.gap() && taken <= 2 * EventTracker::max_event_bytes) {
+        CHECK(tracker.take(piece).empty());
+        taken += piece.size();
+    }
+    CHECK(tracker.gap());
+    CHECK(taken <= EventTracker::max_event_bytes + piece.size());
+}
+
 TEST_CASE("events without a number are passed on as received")
 {
     EventTracker tracker(std::nullopt);
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -203,8 +203,10 @@
         .field("runner", m_choice.pick().id)
         .field("of_request", head.call_id);
     m_intake.apply_surplus(head, m_choice.pick());
-    while (!m_link.connection->read_some().empty()) {
-    }
+    if (!m_link.connection->skip_body())
+        throw Error(ErrorCode::UpstreamFailed,
+                    "an answer to an earlier call does not end",
+                    RunState::MayHaveRun);
     return std::nullopt;
 }
 
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -306,8 +306,8 @@
             return head;
         }
         intake.apply_surplus(head, runner);
-        while (!connection.read_some().empty()) {
-        }
+        if (!connection.skip_body())
+            break;
     }
     throw Error(ErrorCode::UpstreamFailed, "no answer to this call",
                 RunState::MayHaveRun);
