--- a/src/include/crosslink/forward/room_estimate.h
+++ b/src/include/crosslink/forward/room_estimate.h
@@ -16,8 +16,10 @@
 /// refuse in a second for want of room; one more and its process fails. Answers
 /// the load of instances that together send more than such a runner can take:
 /// one that was refused waits for over a second, and then sends no more calls
-/// at a time than before. RunnerTable sees to it that no more instances send to
-/// the runner than it bears refusals, while it or another one refuses calls.
+/// at a time than before. While runners of the service refuse calls,
+/// RunnerTable sees to it that one instance alone sends to each, its own calls
+/// and those of others. That one knows how many calls the runner has, and its
+/// refusals are few, so that it waits for a moment only.
 class RoomEstimate
 {
 public:
@@ -26,6 +28,8 @@
     /// Least and greatest time for which nothing is sent after a refusal.
     static constexpr Micros min_hold = std::chrono::milliseconds(1100);
     static constexpr Micros max_hold = std::chrono::milliseconds(1400);
+    /// The same for the only instance that sends to the runner.
+    static constexpr Micros sole_sender_hold = std::chrono::milliseconds(100);
     /// Time between two calls of one instance, so that the second is not sent
     /// before it can know that the first was refused.
     static constexpr Micros send_interval = std::chrono::milliseconds(30);
@@ -34,11 +38,14 @@
     /// Records a refusal at `now`, while the runner had `own_calls` other calls
     /// of this instance. `random` bits spread the instances.
     void refused(std::uint32_t own_calls, TimePoint now, std::uint64_t random);
+    /// The same if only this instance sent to the runner.
+    void refused_to_sole_sender(std::uint32_t own_calls, TimePoint now);
     /// Returns when a call may be sent in addition to `own_calls`: at once,
     /// after the hold, or at a later look if the runner has no room for it.
     TimePoint free_at(std::uint32_t own_calls, TimePoint now) const;
 
 private:
+    void hold(std::uint32_t own_calls, TimePoint now, Micros time);
     std::uint32_t room_at(TimePoint now) const;
 
     std::optional<TimePoint> m_refused_at;
--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -79,6 +79,10 @@
     RunnerLoad own;             ///< Calls of this instance.
     RunnerLoad others;          ///< Of all other instances, as reported.
     RunnerLoad unreported_load; ///< Of this instance, sent since that report.
+    /// Calls in flight for other instances, on this instance's share.
+    std::uint32_t lent = 0;
+    /// Calls of this instance in flight on the shares of others.
+    std::uint32_t borrowed = 0;
     std::uint32_t failures = 0; ///< One less with each success.
     TimePoint paused_until{};   ///< It gets no calls before.
     TimePoint cold_until{};     ///< It warms up until then, by its own report.
@@ -98,6 +102,9 @@
     /// Returns whether its process will end, by the platform's list or by its
     /// own announcement, which the list lags behind.
     bool leaves() const { return listed.leaving || notices.leaving; }
+    /// Returns how many calls in flight take up this instance's share of the
+    /// runner's capacity.
+    std::uint32_t calls_on_share() const { return own.calls - borrowed + lent; }
     /// Returns the process that the entry describes.
     RunnerIncarnation incarnation() const
     {
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -103,7 +103,11 @@
     std::string service;
     /// That each runner of the service bears in a second; 0 for any number.
     std::uint32_t bearable_refusals = 0;
+    /// The instance on whose share of the runner's capacity the call is sent,
+    /// and which passes it on; empty for this one's own.
+    std::string share_holder{};
 
+    bool is_borrowed() const { return !share_holder.empty(); }
     RunnerIncarnation incarnation() const { return {id, start_ms}; }
     RunnerPlace place() const { return {id, service, zone}; }
 };
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -27,6 +27,7 @@
 namespace crosslink
 {
 
+class ShareLoans;
 struct FleetLoad;
 struct RateShare;
 
@@ -90,6 +91,19 @@
     std::optional<RunnerPick>
     choose_reserved(const RunnerQuery& query,
                     const RunnerIncarnation& reservation);
+    /// Returns a runner with little capacity, and another instance that has a
+    /// share of it, for a call that this instance has no share for; nothing if
+    /// there is none from which `loans` lets it borrow. Instances whose callers
+    /// send more than their shares cover use what others leave.
+    std::optional<RunnerPick> choose_borrowed(const RunnerQuery& query,
+                                              const ShareLoans& loans) const;
+    /// Takes a place of this instance's share of a runner for a call of another
+    /// instance, which is sent at once. Returns nothing if there is one, and
+    /// else when there may be. loan_ended() must follow a place.
+    std::optional<TimePoint> lend(const RunnerIncarnation& runner,
+                                  const RunnerQuery& query);
+    /// Records the end of a call for which lend() gave a place.
+    void loan_ended(const RunnerIncarnation& runner);
     /// Returns when a runner accepts work again.
     NextAvailability next_available(const RunnerQuery& query) const;
     /// Counts a call as about to be sent, so that other choices made at the
@@ -102,6 +116,12 @@
     /// tokens of KV memory that it holds.
     void sent(const RunnerIncarnation& runner, std::uint64_t tokens,
               std::uint64_t resident, TimePoint now);
+    /// As sent(), for a call on the share of another instance, which counts it
+    /// against the share.
+    void sent_on_loan(const RunnerIncarnation& runner, std::uint64_t tokens,
+                      std::uint64_t resident);
+    /// Records the end of such a call, with the KV memory that it held.
+    void ended_on_loan(const RunnerIncarnation& runner, std::uint64_t resident);
     /// Records that a call's prompt was prefilled.
     void prompt_read(const RunnerIncarnation& runner, std::uint64_t tokens);
     /// Records the end of a call, with the KV memory that it held.
@@ -230,6 +250,17 @@
                            std::size_t reserved) const;
     bool has_share(const RunnerEntry& entry, const RunnerQuery& query,
                    const RateShare& share) const;
+    void add_own(RunnerEntry& entry, std::uint64_t tokens,
+                 std::uint64_t resident);
+    std::optional<RunnerPick> draw_borrowed(const RunnerIndex::Group& group,
+                                            const RunnerQuery& query,
+                                            const ShareLoans& loans,
+                                            std::mt19937_64& generator) const;
+    std::vector<std::string_view> lenders(const RunnerEntry& entry,
+                                          const RunnerQuery& query,
+                                          const ShareLoans& loans) const;
+    std::optional<std::size_t> share_count(const RunnerEntry& entry,
+                                           const RunnerQuery& query) const;
     RunnerPick pick_of(const RunnerEntry& entry, const RunnerQuery& query,
                        const FleetLoad& fleet) const;
     bool is_silent(std::string_view zone, TimePoint now) const;
@@ -257,7 +288,7 @@
     /// What the runners of a brittle service state and show.
     struct Brittleness {
         std::uint32_t bearable_refusals = 0; ///< Of each, in a second.
-        /// Until when few instances send to each; see room_free_at().
+        /// Until when one instance sends to each; see room_free_at().
         TimePoint shared_until{};
     };
     std::map<std::string, Brittleness, std::less<>> m_brittle; ///< By service.
--- a/src/include/crosslink/membership/settled_members.h
+++ b/src/include/crosslink/membership/settled_members.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace crosslink
 {
@@ -47,6 +48,12 @@
                    std::string_view zone, std::size_t max_instances,
                    TimePoint now) const;
 
+    /// Returns the instances for which has_share() holds.
+    const std::vector<std::string>& holders(std::string_view key,
+                                            std::string_view zone,
+                                            std::size_t max_instances,
+                                            TimePoint now) const;
+
     /// Returns how many members the changes of the list have looked at: a
     /// measure of their cost.
     std::uint64_t members_visited() const { return m_visited; }
@@ -80,10 +87,23 @@
         Validity valid;
     };
 
+    /// The instances that share a key.
+    struct Holders {
+        std::string zone;
+        std::size_t max_instances = 0;
+        std::vector<std::string> names;
+        Validity valid;
+    };
+
     const Rank& rank(std::string_view name, std::string_view key,
                      std::string_view zone, TimePoint now) const;
     Rank compute_rank(std::string_view name, std::string_view key,
                       std::string_view zone, TimePoint now) const;
+    std::vector<std::string> compute_holders(std::string_view key,
+                                             std::string_view zone,
+                                             std::size_t max_instances,
+                                             TimePoint now) const;
+    bool is_settled(const Member& member, TimePoint now) const;
     std::size_t compute_count(std::string_view zone, TimePoint now) const;
     Validity validity(TimePoint now) const;
     void invalidate();
@@ -104,6 +124,8 @@
     mutable std::map<std::string, Count, std::less<>> m_counts; ///< By zone.
     /// By key.
     mutable std::map<std::string, Rank, std::less<>> m_ranks;
+    /// By key.
+    mutable std::map<std::string, Holders, std::less<>> m_holders;
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/room_estimate.cpp
+++ b/src/libcrosslink/forward/room_estimate.cpp
@@ -23,9 +23,21 @@
 {
     constexpr std::uint64_t steps = 1000;
     const Micros jitter = (max_hold - min_hold) * (random % steps) / steps;
+    hold(own_calls, now, min_hold + jitter);
+}
+
+void
+RoomEstimate::refused_to_sole_sender(std::uint32_t own_calls, TimePoint now)
+{
+    hold(own_calls, now, sole_sender_hold);
+}
+
+void
+RoomEstimate::hold(std::uint32_t own_calls, TimePoint now, Micros time)
+{
     m_room = std::max<std::uint32_t>(own_calls, 1);
     m_refused_at = now;
-    m_held_until = now + min_hold + jitter;
+    m_held_until = now + time;
 }
 
 std::uint32_t
--- a/src/libcrosslink/forward/runner_availability.cpp
+++ b/src/libcrosslink/forward/runner_availability.cpp
@@ -6,6 +6,7 @@
 #include <crosslink/forward/runner_table.h>
 
 #include <crosslink/forward/rate_share.h>
+#include <crosslink/forward/share_loans.h>
 #include <crosslink/membership/rendezvous.h>
 
 #include <algorithm>
@@ -34,6 +35,8 @@
 /// Factor by which an account above its fair share waits longer for each place
 /// than the others. SendWindow makes up for as much time.
 constexpr double over_share_factor = 1.5;
+/// Instances that send to a brittle runner while its service refuses calls.
+constexpr std::size_t sole_sender = 1;
 /// A time that never comes.
 constexpr TimePoint never = TimePoint::max();
 
@@ -162,8 +165,8 @@
 }
 
 /// Returns the same for the refusals that a brittle runner bears. Once one of
-/// its service refused a call, each gets calls of so few instances that a
-/// refusal of each of them in a second does no harm.
+/// its service refused a call, each gets calls of one instance alone, which
+/// therefore knows how many it has. The others borrow from that one.
 TimePoint
 RunnerTable::room_free_at(const RunnerEntry& entry, const RunnerQuery& query,
                           std::size_t reserved) const
@@ -172,13 +175,13 @@
     if (refusals == 0)
         return {};
     RateShare share;
-    share.instances = std::min<std::size_t>(
-        refusals, m_members.count(entry.listed.zone, query.now));
+    share.instances = sole_sender;
     share.calls = 1;
     if (query.now < shared_until(entry.listed.service) &&
         !has_share(entry, query, share))
         return never;
-    const auto calls = static_cast<std::uint32_t>(reserved) + entry.own.calls;
+    const std::uint32_t calls =
+        static_cast<std::uint32_t>(reserved) + entry.calls_on_share();
     return std::max(
         entry.notices.room.free_at(calls, query.now),
         entry.sends.free_at(1, RoomEstimate::send_interval, query.now));
@@ -223,6 +226,47 @@
     return share_free_at(entry.sends, share, reserved, query.now);
 }
 
+/// Returns how many instances have a share of a runner's capacity; nothing if
+/// all may send to it. A runner that warms up is left out: others serve its
+/// calls meanwhile.
+std::optional<std::size_t>
+RunnerTable::share_count(const RunnerEntry& entry,
+                         const RunnerQuery& query) const
+{
+    const std::string& service = entry.listed.service;
+    const std::size_t present = m_members.count(entry.listed.zone, query.now);
+    std::optional<std::size_t> count;
+    if (entry.notices.limit.in_force())
+        count =
+            advertised_limit_share(entry.notices.limit.per_second(), present)
+                .instances;
+    if (bearable_refusals(service) > 0 && query.now < shared_until(service))
+        count = sole_sender;
+    return count;
+}
+
+/// Returns the other instances that may have a place at a runner for a call of
+/// this one.
+std::vector<std::string_view>
+RunnerTable::lenders(const RunnerEntry& entry, const RunnerQuery& query,
+                     const ShareLoans& loans) const
+{
+    const TimePoint paused =
+        std::max(entry.paused_until, entry.notices.backoff_until);
+    if (!may_accept_work(entry, query) || paused > query.now)
+        return {};
+    const auto count = share_count(entry, query);
+    if (!count)
+        return {};
+    std::vector<std::string_view> found;
+    for (const std::string& holder : m_members.holders(
+             entry.listed.id, entry.listed.zone, *count, query.now))
+        if (holder != query.instance &&
+            loans.may_ask(holder, entry.listed.id, query.now))
+            found.push_back(holder);
+    return found;
+}
+
 /// Returns whether a runner accepts a call now.
 bool
 RunnerTable::accepts(const RunnerEntry& entry, const RunnerQuery& query) const
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -6,6 +6,7 @@
 #include <crosslink/forward/runner_table.h>
 
 #include <crosslink/forward/runner_price.h>
+#include <crosslink/forward/share_loans.h>
 #include <crosslink/membership/rendezvous.h>
 
 #include <algorithm>
@@ -39,6 +40,8 @@
 /// Times that the size of a sample is drawn before all runners of a zone are
 /// looked at: so many of them accept no work.
 constexpr std::size_t max_draws = 4;
+/// Runners of a zone that are looked at for one with a share to borrow.
+constexpr std::size_t max_lending_runners = 32;
 
 /// Returns the size of the sample of `runners` from which one of `instances`
 /// chooses.
@@ -261,6 +264,49 @@
     return pick_of(*entry, query, fleet_load(query));
 }
 
+std::optional<RunnerPick>
+RunnerTable::choose_borrowed(const RunnerQuery& query,
+                             const ShareLoans& loans) const
+{
+    const RunnerIndex::Groups* groups = m_index.groups(query.service);
+    if (!groups)
+        return std::nullopt;
+    std::mt19937_64 generator(query.random);
+    std::optional<RunnerPick> best;
+    for (const auto& [zone, group] : *groups) {
+        if (best && zone != query.zone)
+            continue;
+        if (auto pick = draw_borrowed(group, query, loans, generator))
+            best = std::move(pick);
+    }
+    return best;
+}
+
+/// Returns a random runner of `group` with an instance that may lend a place
+/// there. The first runners drawn are enough: an instance that finds no lender
+/// among them would rarely find one among the rest.
+std::optional<RunnerPick>
+RunnerTable::draw_borrowed(const RunnerIndex::Group& group,
+                           const RunnerQuery& query, const ShareLoans& loans,
+                           std::mt19937_64& generator) const
+{
+    const std::size_t count = std::min(group.ids.size(), max_lending_runners);
+    const std::size_t first = generator() % group.ids.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const RunnerEntry* entry =
+            visit(group.ids[(first + i) % group.ids.size()]);
+        if (!entry)
+            continue;
+        const auto found = lenders(*entry, query, loans);
+        if (found.empty())
+            continue;
+        RunnerPick pick = pick_of(*entry, query, fleet_load(query));
+        pick.share_holder = found[generator() % found.size()];
+        return pick;
+    }
+    return std::nullopt;
+}
+
 RunnerPick
 RunnerTable::pick_of(const RunnerEntry& entry, const RunnerQuery& query,
                      const FleetLoad& fleet) const
@@ -275,7 +321,8 @@
             entry.notices.limit.change(),
             entry.listed.software,
             entry.listed.service,
-            bearable_refusals(entry.listed.service)};
+            bearable_refusals(entry.listed.service),
+            {}};
 }
 
 /// Returns what is known of the load of all runners of the service.
--- a/src/libcrosslink/forward/runner_table_load.cpp
+++ b/src/libcrosslink/forward/runner_table_load.cpp
@@ -35,13 +35,31 @@
     release(runner);
     if (RunnerEntry* entry = find(runner)) {
         record_send(*entry, now);
-        entry->own.add(tokens, resident);
-        entry->unreported_load.add(tokens, resident);
-        m_index.busy.emplace(runner.id);
-        m_index.loaded.emplace(runner.id);
+        add_own(*entry, tokens, resident);
     }
 }
 
+void
+RunnerTable::sent_on_loan(const RunnerIncarnation& runner, std::uint64_t tokens,
+                          std::uint64_t resident)
+{
+    if (RunnerEntry* entry = find(runner)) {
+        ++entry->borrowed;
+        add_own(*entry, tokens, resident);
+    }
+}
+
+/// Adds a call to the load of this instance.
+void
+RunnerTable::add_own(RunnerEntry& entry, std::uint64_t tokens,
+                     std::uint64_t resident)
+{
+    entry.own.add(tokens, resident);
+    entry.unreported_load.add(tokens, resident);
+    m_index.busy.emplace(entry.listed.id);
+    m_index.loaded.emplace(entry.listed.id);
+}
+
 /// Records a send. How it counts depends on the limit of its runner.
 void
 RunnerTable::record_send(RunnerEntry& entry, TimePoint now) const
@@ -78,6 +96,38 @@
         m_index.busy.erase(entry->listed.id);
 }
 
+void
+RunnerTable::ended_on_loan(const RunnerIncarnation& runner,
+                           std::uint64_t resident)
+{
+    RunnerEntry* entry = find(runner);
+    if (entry && entry->borrowed > 0)
+        --entry->borrowed;
+    ended(runner, resident);
+}
+
+std::optional<TimePoint>
+RunnerTable::lend(const RunnerIncarnation& runner, const RunnerQuery& query)
+{
+    RunnerEntry* entry = find(runner);
+    if (!entry || !may_accept_work(*entry, query))
+        return TimePoint::max();
+    const TimePoint free = free_at(*entry, query);
+    if (free > query.now)
+        return free;
+    record_send(*entry, query.now);
+    ++entry->lent;
+    return std::nullopt;
+}
+
+void
+RunnerTable::loan_ended(const RunnerIncarnation& runner)
+{
+    RunnerEntry* entry = find(runner);
+    if (entry && entry->lent > 0)
+        --entry->lent;
+}
+
 void
 RunnerTable::ran(std::string_view id, std::uint64_t resident, Micros span)
 {
--- a/src/libcrosslink/forward/runner_table_notices.cpp
+++ b/src/libcrosslink/forward/runner_table_notices.cpp
@@ -16,8 +16,8 @@
 
 /// Time for which a zone is avoided after a runner there did not respond.
 constexpr Micros silent_zone_time = std::chrono::milliseconds(2500);
-/// Time for which few instances send to each runner of a brittle service, from
-/// a refusal on.
+/// Time for which one instance alone sends to each runner of a brittle service,
+/// from a refusal on.
 constexpr Micros shared_time = std::chrono::seconds(15);
 /// How long a connection failure is remembered for other instances, at least.
 constexpr Micros failure_report_time = std::chrono::seconds(5);
@@ -189,8 +189,13 @@
         entry ? m_brittle.find(entry->listed.service) : m_brittle.end();
     if (brittle == m_brittle.end())
         return;
+    const bool sends_alone = now < brittle->second.shared_until;
     brittle->second.shared_until = now + shared_time;
-    entry->notices.room.refused(entry->own.calls, now, random);
+    if (sends_alone)
+        entry->notices.room.refused_to_sole_sender(entry->calls_on_share(),
+                                                   now);
+    else
+        entry->notices.room.refused(entry->calls_on_share(), now, random);
 }
 
 bool
--- /dev/null
+++ b/src/libcrosslink/forward/share_loans_test.cpp
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+// An instance that most callers connect to, before runners with a rate limit.
+
+#include <crosslink/forward/share_loans.h>
+
+#include "../testing/runners_of_a_zone.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace crosslink
+{
+
+namespace
+{
+
+using testing::at;
+using testing::query;
+using testing::table_of;
+
+constexpr double limit = 40; ///< Calls a second of each runner.
+constexpr std::array names{"i1", "i2", "i3", "i4"};
+
+/// Four instances before two runners with limits. Calls that find no runner
+/// borrow a place of another instance's share at once.
+class Fleet
+{
+public:
+    Fleet()
+    {
+        for (const std::string name : names) {
+            RunnerTable& table =
+                m_tables.emplace(name, table_of({"r1", "r2"})).first->second;
+            table.members().gone("i", at(0));
+            for (const std::string member : names)
+                table.members().listed({member, "127.0.0.1:1", "a", 0}, at(0));
+            for (const std::string runner : {"r1", "r2"})
+                table.apply_limit_answer({runner}, limit, 0, settled);
+        }
+    }
+
+    /// Sends a call that came to `name`. Returns whether a runner got it.
+    bool call(const std::string& name, int millis)
+    {
+        const RunnerQuery own = query_of(name, millis);
+        RunnerTable& table = m_tables.at(name);
+        if (const auto pick = table.choose(own)) {
+            table.reserve(pick->incarnation());
+            table.sent(pick->incarnation(), 0, 0, own.now);
+            table.ended(pick->incarnation());
+            ++m_sent[pick->id];
+            return true;
+        }
+        return borrow(table, own, millis);
+    }
+    std::size_t sent(const std::string& runner) { return m_sent[runner]; }
+    std::size_t asked() const { return m_asked; }
+
+    /// When all of them have their shares.
+    const TimePoint settled = at(10'000);
+
+private:
+    static RunnerQuery query_of(const std::string& name, int millis)
+    {
+        RunnerQuery result = query(millis);
+        result.instance = *std::find(names.begin(), names.end(), name);
+        result.instances = names.size();
+        result.random = static_cast<std::uint64_t>(millis) * 7919;
+        return result;
+    }
+    bool borrow(RunnerTable& table, const RunnerQuery& own, int millis)
+    {
+        const auto pick = table.choose_borrowed(own, m_loans);
+        if (!pick)
+            return false;
+        ++m_asked;
+        RunnerTable& lender = m_tables.at(pick->share_holder);
+        const auto free = lender.lend(pick->incarnation(),
+                                      query_of(pick->share_holder, millis));
+        if (free) {
+            m_loans.refused(pick->share_holder, pick->id,
+                            std::chrono::duration_cast<Micros>(*free - own.now),
+                            own.now);
+            return false;
+        }
+        lender.loan_ended(pick->incarnation());
+        ++m_sent[pick->id];
+        return true;
+    }
+
+    std::map<std::string, RunnerTable> m_tables;
+    ShareLoans m_loans; ///< Of all: what one learned holds for the others.
+    std::map<std::string, std::size_t> m_sent;
+    std::size_t m_asked = 0;
+};
+
+} // namespace
+
+TEST_CASE(
+    "an instance with most of the calls uses the shares that others leave")
+{
+    Fleet fleet;
+    int served = 0;
+    constexpr int calls = 240; // 60 a second, of the 76 that are given out
+    for (int i = 0; i < calls; ++i)
+        served += fleet.call("i1", 10'000 + i * 1000 / 60) ? 1 : 0;
+    CHECK(served >= 0.95 * calls);
+}
+
+TEST_CASE("lent shares never exceed what a runner accepts")
+{
+    Fleet fleet;
+    constexpr int millis = 4000;
+    for (int ms = 0; ms < millis; ms += 2)
+        for (const std::string name : names)
+            fleet.call(name, 10'000 + ms);
+    for (const std::string runner : {"r1", "r2"}) {
+        CHECK(fleet.sent(runner) <= limit * (millis / 1000 + 1));
+        CHECK(fleet.sent(runner) >= 0.9 * limit * millis / 1000);
+    }
+}
+
+TEST_CASE("few questions are asked in vain when all shares are used up")
+{
+    Fleet fleet;
+    constexpr int calls = 8000;
+    int served = 0;
+    for (int ms = 0; ms < 4000; ms += 2)
+        for (const std::string name : names)
+            served += fleet.call(name, 10'000 + ms) ? 1 : 0;
+    CHECK(fleet.asked() <= 0.15 * calls);
+    CHECK(served <= 2 * limit * 5);
+}
+
+TEST_CASE("an instance that refused is not asked before a place may be free")
+{
+    ShareLoans loans;
+    loans.refused("i1", "r", std::chrono::milliseconds(300), at(0));
+    CHECK_FALSE(loans.may_ask("i1", "r", at(299)));
+    CHECK(loans.may_ask("i1", "r", at(300)));
+    CHECK(loans.may_ask("i2", "r", at(0)));
+    CHECK(loans.may_ask("i1", "other", at(0)));
+    loans.refused("i1", "r", std::chrono::hours(1), at(1000));
+    CHECK(loans.may_ask("i1", "r", at(1000) + ShareLoans::max_pause));
+}
+
+TEST_CASE("what is remembered of refusals is bounded")
+{
+    ShareLoans loans;
+    for (std::size_t i = 0; i < 3 * ShareLoans::max_refusals; ++i)
+        loans.refused("i1", std::to_string(i), ShareLoans::max_pause, at(0));
+    CHECK(loans.size() <= ShareLoans::max_refusals);
+}
+
+TEST_CASE("nothing is borrowed at runners without a limit")
+{
+    RunnerTable table = table_of({"r"});
+    table.members().listed({"i1", "127.0.0.1:1", "a", 0}, at(0));
+    CHECK_FALSE(table.choose_borrowed(query(10'000), ShareLoans()));
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/membership/settled_members.cpp
+++ b/src/libcrosslink/membership/settled_members.cpp
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <limits>
+#include <utility>
 
 namespace crosslink
 {
@@ -15,9 +17,9 @@
 namespace
 {
 
-/// Maximum number of keys with a cached rank; limited since runners come and go
-/// under new ids.
-constexpr std::size_t max_cached_ranks = 4096;
+/// Maximum number of keys with a cached result; limited since runners come and
+/// go under new ids.
+constexpr std::size_t max_cached_keys = 4096;
 
 } // namespace
 
@@ -131,7 +133,7 @@
                        found->second.valid.holds(now);
     if (holds)
         return found->second;
-    if (m_ranks.size() >= max_cached_ranks)
+    if (m_ranks.size() >= max_cached_keys)
         m_ranks.clear();
     return m_ranks
         .insert_or_assign(std::string(key), compute_rank(name, key, zone, now))
@@ -145,8 +147,7 @@
     Rank rank{std::string(name), std::string(zone),
               std::numeric_limits<std::size_t>::max(), validity(now)};
     const auto own = m_members.find(name);
-    if (own == m_members.end() || own->second.gone_at ||
-        now < own->second.since + m_settle)
+    if (own == m_members.end() || !is_settled(own->second, now))
         return rank;
     const bool any_zone = !has_any(zone, now);
     if (!any_zone && own->second.zone != zone)
@@ -161,6 +162,50 @@
     return rank;
 }
 
+const std::vector<std::string>&
+SettledMembers::holders(std::string_view key, std::string_view zone,
+                        std::size_t max_instances, TimePoint now) const
+{
+    const auto found = m_holders.find(key);
+    const bool holds = found != m_holders.end() && found->second.zone == zone &&
+                       found->second.max_instances == max_instances &&
+                       found->second.valid.holds(now);
+    if (holds)
+        return found->second.names;
+    if (m_holders.size() >= max_cached_keys)
+        m_holders.clear();
+    Holders holders{std::string(zone), max_instances,
+                    compute_holders(key, zone, max_instances, now),
+                    validity(now)};
+    return m_holders.insert_or_assign(std::string(key), std::move(holders))
+        .first->second.names;
+}
+
+std::vector<std::string>
+SettledMembers::compute_holders(std::string_view key, std::string_view zone,
+                                std::size_t max_instances, TimePoint now) const
+{
+    const bool any_zone = !has_any(zone, now);
+    std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+    for (const auto& [name, member] : m_members)
+        if ((any_zone || member.zone == zone) && counts(member, now))
+            ranked.emplace_back(rendezvous_weight(key, name), name);
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    ranked.resize(std::min(ranked.size(), max_instances));
+    std::vector<std::string> names;
+    for (const auto& [weight, name] : ranked)
+        if (is_settled(m_members.find(name)->second, now))
+            names.emplace_back(name);
+    return names;
+}
+
+/// Returns whether an instance that counts may take its share.
+bool
+SettledMembers::is_settled(const Member& member, TimePoint now) const
+{
+    return !member.gone_at && now >= member.since + m_settle;
+}
+
 /// Returns the period in which results computed at `now` are valid.
 SettledMembers::Validity
 SettledMembers::validity(TimePoint now) const
@@ -181,6 +226,7 @@
 {
     m_counts.clear();
     m_ranks.clear();
+    m_holders.clear();
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/membership/settled_members_test.cpp
+++ b/src/libcrosslink/membership/settled_members_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <set>
 #include <string>
 
 namespace crosslink
@@ -53,6 +55,25 @@
 
 } // namespace
 
+TEST_CASE("the holders of a share are those that may take it")
+{
+    SettledMembers members = five_members();
+    members.listed(instance("other", "b"), at(0));
+    members.listed(instance("young"), at(4500));
+    members.gone("i3", at(4600));
+    for (const std::size_t most : {1U, 2U, 3U, 9U}) {
+        INFO(most << " instances");
+        const auto& holders = members.holders("key", "a", most, at(5000));
+        CHECK(std::set<std::string>(holders.begin(), holders.end()) ==
+              sharers(members, {"i1", "i2", "i3", "i4", "i5", "other", "young"},
+                      most, 5000));
+    }
+    // The change counts at once, whatever was asked before.
+    members.gone("i1", at(5100));
+    const auto& holders = members.holders("key", "a", 9, at(5100));
+    CHECK(std::count(holders.begin(), holders.end(), "i1") == 0);
+}
+
 TEST_CASE("as many instances take a share as the number allows")
 {
     const SettledMembers members = five_members();
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -9,6 +9,8 @@
 #include <adapters/clock.h>
 #include <serve/log_line.h>
 
+#include <crosslink/base/number.h>
+
 #include <Poco/Exception.h>
 
 #include <algorithm>
@@ -48,6 +50,16 @@
            statuses.end();
 }
 
+/// Returns the value of a header that another instance adds; empty for none.
+std::string
+relay_field(const RawHead& raw, std::string_view name)
+{
+    const auto found = std::find_if(
+        raw.headers.begin(), raw.headers.end(),
+        [name](const HeaderField& field) { return field.name == name; });
+    return found == raw.headers.end() ? std::string() : found->value;
+}
+
 bool
 is_success(int status)
 {
@@ -81,10 +93,8 @@
         if (const auto ended = await_answer())
             return *ended;
         const RawHead raw = m_link.connection->receive_head();
-        if (m_link.relay)
-            for (const HeaderField& field : raw.headers)
-                if (field.name == relay_wire::failure)
-                    return take_relay_failure(field.value);
+        if (const auto ended = take_relay_failure(raw))
+            return *ended;
         const auto head = next_head(raw);
         if (!head)
             continue;
@@ -210,10 +220,15 @@
     return std::nullopt;
 }
 
-/// Takes the answer of an instance that has none of the runner.
-ForwardRun::Outcome
-ForwardRun::take_relay_failure(std::string_view name)
+/// Takes the answer of an instance that has none of the runner; nothing if it
+/// is the runner's.
+std::optional<ForwardRun::Outcome>
+ForwardRun::take_relay_failure(const RawHead& raw)
 {
+    const std::string name =
+        m_link.relay ? relay_field(raw, relay_wire::failure) : std::string();
+    if (name.empty())
+        return std::nullopt;
     const RelayFailure failure = relay_failure_from(name);
     LogLine("call_not_relayed")
         .field("request", m_call.id)
@@ -224,7 +239,10 @@
     if (failure == RelayFailure::Broken)
         return Outcome::Broken;
     ++m_state.counters.relays_vain;
-    m_connector.not_relayed(m_link, failure);
+    const auto free_ms = parse_leading_integer<std::int64_t>(
+        relay_field(raw, relay_wire::free_ms));
+    m_connector.not_relayed(m_link, failure,
+                            std::chrono::milliseconds(free_ms.value_or(0)));
     return Outcome::NotRelayed;
 }
 
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -114,7 +114,7 @@
     if (m_crashes.rejects())
         return false;
     m_choice.avoid_exiting(!m_crashes.failed_before());
-    return m_choice.choose() || wait_for_runner();
+    return m_choice.choose() || m_choice.borrow() || wait_for_runner();
 }
 
 /// Throws Error if the call has not been sent yet and would wait too long in
@@ -150,7 +150,7 @@
             return false;
         const Micros wait = *m_next_available.at - monotonic_now();
         std::this_thread::sleep_for(std::max(wait, min_wait));
-        if (m_choice.choose_reserved())
+        if (m_choice.choose_reserved() || m_choice.borrow())
             return true;
     }
 }
@@ -185,6 +185,8 @@
         m_crashes.record_unsent();
         m_choice.reserve_again();
     }
+    if (m_choice.pick().is_borrowed())
+        return Outcome::NotLent;
     note_unreachable();
     return Outcome::NotSent;
 }
@@ -229,6 +231,8 @@
     ++m_state.counters.sends;
     if (m_link.relay)
         ++m_state.counters.calls_relayed;
+    if (m_choice.pick().is_borrowed())
+        ++m_state.counters.shares_borrowed;
 }
 
 /// Records that the call ended at the chosen runner, with or without an answer.
@@ -243,11 +247,11 @@
             .field("newest", m_choice.newest_weights());
     m_link.connection.reset();
     m_prompt.note_ended();
+    m_choice.ended(resident_tokens());
     m_state.runners.with([this, outcome](RunnerTable& table) {
         if (!m_prompt.is_read())
             table.prompt_read(m_choice.pick().incarnation(),
                               m_prompt.tokens_to_read());
-        table.ended(m_choice.pick().incarnation(), resident_tokens());
         if (outcome == Outcome::Done && m_call.generation)
             table.ran(m_choice.pick().id, resident_tokens(),
                       monotonic_now() - m_sent_at);
@@ -334,6 +338,11 @@
         HeaderField{relay_wire::time_ms, std::to_string(millis)}};
     call.headers.insert(call.headers.begin(), relay_headers.begin(),
                         relay_headers.end());
+    if (m_choice.pick().is_borrowed())
+        call.headers.push_back(
+            {relay_wire::share, m_choice.account_above_share()
+                                    ? relay_wire::above_fair_share
+                                    : relay_wire::within_fair_share});
     return call;
 }
 
@@ -397,6 +406,7 @@
         case Outcome::Silent:
         case Outcome::Failed:
         case Outcome::NotRelayed:
+        case Outcome::NotLent:
             break;
         }
     });
@@ -410,6 +420,8 @@
         outcome == Outcome::Silent || outcome == Outcome::Failed;
     if (may_have_run)
         ++m_runs;
+    if (outcome == Outcome::NotLent)
+        return time_left().count() > 0;
     m_choice.exclude_last();
     const bool repeatable = m_route.repeatable();
     if (outcome == Outcome::TimedOut || m_relays_pieces ||
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -94,6 +94,8 @@
         Failed,
         /// The instance that was to pass the call on did not send it.
         NotRelayed,
+        /// The instance that was to lend a place of its share did not.
+        NotLent,
     };
 
     /// An answer in which a runner reports that the call failed there.
@@ -132,7 +134,7 @@
     bool retries_silent();
     std::optional<AnswerHead> next_head(const RawHead& raw);
     Outcome take_answer(CallerLink& link, const AnswerHead& head);
-    Outcome take_relay_failure(std::string_view name);
+    std::optional<Outcome> take_relay_failure(const RawHead& raw);
     Outcome relay_pieces(CallerLink& link, const AnswerHead& head,
                          std::string piece);
     bool retries_failed();
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -326,6 +326,9 @@
     counter("relays_vain_total", relays_vain);
     counter("relays_served_total", relays_served);
     counter("relays_refused_total", relays_refused);
+    counter("shares_borrowed_total", shares_borrowed);
+    counter("shares_lent_total", shares_lent);
+    counter("shares_denied_total", shares_denied);
     counter("streams_refused_total", streams_refused);
     out << "# TYPE crosslink_relays_open gauge\ncrosslink_relays_open "
         << relays_open.load() << '\n';
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -23,6 +23,7 @@
 #include <crosslink/forward/runner_paths.h>
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/forward/service_map.h>
+#include <crosslink/forward/share_loans.h>
 #include <crosslink/forward/software_history.h>
 #include <crosslink/forward/stream_origins.h>
 #include <crosslink/forward/unresolved_failures.h>
@@ -121,6 +122,9 @@
     Counter relays_vain{0};     ///< Instances that did not send a call on.
     Counter relays_served{0};   ///< Calls sent to runners for others.
     Counter relays_refused{0};  ///< Calls not sent on for others.
+    Counter shares_borrowed{0}; ///< Calls sent on the shares of others.
+    Counter shares_lent{0};     ///< Calls of others sent on an own share.
+    Counter shares_denied{0};   ///< Calls of others for which none was left.
     Counter streams_refused{0}; ///< Taken up, and can't go on.
     Counter relays_open{0};     ///< Gauge: calls in progress for others.
     Counter runners_limited{0}; ///< Gauge: runners with a limit in force.
@@ -164,6 +168,8 @@
     /// Wakes the thread that probes paths, if it runs.
     DutyWaker path_changed;
     Guarded<RelaySelector> relays;
+    /// Which instances have no share of a runner's capacity left to lend.
+    Guarded<ShareLoans> loans;
     CallConnections connections;       ///< To runners.
     CallConnections relay_connections; ///< To instances that pass calls on.
     BodyBudget bodies; ///< Of requests and answers held in memory.
@@ -229,6 +235,13 @@
     /// `failed_zones` if there is another one; nothing if there is none.
     std::optional<InstanceInfo> choose_relay(const RunnerPlace& place,
                                              const FailedZones& failed_zones);
+    /// Records that the instance whose share `pick` needs has no place there
+    /// for `pause`.
+    void note_loan_refused(const RunnerPick& pick, Micros pause);
+    /// Returns the instance `name`; nothing if it is not listed.
+    std::optional<InstanceInfo> instance(std::string_view name);
+    /// Returns how runners of `service` are protected while they warm up.
+    WarmUpTerms warm_up_terms(const std::string& service);
     /// Records that the instance at `address` passed a call on.
     void relay_helped(std::string_view address);
     /// Records that it could not; see RelaySelector::failed().
--- a/src/serve/forward/forward_state_paths.cpp
+++ b/src/serve/forward/forward_state_paths.cpp
@@ -83,6 +83,24 @@
     });
 }
 
+void
+ForwardState::note_loan_refused(const RunnerPick& pick, Micros pause)
+{
+    loans.with([&](ShareLoans& known) {
+        known.refused(pick.share_holder, pick.id, pause, monotonic_now());
+    });
+}
+
+std::optional<InstanceInfo>
+ForwardState::instance(std::string_view name)
+{
+    return fleet.with([name](const FleetView& view) {
+        const auto found = view.instances.find(name);
+        return found == view.instances.end() ? std::nullopt
+                                             : std::optional(found->second);
+    });
+}
+
 void
 ForwardState::relay_helped(std::string_view address)
 {
--- a/src/serve/forward/forward_state_runners.cpp
+++ b/src/serve/forward/forward_state_runners.cpp
@@ -15,6 +15,17 @@
 namespace crosslink
 {
 
+WarmUpTerms
+ForwardState::warm_up_terms(const std::string& service)
+{
+    const auto known = map();
+    const auto found = known->warm_ups.find(service);
+    if (found == known->warm_ups.end())
+        return {};
+    return {found->second.time,
+            settings.warm_up_limit(found->second.per_second)};
+}
+
 bool
 ForwardState::several_software(std::string_view service)
 {
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -12,12 +12,14 @@
 #include <adapters/call_connection.h>
 #include <adapters/clock.h>
 #include <adapters/http_server.h>
+#include <adapters/random.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
 #include <crosslink/base/number.h>
 #include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/service_map.h>
+#include <crosslink/forward/share_loans.h>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -49,8 +51,9 @@
 constexpr int not_modified = 304;
 
 constexpr std::array connection_headers{
-    "Connection",       "Content-Length",    "Transfer-Encoding",
-    relay_wire::runner, relay_wire::time_ms, relay_wire::failure};
+    "Connection",        "Content-Length",    "Transfer-Encoding",
+    relay_wire::runner,  relay_wire::time_ms, relay_wire::share,
+    relay_wire::failure, relay_wire::free_ms};
 
 bool
 belongs_to_connection(const std::string& name)
@@ -91,9 +94,77 @@
 
 } // namespace
 
+/// Holds a place of this instance's share of a runner's capacity for a call of
+/// another instance.
+class RelayHandler::LentPlace
+{
+public:
+    LentPlace(ForwardState& state, const RunnerPick& runner)
+        : m_state(state), m_runner(runner)
+    {
+    }
+    ~LentPlace() { end(); }
+    LentPlace(const LentPlace&) = delete;
+    LentPlace& operator=(const LentPlace&) = delete;
+
+    /// Returns nothing if the place was taken, and else the time until there
+    /// may be one. An `above_share` account gets places after others.
+    std::optional<Micros> take(bool above_share)
+    {
+        RunnerQuery query;
+        query.now = monotonic_now();
+        query.service = m_runner.service;
+        query.zone = m_state.settings.zone;
+        query.instance = m_state.settings.name;
+        query.instances = m_state.instance_count();
+        query.warm_up = m_state.warm_up_terms(m_runner.service);
+        query.account_above_share = above_share;
+        query.random = random_bits();
+        const auto free = m_state.runners.with([&](RunnerTable& table) {
+            return table.lend(m_runner.incarnation(), query);
+        });
+        m_taken = !free;
+        ++(m_taken ? m_state.counters.shares_lent
+                   : m_state.counters.shares_denied);
+        if (m_taken)
+            return std::nullopt;
+        return std::min(ShareLoans::max_pause,
+                        std::chrono::duration_cast<Micros>(
+                            *free - std::min(*free, query.now)));
+    }
+    /// Records that the runner refused the call: its room counts here, since
+    /// the call was sent on this instance's share.
+    void refused()
+    {
+        if (!m_taken)
+            return;
+        end();
+        m_state.runners.with([this](RunnerTable& table) {
+            table.found_no_room(m_runner.incarnation(), monotonic_now(),
+                                random_bits());
+        });
+    }
+
+private:
+    void end()
+    {
+        if (m_taken)
+            m_state.runners.with([this](RunnerTable& table) {
+                table.loan_ended(m_runner.incarnation());
+            });
+        m_taken = false;
+    }
+
+    ForwardState& m_state;
+    const RunnerPick& m_runner;
+    bool m_taken = false;
+};
+
 /// A call as the other instance sent it.
 struct RelayHandler::RelayedCall {
     std::string runner;
+    /// Value of relay_wire::share; empty for a call on the sender's own share.
+    std::string share;
     TimePoint deadline{};
     OutgoingCall outgoing;
     std::string body;
@@ -158,6 +229,7 @@
     const auto millis = parse_leading_integer<std::int64_t>(
         request.get(relay_wire::time_ms, ""));
     call.runner = request.get(relay_wire::runner);
+    call.share = request.get(relay_wire::share, "");
     call.deadline =
         monotonic_now() + std::chrono::milliseconds(millis.value_or(0));
     call.outgoing = {request.getMethod(), request.getURI(), {}};
@@ -184,15 +256,17 @@
 
 void
 RelayHandler::refuse(const RelayedCall& call, RelayFailure failure,
-                     CallerLink& link)
+                     CallerLink& link, Micros free_in)
 {
     ++m_state.counters.relays_refused;
     LogLine("relay_refused")
         .field("request", call.decoded.id)
         .field("runner", call.runner)
         .field("why", relay_failure_name(failure));
+    const auto free_ms = free_in / std::chrono::milliseconds(1);
     const std::array headers{
-        HeaderField{relay_wire::failure, relay_failure_name(failure)}};
+        HeaderField{relay_wire::failure, relay_failure_name(failure)},
+        HeaderField{relay_wire::free_ms, std::to_string(free_ms)}};
     link.answer(unavailable, headers, "");
 }
 
@@ -219,9 +293,17 @@
         refuse(call, RelayFailure::NoPath, link);
         return;
     }
+    LentPlace place(m_state, *runner);
+    if (!call.share.empty()) {
+        const bool above_share = call.share != relay_wire::within_fair_share;
+        if (const auto free_in = place.take(above_share)) {
+            refuse(call, RelayFailure::NoShare, link, *free_in);
+            return;
+        }
+    }
     RunnerLink path = connect(*runner);
     if (path.connection)
-        relay(call, *runner, std::move(path), link);
+        relay(call, *runner, std::move(path), place, link);
     else
         refuse(call, why_unreachable(m_state, runner->place()), link);
 }
@@ -252,7 +334,7 @@
 
 void
 RelayHandler::relay(RelayedCall& call, const RunnerPick& runner,
-                    RunnerLink path, CallerLink& link)
+                    RunnerLink path, LentPlace& place, CallerLink& link)
 {
     CallConnection& connection = *path.connection;
     ++m_state.counters.relays_served;
@@ -269,6 +351,8 @@
     }
     if (!path.reused)
         m_state.note_runner_answered(runner.place(), path.opened_at);
+    if (head->not_run)
+        place.refused();
     if (head->status == no_content || head->status == not_modified) {
         link.answer(head->status, head->headers, "");
         return;
--- a/src/serve/forward/relay_handler.h
+++ b/src/serve/forward/relay_handler.h
@@ -27,10 +27,11 @@
 struct RunnerLink;
 struct RunnerPick;
 
-/// Passes calls on to runners for instances that do not reach these. The
-/// instance that the caller is connected to has authenticated the call, chosen
-/// the runner and taken the call out of the budgets; this one sends it once,
-/// to that runner, over its own path only. Never to another instance, so that
+/// Passes calls on to runners for instances that do not reach these, or that
+/// have no share left of a runner's capacity while this one has. The instance
+/// that the caller is connected to has authenticated the call, chosen the
+/// runner and taken the call out of the budgets; this one sends it once, to
+/// that runner, over its own path only. Never to another instance, so that
 /// calls go in no circles.
 class RelayHandler
 {
@@ -47,12 +48,13 @@
     std::uint64_t most_open() const;
 
 private:
+    class LentPlace;
     struct RelayedCall;
 
     void pass_on(RelayedCall& call, CallerLink& link);
     RunnerLink connect(const RunnerPick& runner);
     void relay(RelayedCall& call, const RunnerPick& runner, RunnerLink path,
-               CallerLink& link);
+               LentPlace& place, CallerLink& link);
     void read_head(const Poco::Net::HTTPServerRequest& request,
                    RelayedCall& call) const;
     bool read_call_body(Poco::Net::HTTPServerRequest& request,
@@ -62,8 +64,8 @@
                                            CallConnection& connection);
     bool pass_body(const RelayedCall& call, CallConnection& connection,
                    CallerLink& link);
-    void refuse(const RelayedCall& call, RelayFailure failure,
-                CallerLink& link);
+    void refuse(const RelayedCall& call, RelayFailure failure, CallerLink& link,
+                Micros free_in = {});
 
     ForwardState& m_state;
 };
--- a/src/serve/forward/relay_wire.cpp
+++ b/src/serve/forward/relay_wire.cpp
@@ -20,6 +20,8 @@
         return "runner_cut";
     case RelayFailure::Unreachable:
         return "unreachable";
+    case RelayFailure::NoShare:
+        return "no_share";
     case RelayFailure::Broken:
         break;
     }
@@ -31,7 +33,8 @@
 {
     for (const RelayFailure failure :
          {RelayFailure::NoPath, RelayFailure::Busy, RelayFailure::ServiceCut,
-          RelayFailure::RunnerCut, RelayFailure::Unreachable})
+          RelayFailure::RunnerCut, RelayFailure::Unreachable,
+          RelayFailure::NoShare})
         if (name == relay_failure_name(failure))
             return failure;
     return RelayFailure::Broken;
--- a/src/serve/forward/relay_wire.h
+++ b/src/serve/forward/relay_wire.h
@@ -17,8 +17,19 @@
 
 constexpr const char* runner = "Relay-Runner";   ///< Id of the runner.
 constexpr const char* time_ms = "Relay-Time-Ms"; ///< Time left, in ms.
+/// The call is to be sent on the other instance's share of the runner's
+/// capacity, or not at all.
+constexpr const char* share = "Relay-Share";
 /// In an answer of the other instance itself: why there is none of the runner.
 constexpr const char* failure = "Relay-Failure";
+/// With RelayFailure::NoShare: the time until a place of the share may be free,
+/// in ms.
+constexpr const char* free_ms = "Relay-Free-Ms";
+
+/// Values of `share`: whether the call's account is within its fair share of
+/// the runners with limits, or above it.
+constexpr const char* within_fair_share = "within";
+constexpr const char* above_fair_share = "above";
 
 } // namespace relay_wire
 
@@ -32,6 +43,7 @@
     /// the runner's fault. It may reach others. Not sent.
     RunnerCut,
     Unreachable, ///< The runner takes no connection of it. Not sent.
+    NoShare,     ///< Its share of the runner's capacity is used up. Not sent.
     Broken,      ///< The call was sent, and the connection broke.
 };
 
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -18,6 +18,9 @@
 /// forbidden is withdrawn. A runner may take this long to notice that its
 /// caller has disconnected, and the first event to arrive.
 constexpr Micros withdraw_margin = std::chrono::milliseconds(300);
+/// Instances that are asked for a place of their share for one call, one after
+/// the other, while it waits.
+constexpr int max_loans_asked = 32;
 /// Version of the weights of a model before one was named.
 constexpr std::uint64_t first_weights = 1;
 
@@ -63,6 +66,25 @@
     }));
 }
 
+bool
+RunnerChoice::borrow()
+{
+    release();
+    if (m_loans_asked >= max_loans_asked)
+        return false;
+    const RunnerQuery query = make_query();
+    auto pick = m_state.loans.with([&](const ShareLoans& loans) {
+        return m_state.runners.with([&](const RunnerTable& table) {
+            return table.choose_borrowed(query, loans);
+        });
+    });
+    if (!pick)
+        return false;
+    ++m_loans_asked;
+    m_pick = std::move(*pick);
+    return true;
+}
+
 void
 RunnerChoice::require(const std::string& service, const std::string& software)
 {
@@ -131,7 +153,10 @@
 {
     m_reserved = false;
     m_state.runners.with([&](RunnerTable& table) {
-        table.sent(m_pick.incarnation(), tokens, resident, now);
+        if (m_pick.is_borrowed())
+            table.sent_on_loan(m_pick.incarnation(), tokens, resident);
+        else
+            table.sent(m_pick.incarnation(), tokens, resident, now);
     });
     if (m_pick.limited)
         m_state.fair_shares.with([&](FairShareTracker& fair_shares) {
@@ -139,9 +164,22 @@
         });
 }
 
+void
+RunnerChoice::ended(std::uint64_t resident)
+{
+    m_state.runners.with([&](RunnerTable& table) {
+        if (m_pick.is_borrowed())
+            table.ended_on_loan(m_pick.incarnation(), resident);
+        else
+            table.ended(m_pick.incarnation(), resident);
+    });
+}
+
 void
 RunnerChoice::reserve_again()
 {
+    if (m_pick.is_borrowed())
+        return;
     m_reserved = true;
     m_state.runners.with(
         [this](RunnerTable& table) { table.reserve(m_pick.incarnation()); });
@@ -219,17 +257,6 @@
     m_account_above_share = query.account_above_share;
 }
 
-/// Adds the limit on calls to runners of the service that are warming up.
-void
-RunnerChoice::add_warm_up(RunnerQuery& query, const ServiceMap& map) const
-{
-    const auto found = map.warm_ups.find(m_service);
-    if (found == map.warm_ups.end())
-        return;
-    query.warm_up = {found->second.time,
-                     m_state.settings.warm_up_limit(found->second.per_second)};
-}
-
 /// Adds where the prompt's parts are stored, and how many tokens will be read.
 void
 RunnerChoice::add_prompt(RunnerQuery& query)
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -37,6 +37,10 @@
     /// Chooses a runner. Returns false, and keeps the last choice, if no runner
     /// accepts calls.
     bool choose();
+    /// Chooses a runner at which another instance may lend a place of its
+    /// share. Returns false, and keeps the last choice, if there is none, or
+    /// the call has asked for enough of them.
+    bool borrow();
     /// Returns when a runner accepts calls again, and reserves a slot there for
     /// the call if that is before `useful`.
     NextAvailability reserve_next(TimePoint useful);
@@ -47,6 +51,9 @@
     /// Records that the call is sent to the chosen runner at `now`; see
     /// RunnerTable::sent().
     void sent(std::uint64_t tokens, std::uint64_t resident, TimePoint now);
+    /// Records that the call ended at the chosen runner; see
+    /// RunnerTable::ended().
+    void ended(std::uint64_t resident);
     /// Reserves a place for another send of the call to the chosen runner.
     void reserve_again();
     /// See RunnerQuery::avoids_exiting.
@@ -85,7 +92,6 @@
     void add_prompt(RunnerQuery& query);
     void add_account(RunnerQuery& query);
     bool adopt(std::optional<RunnerPick> pick);
-    void add_warm_up(RunnerQuery& query, const ServiceMap& map) const;
     void release();
     std::string_view account_name() const;
     KeptSpace space_of(std::uint64_t version) const;
@@ -101,6 +107,7 @@
     const std::optional<ZoneSet> m_zones_allowed;
     RunnerPick m_pick;
     bool m_reserved = false; ///< The call is about to be sent to m_pick.
+    int m_loans_asked = 0;   ///< See borrow().
     /// The slot that is reserved for the call while it waits.
     std::optional<NextAvailability> m_reservation;
     bool m_account_above_share = false; ///< As of the last choice.
--- a/src/serve/forward/runner_connector.cpp
+++ b/src/serve/forward/runner_connector.cpp
@@ -52,6 +52,8 @@
 RunnerLink
 RunnerConnector::next(Micros time_left)
 {
+    if (m_runner->is_borrowed())
+        return open_lender(time_left);
     RunnerLink link;
     if (!m_tried_direct)
         link = open_direct(time_left);
@@ -101,14 +103,38 @@
 {
     RunnerLink link;
     link.relay = m_state.choose_relay(m_runner->place(), m_failed_zones);
-    if (!link.relay)
+    if (link.relay)
+        connect_relay(link, time_left);
+    return link;
+}
+
+/// Returns a connection to the instance that may send the call on its share,
+/// once.
+RunnerLink
+RunnerConnector::open_lender(Micros time_left)
+{
+    RunnerLink link;
+    if (m_relays_tried > 0)
         return link;
+    ++m_relays_tried;
+    link.relay = m_state.instance(m_runner->share_holder);
+    if (link.relay)
+        connect_relay(link, time_left);
+    if (!link.connection)
+        m_state.note_loan_refused(*m_runner, ShareLoans::max_pause);
+    return link;
+}
+
+/// Connects to the instance of `link`.
+void
+RunnerConnector::connect_relay(RunnerLink& link, Micros time_left)
+{
     link.opened_at = monotonic_now();
     const std::string& address = link.relay->address;
     link.connection = m_state.relay_connections.take(address, link.opened_at);
     link.reused = link.connection != nullptr;
     if (link.reused)
-        return link;
+        return;
     try {
         link.connection = std::make_unique<CallConnection>(
             address, std::min(relay_connect_time, time_left));
@@ -122,7 +148,6 @@
             .field("zone", link.relay->zone)
             .field("error", failure.displayText());
     }
-    return link;
 }
 
 void
@@ -139,8 +164,16 @@
 }
 
 void
-RunnerConnector::not_relayed(const RunnerLink& link, RelayFailure failure)
+RunnerConnector::not_relayed(const RunnerLink& link, RelayFailure failure,
+                             Micros free_in)
 {
+    if (m_runner->is_borrowed()) {
+        m_state.note_loan_refused(*m_runner, failure == RelayFailure::NoShare
+                                                 ? free_in
+                                                 : ShareLoans::max_pause);
+        if (failure == RelayFailure::NoShare)
+            return;
+    }
     m_failed_zones.insert(link.relay->zone);
     const std::string& address = link.relay->address;
     switch (failure) {
@@ -156,6 +189,7 @@
     case RelayFailure::ServiceCut:
         m_state.relay_failed(address, {{}, m_runner->service, {}});
         break;
+    case RelayFailure::NoShare: // Not asked for.
     case RelayFailure::NoPath:
     case RelayFailure::Busy:
     case RelayFailure::Broken:
--- a/src/serve/forward/runner_connector.h
+++ b/src/serve/forward/runner_connector.h
@@ -45,8 +45,10 @@
     RunnerLink next(Micros time_left);
     /// Records that the runner answered on `link`.
     void answered(const RunnerLink& link);
-    /// Records why the instance of `link` did not send the call.
-    void not_relayed(const RunnerLink& link, RelayFailure failure);
+    /// Records why the instance of `link` did not send the call. If its share
+    /// is used up, a place may be free again after `free_in`.
+    void not_relayed(const RunnerLink& link, RelayFailure failure,
+                     Micros free_in);
     /// To be called once next() returned no connection: returns whether that is
     /// due to the runner, and not to this instance's path.
     bool runner_failed();
@@ -58,6 +60,8 @@
 private:
     RunnerLink open_direct(Micros time_left);
     RunnerLink open_relay(Micros time_left);
+    RunnerLink open_lender(Micros time_left);
+    void connect_relay(RunnerLink& link, Micros time_left);
 
     ForwardState& m_state;
     const std::string& m_call_id;
