Refuse less urgent calls, and those above their share, first

Cause: each kind had a fifth of its own objective as the limit of the queue, so that the less urgent kind with the longer objective filled the queues of both. Accounts did not count at all.

Change: a call is sent with a wait of at most a fifth of the strictest objective of more urgent calls of its service, half of that for each more urgent priority, half for accounts above their fair share; three in ten are judged like the most urgent, so that none starves. What accounts get of a service is told through the tree, the 64 largest of a service at most, and counts for 1.5 s. Each refusal is logged with its inputs and their age.

--- a/src/include/crosslink/forward/fair_share_tracker.h
+++ b/src/include/crosslink/forward/fair_share_tracker.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/account_usage.h>
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -12,24 +14,38 @@
 namespace crosslink
 {
 
-/// Tracks how many calls of each client account the limited runners of a
-/// service accept, and tells which accounts are above their fair share. Without
-/// it, an account that sends ten times as many calls as the others would get
-/// ten times as many places, because calls are served in order of arrival.
+/// Tracks how much each client account got of services that are short of
+/// capacity, at all instances, and tells which accounts are above their fair
+/// share. Without it, an account that sends ten times as many calls as the
+/// others would get ten times as many places, because calls are served in order
+/// of arrival. An account alone is never above its share, and what others leave
+/// may be used by all.
 class FairShareTracker
 {
 public:
+    /// Time for which the usage that other instances reported counts. Without
+    /// it, an instance decides by its own calls.
+    static constexpr Micros others_lifetime = std::chrono::milliseconds(1500);
+    /// Largest number of accounts of a service that are reported to others:
+    /// those that got most, which alone can be above their share.
+    static constexpr std::size_t max_reported = 64;
+
     /// Records that a call of `account` requests a place.
     void asked(std::string_view service, std::string_view account,
                TimePoint now);
-    /// Records that a call of `account` was granted a place.
+    /// Records that a call of `account` was granted `places`.
     void taken(std::string_view service, std::string_view account,
-               TimePoint now);
-    /// Returns whether `account` was recently granted more places than the mean
-    /// of the accounts that recently requested one.
+               double places, TimePoint now);
+    /// Returns whether `account` was recently granted more than the mean of the
+    /// accounts that recently requested something.
     bool is_ahead(std::string_view service, std::string_view account,
                   TimePoint now) const;
 
+    /// Returns the recent usage at this instance, for others.
+    AccountUsages report(TimePoint now) const;
+    /// Sets the usage at all other instances, as of `as_of`.
+    void set_others(AccountUsages others, TimePoint as_of);
+
 private:
     struct Usage {
         double places = 0; ///< Granted; decays exponentially.
@@ -39,8 +55,13 @@
     using Accounts = std::map<std::string, Usage, std::less<>>;
 
     Usage& usage_of(std::string_view service, std::string_view account);
+    static void add_service(std::string_view service, const Accounts& accounts,
+                            TimePoint now, AccountUsages& usages);
+    bool counts_others(TimePoint now) const;
 
     std::map<std::string, Accounts, std::less<>> m_services;
+    AccountUsages m_others;
+    TimePoint m_others_at{};
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/forward/queue_limit.h
+++ b/src/include/crosslink/forward/queue_limit.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/urgency_tracker.h>
 
 #include <cstdint>
 #include <optional>
@@ -26,8 +27,28 @@
     Micros expected_wait{0};
     Micros objective{0}; ///< From arrival to first event; 0 for none.
     Micros waited{0};    ///< Since its arrival.
+    Urgency urgency;     ///< Among the calls of its service.
+    /// Its account is above its fair share of the service.
+    bool account_above_share = false;
 };
 
+/// Why a call is refused, and the delay after which its caller may retry.
+struct QueueRefusal {
+    /// What a call of the same wait would have been sent for.
+    enum class Reason {
+        QueueTooLong, ///< Nothing: it is too long for all.
+        LessUrgent,   ///< If it were more urgent.
+        AboveShare,   ///< If its account were within its fair share.
+    };
+
+    Reason reason = Reason::QueueTooLong;
+    Micros allowed{0}; ///< Longest wait with which it would have been sent.
+    Micros retry_after{0};
+};
+
+/// Returns the name of `reason` in logs and metrics.
+const char* queue_refusal_name(QueueRefusal::Reason reason);
+
 /// Keeps the queues of runners short when the load exceeds what the runners'
 /// memory holds: after the loss of a third of them, or when callers return all
 /// at once after an outage of all instances. Without it, all calls wait at the
@@ -36,13 +57,18 @@
 /// answered in time retry. A call that would make such a queue longer is
 /// refused at once, so that the accepted ones are answered in time. First
 /// attempts and retries are treated alike.
+///
+/// Less urgent calls, and those of accounts above their fair share, are refused
+/// at shorter queues. While refusing them is enough, the queue stays short and
+/// all others are sent; they get what the others leave. A part of them is
+/// judged like the most urgent calls, so that none of them starves.
 class QueueLimit
 {
 public:
-    /// Returns nothing if `call` is to be sent, else the delay after which its
-    /// caller may retry, with jitter from `random` bits.
-    static std::optional<Micros> refusal(const QueuedCall& call,
-                                         std::uint64_t random);
+    /// Returns nothing if `call` is to be sent, else the reason and the delay
+    /// after which its caller may retry, with jitter from `random` bits.
+    static std::optional<QueueRefusal> refusal(const QueuedCall& call,
+                                               std::uint64_t random);
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -59,6 +59,20 @@
     std::uint64_t resident = 0;
 
     bool operator==(const RunnerLoad&) const = default;
+    RunnerLoad& operator+=(const RunnerLoad& other)
+    {
+        calls += other.calls;
+        tokens += other.tokens;
+        resident += other.resident;
+        return *this;
+    }
+    RunnerLoad& operator-=(const RunnerLoad& other)
+    {
+        calls -= other.calls;
+        tokens -= other.tokens;
+        resident -= other.resident;
+        return *this;
+    }
     /// Adds one call with `tokens_in` tokens to prefill and `resident_in`
     /// tokens of KV memory.
     void add(std::uint64_t tokens_in, std::uint64_t resident_in)
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -109,6 +109,7 @@
     /// The instance on whose share of the runner's capacity the call is sent,
     /// and which passes it on; empty for this one's own.
     std::string share_holder{};
+    Micros load_age{0}; ///< Of other instances' load, by which it was chosen.
 
     bool is_borrowed() const { return !share_holder.empty(); }
     RunnerIncarnation incarnation() const { return {id, start_ms}; }
--- a/src/libcrosslink/forward/queue_limit_test.cpp
+++ b/src/libcrosslink/forward/queue_limit_test.cpp
@@ -8,7 +8,10 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <random>
 #include <string>
+#include <vector>
 
 namespace crosslink
 {
@@ -77,6 +80,11 @@
     };
 }
 
+/// Random bits of a call that is judged by its urgency and share, and of one
+/// that is not.
+constexpr std::uint64_t not_favored = 999ULL << 32U;
+constexpr std::uint64_t favored = 0;
+
 QueuedCall
 call(int expected_ms, int objective_ms)
 {
@@ -111,12 +119,61 @@
 {
     std::vector<Micros> times;
     for (std::uint64_t i = 0; i < 100; ++i)
-        times.push_back(*QueueLimit::refusal(call(2400, 1200), i * 10));
+        times.push_back(
+            QueueLimit::refusal(call(2400, 1200), i * 10)->retry_after);
     const auto [least, most] = std::minmax_element(times.begin(), times.end());
     CHECK(*least >= millis(250));
     CHECK(*most >= 3 * *least / 2);
 }
 
+TEST_CASE("less urgent calls and those above their share are refused first")
+{
+    QueuedCall judged = call(100, 800);
+    CHECK_FALSE(QueueLimit::refusal(judged, not_favored));
+    judged.account_above_share = true;
+    const auto above = QueueLimit::refusal(judged, not_favored);
+    REQUIRE(above);
+    CHECK(above->reason == QueueRefusal::Reason::AboveShare);
+    judged.account_above_share = false;
+    judged.objective = millis(2000);
+    judged.urgency = {1, millis(800)};
+    const auto less_urgent = QueueLimit::refusal(judged, not_favored);
+    REQUIRE(less_urgent);
+    CHECK(less_urgent->reason == QueueRefusal::Reason::LessUrgent);
+    CHECK(less_urgent->allowed == millis(80));
+    // Some of them are judged like the most urgent ones.
+    CHECK_FALSE(QueueLimit::refusal(judged, favored));
+}
+
+TEST_CASE("no combination of urgency and share is refused for ever")
+{
+    QueuedCall judged = call(100, 800);
+    judged.account_above_share = true;
+    judged.urgency = {9, millis(800)};
+    std::mt19937_64 random(1);
+    int sent = 0;
+    constexpr int calls = 1000;
+    for (int i = 0; i < calls; ++i)
+        sent += QueueLimit::refusal(judged, random()) ? 0 : 1;
+    CHECK(sent >= calls / 4);
+}
+
+TEST_CASE("a burst of less urgent calls does not make urgent ones late")
+{
+    // The larger kind has an objective that is twice as long: by its own alone,
+    // it could fill the queues before the urgent kind.
+    std::vector<PlayedKind> kinds = two_kinds();
+    kinds[large].objective = millis(2400);
+    PlayedLoad played(kinds, PlayedFleet{});
+    played.play(30, peak_of(2));
+    const PlayedTally first = played.tally(urgent, 10, 16);
+    const PlayedTally second = played.tally(large, 10, 16);
+    INFO("urgent " << first.in_time_part() << ", large "
+                   << second.in_time_part());
+    CHECK(first.in_time_part() >= 0.95);
+    CHECK(second.in_time + second.late > second.asked / 4);
+}
+
 TEST_CASE("all callers are answered in time under normal load")
 {
     PlayedLoad played(two_kinds(), PlayedFleet{});
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -386,7 +386,8 @@
             entry.listed.software,
             entry.listed.service,
             bearable_refusals(entry.listed.service),
-            {}};
+            {},
+            fleet.others_age};
 }
 
 /// Returns what is known of the load of all runners of the service.
--- a/src/libcrosslink/testing/played_limits.h
+++ b/src/libcrosslink/testing/played_limits.h
@@ -331,7 +331,7 @@
             return;
         }
         if (pick->limited) {
-            instance.turns.taken("s", account, m_now);
+            instance.turns.taken("s", account, 1, m_now);
             ++m_taken;
             m_taken_by_few += account == "few" ? 1 : 0;
         }
--- a/src/libcrosslink/testing/played_load.h
+++ b/src/libcrosslink/testing/played_load.h
@@ -222,11 +222,14 @@
         QueuedCall call;
         call.expected_wait = wait;
         call.objective = kind.objective;
-        const auto retry_after = QueueLimit::refusal(call, m_random());
-        if (!retry_after)
+        call.urgency =
+            m_urgencies.called("s", kind.priority, kind.objective, m_now);
+        const auto refusal = QueueLimit::refusal(call, m_random());
+        if (!refusal)
             return true;
         const Micros time_left = caller.first_try + kind.deadline - m_now;
-        const TimePoint back = m_now + std::min(*retry_after, time_left / 3);
+        const TimePoint back =
+            m_now + std::min(refusal->retry_after, time_left / 3);
         if (caller.repeated)
             caller.end = End::Refused;
         else
@@ -311,6 +314,7 @@
     std::vector<Caller> m_callers;
     std::multimap<TimePoint, std::size_t> m_returns;
     std::size_t m_first_open = 0;
+    UrgencyTracker m_urgencies; ///< Of all instances.
     std::mt19937_64 m_random{1};
     TimePoint m_now{};
 };
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -369,6 +369,10 @@
         board.record_report(request.instance, request.load, now);
         return board.others(request.instance, now);
     });
+    response.usage = m_usage.with([&](UsageAggregator& usage) {
+        usage.record_report(request.instance, request.usage, now);
+        return usage.others(request.instance, now);
+    });
     m_state.merge_peer_report(request.weights, now);
     response.weights = m_state.weights_ages(now);
     response.platform_reached = m_state.reaches_platform();
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -14,6 +14,7 @@
 #include <serve/forward/forward_state.h>
 
 #include <crosslink/base/backoff.h>
+#include <crosslink/forward/account_usage.h>
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/load_aggregator.h>
 #include <crosslink/kept/kept_part.h>
@@ -108,6 +109,7 @@
     std::map<std::string, std::uint64_t> m_seen_weights;
     std::uint64_t m_seen_map = 0; ///< Version of the configuration.
     Guarded<LoadAggregator> m_loads;
+    Guarded<UsageAggregator> m_usage;
     WeightsDuty m_weights;
     RolloutDuty m_rollouts;
     BlockDuty m_blocks;
--- a/src/serve/fleet/exchange.h
+++ b/src/serve/fleet/exchange.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <crosslink/forward/account_usage.h>
 #include <crosslink/forward/advertised_limit.h>
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/runner_table.h>
@@ -42,6 +43,8 @@
     std::string zone; ///< Of the instance; empty if it is not told.
     /// Load on each runner from this instance and from those that ask it.
     std::map<std::string, RunnerLoad> load;
+    /// What accounts got of services, here and at those that ask it.
+    AccountUsages usage;
     std::uint64_t kept_term = 0; ///< Position of its copy of the directory.
     std::uint64_t kept_place = 0;
     std::vector<WeightsAge> weights;
@@ -80,6 +83,7 @@
 struct ExchangeResponse {
     /// Load of all other instances.
     std::map<std::string, RunnerLoad> others;
+    AccountUsages usage; ///< What accounts got at all other instances.
     /// `others` has only the runners of the zone of the request, since more
     /// are busy than an exchange holds.
     bool own_zone_only = false;
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -66,11 +66,17 @@
     request.zone = m_state.settings.zone;
     // Only parents report the load of others with their own: if two instances
     // asked each other, each would count the other's load as its own.
-    if (m_state.is_parent())
+    if (m_state.is_parent()) {
         request.load = m_handler.subtree_load(now);
-    else
+        request.usage = m_handler.subtree_usage(now);
+    } else {
         request.load = m_state.runners.with(
             [](RunnerTable& table) { return table.own_load(); });
+        request.usage =
+            m_state.fair_shares.with([now](const FairShareTracker& shares) {
+                return shares.report(now);
+            });
+    }
     std::tie(request.kept_term, request.kept_place) = m_state.kept.with(
         [](KeptReplica& replica) { return replica.position(); });
     request.weights = m_state.weights_ages(now);
@@ -150,6 +156,9 @@
         for (const std::string& runner : response.loading)
             table.loads(runner, now, loading_hold);
     });
+    m_state.fair_shares.with([&](FairShareTracker& shares) {
+        shares.set_others(response.usage, asked - response.load_age);
+    });
     m_state.kept.with(
         [&](KeptReplica& replica) { replica.take(response.kept, asked); });
     for (const RunnerWeights& loaded : response.loaded)
--- a/src/serve/fleet/exchange_handler.cpp
+++ b/src/serve/fleet/exchange_handler.cpp
@@ -94,6 +94,29 @@
     });
 }
 
+AccountUsages
+ExchangeHandler::subtree_usage(TimePoint now)
+{
+    const auto own = m_state.fair_shares.with(
+        [now](const FairShareTracker& shares) { return shares.report(now); });
+    return m_child_usage.with([&](UsageAggregator& usage) {
+        usage.record_report(m_state.settings.name, own, now);
+        return usage.sum(now);
+    });
+}
+
+/// Records the usage in `request`, and returns that of all others that ask this
+/// instance.
+AccountUsages
+ExchangeHandler::exchange_usage(const ExchangeRequest& request, TimePoint now)
+{
+    subtree_usage(now);
+    return m_child_usage.with([&](UsageAggregator& usage) {
+        usage.record_report(request.instance, request.usage, now);
+        return usage.others(request.instance, now);
+    });
+}
+
 void
 ExchangeHandler::store_parent_response(const ExchangeResponse& response,
                                        TimePoint asked)
@@ -131,10 +154,12 @@
         m_parent_response.with([](const ParentResponse& last) { return last; });
     ExchangeResponse response;
     response.others = children;
+    response.usage = exchange_usage(request, now);
     response.age = now - stored.sent_at;
     if (response.age <= load_holds) {
         add_load(response.others,
                  aged_load(stored.response.others, response.age));
+        add_load(response.usage, stored.response.usage);
         response.own_zone_only = stored.response.own_zone_only;
         response.loading = stored.response.loading;
         response.loaded = stored.response.loaded;
--- a/src/serve/fleet/exchange_handler.h
+++ b/src/serve/fleet/exchange_handler.h
@@ -38,6 +38,8 @@
     /// Returns, by runner, the load of this instance and of all instances that
     /// ask it.
     std::map<std::string, RunnerLoad> subtree_load(TimePoint now);
+    /// As subtree_load(), for what accounts got of services.
+    AccountUsages subtree_usage(TimePoint now);
     /// Stores the parent's response to a request that was sent at `asked`.
     void store_parent_response(const ExchangeResponse& response,
                                TimePoint asked);
@@ -54,6 +56,7 @@
 
     void require_admission(const ExchangeRequest& request, TimePoint now);
     void limit_load(ExchangeResponse& response, std::string_view zone);
+    AccountUsages exchange_usage(const ExchangeRequest& request, TimePoint now);
     ExchangeResponse forward_parent_response(const ExchangeRequest& request,
                                              TimePoint now);
 
@@ -62,6 +65,7 @@
     ChangeReceiver& m_changes;
     Guarded<ChildAdmission> m_admission;
     Guarded<LoadAggregator> m_children;
+    Guarded<UsageAggregator> m_child_usage;
     Guarded<ParentResponse> m_parent_response;
 };
 
--- a/src/serve/fleet/exchange_json.cpp
+++ b/src/serve/fleet/exchange_json.cpp
@@ -46,6 +46,30 @@
     return load;
 }
 
+Json::Value
+usage_to_json(const AccountUsages& usages)
+{
+    Json::Value value(Json::objectValue);
+    for (const auto& [key, usage] : usages) {
+        Json::Value row(Json::arrayValue);
+        row.append(Json::UInt64(usage.millis));
+        row.append(usage.instances);
+        value[key] = row;
+    }
+    return value;
+}
+
+AccountUsages
+usage_from_json(const Json::Value& value)
+{
+    AccountUsages usages;
+    if (!value.isObject())
+        return usages;
+    for (const std::string& key : value.getMemberNames())
+        usages[key] = {value[key][0].asUInt64(), value[key][1].asUInt()};
+    return usages;
+}
+
 /// Groups ids by space and store: {"SPACE": {"STORE": ["ID", ..]}}. With space
 /// and store beside each id, a whole directory would be seven times as long,
 /// and a new coordinator sends it to all that poll it. Of several entries for
@@ -332,6 +356,7 @@
     value["instance"] = request.instance;
     value["zone"] = request.zone;
     value["load"] = load_to_json(request.load);
+    value["usage"] = usage_to_json(request.usage);
     value["kept_term"] = Json::UInt64(request.kept_term);
     value["kept_place"] = Json::UInt64(request.kept_place);
     value["weights"] = json_list(request.weights, weights_age_to_json);
@@ -352,6 +377,7 @@
     request.instance = json_string(value, "instance");
     request.zone = json_string(value, "zone");
     request.load = load_from_json(value["load"]);
+    request.usage = usage_from_json(value["usage"]);
     request.kept_term = json_uint64(value, "kept_term");
     request.kept_place = json_uint64(value, "kept_place");
     request.weights = list_from_json(value["weights"], weights_age_from_json);
@@ -370,6 +396,7 @@
 {
     Json::Value value;
     value["others"] = load_to_json(response.others);
+    value["usage"] = usage_to_json(response.usage);
     value["own_zone_only"] = response.own_zone_only;
     value["loading"] = json_strings(response.loading);
     value["loaded"] = json_list(response.loaded, runner_weights_to_json);
@@ -394,6 +421,7 @@
 {
     ExchangeResponse response;
     response.others = load_from_json(value["others"]);
+    response.usage = usage_from_json(value["usage"]);
     response.own_zone_only = json_bool(value, "own_zone_only");
     response.loading = strings_from_json(value["loading"]);
     response.loaded = list_from_json(value["loaded"], runner_weights_from_json);
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -128,10 +128,46 @@
     queued.expected_wait = m_choice.pick().wait;
     queued.objective = m_route.objective;
     queued.waited = monotonic_now() - m_call.received_at;
-    if (const auto retry_after = QueueLimit::refusal(queued, random_bits()))
-        throw Error(ErrorCode::NoUpstream,
-                    "the queues of the runners are too long",
-                    RunState::NotDispatched, *retry_after);
+    queued.urgency = m_state.urgencies.with([this](UrgencyTracker& urgencies) {
+        return urgencies.called(m_choice.service(), priority(),
+                                m_route.objective, monotonic_now());
+    });
+    queued.account_above_share = m_choice.account_above_share();
+    if (const auto refusal = QueueLimit::refusal(queued, random_bits()))
+        refuse(queued, *refusal);
+}
+
+void
+ForwardRun::refuse(const QueuedCall& call, const QueueRefusal& refusal)
+{
+    using Reason = QueueRefusal::Reason;
+    auto& counters = m_state.counters;
+    ++(refusal.reason == Reason::LessUrgent   ? counters.less_urgent
+       : refusal.reason == Reason::AboveShare ? counters.above_share
+                                              : counters.queue_too_long);
+    LogLine("call_not_admitted")
+        .field("request", m_call.id)
+        .field("service", m_choice.service())
+        .field("account", m_account ? m_account->name : std::string())
+        .field("priority", priority())
+        .field("level", call.urgency.level)
+        .field("above_share", call.account_above_share)
+        .field("why", queue_refusal_name(refusal.reason))
+        .field("runner", m_choice.pick().id)
+        .span("expected_wait", call.expected_wait)
+        .span("allowed_wait", refusal.allowed)
+        .span("load_age", m_choice.load_age())
+        .span("retry_after", refusal.retry_after);
+    throw Error(ErrorCode::NoUpstream, "the queues of the runners are too long",
+                RunState::NotDispatched, refusal.retry_after);
+}
+
+/// Returns the rank of the call; 0 is the most urgent.
+std::uint32_t
+ForwardRun::priority() const
+{
+    return m_account && m_account->has_priority ? m_account->priority
+                                                : m_route.priority;
 }
 
 /// Waits for a runner that is known to accept calls again early enough for an
@@ -356,9 +392,7 @@
         options.account = m_account->name;
     if (!m_call.generation)
         return options;
-    options.priority = m_account && m_account->has_priority
-                           ? m_account->priority
-                           : m_route.priority;
+    options.priority = priority();
     options.version = m_choice.pick().version;
     if (const auto last = m_events.last_event())
         options.after_event = std::to_string(*last);
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -28,6 +28,8 @@
 namespace crosslink
 {
 
+struct QueueRefusal;
+struct QueuedCall;
 struct RawHead;
 
 /// Sends one call to a runner, retries it at other runners as far as the route
@@ -106,6 +108,9 @@
 
     bool find_runner();
     void refuse_if_queue_too_long();
+    [[noreturn]] void refuse(const QueuedCall& call,
+                             const QueueRefusal& refusal);
+    std::uint32_t priority() const;
     bool wait_for_runner();
     TimePoint latest_useful_time() const;
     Micros retry_time() const;
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -326,6 +326,9 @@
     counter("relays_vain_total", relays_vain);
     counter("relays_served_total", relays_served);
     counter("relays_refused_total", relays_refused);
+    counter("refused_queue_too_long_total", queue_too_long);
+    counter("refused_less_urgent_total", less_urgent);
+    counter("refused_above_share_total", above_share);
     counter("shares_borrowed_total", shares_borrowed);
     counter("shares_lent_total", shares_lent);
     counter("shares_denied_total", shares_denied);
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -27,6 +27,7 @@
 #include <crosslink/forward/software_history.h>
 #include <crosslink/forward/stream_origins.h>
 #include <crosslink/forward/unresolved_failures.h>
+#include <crosslink/forward/urgency_tracker.h>
 #include <crosslink/kept/fetch_delay_tracker.h>
 #include <crosslink/kept/kept_replica.h>
 #include <crosslink/membership/duty_lease.h>
@@ -113,6 +114,9 @@
     Counter runners_leaving{0}; ///< Runners that reported that they will exit.
     Counter runner_backoffs{0}; ///< Backoffs that runners asked for.
     Counter calls_limited{0};   ///< Refused because of runners' limits.
+    Counter queue_too_long{0};  ///< Refused for the wait, whoever calls.
+    Counter less_urgent{0};     ///< Refused for more urgent calls.
+    Counter above_share{0};     ///< Refused for accounts within their share.
     Counter parts_fetched{0};   ///< Prompt parts fetched from a store.
     Counter parts_saved{0};     ///< Prompt parts read and saved to a store.
     Counter parts_read{0};      ///< Prompt parts read and not saved.
@@ -148,8 +152,9 @@
     Guarded<FleetView> fleet;
     Guarded<RunnerTable> runners;
     Guarded<RetryWindow> retries;
-    /// Shares of client accounts at runners with limits.
+    /// Shares of client accounts at model engines and runners with limits.
     Guarded<FairShareTracker> fair_shares;
+    Guarded<UrgencyTracker> urgencies;
     Guarded<CrashHistory> crashes;
     Guarded<UnresolvedFailures> unresolved_failures;
     /// Wakes the thread that checks ports, if it runs.
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -158,9 +158,9 @@
         else
             table.sent(m_pick.incarnation(), tokens, resident, now);
     });
-    if (m_pick.limited)
+    if (counts_shares() || m_pick.limited)
         m_state.fair_shares.with([&](FairShareTracker& fair_shares) {
-            fair_shares.taken(m_service, account_name(), now);
+            fair_shares.taken(m_service, account_name(), share_units(), now);
         });
 }
 
@@ -243,13 +243,31 @@
     return query;
 }
 
-/// Adds whether the call's account has used more than its share of the runners
-/// with limits, so that the calls of other accounts go first there.
+/// Returns whether the account's use of the service counts: that of engines and
+/// of runners with limits, which may be short of capacity.
+bool
+RunnerChoice::counts_shares() const
+{
+    return m_call.generation || m_state.counters.runners_limited > 0;
+}
+
+/// Returns how much of a service the call takes up.
+double
+RunnerChoice::share_units() const
+{
+    constexpr double tokens_per_unit = 1000;
+    return m_call.generation
+               ? m_call.generation->prompt_tokens / tokens_per_unit
+               : 1;
+}
+
+/// Adds whether the call's account has used more than its fair share of the
+/// service, so that the calls of other accounts go first.
 void
 RunnerChoice::add_account(RunnerQuery& query)
 {
     m_account_above_share = false;
-    if (m_state.counters.runners_limited == 0)
+    if (!counts_shares())
         return;
     query.account_above_share =
         m_state.fair_shares.with([&](FairShareTracker& fair_shares) {
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -73,8 +73,11 @@
     /// Returns the newest weights that were named at the last choice; 0 for
     /// none.
     std::uint64_t newest_weights() const { return m_newest; }
+    /// Returns the age of what other instances reported of the load, as of the
+    /// last choice.
+    Micros load_age() const { return m_pick.load_age; }
     /// Returns whether, as of the last choice, the call's account had used more
-    /// than its share of the capacity of the service's runners with limits.
+    /// than its fair share of the service.
     bool account_above_share() const { return m_account_above_share; }
     /// Returns the space of the KV that the chosen runner makes of the prompt.
     KeptSpace kept_space() const { return space_of(m_pick.version); }
@@ -92,6 +95,8 @@
     void add_prompt(RunnerQuery& query);
     void add_account(RunnerQuery& query);
     bool adopt(std::optional<RunnerPick> pick);
+    bool counts_shares() const;
+    double share_units() const;
     void release();
     std::string_view account_name() const;
     KeptSpace space_of(std::uint64_t version) const;
