Compare the delay of a store to the good quarter of many, not to the best

Under load, a tenth to a fifth of the prompts were read again, since their store counted as slow while none was. Cause: with 27 stores, the delays of equally fast ones differ by chance, and the lowest of 26 noisy means is far below the others. An instance also believed its own few samples where the fleet's delay of a store was not told because it is unremarkable.

Change: with eight stores or more the lower quartile is the reference; fewer are compared to the best, as before. Where the fleet's delays are known, an instance's own samples of an unreported store do not count.

--- a/src/include/crosslink/kept/fetch_delay_tracker.h
+++ b/src/include/crosslink/kept/fetch_delay_tracker.h
@@ -64,8 +64,8 @@
     /// Returns the samples, own ones and those of other instances, that were
     /// added since the last call.
     std::vector<FetchSamples> take_unreported();
-    /// Returns the delays of the best path of each zone and of the paths that
-    /// are much slower.
+    /// Returns the delays of a good path of each zone and of the paths that are
+    /// much slower.
     std::vector<FetchDelay> delays(TimePoint now) const;
     /// Sets the delay of calls over the whole fleet, as of `now`. A single
     /// instance has few samples: one instance of 71 observes a store once in
@@ -106,8 +106,15 @@
         std::multiset<TimePoint> pending;
     };
 
+    /// Delay of the good stores of a zone.
+    struct Reference {
+        std::optional<double> late_ms; ///< Nothing if it is not known.
+        bool is_of_fleet = false;      ///< By the samples of all instances.
+    };
+
+    Reference reference(const FetchPath& path, TimePoint now) const;
     /// Returns by how many milliseconds events come later by `path` than from
-    /// the best other store to that zone; 0 where that is not known.
+    /// the good other stores to that zone; 0 where that is not known.
     double excess_ms(const FetchPath& path, TimePoint now) const;
     std::vector<FetchDelay> known_delays(TimePoint now) const;
     void add_samples(PathStats& stats, std::uint32_t calls, double late_ms,
@@ -115,6 +122,7 @@
     static bool is_known(const PathStats& stats, TimePoint now);
     static bool uses_fleet_delay(const PathStats& stats, TimePoint now);
     static double late_ms(const PathStats& stats, TimePoint now);
+    static double pending_ms(const PathStats& stats, TimePoint now);
 
     std::map<FetchPath, PathStats> m_paths;
 };
--- a/src/libcrosslink/kept/fetch_delay_tracker.cpp
+++ b/src/libcrosslink/kept/fetch_delay_tracker.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <limits>
 #include <optional>
 
 namespace crosslink
@@ -45,6 +47,9 @@
 /// 39 paths took a third of each exchange, and instances have 0.12 cores.
 constexpr double report_threshold_ms = 50;
 
+/// Number of stores from which on the lowest delay is that of chance.
+constexpr std::size_t min_stores_for_quartile = 8;
+
 double
 millis(Micros span)
 {
@@ -59,6 +64,20 @@
     return late_ms * (1 - seconds(age) / seconds(sample_lifetime));
 }
 
+/// Returns the delay that `delays`, at least one, show for the good stores: the
+/// lowest of a few, and the lower quartile of many. Under load, the delays of
+/// many equally fast stores differ by chance so much that most would seem slow
+/// compared to the lowest.
+double
+good_delay(std::vector<double>& delays)
+{
+    const std::size_t rank =
+        delays.size() < min_stores_for_quartile ? 0 : delays.size() / 4;
+    const auto good = delays.begin() + static_cast<std::ptrdiff_t>(rank);
+    std::nth_element(delays.begin(), good, delays.end());
+    return *good;
+}
+
 } // namespace
 
 void
@@ -130,16 +149,20 @@
 FetchDelayTracker::delays(TimePoint now) const
 {
     std::vector<FetchDelay> all = known_delays(now);
-    std::map<std::string_view, double> lowest;
-    for (const FetchDelay& item : all) {
-        const auto entry =
-            lowest.try_emplace(item.path.zone, item.late_ms).first;
-        entry->second = std::min(entry->second, item.late_ms);
-    }
+    std::map<std::string_view, std::vector<double>> by_zone;
+    for (const FetchDelay& item : all)
+        by_zone[item.path.zone].push_back(item.late_ms);
+    std::map<std::string_view, double> good;
+    for (auto& [zone, delays] : by_zone)
+        good[zone] = good_delay(delays);
     std::vector<FetchDelay> reported;
+    std::set<std::string_view> zones_reported;
     for (const FetchDelay& item : all) {
-        const double best = lowest[item.path.zone];
-        if (item.late_ms <= best || item.late_ms > best + report_threshold_ms)
+        const double reference = good[item.path.zone];
+        const bool is_slow = item.late_ms > reference + report_threshold_ms;
+        const bool is_reference = item.late_ms == reference &&
+                                  zones_reported.insert(item.path.zone).second;
+        if (is_slow || is_reference)
             reported.push_back(item);
     }
     return reported;
@@ -196,9 +219,41 @@
         late = decayed(stats.fleet_late_ms, now - *stats.fleet_at);
     else if (is_known(stats, now))
         late = decayed(stats.late_ms, now - stats.at);
-    if (!stats.pending.empty() && *stats.pending.begin() > stats.at)
-        late = std::max(late, millis(now - *stats.pending.begin()));
-    return late;
+    return std::max(late, pending_ms(stats, now));
+}
+
+/// Returns how late the earliest pending event is, if none has come since it
+/// was expected; negative infinity for none.
+double
+FetchDelayTracker::pending_ms(const PathStats& stats, TimePoint now)
+{
+    if (stats.pending.empty() || *stats.pending.begin() <= stats.at)
+        return -std::numeric_limits<double>::infinity();
+    return millis(now - *stats.pending.begin());
+}
+
+/// Returns the delay of the good stores other than that of `path`. Delays over
+/// the whole fleet go first, where there are any.
+FetchDelayTracker::Reference
+FetchDelayTracker::reference(const FetchPath& path, TimePoint now) const
+{
+    std::vector<double> of_fleet;
+    std::vector<double> own;
+    for (const auto& [other, stats] : m_paths) {
+        if (other.zone != path.zone || other.store == path.store)
+            continue;
+        if (uses_fleet_delay(stats, now))
+            of_fleet.push_back(late_ms(stats, now));
+        else if (is_known(stats, now))
+            own.push_back(late_ms(stats, now));
+    }
+    Reference result;
+    result.is_of_fleet = !of_fleet.empty();
+    if (result.is_of_fleet)
+        result.late_ms = *std::min_element(of_fleet.begin(), of_fleet.end());
+    else if (!own.empty())
+        result.late_ms = good_delay(own);
+    return result;
 }
 
 double
@@ -207,16 +262,17 @@
     const auto own = m_paths.find(path);
     if (own == m_paths.end())
         return 0;
-    std::optional<double> lowest;
-    for (const auto& [other, stats] : m_paths)
-        if (other.zone == path.zone && other.store != path.store &&
-            is_known(stats, now)) {
-            const double late = late_ms(stats, now);
-            lowest = std::min(lowest.value_or(late), late);
-        }
-    if (!lowest)
+    const Reference good = reference(path, now);
+    if (!good.late_ms)
         return 0;
-    return late_ms(own->second, now) - std::max(*lowest, 0.0);
+    const PathStats& stats = own->second;
+    // Paths that are nearly as good as the best ones are not reported. The few
+    // samples of one instance say less.
+    const bool is_unreported =
+        good.is_of_fleet && !uses_fleet_delay(stats, now);
+    const double late =
+        is_unreported ? pending_ms(stats, now) : late_ms(stats, now);
+    return late - std::max(*good.late_ms, 0.0);
 }
 
 bool
--- a/src/libcrosslink/kept/fetch_delay_tracker_test.cpp
+++ b/src/libcrosslink/kept/fetch_delay_tracker_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
 #include <vector>
 
 namespace crosslink
@@ -203,6 +204,48 @@
     CHECK(fetches_of(tracker, 1230) == 1000);
 }
 
+TEST_CASE("of many stores whose delays differ by chance, few seem slow")
+{
+    // As under load: the runners' queues differ by hundreds of milliseconds.
+    FetchDelayTracker holder;
+    std::mt19937_64 random(1);
+    std::exponential_distribution<double> delay(1.0 / 200);
+    constexpr int stores = 27;
+    for (int i = 0; i < 20 * stores; ++i)
+        holder.first_event(
+            {"s" + std::to_string(i % stores), "a"}, at(0),
+            at(0) + std::chrono::milliseconds(static_cast<int>(delay(random))));
+    FetchDelayTracker instance;
+    for (const FetchDelay& path : holder.delays(at(100)))
+        instance.set_fleet_delay(path, at(100));
+    int passed_over = 0;
+    for (int i = 0; i < stores; ++i) {
+        const FetchPath path{"s" + std::to_string(i), "a"};
+        instance.first_event(path, at(0), at(500));
+        passed_over +=
+            !instance.should_fetch(path, small_part,
+                                   std::chrono::milliseconds(400), 999, at(510))
+                ? 1
+                : 0;
+    }
+    CHECK(passed_over <= stores / 9);
+}
+
+TEST_CASE("a slow store among many is found")
+{
+    FetchDelayTracker holder;
+    for (int i = 0; i < 27; ++i)
+        holder.first_event({"s" + std::to_string(i), "a"}, at(0),
+                           at(i < 13 ? 900 : 20 + i));
+    FetchDelayTracker instance;
+    for (const FetchDelay& path : holder.delays(at(900)))
+        instance.set_fleet_delay(path, at(900));
+    for (int i = 0; i < 13; ++i)
+        CHECK_FALSE(instance.should_fetch(
+            {"s" + std::to_string(i), "a"}, small_part,
+            std::chrono::milliseconds(400), 999, at(910)));
+}
+
 TEST_CASE("only the best way of a zone and late ones are told")
 {
     FetchDelayTracker tracker;
