Send less to runners that answer later than others of their service

Some runners turn slow for seconds, or are slower than others for good; the price of a runner counted its load alone.

Change: first events and answers are compared to what was expected, relative to the mean of the service; what a runner is slower adds to its price. It is forgotten with the process and 3 s after the last answer; single answers count up to four times what was expected.

--- /dev/null
+++ b/src/include/crosslink/forward/response_speed.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#pragma once
+
+#include <crosslink/base/time.h>
+
+namespace crosslink
+{
+
+/// How the answers of one process, or of all processes of a service, compare to
+/// what was expected of them, as a moving average of ratios. Single answers
+/// count up to max_ratio, so that an odd one changes little.
+class ResponseSpeed
+{
+public:
+    /// Greatest ratio of one answer that counts.
+    static constexpr double max_ratio = 4;
+    /// Time after the last answer at which nothing is known any more; until
+    /// then, what is known fades.
+    static constexpr Micros lifetime = std::chrono::seconds(3);
+
+    /// Records an answer that was expected after `expected` and came after
+    /// `taken`.
+    void answered(Micros expected, Micros taken, TimePoint now);
+    /// Returns the mean ratio; 1 if nothing is known.
+    double ratio(TimePoint now) const;
+    /// Returns the mean time that answers took; 0 if nothing is known.
+    Micros mean_time(TimePoint now) const;
+
+private:
+    double m_ratio = 1;
+    double m_seconds = 0;
+    TimePoint m_at{};
+};
+
+/// Returns how much later a process answers than the mean of its service; at
+/// least 0. Answers the load of runners that turn slow for some seconds, or are
+/// slower than others for good: they get less, and their part again once they
+/// answer as fast as the others.
+Micros slowness(const ResponseSpeed& process, const ResponseSpeed& service,
+                TimePoint now);
+
+} // namespace crosslink
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -129,6 +129,12 @@
     /// Records how long a call that ran to its end was in flight, with the KV
     /// memory that it held.
     void ran(std::string_view id, std::uint64_t resident, Micros span);
+    /// Records that a call's first event, or its answer, came after `taken`,
+    /// and was expected after `expected`.
+    void answered(const RunnerIncarnation& runner, Micros expected,
+                  Micros taken, TimePoint now);
+    /// Returns how much later a runner answers than the mean of its service.
+    Micros slowness_of(const RunnerEntry& entry, TimePoint now) const;
     /// Records a refusal: no calls are sent to the runner for `hold`.
     void refused(const RunnerIncarnation& runner, TimePoint now, Micros hold);
     /// Records how many refusals a second a runner states that it bears; 0 if
@@ -264,6 +270,8 @@
     RunnerPick pick_of(const RunnerEntry& entry, const RunnerQuery& query,
                        const FleetLoad& fleet) const;
     bool is_silent(std::string_view zone, TimePoint now) const;
+    double slowness_ms(const RunnerEntry& entry,
+                       const RunnerQuery& query) const;
     bool is_home(const RunnerEntry& entry, const RunnerQuery& query) const;
     bool prefers_home(const RunnerQuery& query) const;
     std::size_t home_count(const RunnerQuery& query) const;
@@ -305,6 +313,8 @@
     SettledMembers m_members;
     /// How long calls hold their KV memory, by service.
     std::map<std::string, HoldingTime, std::less<>> m_holding_times;
+    /// Of all runners of a service.
+    std::map<std::string, ResponseSpeed, std::less<>> m_speeds;
     TimePoint m_others_at{}; ///< Time of the others' latest load.
     bool m_others_known = false;
     std::string m_known_zone; ///< See set_remote_load().
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -185,6 +185,14 @@
     return std::max(query.home_instances, needed);
 }
 
+/// Returns the price of a runner's slowness.
+double
+RunnerTable::slowness_ms(const RunnerEntry& entry,
+                         const RunnerQuery& query) const
+{
+    return seconds(slowness_of(entry, query.now)) * 1000;
+}
+
 const RunnerEntry*
 RunnerTable::cheapest(const Candidates& candidates, const RunnerQuery& query,
                       const FleetLoad& fleet) const
@@ -211,6 +219,7 @@
             price -= affinity_ms;
         if (has_home && !is_home(*entry, query))
             price += not_home_ms;
+        price += slowness_ms(*entry, query);
         if (is_silent(entry->listed.zone, query.now))
             price += silent_zone_ms;
         if (query.avoids_exiting && connection_failed_lately(*entry, query.now))
--- a/src/serve/forward/call_prompt.h
+++ b/src/serve/forward/call_prompt.h
@@ -31,6 +31,9 @@
     CallPrompt(ForwardState& state, KeptLocator& kept,
                const ForwardedCall& call, Micros objective);
 
+    /// Returns when the first event of the last send is expected, without the
+    /// time of fetches.
+    TimePoint expected_at() const { return m_expected; }
     /// Returns the zone from which fetching takes longest for a runner with
     /// the properties `engine`, with that time and the number of tokens that
     /// would be fetched. Only stores that `map` lists are counted.
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -281,6 +281,19 @@
         table.prompt_read(m_choice.pick().incarnation(),
                           m_prompt.tokens_to_read());
     });
+    note_response_time();
+}
+
+/// Records how fast the runner answered.
+void
+ForwardRun::note_response_time()
+{
+    const TimePoint now = monotonic_now();
+    m_state.runners.with([this, now](RunnerTable& table) {
+        table.answered(m_choice.pick().incarnation(),
+                       m_prompt.expected_at() - m_sent_at, now - m_sent_at,
+                       now);
+    });
 }
 
 ForwardRun::Outcome
@@ -309,6 +322,8 @@
         m_failed_answer = {head, std::move(body)};
         return Outcome::Failed;
     }
+    if (is_success(head.status))
+        note_response_time();
     link.answer(head.status, head.headers, body);
     return Outcome::Done;
 }
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -148,6 +148,7 @@
     bool send_events(CallerLink& link, const AnswerHead& head,
                      const std::string& events);
     void note_first_event();
+    void note_response_time();
     void keep_connection(const AnswerHead& head);
     void end_without_answer(CallerLink& link, Outcome outcome);
     void end_blocked(CallerLink& link);
