Bound the price of a runner's slowness below that of another zone

Suspected: the zone's own runners take all of its calls and answer late, so that those that can't be reached, of which nothing is known, seemed faster by more than the price of a zone.

Change: slowness adds 50 ms at most, so that calls move within the zone.

--- a/src/include/crosslink/forward/runner_price.h
+++ b/src/include/crosslink/forward/runner_price.h
@@ -25,6 +25,11 @@
 /// Added for a runner that is home to other instances. Its load is known by
 /// reports only, which are as old as a prompt takes to prefill.
 inline constexpr double not_home_ms = 200;
+/// Greatest addition for a runner that answers later than others. It is below
+/// the price of another zone, so that calls move within the zone: while a zone
+/// is cut off, its own runners answer late, and those that it can't reach do
+/// not answer at all.
+inline constexpr double max_slowness_ms = 50;
 /// Added for runners of a zone in which one does not respond: a call that is
 /// sent there waits 400 ms for a connection, or seconds for an answer.
 inline constexpr double silent_zone_ms = 400;
--- a/src/libcrosslink/forward/response_speed_test.cpp
+++ b/src/libcrosslink/forward/response_speed_test.cpp
@@ -54,6 +54,21 @@
     CHECK(calls["r2"] > 0.2 * 800);
 }
 
+TEST_CASE("slow runners of the own zone are preferred to those of another one")
+{
+    // The runners of a zone that is cut off take all of its calls.
+    RunnerTable table = table_of({"near"});
+    ListedRunner far = table.entry("near")->listed;
+    far.id = "far";
+    far.zone = "b";
+    table.put(far, at(0));
+    for (int ms = 0; ms < 1000; ms += 10) {
+        table.answered({"near"}, usual, 4 * usual, at(ms));
+        table.answered({"far"}, usual, usual, at(ms));
+    }
+    CHECK(table.choose(query(1000))->id == "near");
+}
+
 TEST_CASE("one odd answer says little of a runner")
 {
     ResponseSpeed process;
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -190,7 +190,9 @@
 RunnerTable::slowness_ms(const RunnerEntry& entry,
                          const RunnerQuery& query) const
 {
-    return seconds(slowness_of(entry, query.now)) * 1000;
+    constexpr double millis_per_second = 1000;
+    return std::min(seconds(slowness_of(entry, query.now)) * millis_per_second,
+                    max_slowness_ms);
 }
 
 const RunnerEntry*
