Do not divide by the number of runners of a zone that has none

Cause: borrowing draws a random runner of each zone, and the group of a zone stays in the index when its last runner is gone.

Change: empty groups are passed over. Homes are now off where a zone has so many runners that a call looks at a sample: hardly any of it would be home.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -274,6 +274,7 @@
                        const RunnerQuery& query) const;
     bool is_home(const RunnerEntry& entry, const RunnerQuery& query) const;
     bool prefers_home(const RunnerQuery& query) const;
+    std::size_t runners_of_own_zone(const RunnerQuery& query) const;
     std::size_t home_count(const RunnerQuery& query) const;
     void sample(std::vector<const RunnerEntry*>& candidates,
                 const RunnerQuery& query) const;
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -146,13 +146,26 @@
 
 /// Returns whether calls of this instance prefer its home runners. Where a zone
 /// has few instances, each knows most of the load by its own calls anyway.
+/// Where it has so many runners that a call looks at a sample, hardly any of
+/// the sample is home.
 bool
 RunnerTable::prefers_home(const RunnerQuery& query) const
 {
-    return query.home_instances > 0 &&
+    const std::size_t runners = runners_of_own_zone(query);
+    return query.home_instances > 0 && runners > 0 && runners <= max_walked &&
            m_members.count(query.zone, query.now) >= min_instances_with_homes;
 }
 
+std::size_t
+RunnerTable::runners_of_own_zone(const RunnerQuery& query) const
+{
+    const RunnerIndex::Groups* groups = m_index.groups(query.service);
+    if (!groups)
+        return 0;
+    const auto group = groups->find(query.zone);
+    return group == groups->end() ? 0 : group->second.ids.size();
+}
+
 /// Returns whether a runner of the own zone is home to this instance: one of a
 /// few, drawn by rendezvous, that send to it while it is not busier than
 /// others. Nearly all of its load is therefore known without delay. If all
@@ -172,13 +185,8 @@
 std::size_t
 RunnerTable::home_count(const RunnerQuery& query) const
 {
-    const RunnerIndex::Groups* groups = m_index.groups(query.service);
-    if (!groups)
-        return query.home_instances;
-    const auto group = groups->find(query.zone);
-    if (group == groups->end() || group->second.ids.empty())
-        return query.home_instances;
-    const std::size_t runners = group->second.ids.size();
+    const std::size_t runners =
+        std::max<std::size_t>(runners_of_own_zone(query), 1);
     const std::size_t instances = m_members.count(query.zone, query.now);
     const std::size_t needed =
         (home_runners * instances + runners - 1) / runners;
@@ -365,6 +373,9 @@
                            const RunnerQuery& query, const ShareLoans& loans,
                            std::mt19937_64& generator) const
 {
+    // A group stays when its last runner is gone.
+    if (group.ids.empty())
+        return std::nullopt;
     const std::size_t count = std::min(group.ids.size(), max_lending_runners);
     const std::size_t first = generator() % group.ids.size();
     for (std::size_t i = 0; i < count; ++i) {
--- a/src/libcrosslink/forward/share_loans_test.cpp
+++ b/src/libcrosslink/forward/share_loans_test.cpp
@@ -159,6 +159,13 @@
     CHECK(loans.size() <= ShareLoans::max_refusals);
 }
 
+TEST_CASE("nothing is borrowed where all runners of a zone are gone")
+{
+    RunnerTable table = table_of({"r"});
+    table.remove("r");
+    CHECK_FALSE(table.choose_borrowed(query(10'000), ShareLoans()));
+}
+
 TEST_CASE("nothing is borrowed at runners without a limit")
 {
     RunnerTable table = table_of({"r"});
