Fetch kept parts only while that is faster than to prefill them

Cause: a store counted as slow only compared to other stores. At peak load the links of all stores are busy, none is slower than the others, and calls waited for fetches that the runners could have prefilled: from 16 to 22 s of a peak, first events of calls that fetched all parts came at 318 ms (median) and 1,416 ms (p90), of calls that prefilled all at 166 and 358 ms. Change: calls that prefill all parts are measured as a path without a store, which is told to others like paths to stores. A fetch may be later than that by twice the prefill that it saves; beyond, fewer calls fetch. While no call prefills, one in ten does, to show the difference.

--- a/src/include/crosslink/kept/fetch_delay_tracker.h
+++ b/src/include/crosslink/kept/fetch_delay_tracker.h
@@ -24,12 +24,27 @@
 /// are tracked for each zone, since a zone that is cut off makes a store slow
 /// for that zone alone.
 struct FetchPath {
-    std::string store; ///< Address.
+    std::string store; ///< Address; empty for calls that fetch nothing.
     std::string zone;
 
+    /// Returns the path of calls that prefill all their parts in `zone`. Their
+    /// delay is that of the runners alone.
+    static FetchPath without_store(std::string_view zone)
+    {
+        return {{}, std::string(zone)};
+    }
+    bool has_store() const { return !store.empty(); }
     auto operator<=>(const FetchPath&) const = default;
 };
 
+/// What a call gains by fetching a part, and how late it may be.
+struct FetchGain {
+    std::uint32_t tokens = 0; ///< Of the part and those after it.
+    /// In which the runner would prefill them; 0 if that is not known.
+    Micros prefill{0};
+    Micros objective{0}; ///< Target time of the call's first event.
+};
+
 /// Mean delay of calls that fetched by one path, as observed by one or more
 /// instances since they last reported it.
 struct FetchSamples {
@@ -49,6 +64,10 @@
 /// events of calls that fetch from them, relative to the expected time. A delay
 /// that affects all calls, such as that of overloaded runners, is attributed to
 /// no store.
+///
+/// A store is compared to the good ones of the same zone, and its fetches also
+/// to the prefill that they save: at peak load, the links of all stores may be
+/// busy at the same time, and none of them is slower than the others.
 class FetchDelayTracker
 {
 public:
@@ -72,14 +91,12 @@
     /// three seconds, and all of them together 12 times a second.
     void set_fleet_delay(const FetchDelay& fleet, TimePoint now);
 
-    /// Returns whether a call should fetch a part of `tokens` by `path`. A slow
-    /// store gets only as many fetches as it can be expected to answer in time;
-    /// `random` bits select the calls. A larger part justifies a longer delay,
-    /// and a call with a longer `objective`, the target time of its first
-    /// event, tolerates one.
-    bool should_fetch(const FetchPath& path, std::uint32_t tokens,
-                      Micros objective, std::uint64_t random,
-                      TimePoint now) const;
+    /// Returns whether a call should fetch a part by `path`. A slow store gets
+    /// only as many fetches as it can be expected to answer in time; `random`
+    /// bits select the calls. A larger part justifies a longer delay, and a
+    /// call with a longer objective tolerates one.
+    bool should_fetch(const FetchPath& path, const FetchGain& gain,
+                      std::uint64_t random, TimePoint now) const;
 
     /// Returns the stores that are much slower than the best one of a zone.
     std::set<std::string, std::less<>> slow_stores(TimePoint now) const;
@@ -88,10 +105,10 @@
     /// part is of use only together with all parts before it: once one part is
     /// computed, all later ones are, so that the decision on a part counts the
     /// tokens of all parts from it on. The parts are fetched by a runner of
-    /// `zone`.
+    /// `zone`; `gain` is that of all parts.
     void skip_slow_stores(std::span<const PromptPart> parts,
                           std::span<KeptPlace> places, std::string_view zone,
-                          Micros objective, std::uint64_t random,
+                          FetchGain gain, std::uint64_t random,
                           TimePoint now) const;
 
 private:
@@ -116,6 +133,11 @@
     /// Returns by how many milliseconds events come later by `path` than from
     /// the good other stores to that zone; 0 where that is not known.
     double excess_ms(const FetchPath& path, TimePoint now) const;
+    std::optional<double> delay_ms(const FetchPath& path, TimePoint now) const;
+    double fraction_by_stores(const FetchPath& path, const FetchGain& gain,
+                              TimePoint now) const;
+    double fraction_by_prefill(const FetchPath& path, const FetchGain& gain,
+                               TimePoint now) const;
     std::vector<FetchDelay> known_delays(TimePoint now) const;
     void add_samples(PathStats& stats, std::uint32_t calls, double late_ms,
                      TimePoint now);
--- a/src/libcrosslink/kept/fetch_delay_tracker.cpp
+++ b/src/libcrosslink/kept/fetch_delay_tracker.cpp
@@ -33,6 +33,12 @@
 /// Minimum fraction of the calls that still fetch from a slow store, so that
 /// its recovery is noticed.
 constexpr double min_fetch_fraction = 0.1;
+/// A fetch may take this many times as long as the prefill that it saves: a
+/// prefill also delays the answers of all other calls at its runner.
+constexpr double prefill_factor = 2;
+/// Fraction of the calls that fetch from a store that is slow by itself while
+/// no call has shown how long a prefill takes; the others show it.
+constexpr double unproven_fetch_fraction = 0.9;
 /// Lifetime of a sample. Older samples are ignored, and the delay decays
 /// linearly to 0 until then. It is this long because an instance has few
 /// samples of each store.
@@ -64,6 +70,17 @@
     return late_ms * (1 - seconds(age) / seconds(sample_lifetime));
 }
 
+/// Returns the fraction of the calls that fetch where events come `excess_ms`
+/// later than without a fetch. It falls to the minimum where the delay is twice
+/// what is allowed, so that the queue of the store stays short.
+double
+fetch_fraction(double excess_ms, double allowed_ms)
+{
+    if (excess_ms <= allowed_ms)
+        return 1;
+    return std::max(min_fetch_fraction, 2 - excess_ms / allowed_ms);
+}
+
 /// Returns the delay that `delays`, at least one, show for the good stores: the
 /// lowest of a few, and the lower quartile of many. Under load, the delays of
 /// many equally fast stores differ by chance so much that most would seem slow
@@ -151,13 +168,18 @@
     std::vector<FetchDelay> all = known_delays(now);
     std::map<std::string_view, std::vector<double>> by_zone;
     for (const FetchDelay& item : all)
-        by_zone[item.path.zone].push_back(item.late_ms);
+        if (item.path.has_store())
+            by_zone[item.path.zone].push_back(item.late_ms);
     std::map<std::string_view, double> good;
     for (auto& [zone, delays] : by_zone)
         good[zone] = good_delay(delays);
     std::vector<FetchDelay> reported;
     std::set<std::string_view> zones_reported;
     for (const FetchDelay& item : all) {
+        if (!item.path.has_store()) {
+            reported.push_back(item);
+            continue;
+        }
         const double reference = good[item.path.zone];
         const bool is_slow = item.late_ms > reference + report_threshold_ms;
         const bool is_reference = item.late_ms == reference &&
@@ -240,7 +262,8 @@
     std::vector<double> of_fleet;
     std::vector<double> own;
     for (const auto& [other, stats] : m_paths) {
-        if (other.zone != path.zone || other.store == path.store)
+        if (other.zone != path.zone || other.store == path.store ||
+            !other.has_store())
             continue;
         if (uses_fleet_delay(stats, now))
             of_fleet.push_back(late_ms(stats, now));
@@ -275,19 +298,59 @@
     return late - std::max(*good.late_ms, 0.0);
 }
 
+/// Returns how late events come by `path`; nothing if that is not known. Where
+/// the whole fleet's delays are known, paths to stores that are not reported
+/// are about as good as the reference.
+std::optional<double>
+FetchDelayTracker::delay_ms(const FetchPath& path, TimePoint now) const
+{
+    const auto found = m_paths.find(path);
+    const bool has_own = found != m_paths.end() && is_known(found->second, now);
+    if (has_own && uses_fleet_delay(found->second, now))
+        return late_ms(found->second, now);
+    if (path.has_store()) {
+        const Reference good = reference(path, now);
+        if (good.is_of_fleet)
+            return good.late_ms;
+    }
+    return has_own ? std::optional(late_ms(found->second, now)) : std::nullopt;
+}
+
+/// Returns the fraction of the calls that should fetch by `path`, compared to
+/// fetches from other stores.
+double
+FetchDelayTracker::fraction_by_stores(const FetchPath& path,
+                                      const FetchGain& gain,
+                                      TimePoint now) const
+{
+    const double allowed = tolerable_fraction * millis(gain.objective) +
+                           tolerable_ms_per_token * gain.tokens;
+    return fetch_fraction(excess_ms(path, now), allowed);
+}
+
+/// Returns the fraction of the calls that should fetch by `path`, compared to
+/// calls that prefill.
+double
+FetchDelayTracker::fraction_by_prefill(const FetchPath& path,
+                                       const FetchGain& gain,
+                                       TimePoint now) const
+{
+    const auto fetch = delay_ms(path, now);
+    if (!fetch || gain.prefill.count() == 0)
+        return 1;
+    const double allowed = prefill_factor * millis(gain.prefill);
+    const auto prefill = delay_ms(FetchPath::without_store(path.zone), now);
+    if (prefill)
+        return fetch_fraction(*fetch - *prefill, allowed);
+    return *fetch > allowed ? unproven_fetch_fraction : 1;
+}
+
 bool
-FetchDelayTracker::should_fetch(const FetchPath& path, std::uint32_t tokens,
-                                Micros objective, std::uint64_t random,
-                                TimePoint now) const
+FetchDelayTracker::should_fetch(const FetchPath& path, const FetchGain& gain,
+                                std::uint64_t random, TimePoint now) const
 {
-    const double excess = excess_ms(path, now);
-    const double allowed = tolerable_fraction * millis(objective) +
-                           tolerable_ms_per_token * tokens;
-    if (excess <= allowed)
-        return true;
-    // Falls to the minimum where the delay is twice what is allowed, so that
-    // the queue of the store stays short.
-    const double fraction = std::max(min_fetch_fraction, 2 - excess / allowed);
+    const double fraction = std::min(fraction_by_stores(path, gain, now),
+                                     fraction_by_prefill(path, gain, now));
     constexpr std::uint64_t steps = 1000;
     return static_cast<double>(random % steps) < fraction * steps;
 }
@@ -297,7 +360,7 @@
 {
     std::set<std::string, std::less<>> slow;
     for (const auto& [path, stats] : m_paths)
-        if (excess_ms(path, now) > slow_ms)
+        if (path.has_store() && excess_ms(path, now) > slow_ms)
             slow.insert(path.store);
     return slow;
 }
@@ -305,22 +368,22 @@
 void
 FetchDelayTracker::skip_slow_stores(std::span<const PromptPart> parts,
                                     std::span<KeptPlace> places,
-                                    std::string_view zone, Micros objective,
+                                    std::string_view zone, FetchGain gain,
                                     std::uint64_t random, TimePoint now) const
 {
-    std::uint32_t tokens = 0;
-    for (const PromptPart& part : parts)
-        tokens += part.tokens;
+    const std::uint32_t all_tokens = std::max(gain.tokens, 1U);
+    const Micros prefill_of_all = gain.prefill;
     bool slow = false;
     for (std::size_t i = 0; i < places.size(); ++i) {
         KeptPlace& place = places[i];
         const bool fetches = place.kind == KeptPlace::Kind::Fetch;
+        gain.prefill = prefill_of_all * gain.tokens / all_tokens;
         slow =
             slow || (fetches && !should_fetch({place.store, std::string(zone)},
-                                              tokens, objective, random, now));
+                                              gain, random, now));
         if (fetches && slow)
             place = KeptPlace::compute(KeptPlace::Reason::SlowStore);
-        tokens -= parts[i].tokens;
+        gain.tokens -= std::min(gain.tokens, parts[i].tokens);
     }
 }
 
--- a/src/libcrosslink/kept/fetch_delay_tracker_test.cpp
+++ b/src/libcrosslink/kept/fetch_delay_tracker_test.cpp
@@ -23,6 +23,10 @@
 constexpr std::uint32_t small_part = 500;
 constexpr std::uint32_t large_part = 5000;
 constexpr Micros short_objective = std::chrono::milliseconds(240);
+const FetchGain small_gain{small_part, {}, std::chrono::milliseconds(400)};
+/// A large part, the prefill of which takes 100 ms.
+const FetchGain prefill_gain{large_part, std::chrono::milliseconds(100),
+                             std::chrono::milliseconds(600)};
 
 /// Returns how many of a thousand calls fetch.
 int
@@ -32,7 +36,7 @@
 {
     int count = 0;
     for (std::uint64_t i = 0; i < 1000; ++i)
-        count += tracker.should_fetch({"slow", "a"}, tokens, objective, i,
+        count += tracker.should_fetch({"slow", "a"}, {tokens, {}, objective}, i,
                                       at(millis));
     return count;
 }
@@ -48,6 +52,27 @@
     }
 }
 
+/// Returns how many of a thousand calls fetch by `path` rather than prefill.
+int
+fetches_rather_than_prefill(const FetchDelayTracker& tracker,
+                            const FetchPath& path, int millis)
+{
+    int count = 0;
+    for (std::uint64_t i = 0; i < 1000; ++i)
+        count += tracker.should_fetch(path, prefill_gain, i, at(millis));
+    return count;
+}
+
+/// Records that all of 20 stores are late by `fetch` milliseconds, and calls
+/// that prefill by `prefill`.
+void
+record_busy_links(FetchDelayTracker& tracker, int fetch, int prefill)
+{
+    for (int i = 0; i < 20; ++i)
+        tracker.first_event({"s" + std::to_string(i), "a"}, at(0), at(fetch));
+    tracker.first_event(FetchPath::without_store("a"), at(0), at(prefill));
+}
+
 /// Returns the places of two parts, the first of which is in the slow store,
 /// for a call that is not among the few that still fetch from there.
 std::vector<KeptPlace>
@@ -60,8 +85,12 @@
     places[0].store = "slow";
     places[1].store = "other";
     constexpr std::uint64_t not_among_the_few = 999;
-    tracker.skip_slow_stores(parts, places, "a", short_objective,
-                             not_among_the_few, at(millis));
+    FetchGain gain;
+    for (const PromptPart& part : parts)
+        gain.tokens += part.tokens;
+    gain.objective = short_objective;
+    tracker.skip_slow_stores(parts, places, "a", gain, not_among_the_few,
+                             at(millis));
     return places;
 }
 
@@ -223,10 +252,7 @@
         const FetchPath path{"s" + std::to_string(i), "a"};
         instance.first_event(path, at(0), at(500));
         passed_over +=
-            !instance.should_fetch(path, small_part,
-                                   std::chrono::milliseconds(400), 999, at(510))
-                ? 1
-                : 0;
+            !instance.should_fetch(path, small_gain, 999, at(510)) ? 1 : 0;
     }
     CHECK(passed_over <= stores / 9);
 }
@@ -241,9 +267,8 @@
     for (const FetchDelay& path : holder.delays(at(900)))
         instance.set_fleet_delay(path, at(900));
     for (int i = 0; i < 13; ++i)
-        CHECK_FALSE(instance.should_fetch(
-            {"s" + std::to_string(i), "a"}, small_part,
-            std::chrono::milliseconds(400), 999, at(910)));
+        CHECK_FALSE(instance.should_fetch({"s" + std::to_string(i), "a"},
+                                          small_gain, 999, at(910)));
 }
 
 TEST_CASE("only the best way of a zone and late ones are told")
@@ -268,8 +293,43 @@
     tracker.first_event({"slow", "b"}, at(0), at(10));
     tracker.first_event({"other", "b"}, at(0), at(10));
     CHECK(fetches_of(tracker, 1230) < 200);
-    CHECK(tracker.should_fetch({"slow", "b"}, large_part, short_objective, 999,
-                               at(1230)));
+    CHECK(tracker.should_fetch({"slow", "b"}, {large_part, {}, short_objective},
+                               999, at(1230)));
+}
+
+TEST_CASE("calls prefill while the links of all stores are busy")
+{
+    // Compared to one another, no store is slow.
+    FetchDelayTracker tracker;
+    record_busy_links(tracker, 600, 50);
+    CHECK(fetches_rather_than_prefill(tracker, {"s3", "a"}, 610) == 100);
+}
+
+TEST_CASE("a delay of all runners does not keep calls from fetching")
+{
+    FetchDelayTracker tracker;
+    record_busy_links(tracker, 600, 550);
+    CHECK(fetches_rather_than_prefill(tracker, {"s3", "a"}, 610) == 1000);
+}
+
+TEST_CASE("some calls prefill to show whether fetches are worth their delay")
+{
+    FetchDelayTracker tracker;
+    for (int i = 0; i < 20; ++i)
+        tracker.first_event({"s" + std::to_string(i), "a"}, at(0), at(600));
+    CHECK(fetches_rather_than_prefill(tracker, {"s3", "a"}, 610) == 900);
+}
+
+TEST_CASE("instances learn from others that the links of all stores are busy")
+{
+    FetchDelayTracker holder;
+    record_busy_links(holder, 600, 50);
+    FetchDelayTracker instance;
+    for (const FetchDelay& path : holder.delays(at(600)))
+        instance.set_fleet_delay(path, at(600));
+    // Of the stores, only one good one is reported.
+    CHECK(fetches_rather_than_prefill(instance, {"s7", "a"}, 610) == 100);
+    CHECK(instance.slow_stores(at(610)).empty());
 }
 
 TEST_CASE("an instance that is cut off uses its own samples")
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -111,15 +111,28 @@
     const KeptAnswer answer = m_kept.locate(space, parts, time_left);
     m_places = answer.places;
     m_space = answer.space;
+    const FetchGain gain = gain_of(parts);
     m_state.fetches.with([&](FetchDelayTracker& tracker) {
-        tracker.skip_slow_stores(parts, m_places, m_zone, m_objective,
-                                 random_bits(), monotonic_now());
+        tracker.skip_slow_stores(parts, m_places, m_zone, gain, random_bits(),
+                                 monotonic_now());
     });
     options.space = answer.space;
     options.places = m_places;
     apply_places(answer, options);
 }
 
+/// Returns what the call gains by fetching all of `parts`.
+FetchGain
+CallPrompt::gain_of(std::span<const PromptPart> parts) const
+{
+    FetchGain gain;
+    for (const PromptPart& part : parts)
+        gain.tokens += part.tokens;
+    gain.prefill = reading_time(gain.tokens);
+    gain.objective = m_objective;
+    return gain;
+}
+
 /// Counts the parts that are fetched, saved and read, and sets the time by
 /// which the fetches must end.
 void
@@ -160,6 +173,18 @@
                        });
 }
 
+/// Returns whether the runner reads all shared parts, and saves none: a save
+/// may delay the first event.
+bool
+CallPrompt::prefills_all() const
+{
+    return !m_places.empty() &&
+           std::all_of(m_places.begin(), m_places.end(),
+                       [](const KeptPlace& place) {
+                           return place.kind == KeptPlace::Kind::None;
+                       });
+}
+
 const std::string&
 CallPrompt::store_of_largest() const
 {
@@ -179,10 +204,13 @@
     m_expected = now + runner_wait + reading_time(m_tokens_to_read);
     m_measured.reset();
     // The time to the first event measures a store only if the runner reads
-    // none of the shared parts.
-    if (!fetches_all())
+    // none of the shared parts, and the runner alone only if it reads them all.
+    if (fetches_all())
+        m_measured = FetchPath{store_of_largest(), m_zone};
+    else if (prefills_all())
+        m_measured = FetchPath::without_store(m_zone);
+    if (!m_measured)
         return;
-    m_measured = FetchPath{store_of_largest(), m_zone};
     m_state.fetches.with([this](FetchDelayTracker& tracker) {
         tracker.sent(*m_measured, m_expected);
     });
--- a/src/serve/forward/call_prompt.h
+++ b/src/serve/forward/call_prompt.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,6 +70,8 @@
 private:
     void apply_places(const KeptAnswer& answer, SendOptions& options);
     bool fetches_all() const;
+    bool prefills_all() const;
+    FetchGain gain_of(std::span<const PromptPart> parts) const;
     const std::string& store_of_largest() const;
 
     ForwardState& m_state;
@@ -78,8 +81,8 @@
     std::string m_space;             ///< Space that the call runs under.
     std::vector<KeptPlace> m_places; ///< One for each shared part.
     std::string m_zone;              ///< Of the runner.
-    /// Store and zone whose fetch latency the call measures: those of the
-    /// largest part, if all parts are fetched.
+    /// The path whose delay the call measures: that of the largest part, if
+    /// all parts are fetched; that without a store, if all are prefilled.
     std::optional<FetchPath> m_measured;
     std::uint64_t m_tokens_to_read = 0;
     TimePoint m_expected{}; ///< Of the first event, without fetch times.
