Move home runners to a class of their own

How many instances each runner is home to was computed for every candidate of a choice, twice. HomeRunners computes it once per choice.

--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -64,7 +64,7 @@
     bool avoids_exiting = true;
     std::size_t instances = 1; ///< Size of the fleet.
     /// Least number of instances that each runner is home to; see
-    /// RunnerTable::is_home(). 0 if all instances use all runners alike.
+    /// HomeRunners. 0 if all instances use all runners alike.
     std::size_t home_instances = 0;
     std::uint64_t random = 0; ///< Random bits.
     TimePoint now{};
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -27,6 +27,7 @@
 namespace crosslink
 {
 
+class HomeRunners;
 class ShareLoans;
 struct FleetLoad;
 struct RateShare;
@@ -272,19 +273,19 @@
     bool is_silent(std::string_view zone, TimePoint now) const;
     double slowness_ms(const RunnerEntry& entry,
                        const RunnerQuery& query) const;
-    bool is_home(const RunnerEntry& entry, const RunnerQuery& query) const;
-    bool prefers_home(const RunnerQuery& query) const;
+    HomeRunners home_runners(const RunnerQuery& query) const;
     std::size_t runners_of_own_zone(const RunnerQuery& query) const;
-    std::size_t home_count(const RunnerQuery& query) const;
     void sample(std::vector<const RunnerEntry*>& candidates,
-                const RunnerQuery& query) const;
+                const RunnerQuery& query, const HomeRunners& homes) const;
     const RunnerEntry* cheapest(const std::vector<const RunnerEntry*>& entries,
                                 const RunnerQuery& query,
-                                const FleetLoad& fleet) const;
+                                const FleetLoad& fleet,
+                                const HomeRunners& homes) const;
     FleetLoad fleet_load(const RunnerQuery& query) const;
     bool accepts(const RunnerEntry& entry, const RunnerQuery& query) const;
     const RunnerEntry* due_probe(const RunnerQuery& query) const;
-    std::vector<const RunnerEntry*> candidates(const RunnerQuery& query) const;
+    std::vector<const RunnerEntry*> candidates(const RunnerQuery& query,
+                                               const HomeRunners& homes) const;
     std::vector<const RunnerEntry*> walk(const RunnerIndex::Group& group,
                                          const RunnerQuery& query) const;
     std::vector<const RunnerEntry*> draw(const RunnerIndex::Group& group,
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -5,6 +5,7 @@
 
 #include <crosslink/forward/runner_table.h>
 
+#include <crosslink/forward/home_runners.h>
 #include <crosslink/forward/runner_price.h>
 #include <crosslink/forward/share_loans.h>
 #include <crosslink/membership/rendezvous.h>
@@ -41,11 +42,6 @@
 /// Times that the size of a sample is drawn before all runners of a zone are
 /// looked at: so many of them accept no work.
 constexpr std::size_t max_draws = 4;
-/// Least number of instances of a zone for which runners have homes.
-constexpr std::size_t min_instances_with_homes = 6;
-/// Home runners that an instance has at least, on average: few enough that it
-/// knows most of their load, and enough to choose from.
-constexpr std::size_t home_runners = 5;
 /// Runners of a zone that are looked at for one with a share to borrow.
 constexpr std::size_t max_lending_runners = 32;
 
@@ -122,17 +118,17 @@
 /// its own zone. Zones that are so small that none of their runners would be
 /// left out are sampled together. Home runners are never left out.
 void
-RunnerTable::sample(Candidates& candidates, const RunnerQuery& query) const
+RunnerTable::sample(Candidates& candidates, const RunnerQuery& query,
+                    const HomeRunners& homes) const
 {
     if (candidates.empty())
         return;
     const std::size_t instances = std::max<std::size_t>(query.instances, 1);
     std::mt19937_64 generator(query.random);
     Candidates home;
-    if (prefers_home(query))
-        std::copy_if(
-            candidates.begin(), candidates.end(), std::back_inserter(home),
-            [&](const RunnerEntry* entry) { return is_home(*entry, query); });
+    std::copy_if(
+        candidates.begin(), candidates.end(), std::back_inserter(home),
+        [&](const RunnerEntry* entry) { return homes.contains(*entry); });
     Candidates sampled = sample_zones(candidates, instances, generator);
     if (sampled.size() < candidates.size())
         candidates = std::move(sampled);
@@ -144,16 +140,11 @@
             candidates.push_back(entry);
 }
 
-/// Returns whether calls of this instance prefer its home runners. Where a zone
-/// has few instances, each knows most of the load by its own calls anyway.
-/// Where it has so many runners that a call looks at a sample, hardly any of
-/// the sample is home.
-bool
-RunnerTable::prefers_home(const RunnerQuery& query) const
+/// Returns the home runners of this instance.
+HomeRunners
+RunnerTable::home_runners(const RunnerQuery& query) const
 {
-    const std::size_t runners = runners_of_own_zone(query);
-    return query.home_instances > 0 && runners > 0 && runners <= max_walked &&
-           m_members.count(query.zone, query.now) >= min_instances_with_homes;
+    return {m_members, query, runners_of_own_zone(query), max_walked};
 }
 
 std::size_t
@@ -166,33 +157,6 @@
     return group == groups->end() ? 0 : group->second.ids.size();
 }
 
-/// Returns whether a runner of the own zone is home to this instance: one of a
-/// few, drawn by rendezvous, that send to it while it is not busier than
-/// others. Nearly all of its load is therefore known without delay. If all
-/// instances used all runners alike, each would choose by reports that are
-/// older than it takes to prefill a prompt, and calls would crowd by chance.
-bool
-RunnerTable::is_home(const RunnerEntry& entry, const RunnerQuery& query) const
-{
-    return entry.listed.zone == query.zone &&
-           m_members.has_share(query.instance, entry.listed.id, query.zone,
-                               home_count(query), query.now);
-}
-
-/// Returns how many instances each runner of the own zone is home to. Where
-/// there are more instances than runners, there are more of them, so that every
-/// instance has some runners to choose from.
-std::size_t
-RunnerTable::home_count(const RunnerQuery& query) const
-{
-    const std::size_t runners =
-        std::max<std::size_t>(runners_of_own_zone(query), 1);
-    const std::size_t instances = m_members.count(query.zone, query.now);
-    const std::size_t needed =
-        (home_runners * instances + runners - 1) / runners;
-    return std::max(query.home_instances, needed);
-}
-
 /// Returns the price of a runner's slowness.
 double
 RunnerTable::slowness_ms(const RunnerEntry& entry,
@@ -205,7 +169,7 @@
 
 const RunnerEntry*
 RunnerTable::cheapest(const Candidates& candidates, const RunnerQuery& query,
-                      const FleetLoad& fleet) const
+                      const FleetLoad& fleet, const HomeRunners& homes) const
 {
     const RunnerEntry* preferred =
         query.affinity.empty() ? nullptr
@@ -216,18 +180,16 @@
         static_cast<std::minstd_rand::result_type>(query.random));
     std::uniform_real_distribution<double> extra(0, jitter_ms(query));
     // An instance that has just joined has no home runner yet.
-    const bool has_home =
-        prefers_home(query) && std::any_of(candidates.begin(), candidates.end(),
-                                           [&](const RunnerEntry* entry) {
-                                               return is_home(*entry, query);
-                                           });
+    const bool has_home = std::any_of(
+        candidates.begin(), candidates.end(),
+        [&](const RunnerEntry* entry) { return homes.contains(*entry); });
     const RunnerEntry* best = nullptr;
     double best_price = 0;
     for (const RunnerEntry* entry : candidates) {
         double price = price_ms(*entry, query, fleet) + extra(generator);
         if (entry == preferred)
             price -= affinity_ms;
-        if (has_home && !is_home(*entry, query))
+        if (has_home && !homes.contains(*entry))
             price += not_home_ms;
         price += slowness_ms(*entry, query);
         if (is_silent(entry->listed.zone, query.now))
@@ -248,15 +210,17 @@
     const FleetLoad fleet = fleet_load(query);
     if (const RunnerEntry* probed = due_probe(query))
         return pick_of(*probed, query, fleet);
-    const Candidates found = candidates(query);
+    const HomeRunners homes = home_runners(query);
+    const Candidates found = candidates(query, homes);
     if (found.empty())
         return std::nullopt;
-    return pick_of(*cheapest(found, query, fleet), query, fleet);
+    return pick_of(*cheapest(found, query, fleet, homes), query, fleet);
 }
 
 /// Returns the runners among which this instance chooses.
 Candidates
-RunnerTable::candidates(const RunnerQuery& query) const
+RunnerTable::candidates(const RunnerQuery& query,
+                        const HomeRunners& homes) const
 {
     const RunnerIndex::Groups* groups = m_index.groups(query.service);
     if (!groups)
@@ -271,7 +235,7 @@
             const Candidates part = walk(group, query);
             found.insert(found.end(), part.begin(), part.end());
         }
-        sample(found, query);
+        sample(found, query, homes);
         return found;
     }
     const std::size_t of_zone =
