Send calls to engines that hold the shared segments of their prompts

Cause: calls were spread over the home engines of an instance regardless of what those have in memory.

Change: of the home engines, each segment has holders by rendezvous, as many as its part of the demand calls for. Their price is lower by the prefill time times the chance that the segment is still there. A call that would be refused at a holder is judged again at the engine that it would go to without segments, with the same random bits. Without homes all stays.

--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -99,6 +99,7 @@
     /// Calls of this instance in flight on the shares of others.
     std::uint32_t borrowed = 0;
     std::uint32_t failures = 0; ///< One less with each success.
+    bool served = false;        ///< It answered a call of this instance.
     TimePoint paused_until{};   ///< It gets no calls before.
     TimePoint cold_until{};     ///< It warms up until then, by its own report.
     /// When it last refused or broke a connection; it may be restarting.
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,15 @@
     std::uint64_t fetched_tokens = 0; ///< Of all its parts.
 };
 
+/// A shared part of a prompt that a runner may have in its own memory.
+struct SharedSegment {
+    std::string_view id; ///< Of the part, and of all that its KV depends on.
+    /// Time for which a runner without it prefills or fetches it.
+    Micros saved{0};
+    double demand =
+        0; ///< Its part of the prefilling demand; see SegmentDemand.
+};
+
 /// How runners of a service are protected while they warm up.
 struct WarmUpTerms {
     Micros time{0};   ///< After a start.
@@ -38,6 +48,9 @@
     /// Calls with the same text share KV and go to the same runner unless it is
     /// more expensive than others; empty for none.
     std::string_view affinity;
+    /// The prompt's shared segments, in their order; see SegmentHolders. If
+    /// empty, `affinity` alone counts.
+    std::span<const SharedSegment> segments{};
     /// Where the kept parts of the prompt are stored, and the time to fetch
     /// them within that zone; empty and 0 if there are none.
     KeptNear kept;
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -7,6 +7,7 @@
 
 #include <crosslink/forward/home_runners.h>
 #include <crosslink/forward/runner_price.h>
+#include <crosslink/forward/segment_holders.h>
 #include <crosslink/forward/share_loans.h>
 #include <crosslink/membership/rendezvous.h>
 
@@ -101,6 +102,18 @@
     return best;
 }
 
+/// Returns the home runners among `candidates`.
+Candidates
+home_of(const Candidates& candidates, const HomeRunners& homes)
+{
+    Candidates home;
+    if (homes.exist())
+        std::copy_if(
+            candidates.begin(), candidates.end(), std::back_inserter(home),
+            [&](const RunnerEntry* entry) { return homes.contains(*entry); });
+    return home;
+}
+
 /// Returns whether a runner may be ending: one that ends in steps accepts
 /// connections and breaks them until its port closes.
 bool
@@ -125,10 +138,7 @@
         return;
     const std::size_t instances = std::max<std::size_t>(query.instances, 1);
     std::mt19937_64 generator(query.random);
-    Candidates home;
-    std::copy_if(
-        candidates.begin(), candidates.end(), std::back_inserter(home),
-        [&](const RunnerEntry* entry) { return homes.contains(*entry); });
+    const Candidates home = home_of(candidates, homes);
     Candidates sampled = sample_zones(candidates, instances, generator);
     if (sampled.size() < candidates.size())
         candidates = std::move(sampled);
@@ -171,25 +181,27 @@
 RunnerTable::cheapest(const Candidates& candidates, const RunnerQuery& query,
                       const FleetLoad& fleet, const HomeRunners& homes) const
 {
-    const RunnerEntry* preferred =
-        query.affinity.empty() ? nullptr
-                               : preferred_by_affinity(candidates, query);
     // All instances see at the same time that a runner became idle. The random
     // addition makes each of them skip it now and then.
     std::minstd_rand generator(
         static_cast<std::minstd_rand::result_type>(query.random));
     std::uniform_real_distribution<double> extra(0, jitter_ms(query));
     // An instance that has just joined has no home runner yet.
-    const bool has_home = std::any_of(
-        candidates.begin(), candidates.end(),
-        [&](const RunnerEntry* entry) { return homes.contains(*entry); });
+    const Candidates home = home_of(candidates, homes);
+    const SegmentHolders holders(home, query);
+    const bool has_holders = !home.empty() && !query.segments.empty();
+    const RunnerEntry* preferred =
+        query.affinity.empty() || has_holders
+            ? nullptr
+            : preferred_by_affinity(candidates, query);
     const RunnerEntry* best = nullptr;
     double best_price = 0;
     for (const RunnerEntry* entry : candidates) {
         double price = price_ms(*entry, query, fleet) + extra(generator);
         if (entry == preferred)
             price -= affinity_ms;
-        if (has_home && !homes.contains(*entry))
+        price -= holders.saved_ms(*entry);
+        if (!home.empty() && !homes.contains(*entry))
             price += not_home_ms;
         price += slowness_ms(*entry, query);
         if (is_silent(entry->listed.zone, query.now))
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -267,6 +267,7 @@
         return;
     if (entry->failures > 0)
         --entry->failures;
+    entry->served = true;
     m_silent_zones.erase(entry->listed.zone);
 }
 
--- a/src/libcrosslink/testing/played_load.h
+++ b/src/libcrosslink/testing/played_load.h
@@ -7,11 +7,17 @@
 
 #include <crosslink/forward/load_aggregator.h>
 #include <crosslink/forward/queue_limit.h>
+#include <crosslink/forward/runner_price.h>
 #include <crosslink/forward/runner_table.h>
+#include <crosslink/forward/segment_demand.h>
 
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -19,6 +25,14 @@
 namespace crosslink::testing
 {
 
+/// Shared parts of prompts, of which each call of a kind has one: the one with
+/// rank r is drawn as often as r + 1 to the power of -skew.
+struct PlayedParts {
+    std::uint32_t tokens = 0;
+    std::size_t distinct = 0;
+    double skew = 0;
+};
+
 /// A kind of call that callers send.
 struct PlayedKind {
     double per_second = 0; ///< At load 1.
@@ -28,6 +42,8 @@
     std::uint32_t to_make = 0;  ///< Output tokens.
     Micros objective{0};        ///< To the first token.
     Micros deadline{0};         ///< The caller waits no longer.
+    /// Of each prompt, one after the other, beside `resident` and `to_read`.
+    std::vector<PlayedParts> parts{};
 };
 
 /// What callers of one kind got whose first try fell into some span.
@@ -54,6 +70,10 @@
     double speed = 1;              ///< Of all engines.
     std::uint32_t memory = 70'000; ///< Of an engine, in tokens.
     std::size_t zones = 1; ///< Over which engines and instances are spread.
+    std::size_t home_instances = 0;   ///< See RunnerQuery.
+    bool segments = false;            ///< Calls go to holders of their parts.
+    std::size_t stores = 0;           ///< That keep shared parts.
+    double store_tokens_per_ms = 100; ///< Of each store's link.
 };
 
 /// Modelled engines behind the choice and the limit of some instances, played
@@ -64,8 +84,15 @@
     using Load = std::function<double(double second)>;
 
     PlayedLoad(std::vector<PlayedKind> kinds, const PlayedFleet& fleet)
-        : m_kinds(std::move(kinds)), m_fleet(fleet), m_tables(fleet.instances)
+        : m_kinds(std::move(kinds)), m_fleet(fleet),
+          m_stores(fleet.stores, fleet.store_tokens_per_ms),
+          m_tables(fleet.instances), m_demands(fleet.instances)
     {
+        if (fleet.home_instances > 0)
+            list_instances();
+        for (const PlayedKind& kind : m_kinds)
+            for (const PlayedParts& parts : kind.parts)
+                m_part_draws.push_back(part_draw(parts));
         for (std::size_t i = 0; i < fleet.engines; ++i)
             add_engine("r" + std::to_string(i), zone_of(i),
                        fleet.speed * (i % 3 == 2 ? fleet.slow_speed : 1));
@@ -105,6 +132,31 @@
         return sum;
     }
 
+    /// Returns the part `quantile` of the times to the first token of `kind`,
+    /// of the same callers as tally().
+    Micros first_token(std::size_t kind, double from, double to,
+                       double quantile) const
+    {
+        std::vector<Micros> times;
+        for (const Caller& caller : m_callers) {
+            const double came =
+                crosslink::seconds(caller.first_try - TimePoint{});
+            if (caller.kind == kind && came >= from && came < to &&
+                caller.began)
+                times.push_back(caller.began_at - caller.first_try);
+        }
+        if (times.empty())
+            return Micros{0};
+        const auto nth = times.begin() +
+                         static_cast<std::ptrdiff_t>(
+                             quantile * static_cast<double>(times.size() - 1));
+        std::nth_element(times.begin(), nth, times.end());
+        return *nth;
+    }
+
+    /// What the engines had to read.
+    ModelStores::Tally& tokens() { return m_stores.tally; }
+
 private:
     enum class End { Open, InTime, Late, Refused, Failed };
     struct Caller {
@@ -115,6 +167,9 @@
         End end = End::Open;
         bool repeated = false;
         bool began = false;
+        TimePoint began_at{};
+        std::vector<EnginePart> parts{}; ///< Of the prompt.
+        std::uint32_t to_read = 0;       ///< As the instance expected.
     };
 
     using Loads = std::map<std::string, RunnerLoad>;
@@ -129,7 +184,7 @@
     void add_engine(const std::string& id, const std::string& zone,
                     double speed)
     {
-        m_engines.emplace(id, ModelEngine(speed, m_fleet.memory));
+        m_engines.emplace(id, ModelEngine(speed, m_fleet.memory, &m_stores));
         ListedRunner listed;
         listed.id = id;
         listed.service = "s";
@@ -140,6 +195,50 @@
             table.put(listed, m_now);
     }
 
+    /// Lists all instances to each, long enough ago to take their shares.
+    void list_instances()
+    {
+        for (RunnerTable& table : m_tables)
+            for (std::size_t i = 0; i < m_tables.size(); ++i)
+                table.members().listed({name_of(i), "", zone_of(i), 0},
+                                       TimePoint(std::chrono::seconds(-9)));
+    }
+
+    static std::string name_of(std::size_t instance)
+    {
+        return "i" + std::to_string(instance);
+    }
+
+    static std::discrete_distribution<std::size_t>
+    part_draw(const PlayedParts& parts)
+    {
+        std::vector<double> weights;
+        for (std::size_t i = 0; i < parts.distinct; ++i)
+            weights.push_back(
+                std::pow(static_cast<double>(i + 1), -parts.skew));
+        return {weights.begin(), weights.end()};
+    }
+
+    /// Draws the shared parts of a prompt of `kind`. Each part follows one of
+    /// those before it only.
+    std::vector<EnginePart> draw_parts(std::size_t kind)
+    {
+        std::size_t draw = 0;
+        for (std::size_t i = 0; i < kind; ++i)
+            draw += m_kinds[i].parts.size();
+        std::vector<EnginePart> parts;
+        std::size_t number = 0;
+        for (auto of = m_kinds[kind].parts.rbegin();
+             of != m_kinds[kind].parts.rend(); ++of) {
+            const std::size_t place = m_kinds[kind].parts.rend() - of - 1;
+            number = parts.empty() ? m_part_draws[draw + place](m_random)
+                                   : number % of->distinct;
+            parts.insert(parts.begin(), {(draw + place) * 1'000'000 + number,
+                                         static_cast<double>(of->tokens)});
+        }
+        return parts;
+    }
+
     /// Tells each instance what all others told the last time.
     void tell_load()
     {
@@ -179,6 +278,7 @@
                 load * m_kinds[kind].per_second * step_ms / 1000.0);
             for (int i = count(m_random); i > 0; --i) {
                 m_callers.push_back({kind, m_now, {}, "", End::Open});
+                m_callers.back().parts = draw_parts(kind);
                 send(m_callers.size() - 1);
             }
         }
@@ -201,22 +301,78 @@
         query.random = m_random();
         query.now = m_now;
         query.instances = m_fleet.instances;
-        const auto pick = table_of(number).choose(query);
-        if (m_fleet.limited && !is_taken(caller, pick->wait, number))
-            return;
+        const std::string name = name_of(number % m_tables.size());
+        query.instance = name;
+        query.home_instances = m_fleet.home_instances;
+        std::vector<std::string> names;
+        for (const EnginePart& part : caller.parts)
+            names.push_back(std::to_string(part.id));
+        if (!names.empty())
+            query.affinity = names.back();
+        add_parts(query, caller.parts);
+        caller.to_read = query.tokens;
+        const auto segments = segments_of(number, names);
+        if (m_fleet.segments)
+            query.segments = segments;
+        auto pick = table_of(number).choose(query);
+        if (m_fleet.limited) {
+            const std::uint64_t random = m_random();
+            auto refusal = refusal_of(caller, pick->wait, random);
+            if (refusal && !query.segments.empty()) {
+                query.segments = {};
+                pick = table_of(number).choose(query);
+                refusal = refusal_of(caller, pick->wait, random);
+            }
+            if (refusal) {
+                refuse(number, *refusal);
+                return;
+            }
+        }
         caller.runner = pick->id;
         caller.sent_at = m_now;
-        table_of(number).sent(pick->incarnation(), kind.to_read, kind.resident,
-                              m_now);
-        m_engines.at(pick->id).take({number, kind.priority,
-                                     static_cast<double>(kind.resident),
-                                     static_cast<double>(kind.to_read),
-                                     static_cast<double>(kind.to_make)});
+        table_of(number).sent(pick->incarnation(), caller.to_read,
+                              query.resident, m_now);
+        m_engines.at(pick->id).take(
+            {number, kind.priority, static_cast<double>(kind.resident),
+             static_cast<double>(kind.to_read),
+             static_cast<double>(kind.to_make), caller.parts});
     }
 
-    /// Returns whether the limit lets a call through; else its caller comes
-    /// back once.
-    bool is_taken(Caller& caller, Micros wait, std::size_t number)
+    /// Returns the shared segments of a prompt that comes to an instance. Their
+    /// ids are those of `names`.
+    std::vector<SharedSegment>
+    segments_of(std::size_t number, const std::vector<std::string>& names)
+    {
+        const Caller& caller = m_callers[number];
+        SegmentDemand& demand = m_demands[number % m_tables.size()];
+        const std::uint64_t tokens = resident_of(caller);
+        demand.called("s", tokens, m_now);
+        std::vector<SharedSegment> segments;
+        for (std::size_t i = 0; i < names.size(); ++i)
+            segments.push_back(
+                {names[i],
+                 reading_time(
+                     static_cast<std::uint64_t>(caller.parts[i].tokens)),
+                 demand.contained("s", names[i], tokens, m_now)});
+        return segments;
+    }
+
+    /// Adds where the shared parts of a prompt are kept, and what must be read.
+    void add_parts(RunnerQuery& query, const std::vector<EnginePart>& parts)
+    {
+        const double now_ms = crosslink::seconds(m_now - TimePoint{}) * 1000;
+        for (const EnginePart& part : parts) {
+            const auto tokens = static_cast<std::uint32_t>(part.tokens);
+            query.resident += tokens;
+            if (m_stores.offers(part, now_ms))
+                query.kept.fetched_tokens += tokens;
+            else
+                query.tokens += tokens;
+        }
+    }
+
+    std::optional<QueueRefusal> refusal_of(const Caller& caller, Micros wait,
+                                           std::uint64_t random)
     {
         const PlayedKind& kind = m_kinds[caller.kind];
         QueuedCall call;
@@ -224,18 +380,22 @@
         call.objective = kind.objective;
         call.urgency =
             m_urgencies.called("s", kind.priority, kind.objective, m_now);
-        const auto refusal = QueueLimit::refusal(call, m_random());
-        if (!refusal)
-            return true;
-        const Micros time_left = caller.first_try + kind.deadline - m_now;
+        return QueueLimit::refusal(call, random);
+    }
+
+    /// Refuses a call; its caller comes back once.
+    void refuse(std::size_t number, const QueueRefusal& refusal)
+    {
+        Caller& caller = m_callers[number];
+        const Micros time_left =
+            caller.first_try + m_kinds[caller.kind].deadline - m_now;
         const TimePoint back =
-            m_now + std::min(refusal->retry_after, time_left / 3);
+            m_now + std::min(refusal.retry_after, time_left / 3);
         if (caller.repeated)
             caller.end = End::Refused;
         else
             m_returns.emplace(back, number);
         caller.repeated = true;
-        return false;
     }
 
     void come_back()
@@ -280,8 +440,9 @@
     {
         Caller& caller = m_callers[number];
         const PlayedKind& kind = m_kinds[caller.kind];
-        table_of(number).prompt_read({id}, kind.to_read);
+        table_of(number).prompt_read({id}, caller.to_read);
         caller.began = true;
+        caller.began_at = m_now;
         caller.end = m_now - caller.first_try <= kind.objective ? End::InTime
                                                                 : End::Late;
     }
@@ -289,7 +450,8 @@
     void finish(std::size_t number)
     {
         const Caller& caller = m_callers[number];
-        table_of(number).ran(caller.runner, m_kinds[caller.kind].resident,
+        table_of(number).succeeded({caller.runner});
+        table_of(number).ran(caller.runner, resident_of(caller),
                              m_now - caller.sent_at);
         give_back(number);
     }
@@ -297,17 +459,28 @@
     void give_back(std::size_t number)
     {
         Caller& caller = m_callers[number];
-        const PlayedKind& kind = m_kinds[caller.kind];
         if (!caller.began)
-            table_of(number).prompt_read({caller.runner}, kind.to_read);
-        table_of(number).ended({caller.runner}, kind.resident);
+            table_of(number).prompt_read({caller.runner}, caller.to_read);
+        table_of(number).ended({caller.runner}, resident_of(caller));
         caller.runner.clear();
     }
 
+    std::uint64_t resident_of(const Caller& caller) const
+    {
+        std::uint64_t resident = m_kinds[caller.kind].resident;
+        for (const EnginePart& part : caller.parts)
+            resident += static_cast<std::uint64_t>(part.tokens);
+        return resident;
+    }
+
     const std::vector<PlayedKind> m_kinds;
     const PlayedFleet m_fleet;
+    ModelStores m_stores;
+    /// Of each part of each kind.
+    std::vector<std::discrete_distribution<std::size_t>> m_part_draws;
     std::vector<RunnerTable> m_tables; ///< One for each instance.
-    std::vector<Loads> m_told;         ///< By each instance, at m_told_at.
+    std::vector<SegmentDemand> m_demands;
+    std::vector<Loads> m_told; ///< By each instance, at m_told_at.
     Loads m_told_sum;
     TimePoint m_told_at{};
     std::map<std::string, ModelEngine> m_engines;
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -118,12 +118,28 @@
 }
 
 /// Throws Error if the call has not been sent yet and would wait too long in
-/// the chosen runner's queue.
+/// the queue of the chosen runner, and of the one that would be chosen if none
+/// had parts of its prompt in memory.
 void
 ForwardRun::refuse_if_queue_too_long()
 {
     if (m_sends > 0 || !m_call.generation || !m_call.last_event.empty())
         return;
+    QueuedCall queued = queued_call();
+    const std::uint64_t random = random_bits();
+    auto refusal = QueueLimit::refusal(queued, random);
+    if (refusal && m_choice.ignore_segments() && m_choice.choose()) {
+        queued = queued_call();
+        refusal = QueueLimit::refusal(queued, random);
+    }
+    if (refusal)
+        refuse(queued, *refusal);
+}
+
+/// Returns the call as it would wait for the chosen runner.
+QueuedCall
+ForwardRun::queued_call()
+{
     QueuedCall queued;
     queued.expected_wait = m_choice.pick().wait;
     queued.objective = m_route.objective;
@@ -133,8 +149,7 @@
                                 m_route.objective, monotonic_now());
     });
     queued.account_above_share = m_choice.account_above_share();
-    if (const auto refusal = QueueLimit::refusal(queued, random_bits()))
-        refuse(queued, *refusal);
+    return queued;
 }
 
 void
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -108,6 +108,7 @@
 
     bool find_runner();
     void refuse_if_queue_too_long();
+    QueuedCall queued_call();
     [[noreturn]] void refuse(const QueuedCall& call,
                              const QueueRefusal& refusal);
     std::uint32_t priority() const;
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -22,6 +22,7 @@
 #include <crosslink/forward/retry_window.h>
 #include <crosslink/forward/runner_paths.h>
 #include <crosslink/forward/runner_table.h>
+#include <crosslink/forward/segment_demand.h>
 #include <crosslink/forward/service_map.h>
 #include <crosslink/forward/share_loans.h>
 #include <crosslink/forward/software_history.h>
@@ -155,6 +156,7 @@
     /// Shares of client accounts at model engines and runners with limits.
     Guarded<FairShareTracker> fair_shares;
     Guarded<UrgencyTracker> urgencies;
+    Guarded<SegmentDemand> segment_demand;
     Guarded<CrashHistory> crashes;
     Guarded<UnresolvedFailures> unresolved_failures;
     /// Wakes the thread that checks ports, if it runs.
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -6,6 +6,8 @@
 #include <adapters/clock.h>
 #include <adapters/random.h>
 
+#include <crosslink/forward/runner_price.h>
+
 #include <algorithm>
 
 namespace crosslink
@@ -283,6 +285,8 @@
 {
     query.tokens = m_call.generation->prompt_tokens;
     query.resident = m_call.generation->resident_tokens();
+    find_segments(query.now);
+    query.segments = m_segments;
     const auto map = m_state.map();
     const auto engine = map->engines.find(m_service);
     if (engine == map->engines.end())
@@ -294,6 +298,38 @@
     query.tokens -= std::min(query.tokens, query.kept.fetched_tokens);
 }
 
+/// Finds the shared segments of the prompt, with their demand, and counts the
+/// prompt once. A segment that is fetched saves as much as one that is
+/// prefilled: the fetch takes the link of its store from calls whose prompts
+/// are then prefilled.
+void
+RunnerChoice::find_segments(TimePoint now)
+{
+    if (m_segments_found)
+        return;
+    m_segments_found = true;
+    const auto parts = m_call.generation->shared_parts();
+    const std::uint64_t tokens = m_call.generation->prompt_tokens;
+    const std::string space = space_of(0).text();
+    for (const PromptPart& part : parts)
+        m_segment_ids.push_back(space + "/" + part.id);
+    m_state.segment_demand.with([&](SegmentDemand& demand) {
+        demand.called(m_service, tokens, now);
+        for (std::size_t i = 0; i < parts.size(); ++i)
+            m_segments.push_back(
+                {m_segment_ids[i], reading_time(parts[i].tokens),
+                 demand.contained(m_service, m_segment_ids[i], tokens, now)});
+    });
+}
+
+bool
+RunnerChoice::ignore_segments()
+{
+    const bool had_any = !m_segments.empty();
+    m_segments.clear();
+    return had_any;
+}
+
 KeptSpace
 RunnerChoice::space_of(std::uint64_t version) const
 {
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace crosslink
 {
@@ -66,6 +67,10 @@
     /// Allows all runners to be chosen again.
     void clear_excluded() { m_excluded.clear(); }
 
+    /// From now on chooses as if no runner had shared segments of the prompt in
+    /// its memory. Returns false if none was taken to have any.
+    bool ignore_segments();
+
     /// Returns the runner that was chosen last.
     const RunnerPick& pick() const { return m_pick; }
     /// Returns the service of the route that the call is sent to.
@@ -93,6 +98,7 @@
 private:
     RunnerQuery make_query();
     void add_prompt(RunnerQuery& query);
+    void find_segments(TimePoint now);
     void add_account(RunnerQuery& query);
     bool adopt(std::optional<RunnerPick> pick);
     bool counts_shares() const;
@@ -107,7 +113,10 @@
     const AccountSettings* m_account;
     std::string m_service;
     std::optional<std::string> m_software; ///< See require().
-    const std::string m_affinity; ///< Id of the prompt's last shared part.
+    const std::string m_affinity;  ///< Id of the prompt's last shared part.
+    bool m_segments_found = false; ///< See find_segments().
+    std::vector<std::string> m_segment_ids; ///< Those of m_segments.
+    std::vector<SharedSegment> m_segments;
     /// Zones whose runners may get the call; nothing for all.
     const std::optional<ZoneSet> m_zones_allowed;
     RunnerPick m_pick;
