Learn the prefill rate of a service, and report slow processes to others

Slowness was known only by an instance's own responses, so that each of 88 instances found out by calls of its own, and a stalled process got calls until the first ones timed out.

Change: PrefillRate learns a rate per service from first events of prompts that were prefilled in full, without a wait and without fetches; it is the upper quartile of a histogram that is summed exactly through the tree. The constant holds until 8 samples, and within 15% of it. AwaitedAnswers knows that a process stalls from calls that are overdue by a quarter of their objective while other processes of the service answer. SpeedReport carries both through the tree, at most 64 rows each, with their age; instances of an earlier version ignore the two new members. A report counts for fewer and fewer calls as it ages, so that a recovered process gets its part back bit by bit.

Result: unit tests pass (crosslink_core_test of prefill_rate, reported_slowness, response_speed, runner_table, queue_limit, runner_limit; crosslink_serve_test of speed_json, exchange_json). aged_load() takes the rate as a parameter: the test of it hands in the usual one, its bounds are unchanged. Played load now feeds responses to the tables, as instances do.

--- a/src/include/crosslink/forward/response_speed.h
+++ b/src/include/crosslink/forward/response_speed.h
@@ -27,6 +27,8 @@
     double ratio(TimePoint now) const;
     /// Returns the mean time that answers took; 0 if nothing is known.
     Micros mean_time(TimePoint now) const;
+    /// Returns when the last answer came.
+    TimePoint last() const { return m_at; }
 
 private:
     double m_ratio = 1;
--- a/src/include/crosslink/forward/runner_entry.h
+++ b/src/include/crosslink/forward/runner_entry.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/awaited_answers.h>
+#include <crosslink/forward/reported_slowness.h>
 #include <crosslink/forward/response_speed.h>
 #include <crosslink/forward/runner_notices.h>
 #include <crosslink/forward/runner_place.h>
@@ -104,8 +106,10 @@
     /// When it last refused or broke a connection; it may be restarting.
     std::optional<TimePoint> connection_failed_at;
     RunnerNotices notices;
-    ResponseSpeed speed; ///< By the answers to calls of this instance.
-    SendWindow sends;    ///< Calls sent by this instance.
+    ResponseSpeed speed;    ///< By the answers to calls of this instance.
+    AwaitedAnswers awaited; ///< By calls of this instance.
+    ReportedSlowness reported_slowness; ///< By other instances.
+    SendWindow sends;                   ///< Calls sent by this instance.
     /// Calls of this instance that are about to be sent or wait for their time.
     std::uint32_t reserved = 0;
     /// Set if it is no longer listed: it counts as gone from then on, unless it
--- a/src/include/crosslink/forward/runner_price.h
+++ b/src/include/crosslink/forward/runner_price.h
@@ -4,10 +4,12 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/prefill_rate.h>
 #include <crosslink/forward/runner_entry.h>
 #include <crosslink/forward/runner_query.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -30,6 +32,10 @@
 /// is cut off, its own runners answer late, and those that it can't reach do
 /// not answer at all.
 inline constexpr double max_slowness_ms = 50;
+/// Added for a process that has stalled while others of its service answer. In
+/// a zone that is cut off, its own runners answer late, but answer, and those
+/// of other zones count as stalled.
+inline constexpr double stalled_ms = 400;
 /// Added for runners of a zone in which one does not respond: a call that is
 /// sent there waits 400 ms for a connection, or seconds for an answer.
 inline constexpr double silent_zone_ms = 400;
@@ -50,15 +56,22 @@
     Micros others_age{0};
     /// How long a call holds its KV memory.
     Micros holding_time{0};
+    /// Prompt tokens that the service's engines prefill in a millisecond.
+    double prefill_rate = usual_prefill_rate;
 };
 
+/// Returns the prompt tokens that the runner `id` prefills in a millisecond.
+using PrefillRateOf = std::function<double(std::string_view id)>;
+
 /// Returns `load`, reported `age` ago, without the prompt tokens that have been
 /// prefilled since.
 std::map<std::string, RunnerLoad>
-aged_load(std::map<std::string, RunnerLoad> load, Micros age);
+aged_load(std::map<std::string, RunnerLoad> load, Micros age,
+          const PrefillRateOf& rate_of);
 
-/// Returns the time that a runner takes to prefill a prompt of `tokens`.
-Micros reading_time(std::uint64_t tokens);
+/// Returns the time that a runner takes to prefill a prompt of `tokens` at
+/// `rate` tokens per millisecond.
+Micros reading_time(std::uint64_t tokens, double rate = usual_prefill_rate);
 
 /// Returns the expected time until a runner starts on a call, as far as its
 /// load is known: until the prompts before it are prefilled, and until enough
@@ -74,6 +87,6 @@
 
 /// Returns the maximum random addition to a price, which keeps instances from
 /// all choosing the same runner.
-double jitter_ms(const RunnerQuery& query);
+double jitter_ms(const RunnerQuery& query, const FleetLoad& fleet);
 
 } // namespace crosslink
--- a/src/include/crosslink/forward/runner_query.h
+++ b/src/include/crosslink/forward/runner_query.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/prefill_rate.h>
 #include <crosslink/forward/runner_entry.h>
 
 #include <algorithm>
@@ -110,6 +111,8 @@
     /// and which passes it on; empty for this one's own.
     std::string share_holder{};
     Micros load_age{0}; ///< Of other instances' load, by which it was chosen.
+    /// Prompt tokens that engines of the service prefill in a millisecond.
+    double prefill_rate = usual_prefill_rate;
 
     bool is_borrowed() const { return !share_holder.empty(); }
     RunnerIncarnation incarnation() const { return {id, start_ms}; }
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -6,6 +6,7 @@
 #include <crosslink/base/time.h>
 #include <crosslink/forward/ended_processes.h>
 #include <crosslink/forward/holding_time.h>
+#include <crosslink/forward/prefill_rate.h>
 #include <crosslink/forward/runner_entry.h>
 #include <crosslink/forward/runner_index.h>
 #include <crosslink/forward/runner_query.h>
@@ -30,6 +31,7 @@
 class ShareLoans;
 struct FleetLoad;
 struct RateShare;
+struct SpeedReport;
 
 /// The runners of all services, and the choice among them.
 class RunnerTable
@@ -135,6 +137,33 @@
                   Micros taken, TimePoint now);
     /// Returns how much later a runner answers than the mean of its service.
     Micros slowness_of(const RunnerEntry& entry, TimePoint now) const;
+    /// Records a call sent at `now` whose first event, or answer, is expected
+    /// after `expected`, and may take `allowance` longer. Returns when it is
+    /// due; await_ended() must follow.
+    TimePoint await(const RunnerIncarnation& runner, Micros expected,
+                    Micros allowance, TimePoint now);
+    /// Records that a call for which await() returned `due` was answered, or
+    /// ended without an answer.
+    void await_ended(const RunnerIncarnation& runner, TimePoint due,
+                     bool is_answered, TimePoint now);
+    /// Returns for how long a process has been stalled, by the calls of this
+    /// instance; see AwaitedAnswers.
+    Micros stalled_for(const RunnerEntry& entry, TimePoint now) const;
+    /// Records the first event of a prompt; see PrefillRate::prefilled().
+    void prefilled(const RunnerIncarnation& runner, std::uint64_t tokens,
+                   Micros wait, Micros taken, TimePoint now);
+    /// Returns the prompt tokens that a typical engine of `service` prefills in
+    /// a millisecond.
+    double prefill_rate(std::string_view service, TimePoint now) const;
+    /// Returns `load`, reported `age` ago, without the prompt tokens that have
+    /// been prefilled since.
+    std::map<std::string, RunnerLoad>
+    aged_load(std::map<std::string, RunnerLoad> load, Micros age,
+              TimePoint now) const;
+    /// Returns what this instance knows of the speed of runners.
+    SpeedReport speed_report(TimePoint now);
+    /// Applies what all other instances know of it, as of `as_of`.
+    void apply_speed_report(const SpeedReport& report, TimePoint as_of);
     /// Records a refusal: no calls are sent to the runner for `hold`.
     void refused(const RunnerIncarnation& runner, TimePoint now, Micros hold);
     /// Records how many refusals a second a runner states that it bears; 0 if
@@ -272,6 +301,10 @@
     bool is_silent(std::string_view zone, TimePoint now) const;
     double slowness_ms(const RunnerEntry& entry,
                        const RunnerQuery& query) const;
+    TimePoint last_answer(std::string_view service) const;
+    void forget_prefill_rate(const ListedRunner& ended);
+    void report_slowness(const RunnerEntry& entry, SpeedReport& report,
+                         TimePoint now) const;
     bool is_home(const RunnerEntry& entry, const RunnerQuery& query) const;
     bool prefers_home(const RunnerQuery& query) const;
     std::size_t runners_of_own_zone(const RunnerQuery& query) const;
@@ -316,6 +349,9 @@
     std::map<std::string, HoldingTime, std::less<>> m_holding_times;
     /// Of all runners of a service.
     std::map<std::string, ResponseSpeed, std::less<>> m_speeds;
+    std::map<std::string, PrefillRate, std::less<>> m_prefill_rates;
+    /// Runners with a call that is awaited, or a recent answer.
+    RunnerIndex::Ids m_timed;
     TimePoint m_others_at{}; ///< Time of the others' latest load.
     bool m_others_known = false;
     std::string m_known_zone; ///< See set_remote_load().
--- /dev/null
+++ b/src/libcrosslink/forward/reported_slowness.cpp
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+#include <crosslink/forward/reported_slowness.h>
+
+#include <crosslink/forward/speed_report.h>
+
+namespace crosslink
+{
+
+void
+ReportedSlowness::apply(const SlownessRow& row, TimePoint as_of)
+{
+    const TimePoint at = as_of - row.mean_age();
+    if (row.reports == 0 || at <= m_at)
+        return;
+    m_late = row.mean_late();
+    m_is_stalled = row.stalled >= min_stall_reports;
+    m_at = at;
+}
+
+bool
+ReportedSlowness::counts(std::uint64_t draw, TimePoint now) const
+{
+    if (m_at == TimePoint{} || now - m_at >= lifetime)
+        return false;
+    constexpr std::uint64_t steps = 1024;
+    const double left = 1 - seconds(now - m_at) / seconds(lifetime);
+    return static_cast<double>(draw % steps) < left * steps;
+}
+
+} // namespace crosslink
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -193,16 +193,6 @@
     return std::max(query.home_instances, needed);
 }
 
-/// Returns the price of a runner's slowness.
-double
-RunnerTable::slowness_ms(const RunnerEntry& entry,
-                         const RunnerQuery& query) const
-{
-    constexpr double millis_per_second = 1000;
-    return std::min(seconds(slowness_of(entry, query.now)) * millis_per_second,
-                    max_slowness_ms);
-}
-
 const RunnerEntry*
 RunnerTable::cheapest(const Candidates& candidates, const RunnerQuery& query,
                       const FleetLoad& fleet) const
@@ -214,7 +204,7 @@
     // addition makes each of them skip it now and then.
     std::minstd_rand generator(
         static_cast<std::minstd_rand::result_type>(query.random));
-    std::uniform_real_distribution<double> extra(0, jitter_ms(query));
+    std::uniform_real_distribution<double> extra(0, jitter_ms(query, fleet));
     // An instance that has just joined has no home runner yet.
     const bool has_home =
         prefers_home(query) && std::any_of(candidates.begin(), candidates.end(),
@@ -409,7 +399,8 @@
             entry.listed.service,
             bearable_refusals(entry.listed.service),
             {},
-            fleet.others_age};
+            fleet.others_age,
+            fleet.prefill_rate};
 }
 
 /// Returns what is known of the load of all runners of the service.
@@ -423,6 +414,7 @@
     fleet.others_age = std::max(
         std::chrono::duration_cast<Micros>(query.now - m_others_at), Micros{0});
     fleet.holding_time = holding_time(query.service);
+    fleet.prefill_rate = prefill_rate(query.service, query.now);
     return fleet;
 }
 
--- a/src/libcrosslink/forward/runner_price.cpp
+++ b/src/libcrosslink/forward/runner_price.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Prompt tokens that a runner prefills in a millisecond; current engines
-/// prefill 40 to 60.
-constexpr double prefill_tokens_per_ms = 50;
 /// Added for a runner with as many calls as it has slots.
 constexpr double full_slots_ms = 100;
 /// Number of zones. Each instance sends mostly to the runners of its own zone,
@@ -76,10 +73,9 @@
 /// instances and 256 runners, 0.76 began in time without this and 0.95 with it
 /// (simulated load, queue_limit_test).
 double
-prefilled_since_report(const RunnerLoad& others, Micros age)
+prefilled_since_report(const RunnerLoad& others, Micros age, double rate)
 {
-    return std::min(static_cast<double>(others.tokens),
-                    to_millis(age) * prefill_tokens_per_ms);
+    return std::min(static_cast<double>(others.tokens), to_millis(age) * rate);
 }
 
 KnownLoad
@@ -98,7 +94,8 @@
     }
     known.add(entry.own, 1);
     known.add(entry.others, 1);
-    known.tokens -= prefilled_since_report(entry.others, fleet.others_age);
+    known.tokens -= prefilled_since_report(entry.others, fleet.others_age,
+                                           fleet.prefill_rate);
     // Instances that see the same runner as the best one have sent as much as
     // this one since the others reported their load.
     const double choosers = std::min<double>(alike, max_choosers);
@@ -125,25 +122,26 @@
 double
 wait_ms(const KnownLoad& load, const RunnerQuery& query, const FleetLoad& fleet)
 {
-    return load.tokens / prefill_tokens_per_ms +
+    return load.tokens / fleet.prefill_rate +
            memory_wait_ms(load, query, fleet.holding_time);
 }
 
 } // namespace
 
 std::map<std::string, RunnerLoad>
-aged_load(std::map<std::string, RunnerLoad> load, Micros age)
+aged_load(std::map<std::string, RunnerLoad> load, Micros age,
+          const PrefillRateOf& rate_of)
 {
     for (auto& [runner, item] : load)
-        item.tokens -=
-            static_cast<std::uint64_t>(prefilled_since_report(item, age));
+        item.tokens -= static_cast<std::uint64_t>(
+            prefilled_since_report(item, age, rate_of(runner)));
     return load;
 }
 
 Micros
-reading_time(std::uint64_t tokens)
+reading_time(std::uint64_t tokens, double rate)
 {
-    return from_millis(static_cast<double>(tokens) / prefill_tokens_per_ms);
+    return from_millis(static_cast<double>(tokens) / rate);
 }
 
 Micros
@@ -173,9 +171,11 @@
 }
 
 double
-jitter_ms(const RunnerQuery& query)
+jitter_ms(const RunnerQuery& query, const FleetLoad& fleet)
 {
-    return jitter_part * to_millis(reading_time(query.tokens)) + tie_ms;
+    return jitter_part *
+               to_millis(reading_time(query.tokens, fleet.prefill_rate)) +
+           tie_ms;
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_table.cpp
+++ b/src/libcrosslink/forward/runner_table.cpp
@@ -79,6 +79,7 @@
     m_unlisted.keep(entry->second.incarnation(), entry->second.notices);
     m_ended.add(entry->second.incarnation());
     m_index.remove(entry->first);
+    forget_prefill_rate(entry->second.listed);
     uncount_software(entry->second.listed);
     m_entries.erase(entry);
 }
@@ -182,6 +183,7 @@
     if (starts_anew) {
         // Recent sends also count for the new process.
         const SendWindow sends = entry.sends;
+        forget_prefill_rate(entry.listed);
         entry = {};
         entry.sends = sends;
         m_index.busy.erase(listed.id);
--- a/src/libcrosslink/forward/runner_table_load.cpp
+++ b/src/libcrosslink/forward/runner_table_load.cpp
@@ -128,26 +128,6 @@
         --entry->lent;
 }
 
-void
-RunnerTable::answered(const RunnerIncarnation& runner, Micros expected,
-                      Micros taken, TimePoint now)
-{
-    RunnerEntry* entry = find(runner);
-    if (!entry)
-        return;
-    entry->speed.answered(expected, taken, now);
-    m_speeds[entry->listed.service].answered(expected, taken, now);
-}
-
-Micros
-RunnerTable::slowness_of(const RunnerEntry& entry, TimePoint now) const
-{
-    const auto service = m_speeds.find(entry.listed.service);
-    return service == m_speeds.end()
-               ? Micros{0}
-               : slowness(entry.speed, service->second, now);
-}
-
 void
 RunnerTable::ran(std::string_view id, std::uint64_t resident, Micros span)
 {
--- a/src/libcrosslink/forward/runner_table_test.cpp
+++ b/src/libcrosslink/forward/runner_table_test.cpp
@@ -124,12 +124,13 @@
 {
     const std::map<std::string, RunnerLoad> told{{"r", {2, 9000, 20'000}},
                                                  {"s", {1, 1000, 3000}}};
-    const auto aged = aged_load(told, std::chrono::milliseconds(100));
+    const auto usual = [](std::string_view) { return usual_prefill_rate; };
+    const auto aged = aged_load(told, std::chrono::milliseconds(100), usual);
     CHECK(aged.at("r").tokens == 4000);
     CHECK(aged.at("r").calls == 2);
     CHECK(aged.at("r").resident == 20'000);
     CHECK(aged.at("s").tokens == 0);
-    CHECK(aged_load(told, Micros{0}).at("r").tokens == 9000);
+    CHECK(aged_load(told, Micros{0}, usual).at("r").tokens == 9000);
 }
 
 TEST_CASE("memory held by calls of other instances counts as well")
--- a/src/libcrosslink/testing/model_engine.h
+++ b/src/libcrosslink/testing/model_engine.h
@@ -34,6 +34,9 @@
     {
     }
 
+    /// Divides all times by `factor` from now on; 0 stalls the engine.
+    void set_factor(double factor) { m_factor = factor; }
+
     void take(const EngineWork& work)
     {
         const auto later = std::find_if(
@@ -59,11 +62,12 @@
               std::vector<std::uint64_t>& ended)
     {
         admit();
-        const bool reads = read(span * m_speed, begun);
+        const double speed = m_speed * m_factor;
+        const bool reads = read(span * speed, begun);
         const double step_ms = reads ? reading_step_ms : plain_step_ms;
         for (EngineWork& work : m_running)
             if (work.to_read <= 0)
-                work.to_make -= span * m_speed / step_ms;
+                work.to_make -= span * speed / step_ms;
         std::erase_if(m_running, [&ended](const EngineWork& work) {
             const bool over = work.to_read <= 0 && work.to_make <= 0;
             if (over)
@@ -109,6 +113,7 @@
 
     const double m_speed;
     const double m_memory;
+    double m_factor = 1;
     std::list<EngineWork> m_waiting; ///< By priority, then as they came.
     std::list<EngineWork> m_running;
 };
--- a/src/libcrosslink/testing/played_load.h
+++ b/src/libcrosslink/testing/played_load.h
@@ -7,7 +7,9 @@
 
 #include <crosslink/forward/load_aggregator.h>
 #include <crosslink/forward/queue_limit.h>
+#include <crosslink/forward/runner_price.h>
 #include <crosslink/forward/runner_table.h>
+#include <crosslink/forward/speed_report.h>
 
 #include <cstdint>
 #include <functional>
@@ -44,6 +46,24 @@
     }
 };
 
+/// A time during which some of the engines are slower, or stalled.
+struct PlayedSlowness {
+    double from = 0; ///< In seconds.
+    double until = 0;
+    std::size_t each = 0; ///< Each n-th engine; 0 for none.
+    double factor = 1;    ///< Of its speed; 0 if it stalls.
+
+    bool concerns(std::size_t engine) const
+    {
+        return each > 0 && engine % each == 1;
+    }
+};
+
+/// Chooses a runner in place of RunnerTable::choose(), which chose `pick`.
+using PlayedPolicy = std::function<std::string(const RunnerTable& table,
+                                               const RunnerQuery& query,
+                                               const RunnerPick& pick)>;
+
 /// The fleet that is played.
 struct PlayedFleet {
     std::size_t engines = 9;
@@ -54,6 +74,10 @@
     double speed = 1;              ///< Of all engines.
     std::uint32_t memory = 70'000; ///< Of an engine, in tokens.
     std::size_t zones = 1; ///< Over which engines and instances are spread.
+    std::size_t home_instances = 0; ///< See RunnerQuery.
+    double lost_reports = 0;        ///< Part of the load reports that is lost.
+    PlayedSlowness slowness;
+    PlayedPolicy policy; ///< Empty for the one of RunnerTable.
 };
 
 /// Modelled engines behind the choice and the limit of some instances, played
@@ -66,6 +90,10 @@
     PlayedLoad(std::vector<PlayedKind> kinds, const PlayedFleet& fleet)
         : m_kinds(std::move(kinds)), m_fleet(fleet), m_tables(fleet.instances)
     {
+        for (std::size_t i = 0; i < fleet.instances; ++i)
+            for (RunnerTable& table : m_tables)
+                table.members().listed({name_of(i), "", zone_of(i), 0},
+                                       TimePoint(-std::chrono::minutes(1)));
         for (std::size_t i = 0; i < fleet.engines; ++i)
             add_engine("r" + std::to_string(i), zone_of(i),
                        fleet.speed * (i % 3 == 2 ? fleet.slow_speed : 1));
@@ -76,6 +104,7 @@
     {
         for (int ms = 0; ms < seconds * 1000; ms += step_ms) {
             m_now = TimePoint(std::chrono::milliseconds(ms));
+            set_slowness(ms / 1000.0);
             if (m_fleet.instances > 1 && ms % m_fleet.told_ms == 0)
                 tell_load();
             arrive(load(ms / 1000.0));
@@ -105,6 +134,23 @@
         return sum;
     }
 
+    /// Returns which part of the calls sent from second `from` until second
+    /// `to` went to the engines that are slow for a time.
+    double part_of_slow(double from, double to) const
+    {
+        int all = 0;
+        int slow = 0;
+        for (const Caller& caller : m_callers) {
+            const double sent =
+                crosslink::seconds(caller.sent_at - TimePoint{});
+            if (caller.sent_to.empty() || sent < from || sent >= to)
+                continue;
+            ++all;
+            slow += is_slow(caller.sent_to) ? 1 : 0;
+        }
+        return static_cast<double>(slow) / std::max(all, 1);
+    }
+
 private:
     enum class End { Open, InTime, Late, Refused, Failed };
     struct Caller {
@@ -115,12 +161,35 @@
         End end = End::Open;
         bool repeated = false;
         bool began = false;
+        std::string sent_to{}; ///< The last runner.
+        Micros expected{0};
+        Micros wait{0};
+        TimePoint due{};
     };
 
     using Loads = std::map<std::string, RunnerLoad>;
 
     static constexpr int step_ms = 5;
 
+    static std::string name_of(std::size_t instance)
+    {
+        return "i" + std::to_string(instance);
+    }
+
+    bool is_slow(const std::string& engine) const
+    {
+        return m_fleet.slowness.concerns(std::stoul(engine.substr(1)));
+    }
+
+    void set_slowness(double second)
+    {
+        const PlayedSlowness& slowness = m_fleet.slowness;
+        const bool now = second >= slowness.from && second < slowness.until;
+        for (auto& [id, engine] : m_engines)
+            if (is_slow(id))
+                engine.set_factor(now ? slowness.factor : 1);
+    }
+
     std::string zone_of(std::size_t number) const
     {
         return "zone-" + std::to_string(number % m_fleet.zones);
@@ -143,13 +212,21 @@
     /// Tells each instance what all others told the last time.
     void tell_load()
     {
-        for (std::size_t i = 0; i < m_told.size(); ++i)
+        std::bernoulli_distribution is_lost(m_fleet.lost_reports);
+        for (std::size_t i = 0; i < m_told.size(); ++i) {
+            if (is_lost(m_random))
+                continue;
             m_tables[i].set_remote_load(without(m_told_sum, m_told[i]),
                                         m_told_at);
+            m_tables[i].apply_speed_report(
+                m_speeds.others(name_of(i), m_told_at), m_told_at);
+        }
         m_told.clear();
         m_told_sum.clear();
         m_told_at = m_now;
-        for (const RunnerTable& table : m_tables) {
+        for (RunnerTable& table : m_tables) {
+            m_speeds.record_report(name_of(m_told.size()),
+                                   table.speed_report(m_now), m_now);
             m_told.push_back(table.own_load());
             add_load(m_told_sum, m_told.back());
         }
@@ -201,11 +278,23 @@
         query.random = m_random();
         query.now = m_now;
         query.instances = m_fleet.instances;
-        const auto pick = table_of(number).choose(query);
+        const std::string name = name_of(number % m_tables.size());
+        query.instance = name;
+        query.home_instances = m_fleet.home_instances;
+        auto pick = table_of(number).choose(query);
+        if (m_fleet.policy)
+            replace(*pick, query, number);
         if (m_fleet.limited && !is_taken(caller, pick->wait, number))
             return;
         caller.runner = pick->id;
+        caller.sent_to = pick->id;
         caller.sent_at = m_now;
+        caller.wait = pick->wait;
+        caller.expected =
+            pick->wait + reading_time(kind.to_read, pick->prefill_rate);
+        caller.due = table_of(number).await(
+            pick->incarnation(), caller.expected,
+            answer_allowance(kind.objective, false), m_now);
         table_of(number).sent(pick->incarnation(), kind.to_read, kind.resident,
                               m_now);
         m_engines.at(pick->id).take({number, kind.priority,
@@ -214,6 +303,19 @@
                                      static_cast<double>(kind.to_make)});
     }
 
+    /// Replaces `pick` by the runner that the policy of the fleet chooses.
+    void replace(RunnerPick& pick, const RunnerQuery& query, std::size_t number)
+    {
+        RunnerTable& table = table_of(number);
+        pick.id = m_fleet.policy(table, query, pick);
+        FleetLoad fleet;
+        fleet.others_known = true;
+        fleet.others_age = pick.load_age;
+        fleet.holding_time = std::chrono::seconds(1);
+        fleet.prefill_rate = pick.prefill_rate;
+        pick.wait = expected_wait(*table.entry(pick.id), query, fleet);
+    }
+
     /// Returns whether the limit lets a call through; else its caller comes
     /// back once.
     bool is_taken(Caller& caller, Micros wait, std::size_t number)
@@ -280,7 +382,12 @@
     {
         Caller& caller = m_callers[number];
         const PlayedKind& kind = m_kinds[caller.kind];
-        table_of(number).prompt_read({id}, kind.to_read);
+        RunnerTable& table = table_of(number);
+        const Micros taken = m_now - caller.sent_at;
+        table.prompt_read({id}, kind.to_read);
+        table.await_ended({id}, caller.due, true, m_now);
+        table.answered({id}, caller.expected, taken, m_now);
+        table.prefilled({id}, kind.to_read, caller.wait, taken, m_now);
         caller.began = true;
         caller.end = m_now - caller.first_try <= kind.objective ? End::InTime
                                                                 : End::Late;
@@ -298,8 +405,11 @@
     {
         Caller& caller = m_callers[number];
         const PlayedKind& kind = m_kinds[caller.kind];
-        if (!caller.began)
+        if (!caller.began) {
             table_of(number).prompt_read({caller.runner}, kind.to_read);
+            table_of(number).await_ended({caller.runner}, caller.due, false,
+                                         m_now);
+        }
         table_of(number).ended({caller.runner}, kind.resident);
         caller.runner.clear();
     }
@@ -310,6 +420,7 @@
     std::vector<Loads> m_told;         ///< By each instance, at m_told_at.
     Loads m_told_sum;
     TimePoint m_told_at{};
+    SpeedAggregator m_speeds;
     std::map<std::string, ModelEngine> m_engines;
     std::vector<Caller> m_callers;
     std::multimap<TimePoint, std::size_t> m_returns;
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -373,6 +373,10 @@
         usage.record_report(request.instance, request.usage, now);
         return usage.others(request.instance, now);
     });
+    response.speed = m_speeds.with([&](SpeedAggregator& speeds) {
+        speeds.record_report(request.instance, request.speed, now);
+        return speeds.others(request.instance, now);
+    });
     m_state.merge_peer_report(request.weights, now);
     response.weights = m_state.weights_ages(now);
     response.platform_reached = m_state.reaches_platform();
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -110,6 +110,7 @@
     std::uint64_t m_seen_map = 0; ///< Version of the configuration.
     Guarded<LoadAggregator> m_loads;
     Guarded<UsageAggregator> m_usage;
+    Guarded<SpeedAggregator> m_speeds;
     WeightsDuty m_weights;
     RolloutDuty m_rollouts;
     BlockDuty m_blocks;
--- a/src/serve/fleet/exchange.h
+++ b/src/serve/fleet/exchange.h
@@ -7,6 +7,7 @@
 #include <crosslink/forward/advertised_limit.h>
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/runner_table.h>
+#include <crosslink/forward/speed_report.h>
 #include <crosslink/kept/fetch_delay_tracker.h>
 #include <crosslink/kept/kept_replica.h>
 #include <crosslink/membership/change_page.h>
@@ -45,6 +46,7 @@
     std::map<std::string, RunnerLoad> load;
     /// What accounts got of services, here and at those that ask it.
     AccountUsages usage;
+    SpeedReport speed; ///< Of runners, seen here and by those that ask it.
     std::uint64_t kept_term = 0; ///< Position of its copy of the directory.
     std::uint64_t kept_place = 0;
     std::vector<WeightsAge> weights;
@@ -84,6 +86,7 @@
     /// Load of all other instances.
     std::map<std::string, RunnerLoad> others;
     AccountUsages usage; ///< What accounts got at all other instances.
+    SpeedReport speed;   ///< Of runners, seen by all other instances.
     /// `others` has only the runners of the zone of the request, since more
     /// are busy than an exchange holds.
     bool own_zone_only = false;
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -69,6 +69,7 @@
     if (m_state.is_parent()) {
         request.load = m_handler.subtree_load(now);
         request.usage = m_handler.subtree_usage(now);
+        request.speed = m_handler.subtree_speed(now);
     } else {
         request.load = m_state.runners.with(
             [](RunnerTable& table) { return table.own_load(); });
@@ -76,6 +77,8 @@
             m_state.fair_shares.with([now](const FairShareTracker& shares) {
                 return shares.report(now);
             });
+        request.speed = m_state.runners.with(
+            [now](RunnerTable& table) { return table.speed_report(now); });
     }
     std::tie(request.kept_term, request.kept_place) = m_state.kept.with(
         [](KeptReplica& replica) { return replica.position(); });
@@ -153,6 +156,7 @@
         table.set_remote_load(
             response.others, asked - response.load_age - pause(),
             response.own_zone_only ? m_state.settings.zone : std::string());
+        table.apply_speed_report(response.speed, asked - response.load_age);
         for (const std::string& runner : response.loading)
             table.loads(runner, now, loading_hold);
     });
--- a/src/serve/fleet/exchange_handler.cpp
+++ b/src/serve/fleet/exchange_handler.cpp
@@ -6,7 +6,6 @@
 #include <adapters/clock.h>
 
 #include <crosslink/base/error.h>
-#include <crosslink/forward/runner_price.h>
 
 namespace crosslink
 {
@@ -117,6 +116,28 @@
     });
 }
 
+SpeedReport
+ExchangeHandler::subtree_speed(TimePoint now)
+{
+    const SpeedReport own = m_state.runners.with(
+        [now](RunnerTable& table) { return table.speed_report(now); });
+    return m_child_speeds.with([&](SpeedAggregator& speeds) {
+        speeds.record_report(m_state.settings.name, own, now);
+        return speeds.others({}, now);
+    });
+}
+
+/// Records the speeds in `request`, and returns those of all others that ask
+/// this instance, with its own of the last subtree_speed().
+SpeedReport
+ExchangeHandler::exchange_speed(const ExchangeRequest& request, TimePoint now)
+{
+    return m_child_speeds.with([&](SpeedAggregator& speeds) {
+        speeds.record_report(request.instance, request.speed, now);
+        return speeds.others(request.instance, now);
+    });
+}
+
 void
 ExchangeHandler::store_parent_response(const ExchangeResponse& response,
                                        TimePoint asked)
@@ -155,11 +176,19 @@
     ExchangeResponse response;
     response.others = children;
     response.usage = exchange_usage(request, now);
+    response.speed = exchange_speed(request, now);
     response.age = now - stored.sent_at;
     if (response.age <= load_holds) {
         add_load(response.others,
-                 aged_load(stored.response.others, response.age));
+                 m_state.runners.with([&](const RunnerTable& table) {
+                     return table.aged_load(stored.response.others,
+                                            response.age, now);
+                 }));
         add_load(response.usage, stored.response.usage);
+        SpeedReport speed = stored.response.speed;
+        speed.age_by(response.age);
+        response.speed.add(speed);
+        response.speed.limit();
         response.own_zone_only = stored.response.own_zone_only;
         response.loading = stored.response.loading;
         response.loaded = stored.response.loaded;
--- a/src/serve/fleet/exchange_handler.h
+++ b/src/serve/fleet/exchange_handler.h
@@ -40,6 +40,8 @@
     std::map<std::string, RunnerLoad> subtree_load(TimePoint now);
     /// As subtree_load(), for what accounts got of services.
     AccountUsages subtree_usage(TimePoint now);
+    /// As subtree_load(), for the speed of runners.
+    SpeedReport subtree_speed(TimePoint now);
     /// Stores the parent's response to a request that was sent at `asked`.
     void store_parent_response(const ExchangeResponse& response,
                                TimePoint asked);
@@ -57,6 +59,7 @@
     void require_admission(const ExchangeRequest& request, TimePoint now);
     void limit_load(ExchangeResponse& response, std::string_view zone);
     AccountUsages exchange_usage(const ExchangeRequest& request, TimePoint now);
+    SpeedReport exchange_speed(const ExchangeRequest& request, TimePoint now);
     ExchangeResponse forward_parent_response(const ExchangeRequest& request,
                                              TimePoint now);
 
@@ -66,6 +69,7 @@
     Guarded<ChildAdmission> m_admission;
     Guarded<LoadAggregator> m_children;
     Guarded<UsageAggregator> m_child_usage;
+    Guarded<SpeedAggregator> m_child_speeds;
     Guarded<ParentResponse> m_parent_response;
 };
 
--- a/src/serve/fleet/exchange_json.cpp
+++ b/src/serve/fleet/exchange_json.cpp
@@ -4,6 +4,7 @@
 #include "exchange_json.h"
 
 #include "fleet_json.h"
+#include "speed_json.h"
 
 #include <crosslink/base/error.h>
 
@@ -357,6 +358,7 @@
     value["zone"] = request.zone;
     value["load"] = load_to_json(request.load);
     value["usage"] = usage_to_json(request.usage);
+    add_speed_json(request.speed, value);
     value["kept_term"] = Json::UInt64(request.kept_term);
     value["kept_place"] = Json::UInt64(request.kept_place);
     value["weights"] = json_list(request.weights, weights_age_to_json);
@@ -378,6 +380,7 @@
     request.zone = json_string(value, "zone");
     request.load = load_from_json(value["load"]);
     request.usage = usage_from_json(value["usage"]);
+    request.speed = speed_from_json(value);
     request.kept_term = json_uint64(value, "kept_term");
     request.kept_place = json_uint64(value, "kept_place");
     request.weights = list_from_json(value["weights"], weights_age_from_json);
@@ -397,6 +400,7 @@
     Json::Value value;
     value["others"] = load_to_json(response.others);
     value["usage"] = usage_to_json(response.usage);
+    add_speed_json(response.speed, value);
     value["own_zone_only"] = response.own_zone_only;
     value["loading"] = json_strings(response.loading);
     value["loaded"] = json_list(response.loaded, runner_weights_to_json);
@@ -422,6 +426,7 @@
     ExchangeResponse response;
     response.others = load_from_json(value["others"]);
     response.usage = usage_from_json(value["usage"]);
+    response.speed = speed_from_json(value);
     response.own_zone_only = json_bool(value, "own_zone_only");
     response.loading = strings_from_json(value["loading"]);
     response.loaded = list_from_json(value["loaded"], runner_weights_from_json);
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -160,6 +160,25 @@
                        });
 }
 
+bool
+CallPrompt::fetches() const
+{
+    return std::any_of(m_places.begin(), m_places.end(),
+                       [](const KeptPlace& place) {
+                           return place.kind == KeptPlace::Kind::Fetch;
+                       });
+}
+
+bool
+CallPrompt::measures_prefill() const
+{
+    return m_tokens_to_read > 0 &&
+           std::all_of(m_places.begin(), m_places.end(),
+                       [](const KeptPlace& place) {
+                           return place.kind == KeptPlace::Kind::Save;
+                       });
+}
+
 const std::string&
 CallPrompt::store_of_largest() const
 {
@@ -173,10 +192,10 @@
 }
 
 void
-CallPrompt::note_sent(TimePoint now, Micros runner_wait)
+CallPrompt::note_sent(TimePoint now, Micros runner_wait, double rate)
 {
     m_is_read = false;
-    m_expected = now + runner_wait + reading_time(m_tokens_to_read);
+    m_expected = now + runner_wait + reading_time(m_tokens_to_read, rate);
     m_measured.reset();
     // The time to the first event measures a store only if the runner reads
     // none of the shared parts.
--- a/src/serve/forward/call_prompt.h
+++ b/src/serve/forward/call_prompt.h
@@ -46,7 +46,8 @@
                       Micros time_left, SendOptions& options);
     /// Records that the call is sent at `now` to a runner that is expected to
     /// start on it after `runner_wait`.
-    void note_sent(TimePoint now, Micros runner_wait);
+    /// Engines of its service prefill `rate` tokens in a millisecond.
+    void note_sent(TimePoint now, Micros runner_wait, double rate);
     /// Records the first event of the answer: the prompt has been read.
     void note_first_event();
     /// Records that the call ended at this runner, with or without an event.
@@ -59,6 +60,12 @@
     std::uint64_t tokens_to_read() const { return m_tokens_to_read; }
     /// True once the first event has arrived.
     bool is_read() const { return m_is_read; }
+    /// Returns whether the runner fetches any part.
+    bool fetches() const;
+    /// Returns whether the time to the first event shows how fast the runner
+    /// prefills: it fetches nothing, and all shared parts are new to the fleet.
+    /// Others may be in the runner's memory already.
+    bool measures_prefill() const;
     /// Returns one letter for each shared part, for the log: `f` for fetched,
     /// `s` for read and saved. A part that is only read has the reason: `b`
     /// another call is saving it, `g` it is about to be freed, `a` its store
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -263,6 +263,9 @@
     // did not state.
     if (promises_not_run(head.status))
         return Outcome::Broken;
+    // The events of a stream may come much later than its head.
+    if (!head.event_stream)
+        end_awaiting(true);
     const bool success = is_success(head.status);
     if (success && (!head.has_signature || head.encoded))
         return Outcome::Broken;
@@ -281,6 +284,7 @@
         table.prompt_read(m_choice.pick().incarnation(),
                           m_prompt.tokens_to_read());
     });
+    end_awaiting(true);
     note_response_time();
 }
 
@@ -293,9 +297,42 @@
         table.answered(m_choice.pick().incarnation(),
                        m_prompt.expected_at() - m_sent_at, now - m_sent_at,
                        now);
+        if (m_prompt.measures_prefill() && !m_link.relay)
+            table.prefilled(m_choice.pick().incarnation(),
+                            m_prompt.tokens_to_read(), m_choice.pick().wait,
+                            now - m_sent_at, now);
     });
 }
 
+/// Records when the answer is due. A relay may be late itself, which says
+/// nothing of the runner.
+void
+ForwardRun::await_answer_until_due()
+{
+    m_answer_due.reset();
+    if (m_link.relay || m_route.objective == Micros{0})
+        return;
+    const Micros allowance =
+        answer_allowance(m_route.objective, m_prompt.fetches());
+    m_answer_due = m_state.runners.with([&](RunnerTable& table) {
+        return table.await(m_choice.pick().incarnation(),
+                           m_prompt.expected_at() - m_sent_at, allowance,
+                           m_sent_at);
+    });
+}
+
+void
+ForwardRun::end_awaiting(bool is_answered)
+{
+    if (!m_answer_due)
+        return;
+    m_state.runners.with([&](RunnerTable& table) {
+        table.await_ended(m_choice.pick().incarnation(), *m_answer_due,
+                          is_answered, monotonic_now());
+    });
+    m_answer_due.reset();
+}
+
 ForwardRun::Outcome
 ForwardRun::relay_whole(CallerLink& link, const AnswerHead& head)
 {
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -260,7 +260,9 @@
     m_sent_at = monotonic_now();
     m_answered_failure = false;
     m_choice.sent(m_prompt.tokens_to_read(), resident_tokens(), m_sent_at);
-    m_prompt.note_sent(m_sent_at, m_choice.pick().wait);
+    m_prompt.note_sent(m_sent_at, m_choice.pick().wait,
+                       m_choice.pick().prefill_rate);
+    await_answer_until_due();
     m_crashes.record_send();
     ++m_sends;
     m_resumption.sent(m_choice.service(), m_choice.pick().software, m_sends);
@@ -283,6 +285,8 @@
             .field("newest", m_choice.newest_weights());
     m_link.connection.reset();
     m_prompt.note_ended();
+    end_awaiting(outcome == Outcome::Done || outcome == Outcome::NotRun ||
+                 outcome == Outcome::Misdirected || outcome == Outcome::Failed);
     m_choice.ended(resident_tokens());
     m_state.runners.with([this, outcome](RunnerTable& table) {
         if (!m_prompt.is_read())
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -149,6 +149,8 @@
                      const std::string& events);
     void note_first_event();
     void note_response_time();
+    void await_answer_until_due();
+    void end_awaiting(bool is_answered);
     void keep_connection(const AnswerHead& head);
     void end_without_answer(CallerLink& link, Outcome outcome);
     void end_blocked(CallerLink& link);
@@ -174,6 +176,8 @@
     /// Of the current runner; nothing before the first send to it.
     std::optional<SendOptions> m_options;
     TimePoint m_sent_at{}; ///< Time of the last send.
+    /// See RunnerTable::await(); nothing once it is known how that ended.
+    std::optional<TimePoint> m_answer_due;
     /// When the runner's silence leads to a look at this instance's path;
     /// nothing once it has answered.
     std::optional<TimePoint> m_path_check_at;
