--- a/src/libcrosslink/testing/model_engine.h
+++ b/src/libcrosslink/testing/model_engine.h
@@ -40,6 +40,9 @@
     {
     }
 
+    /// Divides all times by `factor` from now on; 0 stalls the engine.
+    void set_factor(double factor) { m_factor = factor; }
+
     void take(const EngineWork& work)
     {
         const auto later = std::find_if(
@@ -70,11 +73,12 @@
     {
         m_now_ms += span;
         admit();
-        const bool reads = read(span * m_speed, begun);
+        const double speed = m_speed * m_factor;
+        const bool reads = read(span * speed, begun);
         const double step_ms = reads ? reading_step_ms : plain_step_ms;
         for (EngineWork& work : m_running)
             if (has_begun(work))
-                work.to_make -= span * m_speed / step_ms;
+                work.to_make -= span * speed / step_ms;
         std::erase_if(m_running, [this, &ended](const EngineWork& work) {
             const bool over = has_begun(work) && work.to_make <= 0;
             if (over) {
@@ -178,6 +182,7 @@
     ModelStores* const m_stores; ///< Null if no call has shared parts.
     PrefixCache m_cache;
     double m_now_ms = 0;
+    double m_factor = 1;
     std::list<EngineWork> m_waiting; ///< By priority, then as they came.
     std::list<EngineWork> m_running;
 };
