Pool the evidence of slow processes over instances

Cause: an instance with few calls per process could not tell which one is slow: with 88 instances before 3 runners, no row was reported at all, since each compared a process to a service mean of its own one or two answers. Calls that their callers gave up on a stalled process were forgotten after one second, so that all instances tried it again at the same time.

Change: rows carry recent answers and the sum of their ratios, which add up exactly, and the same is reported per service. A report is compared to the mean of all answers; it weighs little until a few are known. Evidence of a stall fades over 3 s and is applied to fewer and fewer calls.

--- a/src/include/crosslink/forward/awaited_answers.h
+++ b/src/include/crosslink/forward/awaited_answers.h
@@ -15,8 +15,9 @@
 class AwaitedAnswers
 {
 public:
-    /// Time for which a call that ended without an answer counts as evidence.
-    static constexpr Micros evidence_lifetime = std::chrono::seconds(1);
+    /// Time for which a call that ended without an answer counts as evidence,
+    /// less and less.
+    static constexpr Micros evidence_lifetime = std::chrono::seconds(3);
 
     /// Records a call that should have its first event by `due`.
     void sent(TimePoint due) { m_due.insert(due); }
@@ -29,6 +30,11 @@
     /// answered since, the last one at `service_answered`. 0 if it is not
     /// stalled. If no process answers, none of them is worse than the others.
     Micros stalled_for(TimePoint service_answered, TimePoint now) const;
+    /// Returns how far what is known holds at `now`: 1 while an overdue call is
+    /// in flight, and less with the age of those that ended.
+    double certainty(TimePoint now) const;
+    /// Returns whether an answer is overdue.
+    bool is_overdue(TimePoint now) const { return oldest_due(now) < now; }
     bool empty() const { return m_due.empty(); }
 
 private:
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -301,10 +301,11 @@
     bool is_silent(std::string_view zone, TimePoint now) const;
     double slowness_ms(const RunnerEntry& entry,
                        const RunnerQuery& query) const;
-    TimePoint last_answer(std::string_view service) const;
+    ServiceSpeed service_speed(std::string_view service, TimePoint now) const;
     void forget_prefill_rate(const ListedRunner& ended);
-    void report_slowness(const RunnerEntry& entry, SpeedReport& report,
-                         TimePoint now) const;
+    void report_process(const RunnerEntry& entry, SpeedReport& report,
+                        TimePoint now) const;
+    void report_services(SpeedReport& report, TimePoint now) const;
     bool is_home(const RunnerEntry& entry, const RunnerQuery& query) const;
     bool prefers_home(const RunnerQuery& query) const;
     std::size_t runners_of_own_zone(const RunnerQuery& query) const;
@@ -349,6 +350,13 @@
     std::map<std::string, HoldingTime, std::less<>> m_holding_times;
     /// Of all runners of a service.
     std::map<std::string, ResponseSpeed, std::less<>> m_speeds;
+    /// The same, as other instances report it.
+    struct ReportedSpeed {
+        SpeedEvidence evidence;
+        Micros time{0};
+        TimePoint at{}; ///< Of the answers.
+    };
+    std::map<std::string, ReportedSpeed, std::less<>> m_reported_speeds;
     std::map<std::string, PrefillRate, std::less<>> m_prefill_rates;
     /// Runners with a call that is awaited, or a recent answer.
     RunnerIndex::Ids m_timed;
--- a/src/include/crosslink/forward/speed_report.h
+++ b/src/include/crosslink/forward/speed_report.h
@@ -6,6 +6,7 @@
 #include <crosslink/base/time.h>
 #include <crosslink/forward/prefill_rate.h>
 #include <crosslink/forward/report_aggregator.h>
+#include <crosslink/forward/response_speed.h>
 #include <crosslink/forward/runner_entry.h>
 
 #include <cstddef>
@@ -17,37 +18,47 @@
 namespace crosslink
 {
 
-/// How late a process answers, summed over the instances that report it.
-struct SlownessRow {
+/// How fast a process, or a service, answers, summed over the instances that
+/// report it.
+struct SpeedRow {
     std::uint32_t reports = 0;
     std::uint32_t stalled = 0; ///< Of them, those that get no answer at all.
-    /// Sums over the reports: how much later than the mean of its service the
-    /// process answers, and the ages of the last answers.
-    std::uint64_t late_sum_ms = 0;
+    /// Recent answers and the sum of their ratios, in thousandths; see
+    /// SpeedEvidence.
+    std::uint64_t answers = 0;
+    std::uint64_t ratios = 0;
+    /// Sums over the reports: the mean times of answers, and the ages of the
+    /// last answers.
+    std::uint64_t time_sum_ms = 0;
     std::uint64_t age_sum_ms = 0;
 
-    bool operator==(const SlownessRow&) const = default;
-    SlownessRow& operator+=(const SlownessRow& other);
-    SlownessRow& operator-=(const SlownessRow& other);
-    Micros mean_late() const;
+    bool operator==(const SpeedRow&) const = default;
+    SpeedRow& operator+=(const SpeedRow& other);
+    SpeedRow& operator-=(const SpeedRow& other);
+    /// Adds one report of answers, the last of which came `age` ago.
+    void add(const SpeedEvidence& evidence, Micros time, Micros age);
+    SpeedEvidence evidence() const;
+    Micros mean_time() const;
     Micros mean_age() const;
 };
 
 /// What an instance, or a part of the fleet's tree, knows of the speed of
 /// runners.
 struct SpeedReport {
-    /// Greatest number of rows of each of the two maps. All rows of a report
-    /// take some 5 KB.
+    /// Greatest number of rows of each map. All rows of a report take some
+    /// 8 KB.
     static constexpr std::size_t max_rows = 64;
 
-    std::map<std::string, SlownessRow> slow;       ///< By process_key().
+    std::map<std::string, SpeedRow> slow;          ///< By process_key().
+    std::map<std::string, SpeedRow> services;      ///< Those that answer.
     std::map<std::string, PrefillSamples> prefill; ///< By service.
 
     /// Adds the time for which the report was on its way.
     void age_by(Micros span);
     /// Adds the rows of `other`.
     void add(const SpeedReport& other);
-    /// Drops the rows with the fewest reports or samples beyond max_rows.
+    /// Drops rows beyond max_rows: processes of which the least is reported,
+    /// and services with the fewest answers or samples.
     void limit();
 };
 
@@ -68,7 +79,8 @@
     SpeedReport others(std::string_view instance, TimePoint now);
 
 private:
-    ReportAggregator<SlownessRow> m_slow;
+    ReportAggregator<SpeedRow> m_slow;
+    ReportAggregator<SpeedRow> m_services;
     ReportAggregator<PrefillSamples> m_prefill;
 };
 
--- a/src/libcrosslink/forward/awaited_answers.cpp
+++ b/src/libcrosslink/forward/awaited_answers.cpp
@@ -34,6 +34,17 @@
     return is_stalled ? now - due : Micros{0};
 }
 
+double
+AwaitedAnswers::certainty(TimePoint now) const
+{
+    if (!m_due.empty() && *m_due.begin() < now)
+        return 1;
+    if (m_missed_at == TimePoint{})
+        return 0;
+    return std::max(1 - seconds(now - m_missed_at) / seconds(evidence_lifetime),
+                    0.0);
+}
+
 void
 AwaitedAnswers::erase(TimePoint due)
 {
--- a/src/libcrosslink/forward/response_speed.cpp
+++ b/src/libcrosslink/forward/response_speed.cpp
@@ -4,6 +4,7 @@
 #include <crosslink/forward/response_speed.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace crosslink
 {
@@ -16,6 +17,8 @@
 /// Added to both times of a ratio: network and scheduling delays make the
 /// ratios of very short times meaningless.
 constexpr double base_seconds = 0.05;
+/// Time constant with which the evidence of answers decays.
+constexpr double evidence_seconds = 1;
 
 } // namespace
 
@@ -32,9 +35,21 @@
     m_seconds = is_first
                     ? seconds(taken)
                     : m_seconds + answer_weight * (seconds(taken) - m_seconds);
+    m_evidence = evidence(now);
+    m_evidence.answers += 1;
+    m_evidence.ratios += ratio;
     m_at = now;
 }
 
+SpeedEvidence
+ResponseSpeed::evidence(TimePoint now) const
+{
+    if (m_at == TimePoint{} || now - m_at >= lifetime)
+        return {};
+    const double left = std::exp(-seconds(now - m_at) / evidence_seconds);
+    return {left * m_evidence.answers, left * m_evidence.ratios};
+}
+
 double
 ResponseSpeed::ratio(TimePoint now) const
 {
@@ -52,13 +67,34 @@
     return from_seconds(m_seconds);
 }
 
+double
+pooled_ratio(const SpeedEvidence& evidence, double service)
+{
+    constexpr double expected_answers = 2;
+    return (expected_answers * service + evidence.ratios) /
+           (expected_answers + evidence.answers);
+}
+
+bool
+is_drawn(double part, std::uint64_t draws)
+{
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(draws % steps) < part * steps;
+}
+
+Micros
+ServiceSpeed::slowness(double process) const
+{
+    return from_seconds(std::max(process / ratio - 1, 0.0) * seconds(time));
+}
+
 Micros
 slowness(const ResponseSpeed& process, const ResponseSpeed& service,
          TimePoint now)
 {
-    const double excess = process.ratio(now) / service.ratio(now) - 1;
-    return from_seconds(std::max(excess, 0.0) *
-                        seconds(service.mean_time(now)));
+    const ServiceSpeed mean{service.ratio(now), service.mean_time(now),
+                            service.last()};
+    return mean.slowness(process.ratio(now));
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/runner_table_speed.cpp
+++ b/src/libcrosslink/forward/runner_table_speed.cpp
@@ -19,22 +19,16 @@
 {
 
 /// Ratio to the mean of the service from which on a process is reported to
-/// others. One odd answer alone does not exceed it.
-constexpr double min_reported_ratio = 1.65;
-/// Greatest reported lateness, so that no instance outweighs all others.
-constexpr Micros max_reported_late = std::chrono::seconds(10);
-/// Time for which this instance's own answers take precedence over reports.
-constexpr Micros own_precedence = std::chrono::seconds(1);
+/// others. An answer that waited for one more prompt of the same size does not
+/// exceed it.
+constexpr double min_reported_ratio = 1.4;
+/// Recent answers of its own to an instance that take precedence over reports.
+constexpr double own_precedence = 2;
+/// Time for which an answer shows that a service answers.
+constexpr Micros answering_time = std::chrono::seconds(1);
 
 constexpr double millis_per_second = 1000;
 
-std::uint64_t
-to_millis(Micros span)
-{
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-}
-
 /// Returns random bits for a call with the bits `random` at a runner.
 std::uint64_t
 draws_for(std::uint64_t random, std::string_view runner)
@@ -66,10 +60,8 @@
 Micros
 RunnerTable::slowness_of(const RunnerEntry& entry, TimePoint now) const
 {
-    const auto service = m_speeds.find(entry.listed.service);
-    return service == m_speeds.end()
-               ? Micros{0}
-               : slowness(entry.speed, service->second, now);
+    return service_speed(entry.listed.service, now)
+        .slowness(entry.speed.ratio(now));
 }
 
 TimePoint
@@ -80,9 +72,8 @@
     if (!entry)
         return now + expected + allowance;
     // Plain calls take as long as their work does, which is not known before.
-    const auto service = m_speeds.find(entry->listed.service);
-    if (service != m_speeds.end())
-        expected = std::max(expected, service->second.mean_time(now));
+    expected =
+        std::max(expected, service_speed(entry->listed.service, now).time);
     const TimePoint due = now + expected + allowance;
     entry->awaited.sent(due);
     m_timed.insert(entry->listed.id);
@@ -105,15 +96,38 @@
 Micros
 RunnerTable::stalled_for(const RunnerEntry& entry, TimePoint now) const
 {
-    return entry.awaited.stalled_for(last_answer(entry.listed.service), now);
+    if (!entry.awaited.is_overdue(now))
+        return Micros{0};
+    return entry.awaited.stalled_for(
+        service_speed(entry.listed.service, now).last, now);
 }
 
-/// Returns when any process of `service` last answered a call of this instance.
-TimePoint
-RunnerTable::last_answer(std::string_view service) const
+/// Returns the mean of all answers of `service`. Where many instances share few
+/// runners, each sees a few answers only.
+ServiceSpeed
+RunnerTable::service_speed(std::string_view service, TimePoint now) const
 {
-    const auto found = m_speeds.find(service);
-    return found == m_speeds.end() ? TimePoint{} : found->second.last();
+    ServiceSpeed speed;
+    const auto own = m_speeds.find(service);
+    if (own != m_speeds.end())
+        speed = {own->second.ratio(now), own->second.mean_time(now),
+                 own->second.last()};
+    const auto found = m_reported_speeds.find(service);
+    if (found == m_reported_speeds.end() ||
+        now - found->second.at >= ResponseSpeed::lifetime)
+        return speed;
+    const ReportedSpeed& others = found->second;
+    SpeedEvidence all = others.evidence;
+    if (own != m_speeds.end()) {
+        const SpeedEvidence evidence = own->second.evidence(now);
+        all.answers += evidence.answers;
+        all.ratios += evidence.ratios;
+    }
+    speed.ratio = pooled_ratio(all, 1);
+    if (speed.time == Micros{0})
+        speed.time = others.time;
+    speed.last = std::max(speed.last, others.at);
+    return speed;
 }
 
 /// Returns the price of a runner's slowness: by this instance's own answers if
@@ -123,18 +137,21 @@
                          const RunnerQuery& query) const
 {
     const TimePoint now = query.now;
-    if (stalled_for(entry, now) > Micros{0})
+    const std::uint64_t draws = draws_for(query.random, entry.listed.id);
+    if (stalled_for(entry, now) > Micros{0} &&
+        is_drawn(entry.awaited.certainty(now), draws))
         return stalled_ms;
     const double own = price_of(slowness_of(entry, now));
     const ReportedSlowness& reported = entry.reported_slowness;
-    if (!reported.counts(draws_for(query.random, entry.listed.id), now))
+    if (!reported.counts(draws, now))
         return own;
-    const TimePoint answered = entry.speed.last();
-    if (reported.is_stalled() && answered < reported.at())
+    if (reported.is_stalled() && entry.speed.last() < reported.at())
         return stalled_ms;
-    if (answered != TimePoint{} && now - answered < own_precedence)
+    if (entry.speed.evidence(now).answers >= own_precedence)
         return own;
-    return std::max(own, price_of(reported.late()));
+    const ServiceSpeed service = service_speed(entry.listed.service, now);
+    return std::max(own,
+                    price_of(service.slowness(reported.ratio(service.ratio))));
 }
 
 void
@@ -191,7 +208,8 @@
                           now - entry->speed.last() >= ResponseSpeed::lifetime);
     });
     for (const std::string& id : m_timed)
-        report_slowness(*entry(id), report, now);
+        report_process(*entry(id), report, now);
+    report_services(report, now);
     for (const auto& [service, rate] : m_prefill_rates)
         if (const PrefillSamples samples = rate.samples(now);
             samples.count() > 0)
@@ -202,24 +220,30 @@
 
 /// Adds a process to `report` if it has stalled, or is clearly slow.
 void
-RunnerTable::report_slowness(const RunnerEntry& entry, SpeedReport& report,
-                             TimePoint now) const
-{
-    const Micros stalled = stalled_for(entry, now);
-    const auto service = m_speeds.find(entry.listed.service);
-    const bool is_slow = service != m_speeds.end() &&
-                         entry.speed.ratio(now) >=
-                             min_reported_ratio * service->second.ratio(now);
-    if (stalled == Micros{0} && !is_slow)
+RunnerTable::report_process(const RunnerEntry& entry, SpeedReport& report,
+                            TimePoint now) const
+{
+    const double mean = service_speed(entry.listed.service, now).ratio;
+    const SpeedEvidence evidence = entry.speed.evidence(now);
+    const bool is_slow =
+        pooled_ratio(evidence, mean) >= min_reported_ratio * mean;
+    const bool is_stalled = stalled_for(entry, now) > Micros{0};
+    if (!is_stalled && !is_slow)
         return;
-    SlownessRow row;
-    row.reports = 1;
-    row.stalled = stalled > Micros{0} ? 1 : 0;
-    row.late_sum_ms = to_millis(std::min(
-        std::max(stalled, slowness_of(entry, now)), max_reported_late));
-    row.age_sum_ms =
-        stalled > Micros{0} ? 0 : to_millis(now - entry.speed.last());
-    report.slow[process_key(entry.incarnation())] = row;
+    SpeedRow& row = report.slow[process_key(entry.incarnation())];
+    row.add(evidence, entry.speed.mean_time(now),
+            is_stalled ? Micros{0} : now - entry.speed.last());
+    row.stalled = is_stalled ? 1 : 0;
+}
+
+/// Adds the services that answer to `report`.
+void
+RunnerTable::report_services(SpeedReport& report, TimePoint now) const
+{
+    for (const auto& [service, speed] : m_speeds)
+        if (speed.last() != TimePoint{} && now - speed.last() < answering_time)
+            report.services[service].add(
+                speed.evidence(now), speed.mean_time(now), now - speed.last());
 }
 
 void
@@ -228,6 +252,10 @@
     for (const auto& [key, row] : report.slow)
         if (RunnerEntry* entry = find(process_of(key)))
             entry->reported_slowness.apply(row, as_of);
+    for (const auto& [service, row] : report.services)
+        if (m_index.groups(service))
+            m_reported_speeds[service] = {row.evidence(), row.mean_time(),
+                                          as_of - row.mean_age()};
     for (const auto& [service, samples] : report.prefill)
         if (m_index.groups(service))
             m_prefill_rates[service].set_others(samples, as_of);
--- a/src/libcrosslink/forward/speed_report.cpp
+++ b/src/libcrosslink/forward/speed_report.cpp
@@ -15,6 +15,15 @@
 {
 
 constexpr char key_separator = '/';
+constexpr double thousandths = 1000;
+
+std::uint64_t
+to_millis(Micros span)
+{
+    const auto millis =
+        std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(millis, 0));
+}
 
 /// Drops the rows of the lowest `weight` beyond SpeedReport::max_rows.
 template<typename Row>
@@ -43,34 +52,55 @@
 
 } // namespace
 
-SlownessRow&
-SlownessRow::operator+=(const SlownessRow& other)
+SpeedRow&
+SpeedRow::operator+=(const SpeedRow& other)
 {
     reports += other.reports;
     stalled += other.stalled;
-    late_sum_ms += other.late_sum_ms;
+    answers += other.answers;
+    ratios += other.ratios;
+    time_sum_ms += other.time_sum_ms;
     age_sum_ms += other.age_sum_ms;
     return *this;
 }
 
-SlownessRow&
-SlownessRow::operator-=(const SlownessRow& other)
+SpeedRow&
+SpeedRow::operator-=(const SpeedRow& other)
 {
     reports -= other.reports;
     stalled -= other.stalled;
-    late_sum_ms -= other.late_sum_ms;
+    answers -= other.answers;
+    ratios -= other.ratios;
+    time_sum_ms -= other.time_sum_ms;
     age_sum_ms -= other.age_sum_ms;
     return *this;
 }
 
+void
+SpeedRow::add(const SpeedEvidence& evidence, Micros time, Micros age)
+{
+    ++reports;
+    answers += static_cast<std::uint64_t>(evidence.answers * thousandths);
+    ratios += static_cast<std::uint64_t>(evidence.ratios * thousandths);
+    time_sum_ms += to_millis(time);
+    age_sum_ms += to_millis(age);
+}
+
+SpeedEvidence
+SpeedRow::evidence() const
+{
+    return {static_cast<double>(answers) / thousandths,
+            static_cast<double>(ratios) / thousandths};
+}
+
 Micros
-SlownessRow::mean_late() const
+SpeedRow::mean_time() const
 {
-    return std::chrono::milliseconds(late_sum_ms / std::max(reports, 1U));
+    return std::chrono::milliseconds(time_sum_ms / std::max(reports, 1U));
 }
 
 Micros
-SlownessRow::mean_age() const
+SpeedRow::mean_age() const
 {
     return std::chrono::milliseconds(age_sum_ms / std::max(reports, 1U));
 }
@@ -78,11 +108,11 @@
 void
 SpeedReport::age_by(Micros span)
 {
-    const auto millis = static_cast<std::uint64_t>(std::max<std::int64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count(),
-        0));
+    const std::uint64_t millis = to_millis(span);
     for (auto& [key, row] : slow)
         row.age_sum_ms += row.reports * millis;
+    for (auto& [service, row] : services)
+        row.age_sum_ms += row.reports * millis;
     for (auto& [service, samples] : prefill)
         samples.age_by(span);
 }
@@ -91,14 +121,20 @@
 SpeedReport::add(const SpeedReport& other)
 {
     add_load(slow, other.slow);
+    add_load(services, other.services);
     add_load(prefill, other.prefill);
 }
 
 void
 SpeedReport::limit()
 {
-    limit_rows<SlownessRow>(
-        slow, [](const SlownessRow& row) { return row.late_sum_ms; });
+    // Stalled processes first, which may have no answers.
+    limit_rows<SpeedRow>(slow, [](const SpeedRow& row) {
+        constexpr std::uint64_t stalled_weight = 1'000'000;
+        return row.ratios + row.stalled * stalled_weight;
+    });
+    limit_rows<SpeedRow>(services,
+                         [](const SpeedRow& row) { return row.answers; });
     limit_rows<PrefillSamples>(
         prefill, [](const PrefillSamples& samples) { return samples.count(); });
 }
@@ -128,6 +164,7 @@
                                const SpeedReport& report, TimePoint now)
 {
     m_slow.record_report(instance, report.slow, now);
+    m_services.record_report(instance, report.services, now);
     m_prefill.record_report(instance, report.prefill, now);
 }
 
@@ -135,6 +172,7 @@
 SpeedAggregator::others(std::string_view instance, TimePoint now)
 {
     SpeedReport report{m_slow.others(instance, now),
+                       m_services.others(instance, now),
                        m_prefill.others(instance, now)};
     report.limit();
     return report;
--- a/src/libcrosslink/testing/played_load.h
+++ b/src/libcrosslink/testing/played_load.h
@@ -78,6 +78,7 @@
     double lost_reports = 0;        ///< Part of the load reports that is lost.
     PlayedSlowness slowness;
     PlayedPolicy policy; ///< Empty for the one of RunnerTable.
+    std::uint64_t seed = 1;
 };
 
 /// Modelled engines behind the choice and the limit of some instances, played
@@ -426,7 +427,7 @@
     std::multimap<TimePoint, std::size_t> m_returns;
     std::size_t m_first_open = 0;
     UrgencyTracker m_urgencies; ///< Of all instances.
-    std::mt19937_64 m_random{1};
+    std::mt19937_64 m_random{m_fleet.seed};
     TimePoint m_now{};
 };
 
--- a/src/serve/fleet/speed_json.cpp
+++ b/src/serve/fleet/speed_json.cpp
@@ -5,6 +5,9 @@
 
 #include <crosslink/base/error.h>
 
+#include <map>
+#include <string>
+
 namespace crosslink
 {
 
@@ -12,27 +15,39 @@
 {
 
 constexpr const char* slow_member = "slow";
+constexpr const char* services_member = "speeds";
 constexpr const char* prefill_member = "prefill";
 
 Json::Value
-row_to_json(const SlownessRow& row)
+row_to_json(const SpeedRow& row)
 {
     Json::Value value(Json::arrayValue);
     value.append(row.reports);
     value.append(row.stalled);
-    value.append(Json::UInt64(row.late_sum_ms));
+    value.append(Json::UInt64(row.answers));
+    value.append(Json::UInt64(row.ratios));
+    value.append(Json::UInt64(row.time_sum_ms));
     value.append(Json::UInt64(row.age_sum_ms));
     return value;
 }
 
-SlownessRow
+SpeedRow
 row_from_json(const Json::Value& value)
 {
-    constexpr Json::ArrayIndex fields = 4;
+    constexpr Json::ArrayIndex fields = 6;
     if (!value.isArray() || value.size() < fields)
-        throw Error(ErrorCode::BadJson, "a slow process without its lateness");
-    return {value[0].asUInt(), value[1].asUInt(), value[2].asUInt64(),
-            value[3].asUInt64()};
+        throw Error(ErrorCode::BadJson, "a speed without its ratio or age");
+    return {value[0].asUInt(),   value[1].asUInt(),   value[2].asUInt64(),
+            value[3].asUInt64(), value[4].asUInt64(), value[5].asUInt64()};
+}
+
+std::map<std::string, SpeedRow>
+rows_from_json(const Json::Value& value)
+{
+    std::map<std::string, SpeedRow> rows;
+    for (const std::string& key : value.getMemberNames())
+        rows[key] = row_from_json(value[key]);
+    return rows;
 }
 
 /// Leaves out empty buckets: engines of a service are about equally fast.
@@ -73,6 +88,8 @@
 {
     for (const auto& [process, row] : report.slow)
         value[slow_member][process] = row_to_json(row);
+    for (const auto& [service, row] : report.services)
+        value[services_member][service] = row_to_json(row);
     for (const auto& [service, samples] : report.prefill)
         value[prefill_member][service] = samples_to_json(samples);
 }
@@ -81,9 +98,8 @@
 speed_from_json(const Json::Value& value)
 {
     SpeedReport report;
-    const Json::Value& slow = value[slow_member];
-    for (const std::string& process : slow.getMemberNames())
-        report.slow[process] = row_from_json(slow[process]);
+    report.slow = rows_from_json(value[slow_member]);
+    report.services = rows_from_json(value[services_member]);
     const Json::Value& prefill = value[prefill_member];
     for (const std::string& service : prefill.getMemberNames())
         report.prefill[service] = samples_from_json(prefill[service]);
--- a/src/serve/fleet/speed_json.h
+++ b/src/serve/fleet/speed_json.h
@@ -9,10 +9,11 @@
 namespace crosslink
 {
 
-/// Adds `report` to the exchange `value` as its members "slow" and "prefill":
-/// {"slow": {PROCESS: [REPORTS, STALLED, LATE_SUM, AGE_SUM]},
-/// "prefill": {SERVICE: [AGE_SUM, BUCKET, COUNT, BUCKET, COUNT, ..]}}, times in
-/// milliseconds. Instances of an earlier version ignore both.
+/// Adds `report` to the exchange `value` as its members "slow", "speeds" and
+/// "prefill": {"slow": {PROCESS: ROW}, "speeds": {SERVICE: ROW}, "prefill":
+/// {SERVICE: [AGE_SUM, BUCKET, COUNT, BUCKET, COUNT, ..]}}, a ROW as [REPORTS,
+/// STALLED, ANSWERS, RATIOS, TIME_SUM, AGE_SUM], with times in milliseconds.
+/// Instances of an earlier version ignore all three.
 void add_speed_json(const SpeedReport& report, Json::Value& value);
 
 /// Returns the report in an exchange; empty where it has none, as in those of
