Brittle runners: correct a room estimate that calls of others made too low

By the logs, nearly all refused calls came 0.9 to 2.8 s after the first refusals and had waited for 0.5 s, while lenders answered "no share". Each instance counts as the only sender from its own first refusal on, but others learn of the refusals at other times. A refusal while their calls are at the runner sets the room to the own calls, often one of two places, and one more call was tried only after 3 s: the fleet used about half the places.

Change: the only sender tries one more call within 2 s / (bearable + 1), half of what the runner bears, and doubles that time up to 3 s each time the same room is confirmed. A refusal from before it was the only sender sets a hold, but no room. A call of an instance without a free share waits until a lender may be asked again (RunnerTable::next_loan), as others wait for a place; it was refused at once. At most 32 lenders are asked as before.

Changed test: "a brittle runner's room is lent" now refuses a second time, to the only sender, before it expects a room of one; the first refusal, with six senders, does not show that the runner was alone with its caller. The checks after it are the same.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -97,6 +97,11 @@
     /// send more than their shares cover use what others leave.
     std::optional<RunnerPick> choose_borrowed(const RunnerQuery& query,
                                               const ShareLoans& loans) const;
+    /// Returns when choose_borrowed() may find one; nothing if no other
+    /// instance has a share. A call that waits for this is served although this
+    /// instance has no share at any runner.
+    std::optional<TimePoint> next_loan(const RunnerQuery& query,
+                                       const ShareLoans& loans) const;
     /// Takes a place of this instance's share of a runner for a call of another
     /// instance, which is sent at once. Returns nothing if there is one, and
     /// else when there may be. loan_ended() must follow a place.
@@ -228,6 +233,9 @@
     std::uint64_t entries_visited() const { return m_visited; }
 
 private:
+    /// Runners of a zone that are looked at for one with a share to borrow.
+    static constexpr std::size_t max_lending_runners = 32;
+
     std::set<std::string_view> put_all(std::span<const ListedRunner> listed,
                                        TimePoint now);
     bool apply_listed(const ListedRunner& listed, TimePoint now);
@@ -265,6 +273,9 @@
     std::vector<std::string_view> lenders(const RunnerEntry& entry,
                                           const RunnerQuery& query,
                                           const ShareLoans& loans) const;
+    std::optional<TimePoint> loan_at(const RunnerEntry& entry,
+                                     const RunnerQuery& query,
+                                     const ShareLoans& loans) const;
     std::optional<std::size_t> share_count(const RunnerEntry& entry,
                                            const RunnerQuery& query) const;
     RunnerPick pick_of(const RunnerEntry& entry, const RunnerQuery& query,
--- a/src/include/crosslink/forward/share_loans.h
+++ b/src/include/crosslink/forward/share_loans.h
@@ -32,6 +32,9 @@
     /// Returns whether `holder` may have a place at `runner` at `now`.
     bool may_ask(std::string_view holder, std::string_view runner,
                  TimePoint now) const;
+    /// Returns from when on it may be asked; a time long past if no refusal is
+    /// remembered.
+    TimePoint ask_at(std::string_view holder, std::string_view runner) const;
     /// Records that `holder` has no place at `runner` for `pause` from `now`
     /// on.
     void refused(std::string_view holder, std::string_view runner, Micros pause,
--- a/src/libcrosslink/forward/runner_availability.cpp
+++ b/src/libcrosslink/forward/runner_availability.cpp
@@ -177,13 +177,15 @@
     RateShare share;
     share.instances = sole_sender;
     share.calls = 1;
-    if (query.now < shared_until(entry.listed.service) &&
-        !has_share(entry, query, share))
+    const bool shared = query.now < shared_until(entry.listed.service);
+    if (shared && !has_share(entry, query, share))
         return never;
     const std::uint32_t calls =
         static_cast<std::uint32_t>(reserved) + entry.calls_on_share();
+    const RoomEstimate& room = entry.notices.room;
     return std::max(
-        entry.notices.room.free_at(calls, query.now),
+        shared ? room.free_at_sole_sender(calls, query.now)
+               : room.free_at(calls, query.now),
         entry.sends.free_at(1, RoomEstimate::send_interval, query.now));
 }
 
@@ -267,6 +269,51 @@
     return found;
 }
 
+std::optional<TimePoint>
+RunnerTable::next_loan(const RunnerQuery& query, const ShareLoans& loans) const
+{
+    const RunnerIndex::Groups* groups = m_index.groups(query.service);
+    if (!groups)
+        return std::nullopt;
+    std::optional<TimePoint> next;
+    for (const auto& [zone, group] : *groups) {
+        const std::size_t count =
+            std::min(group.ids.size(), max_lending_runners);
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::size_t drawn = (query.random + i) % group.ids.size();
+            const RunnerEntry* entry = visit(group.ids[drawn]);
+            const auto at =
+                entry ? loan_at(*entry, query, loans) : std::nullopt;
+            if (at && (!next || *at < *next))
+                next = at;
+        }
+    }
+    return next;
+}
+
+/// Returns when another instance may have a place at a runner for a call of
+/// this one; nothing if no other instance has a share.
+std::optional<TimePoint>
+RunnerTable::loan_at(const RunnerEntry& entry, const RunnerQuery& query,
+                     const ShareLoans& loans) const
+{
+    const auto count = share_count(entry, query);
+    if (!count || !may_accept_work(entry, query))
+        return std::nullopt;
+    const TimePoint paused =
+        std::max(entry.paused_until, entry.notices.backoff_until);
+    std::optional<TimePoint> next;
+    for (const std::string& holder : m_members.holders(
+             entry.listed.id, entry.listed.zone, *count, query.now)) {
+        if (holder == query.instance)
+            continue;
+        const TimePoint at =
+            std::max(paused, loans.ask_at(holder, entry.listed.id));
+        next = next ? std::min(*next, at) : at;
+    }
+    return next;
+}
+
 /// Returns whether a runner accepts a call now.
 bool
 RunnerTable::accepts(const RunnerEntry& entry, const RunnerQuery& query) const
--- a/src/libcrosslink/forward/runner_brittle_test.cpp
+++ b/src/libcrosslink/forward/runner_brittle_test.cpp
@@ -86,6 +86,8 @@
 {
     RunnerTable table = brittle_table();
     table.found_no_room({"r"}, at(0), no_jitter);
+    // The runner refuses a call that it has alone: it has room for one.
+    table.found_no_room({"r"}, at(1800), no_jitter);
     std::string holder;
     for (int i = 0; i < instances; ++i) {
         RunnerQuery asked = query(2000);
@@ -97,7 +99,6 @@
     REQUIRE_FALSE(holder.empty());
     RunnerQuery asked = query(2000);
     asked.instance = holder;
-    // The runner refused a call that it had alone: it has room for one.
     CHECK_FALSE(table.lend({"r"}, asked));
     asked.now = at(2100);
     CHECK(table.lend({"r"}, asked));
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -46,8 +46,6 @@
 /// Home runners that an instance has at least, on average: few enough that it
 /// knows most of their load, and enough to choose from.
 constexpr std::size_t home_runners = 5;
-/// Runners of a zone that are looked at for one with a share to borrow.
-constexpr std::size_t max_lending_runners = 32;
 
 /// Returns the size of the sample of `runners` from which one of `instances`
 /// chooses.
--- a/src/libcrosslink/forward/runner_table_notices.cpp
+++ b/src/libcrosslink/forward/runner_table_notices.cpp
@@ -192,8 +192,8 @@
     const bool sends_alone = now < brittle->second.shared_until;
     brittle->second.shared_until = now + shared_time;
     if (sends_alone)
-        entry->notices.room.refused_to_sole_sender(entry->calls_on_share(),
-                                                   now);
+        entry->notices.room.refused_to_sole_sender(
+            entry->calls_on_share(), brittle->second.bearable_refusals, now);
     else
         entry->notices.room.refused(entry->calls_on_share(), now, random);
 }
--- a/src/libcrosslink/forward/share_loans.cpp
+++ b/src/libcrosslink/forward/share_loans.cpp
@@ -11,10 +11,16 @@
 bool
 ShareLoans::may_ask(std::string_view holder, std::string_view runner,
                     TimePoint now) const
+{
+    return ask_at(holder, runner) <= now;
+}
+
+TimePoint
+ShareLoans::ask_at(std::string_view holder, std::string_view runner) const
 {
     const auto found =
         m_refusals.find(Key(std::string(holder), std::string(runner)));
-    return found == m_refusals.end() || found->second <= now;
+    return found == m_refusals.end() ? TimePoint{} : found->second;
 }
 
 void
--- a/src/libcrosslink/forward/share_loans_test.cpp
+++ b/src/libcrosslink/forward/share_loans_test.cpp
@@ -159,6 +159,27 @@
     CHECK(loans.size() <= ShareLoans::max_refusals);
 }
 
+// An instance without a share would refuse calls while others have places.
+TEST_CASE("a call may wait until an instance that refused is asked again")
+{
+    RunnerTable table = table_of({"r"});
+    table.members().gone("i", at(0));
+    table.members().listed({"i1", "127.0.0.1:1", "a", 0}, at(0));
+    const TimePoint now = at(10'000);
+    RunnerQuery asked = query(10'000);
+    asked.instance = "i2";
+    ShareLoans loans;
+    CHECK_FALSE(table.next_loan(asked, loans));
+    table.apply_limit_answer({"r"}, limit, 0, now);
+    const auto unasked = table.next_loan(asked, loans);
+    REQUIRE(unasked);
+    CHECK(*unasked <= now);
+    loans.refused("i1", "r", std::chrono::milliseconds(300), now);
+    CHECK(table.next_loan(asked, loans) == at(10'300));
+    asked.instance = "i1";
+    CHECK_FALSE(table.next_loan(asked, loans));
+}
+
 TEST_CASE("nothing is borrowed where all runners of a zone are gone")
 {
     RunnerTable table = table_of({"r"});
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -182,9 +182,12 @@
             m_choice.clear_excluded();
         const TimePoint latest = latest_useful_time();
         m_next_available = m_choice.reserve_next(latest);
-        if (!m_next_available.at || *m_next_available.at >= latest)
+        std::optional<TimePoint> at = m_next_available.at;
+        if (!at || *at >= latest)
+            at = m_choice.next_loan();
+        if (!at || *at >= latest)
             return false;
-        const Micros wait = *m_next_available.at - monotonic_now();
+        const Micros wait = *at - monotonic_now();
         std::this_thread::sleep_for(std::max(wait, min_wait));
         if (m_choice.choose_reserved() || m_choice.borrow())
             return true;
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -119,6 +119,19 @@
         [&query](RunnerTable& table) { return table.next_available(query); });
 }
 
+std::optional<TimePoint>
+RunnerChoice::next_loan()
+{
+    if (m_loans_asked >= max_loans_asked)
+        return std::nullopt;
+    const RunnerQuery query = make_query();
+    return m_state.loans.with([&](const ShareLoans& loans) {
+        return m_state.runners.with([&](const RunnerTable& table) {
+            return table.next_loan(query, loans);
+        });
+    });
+}
+
 bool
 RunnerChoice::choose_reserved()
 {
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -46,6 +46,9 @@
     NextAvailability reserve_next(TimePoint useful);
     /// Returns when a runner accepts calls again, without a reservation.
     NextAvailability next_available();
+    /// Returns when borrow() may find a place; nothing if it will not. See
+    /// RunnerTable::next_loan().
+    std::optional<TimePoint> next_loan();
     /// As choose(), with the slot reserved by reserve_next(), if there is one.
     bool choose_reserved();
     /// Records that the call is sent to the chosen runner at `now`; see
