Count a call as sent once no lender refused it

Cause: RunnerChoice::sent took a place from the account, and ForwardRun counted a send and a borrowed share, before the lender answered. A call that asks up to 32 lenders in vain counted as often.

Change: ForwardRun::count_send counts a call that goes directly at once, and one through another instance when an answer of the runner arrives, or when the call ended and may have been sent. The load of the runner counts from the question on, as before. Whether the queue was checked is a flag of its own, so that a call which borrows is still checked once.

--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -95,6 +95,7 @@
         const RawHead raw = m_link.connection->receive_head();
         if (const auto ended = take_relay_failure(raw))
             return *ended;
+        count_send();
         const auto head = next_head(raw);
         if (!head)
             continue;
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -122,7 +122,7 @@
 void
 ForwardRun::refuse_if_queue_too_long()
 {
-    if (m_sends > 0 || !m_call.generation || !m_call.last_event.empty())
+    if (m_attempted || !m_call.generation || !m_call.last_event.empty())
         return;
     QueuedCall queued;
     queued.expected_wait = m_choice.pick().wait;
@@ -265,6 +265,22 @@
     m_choice.sent(m_prompt.tokens_to_read(), resident_tokens(), m_sent_at);
     m_prompt.note_sent(m_sent_at, m_choice.pick().wait);
     m_crashes.record_send();
+    m_attempted = true;
+    m_counted = false;
+    if (!m_link.relay)
+        count_send();
+}
+
+/// Counts the last send, once. One through another instance counts only when it
+/// is known not to have been refused there: a call may ask several instances
+/// for a place of their share, and takes up none of what these refuse.
+void
+ForwardRun::count_send()
+{
+    if (m_counted)
+        return;
+    m_counted = true;
+    m_choice.count_send(m_sent_at);
     ++m_sends;
     m_resumption.sent(m_choice.service(), m_choice.pick().software, m_sends);
     ++m_state.counters.sends;
@@ -284,6 +300,8 @@
             .field("runner", m_choice.pick().id)
             .field("version", m_choice.pick().version)
             .field("newest", m_choice.newest_weights());
+    if (outcome != Outcome::NotRelayed)
+        count_send();
     m_link.connection.reset();
     m_prompt.note_ended();
     m_choice.ended(resident_tokens());
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -118,6 +118,7 @@
     Outcome attempt(CallerLink& link);
     Outcome send_once(CallerLink& link);
     void note_sent();
+    void count_send();
     void note_ended(Outcome outcome);
     void note_unreachable();
     void note_broken(bool silent);
@@ -183,6 +184,8 @@
     /// When a reused connection counts as silent; nothing once it has answered.
     std::optional<TimePoint> m_silent_at;
     NextAvailability m_next_available; ///< As of the last search for a runner.
+    bool m_attempted = false; ///< Sent, or tried on the share of another.
+    bool m_counted = false;   ///< The last send is counted.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
     /// A runner's failure, sent to the caller if no retry succeeds.
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -245,6 +245,9 @@
     void note_loan_refused(const RunnerPick& pick, Micros pause);
     /// Returns the instance `name`; nothing if it is not listed.
     std::optional<InstanceInfo> instance(std::string_view name);
+    /// Returns a query for runners of `service`, which it refers to, from this
+    /// instance at this time, without what depends on a call.
+    RunnerQuery runner_query(const std::string& service);
     /// Returns how runners of `service` are protected while they warm up.
     WarmUpTerms warm_up_terms(const std::string& service);
     /// Records that the instance at `address` passed a call on.
--- a/src/serve/forward/forward_state_runners.cpp
+++ b/src/serve/forward/forward_state_runners.cpp
@@ -15,6 +15,20 @@
 namespace crosslink
 {
 
+RunnerQuery
+ForwardState::runner_query(const std::string& service)
+{
+    RunnerQuery query;
+    query.now = monotonic_now();
+    query.service = service;
+    query.zone = settings.zone;
+    query.instance = settings.name;
+    query.instances = instance_count();
+    query.warm_up = warm_up_terms(service);
+    query.random = random_bits();
+    return query;
+}
+
 WarmUpTerms
 ForwardState::warm_up_terms(const std::string& service)
 {
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -6,20 +6,19 @@
 #include "answer_intake.h"
 #include "forward_state.h"
 #include "http_caller_link.h"
+#include "lent_place.h"
 #include "runner_connector.h"
 #include "runner_look.h"
 
 #include <adapters/call_connection.h>
 #include <adapters/clock.h>
 #include <adapters/http_server.h>
-#include <adapters/random.h>
 #include <serve/log_line.h>
 
 #include <crosslink/base/error.h>
 #include <crosslink/base/number.h>
 #include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/service_map.h>
-#include <crosslink/forward/share_loans.h>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -94,72 +93,6 @@
 
 } // namespace
 
-/// Holds a place of this instance's share of a runner's capacity for a call of
-/// another instance.
-class RelayHandler::LentPlace
-{
-public:
-    LentPlace(ForwardState& state, const RunnerPick& runner)
-        : m_state(state), m_runner(runner)
-    {
-    }
-    ~LentPlace() { end(); }
-    LentPlace(const LentPlace&) = delete;
-    LentPlace& operator=(const LentPlace&) = delete;
-
-    /// Returns nothing if the place was taken, and else the time until there
-    /// may be one. An `above_share` account gets places after others.
-    std::optional<Micros> take(bool above_share)
-    {
-        RunnerQuery query;
-        query.now = monotonic_now();
-        query.service = m_runner.service;
-        query.zone = m_state.settings.zone;
-        query.instance = m_state.settings.name;
-        query.instances = m_state.instance_count();
-        query.warm_up = m_state.warm_up_terms(m_runner.service);
-        query.account_above_share = above_share;
-        query.random = random_bits();
-        const auto free = m_state.runners.with([&](RunnerTable& table) {
-            return table.lend(m_runner.incarnation(), query);
-        });
-        m_taken = !free;
-        ++(m_taken ? m_state.counters.shares_lent
-                   : m_state.counters.shares_denied);
-        if (m_taken)
-            return std::nullopt;
-        return std::min(ShareLoans::max_pause,
-                        std::chrono::duration_cast<Micros>(
-                            *free - std::min(*free, query.now)));
-    }
-    /// Records that the runner refused the call: its room counts here, since
-    /// the call was sent on this instance's share.
-    void refused()
-    {
-        if (!m_taken)
-            return;
-        end();
-        m_state.runners.with([this](RunnerTable& table) {
-            table.found_no_room(m_runner.incarnation(), monotonic_now(),
-                                random_bits());
-        });
-    }
-
-private:
-    void end()
-    {
-        if (m_taken)
-            m_state.runners.with([this](RunnerTable& table) {
-                table.loan_ended(m_runner.incarnation());
-            });
-        m_taken = false;
-    }
-
-    ForwardState& m_state;
-    const RunnerPick& m_runner;
-    bool m_taken = false;
-};
-
 /// A call as the other instance sent it.
 struct RelayHandler::RelayedCall {
     std::string runner;
--- a/src/serve/forward/relay_handler.h
+++ b/src/serve/forward/relay_handler.h
@@ -23,6 +23,7 @@
 class CallConnection;
 class CallerLink;
 class HeldBytes;
+class LentPlace;
 struct ForwardState;
 struct RunnerLink;
 struct RunnerPick;
@@ -48,7 +49,6 @@
     std::uint64_t most_open() const;
 
 private:
-    class LentPlace;
     struct RelayedCall;
 
     void pass_on(RelayedCall& call, CallerLink& link);
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -171,6 +171,11 @@
         else
             table.sent(m_pick.incarnation(), tokens, resident, now);
     });
+}
+
+void
+RunnerChoice::count_send(TimePoint now)
+{
     if (counts_shares() || m_pick.limited)
         m_state.fair_shares.with([&](FairShareTracker& fair_shares) {
             fair_shares.taken(m_service, account_name(), share_units(), now);
@@ -229,29 +234,22 @@
     const std::string_view model =
         m_call.generation ? std::string_view(m_call.generation->model)
                           : std::string_view();
-    RunnerQuery query;
-    query.now = monotonic_now();
+    RunnerQuery query = m_state.runner_query(m_service);
     const WeightsChoice weights = m_state.weights_choice(model, query.now);
     m_newest = weights.newest;
-    query.service = m_service;
-    query.zone = m_state.settings.zone;
     query.affinity = m_affinity;
     query.model = model;
     query.newest_version = m_newest;
     query.avoid = &m_excluded;
     query.software = m_software ? &*m_software : nullptr;
     query.avoids_exiting = m_avoids_exiting;
-    query.instance = m_state.settings.name;
-    query.instances = m_state.instance_count();
     if (m_call.generation)
         query.home_instances = m_state.settings.home_instances;
     if (m_zones_allowed)
         query.zones_allowed = &*m_zones_allowed;
-    query.warm_up = m_state.warm_up_terms(m_service);
     add_account(query);
     if (m_call.generation)
         add_prompt(query);
-    query.random = random_bits();
     query.least_version = weights.least;
     return query;
 }
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -54,6 +54,8 @@
     /// Records that the call is sent to the chosen runner at `now`; see
     /// RunnerTable::sent().
     void sent(std::uint64_t tokens, std::uint64_t resident, TimePoint now);
+    /// Counts the call, sent at `now`, against the share of its account.
+    void count_send(TimePoint now);
     /// Records that the call ended at the chosen runner; see
     /// RunnerTable::ended().
     void ended(std::uint64_t resident);
