--- a/src/libcrosslink/forward/share_loans_test.cpp
+++ b/src/libcrosslink/forward/share_loans_test.cpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace crosslink
 {
@@ -62,6 +63,9 @@
     }
     std::size_t sent(const std::string& runner) { return m_sent[runner]; }
     std::size_t asked() const { return m_asked; }
+    /// From now on instances reach others of their own half only: the first two
+    /// or the last two of `names`. The platform lists all of them to each.
+    void split() { m_split = true; }
 
     /// When all of them have their shares.
     const TimePoint settled = at(10'000);
@@ -77,17 +81,24 @@
     }
     bool borrow(RunnerTable& table, const RunnerQuery& own, int millis)
     {
-        const auto pick = table.choose_borrowed(own, m_loans);
+        const bool first = is_first_half(own.instance);
+        ShareLoans& loans = m_loans[first];
+        const auto pick = table.choose_borrowed(own, loans);
         if (!pick)
             return false;
         ++m_asked;
+        if (m_split && first != is_first_half(pick->share_holder)) {
+            loans.refused(pick->share_holder, pick->id, ShareLoans::max_pause,
+                          own.now);
+            return false;
+        }
         RunnerTable& lender = m_tables.at(pick->share_holder);
         const auto free = lender.lend(pick->incarnation(),
                                       query_of(pick->share_holder, millis));
         if (free) {
-            m_loans.refused(pick->share_holder, pick->id,
-                            std::chrono::duration_cast<Micros>(*free - own.now),
-                            own.now);
+            loans.refused(pick->share_holder, pick->id,
+                          std::chrono::duration_cast<Micros>(*free - own.now),
+                          own.now);
             return false;
         }
         lender.loan_ended(pick->incarnation());
@@ -95,8 +106,15 @@
         return true;
     }
 
+    static bool is_first_half(std::string_view name)
+    {
+        return name == names[0] || name == names[1];
+    }
+
     std::map<std::string, RunnerTable> m_tables;
-    ShareLoans m_loans; ///< Of all: what one learned holds for the others.
+    /// Of each half: what one instance learned holds for the others of it.
+    std::map<bool, ShareLoans> m_loans;
+    bool m_split = false;
     std::map<std::string, std::size_t> m_sent;
     std::size_t m_asked = 0;
 };
@@ -139,6 +157,25 @@
     CHECK(served <= 2 * limit * 5);
 }
 
+// Neither half may take the places of the other one for its own.
+TEST_CASE("two halves of a fleet use their own shares and no more")
+{
+    Fleet fleet;
+    fleet.split();
+    constexpr int seconds = 4;
+    std::map<std::string, int> served;
+    for (int ms = 0; ms < seconds * 1000; ms += 2)
+        for (const std::string name : {"i1", "i3"})
+            served[name] += fleet.call(name, 10'000 + ms) ? 1 : 0;
+    for (const std::string runner : {"r1", "r2"})
+        CHECK(fleet.sent(runner) <= limit * (seconds + 1));
+    // Two runners, of which a half has a half.
+    for (const std::string name : {"i1", "i3"}) {
+        CHECK(served[name] >= 0.85 * limit * seconds);
+        CHECK(served[name] <= limit * (seconds + 1));
+    }
+}
+
 TEST_CASE("an instance that refused is not asked before a place may be free")
 {
     ShareLoans loans;
