--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -43,8 +43,6 @@
 /// Times that the size of a sample is drawn before all runners of a zone are
 /// looked at: so many of them accept no work.
 constexpr std::size_t max_draws = 4;
-/// Runners of a zone that are looked at for one with a share to borrow.
-constexpr std::size_t max_lending_runners = 32;
 
 /// Returns the size of the sample of `runners` from which one of `instances`
 /// chooses.
--- a/src/libcrosslink/forward/share_loans_test.cpp
+++ b/src/libcrosslink/forward/share_loans_test.cpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace crosslink
 {
@@ -62,6 +63,9 @@
     }
     std::size_t sent(const std::string& runner) { return m_sent[runner]; }
     std::size_t asked() const { return m_asked; }
+    /// From now on instances reach others of their own half only: the first two
+    /// or the last two of `names`. The platform lists all of them to each.
+    void split() { m_split = true; }
 
     /// When all of them have their shares.
     const TimePoint settled = at(10'000);
@@ -77,17 +81,24 @@
     }
     bool borrow(RunnerTable& table, const RunnerQuery& own, int millis)
     {
-        const auto pick = table.choose_borrowed(own, m_loans);
+        const bool first = is_first_half(own.instance);
+        ShareLoans& loans = m_loans[first];
+        const auto pick = table.choose_borrowed(own, loans);
         if (!pick)
             return false;
         ++m_asked;
+        if (m_split && first != is_first_half(pick->share_holder)) {
+            loans.refused(pick->share_holder, pick->id, ShareLoans::max_pause,
+                          own.now);
+            return false;
+        }
         RunnerTable& lender = m_tables.at(pick->share_holder);
         const auto free = lender.lend(pick->incarnation(),
                                       query_of(pick->share_holder, millis));
         if (free) {
-            m_loans.refused(pick->share_holder, pick->id,
-                            std::chrono::duration_cast<Micros>(*free - own.now),
-                            own.now);
+            loans.refused(pick->share_holder, pick->id,
+                          std::chrono::duration_cast<Micros>(*free - own.now),
+                          own.now);
             return false;
         }
         lender.loan_ended(pick->incarnation());
@@ -95,8 +106,15 @@
         return true;
     }
 
+    static bool is_first_half(std::string_view name)
+    {
+        return name == names[0] || name == names[1];
+    }
+
     std::map<std::string, RunnerTable> m_tables;
-    ShareLoans m_loans; ///< Of all: what one learned holds for the others.
+    /// Of each half: what one instance learned holds for the others of it.
+    std::map<bool, ShareLoans> m_loans;
+    bool m_split = false;
     std::map<std::string, std::size_t> m_sent;
     std::size_t m_asked = 0;
 };
@@ -139,6 +157,25 @@
     CHECK(served <= 2 * limit * 5);
 }
 
+// Neither half may take the places of the other one for its own.
+TEST_CASE("two halves of a fleet use their own shares and no more")
+{
+    Fleet fleet;
+    fleet.split();
+    constexpr int seconds = 4;
+    std::map<std::string, int> served;
+    for (int ms = 0; ms < seconds * 1000; ms += 2)
+        for (const std::string name : {"i1", "i3"})
+            served[name] += fleet.call(name, 10'000 + ms) ? 1 : 0;
+    for (const std::string runner : {"r1", "r2"})
+        CHECK(fleet.sent(runner) <= limit * (seconds + 1));
+    // Two runners, of which a half has a half.
+    for (const std::string name : {"i1", "i3"}) {
+        CHECK(served[name] >= 0.85 * limit * seconds);
+        CHECK(served[name] <= limit * (seconds + 1));
+    }
+}
+
 TEST_CASE("an instance that refused is not asked before a place may be free")
 {
     ShareLoans loans;
@@ -159,6 +196,27 @@
     CHECK(loans.size() <= ShareLoans::max_refusals);
 }
 
+// An instance without a share would refuse calls while others have places.
+TEST_CASE("a call may wait until an instance that refused is asked again")
+{
+    RunnerTable table = table_of({"r"});
+    table.members().gone("i", at(0));
+    table.members().listed({"i1", "127.0.0.1:1", "a", 0}, at(0));
+    const TimePoint now = at(10'000);
+    RunnerQuery asked = query(10'000);
+    asked.instance = "i2";
+    ShareLoans loans;
+    CHECK_FALSE(table.next_loan(asked, loans));
+    table.apply_limit_answer({"r"}, limit, 0, now);
+    const auto unasked = table.next_loan(asked, loans);
+    REQUIRE(unasked);
+    CHECK(*unasked <= now);
+    loans.refused("i1", "r", std::chrono::milliseconds(300), now);
+    CHECK(table.next_loan(asked, loans) == at(10'300));
+    asked.instance = "i1";
+    CHECK_FALSE(table.next_loan(asked, loans));
+}
+
 TEST_CASE("nothing is borrowed where all runners of a zone are gone")
 {
     RunnerTable table = table_of({"r"});
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -123,7 +123,7 @@
 void
 ForwardRun::refuse_if_queue_too_long()
 {
-    if (m_sends > 0 || !m_call.generation || !m_call.last_event.empty())
+    if (m_attempted || !m_call.generation || !m_call.last_event.empty())
         return;
     QueuedCall queued = queued_call();
     const std::uint64_t random = random_bits();
@@ -197,9 +197,12 @@
             m_choice.clear_excluded();
         const TimePoint latest = latest_useful_time();
         m_next_available = m_choice.reserve_next(latest);
-        if (!m_next_available.at || *m_next_available.at >= latest)
+        std::optional<TimePoint> at = m_next_available.at;
+        if (!at || *at >= latest)
+            at = m_choice.next_loan();
+        if (!at || *at >= latest)
             return false;
-        const Micros wait = *m_next_available.at - monotonic_now();
+        const Micros wait = *at - monotonic_now();
         std::this_thread::sleep_for(std::max(wait, min_wait));
         if (m_choice.choose_reserved() || m_choice.borrow())
             return true;
@@ -279,6 +282,22 @@
                        m_choice.pick().prefill_rate);
     await_answer_until_due();
     m_crashes.record_send();
+    m_attempted = true;
+    m_counted = false;
+    if (!m_link.relay)
+        count_send();
+}
+
+/// Counts the last send, once. One through another instance counts only when it
+/// is known not to have been refused there: a call may ask several instances
+/// for a place of their share, and takes up none of what these refuse.
+void
+ForwardRun::count_send()
+{
+    if (m_counted)
+        return;
+    m_counted = true;
+    m_choice.count_send(m_sent_at);
     ++m_sends;
     m_resumption.sent(m_choice.service(), m_choice.pick().software, m_sends);
     ++m_state.counters.sends;
@@ -298,6 +317,8 @@
             .field("runner", m_choice.pick().id)
             .field("version", m_choice.pick().version)
             .field("newest", m_choice.newest_weights());
+    if (outcome != Outcome::NotRelayed)
+        count_send();
     m_link.connection.reset();
     m_prompt.note_ended();
     end_awaiting(outcome == Outcome::Done || outcome == Outcome::NotRun ||
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -247,6 +247,9 @@
     void note_loan_refused(const RunnerPick& pick, Micros pause);
     /// Returns the instance `name`; nothing if it is not listed.
     std::optional<InstanceInfo> instance(std::string_view name);
+    /// Returns a query for runners of `service`, which it refers to, from this
+    /// instance at this time, without what depends on a call.
+    RunnerQuery runner_query(const std::string& service);
     /// Returns how runners of `service` are protected while they warm up.
     WarmUpTerms warm_up_terms(const std::string& service);
     /// Records that the instance at `address` passed a call on.
@@ -269,7 +272,8 @@
     /// Returns what the platform lists of `runner`; nothing if it does not.
     std::optional<ListedRunner> listed_runner(std::string_view runner);
     /// Returns a random listed runner of `group` other than `except` that does
-    /// not leave; nothing if there is none.
+    /// not leave; nothing if there is none. Runners that only other instances
+    /// reach are drawn last: they show nothing of the rest of their group.
     std::optional<ListedRunner> draw_runner(const RunnerGroup& group,
                                             std::string_view except);
     /// Logs and counts the requests that were blocked since the last call.
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -47,11 +47,16 @@
     NextAvailability reserve_next(TimePoint useful);
     /// Returns when a runner accepts calls again, without a reservation.
     NextAvailability next_available();
+    /// Returns when borrow() may find a place; nothing if it will not. See
+    /// RunnerTable::next_loan().
+    std::optional<TimePoint> next_loan();
     /// As choose(), with the slot reserved by reserve_next(), if there is one.
     bool choose_reserved();
     /// Records that the call is sent to the chosen runner at `now`; see
     /// RunnerTable::sent().
     void sent(std::uint64_t tokens, std::uint64_t resident, TimePoint now);
+    /// Counts the call, sent at `now`, against the share of its account.
+    void count_send(TimePoint now);
     /// Records that the call ended at the chosen runner; see
     /// RunnerTable::ended().
     void ended(std::uint64_t resident);
