--- a/src/include/crosslink/forward/retry_window.h
+++ b/src/include/crosslink/forward/retry_window.h
@@ -19,6 +19,9 @@
     double ratio = 0.2;    ///< Retries per call in the window.
     double allowance = 50; ///< Further retries in each window.
     Micros window = std::chrono::seconds(10);
+    /// Of the retries, second copies of calls that no runner has answered yet,
+    /// per call in the window; see HedgePolicy. 0 for none.
+    double hedge_ratio = 0;
 };
 
 /// This instance's part of the fleet's retry budget. Instances do not
@@ -35,12 +38,24 @@
     /// Returns whether a retry may be sent to `service` while the fleet has
     /// `instances` (at least 1), and deducts it from the budget.
     bool take(std::string_view service, std::size_t instances, TimePoint now);
+    /// Records that a runner of `service` refused a call for want of room, or
+    /// that this instance did on behalf of the runners.
+    void refused(std::string_view service, TimePoint now);
+    /// As take(), for a second copy of a call, which counts as a retry too.
+    /// Refusals take up the same limit: a service that is short of capacity
+    /// has none for copies.
+    bool take_hedge(std::string_view service, std::size_t instances,
+                    TimePoint now);
+    /// Returns whether the rules allow second copies of calls.
+    bool hedges() const { return m_rules.hedge_ratio > 0; }
 
 private:
     static constexpr std::size_t slots = 10;
     struct Counts {
         std::array<std::uint32_t, slots> calls{};
         std::array<std::uint32_t, slots> retries{};
+        std::array<std::uint32_t, slots> hedges{}; ///< Of the retries.
+        std::array<std::uint32_t, slots> refusals{};
         std::int64_t slot = 0; ///< Number of the newest slot.
     };
 
--- a/src/libcrosslink/forward/retry_window.cpp
+++ b/src/libcrosslink/forward/retry_window.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <span>
 
 namespace crosslink
 {
@@ -15,6 +16,12 @@
 /// Part of the budget that is granted; see the class.
 constexpr double granted_part = 0.5;
 
+double
+sum(std::span<const std::uint32_t> counts)
+{
+    return std::accumulate(counts.begin(), counts.end(), 0.0);
+}
+
 } // namespace
 
 RetryWindow::Counts&
@@ -32,6 +39,8 @@
         const auto place = static_cast<std::size_t>(i) % slots;
         counts.calls[place] = 0;
         counts.retries[place] = 0;
+        counts.hedges[place] = 0;
+        counts.refusals[place] = 0;
     }
     counts.slot = std::max(counts.slot, slot);
     return counts;
@@ -49,9 +58,6 @@
                   TimePoint now)
 {
     Counts& counts = advance(service, now);
-    const auto sum = [](const auto& values) {
-        return std::accumulate(values.begin(), values.end(), 0.0);
-    };
     const double share =
         1.0 / static_cast<double>(std::max<std::size_t>(instances, 1));
     const double budget = granted_part * (m_rules.ratio * sum(counts.calls) +
@@ -62,4 +68,27 @@
     return true;
 }
 
+void
+RetryWindow::refused(std::string_view service, TimePoint now)
+{
+    Counts& counts = advance(service, now);
+    ++counts.refusals[static_cast<std::size_t>(counts.slot) % slots];
+}
+
+/// The calls of this instance alone bound its copies: unlike the allowance,
+/// the ratio needs no share of what the fleet may send.
+bool
+RetryWindow::take_hedge(std::string_view service, std::size_t instances,
+                        TimePoint now)
+{
+    Counts& counts = advance(service, now);
+    const double used = sum(counts.hedges) + sum(counts.refusals);
+    if (used + 1 > m_rules.hedge_ratio * sum(counts.calls))
+        return false;
+    if (!take(service, instances, now))
+        return false;
+    ++counts.hedges[static_cast<std::size_t>(counts.slot) % slots];
+    return true;
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/forward/retry_window_test.cpp
+++ b/src/libcrosslink/forward/retry_window_test.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <random>
 #include <vector>
 
 namespace crosslink
@@ -56,4 +58,67 @@
     }));
 }
 
+TEST_CASE("copies of calls are off by default")
+{
+    RetryWindow window({0.2, 1000, std::chrono::seconds(10)});
+    for (int i = 0; i < 100; ++i)
+        window.called("s", at(0));
+    CHECK_FALSE(window.hedges());
+    CHECK_FALSE(window.take_hedge("s", 1, at(0)));
+}
+
+TEST_CASE("copies of calls use up the retry budget")
+{
+    RetryWindow window({0, 4, std::chrono::seconds(10), 0.1});
+    for (int i = 0; i < 100; ++i)
+        window.called("s", at(0));
+    CHECK(window.take_hedge("s", 1, at(0)));
+    CHECK(window.take("s", 1, at(0)));
+    CHECK_FALSE(window.take_hedge("s", 1, at(0)));
+    CHECK_FALSE(window.take("s", 1, at(0)));
+}
+
+TEST_CASE("a service that refuses calls has no limit left for copies")
+{
+    RetryWindow window({0.2, 50, std::chrono::seconds(10), 0.1});
+    for (int i = 0; i < 20; ++i)
+        window.called("s", at(0));
+    window.refused("s", at(0));
+    CHECK(window.take_hedge("s", 1, at(0)));
+    window.refused("s", at(0));
+    CHECK_FALSE(window.take_hedge("s", 1, at(0)));
+}
+
+TEST_CASE("copies stay within their ratio under any load")
+{
+    CHECK(rc::check("within the ratio", [](std::uint32_t seed) {
+        std::mt19937 random(seed);
+        const double ratio = static_cast<double>(random() % 20) / 100;
+        RetryWindow window({0.2, 1000, std::chrono::seconds(10), ratio});
+        std::vector<std::int64_t> calls;
+        std::vector<std::int64_t> copies;
+        std::int64_t now = 0;
+        const auto longest_gap = 1 + random() % 3000;
+        // All that fell into the window, with the slot under way.
+        const auto in_window = [&now](const auto& times) {
+            return static_cast<double>(
+                std::count_if(times.begin(), times.end(), [&now](auto time) {
+                    return time / 1000 > now / 1000 - 10;
+                }));
+        };
+        for (int i = 0; i < 1000; ++i) {
+            now += random() % 8 == 0 ? random() % longest_gap : 0;
+            if (random() % 4 != 0) {
+                window.called("s", at(now));
+                calls.push_back(now);
+            } else if (window.take_hedge("s", 1, at(now))) {
+                copies.push_back(now);
+                RC_ASSERT(in_window(copies) <= ratio * in_window(calls));
+            }
+        }
+        RC_ASSERT(static_cast<double>(copies.size()) <=
+                  ratio * static_cast<double>(calls.size()));
+    }));
+}
+
 } // namespace crosslink
--- a/src/serve/forward/forward_settings.cpp
+++ b/src/serve/forward/forward_settings.cpp
@@ -92,6 +92,10 @@
         "Window of the retry budget, ms")
         ->default_val(10'000)
         ->check(CLI::Range(1000, 600'000));
+    add(verb, "--hedge-ratio", settings.hedge_ratio,
+        "Second copies of late calls per call, within the retry budget")
+        ->default_val(0)
+        ->check(CLI::Range(0.0, 0.2));
     add(verb, "--warm-up-ratio", settings.warm_up_ratio,
         "Calls to a warming-up runner per call it can process; 0: no limit")
         ->default_val(0)
--- a/src/serve/forward/forward_settings.h
+++ b/src/serve/forward/forward_settings.h
@@ -54,6 +54,7 @@
     double retry_ratio = 0;
     double retry_allowance = 0;
     std::uint64_t retry_window_ms = 0;
+    double hedge_ratio = 0;       ///< See RetryRules.
     double warm_up_ratio = 0;     ///< See warm_up_limit().
     double warm_up_allowance = 0; ///< See warm_up_limit().
     /// See RunnerQuery::home_instances.
@@ -80,7 +81,7 @@
     RetryRules retry_rules() const
     {
         return {retry_ratio, retry_allowance,
-                std::chrono::milliseconds(retry_window_ms)};
+                std::chrono::milliseconds(retry_window_ms), hedge_ratio};
     }
     /// Returns how many calls per second all instances together may send to a
     /// runner that can process `per_second` while it warms up; 0 for no limit.
