Send late calls to a second runner

Cause: a call that is sent to a runner which turned slow waits there until it is answered, although other runners are idle.

The first head that is an answer wins, and the other connection is closed. A refused or broken copy is recorded like any send, and the first one goes on; if the first one fails, the copy does. The copy saves no parts. Counters crosslink_hedges_total, _won_total and _denied_total{reason}; one log line call_hedged each.

--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -21,6 +21,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <istream>
 #include <ostream>
 
@@ -36,6 +37,11 @@
 constexpr int probe_after_s = 1;
 constexpr int probe_count = 2;
 
+/// What a head of an answer ends with.
+constexpr std::string_view head_end = "\r\n\r\n";
+/// Heads of runners are shorter; a longer one counts as arrived.
+constexpr std::size_t peeked_bytes = 16U << 10U;
+
 /// Returns whether answers with `status` have no body whatever their head says.
 bool
 has_no_body(int status)
@@ -78,6 +84,22 @@
 
     bool has_bytes() const { return buffered() > 0; }
     int descriptor() { return static_cast<int>(socket().impl()->sockfd()); }
+    /// While the object lives, waits end once bytes arrive on `rival`.
+    class Race
+    {
+    public:
+        Race(Session& session, const CallConnection* rival) : m_session(session)
+        {
+            if (rival)
+                session.watched().set_rival(rival->m_session->descriptor());
+        }
+        ~Race() { m_session.watched().set_rival(-1); }
+        Race(const Race&) = delete;
+        Race& operator=(const Race&) = delete;
+
+    private:
+        Session& m_session;
+    };
     WatchedSocket& watched() { return *m_watched; }
 
     /// Throws where a read or write ended for the caller or the deadline, which
@@ -124,8 +146,10 @@
 }
 
 void
-CallConnection::send(const OutgoingCall& call, std::string_view body)
+CallConnection::send(const OutgoingCall& call, std::string_view body,
+                     const CallConnection* rival)
 {
+    const Session::Race race(*m_session, rival);
     m_broken = false;
     m_bodiless = call.method == "HEAD";
     m_body = nullptr; // The session drops the last one with a new request.
@@ -144,13 +168,34 @@
 }
 
 CallConnection::Wait
-CallConnection::wait(Micros longest)
+CallConnection::wait(Micros longest, const CallConnection* rival)
 {
     if (m_session->has_bytes() || (m_body && m_body->rdbuf()->in_avail() > 0))
         return Wait::Ready;
+    const Session::Race race(*m_session, rival);
     return m_session->watched().wait(monotonic_now() + longest);
 }
 
+bool
+CallConnection::head_arrived() const
+{
+    if (m_session->has_bytes())
+        return true;
+    // Bytes that were not read hide the end of the connection from recv().
+    pollfd polled{m_session->descriptor(), POLLRDHUP, 0};
+    if (::poll(&polled, 1, 0) != 0)
+        return true;
+    std::array<char, peeked_bytes> bytes{};
+    const auto count = ::recv(m_session->descriptor(), bytes.data(),
+                              bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+    if (count <= 0)
+        return count == 0 || (errno != EAGAIN && errno != EINTR);
+    const std::string_view arrived(bytes.data(),
+                                   static_cast<std::size_t>(count));
+    return arrived.size() == bytes.size() ||
+           arrived.find(head_end) != std::string_view::npos;
+}
+
 RawHead
 CallConnection::receive_head()
 {
--- a/src/adapters/call_connection.h
+++ b/src/adapters/call_connection.h
@@ -45,10 +45,16 @@
     /// throw; nothing where neither did.
     std::optional<Wait> interrupted() const;
 
-    /// Sends a call with its body.
-    void send(const OutgoingCall& call, std::string_view body);
-    /// Waits up to `longest` for bytes of the answer, or for its end.
-    Wait wait(Micros longest);
+    /// Sends a call with its body. Throws once bytes arrive on `rival`, if it
+    /// is not null.
+    void send(const OutgoingCall& call, std::string_view body,
+              const CallConnection* rival = nullptr);
+    /// Waits up to `longest` for bytes of the answer, or for its end; also for
+    /// those of `rival` if it is not null.
+    Wait wait(Micros longest, const CallConnection* rival = nullptr);
+    /// Returns whether receive_head() would not wait for the rest of a head
+    /// that has begun to arrive. Never waits.
+    bool head_arrived() const;
     /// Reads the head of the answer.
     RawHead receive_head();
     /// Returns some bytes of the body; none at its end.
--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -277,4 +277,60 @@
     }
 }
 
+TEST_CASE("a wait ends for bytes of a rival, and later ones do not")
+{
+    RawPeer first;
+    RawPeer second;
+    Caller caller;
+    CallConnection connection(first.address(), connect_time);
+    CallConnection rival(second.address(), connect_time);
+    connection.watch(caller.socket(), monotonic_now() + far_off);
+    connection.send(get_call(), {});
+    CHECK(connection.wait(soon, &rival) == Wait::TimedOut);
+    second.say("HTTP/1.1 200 OK\r\n");
+    CHECK(connection.wait(far_off, &rival) == Wait::RivalReady);
+    CHECK(connection.wait(soon) == Wait::TimedOut);
+    caller.leave();
+    CHECK(connection.wait(far_off, &rival) == Wait::CallerGone);
+}
+
+TEST_CASE("a body is no longer sent once a rival has bytes")
+{
+    RawPeer first;
+    RawPeer second;
+    Caller caller;
+    CallConnection connection(first.address(), connect_time);
+    CallConnection rival(second.address(), connect_time);
+    connection.watch(caller.socket(), monotonic_now() + far_off);
+    second.say("H");
+    // More than the buffers of two sockets take.
+    const std::string body(32U << 20U, 'a');
+    CHECK_THROWS_AS(connection.send(get_call(), body, &rival), Poco::Exception);
+    CHECK(connection.interrupted() == Wait::RivalReady);
+}
+
+TEST_CASE("a head has arrived once it is complete or can't become so")
+{
+    RawPeer runner;
+    Caller caller;
+    CallConnection connection(runner.address(), connect_time);
+    connection.watch(caller.socket(), monotonic_now() + far_off);
+    CHECK_FALSE(connection.head_arrived());
+    runner.say("HTTP/1.1 200 OK\r\n");
+    REQUIRE(connection.wait(far_off) == Wait::Ready);
+    CHECK_FALSE(connection.head_arrived());
+    SECTION("complete")
+    {
+        runner.say("Content-Length: 0\r\n\r\n");
+    }
+    SECTION("broken off")
+    {
+        runner.end();
+    }
+    const TimePoint last = monotonic_now() + connect_time;
+    while (!connection.head_arrived() && monotonic_now() < last)
+        std::this_thread::yield();
+    CHECK(connection.head_arrived());
+}
+
 } // namespace crosslink
--- a/src/adapters/watched_socket.cpp
+++ b/src/adapters/watched_socket.cpp
@@ -57,8 +57,9 @@
         if (left == 0)
             return Wait::TimedOut;
         // A descriptor of -1 is passed over.
-        std::array<pollfd, 2> polled{
-            {{static_cast<int>(sockfd()), events, 0}, {m_caller, POLLIN, 0}}};
+        std::array<pollfd, 3> polled{{{static_cast<int>(sockfd()), events, 0},
+                                      {m_caller, POLLIN, 0},
+                                      {m_rival, POLLIN, 0}}};
         const int count = ::poll(polled.data(), polled.size(), left);
         if (count < 0 && errno != EINTR)
             throw Poco::Net::NetException("poll failed");
@@ -69,6 +70,8 @@
             return Wait::CallerGone;
         if (polled[0].revents != 0)
             return Wait::Ready;
+        if (polled[2].revents != 0)
+            return Wait::RivalReady;
     }
 }
 
@@ -93,11 +96,12 @@
     const Wait ended = wait_for(events, monotonic_now() + piece_time);
     if (ended == Wait::Ready)
         return;
-    if (ended == Wait::CallerGone || monotonic_now() >= m_deadline)
+    if (ended != Wait::TimedOut || monotonic_now() >= m_deadline)
         m_interrupted = ended;
-    throw Poco::TimeoutException(ended == Wait::CallerGone
-                                     ? "the caller has gone"
-                                     : "the other side is silent");
+    throw Poco::TimeoutException(
+        ended == Wait::CallerGone   ? "the caller has gone"
+        : ended == Wait::RivalReady ? "another answer has begun"
+                                    : "the other side is silent");
 }
 
 int
--- a/src/adapters/watched_socket.h
+++ b/src/adapters/watched_socket.h
@@ -23,12 +23,16 @@
     enum class Wait {
         Ready,      ///< The other side can be read from or written to.
         CallerGone, ///< The caller closed its connection.
-        TimedOut,   ///< Neither happened in time.
+        TimedOut,   ///< Nothing of this happened in time.
+        RivalReady, ///< The rival socket can be read from.
     };
 
     /// Begins a call: from here on, no wait lasts beyond `deadline` or the end
     /// of `caller_socket`; -1 for none.
     void watch(int caller_socket, TimePoint deadline);
+    /// From here on, waits end also once `socket` can be read from; -1 for
+    /// none.
+    void set_rival(int socket) { m_rival = socket; }
     /// To be called when a head, or a piece of a body, has been taken from the
     /// bytes received.
     void progressed() { m_unused_bytes = 0; }
@@ -40,15 +44,16 @@
     /// without end. Larger than the heads that runners send.
     static constexpr std::size_t max_unused_bytes = 256U << 10U;
 
-    /// Both throw Poco::TimeoutException where the caller has gone or the
-    /// deadline has passed, and where the other side is silent. The first
+    /// Both throw Poco::TimeoutException where the caller has gone, the rival
+    /// socket can be read from or the deadline has passed, and where the other
+    /// side is silent. The first
     /// throws Poco::Net::MessageException beyond max_unused_bytes.
     int receiveBytes(void* buffer, int length, int flags) override;
     int sendBytes(const void* buffer, int length, int flags) override;
 
     /// Returns what ended a read or write of this call before its time:
-    /// CallerGone, or TimedOut for the deadline; nothing where none of them
-    /// did.
+    /// CallerGone, RivalReady, or TimedOut for the deadline; nothing where none
+    /// of them did.
     std::optional<Wait> interrupted() const { return m_interrupted; }
     /// True where the other side has said all and no more was there to read.
     bool at_end() const { return m_at_end; }
@@ -65,6 +70,7 @@
     void remember(std::string_view bytes);
 
     int m_caller = -1; ///< Watched; -1 for none.
+    int m_rival = -1;  ///< See set_rival().
     TimePoint m_deadline = TimePoint::max();
     std::optional<Wait> m_interrupted;
     bool m_at_end = false;
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace crosslink
 {
@@ -120,6 +121,42 @@
     apply_places(answer, options);
 }
 
+void
+CallPrompt::locate_for_copy(const KeptSpace& space, std::string_view zone,
+                            SendOptions& options)
+{
+    m_zone = zone;
+    const auto parts = m_call.generation->shared_parts();
+    m_places.clear();
+    m_tokens_to_read = m_call.generation->prompt_tokens;
+    m_space = space.text();
+    options.space = m_space;
+    const auto answer =
+        parts.empty() ? std::nullopt : m_kept.locate_locally(space, parts);
+    if (!answer)
+        return;
+    m_space = answer->space;
+    m_places = answer->places;
+    for (KeptPlace& place : m_places)
+        if (place.kind == KeptPlace::Kind::Save)
+            place = KeptPlace::compute(KeptPlace::Reason::BeingSaved);
+    options.space = m_space;
+    options.places = m_places;
+    apply_places(*answer, options);
+}
+
+void
+CallPrompt::swap(CallPrompt& other) noexcept
+{
+    std::swap(m_space, other.m_space);
+    std::swap(m_places, other.m_places);
+    std::swap(m_zone, other.m_zone);
+    std::swap(m_measured, other.m_measured);
+    std::swap(m_tokens_to_read, other.m_tokens_to_read);
+    std::swap(m_expected, other.m_expected);
+    std::swap(m_is_read, other.m_is_read);
+}
+
 /// Counts the parts that are fetched, saved and read, and sets the time by
 /// which the fetches must end.
 void
--- a/src/serve/forward/call_prompt.h
+++ b/src/serve/forward/call_prompt.h
@@ -44,6 +44,14 @@
     /// call must be a generation that ends within `time_left`.
     void locate_parts(const KeptSpace& space, std::string_view zone,
                       Micros time_left, SendOptions& options);
+    /// As locate_parts(), for a second copy of a call that is in flight: by
+    /// what this instance knows, and without a save, since the first copy makes
+    /// those. Never blocks.
+    void locate_for_copy(const KeptSpace& space, std::string_view zone,
+                         SendOptions& options);
+    /// Exchanges all that is known of the last sends. Both must belong to the
+    /// same call.
+    void swap(CallPrompt& other) noexcept;
     /// Records that the call is sent at `now` to a runner that is expected to
     /// start on it after `runner_wait`.
     void note_sent(TimePoint now, Micros runner_wait);
--- a/src/serve/forward/crash_watch.cpp
+++ b/src/serve/forward/crash_watch.cpp
@@ -109,6 +109,15 @@
     return true;
 }
 
+void
+CrashWatch::note_copy_broken(const RunnerPick& runner)
+{
+    if (record_failure({runner.id, runner.start_ms, runner.address}, true))
+        m_state.note_runner_exit(runner.incarnation(), "port");
+    else
+        m_state.unresolved_failure_added.wake();
+}
+
 void
 CrashWatch::note_failed(const RunnerPick& runner)
 {
--- a/src/serve/forward/crash_watch.h
+++ b/src/serve/forward/crash_watch.h
@@ -46,6 +46,9 @@
     /// records nothing, if a `direct` connection broke because this instance
     /// lost its path to the runner.
     bool note_broken(const RunnerPick& runner, bool direct, bool begun);
+    /// As note_broken(), for a second copy of the call while the first one
+    /// waits: never blocks, and whether the runner exited is found out later.
+    void note_copy_broken(const RunnerPick& runner);
     /// Records that `runner` answered that the call failed there. A process may
     /// send such an answer just before it exits.
     void note_failed(const RunnerPick& runner);
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace crosslink
 {
@@ -88,11 +89,14 @@
 ForwardRun::Outcome
 ForwardRun::send_and_relay(CallerLink& link)
 {
-    m_link.connection->send(encode_call(), m_call.body);
+    if (!std::exchange(m_link.sent, true))
+        m_link.connection->send(encode_call(), m_call.body);
     for (int i = 0; i < max_surplus_answers; ++i) {
         if (const auto ended = await_answer())
             return *ended;
-        const RawHead raw = m_link.connection->receive_head();
+        const RawHead raw = m_hedge.has_head()
+                                ? m_hedge.take_head()
+                                : m_link.connection->receive_head();
         if (const auto ended = take_relay_failure(raw))
             return *ended;
         const auto head = next_head(raw);
@@ -107,10 +111,15 @@
 ForwardRun::await_answer()
 {
     for (;;) {
-        switch (m_link.connection->wait(time_to_next_check())) {
+        switch (m_hedge.wait(*m_link.connection, time_to_next_check())) {
         case CallConnection::Wait::CallerGone:
             return Outcome::CallerGone;
+        case CallConnection::Wait::RivalReady:
+            if (copy_wins())
+                return std::nullopt;
+            break;
         case CallConnection::Wait::Ready:
+            m_hedge.stop_watching();
             m_silent_at.reset();
             m_path_check_at.reset();
             if (!m_link.relay)
@@ -124,6 +133,8 @@
         if (may_be_withdrawn() && m_choice.is_outdated())
             return Outcome::Outdated;
         check_path();
+        if (m_hedge.is_due(monotonic_now()))
+            hedge();
         if (m_silent_at && monotonic_now() >= *m_silent_at && retries_silent())
             return Outcome::Silent;
     }
@@ -167,6 +178,8 @@
         next = std::min(next, *m_silent_at - monotonic_now());
     if (m_path_check_at)
         next = std::min(next, *m_path_check_at - monotonic_now());
+    if (m_hedge.due())
+        next = std::min(next, *m_hedge.due() - monotonic_now());
     return std::max(next, Micros{0});
 }
 
@@ -191,8 +204,9 @@
     m_silent_at.reset();
     auto& idle = m_link.relay ? m_state.relay_connections : m_state.connections;
     idle.drop_unproven(link_address(), m_link.opened_at);
-    const bool retries = m_route.repeatable() &&
-                         m_runs + 1 < m_route.most_attempts && take_retry();
+    const bool retries = m_hedge.is_open() ||
+                         (m_route.repeatable() &&
+                          m_runs + 1 < m_route.most_attempts && take_retry());
     LogLine("connection_silent")
         .field("request", m_call.id)
         .field("runner", m_choice.pick().id)
@@ -259,13 +273,12 @@
             .field("version", m_choice.pick().version);
         return head.misdirected ? Outcome::Misdirected : Outcome::NotRun;
     }
-    // The caller would conclude that the call did not run, which the runner
-    // did not state.
-    if (promises_not_run(head.status))
+    if (!may_be_relayed(head))
         return Outcome::Broken;
     const bool success = is_success(head.status);
-    if (success && (!head.has_signature || head.encoded))
-        return Outcome::Broken;
+    if (success)
+        note_response(m_sent_at, m_prompt.tokens_to_read());
+    end_copy(Outcome::Superseded);
     if (success && head.event_stream)
         return relay_events(link, head);
     // A stream that another runner began can't continue with an answer of
@@ -273,6 +286,17 @@
     return link.begun() ? Outcome::Broken : relay_whole(link, head);
 }
 
+/// Returns whether the caller may get an answer with this head.
+bool
+ForwardRun::may_be_relayed(const AnswerHead& head)
+{
+    // The caller would conclude that the call did not run, which the runner
+    // did not state.
+    if (promises_not_run(head.status))
+        return false;
+    return !is_success(head.status) || (head.has_signature && !head.encoded);
+}
+
 void
 ForwardRun::note_first_event()
 {
--- a/src/serve/forward/forward_path.cpp
+++ b/src/serve/forward/forward_path.cpp
@@ -100,7 +100,12 @@
     if (!account && map->needs_key && !route->open)
         throw Error(ErrorCode::UnknownKey, "no account has this key");
     ForwardRun run(m_state, m_kept, call, *route, account);
-    run.run(link);
+    try {
+        run.run(link);
+    } catch (const Error& failure) {
+        run.note_failure(failure);
+        throw;
+    }
     ++(run.caller_gone() ? m_state.counters.callers_gone
                          : m_state.counters.answered);
     m_state.counters.whole_answer.add(monotonic_now() - call.received_at);
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -48,7 +48,8 @@
       m_prompt(state, kept, call, route.objective),
       m_choice(state, m_prompt, call, route, account),
       m_crashes(state, call, account), m_intake(state, call),
-      m_connector(state, call.id), m_resumption(state, call, route, account)
+      m_connector(state, call.id), m_resumption(state, call, route, account),
+      m_hedge(state, kept, call, route.objective)
 {
 }
 
@@ -234,6 +235,15 @@
         m_options = make_options();
     m_options->time_left = time_left();
     note_sent();
+    watch_send(link);
+    const Outcome outcome = finish_send(link);
+    return m_hedge.is_open() ? continue_with_copy(link, outcome) : outcome;
+}
+
+/// Waits for the answer to the last send and relays it.
+ForwardRun::Outcome
+ForwardRun::finish_send(CallerLink& link)
+{
     Outcome outcome = Outcome::Broken;
     bool silent = false;
     try {
@@ -343,6 +353,14 @@
 ForwardRun::connect()
 {
     m_link = m_connector.next(time_left());
+    begin_checks();
+    return m_link.connection != nullptr;
+}
+
+/// Sets when to look at a connection on which nothing arrives.
+void
+ForwardRun::begin_checks()
+{
     m_silent_at.reset();
     m_path_check_at.reset();
     m_suspects = false;
@@ -350,7 +368,6 @@
         m_silent_at = m_link.opened_at + time_left() / silence_divisor;
     if (!m_link.relay)
         m_path_check_at = m_link.opened_at + path_check_time;
-    return m_link.connection != nullptr;
 }
 
 /// Returns the address that the call is sent to.
@@ -384,6 +401,18 @@
 
 SendOptions
 ForwardRun::make_options()
+{
+    SendOptions options = options_without_parts();
+    if (m_call.generation)
+        m_prompt.locate_parts(m_choice.kept_space(), m_choice.pick().zone,
+                              options.time_left, options);
+    return options;
+}
+
+/// Returns the options for the chosen runner, without what it is to do with
+/// the parts of the prompt.
+SendOptions
+ForwardRun::options_without_parts() const
 {
     SendOptions options;
     options.runner = m_choice.pick().id;
@@ -396,8 +425,6 @@
     options.version = m_choice.pick().version;
     if (const auto last = m_events.last_event())
         options.after_event = std::to_string(*last);
-    m_prompt.locate_parts(m_choice.kept_space(), m_choice.pick().zone,
-                          options.time_left, options);
     return options;
 }
 
@@ -409,6 +436,10 @@
     else if (outcome == Outcome::Done)
         m_crashes.note_served(m_choice.pick(), m_sent_at);
     const TimePoint now = monotonic_now();
+    if (outcome == Outcome::NotRun)
+        m_state.retries.with([&](RetryWindow& window) {
+            window.refused(m_choice.service(), now);
+        });
     const bool loading = m_call.generation &&
                          m_choice.newest_weights() > m_choice.pick().version;
     const RunnerIncarnation runner = m_choice.pick().incarnation();
@@ -438,6 +469,7 @@
         case Outcome::TimedOut:
         case Outcome::Outdated:
         case Outcome::Silent:
+        case Outcome::Superseded:
         case Outcome::Failed:
         case Outcome::NotRelayed:
         case Outcome::NotLent:
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -8,6 +8,7 @@
 #include "caller_link.h"
 #include "crash_watch.h"
 #include "forward_state.h"
+#include "hedged_send.h"
 #include "kept_locator.h"
 #include "runner_choice.h"
 #include "runner_connector.h"
@@ -28,6 +29,7 @@
 namespace crosslink
 {
 
+class Error;
 struct QueueRefusal;
 struct QueuedCall;
 struct RawHead;
@@ -48,6 +50,10 @@
     /// Error if the call failed and nothing was sent to the caller.
     void run(CallerLink& link);
 
+    /// To be called with what run() threw: records that the service is short of
+    /// capacity if that was the reason.
+    void note_failure(const Error& failure);
+
     /// Returns how many times the call was sent to a runner.
     std::uint32_t sends() const { return m_sends; }
     /// Returns the id of the runner that was chosen last.
@@ -91,6 +97,8 @@
         /// As Broken: no byte arrived on a reused connection. A retry was
         /// granted.
         Silent,
+        /// As Broken: another copy of the call was answered first.
+        Superseded,
         /// The runner answered that it ran the call and failed. A retry was
         /// granted.
         Failed,
@@ -117,6 +125,7 @@
     Micros retry_time_after_refusals();
     Outcome attempt(CallerLink& link);
     Outcome send_once(CallerLink& link);
+    Outcome finish_send(CallerLink& link);
     void note_sent();
     void note_ended(Outcome outcome);
     void note_unreachable();
@@ -125,6 +134,8 @@
     bool take_retry();
     void record_outcome(Outcome outcome);
     SendOptions make_options();
+    SendOptions options_without_parts() const;
+    void begin_checks();
     bool connect();
     OutgoingCall encode_call() const;
     const std::string& link_address() const;
@@ -132,6 +143,22 @@
     Outcome exchange(CallerLink& link);
     Outcome send_and_relay(CallerLink& link);
     std::optional<Outcome> await_answer();
+    void watch_send(CallerLink& link);
+    HedgeCall hedge_call();
+    void hedge();
+    std::optional<HedgeDenial>
+    hedge_denial(const std::optional<RunnerPick>& pick);
+    HedgeRunner hedge_runner(const RunnerPick& pick);
+    void send_copy();
+    bool copy_wins();
+    Outcome receive_copy_head();
+    Outcome continue_with_copy(CallerLink& link, Outcome outcome);
+    void end_copy(Outcome outcome);
+    void end_other_send(Outcome outcome);
+    void record_copy_outcome(Outcome outcome);
+    void swap_sends();
+    void note_response(TimePoint sent_at, std::uint64_t tokens);
+    static bool may_be_relayed(const AnswerHead& head);
     void check_path();
     bool may_be_withdrawn() const;
     Micros time_to_next_check() const;
@@ -173,6 +200,7 @@
     RunnerLink m_link; ///< Of the last send; without connection after its end.
     /// Of the current runner; nothing before the first send to it.
     std::optional<SendOptions> m_options;
+    HedgedSend m_hedge;
     TimePoint m_sent_at{}; ///< Time of the last send.
     /// When the runner's silence leads to a look at this instance's path;
     /// nothing once it has answered.
--- a/src/serve/forward/forward_settings.h
+++ b/src/serve/forward/forward_settings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/hedge_policy.h>
 #include <crosslink/forward/retry_window.h>
 #include <crosslink/membership/instance_info.h>
 
@@ -83,6 +84,10 @@
         return {retry_ratio, retry_allowance,
                 std::chrono::milliseconds(retry_window_ms), hedge_ratio};
     }
+    HedgeRules hedge_rules() const
+    {
+        return hedge_ratio > 0 ? HedgeRules{} : HedgeRules{{}};
+    }
     /// Returns how many calls per second all instances together may send to a
     /// runner that can process `per_second` while it warms up; 0 for no limit.
     double warm_up_limit(double per_second) const
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -66,6 +66,7 @@
                            ForwardPorts ports_in)
     : settings(settings_in), ports(ports_in),
       fleet(settings_in.order_spacing()), retries(settings_in.retry_rules()),
+      hedge_policy(settings_in.hedge_rules()),
       coordinator_lease(DutyLease::takeover_delay(settings_in.order_spacing(),
                                                   settings_in.lease())),
       bodies(settings_in.memory_mb * bytes_per_mb / body_memory_divisor),
@@ -333,6 +334,13 @@
     counter("shares_lent_total", shares_lent);
     counter("shares_denied_total", shares_denied);
     counter("streams_refused_total", streams_refused);
+    counter("hedges_total", hedges);
+    counter("hedges_won_total", hedges_won);
+    out << "# TYPE crosslink_hedges_denied_total counter\n";
+    for (std::size_t i = 0; i < hedges_denied.size(); ++i)
+        out << "crosslink_hedges_denied_total{reason=\""
+            << hedge_denial_name(static_cast<HedgeDenial>(i)) << "\"} "
+            << hedges_denied[i].load() << '\n';
     out << "# TYPE crosslink_relays_open gauge\ncrosslink_relays_open "
         << relays_open.load() << '\n';
     out << "# TYPE crosslink_runners_limited gauge\ncrosslink_runners_limited "
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -18,7 +18,9 @@
 #include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/fair_share_tracker.h>
+#include <crosslink/forward/hedge_policy.h>
 #include <crosslink/forward/relay_selector.h>
+#include <crosslink/forward/response_times.h>
 #include <crosslink/forward/retry_window.h>
 #include <crosslink/forward/runner_paths.h>
 #include <crosslink/forward/runner_table.h>
@@ -39,6 +41,7 @@
 #include <crosslink/weights/rollout_record.h>
 #include <crosslink/weights/weights_history.h>
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <map>
@@ -106,6 +109,11 @@
     Counter failed{0};
     Counter callers_gone{0};
     Counter sends{0};
+    Counter hedges{0};     ///< Second copies that were sent to runners.
+    Counter hedges_won{0}; ///< Of them, those whose answers were delivered.
+    /// Late calls that were not hedged, by HedgeDenial.
+    std::array<Counter, static_cast<std::size_t>(HedgeDenial::Count_)>
+        hedges_denied{};
     Counter repeats{0};
     Counter runner_ends{0}; ///< Calls in progress at runners that exited.
     Counter requests_blocked{0};
@@ -152,6 +160,10 @@
     Guarded<FleetView> fleet;
     Guarded<RunnerTable> runners;
     Guarded<RetryWindow> retries;
+    /// Which calls may be sent to a second runner; none by default.
+    const HedgePolicy hedge_policy;
+    /// Of the calls that this instance sent itself; empty if none is hedged.
+    Guarded<ResponseTimes> response_times;
     /// Shares of client accounts at model engines and runners with limits.
     Guarded<FairShareTracker> fair_shares;
     Guarded<UrgencyTracker> urgencies;
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -85,6 +85,19 @@
     return true;
 }
 
+std::optional<RunnerPick>
+RunnerChoice::choose_second()
+{
+    RunnerQuery query = make_query();
+    std::set<std::string> excluded = m_excluded;
+    excluded.insert(m_pick.id);
+    query.avoid = &excluded;
+    query.software = &m_pick.software;
+    query.least_version = std::max(query.least_version, m_pick.version);
+    return m_state.runners.with(
+        [&query](const RunnerTable& table) { return table.choose(query); });
+}
+
 void
 RunnerChoice::require(const std::string& service, const std::string& software)
 {
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace crosslink
 {
@@ -54,6 +55,13 @@
     /// Records that the call ended at the chosen runner; see
     /// RunnerTable::ended().
     void ended(std::uint64_t resident);
+    /// Returns another runner for the call while it is in flight at the chosen
+    /// one: with the same software, and weights that are not older. Nothing if
+    /// none accepts calls. No place is reserved.
+    std::optional<RunnerPick> choose_second();
+    /// Makes `other` the chosen runner, and the chosen one `other`. No place
+    /// must be reserved at the chosen one.
+    void swap_pick(RunnerPick& other) { std::swap(m_pick, other); }
     /// Reserves a place for another send of the call to the chosen runner.
     void reserve_again();
     /// See RunnerQuery::avoids_exiting.
--- a/src/serve/forward/runner_connector.h
+++ b/src/serve/forward/runner_connector.h
@@ -23,6 +23,7 @@
 /// A connection on which a call can be sent to a runner.
 struct RunnerLink {
     std::unique_ptr<CallConnection> connection; ///< Null if there is none.
+    bool sent = false;                          ///< A call was sent on it.
     TimePoint opened_at{}; ///< When it was opened, or taken from the idle ones.
     bool reused = false;
     /// The instance that it leads to, which passes the call on; nothing if it
