Send a copy only after twice the usual time

Cause: after the 0.9 quantile itself, ordinary late calls used up the limit before calls at a stalled runner were late.

Change: HedgePolicy::delay() is twice the quantile. The simulation plays 180 s and is truly without hedges at ratio 0.

--- a/src/include/crosslink/forward/hedge_policy.h
+++ b/src/include/crosslink/forward/hedge_policy.h
@@ -80,7 +80,7 @@
 class HedgePolicy
 {
 public:
-    /// Part of the answers that begin before a copy is sent. A tenth of the
+    /// Part of the answers that begin within the usual time. A tenth of the
     /// runners may be slow without moving it to their times.
     static constexpr double quantile = 0.9;
 
@@ -90,7 +90,7 @@
     /// nothing if it may be.
     std::optional<HedgeDenial> denial(const HedgeCall& call) const;
     /// Returns how long after its send a call is hedged that denial() lets
-    /// through. A time that the length of the prompt or of the queue explains
+    /// through: a multiple of the usual time. A time that the length of the prompt or of the queue explains
     /// is no reason for a copy.
     static Micros delay(const HedgeCall& call);
     /// Returns why the copy of a call that has waited `waited` is not sent to
--- a/src/libcrosslink/forward/hedge_policy.cpp
+++ b/src/libcrosslink/forward/hedge_policy.cpp
@@ -15,6 +15,10 @@
 /// The copy must be expected to begin within this part of the time that the
 /// first send has already taken. Estimates of waits are off by up to twice.
 constexpr int shorter_divisor = 2;
+/// A call is late after this multiple of the usual time. Answers of healthy
+/// runners seldom take as long; copies of all that are beyond the quantile
+/// would use up the limit before the calls at a stalled runner are late.
+constexpr int late_factor = 2;
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(HedgeDenial::Count_)>
@@ -61,7 +65,9 @@
 Micros
 HedgePolicy::delay(const HedgeCall& call)
 {
-    return std::max(call.usual.value_or(Micros::max()), call.expected);
+    if (!call.usual)
+        return Micros::max();
+    return std::max(*call.usual * late_factor, call.expected);
 }
 
 std::optional<HedgeDenial>
--- a/src/libcrosslink/testing/played_hedges.h
+++ b/src/libcrosslink/testing/played_hedges.h
@@ -103,7 +103,8 @@
     };
     struct Instance {
         explicit Instance(const PlayedRunners& fleet)
-            : retries({0.2, 50, std::chrono::seconds(10), fleet.hedge_ratio})
+            : retries({0.2, 50, std::chrono::seconds(10), fleet.hedge_ratio}),
+              policy(fleet.hedge_ratio > 0 ? HedgeRules{} : HedgeRules{{}})
         {
             for (std::size_t i = 0; i < fleet.runners; ++i) {
                 ListedRunner listed;
@@ -116,7 +117,7 @@
         RunnerTable table;
         ResponseTimes times;
         RetryWindow retries;
-        HedgePolicy policy{{}};
+        HedgePolicy policy;
     };
 
     void add(TimePoint at, const Event& event) { m_events.emplace(at, event); }
