--- a/src/include/crosslink/forward/hedge_policy.h
+++ b/src/include/crosslink/forward/hedge_policy.h
@@ -90,8 +90,8 @@
     /// nothing if it may be.
     std::optional<HedgeDenial> denial(const HedgeCall& call) const;
     /// Returns how long after its send a call is hedged that denial() lets
-    /// through: a multiple of the usual time. A time that the length of the prompt or of the queue explains
-    /// is no reason for a copy.
+    /// through: a multiple of the usual time. A time that the length of the
+    /// prompt or of the queue explains is no reason for a copy.
     static Micros delay(const HedgeCall& call);
     /// Returns why the copy of a call that has waited `waited` is not sent to
     /// `runner`; nothing if it may be.
