--- a/src/libcrosslink/testing/played_load.h
+++ b/src/libcrosslink/testing/played_load.h
@@ -211,7 +211,7 @@
         TimePoint began_at{};
         std::vector<EnginePart> parts{}; ///< Of the prompt.
         std::uint32_t to_read = 0;       ///< As the instance expected.
-        std::string sent_to{}; ///< The last runner.
+        std::string sent_to{};           ///< The last runner.
         Micros expected{0};
         Micros wait{0};
         TimePoint due{};
