Let a part of the calls leave a zone that is short of capacity

Cause: with homes, another zone cost 260 ms more, above the queue limit.

Change: ZoneSpill sends a part of the calls that follows the difference of the zones' reported waits. Only where homes exist and the load of other zones is known.

A part that follows the waits ten times as steeply swung with the reports: a third of the calls crossed while all zones sent alike.

--- a/src/include/crosslink/forward/runner_price.h
+++ b/src/include/crosslink/forward/runner_price.h
@@ -66,12 +66,23 @@
 Micros expected_wait(const RunnerEntry& entry, const RunnerQuery& query,
                      const FleetLoad& fleet);
 
+/// Returns the expected wait by the load as it was reported, without what has
+/// been prefilled and sent since. The mean over a zone compares to that of
+/// another zone, while expected_wait() is short where this instance sends
+/// little.
+Micros reported_wait(const RunnerEntry& entry, const RunnerQuery& query,
+                     const FleetLoad& fleet);
+
 /// Returns the price of a runner from its load, its weights and its zone.
 /// RunnerTable applies affinity_ms, silent_zone_ms and connection_failed_ms,
 /// which depend on further state.
 double price_ms(const RunnerEntry& entry, const RunnerQuery& query,
                 const FleetLoad& fleet);
 
+/// Returns the price of fetching the prompt's stored parts to a runner of
+/// `zone`, beyond that of fetching them within their own zone.
+double far_fetch_ms(std::string_view zone, const RunnerQuery& query);
+
 /// Returns the maximum random addition to a price, which keeps instances from
 /// all choosing the same runner.
 double jitter_ms(const RunnerQuery& query);
--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -285,7 +285,10 @@
     bool accepts(const RunnerEntry& entry, const RunnerQuery& query) const;
     const RunnerEntry* due_probe(const RunnerQuery& query) const;
     std::vector<const RunnerEntry*> candidates(const RunnerQuery& query,
-                                               const HomeRunners& homes) const;
+                                               const HomeRunners& homes,
+                                               const FleetLoad& fleet) const;
+    void keep_zone_of(std::vector<const RunnerEntry*>& candidates,
+                      const RunnerQuery& query, const FleetLoad& fleet) const;
     std::vector<const RunnerEntry*> walk(const RunnerIndex::Group& group,
                                          const RunnerQuery& query) const;
     std::vector<const RunnerEntry*> draw(const RunnerIndex::Group& group,
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -9,6 +9,7 @@
 #include <crosslink/forward/runner_price.h>
 #include <crosslink/forward/segment_holders.h>
 #include <crosslink/forward/share_loans.h>
+#include <crosslink/forward/zone_spill.h>
 #include <crosslink/membership/rendezvous.h>
 
 #include <algorithm>
@@ -114,6 +115,25 @@
     return home;
 }
 
+/// Returns the mean expected wait at the candidates of each zone, with the cost
+/// of fetching the prompt's stored parts from another one.
+ZoneSpill::Costs
+zone_costs(const Candidates& candidates, const RunnerQuery& query,
+           const FleetLoad& fleet)
+{
+    constexpr double millis_per_second = 1000;
+    ZoneSpill::Costs costs;
+    std::map<std::string_view, double> counts;
+    for (const RunnerEntry* entry : candidates) {
+        costs[entry->listed.zone] +=
+            millis_per_second * seconds(reported_wait(*entry, query, fleet));
+        ++counts[entry->listed.zone];
+    }
+    for (auto& [zone, cost] : costs)
+        cost = cost / counts[zone] + far_fetch_ms(zone, query);
+    return costs;
+}
+
 /// Returns whether a runner may be ending: one that ends in steps accepts
 /// connections and breaks them until its port closes.
 bool
@@ -223,7 +243,7 @@
     if (const RunnerEntry* probed = due_probe(query))
         return pick_of(*probed, query, fleet);
     const HomeRunners homes = home_runners(query);
-    const Candidates found = candidates(query, homes);
+    const Candidates found = candidates(query, homes, fleet);
     if (found.empty())
         return std::nullopt;
     return pick_of(*cheapest(found, query, fleet, homes), query, fleet);
@@ -231,8 +251,8 @@
 
 /// Returns the runners among which this instance chooses.
 Candidates
-RunnerTable::candidates(const RunnerQuery& query,
-                        const HomeRunners& homes) const
+RunnerTable::candidates(const RunnerQuery& query, const HomeRunners& homes,
+                        const FleetLoad& fleet) const
 {
     const RunnerIndex::Groups* groups = m_index.groups(query.service);
     if (!groups)
@@ -247,6 +267,8 @@
             const Candidates part = walk(group, query);
             found.insert(found.end(), part.begin(), part.end());
         }
+        if (homes.exist())
+            keep_zone_of(found, query, fleet);
         sample(found, query, homes);
         return found;
     }
@@ -261,6 +283,28 @@
     return found;
 }
 
+/// Reduces `candidates` to those of another zone if the call goes there since
+/// the own zone is short of capacity.
+void
+RunnerTable::keep_zone_of(Candidates& candidates, const RunnerQuery& query,
+                          const FleetLoad& fleet) const
+{
+    // The waits in zones whose load is not known can't be compared.
+    if (!fleet.others_known || !fleet.known_zone.empty() ||
+        is_silent(query.zone, query.now))
+        return;
+    ZoneSpill::Costs costs = zone_costs(candidates, query, fleet);
+    std::erase_if(costs, [&](const auto& item) {
+        return is_silent(item.first, query.now);
+    });
+    const std::string_view zone =
+        ZoneSpill::choose(query.zone, costs, query.random);
+    if (zone != query.zone)
+        std::erase_if(candidates, [zone](const RunnerEntry* entry) {
+            return entry->listed.zone != zone;
+        });
+}
+
 /// Returns all runners of `group` that accept the call.
 Candidates
 RunnerTable::walk(const RunnerIndex::Group& group,
--- a/src/libcrosslink/forward/runner_price.cpp
+++ b/src/libcrosslink/forward/runner_price.cpp
@@ -154,6 +154,16 @@
     return from_millis(wait_ms(load, query, fleet));
 }
 
+Micros
+reported_wait(const RunnerEntry& entry, const RunnerQuery& query,
+              const FleetLoad& fleet)
+{
+    KnownLoad load;
+    load.add(entry.own, 1);
+    load.add(entry.others, 1);
+    return from_millis(wait_ms(load, query, fleet));
+}
+
 double
 price_ms(const RunnerEntry& entry, const RunnerQuery& query,
          const FleetLoad& fleet)
@@ -167,9 +177,15 @@
         price += old_weights_ms;
     if (entry.listed.zone != query.zone)
         price += other_zone_ms;
-    if (!query.kept.zone.empty() && entry.listed.zone != query.kept.zone)
-        price += far_fetch_factor * to_millis(query.kept.fetch_time);
-    return price;
+    return price + far_fetch_ms(entry.listed.zone, query);
+}
+
+double
+far_fetch_ms(std::string_view zone, const RunnerQuery& query)
+{
+    if (query.kept.zone.empty() || zone == query.kept.zone)
+        return 0;
+    return far_fetch_factor * to_millis(query.kept.fetch_time);
 }
 
 double
--- a/src/libcrosslink/testing/played_load.h
+++ b/src/libcrosslink/testing/played_load.h
@@ -70,6 +70,9 @@
     double speed = 1;              ///< Of all engines.
     std::uint32_t memory = 70'000; ///< Of an engine, in tokens.
     std::size_t zones = 1; ///< Over which engines and instances are spread.
+    /// Returns how much a zone's callers send, as a multiple of the mean of all
+    /// zones; alike if it is empty.
+    std::function<double(std::size_t zone, double second)> zone_demand{};
     std::size_t home_instances = 0;   ///< See RunnerQuery.
     bool segments = false;            ///< Calls go to holders of their parts.
     std::size_t stores = 0;           ///< That keep shared parts.
@@ -117,19 +120,31 @@
     /// `from` until second `to`.
     PlayedTally tally(std::size_t kind, double from, double to) const
     {
-        PlayedTally sum;
+        return tally_if(kind, from, to, [](const Caller&) { return true; });
+    }
+
+    /// Returns what callers of one zone got, of the same kind and time.
+    PlayedTally zone_tally(std::size_t zone, std::size_t kind, double from,
+                           double to) const
+    {
+        return tally_if(kind, from, to, [this, zone](const Caller& caller) {
+            return caller.instance % m_fleet.zones == zone;
+        });
+    }
+
+    /// Returns the part of the calls of all kinds that were sent to another
+    /// zone, of the callers whose first try came in that time.
+    double crossed_share(double from, double to) const
+    {
+        double calls = 0;
+        double crossed = 0;
         for (const Caller& caller : m_callers) {
             const double came =
                 crosslink::seconds(caller.first_try - TimePoint{});
-            if (caller.kind != kind || came < from || came >= to)
-                continue;
-            ++sum.asked;
-            sum.in_time += caller.end == End::InTime ? 1 : 0;
-            sum.late += caller.end == End::Late ? 1 : 0;
-            sum.refused += caller.end == End::Refused ? 1 : 0;
-            sum.failed += caller.end == End::Failed ? 1 : 0;
+            calls += came >= from && came < to ? 1 : 0;
+            crossed += came >= from && came < to && caller.crossed ? 1 : 0;
         }
-        return sum;
+        return calls == 0 ? 0 : crossed / calls;
     }
 
     /// Returns the part `quantile` of the times to the first token of `kind`,
@@ -161,17 +176,39 @@
     enum class End { Open, InTime, Late, Refused, Failed };
     struct Caller {
         std::size_t kind = 0;
+        std::size_t instance = 0; ///< That it calls.
         TimePoint first_try{};
         TimePoint sent_at{};
         std::string runner; ///< Empty while it is at none.
         End end = End::Open;
         bool repeated = false;
         bool began = false;
+        bool crossed = false; ///< Sent to a runner of another zone.
         TimePoint began_at{};
         std::vector<EnginePart> parts{}; ///< Of the prompt.
         std::uint32_t to_read = 0;       ///< As the instance expected.
     };
 
+    template<class Condition>
+    PlayedTally tally_if(std::size_t kind, double from, double to,
+                         const Condition& condition) const
+    {
+        PlayedTally sum;
+        for (const Caller& caller : m_callers) {
+            const double came =
+                crosslink::seconds(caller.first_try - TimePoint{});
+            if (caller.kind != kind || came < from || came >= to ||
+                !condition(caller))
+                continue;
+            ++sum.asked;
+            sum.in_time += caller.end == End::InTime ? 1 : 0;
+            sum.late += caller.end == End::Late ? 1 : 0;
+            sum.refused += caller.end == End::Refused ? 1 : 0;
+            sum.failed += caller.end == End::Failed ? 1 : 0;
+        }
+        return sum;
+    }
+
     using Loads = std::map<std::string, RunnerLoad>;
 
     static constexpr int step_ms = 5;
@@ -268,7 +305,7 @@
 
     RunnerTable& table_of(std::size_t number)
     {
-        return m_tables[number % m_tables.size()];
+        return m_tables[m_callers[number].instance];
     }
 
     void arrive(double load)
@@ -277,19 +314,37 @@
             std::poisson_distribution<int> count(
                 load * m_kinds[kind].per_second * step_ms / 1000.0);
             for (int i = count(m_random); i > 0; --i) {
-                m_callers.push_back({kind, m_now, {}, "", End::Open});
+                const std::size_t instance = called_instance();
+                m_callers.emplace_back();
+                m_callers.back().kind = kind;
+                m_callers.back().instance = instance;
+                m_callers.back().first_try = m_now;
                 m_callers.back().parts = draw_parts(kind);
                 send(m_callers.size() - 1);
             }
         }
     }
 
+    /// Returns the instance that the next caller calls.
+    std::size_t called_instance()
+    {
+        if (!m_fleet.zone_demand)
+            return m_callers.size() % m_tables.size();
+        const double second = crosslink::seconds(m_now - TimePoint{});
+        std::vector<double> weights(m_tables.size());
+        for (std::size_t i = 0; i < weights.size(); ++i)
+            weights[i] = m_fleet.zone_demand(i % m_fleet.zones, second);
+        std::discrete_distribution<std::size_t> draw(weights.begin(),
+                                                     weights.end());
+        return draw(m_random);
+    }
+
     void send(std::size_t number)
     {
         Caller& caller = m_callers[number];
         const PlayedKind& kind = m_kinds[caller.kind];
         // The query refers to it.
-        const std::string zone = zone_of(number % m_tables.size());
+        const std::string zone = zone_of(caller.instance);
         RunnerQuery query;
         query.service = "s";
         query.zone = zone;
@@ -301,7 +356,7 @@
         query.random = m_random();
         query.now = m_now;
         query.instances = m_fleet.instances;
-        const std::string name = name_of(number % m_tables.size());
+        const std::string name = name_of(caller.instance);
         query.instance = name;
         query.home_instances = m_fleet.home_instances;
         std::vector<std::string> names;
@@ -329,6 +384,7 @@
             }
         }
         caller.runner = pick->id;
+        caller.crossed = pick->zone != zone;
         caller.sent_at = m_now;
         table_of(number).sent(pick->incarnation(), caller.to_read,
                               query.resident, m_now);
@@ -344,7 +400,7 @@
     segments_of(std::size_t number, const std::vector<std::string>& names)
     {
         const Caller& caller = m_callers[number];
-        SegmentDemand& demand = m_demands[number % m_tables.size()];
+        SegmentDemand& demand = m_demands[caller.instance];
         const std::uint64_t tokens = resident_of(caller);
         demand.called("s", tokens, m_now);
         std::vector<SharedSegment> segments;
