Move the admission check of a call into a class of its own

Cause: the check was part of ForwardRun, which several parts change.

Change: AdmissionCheck has the check, the refusal and the priority of the call; ForwardRun keeps one call. Behavior is unchanged.

--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -9,7 +9,6 @@
 #include <serve/log_line.h>
 
 #include <crosslink/base/number.h>
-#include <crosslink/forward/queue_limit.h>
 
 #include <Poco/Exception.h>
 
@@ -47,6 +46,7 @@
       m_events(parse_leading_integer<std::uint64_t>(call.last_event)),
       m_prompt(state, kept, call, route.objective),
       m_choice(state, m_prompt, call, route, account),
+      m_admission(state, m_choice, call, route, account),
       m_crashes(state, call, account), m_intake(state, call),
       m_connector(state, call.id), m_resumption(state, call, route, account)
 {
@@ -86,7 +86,7 @@
                                m_runs > 0 ? Outcome::Broken : Outcome::NotSent);
             return;
         }
-        refuse_if_queue_too_long();
+        m_admission.check(m_sends);
         if (m_crashes.rejects_send()) {
             end_blocked(link);
             return;
@@ -117,59 +117,6 @@
     return m_choice.choose() || m_choice.borrow() || wait_for_runner();
 }
 
-/// Throws Error if the call has not been sent yet and would wait too long in
-/// the chosen runner's queue.
-void
-ForwardRun::refuse_if_queue_too_long()
-{
-    if (m_sends > 0 || !m_call.generation || !m_call.last_event.empty())
-        return;
-    QueuedCall queued;
-    queued.expected_wait = m_choice.pick().wait;
-    queued.objective = m_route.objective;
-    queued.waited = monotonic_now() - m_call.received_at;
-    queued.urgency = m_state.urgencies.with([this](UrgencyTracker& urgencies) {
-        return urgencies.called(m_choice.service(), priority(),
-                                m_route.objective, monotonic_now());
-    });
-    queued.account_above_share = m_choice.account_above_share();
-    if (const auto refusal = QueueLimit::refusal(queued, random_bits()))
-        refuse(queued, *refusal);
-}
-
-void
-ForwardRun::refuse(const QueuedCall& call, const QueueRefusal& refusal)
-{
-    using Reason = QueueRefusal::Reason;
-    auto& counters = m_state.counters;
-    ++(refusal.reason == Reason::LessUrgent   ? counters.less_urgent
-       : refusal.reason == Reason::AboveShare ? counters.above_share
-                                              : counters.queue_too_long);
-    LogLine("call_not_admitted")
-        .field("request", m_call.id)
-        .field("service", m_choice.service())
-        .field("account", m_account ? m_account->name : std::string())
-        .field("priority", priority())
-        .field("level", call.urgency.level)
-        .field("above_share", call.account_above_share)
-        .field("why", queue_refusal_name(refusal.reason))
-        .field("runner", m_choice.pick().id)
-        .span("expected_wait", call.expected_wait)
-        .span("allowed_wait", refusal.allowed)
-        .span("load_age", m_choice.load_age())
-        .span("retry_after", refusal.retry_after);
-    throw Error(ErrorCode::NoUpstream, "the queues of the runners are too long",
-                RunState::NotDispatched, refusal.retry_after);
-}
-
-/// Returns the rank of the call; 0 is the most urgent.
-std::uint32_t
-ForwardRun::priority() const
-{
-    return m_account && m_account->has_priority ? m_account->priority
-                                                : m_route.priority;
-}
-
 /// Waits for a runner that is known to accept calls again early enough for an
 /// answer within the objective. Returns false at once if there is none: the
 /// caller gets a retry time instead of a wait that can't succeed.
@@ -392,7 +339,7 @@
         options.account = m_account->name;
     if (!m_call.generation)
         return options;
-    options.priority = priority();
+    options.priority = m_admission.priority();
     options.version = m_choice.pick().version;
     if (const auto last = m_events.last_event())
         options.after_event = std::to_string(*last);
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "admission_check.h"
 #include "answer_intake.h"
 #include "call_prompt.h"
 #include "caller_link.h"
@@ -28,8 +29,6 @@
 namespace crosslink
 {
 
-struct QueueRefusal;
-struct QueuedCall;
 struct RawHead;
 
 /// Sends one call to a runner, retries it at other runners as far as the route
@@ -107,10 +106,6 @@
     };
 
     bool find_runner();
-    void refuse_if_queue_too_long();
-    [[noreturn]] void refuse(const QueuedCall& call,
-                             const QueueRefusal& refusal);
-    std::uint32_t priority() const;
     bool wait_for_runner();
     TimePoint latest_useful_time() const;
     Micros retry_time() const;
@@ -166,6 +161,7 @@
     EventTracker m_events;
     CallPrompt m_prompt;
     RunnerChoice m_choice;
+    AdmissionCheck m_admission;
     CrashWatch m_crashes;
     AnswerIntake m_intake;
     RunnerConnector m_connector;
