Keep totals of the accounts' usage of a service

Cause: FairShareTracker::is_ahead built a map with string keys of all accounts on every call; ExchangeHandler::exchange_usage summed up all usage and discarded the result.

Change: the total of a service is kept, counted again after a report of others, a newly active account, or 250 ms; used_part tells by how much an account is above its share. exchange_usage only records the own report.

--- a/src/include/crosslink/forward/fair_share_tracker.h
+++ b/src/include/crosslink/forward/fair_share_tracker.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,12 +40,16 @@
     /// Returns whether `account` was recently granted more than the mean of the
     /// accounts that recently requested something.
     bool is_ahead(std::string_view service, std::string_view account,
-                  TimePoint now) const;
+                  TimePoint now);
+    /// Returns what `account` was recently granted, as a multiple of the mean
+    /// of the accounts that recently requested something.
+    double used_part(std::string_view service, std::string_view account,
+                     TimePoint now);
 
     /// Returns the recent usage at this instance, for others.
     AccountUsages report(TimePoint now) const;
     /// Sets the usage at all other instances, as of `as_of`.
-    void set_others(AccountUsages others, TimePoint as_of);
+    void set_others(const AccountUsages& others, TimePoint as_of);
 
 private:
     struct Usage {
@@ -53,14 +58,39 @@
         TimePoint requested_at{};
     };
     using Accounts = std::map<std::string, Usage, std::less<>>;
+    using Places = std::map<std::string, double, std::less<>>;
+    /// Usage of a service by all accounts that recently requested something.
+    struct Total {
+        double own = 0;    ///< Places granted here, as of `at`.
+        double others = 0; ///< Places granted at other instances.
+        std::size_t accounts = 0;
+        TimePoint at{};
+        TimePoint counted_at{}; ///< When the accounts were gone through.
+        bool counts_others = false;
+    };
+    struct Service {
+        Accounts accounts;
+        Places others; ///< At all other instances.
+        /// Worked out a few times a second only; nothing if it is outdated.
+        std::optional<Total> total;
+    };
+    /// The usage by one account, and by the mean account.
+    struct Comparison {
+        double own = 0;
+        double mean = 0;
+    };
 
-    Usage& usage_of(std::string_view service, std::string_view account);
+    Usage& usage_of(Service& service, std::string_view account);
+    Comparison compare(std::string_view service, std::string_view account,
+                       TimePoint now);
+    const Total& total_of(Service& service, TimePoint now) const;
     static void add_service(std::string_view service, const Accounts& accounts,
                             TimePoint now, AccountUsages& usages);
     bool counts_others(TimePoint now) const;
 
-    std::map<std::string, Accounts, std::less<>> m_services;
-    AccountUsages m_others;
+    Service& service_of(std::string_view service);
+
+    std::map<std::string, Service, std::less<>> m_services;
     TimePoint m_others_at{};
 };
 
--- a/src/libcrosslink/forward/fair_share_tracker.cpp
+++ b/src/libcrosslink/forward/fair_share_tracker.cpp
@@ -20,6 +20,9 @@
 constexpr Micros active_time = std::chrono::seconds(5);
 /// Half-life of granted places.
 constexpr Micros half_life = std::chrono::seconds(5);
+/// Time after which accounts that have stopped to request something are looked
+/// for; short compared to active_time.
+constexpr Micros recount_time = std::chrono::milliseconds(250);
 /// Part of a place by which accounts may differ and still count as equal.
 constexpr double tolerance = 0.1;
 constexpr double millis_per_place = 1000;
@@ -57,53 +60,114 @@
     return std::string(service) + key_separator + std::string(account);
 }
 
+FairShareTracker::Service&
+FairShareTracker::service_of(std::string_view service)
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() ? found->second
+                                     : m_services[std::string(service)];
+}
+
 FairShareTracker::Usage&
-FairShareTracker::usage_of(std::string_view service, std::string_view account)
+FairShareTracker::usage_of(Service& service, std::string_view account)
 {
-    Accounts& accounts =
-        m_services.try_emplace(std::string(service)).first->second;
-    return accounts.try_emplace(std::string(account)).first->second;
+    const auto found = service.accounts.find(account);
+    return found != service.accounts.end()
+               ? found->second
+               : service.accounts[std::string(account)];
 }
 
 void
 FairShareTracker::asked(std::string_view service, std::string_view account,
                         TimePoint now)
 {
-    usage_of(service, account).requested_at = now;
+    Service& of_service = service_of(service);
+    Usage& usage = usage_of(of_service, account);
+    if (now - usage.requested_at > active_time)
+        of_service.total.reset();
+    usage.requested_at = now;
 }
 
 void
 FairShareTracker::taken(std::string_view service, std::string_view account,
                         double places, TimePoint now)
 {
-    Usage& usage = usage_of(service, account);
+    Service& of_service = service_of(service);
+    Usage& usage = usage_of(of_service, account);
     usage.places = decayed(usage.places, now - usage.counted_at) + places;
     usage.counted_at = now;
+    if (of_service.total && now - usage.requested_at <= active_time) {
+        Total& total = *of_service.total;
+        total.own = decayed(total.own, now - total.at) + places;
+        total.at = now;
+    }
 }
 
 bool
 FairShareTracker::is_ahead(std::string_view service, std::string_view account,
-                           TimePoint now) const
+                           TimePoint now)
 {
-    AccountUsages usages;
-    const auto accounts = m_services.find(service);
-    if (accounts != m_services.end())
-        add_service(service, accounts->second, now, usages);
-    if (counts_others(now)) {
-        const std::string first = usage_key(service, {});
-        for (auto row = m_others.lower_bound(first);
-             row != m_others.end() && row->first.starts_with(first); ++row)
-            usages[row->first] += row->second;
+    const Comparison compared = compare(service, account, now);
+    return compared.own > compared.mean + tolerance;
+}
+
+double
+FairShareTracker::used_part(std::string_view service, std::string_view account,
+                            TimePoint now)
+{
+    const Comparison compared = compare(service, account, now);
+    return compared.mean == 0 ? 0 : compared.own / compared.mean;
+}
+
+FairShareTracker::Comparison
+FairShareTracker::compare(std::string_view service, std::string_view account,
+                          TimePoint now)
+{
+    Service& of_service = service_of(service);
+    const Total& total = total_of(of_service, now);
+    Comparison compared;
+    if (total.accounts > 0)
+        compared.mean = (decayed(total.own, now - total.at) + total.others) /
+                        static_cast<double>(total.accounts);
+    const auto own = of_service.accounts.find(account);
+    if (own != of_service.accounts.end() &&
+        now - own->second.requested_at <= active_time)
+        compared.own =
+            decayed(own->second.places, now - own->second.counted_at);
+    const auto others = of_service.others.find(account);
+    if (total.counts_others && others != of_service.others.end())
+        compared.own += others->second;
+    return compared;
+}
+
+/// Returns the usage of `service` by all accounts. The accounts are gone
+/// through again only if those that count may have changed.
+const FairShareTracker::Total&
+FairShareTracker::total_of(Service& service, TimePoint now) const
+{
+    if (service.total && now - service.total->counted_at < recount_time &&
+        service.total->counts_others == counts_others(now))
+        return *service.total;
+    Total total;
+    total.at = total.counted_at = now;
+    total.counts_others = counts_others(now);
+    for (const auto& [account, usage] : service.accounts) {
+        if (now - usage.requested_at > active_time)
+            continue;
+        total.own += decayed(usage.places, now - usage.counted_at);
+        ++total.accounts;
     }
-    double total = 0;
-    for (const auto& [key, usage] : usages)
-        total += static_cast<double>(usage.millis);
-    const auto own = usages.find(usage_key(service, account));
-    if (own == usages.end())
-        return false;
-    const double mean = total / static_cast<double>(usages.size());
-    return static_cast<double>(own->second.millis) >
-           mean + tolerance * millis_per_place;
+    if (total.counts_others)
+        for (const auto& [account, places] : service.others) {
+            const auto own = service.accounts.find(account);
+            total.others += places;
+            total.accounts +=
+                own == service.accounts.end() ||
+                        now - own->second.requested_at > active_time
+                    ? 1
+                    : 0;
+        }
+    return service.total.emplace(total);
 }
 
 /// Adds the usage of the accounts that recently requested something.
@@ -132,9 +196,9 @@
 FairShareTracker::report(TimePoint now) const
 {
     AccountUsages usages;
-    for (const auto& [service, accounts] : m_services) {
+    for (const auto& [service, item] : m_services) {
         AccountUsages of_service;
-        add_service(service, accounts, now, of_service);
+        add_service(service, item.accounts, now, of_service);
         keep_largest(of_service, max_reported);
         usages.merge(of_service);
     }
@@ -142,9 +206,21 @@
 }
 
 void
-FairShareTracker::set_others(AccountUsages others, TimePoint as_of)
+FairShareTracker::set_others(const AccountUsages& others, TimePoint as_of)
 {
-    m_others = std::move(others);
+    for (auto& [service, item] : m_services) {
+        item.others.clear();
+        item.total.reset();
+    }
+    for (const auto& [key, usage] : others) {
+        const auto split = key.find(key_separator);
+        if (split == std::string::npos)
+            continue;
+        service_of(std::string_view(key).substr(0, split))
+            .others.emplace(key.substr(split + 1),
+                            static_cast<double>(usage.millis) /
+                                millis_per_place);
+    }
     m_others_at = as_of;
 }
 
--- a/src/serve/fleet/exchange_handler.cpp
+++ b/src/serve/fleet/exchange_handler.cpp
@@ -110,8 +110,10 @@
 AccountUsages
 ExchangeHandler::exchange_usage(const ExchangeRequest& request, TimePoint now)
 {
-    subtree_usage(now);
+    const auto own = m_state.fair_shares.with(
+        [now](const FairShareTracker& shares) { return shares.report(now); });
     return m_child_usage.with([&](UsageAggregator& usage) {
+        usage.record_report(m_state.settings.name, own, now);
         usage.record_report(request.instance, request.usage, now);
         return usage.others(request.instance, now);
     });
