Count the lateness of answers in the queue limit

The chosen runner is the one that is underestimated most.

Change: LatenessTracker adds how late first events of the same or more urgent priorities come beyond 0.15 of their objective.

--- a/src/serve/forward/admission_check.cpp
+++ b/src/serve/forward/admission_check.cpp
@@ -30,7 +30,7 @@
     if (sends > 0 || !m_call.generation || !m_call.last_event.empty())
         return;
     QueuedCall queued;
-    queued.expected_wait = m_choice.pick().wait;
+    queued.expected_wait = m_choice.pick().wait + lateness();
     queued.objective = m_route.objective;
     queued.waited = monotonic_now() - m_call.received_at;
     queued.urgency = m_state.urgencies.with([this](UrgencyTracker& urgencies) {
@@ -38,10 +38,30 @@
                                 m_route.objective, monotonic_now());
     });
     queued.account_above_share = m_choice.account_above_share();
+    queued.share_used = m_choice.share_used();
     if (const auto refusal = QueueLimit::refusal(queued, random_bits()))
         refuse(queued, *refusal);
 }
 
+/// Returns by how much calls like this one are later than expected.
+Micros
+AdmissionCheck::lateness() const
+{
+    return m_state.lateness.with([this](const LatenessTracker& tracker) {
+        return tracker.excess(m_choice.service(), priority(), monotonic_now());
+    });
+}
+
+void
+AdmissionCheck::note_first_event(TimePoint expected_at, TimePoint now) const
+{
+    const auto late = std::chrono::duration_cast<Micros>(now - expected_at);
+    m_state.lateness.with([&](LatenessTracker& tracker) {
+        tracker.answered(m_choice.service(), priority(), m_route.objective,
+                         late, now);
+    });
+}
+
 void
 AdmissionCheck::refuse(const QueuedCall& call,
                        const QueueRefusal& refusal) const
--- a/src/serve/forward/admission_check.h
+++ b/src/serve/forward/admission_check.h
@@ -6,6 +6,7 @@
 #include "forward_state.h"
 #include "runner_choice.h"
 
+#include <crosslink/base/time.h>
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/service_map.h>
 
@@ -31,10 +32,14 @@
     /// Throws Error if the call, which was sent `sends` times, has not been
     /// sent yet and would wait too long.
     void check(std::uint32_t sends) const;
+    /// Records that the first event of the call, expected at `expected_at`,
+    /// came at `now`.
+    void note_first_event(TimePoint expected_at, TimePoint now) const;
     /// Returns the rank of the call; 0 is the most urgent.
     std::uint32_t priority() const;
 
 private:
+    Micros lateness() const;
     [[noreturn]] void refuse(const QueuedCall& call,
                              const QueueRefusal& refusal) const;
 
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -282,6 +282,7 @@
                           m_prompt.tokens_to_read());
     });
     note_response_time();
+    m_admission.note_first_event(m_prompt.expected_at(), monotonic_now());
 }
 
 /// Records how fast the runner answered.
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -18,6 +18,7 @@
 #include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/fair_share_tracker.h>
+#include <crosslink/forward/lateness_tracker.h>
 #include <crosslink/forward/relay_selector.h>
 #include <crosslink/forward/retry_window.h>
 #include <crosslink/forward/runner_paths.h>
@@ -155,6 +156,7 @@
     /// Shares of client accounts at model engines and runners with limits.
     Guarded<FairShareTracker> fair_shares;
     Guarded<UrgencyTracker> urgencies;
+    Guarded<LatenessTracker> lateness;
     Guarded<CrashHistory> crashes;
     Guarded<UnresolvedFailures> unresolved_failures;
     /// Wakes the thread that checks ports, if it runs.
