Count calls and refusals by service, priority and reason

Cause: the counters of refusals told the reason only, not whose calls they were.

Refusals for limits and backoffs are not among them.

--- a/src/serve/forward/admission_check.cpp
+++ b/src/serve/forward/admission_check.cpp
@@ -22,6 +22,9 @@
     : m_state(state), m_choice(choice), m_call(call), m_route(route),
       m_account(account)
 {
+    m_state.admissions.with([this](AdmissionCounts& counts) {
+        counts.requested(m_choice.service(), priority());
+    });
 }
 
 void
@@ -71,6 +74,9 @@
     ++(refusal.reason == Reason::LessUrgent   ? counters.less_urgent
        : refusal.reason == Reason::AboveShare ? counters.above_share
                                               : counters.queue_too_long);
+    m_state.admissions.with([&](AdmissionCounts& counts) {
+        counts.refused(m_choice.service(), priority(), refusal.reason);
+    });
     LogLine("call_not_admitted")
         .field("request", m_call.id)
         .field("service", m_choice.service())
--- a/src/serve/forward/forward_server.cpp
+++ b/src/serve/forward/forward_server.cpp
@@ -159,7 +159,11 @@
         m_metrics = std::make_unique<HttpServer>(
             settings.metrics_bind, small_rules(), [this](auto&, auto& answer) {
                 send_answer(answer, success, "text/plain; version=0.0.4",
-                            m_state.counters.text());
+                            m_state.counters.text() +
+                                m_state.admissions.with(
+                                    [](const AdmissionCounts& counts) {
+                                        return counts.text();
+                                    }));
             });
 }
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -15,6 +15,7 @@
 #include <serve/metrics.h>
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/admission_counts.h>
 #include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/fair_share_tracker.h>
@@ -157,6 +158,7 @@
     Guarded<FairShareTracker> fair_shares;
     Guarded<UrgencyTracker> urgencies;
     Guarded<LatenessTracker> lateness;
+    Guarded<AdmissionCounts> admissions;
     Guarded<CrashHistory> crashes;
     Guarded<UnresolvedFailures> unresolved_failures;
     /// Wakes the thread that checks ports, if it runs.
