Say what the constants of the queue limit refer to

Cause: a constant between two others made a comment ambiguous.

Result: the tests of the queue limit pass.

--- a/src/libcrosslink/forward/queue_limit.cpp
+++ b/src/libcrosslink/forward/queue_limit.cpp
@@ -22,9 +22,9 @@
 /// The same for the most urgent calls of several priorities. The rest is enough
 /// for their own prompt, which is small compared to that of other kinds.
 constexpr double most_urgent_part = 0.6;
-/// Part of that for calls with one more urgent priority before them, for each
-/// such priority. The queue that less urgent calls alone make then leaves the
-/// more urgent ones most of theirs.
+/// Part of max_wait_part for calls with one more urgent priority before them,
+/// for each such priority. The queue that less urgent calls alone make then
+/// leaves the more urgent ones most of theirs.
 constexpr double less_urgent_part = 0.5;
 /// Part of it for calls of accounts above their fair share; less urgent ones of
 /// accounts far above it get still less.
@@ -34,9 +34,8 @@
 /// most favored one gets.
 constexpr double min_service_part = 0.3;
 /// Power of the multiple of its fair share that an account got, by which fewer
-/// of its calls are judged like that. Half of the share more than the others is
-/// a third of these calls: an account with a quarter of the calls would get
-/// several times its share by them otherwise.
+/// of its calls are judged like that: an account with a quarter of all calls
+/// would get several times its share by them otherwise.
 constexpr double share_power = 3;
 /// Maximum jitter of a retry delay.
 constexpr Micros max_jitter = std::chrono::seconds(5);
