--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "admission_check.h"
 #include "answer_intake.h"
 #include "call_prompt.h"
 #include "caller_link.h"
@@ -30,8 +31,6 @@
 {
 
 class Error;
-struct QueueRefusal;
-struct QueuedCall;
 struct RawHead;
 
 /// Sends one call to a runner, retries it at other runners as far as the route
@@ -115,11 +114,6 @@
     };
 
     bool find_runner();
-    void refuse_if_queue_too_long();
-    QueuedCall queued_call();
-    [[noreturn]] void refuse(const QueuedCall& call,
-                             const QueueRefusal& refusal);
-    std::uint32_t priority() const;
     bool wait_for_runner();
     TimePoint latest_useful_time() const;
     Micros retry_time() const;
@@ -197,6 +191,7 @@
     EventTracker m_events;
     CallPrompt m_prompt;
     RunnerChoice m_choice;
+    AdmissionCheck m_admission;
     CrashWatch m_crashes;
     AnswerIntake m_intake;
     RunnerConnector m_connector;
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -15,10 +15,12 @@
 #include <serve/metrics.h>
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/admission_counts.h>
 #include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/fair_share_tracker.h>
 #include <crosslink/forward/hedge_policy.h>
+#include <crosslink/forward/lateness_tracker.h>
 #include <crosslink/forward/relay_selector.h>
 #include <crosslink/forward/response_times.h>
 #include <crosslink/forward/retry_window.h>
@@ -169,6 +171,8 @@
     Guarded<FairShareTracker> fair_shares;
     Guarded<UrgencyTracker> urgencies;
     Guarded<SegmentDemand> segment_demand;
+    Guarded<LatenessTracker> lateness;
+    Guarded<AdmissionCounts> admissions;
     Guarded<CrashHistory> crashes;
     Guarded<UnresolvedFailures> unresolved_failures;
     /// Wakes the thread that checks ports, if it runs.
