Learn the prefill rate only from runners without other calls

Change: a prompt counts only if its runner has no other calls, as far as known.

Unit tests of prefill_rate, reported_slowness, response_speed, runner_table and balancing_simulation pass. The whole program was not rebuilt with this commit.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -149,7 +149,8 @@
     /// Returns for how long a process has been stalled, by the calls of this
     /// instance; see AwaitedAnswers.
     Micros stalled_for(const RunnerEntry& entry, TimePoint now) const;
-    /// Records the first event of a prompt; see PrefillRate::prefilled().
+    /// Records the first event of a prompt; see PrefillRate::prefilled(). It
+    /// counts if the runner has no other calls, as far as known.
     void prefilled(const RunnerIncarnation& runner, std::uint64_t tokens,
                    Micros wait, Micros taken, TimePoint now);
     /// Returns the prompt tokens that a typical engine of `service` prefills in
--- a/src/libcrosslink/forward/prefill_rate_test.cpp
+++ b/src/libcrosslink/forward/prefill_rate_test.cpp
@@ -129,6 +129,27 @@
     CHECK(learned.tokens_per_ms(at(5000)) == usual_prefill_rate);
 }
 
+TEST_CASE("a runner with other calls says nothing of the prefill rate")
+{
+    // Under load, waits that nobody knew of made engines seem five times
+    // slower.
+    RunnerTable table = table_of({"r"});
+    const auto prefill = [&table] {
+        for (int i = 0; i < 30; ++i)
+            table.prefilled({"r"}, prompt, Micros{0}, reading_time(prompt, 10),
+                            at(0));
+        return table.prefill_rate("s", at(0));
+    };
+    table.set_remote_load({{"r", {1, 0}}}, at(0));
+    CHECK(prefill() == usual_prefill_rate);
+    table.set_remote_load({}, at(0));
+    table.sent({"r"}, prompt, 0, at(0));
+    table.sent({"r"}, prompt, 0, at(0));
+    CHECK(prefill() == usual_prefill_rate);
+    table.ended({"r"});
+    CHECK(prefill() < usual_prefill_rate / 2);
+}
+
 TEST_CASE("waits, prices and the age of reported load follow the learned rate")
 {
     RunnerTable table = table_of({"r"});
--- a/src/libcrosslink/forward/runner_table_speed.cpp
+++ b/src/libcrosslink/forward/runner_table_speed.cpp
@@ -158,7 +158,12 @@
 RunnerTable::prefilled(const RunnerIncarnation& runner, std::uint64_t tokens,
                        Micros wait, Micros taken, TimePoint now)
 {
-    if (const RunnerEntry* entry = find(runner))
+    const RunnerEntry* entry = find(runner);
+    // Under load, nearly all prompts wait for others that were not known when
+    // they were sent. By now, those of other instances have been reported.
+    const bool is_alone =
+        entry && entry->own.calls <= 1 && entry->others.calls == 0;
+    if (is_alone)
         m_prefill_rates[entry->listed.service].prefilled(
             entry->listed.id, tokens, wait, taken, now);
 }
--- a/src/libcrosslink/forward/speed_report.cpp
+++ b/src/libcrosslink/forward/speed_report.cpp
@@ -34,6 +34,7 @@
     if (rows.size() <= SpeedReport::max_rows)
         return;
     std::vector<std::uint64_t> weights;
+    weights.reserve(rows.size());
     for (const auto& [key, row] : rows)
         weights.push_back(weight(row));
     const auto last = weights.begin() + SpeedReport::max_rows - 1;
