Do not count the lateness of answers in the queue limit

Lateness counts fetches that no expectation has, and late answers of a few slow engines tighten the limit for all.

--- a/src/include/crosslink/forward/fair_share_tracker.h
+++ b/src/include/crosslink/forward/fair_share_tracker.h
@@ -41,10 +41,6 @@
     /// accounts that recently requested something.
     bool is_ahead(std::string_view service, std::string_view account,
                   TimePoint now);
-    /// Returns what `account` was recently granted, as a multiple of the mean
-    /// of the accounts that recently requested something.
-    double used_part(std::string_view service, std::string_view account,
-                     TimePoint now);
 
     /// Returns the recent usage at this instance, for others.
     AccountUsages report(TimePoint now) const;
--- a/src/include/crosslink/forward/queue_limit.h
+++ b/src/include/crosslink/forward/queue_limit.h
@@ -30,8 +30,6 @@
     Urgency urgency;     ///< Among the calls of its service.
     /// Its account is above its fair share of the service.
     bool account_above_share = false;
-    /// What the account got lately, as a multiple of its fair share.
-    double share_used = 1;
 };
 
 /// Why a call is refused, and the delay after which its caller may retry.
@@ -63,10 +61,7 @@
 /// Less urgent calls, and those of accounts above their fair share, are refused
 /// at shorter queues. While refusing them is enough, the queue stays short and
 /// all others are sent; they get what the others leave. A part of them is
-/// judged like the most urgent calls, so that none of them starves; the more an
-/// account is above its share, the fewer of its calls are. The most urgent
-/// calls of several priorities are sent while they can be in time at all: the
-/// queue that they meet is as short as the less urgent ones are held to.
+/// judged like the most urgent calls, so that none of them starves.
 class QueueLimit
 {
 public:
--- a/src/include/crosslink/forward/urgency_tracker.h
+++ b/src/include/crosslink/forward/urgency_tracker.h
@@ -19,7 +19,6 @@
     std::uint32_t level = 0;
     /// Least objective of those and of the call's own; 0 for none.
     Micros strictest_objective{0};
-    bool before_others = false; ///< Less urgent calls came lately.
 };
 
 /// Tracks which priorities and objectives the calls of each service have. Only
--- a/src/libcrosslink/forward/fair_share_tracker.cpp
+++ b/src/libcrosslink/forward/fair_share_tracker.cpp
@@ -111,14 +111,6 @@
     return compared.own > compared.mean + tolerance;
 }
 
-double
-FairShareTracker::used_part(std::string_view service, std::string_view account,
-                            TimePoint now)
-{
-    const Comparison compared = compare(service, account, now);
-    return compared.mean == 0 ? 0 : compared.own / compared.mean;
-}
-
 FairShareTracker::Comparison
 FairShareTracker::compare(std::string_view service, std::string_view account,
                           TimePoint now)
--- a/src/libcrosslink/forward/queue_limit.cpp
+++ b/src/libcrosslink/forward/queue_limit.cpp
@@ -19,43 +19,27 @@
 /// served within the objective at their first attempt, on five days with losses
 /// and three seeds each: 0.90 at 0.1, 0.91 at 0.2, 0.90 at 0.3.
 constexpr double max_wait_part = 0.2;
-/// The same for the most urgent calls of several priorities. The rest is enough
-/// for their own prompt, which is small compared to that of other kinds.
-constexpr double most_urgent_part = 0.6;
-/// Part of max_wait_part for calls with one more urgent priority before them,
-/// for each such priority. The queue that less urgent calls alone make then
-/// leaves the more urgent ones most of theirs.
+/// Part of that for calls with one more urgent priority before them, for each
+/// such priority. The queue that less urgent calls alone make then leaves the
+/// more urgent ones most of theirs.
 constexpr double less_urgent_part = 0.5;
-/// Part of it for calls of accounts above their fair share; less urgent ones of
-/// accounts far above it get still less.
+/// Part of it for calls of accounts above their fair share.
 constexpr double above_share_part = 0.5;
 /// Part of the calls that are judged as if they were most urgent and within
 /// their share: what the least favored kind of call gets at least, of what the
 /// most favored one gets.
 constexpr double min_service_part = 0.3;
-/// Power of the multiple of its fair share that an account got, by which fewer
-/// of its calls are judged like that: an account with a quarter of all calls
-/// would get several times its share by them otherwise.
-constexpr double share_power = 3;
 /// Maximum jitter of a retry delay.
 constexpr Micros max_jitter = std::chrono::seconds(5);
 
 /// Returns whether a call is one of those that are judged like the most urgent
 /// ones, by bits of `random` that its jitter does not use.
 bool
-is_favored(std::uint64_t random, double share_used)
+is_favored(std::uint64_t random)
 {
     constexpr std::uint64_t steps = 1000;
     return static_cast<double>((random >> 32U) % steps) <
-           min_service_part * steps * std::pow(share_used, -share_power);
-}
-
-/// Returns the multiple of its fair share that the account of `call` got; 1 if
-/// it is not above it.
-double
-share_used(const QueuedCall& call)
-{
-    return call.account_above_share ? std::max(call.share_used, 1.0) : 1.0;
+           min_service_part * steps;
 }
 
 Micros
@@ -105,17 +89,15 @@
 {
     if (call.objective.count() == 0)
         return std::nullopt;
-    const bool favored = is_favored(random, share_used(call));
-    const bool comes_first =
-        call.urgency.level == 0 && call.urgency.before_others;
+    const bool favored = is_favored(random);
     const Micros objective =
         favored ? call.objective : std::min(call.objective, strictest(call));
-    double part = comes_first ? most_urgent_part : max_wait_part;
+    double part = max_wait_part;
     if (!favored)
         part *= std::pow(less_urgent_part, call.urgency.level);
     const Micros within_share = allowed_wait(call, objective, part);
     if (call.account_above_share && !favored)
-        part *= above_share_part / (comes_first ? 1 : share_used(call));
+        part *= above_share_part;
     QueueRefusal refusal;
     refusal.allowed = allowed_wait(call, objective, part);
     const Micros excess = call.expected_wait - refusal.allowed;
--- a/src/libcrosslink/forward/urgency_tracker.cpp
+++ b/src/libcrosslink/forward/urgency_tracker.cpp
@@ -18,7 +18,7 @@
         return now - item.second.called_at > active_time;
     });
     demands[priority] = {now, objective};
-    Urgency urgency{0, objective, demands.rbegin()->first > priority};
+    Urgency urgency{0, objective};
     for (const auto& [other, demand] : demands) {
         if (other >= priority)
             break;
--- a/src/libcrosslink/testing/played_load.h
+++ b/src/libcrosslink/testing/played_load.h
@@ -5,8 +5,6 @@
 
 #include "model_engine.h"
 
-#include <crosslink/forward/fair_share_tracker.h>
-#include <crosslink/forward/lateness_tracker.h>
 #include <crosslink/forward/load_aggregator.h>
 #include <crosslink/forward/queue_limit.h>
 #include <crosslink/forward/runner_price.h>
@@ -18,10 +16,8 @@
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -47,7 +43,6 @@
     std::uint32_t to_make = 0;  ///< Output tokens.
     Micros objective{0};        ///< To the first token.
     Micros deadline{0};         ///< The caller waits no longer.
-    int repeats = 1;            ///< Of a caller whose call is refused.
     /// Of each prompt, one after the other, beside `resident` and `to_read`.
     std::vector<PlayedParts> parts{};
 };
@@ -59,10 +54,6 @@
     int late = 0;
     int refused = 0; ///< At the end, after their repeat.
     int failed = 0;  ///< Not answered before their deadline.
-    /// Resident tokens of all of them, and of those answered in time.
-    double asked_tokens = 0;
-    double in_time_tokens = 0;
-    Micros longest{0}; ///< From a first try to its first token.
 
     double in_time_part() const
     {
@@ -92,18 +83,15 @@
 struct PlayedFleet {
     std::size_t engines = 9;
     std::size_t instances = 1;
-    int told_ms = 150;     ///< Between two times that load is told.
-    int told_age_ms = 0;   ///< Age of the load that is told, at least told_ms.
-    bool limited = true;   ///< Calls beyond the limit are refused.
-    double slow_speed = 1; ///< Of each third engine.
-    double speed = 1;      ///< Of all engines.
+    int told_ms = 150;             ///< Between two times that load is told.
+    bool limited = true;           ///< Calls beyond the limit are refused.
+    double slow_speed = 1;         ///< Of each third engine.
+    double speed = 1;              ///< Of all engines.
     std::uint32_t memory = 70'000; ///< Of an engine, in tokens.
     std::size_t zones = 1; ///< Over which engines and instances are spread.
     /// Returns how much a zone's callers send, as a multiple of the mean of all
     /// zones; alike if it is empty.
     std::function<double(std::size_t zone, double second)> zone_demand{};
-    /// Part of the calls that each account sends; empty for no accounts.
-    std::vector<double> accounts{};
     std::size_t home_instances = 0;   ///< See RunnerQuery.
     bool segments = false;            ///< Calls go to holders of their parts.
     std::size_t stores = 0;           ///< That keep shared parts.
@@ -114,18 +102,8 @@
     std::uint64_t seed = 1;
 };
 
-/// Which callers are counted: those whose first try came from second `from`
-/// until second `to`, and of one kind, account and zone where these are set.
-struct PlayedSpan {
-    double from = 0;
-    double to = 0;
-    std::optional<std::size_t> kind{};
-    std::optional<std::size_t> account{};
-    std::optional<std::size_t> zone{};
-};
-
 /// Modelled engines behind the choice and the limit of some instances, played
-/// against callers that repeat refused calls when told to.
+/// against callers that repeat once: after a refusal when told to.
 class PlayedLoad
 {
 public:
@@ -133,10 +111,8 @@
 
     PlayedLoad(std::vector<PlayedKind> kinds, const PlayedFleet& fleet)
         : m_kinds(std::move(kinds)), m_fleet(fleet),
-          m_stores(std::make_unique<ModelStores>(fleet.stores,
-                                                 fleet.store_tokens_per_ms)),
-          m_tables(fleet.instances), m_demands(fleet.instances),
-          m_shares(fleet.instances), m_lateness(fleet.instances)
+          m_stores(fleet.stores, fleet.store_tokens_per_ms),
+          m_tables(fleet.instances), m_demands(fleet.instances)
     {
         if (fleet.home_instances > 0)
             list_instances();
@@ -168,35 +144,16 @@
     /// `from` until second `to`.
     PlayedTally tally(std::size_t kind, double from, double to) const
     {
-        return tally({from, to, kind});
+        return tally_if(kind, from, to, [](const Caller&) { return true; });
     }
 
     /// Returns what callers of one zone got, of the same kind and time.
     PlayedTally zone_tally(std::size_t zone, std::size_t kind, double from,
                            double to) const
     {
-        return tally({from, to, kind, {}, zone});
-    }
-
-    PlayedTally tally(const PlayedSpan& span) const
-    {
-        PlayedTally sum;
-        for (const Caller& caller : m_callers) {
-            if (!is_in(caller, span))
-                continue;
-            const auto tokens = static_cast<double>(resident_of(caller));
-            ++sum.asked;
-            sum.asked_tokens += tokens;
-            sum.in_time += caller.end == End::InTime ? 1 : 0;
-            sum.in_time_tokens += caller.end == End::InTime ? tokens : 0;
-            sum.late += caller.end == End::Late ? 1 : 0;
-            sum.refused += caller.end == End::Refused ? 1 : 0;
-            sum.failed += caller.end == End::Failed ? 1 : 0;
-            if (caller.began)
-                sum.longest =
-                    std::max(sum.longest, caller.began_at - caller.first_try);
-        }
-        return sum;
+        return tally_if(kind, from, to, [this, zone](const Caller& caller) {
+            return caller.instance % m_fleet.zones == zone;
+        });
     }
 
     /// Returns the part of the calls of all kinds that were sent to another
@@ -206,10 +163,10 @@
         double calls = 0;
         double crossed = 0;
         for (const Caller& caller : m_callers) {
-            if (!is_in(caller, {from, to}))
-                continue;
-            ++calls;
-            crossed += caller.crossed ? 1 : 0;
+            const double came =
+                crosslink::seconds(caller.first_try - TimePoint{});
+            calls += came >= from && came < to ? 1 : 0;
+            crossed += came >= from && came < to && caller.crossed ? 1 : 0;
         }
         return calls == 0 ? 0 : crossed / calls;
     }
@@ -221,7 +178,10 @@
     {
         std::vector<Micros> times;
         for (const Caller& caller : m_callers) {
-            if (caller.began && is_in(caller, {from, to, kind}))
+            const double came =
+                crosslink::seconds(caller.first_try - TimePoint{});
+            if (caller.kind == kind && came >= from && came < to &&
+                caller.began)
                 times.push_back(caller.began_at - caller.first_try);
         }
         if (times.empty())
@@ -234,7 +194,7 @@
     }
 
     /// What the engines had to read.
-    ModelStores::Tally& tokens() { return m_stores->tally; }
+    ModelStores::Tally& tokens() { return m_stores.tally; }
 
     /// Returns which part of the calls sent from second `from` until second
     /// `to` went to the engines that are slow for a time.
@@ -258,12 +218,11 @@
     struct Caller {
         std::size_t kind = 0;
         std::size_t instance = 0; ///< That it calls.
-        std::size_t account = 0;
         TimePoint first_try{};
         TimePoint sent_at{};
         std::string runner; ///< Empty while it is at none.
         End end = End::Open;
-        int repeats = 0;
+        bool repeated = false;
         bool began = false;
         bool crossed = false; ///< Sent to a runner of another zone.
         TimePoint began_at{};
@@ -275,31 +234,29 @@
         TimePoint due{};
     };
 
+    template<class Condition>
+    PlayedTally tally_if(std::size_t kind, double from, double to,
+                         const Condition& condition) const
+    {
+        PlayedTally sum;
+        for (const Caller& caller : m_callers) {
+            const double came =
+                crosslink::seconds(caller.first_try - TimePoint{});
+            if (caller.kind != kind || came < from || came >= to ||
+                !condition(caller))
+                continue;
+            ++sum.asked;
+            sum.in_time += caller.end == End::InTime ? 1 : 0;
+            sum.late += caller.end == End::Late ? 1 : 0;
+            sum.refused += caller.end == End::Refused ? 1 : 0;
+            sum.failed += caller.end == End::Failed ? 1 : 0;
+        }
+        return sum;
+    }
+
     using Loads = std::map<std::string, RunnerLoad>;
-    /// What all instances reported at a time.
-    struct Report {
-        TimePoint at{};
-        std::vector<Loads> loads{}; ///< By instance.
-        Loads load_sum{};
-        std::vector<AccountUsages> usages{};
-        AccountUsages usage_sum{};
-        /// What each instance learns of the speeds that all others reported.
-        std::vector<SpeedReport> speeds{};
-    };
 
     static constexpr int step_ms = 5;
-    /// As calls to engines count for the shares of accounts.
-    static constexpr double tokens_per_unit = 1000;
-
-    bool is_in(const Caller& caller, const PlayedSpan& span) const
-    {
-        const double came = crosslink::seconds(caller.first_try - TimePoint{});
-        return came >= span.from && came < span.to &&
-               caller.kind == span.kind.value_or(caller.kind) &&
-               caller.account == span.account.value_or(caller.account) &&
-               caller.instance % m_fleet.zones ==
-                   span.zone.value_or(caller.instance % m_fleet.zones);
-    }
 
     bool is_slow(const std::string& engine) const
     {
@@ -323,8 +280,7 @@
     void add_engine(const std::string& id, const std::string& zone,
                     double speed)
     {
-        m_engines.emplace(id,
-                          ModelEngine(speed, m_fleet.memory, m_stores.get()));
+        m_engines.emplace(id, ModelEngine(speed, m_fleet.memory, &m_stores));
         ListedRunner listed;
         listed.id = id;
         listed.service = "s";
@@ -379,48 +335,39 @@
         return parts;
     }
 
-    /// Tells each instance what all others reported the told age ago.
+    /// Tells each instance what all others told the last time.
     void tell_load()
     {
-        const int age = std::max(m_fleet.told_age_ms, m_fleet.told_ms);
-        const TimePoint as_of = m_now - std::chrono::milliseconds(age);
-        while (m_reports.size() > 1 && m_reports[1].at <= as_of)
-            m_reports.pop_front();
-        if (!m_reports.empty() && m_reports.front().at <= as_of)
-            apply(m_reports.front());
-        m_reports.push_back(make_report());
-    }
-
-    Report make_report()
-    {
-        Report report{m_now};
-        for (std::size_t i = 0; i < m_tables.size(); ++i) {
-            m_speeds.record_report(name_of(i), m_tables[i].speed_report(m_now),
-                                   m_now);
-            report.loads.push_back(m_tables[i].own_load());
-            add_load(report.load_sum, report.loads.back());
-            report.usages.push_back(m_shares[i].report(m_now));
-            add_load(report.usage_sum, report.usages.back());
+        std::bernoulli_distribution is_lost(m_fleet.lost_reports);
+        for (std::size_t i = 0; i < m_told.size(); ++i) {
+            if (is_lost(m_random))
+                continue;
+            m_tables[i].set_remote_load(without(m_told_sum, m_told[i]),
+                                        m_told_at);
+            m_tables[i].apply_speed_report(
+                m_speeds.others(name_of(i), m_told_at), m_told_at);
+        }
+        m_told.clear();
+        m_told_sum.clear();
+        m_told_at = m_now;
+        for (RunnerTable& table : m_tables) {
+            m_speeds.record_report(name_of(m_told.size()),
+                                   table.speed_report(m_now), m_now);
+            m_told.push_back(table.own_load());
+            add_load(m_told_sum, m_told.back());
         }
-        for (std::size_t i = 0; i < m_tables.size(); ++i)
-            report.speeds.push_back(m_speeds.others(name_of(i), m_now));
-        return report;
     }
 
-    void apply(const Report& report)
+    /// Returns `all` less `part`, which is in it.
+    static Loads without(Loads all, const Loads& part)
     {
-        std::bernoulli_distribution is_lost(m_fleet.lost_reports);
-        for (std::size_t i = 0; i < m_tables.size(); ++i) {
-            if (is_lost(m_random))
-                continue;
-            Loads loads = report.load_sum;
-            remove_load(loads, report.loads[i]);
-            m_tables[i].set_remote_load(loads, report.at);
-            AccountUsages usages = report.usage_sum;
-            remove_load(usages, report.usages[i]);
-            m_shares[i].set_others(usages, report.at);
-            m_tables[i].apply_speed_report(report.speeds[i], report.at);
+        for (const auto& [id, load] : part) {
+            RunnerLoad& left = all[id];
+            left.calls -= load.calls;
+            left.tokens -= load.tokens;
+            left.resident -= load.resident;
         }
+        return all;
     }
 
     RunnerTable& table_of(std::size_t number)
@@ -438,7 +385,6 @@
                 m_callers.emplace_back();
                 m_callers.back().kind = kind;
                 m_callers.back().instance = instance;
-                m_callers.back().account = draw_account();
                 m_callers.back().first_try = m_now;
                 m_callers.back().parts = draw_parts(kind);
                 send(m_callers.size() - 1);
@@ -460,14 +406,6 @@
         return draw(m_random);
     }
 
-    std::size_t draw_account()
-    {
-        if (m_fleet.accounts.empty())
-            return 0;
-        return std::discrete_distribution<std::size_t>(
-            m_fleet.accounts.begin(), m_fleet.accounts.end())(m_origins);
-    }
-
     void send(std::size_t number)
     {
         Caller& caller = m_callers[number];
@@ -498,31 +436,22 @@
         const auto segments = segments_of(number, names);
         if (m_fleet.segments)
             query.segments = segments;
-        const std::string account = "a" + std::to_string(caller.account);
-        FairShareTracker& shares = m_shares[caller.instance];
-        shares.asked("s", account, m_now);
         auto pick = table_of(number).choose(query);
         if (m_fleet.policy)
             replace(*pick, query, number);
         if (m_fleet.limited) {
             const std::uint64_t random = m_random();
-            QueuedCall call;
-            call.account_above_share = shares.is_ahead("s", account, m_now);
-            call.share_used = shares.used_part("s", account, m_now);
-            auto refusal = refusal_of(caller, call, pick->wait, random);
+            auto refusal = refusal_of(caller, pick->wait, random);
             if (refusal && !query.segments.empty()) {
                 query.segments = {};
                 pick = table_of(number).choose(query);
-                refusal = refusal_of(caller, call, pick->wait, random);
+                refusal = refusal_of(caller, pick->wait, random);
             }
             if (refusal) {
                 refuse(number, *refusal);
                 return;
             }
         }
-        shares.taken("s", account,
-                     static_cast<double>(query.resident) / tokens_per_unit,
-                     m_now);
         caller.runner = pick->id;
         caller.sent_to = pick->id;
         caller.crossed = pick->zone != zone;
@@ -580,39 +509,38 @@
         for (const EnginePart& part : parts) {
             const auto tokens = static_cast<std::uint32_t>(part.tokens);
             query.resident += tokens;
-            if (m_stores->offers(part, now_ms))
+            if (m_stores.offers(part, now_ms))
                 query.kept.fetched_tokens += tokens;
             else
                 query.tokens += tokens;
         }
     }
 
-    std::optional<QueueRefusal> refusal_of(const Caller& caller,
-                                           QueuedCall call, Micros wait,
+    std::optional<QueueRefusal> refusal_of(const Caller& caller, Micros wait,
                                            std::uint64_t random)
     {
         const PlayedKind& kind = m_kinds[caller.kind];
-        call.expected_wait = wait + m_lateness[caller.instance].excess(
-                                        "s", kind.priority, m_now);
+        QueuedCall call;
+        call.expected_wait = wait;
         call.objective = kind.objective;
         call.urgency =
             m_urgencies.called("s", kind.priority, kind.objective, m_now);
         return QueueLimit::refusal(call, random);
     }
 
-    /// Refuses a call; its caller comes back as often as its kind repeats.
+    /// Refuses a call; its caller comes back once.
     void refuse(std::size_t number, const QueueRefusal& refusal)
     {
         Caller& caller = m_callers[number];
-        const PlayedKind& kind = m_kinds[caller.kind];
-        const Micros time_left = caller.first_try + kind.deadline - m_now;
+        const Micros time_left =
+            caller.first_try + m_kinds[caller.kind].deadline - m_now;
         const TimePoint back =
             m_now + std::min(refusal.retry_after, time_left / 3);
-        if (caller.repeats == kind.repeats || time_left < min_retry_delay)
+        if (caller.repeated)
             caller.end = End::Refused;
         else
             m_returns.emplace(back, number);
-        ++caller.repeats;
+        caller.repeated = true;
     }
 
     void come_back()
@@ -664,8 +592,6 @@
         table.answered({id}, caller.expected, taken, m_now);
         if (caller.parts.empty())
             table.prefilled({id}, kind.to_read, caller.wait, taken, m_now);
-        m_lateness[caller.instance].answered("s", kind.priority, kind.objective,
-                                             taken - caller.expected, m_now);
         caller.began = true;
         caller.began_at = m_now;
         caller.end = m_now - caller.first_try <= kind.objective ? End::InTime
@@ -703,14 +629,14 @@
 
     const std::vector<PlayedKind> m_kinds;
     const PlayedFleet m_fleet;
-    std::unique_ptr<ModelStores> m_stores; ///< The engines refer to it.
+    ModelStores m_stores;
     /// Of each part of each kind.
     std::vector<std::discrete_distribution<std::size_t>> m_part_draws;
     std::vector<RunnerTable> m_tables; ///< One for each instance.
     std::vector<SegmentDemand> m_demands;
-    std::vector<FairShareTracker> m_shares;  ///< One for each instance.
-    std::vector<LatenessTracker> m_lateness; ///< One for each instance.
-    std::deque<Report> m_reports;            ///< In the order of time.
+    std::vector<Loads> m_told; ///< By each instance, at m_told_at.
+    Loads m_told_sum;
+    TimePoint m_told_at{};
     SpeedAggregator m_speeds;
     std::map<std::string, ModelEngine> m_engines;
     std::vector<Caller> m_callers;
@@ -718,7 +644,6 @@
     std::size_t m_first_open = 0;
     UrgencyTracker m_urgencies; ///< Of all instances.
     std::mt19937_64 m_random{m_fleet.seed};
-    std::mt19937_64 m_origins{m_fleet.seed + 1}; ///< Of accounts.
     TimePoint m_now{};
 };
 
--- a/src/serve/forward/admission_check.cpp
+++ b/src/serve/forward/admission_check.cpp
@@ -48,7 +48,7 @@
 AdmissionCheck::queued_call() const
 {
     QueuedCall queued;
-    queued.expected_wait = m_choice.pick().wait + lateness();
+    queued.expected_wait = m_choice.pick().wait;
     queued.objective = m_route.objective;
     queued.waited = monotonic_now() - m_call.received_at;
     queued.urgency = m_state.urgencies.with([this](UrgencyTracker& urgencies) {
@@ -56,29 +56,9 @@
                                 m_route.objective, monotonic_now());
     });
     queued.account_above_share = m_choice.account_above_share();
-    queued.share_used = m_choice.share_used();
     return queued;
 }
 
-/// Returns by how much calls like this one are later than expected.
-Micros
-AdmissionCheck::lateness() const
-{
-    return m_state.lateness.with([this](const LatenessTracker& tracker) {
-        return tracker.excess(m_choice.service(), priority(), monotonic_now());
-    });
-}
-
-void
-AdmissionCheck::note_first_event(TimePoint expected_at, TimePoint now) const
-{
-    const auto late = std::chrono::duration_cast<Micros>(now - expected_at);
-    m_state.lateness.with([&](LatenessTracker& tracker) {
-        tracker.answered(m_choice.service(), priority(), m_route.objective,
-                         late, now);
-    });
-}
-
 void
 AdmissionCheck::refuse(const QueuedCall& call,
                        const QueueRefusal& refusal) const
--- a/src/serve/forward/admission_check.h
+++ b/src/serve/forward/admission_check.h
@@ -6,7 +6,6 @@
 #include "forward_state.h"
 #include "runner_choice.h"
 
-#include <crosslink/base/time.h>
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/service_map.h>
 
@@ -35,15 +34,11 @@
     /// nothing once the call was `attempted`: sent, or tried on the share of
     /// another instance.
     void check(bool attempted) const;
-    /// Records that the first event of the call, expected at `expected_at`,
-    /// came at `now`.
-    void note_first_event(TimePoint expected_at, TimePoint now) const;
     /// Returns the rank of the call; 0 is the most urgent.
     std::uint32_t priority() const;
 
 private:
     QueuedCall queued_call() const;
-    Micros lateness() const;
     [[noreturn]] void refuse(const QueuedCall& call,
                              const QueueRefusal& refusal) const;
 
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -311,7 +311,6 @@
     });
     end_awaiting(true);
     note_response_time();
-    m_admission.note_first_event(m_prompt.expected_at(), monotonic_now());
 }
 
 /// Records how fast the runner answered.
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -20,7 +20,6 @@
 #include <crosslink/forward/crash_history.h>
 #include <crosslink/forward/fair_share_tracker.h>
 #include <crosslink/forward/hedge_policy.h>
-#include <crosslink/forward/lateness_tracker.h>
 #include <crosslink/forward/relay_selector.h>
 #include <crosslink/forward/response_times.h>
 #include <crosslink/forward/retry_window.h>
@@ -171,7 +170,6 @@
     Guarded<FairShareTracker> fair_shares;
     Guarded<UrgencyTracker> urgencies;
     Guarded<SegmentDemand> segment_demand;
-    Guarded<LatenessTracker> lateness;
     Guarded<AdmissionCounts> admissions;
     Guarded<CrashHistory> crashes;
     Guarded<UnresolvedFailures> unresolved_failures;
--- a/src/serve/forward/runner_choice.cpp
+++ b/src/serve/forward/runner_choice.cpp
@@ -298,8 +298,6 @@
     query.account_above_share =
         m_state.fair_shares.with([&](FairShareTracker& fair_shares) {
             fair_shares.asked(m_service, account_name(), query.now);
-            m_share_used =
-                fair_shares.used_part(m_service, account_name(), query.now);
             return fair_shares.is_ahead(m_service, account_name(), query.now);
         });
     m_account_above_share = query.account_above_share;
--- a/src/serve/forward/runner_choice.h
+++ b/src/serve/forward/runner_choice.h
@@ -97,8 +97,6 @@
     /// Returns whether, as of the last choice, the call's account had used more
     /// than its fair share of the service.
     bool account_above_share() const { return m_account_above_share; }
-    /// Returns what the account had got, as a multiple of its fair share.
-    double share_used() const { return m_share_used; }
     /// Returns the space of the KV that the chosen runner makes of the prompt.
     KeptSpace kept_space() const { return space_of(m_pick.version); }
 
@@ -140,7 +138,6 @@
     /// The slot that is reserved for the call while it waits.
     std::optional<NextAvailability> m_reservation;
     bool m_account_above_share = false; ///< As of the last choice.
-    double m_share_used = 1;            ///< As of the last choice.
     bool m_avoids_exiting = true;
     std::set<std::string> m_excluded; ///< Runners that are not chosen.
     std::uint64_t m_newest = 0;       ///< Newest weights as of the last choice.
