Mend what a second reading of the change found

Cause, found by reading: the due time of an answer was not exchanged with the other send of a hedged call, so that it stayed with the wrong process; a prompt without a length made an undefined demand for segments; part sizes that callers state could overflow the prefill time; a full table of segments was searched for old ones by each call; the chance that a segment is kept was that of more holders than there are runners; a failed poll counted as a head that arrived; an exception other than POCO's left the two sends of a call exchanged. Change: each mended. The others have no test of their own.

--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -183,7 +183,7 @@
         return true;
     // Bytes that were not read hide the end of the connection from recv().
     pollfd polled{m_session->descriptor(), POLLRDHUP, 0};
-    if (::poll(&polled, 1, 0) != 0)
+    if (::poll(&polled, 1, 0) > 0)
         return true;
     std::array<char, peeked_bytes> bytes{};
     const auto count = ::recv(m_session->descriptor(), bytes.data(),
--- a/src/include/crosslink/forward/segment_demand.h
+++ b/src/include/crosslink/forward/segment_demand.h
@@ -52,6 +52,7 @@
 
     std::map<std::string, Fading, std::less<>> m_services;
     std::map<Key, Fading> m_segments;
+    TimePoint m_drop_at{}; ///< Old segments are not looked for before.
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/segment_demand.cpp
+++ b/src/libcrosslink/forward/segment_demand.cpp
@@ -3,6 +3,7 @@
 
 #include <crosslink/forward/segment_demand.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace crosslink
@@ -51,13 +52,17 @@
     }
     Fading& fading = m_segments[key];
     fading.add(static_cast<double>(tokens), now);
-    return fading.left(now) / total->second.left(now);
+    const double of_service = total->second.left(now);
+    return of_service > 0 ? std::min(fading.left(now) / of_service, 1.0) : 0;
 }
 
 /// Forgets the segments that have not been in a prompt for long.
 void
 SegmentDemand::drop_old(TimePoint now)
 {
+    if (now < m_drop_at)
+        return;
+    m_drop_at = now + half_life;
     std::erase_if(m_segments, [now](const auto& item) {
         return now - item.second.at >= remembered_half_lives * half_life;
     });
--- a/src/libcrosslink/forward/segment_holders.cpp
+++ b/src/libcrosslink/forward/segment_holders.cpp
@@ -79,7 +79,7 @@
         const std::size_t count = holder_count(segment, runners.size());
         holders = first_by_rendezvous(holders, segment.id, count);
         const double chance =
-            chance_kept(segment, runners.size(), count, query);
+            chance_kept(segment, runners.size(), holders.size(), query);
         m_groups.push_back(
             {holders, chance * seconds(segment.saved) * millis_per_second});
     }
--- a/src/libcrosslink/forward/segment_holders_test.cpp
+++ b/src/libcrosslink/forward/segment_holders_test.cpp
@@ -104,6 +104,14 @@
     CHECK_FALSE(table.entry("r")->served);
 }
 
+TEST_CASE("prompts without a length leave no undefined demand")
+{
+    SegmentDemand demand;
+    const TimePoint now(std::chrono::seconds(1));
+    demand.called("s", 0, now);
+    CHECK(demand.contained("s", "p", 0, now) == 0);
+}
+
 TEST_CASE("the demand for segments fades, and rare ones do not fill memory")
 {
     SegmentDemand demand;
--- a/src/libcrosslink/forward/zone_spill.cpp
+++ b/src/libcrosslink/forward/zone_spill.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Difference of the waits below which no call goes: traffic between zones is
-/// expensive, and callers notice no less.
+/// expensive, and callers do not notice such a difference.
 constexpr double tolerated_ms = 15;
 /// Greatest part of the calls that go to other zones, and the difference of the
 /// waits from which on it does. Reports are up to 0.5 s old: with a part that
@@ -21,7 +21,8 @@
 constexpr double full_spill_ms = 250;
 
 /// Returns a number from 0 to 1, below 1, from bits that other draws of the
-/// same call do not depend on.
+/// same call do not depend on: multiplied by 2^64 divided by the golden ratio,
+/// similar numbers differ in all high bits.
 double
 fraction_of(std::uint64_t random)
 {
--- a/src/libcrosslink/kept/fetch_delay_tracker.cpp
+++ b/src/libcrosslink/kept/fetch_delay_tracker.cpp
@@ -397,7 +397,8 @@
     for (std::size_t i = 0; i < places.size(); ++i) {
         KeptPlace& place = places[i];
         const bool fetches = place.kind == KeptPlace::Kind::Fetch;
-        gain.prefill = prefill_of_all * gain.tokens / all_tokens;
+        gain.prefill = std::chrono::duration_cast<Micros>(
+            prefill_of_all * (static_cast<double>(gain.tokens) / all_tokens));
         slow =
             slow || (fetches && !should_fetch({place.store, std::string(zone)},
                                               gain, random, now));
--- a/src/libcrosslink/kept/fetch_delay_tracker_test.cpp
+++ b/src/libcrosslink/kept/fetch_delay_tracker_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
 #include <random>
 #include <vector>
 
@@ -320,6 +321,17 @@
     CHECK(fetches_rather_than_prefill(tracker, {"s3", "a"}, 610) == 900);
 }
 
+TEST_CASE("part sizes that callers make up do not overflow the prefill time")
+{
+    const FetchDelayTracker tracker;
+    const std::uint32_t most = std::numeric_limits<std::uint32_t>::max();
+    const std::vector<PromptPart> parts{{"p1", most}, {"p2", most}};
+    std::vector<KeptPlace> places(2);
+    const FetchGain gain{most, std::chrono::hours(24), short_objective};
+    tracker.skip_slow_stores(parts, places, "a", gain, 0, at(0));
+    CHECK(places[0].kind == KeptPlace::Kind::None);
+}
+
 TEST_CASE("of few stores, fetches are not compared to prefills")
 {
     FetchDelayTracker tracker;
--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -9,6 +9,7 @@
 #include <crosslink/forward/runner_price.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -126,9 +127,13 @@
 FetchGain
 CallPrompt::gain_of(std::span<const PromptPart> parts) const
 {
-    FetchGain gain;
+    std::uint64_t tokens = 0;
     for (const PromptPart& part : parts)
-        gain.tokens += part.tokens;
+        tokens += part.tokens;
+    FetchGain gain;
+    // Callers state the tokens.
+    gain.tokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        tokens, std::numeric_limits<std::uint32_t>::max()));
     gain.prefill = reading_time(gain.tokens);
     gain.objective = m_objective;
     return gain;
--- a/src/serve/forward/forward_hedge.cpp
+++ b/src/serve/forward/forward_hedge.cpp
@@ -151,7 +151,7 @@
         connection.send(encode_call(), m_call.body,
                         m_hedge.other().link.connection.get());
         m_link.sent = true;
-    } catch (const Poco::Exception&) {
+    } catch (const std::exception&) {
         failure =
             connection.interrupted() ? Outcome::Superseded : Outcome::Broken;
     }
@@ -304,6 +304,8 @@
     std::swap(m_path_check_at, other.path_check_at);
     std::swap(m_silent_at, other.silent_at);
     std::swap(m_suspects, other.suspects);
+    std::swap(m_answer_due, other.answer_due);
+    std::swap(m_counted, other.counted);
 }
 
 void
--- a/src/serve/forward/hedged_send.h
+++ b/src/serve/forward/hedged_send.h
@@ -34,6 +34,8 @@
     std::optional<TimePoint> path_check_at;
     std::optional<TimePoint> silent_at;
     bool suspects = false;
+    std::optional<TimePoint> answer_due;
+    bool counted = false;
 };
 
 /// The second copy of a call, at most one: when it is due, and its send beside
