Keep the state of a send of a call in one structure

Cause: a hedged call exchanges its two sends, and each member of that state was listed three times: in ForwardRun, in SendState and in swap_sends(). CallPrompt listed its members in the same way. Change: ForwardRun and HedgedSend hold a SendState, CallPrompt a SentPrompt; each is exchanged as a whole. Behavior is unchanged.

--- a/src/serve/forward/call_prompt.cpp
+++ b/src/serve/forward/call_prompt.cpp
@@ -103,23 +103,23 @@
 CallPrompt::locate_parts(const KeptSpace& space, std::string_view zone,
                          Micros time_left, SendOptions& options)
 {
-    m_zone = zone;
+    m_sent.zone = zone;
     const auto parts = m_call.generation->shared_parts();
-    m_places.clear();
-    m_tokens_to_read = m_call.generation->prompt_tokens;
+    m_sent.places.clear();
+    m_sent.tokens_to_read = m_call.generation->prompt_tokens;
     options.space = space.text();
     if (parts.empty())
         return;
     const KeptAnswer answer = m_kept.locate(space, parts, time_left);
-    m_places = answer.places;
-    m_space = answer.space;
+    m_sent.places = answer.places;
+    m_sent.space = answer.space;
     const FetchGain gain = gain_of(parts);
     m_state.fetches.with([&](FetchDelayTracker& tracker) {
-        tracker.skip_slow_stores(parts, m_places, m_zone, gain, random_bits(),
-                                 monotonic_now());
+        tracker.skip_slow_stores(parts, m_sent.places, m_sent.zone, gain,
+                                 random_bits(), monotonic_now());
     });
     options.space = answer.space;
-    options.places = m_places;
+    options.places = m_sent.places;
     apply_places(answer, options);
 }
 
@@ -143,36 +143,30 @@
 CallPrompt::locate_for_copy(const KeptSpace& space, std::string_view zone,
                             SendOptions& options)
 {
-    m_zone = zone;
+    m_sent.zone = zone;
     const auto parts = m_call.generation->shared_parts();
-    m_places.clear();
-    m_tokens_to_read = m_call.generation->prompt_tokens;
-    m_space = space.text();
-    options.space = m_space;
+    m_sent.places.clear();
+    m_sent.tokens_to_read = m_call.generation->prompt_tokens;
+    m_sent.space = space.text();
+    options.space = m_sent.space;
     const auto answer =
         parts.empty() ? std::nullopt : m_kept.locate_locally(space, parts);
     if (!answer)
         return;
-    m_space = answer->space;
-    m_places = answer->places;
-    for (KeptPlace& place : m_places)
+    m_sent.space = answer->space;
+    m_sent.places = answer->places;
+    for (KeptPlace& place : m_sent.places)
         if (place.kind == KeptPlace::Kind::Save)
             place = KeptPlace::compute(KeptPlace::Reason::BeingSaved);
-    options.space = m_space;
-    options.places = m_places;
+    options.space = m_sent.space;
+    options.places = m_sent.places;
     apply_places(*answer, options);
 }
 
 void
 CallPrompt::swap(CallPrompt& other) noexcept
 {
-    std::swap(m_space, other.m_space);
-    std::swap(m_places, other.m_places);
-    std::swap(m_zone, other.m_zone);
-    std::swap(m_measured, other.m_measured);
-    std::swap(m_tokens_to_read, other.m_tokens_to_read);
-    std::swap(m_expected, other.m_expected);
-    std::swap(m_is_read, other.m_is_read);
+    std::swap(m_sent, other.m_sent);
 }
 
 /// Counts the parts that are fetched, saved and read, and sets the time by
@@ -186,11 +180,11 @@
     RunnerMillis until =
         answer.clock + static_cast<RunnerMillis>(patience.count());
     for (std::size_t i = 0; i < parts.size(); ++i) {
-        const KeptPlace& place = m_places[i];
+        const KeptPlace& place = m_sent.places[i];
         switch (place.kind) {
         case KeptPlace::Kind::Fetch:
-            m_tokens_to_read -=
-                std::min<std::uint64_t>(m_tokens_to_read, parts[i].tokens);
+            m_sent.tokens_to_read -=
+                std::min<std::uint64_t>(m_sent.tokens_to_read, parts[i].tokens);
             until = std::min(until, place.until);
             options.fetch_until = until;
             ++m_state.counters.parts_fetched;
@@ -208,8 +202,8 @@
 bool
 CallPrompt::fetches_all() const
 {
-    return !m_places.empty() &&
-           std::all_of(m_places.begin(), m_places.end(),
+    return !m_sent.places.empty() &&
+           std::all_of(m_sent.places.begin(), m_sent.places.end(),
                        [](const KeptPlace& place) {
                            return place.kind == KeptPlace::Kind::Fetch;
                        });
@@ -220,8 +214,8 @@
 bool
 CallPrompt::prefills_all() const
 {
-    return !m_places.empty() &&
-           std::all_of(m_places.begin(), m_places.end(),
+    return !m_sent.places.empty() &&
+           std::all_of(m_sent.places.begin(), m_sent.places.end(),
                        [](const KeptPlace& place) {
                            return place.kind == KeptPlace::Kind::None;
                        });
@@ -230,7 +224,7 @@
 bool
 CallPrompt::fetches() const
 {
-    return std::any_of(m_places.begin(), m_places.end(),
+    return std::any_of(m_sent.places.begin(), m_sent.places.end(),
                        [](const KeptPlace& place) {
                            return place.kind == KeptPlace::Kind::Fetch;
                        });
@@ -239,8 +233,8 @@
 bool
 CallPrompt::measures_prefill() const
 {
-    return m_tokens_to_read > 0 &&
-           std::all_of(m_places.begin(), m_places.end(),
+    return m_sent.tokens_to_read > 0 &&
+           std::all_of(m_sent.places.begin(), m_sent.places.end(),
                        [](const KeptPlace& place) {
                            return place.kind == KeptPlace::Kind::Save;
                        });
@@ -255,46 +249,48 @@
                          [](const PromptPart& one, const PromptPart& other) {
                              return one.tokens < other.tokens;
                          });
-    return m_places[static_cast<std::size_t>(largest - parts.begin())].store;
+    return m_sent.places[static_cast<std::size_t>(largest - parts.begin())]
+        .store;
 }
 
 void
 CallPrompt::note_sent(TimePoint now, Micros runner_wait, double rate)
 {
-    m_is_read = false;
-    m_expected = now + runner_wait + reading_time(m_tokens_to_read, rate);
-    m_measured.reset();
+    m_sent.is_read = false;
+    m_sent.expected =
+        now + runner_wait + reading_time(m_sent.tokens_to_read, rate);
+    m_sent.measured.reset();
     // The time to the first event measures a store only if the runner reads
     // none of the shared parts, and the runner alone only if it reads them all.
     if (fetches_all())
-        m_measured = FetchPath{store_of_largest(), m_zone};
+        m_sent.measured = FetchPath{store_of_largest(), m_sent.zone};
     else if (prefills_all())
-        m_measured = FetchPath::without_store(m_zone);
-    if (!m_measured)
+        m_sent.measured = FetchPath::without_store(m_sent.zone);
+    if (!m_sent.measured)
         return;
     m_state.fetches.with([this](FetchDelayTracker& tracker) {
-        tracker.sent(*m_measured, m_expected);
+        tracker.sent(*m_sent.measured, m_sent.expected);
     });
 }
 
 void
 CallPrompt::note_first_event()
 {
-    m_is_read = true;
-    if (!m_measured)
+    m_sent.is_read = true;
+    if (!m_sent.measured)
         return;
     m_state.fetches.with([this](FetchDelayTracker& tracker) {
-        tracker.first_event(*m_measured, m_expected, monotonic_now());
+        tracker.first_event(*m_sent.measured, m_sent.expected, monotonic_now());
     });
 }
 
 void
 CallPrompt::note_ended()
 {
-    if (m_is_read || !m_measured)
+    if (m_sent.is_read || !m_sent.measured)
         return;
     m_state.fetches.with([this](FetchDelayTracker& tracker) {
-        tracker.ended(*m_measured, m_expected);
+        tracker.ended(*m_sent.measured, m_sent.expected);
     });
 }
 
@@ -302,15 +298,15 @@
 CallPrompt::cancel_saves()
 {
     if (m_call.generation)
-        m_kept.cancel_saves(m_space, m_call.generation->shared_parts(),
-                            m_places);
+        m_kept.cancel_saves(m_sent.space, m_call.generation->shared_parts(),
+                            m_sent.places);
 }
 
 std::string
 CallPrompt::summary() const
 {
     std::string text;
-    for (const KeptPlace& place : m_places)
+    for (const KeptPlace& place : m_sent.places)
         text += log_letter(place);
     return text;
 }
--- a/src/serve/forward/call_prompt.h
+++ b/src/serve/forward/call_prompt.h
@@ -34,7 +34,7 @@
 
     /// Returns when the first event of the last send is expected, without the
     /// time of fetches.
-    TimePoint expected_at() const { return m_expected; }
+    TimePoint expected_at() const { return m_sent.expected; }
     /// Returns the zone from which fetching takes longest for a runner with
     /// the properties `engine`, with that time and the number of tokens that
     /// would be fetched. Only stores that `map` lists are counted.
@@ -66,9 +66,9 @@
     void cancel_saves();
 
     /// Returns the tokens that the runner must read.
-    std::uint64_t tokens_to_read() const { return m_tokens_to_read; }
+    std::uint64_t tokens_to_read() const { return m_sent.tokens_to_read; }
     /// True once the first event has arrived.
-    bool is_read() const { return m_is_read; }
+    bool is_read() const { return m_sent.is_read; }
     /// Returns whether the runner fetches any part.
     bool fetches() const;
     /// Returns whether the time to the first event shows how fast the runner
@@ -83,6 +83,20 @@
     std::string summary() const;
 
 private:
+    /// What holds for one send of the call.
+    struct SentPrompt {
+        std::string space;             ///< Space that the call runs under.
+        std::vector<KeptPlace> places; ///< One for each shared part.
+        std::string zone;              ///< Of the runner.
+        /// The path whose delay the call measures: that of the largest part,
+        /// if all parts are fetched; that without a store, if all are
+        /// prefilled.
+        std::optional<FetchPath> measured;
+        std::uint64_t tokens_to_read = 0;
+        TimePoint expected{}; ///< Of the first event, without fetch times.
+        bool is_read = false;
+    };
+
     void apply_places(const KeptAnswer& answer, SendOptions& options);
     bool fetches_all() const;
     bool prefills_all() const;
@@ -93,15 +107,7 @@
     KeptLocator& m_kept;
     const ForwardedCall& m_call;
     const Micros m_objective;
-    std::string m_space;             ///< Space that the call runs under.
-    std::vector<KeptPlace> m_places; ///< One for each shared part.
-    std::string m_zone;              ///< Of the runner.
-    /// The path whose delay the call measures: that of the largest part, if
-    /// all parts are fetched; that without a store, if all are prefilled.
-    std::optional<FetchPath> m_measured;
-    std::uint64_t m_tokens_to_read = 0;
-    TimePoint m_expected{}; ///< Of the first event, without fetch times.
-    bool m_is_read = false;
+    SentPrompt m_sent;
 };
 
 } // namespace crosslink
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -73,12 +73,13 @@
 ForwardRun::Outcome
 ForwardRun::exchange(CallerLink& link)
 {
-    m_link.connection->watch(link.socket(), m_deadline);
+    m_send.link.connection->watch(link.socket(), m_deadline);
     try {
         return send_and_relay(link);
     } catch (const Poco::Exception&) {
-        const auto why =
-            m_link.connection ? m_link.connection->interrupted() : std::nullopt;
+        const auto why = m_send.link.connection
+                             ? m_send.link.connection->interrupted()
+                             : std::nullopt;
         if (!why)
             throw;
         return *why == CallConnection::Wait::CallerGone ? Outcome::CallerGone
@@ -89,14 +90,14 @@
 ForwardRun::Outcome
 ForwardRun::send_and_relay(CallerLink& link)
 {
-    if (!std::exchange(m_link.sent, true))
-        m_link.connection->send(encode_call(), m_call.body);
+    if (!std::exchange(m_send.link.sent, true))
+        m_send.link.connection->send(encode_call(), m_call.body);
     for (int i = 0; i < max_surplus_answers; ++i) {
         if (const auto ended = await_answer())
             return *ended;
         const RawHead raw = m_hedge.has_head()
                                 ? m_hedge.take_head()
-                                : m_link.connection->receive_head();
+                                : m_send.link.connection->receive_head();
         if (const auto ended = take_relay_failure(raw))
             return *ended;
         count_send();
@@ -112,7 +113,7 @@
 ForwardRun::await_answer()
 {
     for (;;) {
-        switch (m_hedge.wait(*m_link.connection, time_to_next_check())) {
+        switch (m_hedge.wait(*m_send.link.connection, time_to_next_check())) {
         case CallConnection::Wait::CallerGone:
             return Outcome::CallerGone;
         case CallConnection::Wait::RivalReady:
@@ -121,9 +122,9 @@
             break;
         case CallConnection::Wait::Ready:
             m_hedge.stop_watching();
-            m_silent_at.reset();
-            m_path_check_at.reset();
-            if (!m_link.relay)
+            m_send.silent_at.reset();
+            m_send.path_check_at.reset();
+            if (!m_send.link.relay)
                 m_state.note_runner_heard(m_choice.pick().place());
             return std::nullopt;
         case CallConnection::Wait::TimedOut:
@@ -136,7 +137,8 @@
         check_path();
         if (m_hedge.is_due(monotonic_now()))
             hedge();
-        if (m_silent_at && monotonic_now() >= *m_silent_at && retries_silent())
+        if (m_send.silent_at && monotonic_now() >= *m_send.silent_at &&
+            retries_silent())
             return Outcome::Silent;
     }
 }
@@ -148,16 +150,16 @@
 ForwardRun::check_path()
 {
     const TimePoint now = monotonic_now();
-    if (!m_path_check_at || now < *m_path_check_at)
+    if (!m_send.path_check_at || now < *m_send.path_check_at)
         return;
-    m_path_check_at = now + path_check_interval;
+    m_send.path_check_at = now + path_check_interval;
     const RunnerPlace place = m_choice.pick().place();
     const auto path = m_state.path_to(place);
-    if (path.relayed && path.proven_since > m_link.opened_at) {
-        m_path_check_at.reset();
-        m_silent_at = now;
-    } else if (!m_suspects) {
-        m_suspects = m_state.suspect_path(place);
+    if (path.relayed && path.proven_since > m_send.link.opened_at) {
+        m_send.path_check_at.reset();
+        m_send.silent_at = now;
+    } else if (!m_send.suspects) {
+        m_send.suspects = m_state.suspect_path(place);
     }
 }
 
@@ -175,10 +177,10 @@
     Micros next = time_left();
     if (may_be_withdrawn())
         next = std::min(next, time_to_weights_check());
-    if (m_silent_at)
-        next = std::min(next, *m_silent_at - monotonic_now());
-    if (m_path_check_at)
-        next = std::min(next, *m_path_check_at - monotonic_now());
+    if (m_send.silent_at)
+        next = std::min(next, *m_send.silent_at - monotonic_now());
+    if (m_send.path_check_at)
+        next = std::min(next, *m_send.path_check_at - monotonic_now());
     if (m_hedge.due())
         next = std::min(next, *m_hedge.due() - monotonic_now());
     return std::max(next, Micros{0});
@@ -202,9 +204,10 @@
 bool
 ForwardRun::retries_silent()
 {
-    m_silent_at.reset();
-    auto& idle = m_link.relay ? m_state.relay_connections : m_state.connections;
-    idle.drop_unproven(link_address(), m_link.opened_at);
+    m_send.silent_at.reset();
+    auto& idle =
+        m_send.link.relay ? m_state.relay_connections : m_state.connections;
+    idle.drop_unproven(link_address(), m_send.link.opened_at);
     const bool retries = m_hedge.is_open() ||
                          (m_route.repeatable() &&
                           m_runs + 1 < m_route.most_attempts && take_retry());
@@ -228,7 +231,7 @@
         .field("runner", m_choice.pick().id)
         .field("of_request", head.call_id);
     m_intake.apply_surplus(head, m_choice.pick());
-    if (!m_link.connection->skip_body())
+    if (!m_send.link.connection->skip_body())
         throw Error(ErrorCode::UpstreamFailed,
                     "an answer to an earlier call does not end",
                     RunState::MayHaveRun);
@@ -240,8 +243,9 @@
 std::optional<ForwardRun::Outcome>
 ForwardRun::take_relay_failure(const RawHead& raw)
 {
-    const std::string name =
-        m_link.relay ? relay_field(raw, relay_wire::failure) : std::string();
+    const std::string name = m_send.link.relay
+                                 ? relay_field(raw, relay_wire::failure)
+                                 : std::string();
     if (name.empty())
         return std::nullopt;
     const RelayFailure failure = relay_failure_from(name);
@@ -249,14 +253,14 @@
         .field("request", m_call.id)
         .field("runner", m_choice.pick().id)
         .field("relay", relay())
-        .field("zone", m_link.relay->zone)
+        .field("zone", m_send.link.relay->zone)
         .field("why", name);
     if (failure == RelayFailure::Broken)
         return Outcome::Broken;
     ++m_state.counters.relays_vain;
     const auto free_ms = parse_leading_integer<std::int64_t>(
         relay_field(raw, relay_wire::free_ms));
-    m_connector.not_relayed(m_link, failure,
+    m_connector.not_relayed(m_send.link, failure,
                             std::chrono::milliseconds(free_ms.value_or(0)));
     return Outcome::NotRelayed;
 }
@@ -264,7 +268,7 @@
 ForwardRun::Outcome
 ForwardRun::take_answer(CallerLink& link, const AnswerHead& head)
 {
-    m_connector.answered(m_link);
+    m_connector.answered(m_send.link);
     m_intake.apply(head, m_choice.pick());
     if (head.not_run) {
         LogLine("call_refused")
@@ -281,7 +285,7 @@
         end_awaiting(true);
     const bool success = is_success(head.status);
     if (success)
-        note_response(m_sent_at, m_prompt.tokens_to_read());
+        note_response(m_send.sent_at, m_prompt.tokens_to_read());
     end_copy(Outcome::Superseded);
     if (success && head.event_stream)
         return relay_events(link, head);
@@ -320,12 +324,12 @@
     const TimePoint now = monotonic_now();
     m_state.runners.with([this, now](RunnerTable& table) {
         table.answered(m_choice.pick().incarnation(),
-                       m_prompt.expected_at() - m_sent_at, now - m_sent_at,
-                       now);
-        if (m_prompt.measures_prefill() && !m_link.relay)
+                       m_prompt.expected_at() - m_send.sent_at,
+                       now - m_send.sent_at, now);
+        if (m_prompt.measures_prefill() && !m_send.link.relay)
             table.prefilled(m_choice.pick().incarnation(),
                             m_prompt.tokens_to_read(), m_choice.pick().wait,
-                            now - m_sent_at, now);
+                            now - m_send.sent_at, now);
     });
 }
 
@@ -334,28 +338,28 @@
 void
 ForwardRun::await_answer_until_due()
 {
-    m_answer_due.reset();
-    if (m_link.relay || m_route.objective == Micros{0})
+    m_send.answer_due.reset();
+    if (m_send.link.relay || m_route.objective == Micros{0})
         return;
     const Micros allowance =
         answer_allowance(m_route.objective, m_prompt.fetches());
-    m_answer_due = m_state.runners.with([&](RunnerTable& table) {
+    m_send.answer_due = m_state.runners.with([&](RunnerTable& table) {
         return table.await(m_choice.pick().incarnation(),
-                           m_prompt.expected_at() - m_sent_at, allowance,
-                           m_sent_at);
+                           m_prompt.expected_at() - m_send.sent_at, allowance,
+                           m_send.sent_at);
     });
 }
 
 void
 ForwardRun::end_awaiting(bool is_answered)
 {
-    if (!m_answer_due)
+    if (!m_send.answer_due)
         return;
     m_state.runners.with([&](RunnerTable& table) {
-        table.await_ended(m_choice.pick().incarnation(), *m_answer_due,
+        table.await_ended(m_choice.pick().incarnation(), *m_send.answer_due,
                           is_answered, monotonic_now());
     });
-    m_answer_due.reset();
+    m_send.answer_due.reset();
 }
 
 ForwardRun::Outcome
@@ -363,10 +367,10 @@
 {
     std::string body;
     HeldBytes held(m_state.bodies);
-    while (!m_link.connection->ended()) {
+    while (!m_send.link.connection->ended()) {
         if (const auto ended = await_answer())
             return *ended;
-        const std::string bytes = m_link.connection->read_some();
+        const std::string bytes = m_send.link.connection->read_some();
         if (bytes.empty())
             break;
         body += bytes;
@@ -375,7 +379,7 @@
         if (!fits)
             return relay_pieces(link, head, body);
     }
-    if (!m_link.connection->whole())
+    if (!m_send.link.connection->whole())
         return Outcome::Broken;
     keep_connection(head);
     m_answered_failure =
@@ -401,15 +405,15 @@
     for (;;) {
         if (!link.send(piece))
             return Outcome::CallerGone;
-        if (m_link.connection->ended())
+        if (m_send.link.connection->ended())
             break;
         if (const auto ended = await_answer())
             return *ended;
-        piece = m_link.connection->read_some();
+        piece = m_send.link.connection->read_some();
         if (piece.empty())
             break;
     }
-    if (!m_link.connection->whole())
+    if (!m_send.link.connection->whole())
         return Outcome::Broken;
     keep_connection(head);
     link.finish();
@@ -425,17 +429,17 @@
 {
     return m_answered_failure && m_route.repeatable() &&
            m_runs + 1 < m_route.most_attempts &&
-           time_left() > monotonic_now() - m_sent_at && take_retry();
+           time_left() > monotonic_now() - m_send.sent_at && take_retry();
 }
 
 ForwardRun::Outcome
 ForwardRun::relay_events(CallerLink& link, const AnswerHead& head)
 {
     m_events.begin_run();
-    while (!m_link.connection->ended()) {
+    while (!m_send.link.connection->ended()) {
         if (const auto ended = await_answer())
             return *ended;
-        const std::string bytes = m_link.connection->read_some();
+        const std::string bytes = m_send.link.connection->read_some();
         if (bytes.empty())
             break;
         const std::string events = m_events.take(bytes);
@@ -448,7 +452,7 @@
         if (!send_events(link, head, events))
             return Outcome::CallerGone;
     }
-    if (!m_link.connection->whole() || m_events.within_event())
+    if (!m_send.link.connection->whole() || m_events.within_event())
         return Outcome::Broken;
     keep_connection(head);
     if (!link.begun())
@@ -476,8 +480,9 @@
 void
 ForwardRun::keep_connection(const AnswerHead& head)
 {
-    auto& idle = m_link.relay ? m_state.relay_connections : m_state.connections;
-    idle.put_back_told(link_address(), std::move(m_link.connection),
+    auto& idle =
+        m_send.link.relay ? m_state.relay_connections : m_state.connections;
+    idle.put_back_told(link_address(), std::move(m_send.link.connection),
                        head.keep_alive, monotonic_now());
 }
 
--- a/src/serve/forward/forward_hedge.cpp
+++ b/src/serve/forward/forward_hedge.cpp
@@ -41,7 +41,7 @@
 ForwardRun::watch_send(CallerLink& link)
 {
     if (m_state.settings.hedge_ratio > 0)
-        m_hedge.watch(hedge_call(), m_sent_at, link.socket());
+        m_hedge.watch(hedge_call(), m_send.sent_at, link.socket());
 }
 
 /// Returns what the policy is to know of the last send.
@@ -58,7 +58,7 @@
                    m_first_event.count() > 0;
     call.suspected = m_crashes.blocked() || m_crashes.failed_before();
     call.copied = m_hedge.copied();
-    call.indirect = m_link.relay || pick.is_borrowed();
+    call.indirect = m_send.link.relay || pick.is_borrowed();
     call.runner_limited = pick.limited || pick.bearable_refusals > 0;
     call.runner_backs_off = m_state.runners.with([&](const RunnerTable& table) {
         const RunnerEntry* entry = table.entry(pick.id);
@@ -72,9 +72,9 @@
                                            m_prompt.tokens_to_read(),
                                            HedgePolicy::quantile, now);
         });
-    call.expected = std::max(
-        std::chrono::duration_cast<Micros>(m_prompt.expected_at() - m_sent_at),
-        Micros{0});
+    call.expected = std::max(std::chrono::duration_cast<Micros>(
+                                 m_prompt.expected_at() - m_send.sent_at),
+                             Micros{0});
     return call;
 }
 
@@ -103,7 +103,8 @@
     if (!pick)
         return HedgeDenial::NoRunner;
     const TimePoint now = monotonic_now();
-    const auto waited = std::chrono::duration_cast<Micros>(now - m_sent_at);
+    const auto waited =
+        std::chrono::duration_cast<Micros>(now - m_send.sent_at);
     if (const auto denial =
             HedgePolicy::denial(call, hedge_runner(*pick), waited))
         return denial;
@@ -138,19 +139,19 @@
 {
     swap_sends();
     begin_checks();
-    m_options = options_without_parts();
+    m_send.options = options_without_parts();
     if (m_call.generation)
         m_prompt.locate_for_copy(m_choice.kept_space(), m_choice.pick().zone,
-                                 *m_options);
+                                 *m_send.options);
     note_sent();
     ++m_state.counters.hedges;
-    CallConnection& connection = *m_link.connection;
+    CallConnection& connection = *m_send.link.connection;
     std::optional<Outcome> failure;
     try {
         connection.watch(m_hedge.caller_socket(), m_deadline);
         connection.send(encode_call(), m_call.body,
-                        m_hedge.other().link.connection.get());
-        m_link.sent = true;
+                        m_hedge.other().send.link.connection.get());
+        m_send.link.sent = true;
     } catch (const std::exception&) {
         failure =
             connection.interrupted() ? Outcome::Superseded : Outcome::Broken;
@@ -172,12 +173,12 @@
         end_copy(outcome);
         return false;
     }
-    m_silent_at.reset();
-    m_path_check_at.reset();
+    m_send.silent_at.reset();
+    m_send.path_check_at.reset();
     m_state.note_runner_heard(m_choice.pick().place());
     ++m_state.counters.hedges_won;
-    const SendState& other = m_hedge.other();
-    note_response(other.sent_at, other.prompt.tokens_to_read());
+    const HedgedSend::Other& other = m_hedge.other();
+    note_response(other.send.sent_at, other.prompt.tokens_to_read());
     end_other_send(Outcome::Superseded);
     m_hedge.log("won");
     return true;
@@ -188,7 +189,7 @@
 ForwardRun::Outcome
 ForwardRun::receive_copy_head()
 {
-    CallConnection& connection = *m_link.connection;
+    CallConnection& connection = *m_send.link.connection;
     const int caller = m_hedge.caller_socket();
     connection.watch(caller, std::min(m_deadline, monotonic_now() + head_time));
     try {
@@ -270,7 +271,8 @@
     if (outcome == Outcome::Broken)
         m_crashes.note_copy_broken(m_choice.pick());
     else
-        m_state.note_runner_answered(m_choice.pick().place(), m_link.opened_at);
+        m_state.note_runner_answered(m_choice.pick().place(),
+                                     m_send.link.opened_at);
     // Whether the path to it broke is not known.
     m_path_failed = true;
     record_outcome(outcome);
@@ -282,7 +284,7 @@
 void
 ForwardRun::note_response(TimePoint sent_at, std::uint64_t tokens)
 {
-    if (m_state.settings.hedge_ratio == 0 || m_link.relay)
+    if (m_state.settings.hedge_ratio == 0 || m_send.link.relay)
         return;
     const TimePoint now = monotonic_now();
     const auto taken = std::chrono::duration_cast<Micros>(now - sent_at);
@@ -295,17 +297,10 @@
 void
 ForwardRun::swap_sends()
 {
-    SendState& other = m_hedge.other();
+    HedgedSend::Other& other = m_hedge.other();
     m_choice.swap_pick(other.pick);
     m_prompt.swap(other.prompt);
-    std::swap(m_options, other.options);
-    std::swap(m_link, other.link);
-    std::swap(m_sent_at, other.sent_at);
-    std::swap(m_path_check_at, other.path_check_at);
-    std::swap(m_silent_at, other.silent_at);
-    std::swap(m_suspects, other.suspects);
-    std::swap(m_answer_due, other.answer_due);
-    std::swap(m_counted, other.counted);
+    std::swap(m_send, other.send);
 }
 
 void
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -162,7 +162,7 @@
 ForwardRun::Outcome
 ForwardRun::attempt(CallerLink& link)
 {
-    m_options.reset();
+    m_send.options.reset();
     m_path_failed = false;
     m_connector.begin(m_choice.pick(), m_runs > 0);
     while (connect()) {
@@ -181,9 +181,9 @@
 ForwardRun::Outcome
 ForwardRun::send_once(CallerLink& link)
 {
-    if (!m_options)
-        m_options = make_options();
-    m_options->time_left = time_left();
+    if (!m_send.options)
+        m_send.options = make_options();
+    m_send.options->time_left = time_left();
     note_sent();
     watch_send(link);
     const Outcome outcome = finish_send(link);
@@ -203,7 +203,7 @@
         LogLine("answer_broken")
             .field("request", m_call.id)
             .field("runner", m_choice.pick().id)
-            .field("reused", m_link.reused)
+            .field("reused", m_send.link.reused)
             .field("relay", relay())
             .field("error", failure.what());
     }
@@ -217,16 +217,16 @@
 void
 ForwardRun::note_sent()
 {
-    m_sent_at = monotonic_now();
+    m_send.sent_at = monotonic_now();
     m_answered_failure = false;
-    m_choice.sent(m_prompt.tokens_to_read(), resident_tokens(), m_sent_at);
-    m_prompt.note_sent(m_sent_at, m_choice.pick().wait,
+    m_choice.sent(m_prompt.tokens_to_read(), resident_tokens(), m_send.sent_at);
+    m_prompt.note_sent(m_send.sent_at, m_choice.pick().wait,
                        m_choice.pick().prefill_rate);
     await_answer_until_due();
     m_crashes.record_send();
     m_attempted = true;
-    m_counted = false;
-    if (!m_link.relay)
+    m_send.counted = false;
+    if (!m_send.link.relay)
         count_send();
 }
 
@@ -236,14 +236,14 @@
 void
 ForwardRun::count_send()
 {
-    if (m_counted)
+    if (m_send.counted)
         return;
-    m_counted = true;
-    m_choice.count_send(m_sent_at);
+    m_send.counted = true;
+    m_choice.count_send(m_send.sent_at);
     ++m_sends;
     m_resumption.sent(m_choice.service(), m_choice.pick().software, m_sends);
     ++m_state.counters.sends;
-    if (m_link.relay)
+    if (m_send.link.relay)
         ++m_state.counters.calls_relayed;
     if (m_choice.pick().is_borrowed())
         ++m_state.counters.shares_borrowed;
@@ -261,7 +261,7 @@
             .field("newest", m_choice.newest_weights());
     if (outcome != Outcome::NotRelayed)
         count_send();
-    m_link.connection.reset();
+    m_send.link.connection.reset();
     m_prompt.note_ended();
     end_awaiting(outcome == Outcome::Done || outcome == Outcome::NotRun ||
                  outcome == Outcome::Misdirected || outcome == Outcome::Failed);
@@ -272,7 +272,7 @@
                               m_prompt.tokens_to_read());
         if (outcome == Outcome::Done && m_call.generation)
             table.ran(m_choice.pick().id, resident_tokens(),
-                      monotonic_now() - m_sent_at);
+                      monotonic_now() - m_send.sent_at);
     });
     if (outcome == Outcome::NotRun || outcome == Outcome::Misdirected)
         m_prompt.cancel_saves();
@@ -282,7 +282,7 @@
 void
 ForwardRun::note_unreachable()
 {
-    if (m_options)
+    if (m_send.options)
         m_prompt.cancel_saves();
     m_path_failed = !m_connector.runner_failed();
     if (!m_path_failed)
@@ -295,15 +295,15 @@
 void
 ForwardRun::note_broken(bool silent)
 {
-    if (m_link.relay)
-        m_state.relay_failed(m_link.relay->address, {});
+    if (m_send.link.relay)
+        m_state.relay_failed(m_send.link.relay->address, {});
     else if (silent)
         note_connection_failure(true);
     if (silent)
         return;
-    m_path_failed =
-        !m_crashes.note_broken(m_choice.pick(), !m_link.relay, has_begun());
-    if (!m_path_failed && !m_link.relay)
+    m_path_failed = !m_crashes.note_broken(m_choice.pick(), !m_send.link.relay,
+                                           has_begun());
+    if (!m_path_failed && !m_send.link.relay)
         note_connection_failure(false);
 }
 
@@ -324,29 +324,31 @@
 bool
 ForwardRun::connect()
 {
-    m_link = m_connector.next(time_left());
+    m_send.link = m_connector.next(time_left());
     begin_checks();
-    return m_link.connection != nullptr;
+    return m_send.link.connection != nullptr;
 }
 
 /// Sets when to look at a connection on which nothing arrives.
 void
 ForwardRun::begin_checks()
 {
-    m_silent_at.reset();
-    m_path_check_at.reset();
-    m_suspects = false;
-    if (m_link.reused)
-        m_silent_at = m_link.opened_at + time_left() / silence_divisor;
-    if (!m_link.relay)
-        m_path_check_at = m_link.opened_at + path_check_time;
+    m_send.silent_at.reset();
+    m_send.path_check_at.reset();
+    m_send.suspects = false;
+    if (m_send.link.reused)
+        m_send.silent_at =
+            m_send.link.opened_at + time_left() / silence_divisor;
+    if (!m_send.link.relay)
+        m_send.path_check_at = m_send.link.opened_at + path_check_time;
 }
 
 /// Returns the address that the call is sent to.
 const std::string&
 ForwardRun::link_address() const
 {
-    return m_link.relay ? m_link.relay->address : m_choice.pick().address;
+    return m_send.link.relay ? m_send.link.relay->address
+                             : m_choice.pick().address;
 }
 
 /// Returns the call as the runner gets it, with what another instance needs to
@@ -354,10 +356,11 @@
 OutgoingCall
 ForwardRun::encode_call() const
 {
-    OutgoingCall call = m_state.ports.wire.encode_call(m_call, *m_options);
-    if (!m_link.relay)
+    OutgoingCall call = m_state.ports.wire.encode_call(m_call, *m_send.options);
+    if (!m_send.link.relay)
         return call;
-    const auto millis = m_options->time_left / std::chrono::milliseconds(1);
+    const auto millis =
+        m_send.options->time_left / std::chrono::milliseconds(1);
     const std::array relay_headers{
         HeaderField{relay_wire::runner, m_choice.pick().id},
         HeaderField{relay_wire::time_ms, std::to_string(millis)}};
@@ -406,7 +409,7 @@
     if (outcome == Outcome::Failed || m_answered_failure)
         m_crashes.note_failed(m_choice.pick());
     else if (outcome == Outcome::Done)
-        m_crashes.note_served(m_choice.pick(), m_sent_at);
+        m_crashes.note_served(m_choice.pick(), m_send.sent_at);
     const TimePoint now = monotonic_now();
     if (outcome == Outcome::NotRun)
         m_state.retries.with([&](RetryWindow& window) {
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -13,6 +13,7 @@
 #include "kept_locator.h"
 #include "runner_choice.h"
 #include "runner_connector.h"
+#include "send_state.h"
 #include "stream_resumption.h"
 
 #include <crosslink/base/time.h>
@@ -73,7 +74,7 @@
     /// empty if it was sent to the runner directly.
     std::string relay() const
     {
-        return m_link.relay ? m_link.relay->name : std::string();
+        return m_send.link.relay ? m_send.link.relay->name : std::string();
     }
     /// See CallPrompt::summary().
     std::string kept_summary() const { return m_prompt.summary(); }
@@ -196,24 +197,12 @@
     AnswerIntake m_intake;
     RunnerConnector m_connector;
     StreamResumption m_resumption;
-    RunnerLink m_link; ///< Of the last send; without connection after its end.
-    /// Of the current runner; nothing before the first send to it.
-    std::optional<SendOptions> m_options;
+    SendState m_send; ///< Of the last send.
     HedgedSend m_hedge;
-    TimePoint m_sent_at{}; ///< Time of the last send.
-    /// See RunnerTable::await(); nothing once it is known how that ended.
-    std::optional<TimePoint> m_answer_due;
-    /// When the runner's silence leads to a look at this instance's path;
-    /// nothing once it has answered.
-    std::optional<TimePoint> m_path_check_at;
-    bool m_suspects = false; ///< A probe was asked for since the last send.
     /// The last send failed, or was not made, because of this instance's path.
     bool m_path_failed = false;
-    /// When a reused connection counts as silent; nothing once it has answered.
-    std::optional<TimePoint> m_silent_at;
     NextAvailability m_next_available; ///< As of the last search for a runner.
     bool m_attempted = false; ///< Sent, or tried on the share of another.
-    bool m_counted = false;   ///< The last send is counted.
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0; ///< Sends that may have run.
     /// A runner's failure, sent to the caller if no retry succeeds.
--- a/src/serve/forward/hedged_send.cpp
+++ b/src/serve/forward/hedged_send.cpp
@@ -33,8 +33,8 @@
 
 HedgedSend::HedgedSend(ForwardState& state, KeptLocator& kept,
                        const ForwardedCall& call, Micros objective)
-    : m_state(state), m_call(call),
-      m_other(CallPrompt(state, kept, call, objective))
+    : m_state(state),
+      m_call(call), m_other{{}, CallPrompt(state, kept, call, objective), {}}
 {
 }
 
@@ -61,10 +61,10 @@
     m_second = pick.id;
     m_waited = std::chrono::duration_cast<Micros>(monotonic_now() - m_sent_at);
     m_other.pick = pick;
-    m_other.link = {};
-    m_other.link.opened_at = monotonic_now();
+    m_other.send.link = {};
+    m_other.send.link.opened_at = monotonic_now();
     try {
-        m_other.link.connection = std::make_unique<CallConnection>(
+        m_other.send.link.connection = std::make_unique<CallConnection>(
             pick.address, std::min(connect_time, time_left));
         return true;
     } catch (const Poco::Net::ConnectionRefusedException&) {
@@ -86,7 +86,7 @@
     using Wait = CallConnection::Wait;
     if (!is_open())
         return first.wait(longest);
-    CallConnection& copy = *m_other.link.connection;
+    CallConnection& copy = *m_other.send.link.connection;
     const Wait ended = first.wait(longest, &copy);
     if (ended != Wait::Ready && ended != Wait::RivalReady)
         return ended;
--- a/src/serve/forward/hedged_send.h
+++ b/src/serve/forward/hedged_send.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "call_prompt.h"
-#include "runner_connector.h"
+#include "send_state.h"
 
 #include <adapters/call_connection.h>
 
@@ -22,28 +22,19 @@
 
 struct ForwardState;
 
-/// The state of one send of a call to a runner.
-struct SendState {
-    explicit SendState(const CallPrompt& prompt_in) : prompt(prompt_in) {}
-
-    RunnerPick pick;
-    CallPrompt prompt;
-    std::optional<SendOptions> options;
-    RunnerLink link;
-    TimePoint sent_at{};
-    std::optional<TimePoint> path_check_at;
-    std::optional<TimePoint> silent_at;
-    bool suspects = false;
-    std::optional<TimePoint> answer_due;
-    bool counted = false;
-};
-
 /// The second copy of a call, at most one: when it is due, and its send beside
 /// the first one. While it is in flight, the thread of the call waits for the
 /// answers to both.
 class HedgedSend
 {
 public:
+    /// The send that is not the call's current one.
+    struct Other {
+        RunnerPick pick;
+        CallPrompt prompt;
+        SendState send;
+    };
+
     /// All references must outlive this object. `objective` is that of the
     /// call's route.
     HedgedSend(ForwardState& state, KeptLocator& kept,
@@ -64,12 +55,11 @@
     bool connect(const RunnerPick& pick, const RunnerPick& first,
                  Micros time_left);
     /// Returns whether a copy is in flight.
-    bool is_open() const { return m_other.link.connection != nullptr; }
+    bool is_open() const { return m_other.send.link.connection != nullptr; }
     /// Waits as CallConnection::wait() on `first`, and on the copy if there is
     /// one: RivalReady if the copy's head has arrived before that of `first`.
     CallConnection::Wait wait(CallConnection& first, Micros longest);
-    /// Returns the send that is not the call's current one.
-    SendState& other() { return m_other; }
+    Other& other() { return m_other; }
     int caller_socket() const { return m_caller_socket; }
 
     /// Keeps a head of the copy until take_head().
@@ -83,7 +73,7 @@
 private:
     ForwardState& m_state;
     const ForwardedCall& m_call;
-    SendState m_other;
+    Other m_other;
     TimePoint m_sent_at{}; ///< Of the send that is watched.
     std::optional<TimePoint> m_due;
     int m_caller_socket = -1;
