One conversion to milliseconds, one decay by half-life

Change: in_milliseconds(), whole_millis() and decay() of base/time.h serve all of them. Behavior is unchanged for spans that are not negative.

--- a/src/adapters/platform_http.cpp
+++ b/src/adapters/platform_http.cpp
@@ -39,12 +39,6 @@
     return body;
 }
 
-std::uint64_t
-milliseconds(Micros span)
-{
-    return static_cast<std::uint64_t>(span.count()) / 1000;
-}
-
 } // namespace
 
 PlatformHttp::PlatformHttp(const std::string& address, HttpTimeouts timeouts)
@@ -121,7 +115,7 @@
 {
     Json::Value body = named(key);
     body["seen"] = Json::UInt64(seen);
-    body["wait_ms"] = Json::UInt64(milliseconds(wait));
+    body["wait_ms"] = Json::UInt64(whole_millis(wait));
     return record_from_json(ask("/kv/watch", body, false));
 }
 
@@ -132,7 +126,7 @@
     Json::Value body;
     body["name"] = std::string(name);
     body["holder"] = std::string(holder);
-    body["ttl_ms"] = Json::UInt64(milliseconds(time_to_live));
+    body["ttl_ms"] = Json::UInt64(whole_millis(time_to_live));
     const Json::Value answer = ask("/lease/take", body, true);
     if (!json_bool(answer, "granted"))
         return std::nullopt;
--- a/src/include/crosslink/base/time.h
+++ b/src/include/crosslink/base/time.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 
 namespace crosslink
@@ -41,4 +42,28 @@
     return Micros(static_cast<Micros::rep>(value * 1e6));
 }
 
+/// Returns `span` in milliseconds.
+inline double
+in_milliseconds(Micros span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+/// Returns `span` in whole milliseconds; 0 if it is negative.
+inline std::uint64_t
+whole_millis(Micros span)
+{
+    const auto count =
+        std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    return count < 0 ? 0 : static_cast<std::uint64_t>(count);
+}
+
+/// Returns the part of a value that is left after `age`, if half of it is left
+/// after each `half_life`.
+inline double
+decay(Micros age, Micros half_life)
+{
+    return std::exp2(-seconds(age) / seconds(half_life));
+}
+
 } // namespace crosslink
--- a/src/libcrosslink/forward/fair_share_tracker.cpp
+++ b/src/libcrosslink/forward/fair_share_tracker.cpp
@@ -32,7 +32,7 @@
 double
 decayed(double places, Micros age)
 {
-    return places * std::exp2(-seconds(age) / seconds(half_life));
+    return places * decay(age, half_life);
 }
 
 /// Leaves only the `count` largest of `usages`.
--- a/src/libcrosslink/forward/prefill_rate.cpp
+++ b/src/libcrosslink/forward/prefill_rate.cpp
@@ -56,14 +56,6 @@
     return min_rate * std::pow(max_rate / min_rate, position);
 }
 
-std::uint64_t
-to_millis(Micros span)
-{
-    const auto millis =
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(millis, 0));
-}
-
 } // namespace
 
 PrefillSamples&
@@ -100,7 +92,7 @@
 void
 PrefillSamples::age_by(Micros span)
 {
-    age_sum_ms += count() * to_millis(span);
+    age_sum_ms += count() * whole_millis(span);
 }
 
 double
@@ -124,9 +116,7 @@
     if (tokens < min_tokens || taken <= Micros{0} ||
         seconds(wait) > max_wait_part * seconds(taken))
         return;
-    constexpr double millis_per_second = 1000;
-    const double rate =
-        static_cast<double>(tokens) / (seconds(taken) * millis_per_second);
+    const double rate = static_cast<double>(tokens) / in_milliseconds(taken);
     m_samples.push_back({bucket_of(rate), std::string(runner), now});
     while (m_samples.size() > max_samples ||
            now - m_samples.front().at >= lifetime)
@@ -150,7 +140,7 @@
         if (age >= lifetime)
             continue;
         ++samples.counts[sample.bucket];
-        samples.age_sum_ms += to_millis(age);
+        samples.age_sum_ms += whole_millis(age);
     }
     return samples;
 }
--- a/src/libcrosslink/forward/response_times.cpp
+++ b/src/libcrosslink/forward/response_times.cpp
@@ -44,7 +44,7 @@
 {
     const Micros age =
         std::max(std::chrono::duration_cast<Micros>(now - times.at), Micros{0});
-    return std::exp2(-seconds(age) / seconds(half_life));
+    return decay(age, half_life);
 }
 
 void
--- a/src/libcrosslink/forward/runner_price.cpp
+++ b/src/libcrosslink/forward/runner_price.cpp
@@ -37,18 +37,10 @@
 /// Runners whose prices differ by less than this count as equal.
 constexpr double tie_ms = 1;
 
-constexpr double millis_per_second = 1000;
-
 Micros
-from_millis(double millis)
-{
-    return from_seconds(millis / millis_per_second);
-}
-
-double
-to_millis(Micros span)
+from_millis(double value)
 {
-    return seconds(span) * millis_per_second;
+    return from_seconds(value / 1000);
 }
 
 /// Load that all instances together put on a runner, as far as known.
@@ -75,7 +67,8 @@
 double
 prefilled_since_report(const RunnerLoad& others, Micros age, double rate)
 {
-    return std::min(static_cast<double>(others.tokens), to_millis(age) * rate);
+    return std::min(static_cast<double>(others.tokens),
+                    in_milliseconds(age) * rate);
 }
 
 KnownLoad
@@ -116,7 +109,7 @@
     const double missing =
         load.resident + static_cast<double>(query.resident) - memory;
     return std::clamp(missing, 0.0, load.resident) / memory *
-           to_millis(holding_time);
+           in_milliseconds(holding_time);
 }
 
 double
@@ -183,14 +176,14 @@
 {
     if (query.kept.zone.empty() || zone == query.kept.zone)
         return 0;
-    return far_fetch_factor * to_millis(query.kept.fetch_time);
+    return far_fetch_factor * in_milliseconds(query.kept.fetch_time);
 }
 
 double
 jitter_ms(const RunnerQuery& query, const FleetLoad& fleet)
 {
     return jitter_part *
-               to_millis(reading_time(query.tokens, fleet.prefill_rate)) +
+               in_milliseconds(reading_time(query.tokens, fleet.prefill_rate)) +
            tie_ms;
 }
 
--- a/src/libcrosslink/forward/runner_table_speed.cpp
+++ b/src/libcrosslink/forward/runner_table_speed.cpp
@@ -27,8 +27,6 @@
 /// Time for which an answer shows that a service answers.
 constexpr Micros answering_time = std::chrono::seconds(1);
 
-constexpr double millis_per_second = 1000;
-
 /// Returns random bits for a call with the bits `random` at a runner.
 std::uint64_t
 draws_for(std::uint64_t random, std::string_view runner)
@@ -40,7 +38,7 @@
 double
 price_of(Micros late)
 {
-    return std::min(seconds(late) * millis_per_second, max_slowness_ms);
+    return std::min(in_milliseconds(late), max_slowness_ms);
 }
 
 } // namespace
--- a/src/libcrosslink/forward/segment_demand.cpp
+++ b/src/libcrosslink/forward/segment_demand.cpp
@@ -4,7 +4,6 @@
 #include <crosslink/forward/segment_demand.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace crosslink
 {
@@ -27,7 +26,7 @@
 double
 SegmentDemand::Fading::left(TimePoint now) const
 {
-    return sum * std::exp2(-seconds(now - at) / seconds(half_life));
+    return sum * decay(now - at, half_life);
 }
 
 void
--- a/src/libcrosslink/forward/segment_holders.cpp
+++ b/src/libcrosslink/forward/segment_holders.cpp
@@ -22,7 +22,6 @@
 
 using Runners = std::vector<const RunnerEntry*>;
 
-constexpr double millis_per_second = 1000;
 /// Holders of a segment, as a multiple of those that its demand takes up: with
 /// exactly as many, each would have to be busy all the time.
 constexpr double spare_holders = 1.5;
@@ -80,8 +79,7 @@
         holders = first_by_rendezvous(holders, segment.id, count);
         const double chance =
             chance_kept(segment, runners.size(), holders.size(), query);
-        m_groups.push_back(
-            {holders, chance * seconds(segment.saved) * millis_per_second});
+        m_groups.push_back({holders, chance * in_milliseconds(segment.saved)});
     }
 }
 
--- a/src/libcrosslink/forward/speed_report.cpp
+++ b/src/libcrosslink/forward/speed_report.cpp
@@ -17,14 +17,6 @@
 constexpr char key_separator = '/';
 constexpr double thousandths = 1000;
 
-std::uint64_t
-to_millis(Micros span)
-{
-    const auto millis =
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(millis, 0));
-}
-
 /// Drops the rows of the lowest `weight` beyond SpeedReport::max_rows.
 template<typename Row>
 void
@@ -83,8 +75,8 @@
     ++reports;
     answers += static_cast<std::uint64_t>(evidence.answers * thousandths);
     ratios += static_cast<std::uint64_t>(evidence.ratios * thousandths);
-    time_sum_ms += to_millis(time);
-    age_sum_ms += to_millis(age);
+    time_sum_ms += whole_millis(time);
+    age_sum_ms += whole_millis(age);
 }
 
 SpeedEvidence
@@ -109,11 +101,11 @@
 void
 SpeedReport::age_by(Micros span)
 {
-    const std::uint64_t millis = to_millis(span);
+    const std::uint64_t age_ms = whole_millis(span);
     for (auto& [key, row] : slow)
-        row.age_sum_ms += row.reports * millis;
+        row.age_sum_ms += row.reports * age_ms;
     for (auto& [service, row] : services)
-        row.age_sum_ms += row.reports * millis;
+        row.age_sum_ms += row.reports * age_ms;
     for (auto& [service, samples] : prefill)
         samples.age_by(span);
 }
--- a/src/libcrosslink/kept/fetch_delay_tracker.cpp
+++ b/src/libcrosslink/kept/fetch_delay_tracker.cpp
@@ -61,12 +61,6 @@
 /// large part of what their runners can prefill.
 constexpr std::size_t min_stores_for_prefill = 8;
 
-double
-millis(Micros span)
-{
-    return seconds(span) * 1000;
-}
-
 /// Returns the delay `late_ms` of a sample of the given age, decayed over the
 /// lifetime of samples.
 double
@@ -124,7 +118,7 @@
                                TimePoint now)
 {
     ended(path, expected);
-    add_samples(m_paths[path], 1, millis(now - expected), now);
+    add_samples(m_paths[path], 1, in_milliseconds(now - expected), now);
 }
 
 void
@@ -256,7 +250,7 @@
 {
     if (stats.pending.empty() || *stats.pending.begin() <= stats.at)
         return -std::numeric_limits<double>::infinity();
-    return millis(now - *stats.pending.begin());
+    return in_milliseconds(now - *stats.pending.begin());
 }
 
 /// Returns the delay of the good stores other than that of `path`. Delays over
@@ -338,8 +332,9 @@
                                       const FetchGain& gain,
                                       TimePoint now) const
 {
-    const double allowed = tolerable_fraction * millis(gain.objective) +
-                           tolerable_ms_per_token * gain.tokens;
+    const double allowed =
+        tolerable_fraction * in_milliseconds(gain.objective) +
+        tolerable_ms_per_token * gain.tokens;
     return fetch_fraction(excess_ms(path, now), allowed);
 }
 
@@ -357,8 +352,8 @@
     if (!fetch)
         return 1;
     const double allowed =
-        std::max(prefill_factor * millis(gain.prefill),
-                 tolerable_fraction * millis(gain.objective));
+        std::max(prefill_factor * in_milliseconds(gain.prefill),
+                 tolerable_fraction * in_milliseconds(gain.objective));
     const auto prefill = delay_ms(FetchPath::without_store(path.zone), now);
     if (prefill)
         return fetch_fraction(*fetch - *prefill, allowed);
