Lent places in a file of their own; find home runners once for a choice

Cause: the two questions for a lender, who has a place now and when one may have one, repeated each other's conditions. Home runners were looked for by each choice up to three times. runner_choosing.cpp had grown to 455 lines with two jobs. Change: loan_offers() answers both questions. candidates() hands its home runners on. What lends and borrows lies in runner_table_loans.cpp. Behavior is unchanged.

--- a/src/include/crosslink/forward/runner_table.h
+++ b/src/include/crosslink/forward/runner_table.h
@@ -301,12 +301,14 @@
                                             const RunnerQuery& query,
                                             const ShareLoans& loans,
                                             std::mt19937_64& generator) const;
-    std::vector<std::string_view> lenders(const RunnerEntry& entry,
-                                          const RunnerQuery& query,
-                                          const ShareLoans& loans) const;
-    std::optional<TimePoint> loan_at(const RunnerEntry& entry,
-                                     const RunnerQuery& query,
-                                     const ShareLoans& loans) const;
+    /// A place of an instance's share of a runner.
+    struct LoanOffer {
+        std::string_view holder; ///< Name of the instance.
+        TimePoint from{};        ///< When there may be one.
+    };
+    std::vector<LoanOffer> loan_offers(const RunnerEntry& entry,
+                                       const RunnerQuery& query,
+                                       const ShareLoans& loans) const;
     std::optional<std::size_t> share_count(const RunnerEntry& entry,
                                            const RunnerQuery& query) const;
     RunnerPick pick_of(const RunnerEntry& entry, const RunnerQuery& query,
@@ -322,17 +324,18 @@
     void report_services(SpeedReport& report, TimePoint now) const;
     std::size_t runners_of_own_zone(const RunnerQuery& query) const;
     void sample(std::vector<const RunnerEntry*>& candidates,
-                const RunnerQuery& query, const HomeRunners& homes) const;
+                const std::vector<const RunnerEntry*>& home,
+                const RunnerQuery& query) const;
     const RunnerEntry* cheapest(const std::vector<const RunnerEntry*>& entries,
+                                const std::vector<const RunnerEntry*>& home,
                                 const RunnerQuery& query,
-                                const FleetLoad& fleet,
-                                const HomeRunners& homes) const;
+                                const FleetLoad& fleet) const;
     FleetLoad fleet_load(const RunnerQuery& query) const;
     bool accepts(const RunnerEntry& entry, const RunnerQuery& query) const;
     const RunnerEntry* due_probe(const RunnerQuery& query) const;
-    std::vector<const RunnerEntry*> candidates(const RunnerQuery& query,
-                                               const HomeRunners& homes,
-                                               const FleetLoad& fleet) const;
+    std::vector<const RunnerEntry*>
+    candidates(const RunnerQuery& query, const FleetLoad& fleet,
+               std::vector<const RunnerEntry*>& home) const;
     void keep_zone_of(std::vector<const RunnerEntry*>& candidates,
                       const RunnerQuery& query, const FleetLoad& fleet) const;
     std::vector<const RunnerEntry*> walk(const RunnerIndex::Group& group,
--- a/src/libcrosslink/forward/runner_availability.cpp
+++ b/src/libcrosslink/forward/runner_availability.cpp
@@ -6,7 +6,6 @@
 #include <crosslink/forward/runner_table.h>
 
 #include <crosslink/forward/rate_share.h>
-#include <crosslink/forward/share_loans.h>
 #include <crosslink/membership/rendezvous.h>
 
 #include <algorithm>
@@ -247,73 +246,6 @@
     return count;
 }
 
-/// Returns the other instances that may have a place at a runner for a call of
-/// this one.
-std::vector<std::string_view>
-RunnerTable::lenders(const RunnerEntry& entry, const RunnerQuery& query,
-                     const ShareLoans& loans) const
-{
-    const TimePoint paused =
-        std::max(entry.paused_until, entry.notices.backoff_until);
-    if (!may_accept_work(entry, query) || paused > query.now)
-        return {};
-    const auto count = share_count(entry, query);
-    if (!count)
-        return {};
-    std::vector<std::string_view> found;
-    for (const std::string& holder : m_members.holders(
-             entry.listed.id, entry.listed.zone, *count, query.now))
-        if (holder != query.instance &&
-            loans.may_ask(holder, entry.listed.id, query.now))
-            found.push_back(holder);
-    return found;
-}
-
-std::optional<TimePoint>
-RunnerTable::next_loan(const RunnerQuery& query, const ShareLoans& loans) const
-{
-    const RunnerIndex::Groups* groups = m_index.groups(query.service);
-    if (!groups)
-        return std::nullopt;
-    std::optional<TimePoint> next;
-    for (const auto& [zone, group] : *groups) {
-        const std::size_t count =
-            std::min(group.ids.size(), max_lending_runners);
-        for (std::size_t i = 0; i < count; ++i) {
-            const std::size_t drawn = (query.random + i) % group.ids.size();
-            const RunnerEntry* entry = visit(group.ids[drawn]);
-            const auto at =
-                entry ? loan_at(*entry, query, loans) : std::nullopt;
-            if (at && (!next || *at < *next))
-                next = at;
-        }
-    }
-    return next;
-}
-
-/// Returns when another instance may have a place at a runner for a call of
-/// this one; nothing if no other instance has a share.
-std::optional<TimePoint>
-RunnerTable::loan_at(const RunnerEntry& entry, const RunnerQuery& query,
-                     const ShareLoans& loans) const
-{
-    const auto count = share_count(entry, query);
-    if (!count || !may_accept_work(entry, query))
-        return std::nullopt;
-    const TimePoint paused =
-        std::max(entry.paused_until, entry.notices.backoff_until);
-    std::optional<TimePoint> next;
-    for (const std::string& holder : m_members.holders(
-             entry.listed.id, entry.listed.zone, *count, query.now)) {
-        if (holder == query.instance)
-            continue;
-        const TimePoint at =
-            std::max(paused, loans.ask_at(holder, entry.listed.id));
-        next = next ? std::min(*next, at) : at;
-    }
-    return next;
-}
-
 /// Returns whether a runner accepts a call now.
 bool
 RunnerTable::accepts(const RunnerEntry& entry, const RunnerQuery& query) const
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -8,7 +8,6 @@
 #include <crosslink/forward/home_runners.h>
 #include <crosslink/forward/runner_price.h>
 #include <crosslink/forward/segment_holders.h>
-#include <crosslink/forward/share_loans.h>
 #include <crosslink/forward/zone_spill.h>
 #include <crosslink/membership/rendezvous.h>
 
@@ -101,6 +100,13 @@
     return best;
 }
 
+bool
+contains(const Candidates& candidates, const RunnerEntry* entry)
+{
+    return std::find(candidates.begin(), candidates.end(), entry) !=
+           candidates.end();
+}
+
 /// Returns the home runners among `candidates`.
 Candidates
 home_of(const Candidates& candidates, const HomeRunners& homes)
@@ -119,12 +125,11 @@
 zone_costs(const Candidates& candidates, const RunnerQuery& query,
            const FleetLoad& fleet)
 {
-    constexpr double millis_per_second = 1000;
     ZoneSpill::Costs costs;
     std::map<std::string_view, double> counts;
     for (const RunnerEntry* entry : candidates) {
         costs[entry->listed.zone] +=
-            millis_per_second * seconds(reported_wait(*entry, query, fleet));
+            in_milliseconds(reported_wait(*entry, query, fleet));
         ++counts[entry->listed.zone];
     }
     for (auto& [zone, cost] : costs)
@@ -149,22 +154,20 @@
 /// its own zone. Zones that are so small that none of their runners would be
 /// left out are sampled together. Home runners are never left out.
 void
-RunnerTable::sample(Candidates& candidates, const RunnerQuery& query,
-                    const HomeRunners& homes) const
+RunnerTable::sample(Candidates& candidates, const Candidates& home,
+                    const RunnerQuery& query) const
 {
     if (candidates.empty())
         return;
     const std::size_t instances = std::max<std::size_t>(query.instances, 1);
     std::mt19937_64 generator(query.random);
-    const Candidates home = home_of(candidates, homes);
     Candidates sampled = sample_zones(candidates, instances, generator);
     if (sampled.size() < candidates.size())
         candidates = std::move(sampled);
     else
         sample_candidates(candidates, instances, generator);
     for (const RunnerEntry* entry : home)
-        if (std::find(candidates.begin(), candidates.end(), entry) ==
-            candidates.end())
+        if (!contains(candidates, entry))
             candidates.push_back(entry);
 }
 
@@ -186,16 +189,14 @@
 }
 
 const RunnerEntry*
-RunnerTable::cheapest(const Candidates& candidates, const RunnerQuery& query,
-                      const FleetLoad& fleet, const HomeRunners& homes) const
+RunnerTable::cheapest(const Candidates& candidates, const Candidates& home,
+                      const RunnerQuery& query, const FleetLoad& fleet) const
 {
     // All instances see at the same time that a runner became idle. The random
     // addition makes each of them skip it now and then.
     std::minstd_rand generator(
         static_cast<std::minstd_rand::result_type>(query.random));
     std::uniform_real_distribution<double> extra(0, jitter_ms(query, fleet));
-    // An instance that has just joined has no home runner yet.
-    const Candidates home = home_of(candidates, homes);
     const SegmentHolders holders(home, query);
     const bool has_holders = !home.empty() && !query.segments.empty();
     const RunnerEntry* preferred =
@@ -209,7 +210,8 @@
         if (entry == preferred)
             price -= affinity_ms;
         price -= holders.saved_ms(*entry);
-        if (!home.empty() && !homes.contains(*entry))
+        // An instance that has just joined has no home runner yet.
+        if (!home.empty() && !contains(home, entry))
             price += not_home_ms;
         price += slowness_ms(*entry, query);
         if (is_silent(entry->listed.zone, query.now))
@@ -230,21 +232,23 @@
     const FleetLoad fleet = fleet_load(query);
     if (const RunnerEntry* probed = due_probe(query))
         return pick_of(*probed, query, fleet);
-    const HomeRunners homes = home_runners(query);
-    const Candidates found = candidates(query, homes, fleet);
+    Candidates home;
+    const Candidates found = candidates(query, fleet, home);
     if (found.empty())
         return std::nullopt;
-    return pick_of(*cheapest(found, query, fleet, homes), query, fleet);
+    return pick_of(*cheapest(found, home, query, fleet), query, fleet);
 }
 
-/// Returns the runners among which this instance chooses.
+/// Returns the runners among which this instance chooses, and sets `home` to
+/// those of them that are home runners.
 Candidates
-RunnerTable::candidates(const RunnerQuery& query, const HomeRunners& homes,
-                        const FleetLoad& fleet) const
+RunnerTable::candidates(const RunnerQuery& query, const FleetLoad& fleet,
+                        Candidates& home) const
 {
     const RunnerIndex::Groups* groups = m_index.groups(query.service);
     if (!groups)
         return {};
+    const HomeRunners homes = home_runners(query);
     Candidates found;
     const bool draws =
         std::any_of(groups->begin(), groups->end(), [](const auto& item) {
@@ -257,7 +261,8 @@
         }
         if (homes.exist())
             keep_zone_of(found, query, fleet);
-        sample(found, query, homes);
+        home = home_of(found, homes);
+        sample(found, home, query);
         return found;
     }
     const std::size_t of_zone =
@@ -268,6 +273,7 @@
             group, sample_size(group.ids.size(), of_zone), query, generator);
         found.insert(found.end(), part.begin(), part.end());
     }
+    home = home_of(found, homes);
     return found;
 }
 
@@ -355,52 +361,6 @@
     return pick_of(*entry, query, fleet_load(query));
 }
 
-std::optional<RunnerPick>
-RunnerTable::choose_borrowed(const RunnerQuery& query,
-                             const ShareLoans& loans) const
-{
-    const RunnerIndex::Groups* groups = m_index.groups(query.service);
-    if (!groups)
-        return std::nullopt;
-    std::mt19937_64 generator(query.random);
-    std::optional<RunnerPick> best;
-    for (const auto& [zone, group] : *groups) {
-        if (best && zone != query.zone)
-            continue;
-        if (auto pick = draw_borrowed(group, query, loans, generator))
-            best = std::move(pick);
-    }
-    return best;
-}
-
-/// Returns a random runner of `group` with an instance that may lend a place
-/// there. The first runners drawn are enough: an instance that finds no lender
-/// among them would rarely find one among the rest.
-std::optional<RunnerPick>
-RunnerTable::draw_borrowed(const RunnerIndex::Group& group,
-                           const RunnerQuery& query, const ShareLoans& loans,
-                           std::mt19937_64& generator) const
-{
-    // A group stays when its last runner is gone.
-    if (group.ids.empty())
-        return std::nullopt;
-    const std::size_t count = std::min(group.ids.size(), max_lending_runners);
-    const std::size_t first = generator() % group.ids.size();
-    for (std::size_t i = 0; i < count; ++i) {
-        const RunnerEntry* entry =
-            visit(group.ids[(first + i) % group.ids.size()]);
-        if (!entry)
-            continue;
-        const auto found = lenders(*entry, query, loans);
-        if (found.empty())
-            continue;
-        RunnerPick pick = pick_of(*entry, query, fleet_load(query));
-        pick.share_holder = found[generator() % found.size()];
-        return pick;
-    }
-    return std::nullopt;
-}
-
 RunnerPick
 RunnerTable::pick_of(const RunnerEntry& entry, const RunnerQuery& query,
                      const FleetLoad& fleet) const
--- a/src/libcrosslink/forward/runner_table_load.cpp
+++ b/src/libcrosslink/forward/runner_table_load.cpp
@@ -39,16 +39,6 @@
     }
 }
 
-void
-RunnerTable::sent_on_loan(const RunnerIncarnation& runner, std::uint64_t tokens,
-                          std::uint64_t resident)
-{
-    if (RunnerEntry* entry = find(runner)) {
-        ++entry->borrowed;
-        add_own(*entry, tokens, resident);
-    }
-}
-
 /// Adds a call to the load of this instance.
 void
 RunnerTable::add_own(RunnerEntry& entry, std::uint64_t tokens,
@@ -96,38 +86,6 @@
         m_index.busy.erase(entry->listed.id);
 }
 
-void
-RunnerTable::ended_on_loan(const RunnerIncarnation& runner,
-                           std::uint64_t resident)
-{
-    RunnerEntry* entry = find(runner);
-    if (entry && entry->borrowed > 0)
-        --entry->borrowed;
-    ended(runner, resident);
-}
-
-std::optional<TimePoint>
-RunnerTable::lend(const RunnerIncarnation& runner, const RunnerQuery& query)
-{
-    RunnerEntry* entry = find(runner);
-    if (!entry || !may_accept_work(*entry, query))
-        return TimePoint::max();
-    const TimePoint free = free_at(*entry, query);
-    if (free > query.now)
-        return free;
-    record_send(*entry, query.now);
-    ++entry->lent;
-    return std::nullopt;
-}
-
-void
-RunnerTable::loan_ended(const RunnerIncarnation& runner)
-{
-    RunnerEntry* entry = find(runner);
-    if (entry && entry->lent > 0)
-        --entry->lent;
-}
-
 void
 RunnerTable::ran(std::string_view id, std::uint64_t resident, Micros span)
 {
