Ask the hedge policy before a second runner is looked for

Cause: a late call that may not have a copy still looked through the runners; whether a path had failed was handed to record_outcome() in a member that was set and reset around it. Change: the policy is asked first; the path is an argument. The counter of denied copies says that its row without observations counts sends.

--- a/src/serve/forward/forward_hedge.cpp
+++ b/src/serve/forward/forward_hedge.cpp
@@ -83,30 +83,29 @@
 ForwardRun::hedge()
 {
     m_hedge.stop_watching();
-    const auto pick = m_choice.choose_second();
-    if (const auto denial = hedge_denial(pick)) {
-        ++m_state.counters.hedges_denied[static_cast<std::size_t>(*denial)];
-        return;
+    const HedgeCall call = hedge_call();
+    auto denial = m_state.hedge_policy.denial(call);
+    std::optional<RunnerPick> pick;
+    if (!denial) {
+        pick = m_choice.choose_second();
+        denial = pick ? hedge_denial(call, *pick) : HedgeDenial::NoRunner;
     }
-    if (m_hedge.connect(*pick, m_choice.pick(), time_left()))
+    if (denial)
+        ++m_state.counters.hedges_denied[static_cast<std::size_t>(*denial)];
+    else if (m_hedge.connect(*pick, m_choice.pick(), time_left()))
         send_copy();
 }
 
-/// Returns why the late call is not sent to `pick` too; nothing if it is, and
-/// then takes it from the budget.
+/// Returns why the late call, which may have a copy, is not sent to `pick` too;
+/// nothing if it is, and then takes it from the budget.
 std::optional<HedgeDenial>
-ForwardRun::hedge_denial(const std::optional<RunnerPick>& pick)
+ForwardRun::hedge_denial(const HedgeCall& call, const RunnerPick& pick)
 {
-    const HedgeCall call = hedge_call();
-    if (const auto denial = m_state.hedge_policy.denial(call))
-        return denial;
-    if (!pick)
-        return HedgeDenial::NoRunner;
     const TimePoint now = monotonic_now();
     const auto waited =
         std::chrono::duration_cast<Micros>(now - m_send.sent_at);
     if (const auto denial =
-            HedgePolicy::denial(call, hedge_runner(*pick), waited))
+            HedgePolicy::denial(call, hedge_runner(pick), waited))
         return denial;
     const bool granted = m_state.retries.with([&](RetryWindow& window) {
         return window.take_hedge(m_choice.service(), m_state.instance_count(),
@@ -225,7 +224,7 @@
         end_copy(Outcome::Superseded);
         return outcome;
     }
-    record_outcome(outcome);
+    record_outcome(outcome, m_path_failed);
     if (may_have_run)
         ++m_runs;
     m_choice.exclude_last();
@@ -274,9 +273,8 @@
         m_state.note_runner_answered(m_choice.pick().place(),
                                      m_send.link.opened_at);
     // Whether the path to it broke is not known.
-    m_path_failed = true;
-    record_outcome(outcome);
-    m_path_failed = false;
+    const bool path_failed = true;
+    record_outcome(outcome, path_failed);
 }
 
 /// Records that the answer to a send at `sent_at`, with `tokens` to prefill,
--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -93,7 +93,7 @@
             return;
         }
         const Outcome outcome = attempt(link);
-        record_outcome(outcome);
+        record_outcome(outcome, m_path_failed);
         if (outcome == Outcome::Done)
             return;
         if (outcome == Outcome::CallerGone) {
@@ -404,7 +404,7 @@
 }
 
 void
-ForwardRun::record_outcome(Outcome outcome)
+ForwardRun::record_outcome(Outcome outcome, bool path_failed)
 {
     if (outcome == Outcome::Failed || m_answered_failure)
         m_crashes.note_failed(m_choice.pick());
@@ -435,7 +435,7 @@
             break;
         case Outcome::NotSent:
         case Outcome::Broken:
-            if (m_path_failed)
+            if (path_failed)
                 table.refused(runner, now, refusal_hold);
             else
                 table.failed(runner, now);
--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -129,7 +129,7 @@
     void note_broken(bool silent);
     bool may_send_again(Outcome outcome);
     bool take_retry();
-    void record_outcome(Outcome outcome);
+    void record_outcome(Outcome outcome, bool path_failed);
     SendOptions make_options();
     SendOptions options_without_parts() const;
     void begin_checks();
@@ -143,8 +143,8 @@
     void watch_send(CallerLink& link);
     HedgeCall hedge_call();
     void hedge();
-    std::optional<HedgeDenial>
-    hedge_denial(const std::optional<RunnerPick>& pick);
+    std::optional<HedgeDenial> hedge_denial(const HedgeCall& call,
+                                            const RunnerPick& pick);
     HedgeRunner hedge_runner(const RunnerPick& pick);
     void send_copy();
     bool copy_wins();
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -113,7 +113,8 @@
     Counter sends{0};
     Counter hedges{0};     ///< Second copies that were sent to runners.
     Counter hedges_won{0}; ///< Of them, those whose answers were delivered.
-    /// Late calls that were not hedged, by HedgeDenial.
+    /// Late calls that were not hedged, by HedgeDenial. Without observations,
+    /// no call counts as late: FewObservations counts sends.
     std::array<Counter, static_cast<std::size_t>(HedgeDenial::Count_)>
         hedges_denied{};
     Counter repeats{0};
