--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -71,6 +71,18 @@
     return call;
 }
 
+/// A connection to a peer that has got a call.
+struct SentCall {
+    RawPeer runner;
+    CallConnection connection{runner.address(), connect_time};
+
+    SentCall()
+    {
+        connection.watch(-1, monotonic_now() + far_off);
+        connection.send(get_call(), {});
+    }
+};
+
 /// What a peer sends that never ends its answer: `begin`, then `rest` again and
 /// again.
 struct EndlessAnswer {
@@ -170,28 +182,22 @@
 
 TEST_CASE("a body that only its connection ends is not whole without a byte")
 {
-    RawPeer runner;
-    CallConnection connection(runner.address(), connect_time);
-    connection.watch(-1, monotonic_now() + far_off);
-    connection.send(get_call(), {});
-    runner.say("HTTP/1.1 200 OK\r\nX-Signed: ab\r\n\r\n");
-    runner.end();
-    CHECK(connection.receive_head().status == 200);
-    CHECK(connection.read_some().empty());
-    CHECK_FALSE(connection.whole());
+    SentCall call;
+    call.runner.say("HTTP/1.1 200 OK\r\nX-Signed: ab\r\n\r\n");
+    call.runner.end();
+    CHECK(call.connection.receive_head().status == 200);
+    CHECK(call.connection.read_some().empty());
+    CHECK_FALSE(call.connection.whole());
 }
 
 TEST_CASE("an answer that has no body is whole without a byte")
 {
-    RawPeer runner;
-    CallConnection connection(runner.address(), connect_time);
-    connection.watch(-1, monotonic_now() + far_off);
-    connection.send(get_call(), {});
-    runner.say("HTTP/1.1 204 No Content\r\n\r\n");
-    runner.end();
-    CHECK(connection.receive_head().status == 204);
-    CHECK(connection.read_some().empty());
-    CHECK(connection.whole());
+    SentCall call;
+    call.runner.say("HTTP/1.1 204 No Content\r\n\r\n");
+    call.runner.end();
+    CHECK(call.connection.receive_head().status == 204);
+    CHECK(call.connection.read_some().empty());
+    CHECK(call.connection.whole());
 }
 
 TEST_CASE("bytes without end that are no answer end a call before its deadline")
@@ -204,25 +210,20 @@
         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "abcd"},
     };
     for (const EndlessAnswer& answer : answers) {
-        RawPeer runner;
-        CallConnection connection(runner.address(), connect_time);
-        connection.watch(-1, monotonic_now() + far_off);
-        connection.send(get_call(), {});
-        const EndlessSpeech speech(runner, answer);
-        CHECK_FALSE(reads_whole_answer(connection));
-        CHECK_FALSE(connection.interrupted());
+        SentCall call;
+        const EndlessSpeech speech(call.runner, answer);
+        CHECK_FALSE(reads_whole_answer(call.connection));
+        CHECK_FALSE(call.connection.interrupted());
     }
 }
 
 TEST_CASE("an answer to an earlier call without end is not skipped for ever")
 {
-    RawPeer runner;
-    CallConnection connection(runner.address(), connect_time);
-    connection.watch(-1, monotonic_now() + far_off);
-    connection.send(get_call(), {});
-    const EndlessSpeech speech(runner, {"HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"});
-    CHECK(connection.receive_head().status == 200);
-    CHECK_FALSE(connection.skip_body());
+    SentCall call;
+    const EndlessSpeech speech(call.runner,
+                               {"HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"});
+    CHECK(call.connection.receive_head().status == 200);
+    CHECK_FALSE(call.connection.skip_body());
 }
 
 TEST_CASE("a body is read until the caller leaves, however many bytes wait")
--- a/src/libcrosslink/forward/segment_simulation_test.cpp
+++ b/src/libcrosslink/forward/segment_simulation_test.cpp
@@ -2,6 +2,7 @@
 // Copyright Contributors to the crosslink project.
 
 #include "../testing/played_load.h"
+#include "../testing/played_workload.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,6 +15,8 @@
 namespace
 {
 
+using testing::kinds_of_many_engines;
+using testing::many_engines;
 using testing::PlayedFleet;
 using testing::PlayedKind;
 using testing::PlayedLoad;
@@ -24,44 +27,6 @@
     return std::chrono::milliseconds(count);
 }
 
-/// 26 instances before 140 engines, whose stores are as busy as they can be.
-PlayedFleet
-many_engines()
-{
-    PlayedFleet fleet;
-    fleet.engines = 140;
-    fleet.instances = 26;
-    fleet.zones = 3;
-    fleet.told_ms = 200;
-    fleet.speed = 1.45;
-    fleet.memory = 43'416;
-    fleet.home_instances = 3;
-    fleet.stores = 26;
-    fleet.store_tokens_per_ms = 100;
-    return fleet;
-}
-
-std::vector<PlayedKind>
-kinds_of_many_engines()
-{
-    PlayedKind small;
-    small.per_second = 222;
-    small.resident = small.to_read = 177;
-    small.to_make = 42;
-    small.objective = millis(400);
-    small.deadline = millis(4000);
-    small.parts = {{650, 12, 0}};
-    PlayedKind large;
-    large.per_second = 443;
-    large.priority = 1;
-    large.resident = large.to_read = 1670;
-    large.to_make = 7;
-    large.objective = millis(600);
-    large.deadline = millis(6000);
-    large.parts = {{2520, 12, 0}, {5000, 6040, 0.5}};
-    return {small, large};
-}
-
 /// 88 instances before 90 engines, a third of them slower.
 PlayedFleet
 many_instances()
--- a/src/libcrosslink/forward/zone_spill_test.cpp
+++ b/src/libcrosslink/forward/zone_spill_test.cpp
@@ -3,6 +3,7 @@
 
 #include "../testing/model_runners.h"
 #include "../testing/played_load.h"
+#include "../testing/played_workload.h"
 
 #include <crosslink/forward/zone_spill.h>
 
@@ -13,6 +14,8 @@
 #include <numbers>
 #include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace crosslink
 {
@@ -76,33 +79,15 @@
 testing::PlayedLoad
 played_zones(std::function<double(std::size_t, double)> demand)
 {
-    testing::PlayedFleet fleet;
+    testing::PlayedFleet fleet = testing::many_engines();
     fleet.engines = 138;
     fleet.instances = 27;
-    fleet.zones = 3;
-    fleet.told_ms = 200;
-    fleet.speed = 1.45;
-    fleet.memory = 43'416;
-    fleet.home_instances = 3;
-    fleet.stores = 26;
     fleet.store_tokens_per_ms = 200;
     fleet.segments = true;
     fleet.zone_demand = std::move(demand);
-    testing::PlayedKind small;
-    small.per_second = 222;
-    small.resident = small.to_read = 177;
-    small.to_make = 42;
-    small.objective = std::chrono::milliseconds(400);
-    small.deadline = std::chrono::seconds(4);
-    small.parts = {{650, 12, 0}};
-    testing::PlayedKind big = small;
-    big.per_second = 443;
-    big.priority = 1;
-    big.resident = big.to_read = 1670;
-    big.to_make = 7;
-    big.objective = std::chrono::milliseconds(600);
-    big.parts = {{2520, 12, 0}, {5000, 6040, 0.5}};
-    testing::PlayedLoad played({small, big}, fleet);
+    std::vector<testing::PlayedKind> kinds = testing::kinds_of_many_engines();
+    kinds[large].deadline = std::chrono::seconds(4);
+    testing::PlayedLoad played(kinds, fleet);
     // More than the zone with the greatest demand can prefill by itself.
     played.play(36, [](double second) { return second < 6 ? 1 : 2.6; });
     return played;
