Age the load of a parent's response without a second copy

Cause: each poll of a child copied the load map of the whole fleet once more, under the lock of the runner table. Change: the copy that was made before is moved.

--- a/src/serve/fleet/exchange_handler.cpp
+++ b/src/serve/fleet/exchange_handler.cpp
@@ -7,6 +7,8 @@
 
 #include <crosslink/base/error.h>
 
+#include <utility>
+
 namespace crosslink
 {
 
@@ -173,7 +175,7 @@
         loads.record_report(m_state.settings.name, own, now);
         return loads.others(request.instance, now);
     });
-    const ParentResponse stored =
+    ParentResponse stored =
         m_parent_response.with([](const ParentResponse& last) { return last; });
     ExchangeResponse response;
     response.others = children;
@@ -183,11 +185,11 @@
     if (response.age <= load_holds) {
         add_load(response.others,
                  m_state.runners.with([&](const RunnerTable& table) {
-                     return table.aged_load(stored.response.others,
+                     return table.aged_load(std::move(stored.response.others),
                                             response.age, now);
                  }));
         add_load(response.usage, stored.response.usage);
-        SpeedReport speed = stored.response.speed;
+        SpeedReport speed = std::move(stored.response.speed);
         speed.age_by(response.age);
         response.speed.add(speed);
         response.speed.limit();
