--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -193,14 +193,21 @@
         self.store.put("servers/" + runner_id, entry)
 
     def __enter__(self):
-        for instance in self.instances:
-            instance.start()
-        for instance in self.instances:
-            fleet.wait_until(lambda one=instance: one.ready(),
-                             "an instance is ready", READY_SECONDS)
+        try:
+            for instance in self.instances:
+                instance.start()
+            for instance in self.instances:
+                fleet.wait_until(lambda one=instance: one.ready(),
+                                 "an instance is ready", READY_SECONDS)
+        except BaseException:
+            self.end()
+            raise
         return self
 
     def __exit__(self, *_):
+        self.end()
+
+    def end(self):
         for instance in self.instances:
             instance.end()
 
@@ -209,6 +216,8 @@
     """Runs case(record) and ends with the code that it returns."""
     record = Record(folder)
     record.note("begin", trouble=TROUBLE)
+    # So that what was started is ended also where the case is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         code = case(record)
     except BaseException as failure:  # The case could not run.
