--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,98 +1,73 @@
 # SPDX-License-Identifier: Apache-2.0
 # Copyright Contributors to the crosslink project.
-"""A runner is killed while it answers in chunks: see claim.txt."""
+"""A client's header text in the form of RFC 2047 becomes bytes of the request
+at the runner: see claim.txt."""
 
-import json
 import os
-import subprocess
 import sys
-import threading
-import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-LIB = os.path.join(os.path.dirname(HERE), "lib")
-sys.path.insert(0, LIB)
-import client as c  # noqa: E402
+sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 import deployment as d  # noqa: E402
 import fleet  # noqa: E402
-import runner_process  # noqa: E402
-
-RUNNERS = 7  # one of them is killed: a share of 0.14
-KILL_AFTER_SECONDS = 0.25  # two or three lines of six
-DEADLINE_MS = 2500
-
-
-class RunnerProcess:
-    def __init__(self, name, record):
-        self.id = name
+from runner import PlainRunner  # noqa: E402
+
+# In RFC 2047, =0D=0A stands for a line break and an underscore for a space.
+# All of this is visible ASCII on one line, as a header's text may be.
+NOTES = {
+    "two-lines": "=?UTF-8?Q?sin_sal=0D=0A=0D=0Apara_la_abuela?=",
+    "other-tenant": "=?UTF-8?Q?sin_sal=0D=0ACrosslink-Tenant:_two?=",
+    "second-request": "=?UTF-8?Q?sin_sal=0D=0AContent-Length:_0=0D=0A=0D=0A"
+                      "POST_/ver/otra_HTTP/1.1=0D=0A"
+                      "Crosslink-Attempt-Id:_never-sent=0D=0A"
+                      "Crosslink-Tenant:_two?=",
+}
+PLAIN_NOTE = "sin sal"
+BODY = b"dato"
+
+
+class Client:
+    """Sends requests of tenant one, and keeps what it sent."""
+
+    def __init__(self, record):
         self.record = record
-        self.ran = []
-        self.on_run = lambda runner, run: None
-        self.process = subprocess.Popen(
-            [sys.executable, os.path.join(LIB, "runner_process.py"), name], stdout=subprocess.PIPE, text=True)
-        self.address = self.process.stdout.readline().split()[1]
-        threading.Thread(target=self.follow, daemon=True).start()
+        self.sent = {}
 
-    def follow(self):
-        for line in self.process.stdout:
-            run = json.loads(line.split(" ", 1)[1])
-            self.record.note("run", **run)
-            self.ran.append(run)
-            self.on_run(self, run)
-
-    def kill(self):
-        self.record.note("killed", runner=self.id)
-        self.process.kill()
-
-    def end(self):
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
+    def call(self, address, call, method, path, body=None, **more):
+        self.sent[call] = ("one", method, path, body or b"")
+        self.record.note("sent", id=call, tenant="one", method=method,
+                         path=path, body=body, headers=more)
+        answer = fleet.http_call(address, method, path, body=body, headers=dict(
+            {"Host": d.HOST, "Crosslink-Attempt-Id": call,
+             "Crosslink-Deadline-Ms": "2500", "Api-Key": d.KEYS["one"]},
+            **more))
+        self.record.note("answered", id=call, status=answer.status,
+                         headers=answer.headers, body=answer.text)
+        return answer.status
 
 
 def case(record):
-    runners = [RunnerProcess("i-%d" % number, record)
-               for number in range(RUNNERS)]
-    try:
-        return play(record, runners)
-    finally:
-        for runner in runners:
-            runner.end()
-
-
-def play(record, runners):
+    client = Client(record)
+    runners = [PlainRunner(record) for _ in range(2)]
     with d.Deployment(record) as world:
         for runner in runners:
             world.list("sitio", runner.id, runner.address)
         for number, one in enumerate(world.instances):
-            fleet.wait_until(lambda one=one, number=number: fleet.http_call(
-                one.address, "GET", "/sube/precios", headers={
-                    "Host": d.HOST, "Api-Key": d.KEYS["one"],
-                    "Crosslink-Attempt-Id": "first-%d-%f" % (
-                        number, time.monotonic()),
-                    "Crosslink-Deadline-Ms": "2500"}).status == 200,
-                "calls are served", 10)
-
-        def kill_soon(runner, run):
-            if d.TROUBLE and run["id"] == "call":
-                threading.Timer(KILL_AFTER_SECONDS, runner.kill).start()
-
-        for runner in runners:
-            runner.on_run = kill_soon
-        connection = c.Connection(world.instances[0].address)
-        connection.send(c.head("POST", "/ver/precios", "call", DEADLINE_MS,
-                               "Content-Length: 4") + b"dato")
-        record.note("sent", id="call")
-        answer = connection.answer(DEADLINE_MS / 1000 + 1)
-        record.note("answered", id="call", status=answer.status,
-                    head=answer.head, body=answer.body, whole=answer.whole(),
-                    closed=answer.ended)
-    success = answer.status is not None and 200 <= answer.status < 300
-    if success and answer.whole() and answer.body != runner_process.WHOLE:
-        record.note("rule_broken", id="call", got=answer.body,
-                    made=runner_process.WHOLE)
-        return d.BROKEN
-    return d.HELD
+            fleet.wait_until(lambda one=one, number=number: client.call(
+                one.address, "first-%d-%d" % (number, len(client.sent)), "GET",
+                "/sube/a") == 200, "calls are served", 10)
+        for number, (name, note) in enumerate(NOTES.items()):
+            client.call(world.instances[number % 2].address, "call-" + name,
+                        "POST", "/ver/receta", BODY,
+                        **{"X-Nota": note if d.TROUBLE else PLAIN_NOTE})
+    broken = False
+    for run in runners[0].ran + runners[1].ran:
+        found = (run["tenant"], run["method"], run["path"], run["body"])
+        if client.sent.get(run["id"]) != found:
+            broken = True
+            record.note("rule_broken", id=run["id"], ran=found,
+                        sent=client.sent.get(run["id"]))
+    return d.BROKEN if broken else d.HELD
 
 
 d.run_case(HERE, case)
