--- a/src/serve/forward/forward_run.h
+++ b/src/serve/forward/forward_run.h
@@ -63,6 +63,8 @@
     std::uint64_t weights() const { return m_choice.pick().version; }
     /// Returns the software version of the runner that was chosen last.
     const std::string& software() const { return m_choice.pick().software; }
+    /// Returns what was found out of the stream that the call takes up.
+    const StreamResumption& resumption() const { return m_resumption; }
     bool caller_gone() const { return m_caller_gone; }
     /// Returns the time from the call's arrival to its first event; 0 if there
     /// was none.
--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -41,7 +41,10 @@
 {
     if (!takes_up())
         return std::nullopt;
+    m_known_by = "none";
     auto origin = find();
+    if (origin)
+        m_began_at = origin->software;
     if (!origin) {
         if (m_several)
             refuse("the software that began the stream is not known");
@@ -68,6 +71,8 @@
     auto known = m_state.origins.with([&](const StreamOrigins& origins) {
         return origins.find(stream, now);
     });
+    if (known)
+        m_known_by = "instance";
     // One that has just started does not know which versions served before.
     const bool knows_history = m_state.since_start() >= StreamOrigins::lifetime;
     if (known || (knows_history && !m_several))
@@ -85,8 +90,10 @@
                 FleetClient(home.address)
                     .find_stream(stream, m_route.services.front().service);
             m_several = m_several || answer.several;
-            if (answer.origin)
-                return answer.origin;
+            if (!answer.origin)
+                continue;
+            m_known_by = "home";
+            return answer.origin;
         } catch (const Error& failure) {
             m_unanswered = true;
             LogLine("stream_home_silent")
--- a/src/serve/forward/stream_resumption.h
+++ b/src/serve/forward/stream_resumption.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace crosslink
 {
@@ -34,6 +35,12 @@
     /// stream can't go on: its software serves no more, or is not known while
     /// several serve.
     std::optional<StreamOrigin> origin();
+    /// Returns who knew the software that began the stream, for the log:
+    /// "instance" for this one, "home"; "none" where nobody did. Empty if the
+    /// call takes no stream up.
+    std::string_view known_by() const { return m_known_by; }
+    /// Returns the software that began the stream; empty if it is not known.
+    const std::string& began_at() const { return m_began_at; }
     /// Records that the call is sent for the `sends`-th time, to a runner of
     /// `service` with `software`.
     void sent(const std::string& service, const std::string& software,
@@ -49,8 +56,10 @@
     const ForwardedCall& m_call;
     const ServiceRoute& m_route;
     const std::string m_account;
-    bool m_several = false;    ///< Several versions served lately.
-    bool m_unanswered = false; ///< A home did not answer.
+    std::string_view m_known_by; ///< See known_by().
+    std::string m_began_at;      ///< See began_at().
+    bool m_several = false;      ///< Several versions served lately.
+    bool m_unanswered = false;   ///< A home did not answer.
 };
 
 } // namespace crosslink
