Record at the platform which software versions served

What callers saw: after all instances were killed, streams went on at another version than the one that began them, with nothing in the answer to show it. Cause: that a second version served was known from the list of runners and from the memory of instances. Once all had ended and the older version had left, the list had one version, so that the choice of a runner was free. Change: the holder of the coordinator duty records each version that it sees listed, one key each, and removes it 30 s after it was seen last. An instance that starts reads the record with the list, and refuses a stream that nobody remembers while list and record name two versions. The streams whose version still serves are refused yet.

--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -6,11 +6,13 @@
 #include <crosslink/base/time.h>
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/forward/service_map.h>
+#include <crosslink/forward/software_history.h>
 #include <crosslink/membership/change_page.h>
 #include <crosslink/membership/instance_info.h>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,6 +51,12 @@
     bool blocked = false;
 };
 
+/// Whether a software version is recorded as one that served lately.
+struct SoftwareRecorded {
+    std::string id;                       ///< See ServedSoftware::record_id().
+    std::optional<ServedSoftware> served; ///< Nothing if it is not recorded.
+};
+
 /// Whether the operator asks that nothing new is sent to the runners of an
 /// availability zone.
 struct ZoneEvacuated {
@@ -82,8 +90,8 @@
 /// One decoded change of the platform's data about the fleet.
 using FleetChange =
     std::variant<ServiceMapChanged, WeightsNamed, WeightsRecorded,
-                 RolloutMarked, RequestBlocked, ZoneEvacuated, RunnerListed,
-                 RunnerGone, InstanceListed, DutyHolder>;
+                 RolloutMarked, RequestBlocked, SoftwareRecorded, ZoneEvacuated,
+                 RunnerListed, RunnerGone, InstanceListed, DutyHolder>;
 
 /// What a list of changes describes.
 enum class ChangesKind {
--- a/src/libcrosslink/forward/software_history.cpp
+++ b/src/libcrosslink/forward/software_history.cpp
@@ -3,6 +3,7 @@
 
 #include <crosslink/forward/software_history.h>
 
+#include <crosslink/base/digest.h>
 #include <crosslink/forward/stream_origins.h>
 
 #include <algorithm>
@@ -10,6 +11,27 @@
 namespace crosslink
 {
 
+namespace
+{
+
+/// Characters of the id of a record.
+constexpr std::size_t id_length = 32;
+
+bool
+is_recent(TimePoint at, TimePoint now)
+{
+    return now < at + StreamOrigins::lifetime;
+}
+
+} // namespace
+
+std::string
+ServedSoftware::record_id() const
+{
+    // Services and versions may have names of any length and letters.
+    return sha256(service + '\n' + software).hex().substr(0, id_length);
+}
+
 void
 SoftwareHistory::observe(const SoftwareCounts& listed, TimePoint now)
 {
@@ -18,31 +40,94 @@
             m_listed_at[service][software] = now;
     for (auto& [service, versions] : m_listed_at)
         std::erase_if(versions, [now](const auto& item) {
-            return now >= item.second + StreamOrigins::lifetime;
+            return !is_recent(item.second, now);
         });
     std::erase_if(m_listed_at,
                   [](const auto& item) { return item.second.empty(); });
 }
 
+void
+SoftwareHistory::recorded(const ServedSoftware& served, TimePoint now)
+{
+    m_records[served.record_id()] = {served, now};
+}
+
+void
+SoftwareHistory::unrecorded(const std::string& id)
+{
+    m_records.erase(id);
+}
+
+void
+SoftwareHistory::recorded_only(const std::set<std::string>& ids)
+{
+    std::erase_if(m_records, [&ids](const auto& item) {
+        return !ids.contains(item.first);
+    });
+}
+
 bool
 SoftwareHistory::several(std::string_view service, TimePoint now) const
 {
+    std::set<std::string_view> versions;
+    for (const auto& [id, record] : m_records)
+        if (record.served.service == service)
+            versions.insert(record.served.software);
     const auto found = m_listed_at.find(service);
-    if (found == m_listed_at.end())
-        return false;
-    const auto recent = std::count_if(
-        found->second.begin(), found->second.end(), [now](const auto& item) {
-            return now < item.second + StreamOrigins::lifetime;
-        });
-    return recent > 1;
+    if (found != m_listed_at.end())
+        for (const auto& [software, at] : found->second)
+            if (is_recent(at, now))
+                versions.insert(software);
+    return versions.size() > 1;
 }
 
 bool
 SoftwareHistory::any_several(TimePoint now) const
 {
+    const auto has_several = [this, now](const std::string& service) {
+        return several(service, now);
+    };
     return std::any_of(
-        m_listed_at.begin(), m_listed_at.end(),
-        [this, now](const auto& item) { return several(item.first, now); });
+               m_listed_at.begin(), m_listed_at.end(),
+               [&](const auto& item) { return has_several(item.first); }) ||
+           std::any_of(m_records.begin(), m_records.end(),
+                       [&](const auto& item) {
+                           return has_several(item.second.served.service);
+                       });
+}
+
+bool
+SoftwareHistory::was_listed(const ServedSoftware& served, TimePoint now) const
+{
+    const auto versions = m_listed_at.find(served.service);
+    if (versions == m_listed_at.end())
+        return false;
+    const auto found = versions->second.find(served.software);
+    return found != versions->second.end() && is_recent(found->second, now);
+}
+
+std::vector<ServedSoftware>
+SoftwareHistory::to_record(TimePoint now) const
+{
+    std::vector<ServedSoftware> result;
+    for (const auto& [service, versions] : m_listed_at)
+        for (const auto& [software, at] : versions) {
+            const ServedSoftware served{service, software};
+            if (is_recent(at, now) && !m_records.contains(served.record_id()))
+                result.push_back(served);
+        }
+    return result;
+}
+
+std::vector<std::string>
+SoftwareHistory::to_unrecord(TimePoint now) const
+{
+    std::vector<std::string> result;
+    for (const auto& [id, record] : m_records)
+        if (!is_recent(record.learned_at, now) &&
+            !was_listed(record.served, now))
+            result.push_back(id);
+    return result;
 }
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/software_history_test.cpp
+++ b/src/libcrosslink/forward/software_history_test.cpp
@@ -53,6 +53,66 @@
     CHECK_FALSE(history.any_several(end));
 }
 
+TEST_CASE("a version that only the record names counts as one that served")
+{
+    SoftwareHistory history;
+    history.recorded({"llm", "v1"}, start);
+    history.observe({{"llm", {{"v1", 4}}}}, start);
+    CHECK_FALSE(history.several("llm", start));
+    history.recorded({"llm", "v0"}, start);
+    history.recorded({"other", "v0"}, start);
+    CHECK(history.several("llm", start));
+    CHECK(history.any_several(start));
+    CHECK_FALSE(history.several("other", start));
+    // However long ago it was recorded.
+    const TimePoint later = start + 10 * StreamOrigins::lifetime;
+    history.observe({{"llm", {{"v1", 4}}}}, later);
+    CHECK(history.several("llm", later));
+    const std::string current = ServedSoftware{"llm", "v1"}.record_id();
+    history.recorded_only({current});
+    CHECK_FALSE(history.several("llm", later));
+    history.recorded({"llm", "v0"}, later);
+    history.unrecorded(ServedSoftware{"llm", "v0"}.record_id());
+    CHECK_FALSE(history.several("llm", later));
+}
+
+TEST_CASE("versions are recorded while they are listed, and a lifetime longer")
+{
+    SoftwareHistory history;
+    const ServedSoftware old{"llm", "v1"};
+    history.observe({{"llm", {{"v1", 4}}}}, start);
+    CHECK(history.to_record(start) == std::vector<ServedSoftware>{old});
+    history.recorded(old, start);
+    CHECK(history.to_record(start).empty());
+    const TimePoint last_listed = start + 2 * StreamOrigins::lifetime;
+    history.observe({{"llm", {{"v1", 4}}}}, last_listed);
+    CHECK(history.to_unrecord(last_listed).empty());
+    const TimePoint end = last_listed + StreamOrigins::lifetime;
+    CHECK(history.to_unrecord(end - Micros{1}).empty());
+    CHECK(history.to_unrecord(end) ==
+          std::vector<std::string>{old.record_id()});
+}
+
+TEST_CASE(
+    "an instance that starts keeps the record of a version for a lifetime")
+{
+    SoftwareHistory history;
+    const ServedSoftware gone{"llm", "v1"};
+    history.recorded(gone, start);
+    const TimePoint end = start + StreamOrigins::lifetime;
+    CHECK(history.to_unrecord(end - Micros{1}).empty());
+    CHECK(history.to_unrecord(end) ==
+          std::vector<std::string>{gone.record_id()});
+}
+
+TEST_CASE("records of services and versions have ids of their own")
+{
+    const ServedSoftware one{"llm", "v1"};
+    CHECK(one.record_id() != ServedSoftware{"llm", "v2"}.record_id());
+    CHECK(one.record_id() != ServedSoftware{"llm2", "v1"}.record_id());
+    CHECK(one.record_id() == ServedSoftware{"llm", "v1"}.record_id());
+}
+
 TEST_CASE("listed runners are counted by their software")
 {
     RunnerTable table;
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -50,7 +50,7 @@
 
 Coordinator::Coordinator(ForwardState& state)
     : m_state(state), m_weights(state), m_rollouts(state), m_blocks(state),
-      m_kept(state, m_weights),
+      m_software(state), m_kept(state, m_weights),
       m_placement(state, m_weights,
                   [this](const InstanceInfo& peer) { pass_on(peer); }),
       m_take_backoff(first_take_pause, longest_take_pause),
@@ -197,6 +197,7 @@
     if (taken) {
         m_weights.wake();
         m_kept.wake();
+        m_software.wake();
     }
     record_settled(lease->origin);
     return true;
@@ -298,6 +299,7 @@
     m_weights.start();
     m_rollouts.start();
     m_blocks.start();
+    m_software.start();
     m_kept.start();
     m_placement.start();
     // A question of an earlier term may have ended until then.
@@ -317,6 +319,7 @@
     m_weights.stop();
     m_rollouts.stop();
     m_blocks.stop();
+    m_software.stop();
     m_kept.stop();
     m_threads_run = false;
 }
@@ -422,6 +425,10 @@
         m_rollouts.wake();
     }
     m_seen_weights = newest;
+    if (m_state.software.with([](const SoftwareHistory& history) {
+            return !history.to_record(monotonic_now()).empty();
+        }))
+        m_software.wake();
 }
 
 void
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -7,6 +7,7 @@
 #include "kept_duties.h"
 #include "placement_duty.h"
 #include "rollout_duty.h"
+#include "software_duty.h"
 #include "weights_duty.h"
 
 #include <serve/duty.h>
@@ -114,6 +115,7 @@
     WeightsDuty m_weights;
     RolloutDuty m_rollouts;
     BlockDuty m_blocks;
+    SoftwareDuty m_software;
     KeptDuties m_kept;
     PlacementDuty m_placement;
     Backoff m_take_backoff; ///< Of attempts to take the duty.
--- a/src/serve/fleet/change_applier.cpp
+++ b/src/serve/fleet/change_applier.cpp
@@ -86,6 +86,21 @@
         m_state.note_block_record(change.request, change.blocked);
 }
 
+void
+ChangeApplier::operator()(const SoftwareRecorded& change)
+{
+    if (is_copy() && !change.served)
+        return;
+    if (change.served)
+        m_software.insert(change.id);
+    m_state.software.with([&change](SoftwareHistory& history) {
+        if (change.served)
+            history.recorded(*change.served, monotonic_now());
+        else
+            history.unrecorded(change.id);
+    });
+}
+
 void
 ChangeApplier::operator()(const ZoneEvacuated& change)
 {
@@ -273,6 +288,9 @@
     });
     m_state.crashes.with(
         [this](CrashHistory& history) { history.recorded_only(m_blocked); });
+    m_state.software.with([this](SoftwareHistory& history) {
+        history.recorded_only(m_software);
+    });
     m_state.fleet.with([this](FleetView& view) {
         view.runners_listed = true;
         view.holders.record_gap(monotonic_now());
--- a/src/serve/fleet/change_applier.h
+++ b/src/serve/fleet/change_applier.h
@@ -32,6 +32,7 @@
     void operator()(const WeightsRecorded& change);
     void operator()(const RolloutMarked& change);
     void operator()(const RequestBlocked& change);
+    void operator()(const SoftwareRecorded& change);
     void operator()(const ZoneEvacuated& change);
     void operator()(const RunnerListed& change);
     void operator()(const RunnerGone& change);
@@ -57,6 +58,7 @@
     std::set<std::string> m_instances;
     std::set<std::string> m_evacuated; ///< Zones.
     std::set<std::string> m_blocked;   ///< Requests, by digest.
+    std::set<std::string> m_software;  ///< Records, by id.
     bool m_holder_named = false;
 };
 
--- a/src/serve/forward/forward_ports.h
+++ b/src/serve/forward/forward_ports.h
@@ -13,6 +13,7 @@
 class BlockedRequestRegistry;
 class RolloutRegistry;
 class RunnerOrders;
+class SoftwareRegistry;
 
 /// The interfaces to the platform, the runners and the stores that an instance
 /// which forwards calls uses. They must outlive the instance.
@@ -22,6 +23,7 @@
     DutyRegistry& duties;
     RolloutRegistry& rollouts;
     BlockedRequestRegistry& blocked;
+    SoftwareRegistry& software;
     RunnerOrders& orders;
     KeptStores& stores;
 };
