Record at the platform which software began the streams under way

What callers saw: with two versions in service, streams that they took up after all instances were killed were refused, although the version that began them still served. Cause: which version began a stream was remembered by four instances, and lost when all of them ended in one moment. Change: while several versions serve, each instance keeps one leased key at the platform with the keys and versions of its streams that callers may take up: from the first event, after which the version is settled, until the caller has the whole stream. It is written at once for the first stream, and then so often that all instances together take a tenth of the platform's writes at most; its size is that of the streams under way, not of those of 30 s. It is read where neither the instance nor, unless that has just started, the homes know the stream; those that wait for a reading share it. The version of the first event now counts for good, also for the homes.

--- a/src/include/crosslink/forward/stream_origins.h
+++ b/src/include/crosslink/forward/stream_origins.h
@@ -10,8 +10,11 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +32,10 @@
     /// How many runners its first attempt was sent to. The last one of them
     /// began it.
     std::uint32_t sends = 0;
+    /// Stands for `sends` where the stream has events: it is sent to no other
+    /// software any more.
+    static constexpr std::uint32_t final_sends =
+        std::numeric_limits<std::uint32_t>::max();
     Micros age{0}; ///< Since the last of them.
 };
 
@@ -43,6 +50,13 @@
 stream_homes(const std::map<std::string, InstanceInfo, std::less<>>& instances,
              std::string_view stream);
 
+/// Returns the least time between two records of an instance's streams at the
+/// platform, where all `instances` together may write `writes_per_second`.
+Micros stream_record_pause(std::size_t instances, double writes_per_second);
+/// As above, between two readings of the records of all instances, where they
+/// may read `reads_per_second`.
+Micros stream_reading_pause(std::size_t instances, double reads_per_second);
+
 /// The origins that an instance remembers: of the streams that it began, and of
 /// those that others told it of.
 class StreamOrigins
@@ -56,9 +70,16 @@
     /// Number of instances that remember an origin besides the one that began
     /// the stream.
     static constexpr std::size_t homes = 3;
+    /// Maximum number of streams in a record.
+    static constexpr std::size_t max_recorded = 8'192;
 
     /// Records an origin of this instance, which is to be told to its homes.
     void note(const StreamOrigin& origin, TimePoint now);
+    /// Records that a caller has events of a stream that `origin` began, and
+    /// gets the rest of them from this instance: the caller may take it up.
+    void began(StreamOrigin origin, TimePoint now);
+    /// Records that the caller of a stream has all of it.
+    void ended(const std::string& stream);
     /// Records an origin that another instance told.
     void merge(const StreamOrigin& origin, TimePoint now);
     /// Returns the origin of a stream; nothing if it is not known.
@@ -69,6 +90,14 @@
     std::vector<StreamOrigin>
     take_untold(const std::function<bool(std::string_view)>& wanted,
                 std::size_t most, TimePoint now);
+    /// Returns the origins of this instance's streams that callers may take up,
+    /// of services for which `wanted` is true, `max_recorded` at most. Nothing
+    /// if none of them began since they were recorded.
+    std::optional<std::vector<StreamOrigin>>
+    to_record(const std::function<bool(std::string_view)>& wanted,
+              TimePoint now);
+    /// Records that the platform has a record of these origins.
+    void recorded(std::span<const StreamOrigin> origins);
     /// Returns all origins.
     std::vector<StreamOrigin> all(TimePoint now) const;
     std::size_t size() const { return m_origins.size(); }
@@ -87,10 +116,14 @@
 
     bool put(const StreamOrigin& origin, TimePoint now);
     void expire(TimePoint now);
+    void drop(const std::string& stream);
 
     std::map<std::string, Known, std::less<>> m_origins; ///< By stream.
     std::deque<Place> m_order;                           ///< As recorded.
     std::deque<std::string> m_untold;                    ///< Streams.
+    /// Streams of this instance that callers may take up.
+    std::set<std::string, std::less<>> m_open;
+    std::set<std::string, std::less<>> m_unrecorded; ///< Of m_open.
 };
 
 } // namespace crosslink
--- a/src/libcrosslink/forward/stream_origins.cpp
+++ b/src/libcrosslink/forward/stream_origins.cpp
@@ -18,6 +18,24 @@
 /// Characters of a stream's key: enough that no two streams of the last seconds
 /// have the same one.
 constexpr std::size_t key_length = 32;
+/// Least time between two records of an instance's streams, and between two
+/// readings of them.
+constexpr Micros min_record_pause = std::chrono::milliseconds(100);
+constexpr Micros min_reading_pause = std::chrono::milliseconds(10);
+/// Part of the platform's rate that the records of streams may take.
+constexpr double record_share = 0.1;
+/// Records of instances that the platform tells in one answer.
+constexpr std::size_t records_in_answer = 500;
+
+/// Returns the time in which `calls` take up their share of a rate.
+Micros
+time_of_calls(std::size_t calls, double per_second)
+{
+    if (per_second <= 0)
+        return Micros{0};
+    return from_seconds(static_cast<double>(calls) /
+                        (record_share * per_second));
+}
 
 } // namespace
 
@@ -30,6 +48,21 @@
     return sha256(text).hex().substr(0, key_length);
 }
 
+Micros
+stream_record_pause(std::size_t instances, double writes_per_second)
+{
+    return std::max(min_record_pause,
+                    time_of_calls(instances, writes_per_second));
+}
+
+Micros
+stream_reading_pause(std::size_t instances, double reads_per_second)
+{
+    const std::size_t answers = 1 + instances / records_in_answer;
+    return std::max(min_reading_pause,
+                    time_of_calls(instances * answers, reads_per_second));
+}
+
 std::vector<InstanceInfo>
 stream_homes(const std::map<std::string, InstanceInfo, std::less<>>& instances,
              std::string_view stream)
@@ -76,6 +109,27 @@
     put(origin, now);
 }
 
+void
+StreamOrigins::began(StreamOrigin origin, TimePoint now)
+{
+    origin.sends = StreamOrigin::final_sends;
+    const auto known = m_origins.find(origin.stream);
+    const bool is_told = known != m_origins.end() &&
+                         known->second.origin.service == origin.service &&
+                         known->second.origin.software == origin.software;
+    if (put(origin, now) && !is_told)
+        m_untold.push_back(origin.stream);
+    m_open.insert(origin.stream);
+    m_unrecorded.insert(origin.stream);
+}
+
+void
+StreamOrigins::ended(const std::string& stream)
+{
+    m_open.erase(stream);
+    m_unrecorded.erase(stream);
+}
+
 /// Returns whether the origin is newer than what was known.
 bool
 StreamOrigins::put(const StreamOrigin& origin, TimePoint now)
@@ -103,13 +157,20 @@
         if (!is_outdated && !is_due)
             break;
         if (!is_outdated)
-            m_origins.erase(found);
+            drop(oldest.stream);
         m_order.pop_front();
     }
     while (!m_untold.empty() && !m_origins.contains(m_untold.front()))
         m_untold.pop_front();
 }
 
+void
+StreamOrigins::drop(const std::string& stream)
+{
+    m_origins.erase(stream);
+    ended(stream);
+}
+
 std::optional<StreamOrigin>
 StreamOrigins::find(std::string_view stream, TimePoint now) const
 {
@@ -143,6 +204,30 @@
     return taken;
 }
 
+std::optional<std::vector<StreamOrigin>>
+StreamOrigins::to_record(const std::function<bool(std::string_view)>& wanted,
+                         TimePoint now)
+{
+    expire(now);
+    const auto is_wanted = [&](const std::string& stream) {
+        return wanted(m_origins.at(stream).origin.service);
+    };
+    if (std::none_of(m_unrecorded.begin(), m_unrecorded.end(), is_wanted))
+        return std::nullopt;
+    std::vector<StreamOrigin> result;
+    for (const std::string& stream : m_open)
+        if (result.size() < max_recorded && is_wanted(stream))
+            result.push_back(m_origins.at(stream).origin);
+    return result;
+}
+
+void
+StreamOrigins::recorded(std::span<const StreamOrigin> origins)
+{
+    for (const StreamOrigin& origin : origins)
+        m_unrecorded.erase(origin.stream);
+}
+
 std::vector<StreamOrigin>
 StreamOrigins::all(TimePoint now) const
 {
--- a/src/libcrosslink/forward/stream_origins_test.cpp
+++ b/src/libcrosslink/forward/stream_origins_test.cpp
@@ -139,3 +139,76 @@
     };
     CHECK(std::all_of(before.begin() + 1, before.end(), is_home));
 }
+
+TEST_CASE("streams are recorded from their first event until they are whole")
+{
+    StreamOrigins origins;
+    origins.note(origin("sent", "v1"), start);
+    CHECK_FALSE(origins.to_record(any_service, start));
+    origins.began(origin("begun", "v1"), start);
+    origins.began(origin("whole", "v1"), start);
+    origins.ended("whole");
+    const auto record = origins.to_record(any_service, start);
+    REQUIRE(record);
+    REQUIRE(record->size() == 1);
+    CHECK(record->front().stream == "begun");
+    // Until the platform has it.
+    CHECK(origins.to_record(any_service, start));
+    origins.recorded(*record);
+    CHECK_FALSE(origins.to_record(any_service, start));
+}
+
+TEST_CASE("a new record has the streams of the last one that may be taken up")
+{
+    StreamOrigins origins;
+    origins.began(origin("first", "v1"), start);
+    origins.recorded(*origins.to_record(any_service, start));
+    origins.began(origin("second", "v2"), start + Micros{1});
+    CHECK(origins.to_record(any_service, start + Micros{1})->size() == 2);
+    const TimePoint end = start + StreamOrigins::lifetime;
+    const auto record = origins.to_record(any_service, end);
+    REQUIRE(record);
+    REQUIRE(record->size() == 1);
+    CHECK(record->front().stream == "second");
+}
+
+TEST_CASE("streams of a service with one version are recorded once it has two")
+{
+    StreamOrigins origins;
+    origins.began(origin("s", "v1"), start);
+    const auto none = [](std::string_view) { return false; };
+    CHECK_FALSE(origins.to_record(none, start));
+    CHECK(origins.to_record(any_service, start)->size() == 1);
+}
+
+TEST_CASE("the version of a stream's first event counts for good")
+{
+    StreamOrigins origins;
+    origins.note(origin("s", "v1", 2), start);
+    origins.began(origin("s", "v2"), start);
+    origins.merge(origin("s", "v1", 3), start);
+    CHECK(origins.find("s", start)->software == "v2");
+    // The homes were told of another one.
+    CHECK(origins.take_untold(any_service, 10, start).size() == 2);
+}
+
+TEST_CASE("homes are not told of a first event that brings nothing new")
+{
+    StreamOrigins origins;
+    origins.note(origin("s", "v1"), start);
+    CHECK(origins.take_untold(any_service, 10, start).size() == 1);
+    origins.began(origin("s", "v1"), start);
+    CHECK(origins.take_untold(any_service, 10, start).empty());
+}
+
+TEST_CASE("records of streams take a tenth of the platform's rate at most")
+{
+    using std::chrono::milliseconds;
+    CHECK(stream_record_pause(1, 400) == milliseconds(100));
+    CHECK(stream_record_pause(8, 400) == milliseconds(200));
+    CHECK(stream_record_pause(800, 3200) == milliseconds(2500));
+    CHECK(stream_reading_pause(1, 2000) == milliseconds(10));
+    CHECK(stream_reading_pause(8, 2000) == milliseconds(40));
+    // In two answers.
+    CHECK(stream_reading_pause(800, 16'000) == milliseconds(1000));
+}
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -458,6 +458,7 @@
     if (!link.begun())
         link.begin(head.status, head.headers);
     link.finish();
+    m_resumption.ended();
     return Outcome::Done;
 }
 
@@ -472,6 +473,7 @@
         m_first_event = monotonic_now() - m_call.received_at;
         m_state.counters.first_event.add(m_first_event);
         m_choice.require(m_choice.service(), m_choice.pick().software);
+        m_resumption.began(m_choice.service(), m_choice.pick().software);
         link.begin(head.status, head.headers);
     }
     return link.send(events);
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -48,7 +48,8 @@
               port_checked(port, std::move(look));
           },
           [this] { m_state.note_gone_runners(); }),
-      m_path_probe(m_state), m_origins(m_state), m_server(m_state, m_path)
+      m_path_probe(m_state), m_origins(m_state), m_stream_record(m_state),
+      m_server(m_state, m_path)
 {
 }
 
--- a/src/serve/forward/forward_instance.h
+++ b/src/serve/forward/forward_instance.h
@@ -15,6 +15,7 @@
 #include <serve/fleet/feed_duty.h>
 #include <serve/fleet/fleet_rpc.h>
 #include <serve/fleet/origin_duty.h>
+#include <serve/fleet/stream_record_duty.h>
 #include <serve/process_end_probe.h>
 
 #include <cstdint>
@@ -53,6 +54,7 @@
     ProcessEndProbe m_end_probe;
     PathProbe m_path_probe;
     OriginDuty m_origins;
+    StreamRecordDuty m_stream_record;
     ForwardServer m_server;
 };
 
--- a/src/serve/forward/forward_ports.h
+++ b/src/serve/forward/forward_ports.h
@@ -14,6 +14,7 @@
 class RolloutRegistry;
 class RunnerOrders;
 class SoftwareRegistry;
+class StreamRegistry;
 
 /// The interfaces to the platform, the runners and the stores that an instance
 /// which forwards calls uses. They must outlive the instance.
@@ -24,6 +25,7 @@
     RolloutRegistry& rollouts;
     BlockedRequestRegistry& blocked;
     SoftwareRegistry& software;
+    StreamRegistry& streams;
     RunnerOrders& orders;
     KeptStores& stores;
 };
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -48,6 +48,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -183,6 +184,8 @@
     Guarded<StreamOrigins> origins;
     /// Wakes the thread that tells other instances of them.
     DutyWaker origin_noted;
+    /// Wakes the thread that records streams at the platform.
+    DutyWaker stream_began;
     /// Which software versions served lately.
     Guarded<SoftwareHistory> software;
     /// Which runners this instance reaches by itself.
@@ -284,6 +287,9 @@
     std::vector<InstanceInfo> stream_homes(std::string_view stream);
     /// Returns the known origins of streams whose home the instance `name` is.
     std::vector<StreamOrigin> streams_of(const std::string& name);
+    /// Learns the streams that the platform has recorded, unless a reading did
+    /// that began after `asked`. Throws Error if the platform doesn't answer.
+    void read_stream_records(TimePoint asked);
     /// Returns what the platform lists of `runner`; nothing if it does not.
     std::optional<ListedRunner> listed_runner(std::string_view runner);
     /// Returns a random listed runner of `group` other than `except` that does
@@ -390,12 +396,16 @@
     };
 
     void observe_software();
+    void learn_streams(const std::vector<StreamOrigin>& origins_read);
     void count_ends(const std::vector<InterruptedCall>& calls,
                     const char* evidence);
     void log_limit_change(std::string_view runner, double per_second,
                           const char* source);
 
     Guarded<CachedPosition> m_position;
+    std::mutex m_reading_mutex; ///< One reads the records of streams.
+    TimePoint m_read_at{};      ///< When the last reading began.
+    TimePoint m_read_failed_at{};
     Guarded<StarterTree> m_starter_tree;
 };
 
--- /dev/null
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright Contributors to the crosslink project.
+
+// The part of ForwardState that records which software serves, and which began
+// the streams that callers take up.
+
+#include "forward_state.h"
+
+#include <adapters/clock.h>
+
+#include <crosslink/base/error.h>
+#include <crosslink/ports/stream_registry.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace crosslink
+{
+
+bool
+ForwardState::several_software(std::string_view service)
+{
+    observe_software();
+    return software.with([service](const SoftwareHistory& history) {
+        return history.several(service, monotonic_now());
+    });
+}
+
+void
+ForwardState::note_software()
+{
+    observe_software();
+    const bool several = software.with([](const SoftwareHistory& history) {
+        return history.any_several(monotonic_now());
+    });
+    if (!several)
+        return;
+    origin_noted.wake();
+    stream_began.wake();
+}
+
+void
+ForwardState::observe_software()
+{
+    const SoftwareCounts listed =
+        runners.with([](const RunnerTable& table) { return table.software(); });
+    software.with([&listed](SoftwareHistory& history) {
+        history.observe(listed, monotonic_now());
+    });
+}
+
+bool
+ForwardState::serves(std::string_view service, std::string_view version)
+{
+    return runners.with([&](const RunnerTable& table) {
+        const auto versions = table.software().find(service);
+        return versions != table.software().end() &&
+               versions->second.contains(version);
+    });
+}
+
+std::vector<StreamOrigin>
+ForwardState::streams_of(const std::string& name)
+{
+    auto known = origins.with(
+        [](const StreamOrigins& all) { return all.all(monotonic_now()); });
+    const auto instances =
+        fleet.with([](const FleetView& view) { return view.instances; });
+    std::erase_if(known, [&](const StreamOrigin& origin) {
+        const auto homes = crosslink::stream_homes(instances, origin.stream);
+        return std::none_of(
+            homes.begin(), homes.end(),
+            [&name](const InstanceInfo& home) { return home.name == name; });
+    });
+    return known;
+}
+
+std::vector<InstanceInfo>
+ForwardState::stream_homes(std::string_view stream)
+{
+    auto homes = fleet.with([&](const FleetView& view) {
+        return crosslink::stream_homes(view.instances, stream);
+    });
+    std::erase_if(homes, [this](const InstanceInfo& home) {
+        return home.name == settings.name;
+    });
+    return homes;
+}
+
+void
+ForwardState::read_stream_records(TimePoint asked)
+{
+    const std::lock_guard lock(m_reading_mutex);
+    if (m_read_at > asked)
+        return;
+    // Those that waited meanwhile do not wait for another failure each.
+    if (m_read_failed_at > asked)
+        throw Error(ErrorCode::PlatformUnavailable,
+                    "the records of streams were not read");
+    const TimePoint next =
+        m_read_at +
+        stream_reading_pause(instance_count(), settings.platform_reads);
+    std::this_thread::sleep_for(std::max(next - monotonic_now(), Micros{0}));
+    const TimePoint began = monotonic_now();
+    try {
+        learn_streams(ports.streams.read());
+        m_read_at = began;
+    } catch (const Error&) {
+        m_read_failed_at = monotonic_now();
+        throw;
+    }
+}
+
+void
+ForwardState::learn_streams(const std::vector<StreamOrigin>& origins_read)
+{
+    const TimePoint now = monotonic_now();
+    SoftwareCounts served;
+    for (const StreamOrigin& origin : origins_read)
+        ++served[origin.service][origin.software];
+    software.with(
+        [&](SoftwareHistory& history) { history.observe(served, now); });
+    origins.with([&](StreamOrigins& known) {
+        for (const StreamOrigin& origin : origins_read)
+            known.merge(origin, now);
+    });
+}
+
+} // namespace crosslink
--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -28,12 +28,18 @@
 {
 }
 
+bool
+StreamResumption::may_be_taken_up() const
+{
+    return m_route.resumable && m_call.generation;
+}
+
 /// Returns whether the caller has events of a stream that is to go on.
 bool
 StreamResumption::takes_up() const
 {
-    return m_route.resumable && m_call.generation &&
-           !m_call.last_event.empty() && m_call.last_event != "0";
+    return may_be_taken_up() && !m_call.last_event.empty() &&
+           m_call.last_event != "0";
 }
 
 std::optional<StreamOrigin>
@@ -42,53 +48,90 @@
     if (!takes_up())
         return std::nullopt;
     m_known_by = "none";
-    auto origin = find();
-    if (origin)
-        m_began_at = origin->software;
+    const auto origin = find();
     if (!origin) {
         if (m_several)
             refuse("the software that began the stream is not known");
         return std::nullopt;
     }
+    m_began_at = origin->software;
     if (!m_state.serves(origin->service, origin->software))
         refuse("the software that began the stream serves no more");
+    note_began(*origin);
     return origin;
 }
 
-/// Returns the origin of the stream, as this instance or another one remembers
-/// it; nothing if none does.
+/// Returns the origin of the stream, as this instance, another one or the
+/// platform remembers it; nothing if none does.
 std::optional<StreamOrigin>
 StreamResumption::find()
 {
-    const TimePoint now = monotonic_now();
-    m_several = std::any_of(m_route.services.begin(), m_route.services.end(),
+    observe_software();
+    if (m_call.resumes.empty())
+        return std::nullopt;
+    m_stream = stream_key(m_account, m_call.resumes);
+    auto known = find_here("instance");
+    // One that has just started does not know which versions served before.
+    const bool has_history = m_state.since_start() >= StreamOrigins::lifetime;
+    if (known || (has_history && !m_several))
+        return known;
+    // Others may have started in the same moment, and remember nothing either.
+    if (!has_history)
+        known = find_recorded();
+    if (!known)
+        known = ask_homes();
+    if (!known && has_history)
+        known = find_recorded();
+    return known;
+}
+
+void
+StreamResumption::observe_software()
+{
+    m_several = m_several ||
+                std::any_of(m_route.services.begin(), m_route.services.end(),
                             [this](const WeightedService& item) {
                                 return m_state.several_software(item.service);
                             });
-    if (m_call.resumes.empty())
-        return std::nullopt;
-    const std::string stream = stream_key(m_account, m_call.resumes);
-    auto known = m_state.origins.with([&](const StreamOrigins& origins) {
-        return origins.find(stream, now);
+}
+
+/// Returns the origin as this instance remembers it now; `source` is where it
+/// has it from.
+std::optional<StreamOrigin>
+StreamResumption::find_here(std::string_view source)
+{
+    auto known = m_state.origins.with([this](const StreamOrigins& origins) {
+        return origins.find(m_stream, monotonic_now());
     });
     if (known)
-        m_known_by = "instance";
-    // One that has just started does not know which versions served before.
-    const bool knows_history = m_state.since_start() >= StreamOrigins::lifetime;
-    if (known || (knows_history && !m_several))
-        return known;
-    return ask_homes();
+        m_known_by = source;
+    return known;
+}
+
+/// Returns the origin as the platform has recorded it.
+std::optional<StreamOrigin>
+StreamResumption::find_recorded()
+{
+    try {
+        m_state.read_stream_records(monotonic_now());
+    } catch (const Error& failure) {
+        m_unanswered = true;
+        LogLine("stream_records_not_read")
+            .field("request", m_call.id)
+            .field("error", failure.what());
+    }
+    observe_software();
+    return find_here("record");
 }
 
 std::optional<StreamOrigin>
 StreamResumption::ask_homes()
 {
-    const std::string stream = stream_key(m_account, m_call.resumes);
-    for (const InstanceInfo& home : m_state.stream_homes(stream)) {
+    for (const InstanceInfo& home : m_state.stream_homes(m_stream)) {
         try {
             const StreamAnswer answer =
                 FleetClient(home.address)
-                    .find_stream(stream, m_route.services.front().service);
+                    .find_stream(m_stream, m_route.services.front().service);
             m_several = m_several || answer.several;
             if (!answer.origin)
                 continue;
@@ -118,10 +161,10 @@
 StreamResumption::sent(const std::string& service, const std::string& software,
                        std::uint32_t sends)
 {
-    if (!m_route.resumable || !m_call.generation || takes_up())
+    if (!may_be_taken_up() || takes_up())
         return;
-    const StreamOrigin origin{stream_key(m_account, m_call.id), service,
-                              software, sends};
+    m_stream = stream_key(m_account, m_call.id);
+    const StreamOrigin origin{m_stream, service, software, sends};
     m_state.origins.with([&origin](StreamOrigins& origins) {
         origins.note(origin, monotonic_now());
     });
@@ -129,4 +172,33 @@
         m_state.origin_noted.wake();
 }
 
+void
+StreamResumption::began(const std::string& service, const std::string& software)
+{
+    if (may_be_taken_up() && !takes_up())
+        note_began({m_stream, service, software});
+}
+
+/// Records that the caller may take the stream up.
+void
+StreamResumption::note_began(const StreamOrigin& origin)
+{
+    m_state.origins.with([&origin](StreamOrigins& origins) {
+        origins.began(origin, monotonic_now());
+    });
+    if (!m_state.several_software(origin.service))
+        return;
+    m_state.origin_noted.wake();
+    m_state.stream_began.wake();
+}
+
+void
+StreamResumption::ended()
+{
+    if (m_stream.empty())
+        return;
+    m_state.origins.with(
+        [this](StreamOrigins& origins) { origins.ended(m_stream); });
+}
+
 } // namespace crosslink
--- a/src/serve/forward/stream_resumption.h
+++ b/src/serve/forward/stream_resumption.h
@@ -30,14 +30,14 @@
                      const ServiceRoute& route, const AccountSettings* account);
 
     /// Returns the service and the software that the stream must go on at;
-    /// nothing if the choice is free. Asks other instances where this one does
-    /// not know. Throws Error(StreamNotResumable), and nothing has run, if the
-    /// stream can't go on: its software serves no more, or is not known while
-    /// several serve.
+    /// nothing if the choice is free. Asks other instances and the platform
+    /// where this one does not know. Throws Error(StreamNotResumable), and
+    /// nothing has run, if the stream can't go on: its software serves no more,
+    /// or is not known while several serve.
     std::optional<StreamOrigin> origin();
     /// Returns who knew the software that began the stream, for the log:
-    /// "instance" for this one, "home"; "none" where nobody did. Empty if the
-    /// call takes no stream up.
+    /// "instance" for this one, "home", "record"; "none" where nobody did.
+    /// Empty if the call takes no stream up.
     std::string_view known_by() const { return m_known_by; }
     /// Returns the software that began the stream; empty if it is not known.
     const std::string& began_at() const { return m_began_at; }
@@ -45,17 +45,28 @@
     /// `service` with `software`.
     void sent(const std::string& service, const std::string& software,
               std::uint32_t sends);
+    /// Records that the caller has the first event of the stream of this call,
+    /// from a runner of `service` with `software`.
+    void began(const std::string& service, const std::string& software);
+    /// Records that the caller has the whole stream.
+    void ended();
 
 private:
+    bool may_be_taken_up() const;
     bool takes_up() const;
     std::optional<StreamOrigin> find();
+    void observe_software();
+    std::optional<StreamOrigin> find_here(std::string_view source);
+    std::optional<StreamOrigin> find_recorded();
     std::optional<StreamOrigin> ask_homes();
+    void note_began(const StreamOrigin& origin);
     [[noreturn]] void refuse(const char* why) const;
 
     ForwardState& m_state;
     const ForwardedCall& m_call;
     const ServiceRoute& m_route;
     const std::string m_account;
+    std::string m_stream; ///< See stream_key(); empty where none is known.
     std::string_view m_known_by; ///< See known_by().
     std::string m_began_at;      ///< See began_at().
     bool m_several = false;      ///< Several versions served lately.
