Take an answer for that of a call only if it names the call

What callers saw: bytes that a runner sends after a whole answer and that name no call were taken for the answer to the next call on the connection, of any account; where they were a refusal, an unsafe call ran twice. Cause: three places (plain and streamed calls, copies, relayed calls) each took an answer without an id for that of the call at hand. Change: match_answer() decides for all of them. What names no call proves nothing: its connection is given up and the call counts as one that may have run, so that a safe call goes on elsewhere and an unsafe one gets 502. A refusal without one is believed on a connection on which one call was ever sent, and nowhere else.

--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -9,7 +9,9 @@
 #include <adapters/clock.h>
 #include <serve/log_line.h>
 
+#include <crosslink/base/error.h>
 #include <crosslink/base/number.h>
+#include <crosslink/forward/answer_match.h>
 
 #include <Poco/Exception.h>
 
@@ -92,6 +94,7 @@
 {
     if (!std::exchange(m_send.link.sent, true))
         m_send.link.connection->send(encode_call(), m_call.body);
+    m_send.only_call = !m_send.link.reused;
     for (int i = 0; i < max_surplus_answers; ++i) {
         if (const auto ended = await_answer())
             return *ended;
@@ -220,12 +223,18 @@
 
 /// Returns the head of the answer to this call. Returns nothing if the answer
 /// belongs to an earlier call on the same connection; that answer is skipped.
+/// Throws Error if it belongs to no call.
 std::optional<AnswerHead>
 ForwardRun::next_head(const RawHead& raw)
 {
     AnswerHead head = m_state.ports.wire.decode_answer(raw.status, raw.headers);
-    if (head.call_id.empty() || head.call_id == m_call.id)
+    const AnswerMatch match =
+        match_answer(head, m_call.id, std::exchange(m_send.only_call, false));
+    if (match == AnswerMatch::ThisCall)
         return head;
+    if (match == AnswerMatch::NoCall)
+        throw Error(ErrorCode::UpstreamFailed, "an answer that names no call",
+                    RunState::MayHaveRun);
     LogLine("surplus_answer")
         .field("request", m_call.id)
         .field("runner", m_choice.pick().id)
--- a/src/serve/forward/forward_hedge.cpp
+++ b/src/serve/forward/forward_hedge.cpp
@@ -9,6 +9,7 @@
 #include <adapters/clock.h>
 
 #include <crosslink/base/error.h>
+#include <crosslink/forward/answer_match.h>
 #include <crosslink/forward/runner_price.h>
 
 #include <Poco/Exception.h>
@@ -195,7 +196,8 @@
         RawHead raw = connection.receive_head();
         const AnswerHead head =
             m_state.ports.wire.decode_answer(raw.status, raw.headers);
-        if (!head.call_id.empty() && head.call_id != m_call.id)
+        if (match_answer(head, m_call.id, !m_send.link.reused) !=
+            AnswerMatch::ThisCall)
             return Outcome::Broken;
         if (head.not_run) {
             m_intake.apply(head, m_choice.pick());
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -17,6 +17,7 @@
 
 #include <crosslink/base/error.h>
 #include <crosslink/base/number.h>
+#include <crosslink/forward/answer_match.h>
 #include <crosslink/forward/body_budget.h>
 #include <crosslink/forward/service_map.h>
 
@@ -277,7 +278,7 @@
     connection.watch(link.socket(), call.deadline);
     call.sent = true;
     connection.send(call.outgoing, call.body);
-    const auto head = receive_head(call, runner, connection);
+    const auto head = receive_head(call, runner, connection, !path.reused);
     if (!head) {
         link.abort();
         return;
@@ -303,9 +304,10 @@
 
 /// Returns the head of the runner's answer to the call, and takes in what it
 /// says of the runner. Nothing if the call is over before it comes.
+/// `only_call`: see match_answer().
 std::optional<AnswerHead>
 RelayHandler::receive_head(const RelayedCall& call, const RunnerPick& runner,
-                           CallConnection& connection)
+                           CallConnection& connection, bool only_call)
 {
     AnswerIntake intake(m_state, call.decoded);
     for (int i = 0; i < max_surplus_answers; ++i) {
@@ -314,7 +316,11 @@
         const RawHead raw = connection.receive_head();
         AnswerHead head =
             m_state.ports.wire.decode_answer(raw.status, raw.headers);
-        if (head.call_id.empty() || head.call_id == call.decoded.id) {
+        const AnswerMatch match =
+            match_answer(head, call.decoded.id, only_call && i == 0);
+        if (match == AnswerMatch::NoCall)
+            break;
+        if (match == AnswerMatch::ThisCall) {
             m_state.note_runner_heard(runner.place());
             intake.apply(head, runner);
             std::erase_if(head.headers, [](const HeaderField& field) {
--- a/src/serve/forward/relay_handler.h
+++ b/src/serve/forward/relay_handler.h
@@ -61,7 +61,8 @@
                         RelayedCall& call, HeldBytes& held);
     std::optional<AnswerHead> receive_head(const RelayedCall& call,
                                            const RunnerPick& runner,
-                                           CallConnection& connection);
+                                           CallConnection& connection,
+                                           bool only_call);
     bool pass_body(const RelayedCall& call, CallConnection& connection,
                    CallerLink& link);
     void refuse(const RelayedCall& call, RelayFailure failure, CallerLink& link,
--- a/src/serve/forward/send_state.h
+++ b/src/serve/forward/send_state.h
@@ -28,6 +28,8 @@
     std::optional<TimePoint> silent_at;
     bool suspects = false; ///< A probe of the path was asked for.
     bool counted = false;
+    /// See match_answer(); false once an answer has come.
+    bool only_call = false;
 };
 
 } // namespace crosslink
