Know the end of a chunked answer by decoding it

What callers saw: a chunked answer that a runner's end cut off came as a whole 200 where its last data ended with "0", CR, LF. Cause: the last five bytes that had come in were compared with what ends a chunked body; data and the CRLF after it can be the same bytes. POCO's stream takes a part for the whole without an error. Change: ChunkDecoder takes the data out of the chunks and knows the end from its state. It asks for no byte beyond the body, so that the next answer on the connection stays. Trailer fields are passed over; before, they made an answer count as broken off.

--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -42,6 +42,9 @@
 /// Heads of runners are shorter; a longer one counts as arrived.
 constexpr std::size_t peeked_bytes = 16U << 10U;
 
+/// Largest piece of a chunked body that is read at once.
+constexpr std::size_t piece_bytes = 64U << 10U;
+
 /// Returns whether answers with `status` have no body whatever their head says.
 bool
 has_no_body(int status)
@@ -83,6 +86,19 @@
     }
 
     bool has_bytes() const { return buffered() > 0; }
+    /// Returns up to `most` bytes of the body as they came in; none at the
+    /// connection's end.
+    std::string read_raw(std::size_t most)
+    {
+        // Single bytes come out of POCO's buffer, which this fills.
+        if (most == 1 && peek() == std::char_traits<char>::eof())
+            return {};
+        std::string bytes(most, '\0');
+        const int count =
+            read(bytes.data(), static_cast<std::streamsize>(most));
+        bytes.resize(static_cast<std::size_t>(std::max(count, 0)));
+        return bytes;
+    }
     int descriptor() { return static_cast<int>(socket().impl()->sockfd()); }
     /// While the object lives, waits end once bytes arrive on `rival`.
     class Race
@@ -205,6 +221,7 @@
     m_session->check_head();
     m_session->watched().progressed();
     m_chunked = response.getChunkedTransferEncoding();
+    m_chunks = ChunkDecoder();
     m_length = m_chunked ? -1 : response.getContentLength64();
     m_read = 0;
     RawHead head;
@@ -218,9 +235,39 @@
 std::string
 CallConnection::read_some()
 {
-    std::string bytes;
     if (!m_body)
-        return bytes;
+        return {};
+    return m_chunked ? read_chunked() : read_unchunked();
+}
+
+/// Reads the body itself: POCO's stream takes a part of a chunked body for the
+/// whole of it.
+std::string
+CallConnection::read_chunked()
+{
+    std::string data;
+    try {
+        while (m_chunks.wanted() > 0 && data.size() < piece_bytes &&
+               (data.empty() || m_session->has_bytes())) {
+            const std::string bytes =
+                m_session->read_raw(std::min(m_chunks.wanted(), piece_bytes));
+            if (bytes.empty())
+                break;
+            m_chunks.take(bytes, data);
+        }
+    } catch (const Poco::Exception&) {
+        m_session->check_interrupted();
+    }
+    m_read += static_cast<long long>(data.size());
+    if (!data.empty() || m_chunks.is_done())
+        m_session->watched().progressed();
+    return data;
+}
+
+std::string
+CallConnection::read_unchunked()
+{
+    std::string bytes;
     if (m_body->peek() != std::char_traits<char>::eof()) {
         bytes.resize(static_cast<std::size_t>(
             std::max<std::streamsize>(m_body->rdbuf()->in_avail(), 1)));
@@ -241,7 +288,7 @@
     if (m_broken)
         return false;
     if (m_chunked)
-        return m_session->watched().ended_in_chunks();
+        return m_chunks.is_done();
     if (m_length < 0)
         return m_read > 0 || m_bodiless;
     return m_read == m_length;
--- a/src/adapters/call_connection.h
+++ b/src/adapters/call_connection.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "chunk_decoder.h"
 #include "watched_socket.h"
 
 #include <crosslink/base/time.h>
@@ -60,7 +61,11 @@
     /// Returns some bytes of the body; none at its end.
     std::string read_some();
     /// True where no more of the body is to be waited for.
-    bool ended() const { return m_length >= 0 && m_read >= m_length; }
+    bool ended() const
+    {
+        return m_chunked ? m_chunks.wanted() == 0
+                         : m_length >= 0 && m_read >= m_length;
+    }
     /// After the end: true where the body came whole. A body that only its
     /// connection ends is not whole if it has no byte: a peer whose process
     /// ended between the head and the first byte looks the same.
@@ -79,9 +84,13 @@
     /// Largest body of an answer to an earlier call that is skipped.
     static constexpr long long max_skipped_bytes = 4LL << 20U;
 
+    std::string read_chunked();
+    std::string read_unchunked();
+
     std::unique_ptr<Session> m_session;
     std::istream* m_body = nullptr; ///< Of the session; null before a head.
     bool m_chunked = false;
+    ChunkDecoder m_chunks;   ///< Of the body, where it is chunked.
     long long m_length = -1; ///< Told bytes of the body; -1: not told.
     long long m_read = 0;    ///< Bytes of the body.
     bool m_broken = false;   ///< The connection failed within the body.
--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -200,6 +200,36 @@
     CHECK(call.connection.whole());
 }
 
+TEST_CASE("a chunked answer that is cut at any byte is not whole")
+{
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string body =
+        "a\r\ncaldo;40\r\n\r\n3\r\n0\r\n\r\n0\r\nX: y\r\n\r\n";
+    for (std::size_t cut = 0; cut <= body.size(); ++cut) {
+        SentCall call;
+        call.runner.say(head + body.substr(0, cut));
+        call.runner.end();
+        CHECK(reads_whole_answer(call.connection) == (cut == body.size()));
+    }
+}
+
+TEST_CASE("a connection carries the next answer after a chunked one")
+{
+    SentCall call;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    call.runner.say(head + "1\r\na\r\n0\r\n\r\n" + head +
+                    "1\r\nb\r\n0\r\n\r\n");
+    CHECK(reads_whole_answer(call.connection));
+    CHECK_FALSE(call.connection.quiet());
+    CHECK(call.connection.receive_head().status == 200);
+    CHECK(call.connection.read_some() == "b");
+    CHECK(call.connection.read_some().empty());
+    CHECK(call.connection.whole());
+    CHECK(call.connection.quiet());
+}
+
 TEST_CASE("bytes without end that are no answer end a call before its deadline")
 {
     const std::vector<EndlessAnswer> answers{
--- a/src/adapters/watched_socket.cpp
+++ b/src/adapters/watched_socket.cpp
@@ -117,8 +117,6 @@
     m_unused_bytes += static_cast<std::size_t>(count);
     if (m_unused_bytes > max_unused_bytes)
         throw Poco::Net::MessageException("bytes that are no answer");
-    remember(
-        {static_cast<const char*>(buffer), static_cast<std::size_t>(count)});
     return count;
 }
 
@@ -136,13 +134,4 @@
     return sent;
 }
 
-void
-WatchedSocket::remember(std::string_view bytes)
-{
-    m_tail +=
-        bytes.substr(bytes.size() - std::min(bytes.size(), chunks_end.size()));
-    if (m_tail.size() > chunks_end.size())
-        m_tail.erase(0, m_tail.size() - chunks_end.size());
-}
-
 } // namespace crosslink
--- a/src/adapters/watched_socket.h
+++ b/src/adapters/watched_socket.h
@@ -8,8 +8,6 @@
 #include <Poco/Net/StreamSocketImpl.h>
 
 #include <optional>
-#include <string>
-#include <string_view>
 
 namespace crosslink
 {
@@ -57,24 +55,17 @@
     std::optional<Wait> interrupted() const { return m_interrupted; }
     /// True where the other side has said all and no more was there to read.
     bool at_end() const { return m_at_end; }
-    /// What a chunked body ends with.
-    static constexpr std::string_view chunks_end = "0\r\n\r\n";
-    /// True where the last bytes that came in end a chunked body. POCO takes
-    /// one that breaks off for one that has ended.
-    bool ended_in_chunks() const { return m_tail == chunks_end; }
 
 private:
     Wait wait_for(short events, TimePoint end);
     void await(short events);
     bool caller_closed();
-    void remember(std::string_view bytes);
 
     int m_caller = -1; ///< Watched; -1 for none.
     int m_rival = -1;  ///< See set_rival().
     TimePoint m_deadline = TimePoint::max();
     std::optional<Wait> m_interrupted;
     bool m_at_end = false;
-    std::string m_tail;             ///< The last bytes that came in.
     std::size_t m_unused_bytes = 0; ///< Received since progressed().
 };
 
