Run a call only once its whole body has come

What callers saw: a chunked body that paused for 10 s counted as ended, and the call ran with an empty body. A POST with neither a length nor chunks was silent for 10 s, then ran, and was never answered. Cause: read_body() took a failed read of POCO's stream for the end of the body. One check of one of the doors looked for bytes that were left or a closed connection, and found neither while the caller was silent. Change: the body is read here, by its length or by ChunkDecoder, at all doors. A pause of 10 s is 408 (request_timeout), an early end or what is no chunk 400 at once, and nothing is sent. Without length and chunks there is no body (RFC 9112, 6.3). Trailer fields are passed over, and the next request on the connection may follow at once; both got 400 before. A failed read is told by its exception alone, so that the answer to it still goes out.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -3,12 +3,14 @@
 
 #include "http_server.h"
 
+#include "chunk_decoder.h"
 #include "server_connection.h"
 
 #include <crosslink/base/error.h>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/TCPServer.h>
@@ -20,7 +22,7 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <istream>
+#include <string>
 #include <utility>
 
 namespace crosslink
@@ -96,6 +98,83 @@
     }
 }
 
+/// Reads the body of one request.
+class RequestBody
+{
+public:
+    RequestBody(Poco::Net::HTTPServerRequest& request, std::uint64_t most_bytes,
+                const PieceObserver& observe)
+        : m_request(request), m_most_bytes(most_bytes), m_observe(observe),
+          m_session(static_cast<ServerSession&>(
+              static_cast<Poco::Net::HTTPServerRequestImpl&>(request)
+                  .session()))
+    {
+    }
+
+    std::string read_length()
+    {
+        const auto length =
+            static_cast<std::uint64_t>(m_request.getContentLength64());
+        check_size(length);
+        while (m_body.size() < length)
+            add(next(static_cast<std::size_t>(length) - m_body.size()));
+        return std::move(m_body);
+    }
+
+    std::string read_chunks()
+    {
+        ChunkDecoder chunks;
+        while (chunks.wanted() > 0) {
+            std::string data;
+            chunks.take(next(chunks.wanted()), data);
+            add(data);
+        }
+        if (!chunks.is_done())
+            throw Error(ErrorCode::BadRequest, "the body is in no chunks");
+        return std::move(m_body);
+    }
+
+private:
+    /// Returns the next bytes, `most` at most. Throws Error where none come.
+    std::string next(std::size_t most)
+    {
+        try {
+            std::string bytes = m_session.read_raw(std::min(most, piece_bytes));
+            if (!bytes.empty())
+                return bytes;
+        } catch (const Poco::TimeoutException&) {
+            throw Error(ErrorCode::RequestTimeout, "the body pauses");
+        } catch (const Poco::Exception& failure) {
+            throw Error(ErrorCode::BadRequest, failure.displayText());
+        }
+        throw Error(ErrorCode::BadRequest, "the body ended early");
+    }
+
+    void add(const std::string& data)
+    {
+        if (m_observe && !data.empty())
+            m_observe(data.size());
+        m_body += data;
+        check_size(m_body.size());
+    }
+
+    void check_size(std::uint64_t bytes) const
+    {
+        if (bytes > m_most_bytes)
+            throw Error(ErrorCode::BodyTooLarge,
+                        "the body is larger than " +
+                            std::to_string(m_most_bytes) + " bytes");
+    }
+
+    static constexpr std::size_t piece_bytes = 65'536;
+
+    const Poco::Net::HTTPServerRequest& m_request;
+    const std::uint64_t m_most_bytes;
+    const PieceObserver& m_observe;
+    ServerSession& m_session;
+    std::string m_body;
+};
+
 } // namespace
 
 class HttpServer::Impl
@@ -166,28 +245,11 @@
 read_body(Poco::Net::HTTPServerRequest& request, std::uint64_t most_bytes,
           const PieceObserver& observe)
 {
-    const auto length = request.getContentLength64();
-    if (length > 0 && static_cast<std::uint64_t>(length) > most_bytes)
-        throw Error(ErrorCode::BodyTooLarge, "the body is larger than " +
-                                                 std::to_string(most_bytes) +
-                                                 " bytes");
-    std::istream& in = request.stream();
-    std::string body;
-    constexpr std::size_t piece_bytes = 65'536;
-    std::string piece(piece_bytes, '\0');
-    while (in.read(piece.data(), piece_bytes) || in.gcount() > 0) {
-        const auto count = static_cast<std::size_t>(in.gcount());
-        if (observe)
-            observe(count);
-        body.append(piece, 0, count);
-        if (body.size() > most_bytes)
-            throw Error(ErrorCode::BodyTooLarge,
-                        "the body is larger than " +
-                            std::to_string(most_bytes) + " bytes");
-    }
-    if (length > 0 && body.size() != static_cast<std::size_t>(length))
-        throw Error(ErrorCode::BadRequest, "the body ended early");
-    return body;
+    RequestBody body(request, most_bytes, observe);
+    if (request.getChunkedTransferEncoding())
+        return body.read_chunks();
+    // Without either, a request has no body (RFC 9112, 6.3).
+    return request.hasContentLength() ? body.read_length() : std::string();
 }
 
 void
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -65,7 +65,8 @@
 /// Called with the size of each piece of a body before it is kept.
 using PieceObserver = std::function<void(std::size_t)>;
 /// Reads a body of up to `most_bytes`. Throws Error(BodyTooLarge), and
-/// Error(BadRequest) where it ends early. What `observe` throws passes through.
+/// Error(BadRequest) where it ends early or is in no chunks, and
+/// Error(RequestTimeout) where it pauses for too long. What `observe` throws passes through.
 std::string read_body(Poco::Net::HTTPServerRequest& request,
                       std::uint64_t most_bytes,
                       const PieceObserver& observe = {});
--- a/src/adapters/server_session.cpp
+++ b/src/adapters/server_session.cpp
@@ -127,6 +127,25 @@
     return timed(socket()).late();
 }
 
+std::string
+ServerSession::read_raw(std::size_t most)
+{
+    try {
+        // Single bytes come out of POCO's buffer, which this fills.
+        if (most == 1 && peek() == std::char_traits<char>::eof())
+            return {};
+        std::string bytes(most, '\0');
+        const int count =
+            read(bytes.data(), static_cast<std::streamsize>(most));
+        bytes.resize(static_cast<std::size_t>(std::max(count, 0)));
+        return bytes;
+    } catch (const Poco::Exception&) {
+        // It is told here; an answer may still be sent.
+        clearException();
+        throw;
+    }
+}
+
 bool
 ServerSession::broken()
 {
--- a/src/adapters/server_session.h
+++ b/src/adapters/server_session.h
@@ -10,6 +10,9 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <cstddef>
+#include <string>
+
 namespace crosslink
 {
 
@@ -37,6 +40,11 @@
     /// True where the latest read brought nothing: the other side closed the
     /// connection, or was late.
     bool broken();
+
+    /// Returns up to `most` bytes of a body as they came in; none where the
+    /// other side closed the connection. Throws Poco::Exception where they
+    /// don't come.
+    std::string read_raw(std::size_t most);
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/base/error.h
+++ b/src/include/crosslink/base/error.h
@@ -20,6 +20,7 @@
 enum class ErrorCode {
     BadJson,
     BadRequest,
+    RequestTimeout,
     BodyTooLarge,
     HeadersTooLarge,
     MissingKey,
--- a/src/libcrosslink/base/error.cpp
+++ b/src/libcrosslink/base/error.cpp
@@ -15,6 +15,7 @@
 constexpr std::array table{
     ErrorInfo{ErrorCode::BadJson, "bad_json", 400},
     ErrorInfo{ErrorCode::BadRequest, "bad_request", 400},
+    ErrorInfo{ErrorCode::RequestTimeout, "request_timeout", 408},
     ErrorInfo{ErrorCode::BodyTooLarge, "body_too_large", 413},
     ErrorInfo{ErrorCode::HeadersTooLarge, "headers_too_large", 431},
     ErrorInfo{ErrorCode::MissingKey, "missing_key", 401},
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -232,6 +232,7 @@
         // After a body that was not read to its end, the connection can't be
         // used for another request.
         if (failure.code() == ErrorCode::BodyTooLarge ||
+            failure.code() == ErrorCode::RequestTimeout ||
             failure.code() == ErrorCode::BadRequest)
             answer.setKeepAlive(false);
         if (!reply.streaming())
--- a/src/serve/forward/forward_server.cpp
+++ b/src/serve/forward/forward_server.cpp
@@ -62,12 +62,6 @@
     return rules;
 }
 
-Poco::Net::HTTPServerRequestImpl&
-implementation(Poco::Net::HTTPServerRequest& request)
-{
-    return static_cast<Poco::Net::HTTPServerRequestImpl&>(request);
-}
-
 CallHead
 head_of(const Poco::Net::HTTPServerRequest& request, std::uint64_t most_bytes)
 {
@@ -113,23 +107,6 @@
     }
 }
 
-/// Throws Error(BadRequest) if a chunked body is incomplete. POCO takes a
-/// truncated or malformed chunk for the end of the body; then unread bytes are
-/// left, or the caller has disconnected.
-void
-check_chunked_end(Poco::Net::HTTPServerRequest& request)
-{
-    auto& session = implementation(request).session();
-    Poco::Buffer<char> left(0);
-    session.drainBuffer(left);
-    char byte = 0;
-    const auto more =
-        ::recv(static_cast<int>(session.socket().impl()->sockfd()), &byte, 1,
-               MSG_PEEK | MSG_DONTWAIT);
-    if (!left.empty() || more >= 0)
-        throw Error(ErrorCode::BadRequest, "the chunked body is incomplete");
-}
-
 /// Takes `bytes` of a body out of the instance's budget. Throws
 /// Error(QueueFull) if they are not left.
 void
@@ -215,8 +192,6 @@
             read_body(request, limits.body_bytes, [&held](std::size_t bytes) {
                 require_held(held, bytes);
             });
-        if (request.getChunkedTransferEncoding())
-            check_chunked_end(request);
         m_path.serve(call, link);
     } catch (const Error& failure) {
         LogLine("request_refused")
