End answers that have no body with their head

What callers saw: 204 and 304 of a runner whose connection stays open, and answers to HEAD, were waited for until the deadline, and ended as 504. Cause: only the told length or the connection's end ended a body. Change and evidence: such an answer has ended once its head is there; a unit case with three such heads and one to HEAD.

--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -235,7 +235,7 @@
 std::string
 CallConnection::read_some()
 {
-    if (!m_body)
+    if (!m_body || m_bodiless)
         return {};
     return m_chunked ? read_chunked() : read_unchunked();
 }
@@ -287,10 +287,12 @@
 {
     if (m_broken)
         return false;
+    if (m_bodiless)
+        return true;
     if (m_chunked)
         return m_chunks.is_done();
     if (m_length < 0)
-        return m_read > 0 || m_bodiless;
+        return m_read > 0;
     return m_read == m_length;
 }
 
--- a/src/adapters/call_connection.h
+++ b/src/adapters/call_connection.h
@@ -63,6 +63,8 @@
     /// True where no more of the body is to be waited for.
     bool ended() const
     {
+        if (m_bodiless)
+            return true;
         return m_chunked ? m_chunks.wanted() == 0
                          : m_length >= 0 && m_read >= m_length;
     }
--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -200,6 +200,32 @@
     CHECK(call.connection.whole());
 }
 
+TEST_CASE("an answer without a body ends with its head")
+{
+    for (const std::string head :
+         {"HTTP/1.1 204 No Content\r\n\r\n",
+          "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+          "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+        SentCall call;
+        call.runner.say(head);
+        call.connection.receive_head();
+        // The connection stays open.
+        CHECK(call.connection.ended());
+        CHECK(call.connection.read_some().empty());
+        CHECK(call.connection.whole());
+    }
+    RawPeer runner;
+    CallConnection connection(runner.address(), connect_time);
+    connection.watch(-1, monotonic_now() + far_off);
+    OutgoingCall head = get_call();
+    head.method = "HEAD";
+    connection.send(head, {});
+    runner.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    connection.receive_head();
+    CHECK(connection.ended());
+    CHECK(connection.whole());
+}
+
 TEST_CASE("a chunked answer that is cut at any byte is not whole")
 {
     const std::string head =
