--- a/src/include/crosslink/forward/software_history.h
+++ b/src/include/crosslink/forward/software_history.h
@@ -43,6 +43,9 @@
     void recorded(const ServedSoftware& served, TimePoint now);
     /// Records that the platform has no record `id`.
     void unrecorded(const std::string& id);
+    /// Records that the platform's store, which came back from a copy, has no
+    /// record `id` any more: it holds, and is to be written again.
+    void record_lost(const std::string& id);
     /// Records that the platform has no records but those with `ids`.
     void recorded_only(const std::set<std::string>& ids);
 
@@ -50,10 +53,11 @@
     /// may have begun at another version than a runner has: two were listed
     /// within StreamOrigins::lifetime, or are recorded.
     bool several(std::string_view service, TimePoint now) const;
-    /// Returns whether that holds for any service.
-    bool any_several(TimePoint now) const;
+    /// Returns the services for which that holds.
+    std::set<std::string, std::less<>> mixed(TimePoint now) const;
 
-    /// Returns the versions that were listed lately and are not recorded.
+    /// Returns the versions that were listed lately and are not recorded, and
+    /// those whose record was lost.
     std::vector<ServedSoftware> to_record(TimePoint now) const;
     /// Returns the ids of records of versions that were not listed within
     /// StreamOrigins::lifetime, nor were recorded anew.
@@ -64,6 +68,7 @@
     struct Record {
         ServedSoftware served;
         TimePoint learned_at{};
+        bool is_lost = false; ///< See record_lost().
     };
 
     bool was_listed(const ServedSoftware& served, TimePoint now) const;
--- a/src/libcrosslink/forward/software_history.cpp
+++ b/src/libcrosslink/forward/software_history.cpp
@@ -49,7 +49,7 @@
 void
 SoftwareHistory::recorded(const ServedSoftware& served, TimePoint now)
 {
-    m_records[served.record_id()] = {served, now};
+    m_records[served.record_id()] = {served, now, false};
 }
 
 void
@@ -58,6 +58,14 @@
     m_records.erase(id);
 }
 
+void
+SoftwareHistory::record_lost(const std::string& id)
+{
+    const auto found = m_records.find(id);
+    if (found != m_records.end())
+        found->second.is_lost = true;
+}
+
 void
 SoftwareHistory::recorded_only(const std::set<std::string>& ids)
 {
@@ -81,19 +89,18 @@
     return versions.size() > 1;
 }
 
-bool
-SoftwareHistory::any_several(TimePoint now) const
+std::set<std::string, std::less<>>
+SoftwareHistory::mixed(TimePoint now) const
 {
-    const auto has_several = [this, now](const std::string& service) {
-        return several(service, now);
-    };
-    return std::any_of(
-               m_listed_at.begin(), m_listed_at.end(),
-               [&](const auto& item) { return has_several(item.first); }) ||
-           std::any_of(m_records.begin(), m_records.end(),
-                       [&](const auto& item) {
-                           return has_several(item.second.served.service);
-                       });
+    std::set<std::string, std::less<>> services;
+    for (const auto& [service, versions] : m_listed_at)
+        services.insert(service);
+    for (const auto& [id, record] : m_records)
+        services.insert(record.served.service);
+    std::erase_if(services, [this, now](const std::string& service) {
+        return !several(service, now);
+    });
+    return services;
 }
 
 bool
@@ -110,6 +117,9 @@
 SoftwareHistory::to_record(TimePoint now) const
 {
     std::vector<ServedSoftware> result;
+    for (const auto& [id, record] : m_records)
+        if (record.is_lost)
+            result.push_back(record.served);
     for (const auto& [service, versions] : m_listed_at)
         for (const auto& [software, at] : versions) {
             const ServedSoftware served{service, software};
--- a/src/libcrosslink/forward/software_history_test.cpp
+++ b/src/libcrosslink/forward/software_history_test.cpp
@@ -14,6 +14,8 @@
 
 const TimePoint start{std::chrono::hours(1)};
 
+using Services = std::set<std::string, std::less<>>;
+
 ListedRunner
 runner(const std::string& id, const std::string& software)
 {
@@ -45,12 +47,12 @@
     CHECK_FALSE(history.several("llm", start));
     history.observe({{"llm", {{"v2", 4}}}}, start);
     CHECK(history.several("llm", start));
-    CHECK(history.any_several(start));
+    CHECK(history.mixed(start) == Services{"llm"});
     CHECK_FALSE(history.several("other", start));
     const TimePoint end = start + StreamOrigins::lifetime;
     history.observe({{"llm", {{"v2", 4}}}}, end);
     CHECK_FALSE(history.several("llm", end));
-    CHECK_FALSE(history.any_several(end));
+    CHECK(history.mixed(end).empty());
 }
 
 TEST_CASE("a version that only the record names counts as one that served")
@@ -62,7 +64,7 @@
     history.recorded({"llm", "v0"}, start);
     history.recorded({"other", "v0"}, start);
     CHECK(history.several("llm", start));
-    CHECK(history.any_several(start));
+    CHECK(history.mixed(start) == Services{"llm"});
     CHECK_FALSE(history.several("other", start));
     // However long ago it was recorded.
     const TimePoint later = start + 10 * StreamOrigins::lifetime;
@@ -105,6 +107,20 @@
           std::vector<std::string>{gone.record_id()});
 }
 
+TEST_CASE("a record that the store lost holds, and is written again")
+{
+    SoftwareHistory history;
+    const ServedSoftware old{"llm", "v1"};
+    const ServedSoftware current{"llm", "v2"};
+    history.recorded(old, start);
+    history.recorded(current, start);
+    history.record_lost(old.record_id());
+    CHECK(history.several("llm", start));
+    CHECK(history.to_record(start) == std::vector<ServedSoftware>{old});
+    history.recorded(old, start);
+    CHECK(history.to_record(start).empty());
+}
+
 TEST_CASE("records of services and versions have ids of their own")
 {
     const ServedSoftware one{"llm", "v1"};
--- a/src/serve/fleet/change_applier.cpp
+++ b/src/serve/fleet/change_applier.cpp
@@ -89,13 +89,13 @@
 void
 ChangeApplier::operator()(const SoftwareRecorded& change)
 {
-    if (is_copy() && !change.served)
-        return;
     if (change.served)
         m_software.insert(change.id);
-    m_state.software.with([&change](SoftwareHistory& history) {
+    m_state.software.with([&](SoftwareHistory& history) {
         if (change.served)
             history.recorded(*change.served, monotonic_now());
+        else if (is_copy())
+            history.record_lost(change.id);
         else
             history.unrecorded(change.id);
     });
--- a/src/serve/fleet/origin_duty.cpp
+++ b/src/serve/fleet/origin_duty.cpp
@@ -97,10 +97,11 @@
 bool
 OriginDuty::tell_untold()
 {
-    const auto untold = m_state.origins.with([this](StreamOrigins& origins) {
+    const auto mixed = m_state.mixed_services();
+    const auto untold = m_state.origins.with([&mixed](StreamOrigins& origins) {
         return origins.take_untold(
-            [this](std::string_view service) {
-                return m_state.several_software(service);
+            [&mixed](std::string_view service) {
+                return mixed.contains(service);
             },
             max_batch, monotonic_now());
     });
--- a/src/serve/fleet/stream_record_duty.cpp
+++ b/src/serve/fleet/stream_record_duty.cpp
@@ -55,10 +55,11 @@
 bool
 StreamRecordDuty::record_open()
 {
-    const auto open = m_state.origins.with([this](StreamOrigins& origins) {
+    const auto mixed = m_state.mixed_services();
+    const auto open = m_state.origins.with([&mixed](StreamOrigins& origins) {
         return origins.to_record(
-            [this](std::string_view service) {
-                return m_state.several_software(service);
+            [&mixed](std::string_view service) {
+                return mixed.contains(service);
             },
             monotonic_now());
     });
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -50,6 +50,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -277,6 +278,8 @@
     /// Returns whether several software versions of `service` served within
     /// StreamOrigins::lifetime.
     bool several_software(std::string_view service);
+    /// Returns the services of which that is so.
+    std::set<std::string, std::less<>> mixed_services();
     /// Records which software versions are listed. To be called before and
     /// after each change of the list.
     void note_software();
@@ -290,6 +293,9 @@
     /// Learns the streams that the platform has recorded, unless a reading did
     /// that began after `asked`. Throws Error if the platform doesn't answer.
     void read_stream_records(TimePoint asked);
+    /// Returns the origin of `stream` as the last reading brought it; nothing
+    /// if it is in no record.
+    std::optional<StreamOrigin> recorded_stream(std::string_view stream);
     /// Returns what the platform lists of `runner`; nothing if it does not.
     std::optional<ListedRunner> listed_runner(std::string_view runner);
     /// Returns a random listed runner of `group` other than `except` that does
@@ -406,6 +412,9 @@
     std::mutex m_reading_mutex; ///< One reads the records of streams.
     TimePoint m_read_at{};      ///< When the last reading began.
     TimePoint m_read_failed_at{};
+    /// Of all instances, by stream; as the last reading brought them.
+    Guarded<std::map<std::string, StreamOrigin, std::less<>>>
+        m_recorded_streams;
     Guarded<StarterTree> m_starter_tree;
 };
 
--- a/src/serve/forward/forward_state_streams.cpp
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -26,14 +26,19 @@
     });
 }
 
-void
-ForwardState::note_software()
+std::set<std::string, std::less<>>
+ForwardState::mixed_services()
 {
     observe_software();
-    const bool several = software.with([](const SoftwareHistory& history) {
-        return history.any_several(monotonic_now());
+    return software.with([](const SoftwareHistory& history) {
+        return history.mixed(monotonic_now());
     });
-    if (!several)
+}
+
+void
+ForwardState::note_software()
+{
+    if (mixed_services().empty())
         return;
     origin_noted.wake();
     stream_began.wake();
@@ -98,7 +103,7 @@
         throw Error(ErrorCode::PlatformUnavailable,
                     "the records of streams were not read");
     const TimePoint next =
-        m_read_at +
+        std::max(m_read_at, m_read_failed_at) +
         stream_reading_pause(instance_count(), settings.platform_reads);
     std::this_thread::sleep_for(std::max(next - monotonic_now(), Micros{0}));
     const TimePoint began = monotonic_now();
@@ -120,10 +125,24 @@
         ++served[origin.service][origin.software];
     software.with(
         [&](SoftwareHistory& history) { history.observe(served, now); });
-    origins.with([&](StreamOrigins& known) {
+    // Apart from those of this instance, which they would crowd out.
+    m_recorded_streams.with([&](auto& recorded) {
+        recorded.clear();
         for (const StreamOrigin& origin : origins_read)
-            known.merge(origin, now);
+            recorded.emplace(origin.stream, origin);
     });
 }
 
+std::optional<StreamOrigin>
+ForwardState::recorded_stream(std::string_view stream)
+{
+    return m_recorded_streams.with(
+        [stream](const auto& recorded) -> std::optional<StreamOrigin> {
+            const auto found = recorded.find(stream);
+            if (found == recorded.end())
+                return std::nullopt;
+            return found->second;
+        });
+}
+
 } // namespace crosslink
--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -50,7 +50,7 @@
     m_known_by = "none";
     const auto origin = find();
     if (!origin) {
-        if (m_several)
+        if (m_several || m_unread)
             refuse("the software that began the stream is not known");
         return std::nullopt;
     }
@@ -71,16 +71,15 @@
         return std::nullopt;
     m_stream = stream_key(m_account, m_call.resumes);
     auto known = find_here("instance");
-    // One that has just started does not know which versions served before.
+    // One that has just started does not know which versions served before, and
+    // others may have started in the same moment.
     const bool has_history = m_state.since_start() >= StreamOrigins::lifetime;
-    if (known || (has_history && !m_several))
-        return known;
-    // Others may have started in the same moment, and remember nothing either.
-    if (!has_history)
+    if (!known && !has_history)
         known = find_recorded();
+    // Another one may have heard of a second version before this one.
     if (!known)
         known = ask_homes();
-    if (!known && has_history)
+    if (!known && has_history && m_several)
         known = find_recorded();
     return known;
 }
@@ -116,12 +115,16 @@
         m_state.read_stream_records(monotonic_now());
     } catch (const Error& failure) {
         m_unanswered = true;
+        m_unread = true;
         LogLine("stream_records_not_read")
             .field("request", m_call.id)
             .field("error", failure.what());
     }
     observe_software();
-    return find_here("record");
+    auto known = m_state.recorded_stream(m_stream);
+    if (known)
+        m_known_by = "record";
+    return known;
 }
 
 std::optional<StreamOrigin>
--- a/src/serve/forward/stream_resumption.h
+++ b/src/serve/forward/stream_resumption.h
@@ -70,7 +70,8 @@
     std::string_view m_known_by; ///< See known_by().
     std::string m_began_at;      ///< See began_at().
     bool m_several = false;      ///< Several versions served lately.
-    bool m_unanswered = false;   ///< A home did not answer.
+    bool m_unanswered = false;   ///< A home or the platform did not answer.
+    bool m_unread = false;       ///< The platform's records were not read.
 };
 
 } // namespace crosslink
