Header values are bytes, not mail

What callers saw: a client's field whose text has the form of an RFC 2047 encoded word (visible ASCII on one line) came to the runner decoded, line breaks included. It ended the head there, so that the call ran without its Crosslink-Tenant and with an empty body, brought in fields that the client may not set, or held a whole second request, which the runner ran. Names with a space before the colon, lines without a colon and NULs were passed over or passed on. Answers of runners were read in the same way.

Cause: POCO's MessageHeader::read decodes words in values and skips what is no field; it has no switch for that. What came out was written on unchecked.

Change: each socket keeps the bytes of a head as POCO's session takes them (HeadRecord). Once POCO has read a head, the kept bytes are parsed strictly (HeadFields: CR LF lines, token names, no folding, no control bytes but tabs in values), and the message's fields are replaced by those. A head is refused where it is malformed, where its start line or the names of its fields are not the ones that POCO read, or where POCO read another Content-Length, Transfer-Encoding, Host, Connection or Expect: POCO had chosen the body's stream by them. A request is then answered 400 before its handler runs; an answer counts as broken. Calls between instances pass the same two doors. Before they are written, calls to runners and answers to callers are checked once more, wherever a field came from.

--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -4,6 +4,7 @@
 #include "call_connection.h"
 
 #include "clock.h"
+#include "head_fields.h"
 
 #include <crosslink/ports/call_wire.h>
 
@@ -54,6 +55,30 @@
            statuses.end();
 }
 
+/// Returns the last of `heads`: POCO passes over interim responses.
+std::string_view
+last_head(std::string_view heads)
+{
+    if (!heads.ends_with(head_end))
+        return {};
+    const std::size_t before =
+        heads.substr(0, heads.size() - head_end.size()).rfind(head_end);
+    return before == std::string_view::npos
+               ? heads
+               : heads.substr(before + head_end.size());
+}
+
+/// Throws where a part of the call's head would be read as something else.
+void
+check_sendable(const OutgoingCall& call)
+{
+    if (!HeadFields::is_token(call.method) ||
+        !HeadFields::is_text(call.target) ||
+        !std::all_of(call.headers.begin(), call.headers.end(),
+                     HeadFields::is_valid))
+        throw Poco::Net::MessageException("the call can't be sent");
+}
+
 void
 set_liveness(Poco::Net::StreamSocket& socket)
 {
@@ -126,6 +151,21 @@
             networkException()->rethrow();
     }
 
+    void begin_head()
+    {
+        watched().record().begin(static_cast<std::size_t>(buffered()));
+    }
+    /// Sets the fields of `response` to those of the head that it was read
+    /// from. Throws where that head is malformed, or was read in another way.
+    void end_head(Poco::Net::HTTPResponse& response)
+    {
+        const std::string heads =
+            watched().record().end(static_cast<std::size_t>(buffered()));
+        const auto fields = HeadFields::parse(last_head(heads));
+        if (!fields || !HeadRecord::restore(*fields, response))
+            throw Poco::Net::MessageException("the head is malformed");
+    }
+
     /// Throws where a head that was just read is cut off: POCO takes the lines
     /// that came for all of it, and a body without its length for whole.
     void check_head() const
@@ -165,6 +205,7 @@
 CallConnection::send(const OutgoingCall& call, std::string_view body,
                      const CallConnection* rival)
 {
+    check_sendable(call);
     const Session::Race race(*m_session, rival);
     m_broken = false;
     m_bodiless = call.method == "HEAD";
@@ -217,8 +258,10 @@
 {
     Poco::Net::HTTPResponse response;
     m_session->watched().progressed();
+    m_session->begin_head();
     m_body = &m_session->receiveResponse(response);
     m_session->check_head();
+    m_session->end_head(response);
     m_session->watched().progressed();
     m_chunked = response.getChunkedTransferEncoding();
     m_chunks = ChunkDecoder();
--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -364,4 +364,59 @@
     CHECK(connection.head_arrived());
 }
 
+TEST_CASE("fields of an answer come in as they were sent")
+{
+    const std::string note = "=?UTF-8?Q?a=0D=0A=0D=0Ab?=";
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                               "X-Nota: " +
+                               note + "\r\n\r\nb";
+    SentCall call;
+    call.runner.say("HTTP/1.1 100 Continue\r\nX-Nota: a\r\n\r\n" + answer +
+                    answer);
+    // The second one is in the session's buffer with the first.
+    for (int i = 0; i < 2; ++i) {
+        const RawHead head = call.connection.receive_head();
+        REQUIRE(head.headers.size() == 2);
+        CHECK(head.headers.back().value == note);
+        CHECK(call.connection.read_some() == "b");
+        if (i == 0)
+            call.connection.send(get_call(), {});
+    }
+}
+
+TEST_CASE("a malformed head of an answer is none")
+{
+    using namespace std::string_literals;
+    for (const std::string& lines :
+         {"X-Nota : a\r\n"s, "X-Nota\r\n"s, ": a\r\n"s, "X-Nota: a\r\n b\r\n"s,
+          "X-Nota: a\0b\r\n"s, "X-Nota: a\rb\r\n"s, "X-Nota: a\n"s, "a\n"s,
+          "X-Nota: a\x01\r\n"s, "Content-Length: =?UTF-8?Q?0?=\r\n"s,
+          "Transfer-Encoding: =?UTF-8?Q?chunked?=\r\n"s}) {
+        SentCall call;
+        call.runner.say("HTTP/1.1 200 OK\r\n" + lines + "\r\n");
+        CHECK_THROWS_AS(call.connection.receive_head(), Poco::Exception);
+    }
+}
+
+TEST_CASE("a call that would be read as something else is not sent")
+{
+    using namespace std::string_literals;
+    RawPeer runner;
+    CallConnection connection(runner.address(), connect_time);
+    connection.watch(-1, monotonic_now() + far_off);
+    for (const HeaderField& field :
+         {HeaderField{"X-Nota", "a\r\nb: c"}, HeaderField{"X-Nota", "a\0b"s},
+          HeaderField{"X-Nota", "a\nb"}, HeaderField{"X-Nota", "a\x1f"},
+          HeaderField{"X Nota", "a"}, HeaderField{"", "a"}}) {
+        OutgoingCall call = get_call();
+        call.headers.push_back(field);
+        CHECK_THROWS_AS(connection.send(call, {}), Poco::Exception);
+    }
+    OutgoingCall call = get_call();
+    call.target = "/ HTTP/1.1\r\na: b";
+    CHECK_THROWS_AS(connection.send(call, {}), Poco::Exception);
+    runner.accept();
+    CHECK_FALSE(runner.has_heard());
+}
+
 } // namespace crosslink
--- a/src/adapters/server_connection.cpp
+++ b/src/adapters/server_connection.cpp
@@ -4,6 +4,8 @@
 #include "server_connection.h"
 
 #include "clock.h"
+#include "head_fields.h"
+#include "head_record.h"
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
@@ -15,6 +17,7 @@
 #include <array>
 #include <cerrno>
 #include <optional>
+#include <string_view>
 #include <system_error>
 
 namespace crosslink
@@ -58,6 +61,19 @@
     return polled[0].revents != 0 ? Woken::ByBytes : Woken::ByChange;
 }
 
+/// Sets the fields of `request` to those of the head that it was read from.
+/// Returns false where that head is malformed, or was read in another way.
+bool
+restore(Poco::Net::HTTPServerRequest& request, std::string_view head)
+{
+    const auto fields = HeadFields::parse(head);
+    return fields && HeadFields::is_token(request.getMethod()) &&
+           fields->start_line() == request.getMethod() + " " +
+                                       request.getURI() + " " +
+                                       request.getVersion() &&
+           HeadRecord::restore(*fields, request);
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(const Poco::Net::StreamSocket& socket,
@@ -113,6 +129,7 @@
     Poco::Net::HTTPServerResponseImpl answer(m_session);
     m_session.limit(monotonic_now() + m_shared.times->in_force().limits.head);
     std::optional<Poco::Net::HTTPServerRequestImpl> request;
+    m_session.begin_head();
     try {
         request.emplace(answer, m_session, m_shared.parameters);
     } catch (const Poco::Net::NoMessageException&) {
@@ -123,7 +140,7 @@
     }
     // POCO takes a head that breaks off for a whole one. A head asks for no
     // byte beyond its end: where a read brought nothing, it has not ended.
-    if (m_session.broken()) {
+    if (m_session.broken() || !restore(*request, m_session.end_head())) {
         refuse();
         return false;
     }
--- a/src/adapters/server_connection_test.cpp
+++ b/src/adapters/server_connection_test.cpp
@@ -124,4 +124,69 @@
     CHECK(handled == 1);
 }
 
+TEST_CASE("fields of a request come in as they were sent")
+{
+    std::string value;
+    HttpServer server("127.0.0.1:0", {}, [&](auto& asked, auto& answer) {
+        value = asked.get("X-Nota", "");
+        send_answer(answer, 200, "text/plain", "done");
+    });
+    // Both come at once: the second one is in the session's buffer.
+    const std::string one = "GET / HTTP/1.1\r\nHost: a\r\nX-Nota: ";
+    const std::string note = "=?UTF-8?Q?a=0D=0A=0D=0Ab?=";
+    Caller caller(server);
+    caller.send(one + "first\r\nContent-Length: 0\r\n\r\n" + one + note +
+                "\r\nConnection: close\r\n\r\n");
+    caller.read_until("");
+    CHECK(value == note);
+}
+
+TEST_CASE("a head of any length comes in whole or is refused")
+{
+    constexpr std::size_t most = 4200;
+    for (std::size_t length = 4000; length < most; ++length) {
+        std::string value;
+        HttpServer server("127.0.0.1:0", {}, [&](auto& asked, auto& answer) {
+            value = asked.get("X-Nota", "");
+            send_answer(answer, 200, "text/plain", "done");
+        });
+        const std::string note(length, 'x');
+        Caller caller(server);
+        caller.send("GET / HTTP/1.1\r\nX-Nota: " + note +
+                    "\r\nConnection: close\r\n\r\n");
+        const std::string answer = caller.read_until("");
+        if (answer.starts_with("HTTP/1.1 200"))
+            CHECK(value == note);
+        else
+            CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 400"));
+    }
+}
+
+TEST_CASE("a malformed head is refused before its request runs")
+{
+    using namespace std::string_literals;
+    std::atomic<int> handled{0};
+    HttpServer server("127.0.0.1:0", {}, [&](auto&, auto& answer) {
+        ++handled;
+        send_answer(answer, 200, "text/plain", "done");
+    });
+    for (const std::string& lines :
+         {"X-Nota : a\r\n"s, "X-Nota\r\n"s, ": a\r\n"s, "X-Nota: a\r\n b\r\n"s,
+          "X-Nota: a\0b\r\n"s, "X-Nota: a\rb\r\n"s, "X-Nota: a\n"s, "a\n"s,
+          "X-Nota: a\x01\r\n"s, "Content-Length: =?UTF-8?Q?0?=\r\n"s,
+          "Host: =?UTF-8?Q?b?=\r\n"s}) {
+        Caller caller(server);
+        caller.send("GET / HTTP/1.1\r\n" + lines + "\r\n");
+        CHECK_THAT(caller.read_until(""), Catch::StartsWith("HTTP/1.1 400"));
+    }
+    for (const std::string& line :
+         {"GET /\0a HTTP/1.1"s, "GET /\x01 HTTP/1.1"s, "G(T / HTTP/1.1"s,
+          "GET  / HTTP/1.1"s, "GET / HTTP/1.1 a"s}) {
+        Caller caller(server);
+        caller.send(line + "\r\nHost: a\r\n\r\n");
+        CHECK_THAT(caller.read_until(""), Catch::StartsWith("HTTP/1.1 400"));
+    }
+    CHECK(handled == 0);
+}
+
 } // namespace crosslink
--- a/src/adapters/server_session.cpp
+++ b/src/adapters/server_session.cpp
@@ -4,6 +4,7 @@
 #include "server_session.h"
 
 #include "clock.h"
+#include "head_record.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocketImpl.h>
@@ -34,12 +35,16 @@
             wait_until(*m_end);
         const int count = StreamSocketImpl::receiveBytes(buffer, length, flags);
         m_broken = count <= 0;
+        m_record.received({static_cast<const char*>(buffer),
+                           static_cast<std::size_t>(std::max(count, 0))},
+                          static_cast<std::size_t>(length));
         return count;
     }
 
     void limit(std::optional<TimePoint> end) { m_end = end; }
     bool late() const { return m_late; }
     bool broken() const { return m_broken; }
+    HeadRecord& record() { return m_record; }
 
 private:
     void wait_until(TimePoint end)
@@ -52,6 +57,7 @@
     }
 
     std::optional<TimePoint> m_end;
+    HeadRecord m_record;
     bool m_late = false;
     bool m_broken = false; ///< The latest read brought nothing.
 };
@@ -115,6 +121,18 @@
     timed(socket()).limit(end);
 }
 
+void
+ServerSession::begin_head()
+{
+    timed(socket()).record().begin(static_cast<std::size_t>(buffered()));
+}
+
+std::string
+ServerSession::end_head()
+{
+    return timed(socket()).record().end(static_cast<std::size_t>(buffered()));
+}
+
 void
 ServerSession::end_limit()
 {
--- a/src/adapters/server_session.h
+++ b/src/adapters/server_session.h
@@ -10,6 +10,8 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <string>
+
 namespace crosslink
 {
 
@@ -29,6 +31,11 @@
     bool has_bytes() const { return buffered() > 0; }
     int descriptor();
 
+    /// To be called before a head is read.
+    void begin_head();
+    /// Returns all bytes of the head that was read, as they came in.
+    std::string end_head();
+
     /// All that is read until end_limit() must come in until `end`: else
     /// reading fails, and late() is true.
     void limit(TimePoint end);
--- a/src/adapters/testing/raw_peer.h
+++ b/src/adapters/testing/raw_peer.h
@@ -56,6 +56,12 @@
                                   Poco::Net::Socket::SELECT_READ) &&
                m_connection->receiveBytes(&byte, 1) == 0;
     }
+    /// True where bytes, or the end, came in on its connection.
+    bool has_heard()
+    {
+        return m_connection->poll(Poco::Timespan(0),
+                                  Poco::Net::Socket::SELECT_READ);
+    }
     /// True where a connection waits to be taken.
     bool is_asked()
     {
--- a/src/serve/forward/http_caller_link.cpp
+++ b/src/serve/forward/http_caller_link.cpp
@@ -3,13 +3,17 @@
 
 #include "http_caller_link.h"
 
+#include <adapters/head_fields.h>
 #include <serve/log_line.h>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <algorithm>
+
 namespace crosslink
 {
 
@@ -29,6 +33,8 @@
 void
 HttpCallerLink::set_head(int status, std::span<const HeaderField> headers)
 {
+    if (!std::all_of(headers.begin(), headers.end(), HeadFields::is_valid))
+        throw Poco::Net::MessageException("the head can't be sent");
     m_answer.setStatusAndReason(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     for (const HeaderField& field : headers)
