--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -66,7 +66,8 @@
 using PieceObserver = std::function<void(std::size_t)>;
 /// Reads a body of up to `most_bytes`. Throws Error(BodyTooLarge), and
 /// Error(BadRequest) where it ends early or is in no chunks, and
-/// Error(RequestTimeout) where it pauses for too long. What `observe` throws passes through.
+/// Error(RequestTimeout) where it pauses for too long. What `observe` throws
+/// passes through.
 std::string read_body(Poco::Net::HTTPServerRequest& request,
                       std::uint64_t most_bytes,
                       const PieceObserver& observe = {});
