--- a/src/libcrosslink/forward/stream_origins_test.cpp
+++ b/src/libcrosslink/forward/stream_origins_test.cpp
@@ -205,6 +205,7 @@
 {
     using std::chrono::milliseconds;
     CHECK(stream_record_pause(1, 400) == milliseconds(100));
+    CHECK(stream_record_pause(800, 0) == milliseconds(100));
     CHECK(stream_record_pause(8, 400) == milliseconds(200));
     CHECK(stream_record_pause(800, 3200) == milliseconds(2500));
     CHECK(stream_reading_pause(1, 2000) == milliseconds(10));
--- a/src/serve/forward/forward_settings.cpp
+++ b/src/serve/forward/forward_settings.cpp
@@ -78,13 +78,13 @@
         ->default_val(10'000)
         ->check(CLI::Range(1000, 3'600'000));
     add(verb, "--platform-writes", settings.platform_writes,
-        "Writing calls per second that the store takes of the fleet")
+        "Writing calls per second that the store takes; 0: no limit")
         ->default_val(400)
-        ->check(CLI::Range(1.0, 1e6));
+        ->check(CLI::Range(0.0, 1e6));
     add(verb, "--platform-reads", settings.platform_reads,
-        "Reading calls per second that the store takes of the fleet")
+        "Reading calls per second that the store takes; 0: no limit")
         ->default_val(2000)
-        ->check(CLI::Range(1.0, 1e6));
+        ->check(CLI::Range(0.0, 1e6));
     add(verb, "--home-instances", settings.home_instances,
         "Instances that prefer each engine, at least; 0 for no preference")
         ->default_val(3)
--- a/src/serve/forward/forward_settings.h
+++ b/src/serve/forward/forward_settings.h
@@ -40,9 +40,10 @@
     std::string ready_bind; ///< "ip:port" for readiness checks.
     std::string peer_ip;    ///< Address for the other instances.
     std::uint32_t peer_port = 0;
-    std::string platform;       ///< "ip:port" of the platform's store.
-    double platform_writes = 0; ///< That all instances may make, per second.
-    double platform_reads = 0;  ///< As platform_writes.
+    std::string platform; ///< "ip:port" of the platform's store.
+    /// Calls per second that all instances may make; 0 for no limit.
+    double platform_writes = 0;
+    double platform_reads = 0;      ///< As platform_writes.
     std::vector<std::string> seeds; ///< Hosts of instances to contact first.
     std::string metrics_bind;       ///< "ip:port"; empty for none.
     std::uint64_t memory_mb = 0;    ///< Memory limit of the process, MB.
