--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -48,7 +48,7 @@
     if (!takes_up())
         return std::nullopt;
     m_known_by = "none";
-    const auto origin = find();
+    auto origin = find();
     if (!origin) {
         if (m_several || m_unread)
             refuse("the software that began the stream is not known");
