A stream goes on only at the service that began it

What callers saw: where a route is split between services, or moves to another one, a stream that they took up at another instance went on at a service that had not begun it: 200, whole, with text of both. Where the instance remembered the origin it sent the stream to the service that the route had left, although the newer configuration was in force. Cause: whether a stream may have begun at other software was asked by versions of one service only. With one version each, no home was told and nothing was recorded, and what nobody remembered was taken for free to choose. Change: RouteHistory knows the services that share the streams of a route, now (split) or until 30 s ago (moved, added, dropped routes). They count as services of several versions do: homes are told, streams under way recorded, and what nobody knows is refused. A known origin whose service the route no longer has is refused as well.

--- a/src/include/crosslink/forward/service_map.h
+++ b/src/include/crosslink/forward/service_map.h
@@ -6,7 +6,9 @@
 #include <crosslink/base/time.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +54,8 @@
     }
     /// Returns a service chosen by weight with `random` bits.
     const std::string& pick_service(std::uint64_t random) const;
+    /// Returns the services that pick_service() may return.
+    std::set<std::string, std::less<>> picked_services() const;
 };
 
 /// A store of kept KV, as the operator configured it.
@@ -123,6 +127,9 @@
     /// Returns the store at `address`, or null.
     const KeptStoreInfo* find_store(std::string_view address) const;
     std::size_t route_count() const { return m_routes; }
+    /// Calls `use` with each route.
+    void
+    for_each_route(const std::function<void(const ServiceRoute&)>& use) const;
 
 private:
     using ByPrefix = std::map<std::string, ServiceRoute, std::less<>>;
--- a/src/libcrosslink/forward/service_map.cpp
+++ b/src/libcrosslink/forward/service_map.cpp
@@ -25,6 +25,27 @@
     return services.back().service;
 }
 
+std::set<std::string, std::less<>>
+ServiceRoute::picked_services() const
+{
+    std::set<std::string, std::less<>> picked;
+    for (const WeightedService& item : services)
+        if (item.weight > 0)
+            picked.insert(item.service);
+    if (picked.empty())
+        picked.insert(services.front().service);
+    return picked;
+}
+
+void
+ServiceMap::for_each_route(
+    const std::function<void(const ServiceRoute&)>& use) const
+{
+    for (const auto& [host, prefixes] : m_hosts)
+        for (const auto& [prefix, route] : prefixes)
+            use(route);
+}
+
 void
 ServiceMap::add_route(ServiceRoute route)
 {
--- a/src/serve/fleet/change_applier.cpp
+++ b/src/serve/fleet/change_applier.cpp
@@ -27,6 +27,7 @@
     const bool newer = m_state.fleet.with([&](FleetView& view) {
         if (view.map && view.map->version >= change.map->version)
             return false;
+        view.routes.replaced(view.map.get(), *change.map, monotonic_now());
         view.map = change.map;
         return true;
     });
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -148,8 +148,7 @@
                               monotonic_now());
         });
         Json::Value result;
-        result["several"] =
-            state.several_software(json_string(parameters, "service"));
+        result["several"] = state.is_mixed(json_string(parameters, "service"));
         if (origin)
             result["origin"] = stream_to_json(*origin);
         return result;
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -23,6 +23,7 @@
 #include <crosslink/forward/relay_selector.h>
 #include <crosslink/forward/response_times.h>
 #include <crosslink/forward/retry_window.h>
+#include <crosslink/forward/route_history.h>
 #include <crosslink/forward/runner_paths.h>
 #include <crosslink/forward/runner_table.h>
 #include <crosslink/forward/segment_demand.h>
@@ -65,6 +66,7 @@
     explicit FleetView(Micros settle) : reach(settle) {}
 
     std::shared_ptr<const ServiceMap> map; ///< Null before the first one.
+    RouteHistory routes;                   ///< Of the maps that were in force.
     bool runners_listed = false; ///< The runners were read at least once.
     std::map<std::string, WeightsHistory, std::less<>> weights; ///< By model.
     /// The versions of weights that the platform has recorded, by model.
@@ -275,9 +277,10 @@
     void relay_helped(std::string_view address);
     /// Records that it could not; see RelaySelector::failed().
     void relay_failed(std::string_view address, const RunnerPlace& place);
-    /// Returns whether several software versions of `service` served within
-    /// StreamOrigins::lifetime.
-    bool several_software(std::string_view service);
+    /// Returns whether a stream that a caller takes up at `service` may have
+    /// begun at other software: several versions of the service served within
+    /// StreamOrigins::lifetime, or its routes have or had other services.
+    bool is_mixed(std::string_view service);
     /// Returns the services of which that is so.
     std::set<std::string, std::less<>> mixed_services();
     /// Records which software versions are listed. To be called before and
--- a/src/serve/forward/forward_state_streams.cpp
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -18,11 +18,14 @@
 {
 
 bool
-ForwardState::several_software(std::string_view service)
+ForwardState::is_mixed(std::string_view service)
 {
     observe_software();
-    return software.with([service](const SoftwareHistory& history) {
-        return history.several(service, monotonic_now());
+    const TimePoint now = monotonic_now();
+    return software.with([&](const SoftwareHistory& history) {
+        return history.several(service, now);
+    }) || fleet.with([&](const FleetView& view) {
+        return view.routes.shared(service, now);
     });
 }
 
@@ -30,9 +33,12 @@
 ForwardState::mixed_services()
 {
     observe_software();
-    return software.with([](const SoftwareHistory& history) {
-        return history.mixed(monotonic_now());
-    });
+    const TimePoint now = monotonic_now();
+    auto services = software.with(
+        [now](const SoftwareHistory& history) { return history.mixed(now); });
+    services.merge(fleet.with(
+        [now](const FleetView& view) { return view.routes.shared(now); }));
+    return services;
 }
 
 void
--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -55,6 +55,8 @@
         return std::nullopt;
     }
     m_began_at = origin->software;
+    if (!m_route.picked_services().contains(origin->service))
+        refuse("the service that began the stream is not the route's any more");
     if (!m_state.serves(origin->service, origin->software))
         refuse("the software that began the stream serves no more");
     note_began(*origin);
@@ -90,7 +92,7 @@
     m_several = m_several ||
                 std::any_of(m_route.services.begin(), m_route.services.end(),
                             [this](const WeightedService& item) {
-                                return m_state.several_software(item.service);
+                                return m_state.is_mixed(item.service);
                             });
 }
 
@@ -171,7 +173,7 @@
     m_state.origins.with([&origin](StreamOrigins& origins) {
         origins.note(origin, monotonic_now());
     });
-    if (m_state.several_software(service))
+    if (m_state.is_mixed(service))
         m_state.origin_noted.wake();
 }
 
@@ -189,7 +191,7 @@
     m_state.origins.with([&origin](StreamOrigins& origins) {
         origins.began(origin, monotonic_now());
     });
-    if (!m_state.several_software(origin.service))
+    if (!m_state.is_mixed(origin.service))
         return;
     m_state.origin_noted.wake();
     m_state.stream_began.wake();
