Refuse a take-up at once where the records are read too late for it

What callers saw: a stream that nobody remembers waited for a reading of the platform's records, whose pause grows with the fleet (5 s with 985 instances), without a look at the caller's deadline: no answer came. Cause: the wait for another reading, and the pause before the next one, were not bounded by the call.

--- a/src/serve/forward/forward_run.cpp
+++ b/src/serve/forward/forward_run.cpp
@@ -48,7 +48,8 @@
       m_choice(state, m_prompt, call, route, account),
       m_admission(state, m_choice, call, route, account),
       m_crashes(state, call, account), m_intake(state, call),
-      m_connector(state, call.id), m_resumption(state, call, route, account),
+      m_connector(state, call.id),
+      m_resumption(state, call, route, account, m_deadline),
       m_hedge(state, kept, call, route.objective)
 {
 }
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -294,8 +294,9 @@
     /// Returns the known origins of streams whose home the instance `name` is.
     std::vector<StreamOrigin> streams_of(const std::string& name);
     /// Learns the streams that the platform has recorded, unless a reading did
-    /// that began after `asked`. Throws Error if the platform doesn't answer.
-    void read_stream_records(TimePoint asked);
+    /// that began after `asked`. Throws Error if the platform doesn't answer,
+    /// and at once if the reading can't begin by `latest`.
+    void read_stream_records(TimePoint asked, TimePoint latest);
     /// Returns the origin of `stream` as the last reading brought it; nothing
     /// if it is in no record.
     std::optional<StreamOrigin> recorded_stream(std::string_view stream);
@@ -412,8 +413,8 @@
                           const char* source);
 
     Guarded<CachedPosition> m_position;
-    std::mutex m_reading_mutex; ///< One reads the records of streams.
-    TimePoint m_read_at{};      ///< When the last reading began.
+    std::timed_mutex m_reading_mutex; ///< One reads the records of streams.
+    TimePoint m_read_at{};            ///< When the last reading began.
     TimePoint m_read_failed_at{};
     /// Of all instances, by stream; as the last reading brought them.
     Guarded<std::map<std::string, StreamOrigin, std::less<>>>
--- a/src/serve/forward/forward_state_streams.cpp
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -99,9 +99,12 @@
 }
 
 void
-ForwardState::read_stream_records(TimePoint asked)
+ForwardState::read_stream_records(TimePoint asked, TimePoint latest)
 {
-    const std::lock_guard lock(m_reading_mutex);
+    const std::unique_lock lock(m_reading_mutex, latest - monotonic_now());
+    if (!lock)
+        throw Error(ErrorCode::PlatformUnavailable,
+                    "the records of streams are not read in time");
     if (m_read_at > asked)
         return;
     // Those that waited meanwhile do not wait for another failure each.
@@ -111,6 +114,9 @@
     const TimePoint next =
         std::max(m_read_at, m_read_failed_at) +
         stream_reading_pause(instance_count(), settings.platform_reads);
+    if (next > latest)
+        throw Error(ErrorCode::PlatformUnavailable,
+                    "the records of streams are not to be read in time");
     std::this_thread::sleep_for(std::max(next - monotonic_now(), Micros{0}));
     const TimePoint began = monotonic_now();
     try {
--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -22,9 +22,10 @@
 StreamResumption::StreamResumption(ForwardState& state,
                                    const ForwardedCall& call,
                                    const ServiceRoute& route,
-                                   const AccountSettings* account)
+                                   const AccountSettings* account,
+                                   TimePoint deadline)
     : m_state(state), m_call(call), m_route(route),
-      m_account(account ? account->name : std::string())
+      m_account(account ? account->name : std::string()), m_deadline(deadline)
 {
 }
 
@@ -114,7 +115,7 @@
 StreamResumption::find_recorded()
 {
     try {
-        m_state.read_stream_records(monotonic_now());
+        m_state.read_stream_records(monotonic_now(), m_deadline);
     } catch (const Error& failure) {
         m_unanswered = true;
         m_unread = true;
--- a/src/serve/forward/stream_resumption.h
+++ b/src/serve/forward/stream_resumption.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <crosslink/base/time.h>
 #include <crosslink/forward/stream_origins.h>
 
 #include <cstdint>
@@ -25,9 +26,10 @@
 {
 public:
     /// All references must outlive this object. `account` is the account of the
-    /// call; null on open routes.
+    /// call; null on open routes. `deadline` is the time by which it ends.
     StreamResumption(ForwardState& state, const ForwardedCall& call,
-                     const ServiceRoute& route, const AccountSettings* account);
+                     const ServiceRoute& route, const AccountSettings* account,
+                     TimePoint deadline);
 
     /// Returns the service and the software that the stream must go on at;
     /// nothing if the choice is free. Asks other instances and the platform
@@ -66,6 +68,7 @@
     const ForwardedCall& m_call;
     const ServiceRoute& m_route;
     const std::string m_account;
+    const TimePoint m_deadline;
     std::string m_stream; ///< See stream_key(); empty where none is known.
     std::string_view m_known_by; ///< See known_by().
     std::string m_began_at;      ///< See began_at().
