Record at the platform which services resumable routes had

Cause: which service a route had before lasted in the memory of instances only; those that start read the configuration in force and take what they don't remember for what never was. An instance that starts compares the records with its configuration; services of routes that differ count as mixed. What an instance saw itself goes the same way, so that one history serves both. The record is a part of the configuration, hence never larger than that; it is written when the services of resumable routes change.

--- a/src/include/crosslink/forward/route_history.h
+++ b/src/include/crosslink/forward/route_history.h
@@ -6,41 +6,75 @@
 #include <crosslink/base/time.h>
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace crosslink
 {
 
 class ServiceMap;
-struct ServiceRoute;
+
+/// The resumable routes of a configuration, as the platform's record has them.
+struct RecordedRoutes {
+    std::string id; ///< The same for the same routes to the same services.
+    std::shared_ptr<const ServiceMap> routes; ///< Without any other ones.
+};
+
+/// Returns the resumable routes of `map`.
+RecordedRoutes resumable_routes(const ServiceMap& map);
 
 /// Which services may have begun the streams that callers take up: those of the
 /// routes in force, and those that a route had until lately. What two services
-/// write does not fit together.
+/// write does not fit together. The platform's record of routes outlives all
+/// instances.
 class RouteHistory
 {
 public:
     using Services = std::set<std::string, std::less<>>;
 
-    /// Records that `after` replaces `before` at `now`. `before` is null for
-    /// the first map.
-    void replaced(const ServiceMap* before, const ServiceMap& after,
-                  TimePoint now);
+    /// Records that the routes of `map` are in force from `now` on.
+    void in_force(const ServiceMap& map, TimePoint now);
+    /// Records that the platform has a record of `routes`, as learned at `now`.
+    void recorded(const RecordedRoutes& routes, TimePoint now);
+    /// Records that the platform has no record `id`.
+    void unrecorded(const std::string& id, TimePoint now);
+    /// Records that the platform has no records but those with `ids`.
+    void recorded_only(const std::set<std::string>& ids, TimePoint now);
+
     /// Returns whether a stream that a caller takes up at `service` at `now`
     /// may have begun at another service.
     bool shared(std::string_view service, TimePoint now) const;
     /// Returns the services for which that holds.
     Services shared(TimePoint now) const;
 
+    /// Returns the routes that are or were lately in force and are not
+    /// recorded.
+    std::vector<RecordedRoutes> to_record(TimePoint now) const;
+    /// Returns the ids of records of routes that were not in force within
+    /// StreamOrigins::lifetime.
+    std::vector<std::string> to_unrecord(TimePoint now) const;
+
 private:
-    void note_move(const ServiceRoute& from, const ServiceRoute& to,
-                   TimePoint now);
+    struct Routes {
+        std::shared_ptr<const ServiceMap> map;
+        TimePoint used_at{}; ///< Last known in force, or found recorded.
+        bool is_recorded = false;
+    };
+
+    bool is_current(const std::string& id) const { return id == m_current; }
+    bool counts(const std::string& id, const Routes& routes,
+                TimePoint now) const;
+    void update(TimePoint now);
+    void note_moves(const ServiceMap& before, TimePoint until);
 
+    std::map<std::string, Routes> m_routes; ///< By id.
+    std::string m_current;                  ///< Id of those in force.
     Services m_split; ///< Of the routes in force that have several.
-    /// For each service of a route that moved, when a route of it moved last.
-    std::map<std::string, TimePoint, std::less<>> m_moved_at;
+    /// Until when each service of a route that moved counts.
+    std::map<std::string, TimePoint, std::less<>> m_moved_until;
 };
 
 } // namespace crosslink
--- a/src/include/crosslink/ports/fleet_feed.h
+++ b/src/include/crosslink/ports/fleet_feed.h
@@ -57,6 +57,13 @@
     std::optional<ServedSoftware> served; ///< Nothing if it is not recorded.
 };
 
+/// Whether resumable routes are recorded as ones that were in force lately.
+struct RoutesRecorded {
+    std::string id; ///< See RecordedRoutes.
+    /// Null if they are not recorded.
+    std::shared_ptr<const ServiceMap> routes;
+};
+
 /// Whether the operator asks that nothing new is sent to the runners of an
 /// availability zone.
 struct ZoneEvacuated {
@@ -90,8 +97,9 @@
 /// One decoded change of the platform's data about the fleet.
 using FleetChange =
     std::variant<ServiceMapChanged, WeightsNamed, WeightsRecorded,
-                 RolloutMarked, RequestBlocked, SoftwareRecorded, ZoneEvacuated,
-                 RunnerListed, RunnerGone, InstanceListed, DutyHolder>;
+                 RolloutMarked, RequestBlocked, SoftwareRecorded,
+                 RoutesRecorded, ZoneEvacuated, RunnerListed, RunnerGone,
+                 InstanceListed, DutyHolder>;
 
 /// What a list of changes describes.
 enum class ChangesKind {
--- a/src/libcrosslink/forward/route_history_test.cpp
+++ b/src/libcrosslink/forward/route_history_test.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <initializer_list>
+#include <vector>
 
 using namespace crosslink;
 
@@ -42,8 +43,8 @@
 shared_after(const ServiceMap& before, const ServiceMap& after)
 {
     RouteHistory history;
-    history.replaced(nullptr, before, start);
-    history.replaced(&before, after, start);
+    history.in_force(before, start);
+    history.in_force(after, start);
     return history.shared(start);
 }
 
@@ -55,7 +56,7 @@
     const ServiceMap split =
         map_of({route("/a/", {{"one", 1}, {"two", 3}, {"idle", 0}}),
                 route("/b/", {{"three", 1}})});
-    history.replaced(nullptr, split, start);
+    history.in_force(split, start);
     CHECK(history.shared(start) == Services{"one", "two"});
     CHECK(history.shared("two", start));
     CHECK_FALSE(history.shared("idle", start));
@@ -67,9 +68,9 @@
     RouteHistory history;
     const ServiceMap before = map_of({route("/a/", {{"one", 1}})});
     const ServiceMap after = map_of({route("/a/", {{"two", 1}})});
-    history.replaced(nullptr, before, start);
+    history.in_force(before, start);
     CHECK(history.shared(start).empty());
-    history.replaced(&before, after, start);
+    history.in_force(after, start);
     CHECK(history.shared(start) == Services{"one", "two"});
     const TimePoint end = start + StreamOrigins::lifetime;
     CHECK_FALSE(history.shared("one", end));
@@ -102,3 +103,55 @@
     CHECK(shared_after(after, before).empty());
     CHECK(shared_after(after, after).empty());
 }
+
+TEST_CASE("routes that only the record names count as ones that were in force")
+{
+    RouteHistory history;
+    const RecordedRoutes before =
+        resumable_routes(map_of({route("/a/", {{"one", 1}})}));
+    history.recorded(before, start);
+    history.in_force(map_of({route("/a/", {{"two", 1}})}), start);
+    CHECK(history.shared(start) == Services{"one", "two"});
+    const TimePoint later = start + 2 * StreamOrigins::lifetime;
+    CHECK(history.shared("one", later));
+    CHECK(history.to_unrecord(start).empty());
+    CHECK(history.to_unrecord(later) == std::vector{before.id});
+    history.unrecorded(before.id, later);
+    CHECK(history.shared(later).empty());
+    CHECK(history.to_unrecord(later).empty());
+}
+
+TEST_CASE("routes in force are recorded once, and again when that is lost")
+{
+    RouteHistory history;
+    const ServiceMap map = map_of({route("/a/", {{"one", 1}})});
+    history.in_force(map, start);
+    REQUIRE(history.to_record(start).size() == 1);
+    const RecordedRoutes routes = history.to_record(start).front();
+    CHECK(routes.id == resumable_routes(map).id);
+    history.recorded(routes, start);
+    CHECK(history.to_record(start).empty());
+    const TimePoint later = start + 2 * StreamOrigins::lifetime;
+    CHECK(history.to_unrecord(later).empty());
+    history.recorded_only({}, later);
+    CHECK(history.to_record(later).size() == 1);
+}
+
+TEST_CASE("routes that came and went before a record are recorded too")
+{
+    RouteHistory history;
+    history.in_force(map_of({route("/a/", {{"one", 1}})}), start);
+    history.in_force(map_of({route("/a/", {{"two", 1}})}), start);
+    CHECK(history.to_record(start).size() == 2);
+    const TimePoint end = start + StreamOrigins::lifetime;
+    CHECK(history.to_record(end).size() == 1);
+}
+
+TEST_CASE("a configuration without resumable routes is not recorded")
+{
+    ServiceRoute plain = route("/a/", {{"one", 1}});
+    plain.resumable = false;
+    RouteHistory history;
+    history.in_force(map_of({plain}), start);
+    CHECK(history.to_record(start).empty());
+}
--- a/src/serve/coordinator/software_duty.cpp
+++ b/src/serve/coordinator/software_duty.cpp
@@ -47,6 +47,7 @@
             record(version);
         for (const std::string& id : outdated)
             unrecord(id);
+        record_routes();
     } catch (const Error& failure) {
         LogLine("software_not_recorded").field("error", failure.what());
     }
@@ -67,6 +68,31 @@
         .field("software", served.software);
 }
 
+void
+SoftwareDuty::record_routes()
+{
+    std::vector<RecordedRoutes> used;
+    std::vector<std::string> outdated;
+    m_state.fleet.with([&](const FleetView& view) {
+        used = view.routes.to_record(monotonic_now());
+        outdated = view.routes.to_unrecord(monotonic_now());
+    });
+    for (const RecordedRoutes& routes : used) {
+        m_state.ports.software.record(routes);
+        m_state.fleet.with([&routes](FleetView& view) {
+            view.routes.recorded(routes, monotonic_now());
+        });
+        LogLine("routes_recorded").field("record", routes.id);
+    }
+    for (const std::string& id : outdated) {
+        m_state.ports.software.remove_routes(id);
+        m_state.fleet.with([&id](FleetView& view) {
+            view.routes.unrecorded(id, monotonic_now());
+        });
+        LogLine("routes_record_removed").field("record", id);
+    }
+}
+
 void
 SoftwareDuty::unrecord(const std::string& id)
 {
--- a/src/serve/coordinator/software_duty.h
+++ b/src/serve/coordinator/software_duty.h
@@ -12,9 +12,10 @@
 {
 
 /// While this instance holds the coordinator duty, records at the platform
-/// which software versions serve, and removes the records of those that served
-/// too long ago to matter; idle otherwise. Running instances see the versions
-/// in the list; the record is for those that start after all others are gone.
+/// which software versions serve and which services resumable routes have, and
+/// removes the records of those that served too long ago to matter; idle
+/// otherwise. Running instances see both; the record is for those that start
+/// after all others are gone.
 class SoftwareDuty
 {
 public:
@@ -31,6 +32,7 @@
     Micros round();
     void record(const ServedSoftware& served);
     void unrecord(const std::string& id);
+    void record_routes();
 
     ForwardState& m_state;
     Duty m_duty;
--- a/src/serve/fleet/change_applier.cpp
+++ b/src/serve/fleet/change_applier.cpp
@@ -27,7 +27,7 @@
     const bool newer = m_state.fleet.with([&](FleetView& view) {
         if (view.map && view.map->version >= change.map->version)
             return false;
-        view.routes.replaced(view.map.get(), *change.map, monotonic_now());
+        view.routes.in_force(*change.map, monotonic_now());
         view.map = change.map;
         return true;
     });
@@ -102,6 +102,20 @@
     });
 }
 
+void
+ChangeApplier::operator()(const RoutesRecorded& change)
+{
+    const TimePoint now = monotonic_now();
+    if (change.routes)
+        m_routes.insert(change.id);
+    m_state.fleet.with([&](FleetView& view) {
+        if (change.routes)
+            view.routes.recorded({change.id, change.routes}, now);
+        else
+            view.routes.unrecorded(change.id, now);
+    });
+}
+
 void
 ChangeApplier::operator()(const ZoneEvacuated& change)
 {
@@ -294,6 +308,7 @@
     });
     m_state.fleet.with([this](FleetView& view) {
         view.runners_listed = true;
+        view.routes.recorded_only(m_routes, monotonic_now());
         view.holders.record_gap(monotonic_now());
         if (!m_holder_named) {
             view.coordinator.clear();
--- a/src/serve/fleet/change_applier.h
+++ b/src/serve/fleet/change_applier.h
@@ -33,6 +33,7 @@
     void operator()(const RolloutMarked& change);
     void operator()(const RequestBlocked& change);
     void operator()(const SoftwareRecorded& change);
+    void operator()(const RoutesRecorded& change);
     void operator()(const ZoneEvacuated& change);
     void operator()(const RunnerListed& change);
     void operator()(const RunnerGone& change);
@@ -59,6 +60,7 @@
     std::set<std::string> m_evacuated; ///< Zones.
     std::set<std::string> m_blocked;   ///< Requests, by digest.
     std::set<std::string> m_software;  ///< Records, by id.
+    std::set<std::string> m_routes;    ///< As above.
     bool m_holder_named = false;
 };
 
