Find routes by host without its case and port

What callers saw: a Host in capitals, or with a port, got 404. Cause: hosts were compared byte by byte.

--- a/src/include/crosslink/forward/service_map.h
+++ b/src/include/crosslink/forward/service_map.h
@@ -119,7 +119,8 @@
     void add_key(std::string key, std::size_t index);
 
     /// Returns the route of `host` with the longest prefix of `path`, or
-    /// null where there is none.
+    /// null where there is none. Hosts compare without their case, and a port
+    /// in `host` does not count (RFC 9110, 4.2.3 and 7.2).
     const ServiceRoute* find_route(std::string_view host,
                                    std::string_view path) const;
     /// Returns the account of `key`, or null.
--- a/src/libcrosslink/forward/service_map.cpp
+++ b/src/libcrosslink/forward/service_map.cpp
@@ -4,10 +4,41 @@
 #include <crosslink/forward/service_map.h>
 
 #include <algorithm>
+#include <cctype>
 
 namespace crosslink
 {
 
+namespace
+{
+
+std::string
+lower_case(std::string_view text)
+{
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(),
+                   [](unsigned char letter) {
+                       return static_cast<char>(std::tolower(letter));
+                   });
+    return result;
+}
+
+/// Returns `host` without a port. An address in brackets may hold colons.
+std::string_view
+without_port(std::string_view host)
+{
+    const std::size_t colon = host.rfind(':');
+    const std::size_t bracket = host.rfind(']');
+    const bool is_port =
+        colon != std::string_view::npos &&
+        (bracket == std::string_view::npos || bracket < colon) &&
+        host.find_first_not_of("0123456789", colon + 1) ==
+            std::string_view::npos;
+    return is_port ? host.substr(0, colon) : host;
+}
+
+} // namespace
+
 const std::string&
 ServiceRoute::pick_service(std::uint64_t random) const
 {
@@ -49,7 +80,7 @@
 void
 ServiceMap::add_route(ServiceRoute route)
 {
-    ByPrefix& prefixes = m_hosts[route.host];
+    ByPrefix& prefixes = m_hosts[lower_case(route.host)];
     const std::string prefix = route.path_prefix;
     if (prefixes.insert_or_assign(prefix, std::move(route)).second)
         ++m_routes;
@@ -64,7 +95,7 @@
 const ServiceRoute*
 ServiceMap::find_route(std::string_view host, std::string_view path) const
 {
-    const auto prefixes = m_hosts.find(host);
+    const auto prefixes = m_hosts.find(lower_case(without_port(host)));
     if (prefixes == m_hosts.end())
         return nullptr;
     // Prefixes end with a slash, so that only parts of the path that end with
--- a/src/libcrosslink/forward/service_map_test.cpp
+++ b/src/libcrosslink/forward/service_map_test.cpp
@@ -49,6 +49,23 @@
     CHECK(map.find_route("h", "/x/y")->name == "root");
 }
 
+TEST_CASE("a host is the same in capitals and with a port")
+{
+    ServiceMap map;
+    map.add_route(route("shop", "Shop.example", "/"));
+    map.add_route(route("address", "[::1]", "/"));
+    for (const char* host : {"shop.example", "SHOP.example", "shop.example:80",
+                             "Shop.Example:", "shop.example:65535"}) {
+        REQUIRE(map.find_route(host, "/"));
+        CHECK(map.find_route(host, "/")->name == "shop");
+    }
+    CHECK(map.find_route("[::1]", "/")->name == "address");
+    CHECK(map.find_route("[::1]:80", "/")->name == "address");
+    for (const char* host : {"shop.example:x", "shop.example.", ":80", "",
+                             "other:shop.example", "shop.example:80:80"})
+        CHECK(map.find_route(host, "/") == nullptr);
+}
+
 TEST_CASE("a key opens its account and no other")
 {
     ServiceMap map;
