Take no digits behind a space for part of a chunk's extension

What callers saw: a chunk whose size line is "2 2" was taken for one of two bytes, and the call ran; another reader may take 22 for its size, and the rest of the body for a request. Cause: a space after the size began the extension, which may hold any byte. Change: after spaces only an extension or the line's end may follow.

--- a/src/adapters/chunk_decoder.cpp
+++ b/src/adapters/chunk_decoder.cpp
@@ -72,6 +72,9 @@
     case State::Size:
         m_state = after_size_byte(byte);
         break;
+    case State::SizeSpace:
+        m_state = after_space(byte);
+        break;
     case State::Extension:
         if (byte == '\r')
             m_state = State::SizeEnd;
@@ -117,11 +120,25 @@
 {
     if (byte == '\r')
         return State::SizeEnd;
-    if (byte == ';' || byte == ' ' || byte == '\t')
+    if (byte == ';')
         return State::Extension;
+    if (byte == ' ' || byte == '\t')
+        return State::SizeSpace;
     return after_digit(byte);
 }
 
+/// Takes a byte after the space behind a chunk's size: only an extension may
+/// follow. Another reader could take digits for a part of the size.
+ChunkDecoder::State
+ChunkDecoder::after_space(char byte)
+{
+    if (byte == '\r')
+        return State::SizeEnd;
+    if (byte == ';')
+        return State::Extension;
+    return byte == ' ' || byte == '\t' ? State::SizeSpace : State::Malformed;
+}
+
 ChunkDecoder::State
 ChunkDecoder::after_digit(char byte)
 {
--- a/src/adapters/chunk_decoder.h
+++ b/src/adapters/chunk_decoder.h
@@ -31,6 +31,7 @@
     enum class State {
         FirstDigit,
         Size,
+        SizeSpace, ///< A space or tab after the size.
         Extension,
         SizeEnd, ///< CR was taken.
         Data,
@@ -46,6 +47,7 @@
 
     void take_byte(char byte);
     State after_size_byte(char byte);
+    static State after_space(char byte);
     State after_digit(char byte);
 
     State m_state = State::FirstDigit;
--- a/src/adapters/chunk_decoder_test.cpp
+++ b/src/adapters/chunk_decoder_test.cpp
@@ -72,7 +72,7 @@
 TEST_CASE("extensions and trailer fields are passed over")
 {
     const Decoded found = decode(
-        "A;name=\"x\"\r\n0123456789\r\n000\r\nExpires: 0\r\nX: y\r\n\r\n");
+        "A \t;name=\"x\"\r\n0123456789\r\n000 \r\nExpires: 0\r\nX: y\r\n\r\n");
     CHECK(found.is_done);
     CHECK(found.data == "0123456789");
 }
@@ -89,7 +89,8 @@
     for (const std::string body :
          {"\r\n", "x\r\n", "-1\r\n", "1\na\r\n", "1\r\nab\r\n",
           "1\r\na\n0\r\n\r\n", "1\r\na\r\r", "1\rx", "+1\r\n", "0\r\n\n",
-          "0\r\nX: y\n", "1;a\nb\r\n", "ffffffffffffffffff\r\n"}) {
+          "2 2\r\n", "2 \t2;x\r\n", "0\r\nX: y\n", "1;a\nb\r\n",
+          "ffffffffffffffffff\r\n"}) {
         const Decoded found = decode(body);
         CHECK(found.is_malformed);
         CHECK_FALSE(found.is_done);
