Decide in one place where the body of a message ends

What callers saw: an answer with two lengths came as a whole 200 with the part that the first one told ("bod" of "body of ..."). At the own door a request with a length and chunks, two lengths or another coding was read and the connection kept, so that its rest was taken for the next request. Cause: requests at the users' door were checked; answers and the own door were not. Change: MessageFraming reads what a head tells of its body's end, for requests at both doors and for answers of runners and of instances that pass calls on. What can be read in two ways is 400, or a broken answer.

--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "head_fields.h"
+#include "message_framing.h"
 
 #include <crosslink/ports/call_wire.h>
 
@@ -263,9 +264,12 @@
     m_session->check_head();
     m_session->end_head(response);
     m_session->watched().progressed();
-    m_chunked = response.getChunkedTransferEncoding();
+    const auto framing = MessageFraming::of(response);
+    if (!framing)
+        throw Poco::Net::MessageException("the end of the body is ambiguous");
+    m_chunked = framing->chunked;
     m_chunks = ChunkDecoder();
-    m_length = m_chunked ? -1 : response.getContentLength64();
+    m_length = framing->length ? static_cast<long long>(*framing->length) : -1;
     m_read = 0;
     RawHead head;
     head.status = response.getStatus();
--- a/src/adapters/server_connection.cpp
+++ b/src/adapters/server_connection.cpp
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "head_fields.h"
 #include "head_record.h"
+#include "message_framing.h"
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
@@ -62,7 +63,8 @@
 }
 
 /// Sets the fields of `request` to those of the head that it was read from.
-/// Returns false where that head is malformed, or was read in another way.
+/// Returns false where that head is malformed, was read in another way, or does
+/// not tell where the body ends: it could hide another request.
 bool
 restore(Poco::Net::HTTPServerRequest& request, std::string_view head)
 {
@@ -71,7 +73,7 @@
            fields->start_line() == request.getMethod() + " " +
                                        request.getURI() + " " +
                                        request.getVersion() &&
-           HeadRecord::restore(*fields, request);
+           HeadRecord::restore(*fields, request) && MessageFraming::of(request);
 }
 
 } // namespace
--- a/src/serve/forward/forward_server.cpp
+++ b/src/serve/forward/forward_server.cpp
@@ -80,33 +80,6 @@
     return head;
 }
 
-/// Throws Error(BadRequest) if the length of the body is ambiguous: a request
-/// whose length can be read in two ways could hide another request.
-void
-check_framing(const Poco::Net::HTTPServerRequest& request)
-{
-    const bool chunked = request.getChunkedTransferEncoding();
-    const auto count = [&request](const std::string& name) {
-        return std::count_if(request.begin(), request.end(),
-                             [&name](const auto& field) {
-                                 return Poco::icompare(field.first, name) == 0;
-                             });
-    };
-    const auto lengths = count("Content-Length");
-    const auto encodings = count("Transfer-Encoding");
-    if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0) ||
-        (encodings > 0 && !chunked))
-        throw Error(ErrorCode::BadRequest,
-                    "the length of the body is ambiguous");
-    if (lengths == 1) {
-        const std::string& text = request.get("Content-Length");
-        if (text.empty() ||
-            text.find_first_not_of("0123456789") != std::string::npos)
-            throw Error(ErrorCode::BadRequest,
-                        "Content-Length is not a number");
-    }
-}
-
 /// Takes `bytes` of a body out of the instance's budget. Throws
 /// Error(QueueFull) if they are not left.
 void
@@ -184,7 +157,6 @@
     try {
         const auto map = m_state.map();
         const CallerLimits limits = map ? map->limits : CallerLimits{};
-        check_framing(request);
         ForwardedCall call = m_state.ports.wire.decode_call(
             head_of(request, limits.header_bytes));
         call.received_at = monotonic_now();
--- a/testsuite/caller-errors/run.py
+++ b/testsuite/caller-errors/run.py
@@ -76,6 +76,15 @@
         flood = b"GET /v1/models HTTP/1.1\r\n" + b"".join(
             b"X-%d: y\r\n" % number for number in range(5000)) + b"\r\n"
         assert b" 200 " not in send_raw(entry.address, flood)[:20]
+        hidden = b"GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n"
+        for framing in (b"Content-Length: 4\r\nTransfer-Encoding: chunked",
+                        b"Content-Length: 4\r\nContent-Length: 9",
+                        b"Transfer-Encoding: gzip", b"Content-Length: +4"):
+            answer = send_raw(entry.address, (
+                b"POST /bookings HTTP/1.1\r\nHost: a\r\n" + framing +
+                b"\r\n\r\n0\r\n\r\n" + hidden))
+            assert answer.startswith(b"HTTP/1.1 400"), (framing, answer)
+            assert answer.count(b"HTTP/1.1") == 1, (framing, answer)
         # A body that ends early, and a caller that never goes on.
         send_raw(entry.address, b"nonsense\r\n\r\n")
         host, port = entry.address.split(":")
