A fuzz of framing between rude clients and rude runners

The fuzz draws requests (framing, chunk sizes, extensions, pauses, cuts at any byte, bytes after a request, pipelines, two lengths, malformed fields, encoded words, large heads) and answers (the same, and answers of no call, of another call, interim and bodiless ones, bytes without end). Both sides know what they sent: nothing runs that was not sent, changed, in part or twice; each answer is the whole one to its call; no process ends; memory is bounded; all is served again afterwards. It does not draw streams of events, relays, the own door, kills or faults of the store, and the soak does not use its generator yet.

--- /dev/null
+++ b/testsuite/framing-fuzz/fuzz.py
@@ -0,0 +1,185 @@
+# SPDX-License-Identifier: Apache-2.0
+# Copyright Contributors to the crosslink project.
+"""A fuzz of framing: the real program between rude clients and rude runners.
+
+    fuzz.py [--seed N] [--seeds COUNT] [--seconds S] [--instances P]
+
+The seed gives what clients and runners send; how threads meet is the machine's.
+Checks, from what both sides know that they sent and saw: no request runs that no
+client sent, none runs changed or in part, what may run once runs once, each answer
+is the whole one to its own call, no process ends, memory is bounded, and all is
+served again afterwards. It ends only what it started."""
+
+import argparse
+import contextlib
+import os
+import random
+import sys
+import threading
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+ROOT = os.path.dirname(os.path.dirname(HERE))
+sys.path.insert(0, os.path.join(ROOT, "platform", "testsuite"))
+import rude_client  # noqa: E402
+import rude_runner  # noqa: E402
+import world as w  # noqa: E402
+from world import f  # noqa: E402
+
+CLIENTS = 6
+MOST_MEMORY_MB = 200
+CALM_CALLS = 20
+CALM_SECONDS = 20
+
+
+class FuzzWorld(w.World):
+    """A store, three rude runners, and instances before them."""
+
+    def __init__(self, seed, instances):
+        super().__init__(instances=instances)
+        for runner in self.plain:
+            self.store.remove("servers/" + runner.id)
+        self.rude = [rude_runner.RudeRunner(seed, n) for n in range(3)]
+        for runner in self.rude:
+            self.list(runner, "plain")
+
+    def __exit__(self, *reason):
+        super().__exit__(*reason)
+        for runner in self.rude:
+            runner.end()
+
+
+def check_runs(sent, runners):
+    """Returns what is wrong with the requests that runners got."""
+    wrong = []
+    counts = {}
+    for runner in runners:
+        wrong += ["a runner got " + text for text in runner.malformed]
+        for run in runner.runs:
+            request = sent.get(run.call)
+            counts[run.call] = counts.get(run.call, 0) + 1
+            if request is None:
+                wrong.append("a request ran that nobody sent: %r" % (run,))
+            elif request.must_not_run:
+                wrong.append("%s ran, %s: %r" % (run.call, request.what,
+                                                 request.bytes[:400]))
+            elif run.body != request.body or run.target != request.target:
+                wrong.append("%s ran changed: %r" % (run.call, request.what))
+            elif run.tenant != "one" or run.note != request.note:
+                wrong.append("%s ran with %r, %r" % (run.call, run.tenant,
+                                                     run.note))
+    for call, count in counts.items():
+        if count > 1 and call in sent and sent[call].once:
+            wrong.append("%s ran %d times" % (call, count))
+    return wrong
+
+
+def check_answers(got, runners):
+    """Returns what is wrong with the answers that clients got."""
+    wrong = []
+    made = {}
+    for runner in runners:
+        made.update(runner.made)
+    for call, answer in got:
+        signature = answer.signature()
+        if signature is None or not answer.whole:
+            continue
+        known = made.get(signature)
+        if known is None or known.call != call:
+            wrong.append("%s got the answer %r" % (call, signature))
+        elif not known.whole:
+            wrong.append("%s got a part as whole, %s" % (call, known.what))
+        elif (answer.status, answer.body) != (known.status, known.body):
+            wrong.append("%s got a changed answer, %s" % (call, known.what))
+        elif answer.note() != known.note:
+            wrong.append("%s got a changed field, %r" % (call, known.note))
+    return wrong
+
+
+def memory_mb(process):
+    with open("/proc/%d/status" % process.pid) as status:
+        for line in status:
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) / 1024
+    return 0
+
+
+def check_processes(instances):
+    wrong = []
+    for instance in instances:
+        if instance.process.poll() is not None:
+            wrong.append("a process ended: %r" % instance.process.returncode)
+        elif "sanitize" not in os.environ.get("CROSSLINK_PROGRAMS", "") and (
+                memory_mb(instance.process) > MOST_MEMORY_MB):
+            wrong.append("memory: %d MB" % memory_mb(instance.process))
+    return wrong
+
+
+def check_served(world):
+    """All is served again once runners are polite."""
+    for runner in world.rude:
+        runner.polite = True
+
+    def served():
+        return all(w.call(world, "POST", "/safe/", w.headers(), "a",
+                          instance=n).status == 200
+                   for n in range(len(world.instances)))
+    with contextlib.suppress(AssertionError):
+        f.wait_until(served, "calls are served again", CALM_SECONDS)
+    answers = [w.call(world, "POST", "/once/", w.headers(), "a",
+                      instance=n % len(world.instances)).status
+               for n in range(CALM_CALLS)]
+    return ["not served again: %r" % answers] if set(answers) != {200} else []
+
+
+def play(seed, seconds, instances):
+    """Returns what broke, and how many requests and runs there were."""
+    with FuzzWorld(seed, instances) as world:
+        clients = [rude_client.RudeClient(seed, n, world.instances)
+                   for n in range(CLIENTS)]
+        stop = time.monotonic() + seconds
+        threads = [threading.Thread(target=client.run, args=(stop,))
+                   for client in clients]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        sent = {}
+        got = []
+        for client in clients:
+            sent.update(client.sent)
+            got += client.got
+        runs = sum(len(runner.runs) for runner in world.rude)
+        answered = sum(answer.signature() is not None and answer.whole
+                       for _, answer in got)
+        wrong = check_runs(sent, world.rude) + check_answers(got, world.rude)
+        wrong += [text for client in clients for text in client.wrong]
+        wrong += check_processes(world.instances) + check_served(world)
+        return wrong, len(sent), runs, answered
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=random.randrange(10 ** 6))
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--instances", type=int, default=2)
+    given = parser.parse_args()
+    failed = []
+    for seed in range(given.seed, given.seed + given.seeds):
+        wrong, sent, runs, answered = play(seed, given.seconds,
+                                           given.instances)
+        print("seed %d: %d requests, %d runs, %d whole answers, %s" % (
+            seed, sent, runs, answered, "broken" if wrong else "held"),
+            flush=True)
+        for text in wrong[:20]:
+            print("  " + text, flush=True)
+        # A run in which nothing is answered checks nothing.
+        if wrong or answered == 0:
+            failed.append(seed)
+    print("failed seeds:", failed)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
