--- a/testsuite/framing-fuzz/wire.py
+++ b/testsuite/framing-fuzz/wire.py
@@ -121,3 +121,13 @@
     text += draw.choice([b"", b"0\r\n\r\n", b"a\r\n", b"HTTP/1.1 200 OK\r\n\r\n",
                          b"caldo;40\r\n0\r\n\r\n"])
     return text + b"x" * draw.choice([0, 0, 1, 7, 500, 5000, 70000])
+
+
+def events_of(draw, call):
+    """A stream of events that name their call."""
+    out = b""
+    for number in range(1, draw.choice([2, 3, 10, 40])):
+        note = draw.choice([b"", b"", b": a comment\n", b"versions: 1\n"])
+        out += note + b"id: %d\ndata: %s %s\n\n" % (
+            number, call.encode(), b"y" * draw.choice([0, 5, 900]))
+    return out
