--- a/src/build-scripts/mutate.py
+++ b/src/build-scripts/mutate.py
@@ -276,7 +276,9 @@
      "src/libcrosslink/forward/answer_match.cpp",
      "return head.not_run && only_call ? AnswerMatch::ThisCall\n"
      "                                         : AnswerMatch::NoCall;",
-     "return AnswerMatch::ThisCall;", "framing-fuzz"),
+     "return only_call || !head.not_run ? AnswerMatch::ThisCall\n"
+     "                                         : AnswerMatch::ThisCall;",
+     "framing-fuzz"),
     ("read fields of heads as mail", "src/adapters/head_record.cpp",
      "message.clear();", "return true;", "framing-fuzz"),
     ("take a part of a chunked answer for the whole",
