Fuzz of framing ends what it started, and tells of answers that break

Told to end, it left its instances behind; and an answer that broke off in the check that all is served again ended the fuzz without its list of failed seeds.

--- a/testsuite/framing-fuzz/fuzz.py
+++ b/testsuite/framing-fuzz/fuzz.py
@@ -12,8 +12,10 @@
 
 import argparse
 import contextlib
+import http.client
 import os
 import random
+import signal
 import sys
 import threading
 import time
@@ -119,6 +121,14 @@
     return wrong
 
 
+def status_of_call(world, instance):
+    try:
+        return w.call(world, "POST", "/once/", w.headers(), "a",
+                      instance=instance).status
+    except (OSError, http.client.HTTPException) as failure:
+        return repr(failure)
+
+
 def check_served(world):
     """All is served again once runners are polite."""
     for runner in world.rude:
@@ -130,8 +140,7 @@
                    for n in range(len(world.instances)))
     with contextlib.suppress(AssertionError):
         f.wait_until(served, "calls are served again", CALM_SECONDS)
-    answers = [w.call(world, "POST", "/once/", w.headers(), "a",
-                      instance=n % len(world.instances)).status
+    answers = [status_of_call(world, n % len(world.instances))
                for n in range(CALM_CALLS)]
     return ["not served again: %r" % answers] if set(answers) != {200} else []
 
@@ -169,6 +178,8 @@
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--instances", type=int, default=2)
     given = parser.parse_args()
+    # Ends what it started also where it is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed = []
     for seed in range(given.seed, given.seed + given.seeds):
         wrong, sent, runs, answered = play(seed, given.seconds,
