Keep no earlier configurations for the services that routes had

What it costs: each set of resumable routes of the last 30 s was kept whole, and each record of one too, so that a storm of changes of a large configuration could take as many copies of it as there were changes. Change: a configuration is compared with the one that it replaces, and a record with the one in force, once; what stays are the services that count, and until when. A service that only a record names counts for 30 s from when it was learned, as streams of it began before that.

--- a/src/include/crosslink/forward/route_history.h
+++ b/src/include/crosslink/forward/route_history.h
@@ -5,6 +5,7 @@
 
 #include <crosslink/base/time.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -51,30 +52,33 @@
     Services shared(TimePoint now) const;
 
     /// Returns the routes that are or were lately in force and are not
-    /// recorded.
+    /// recorded; of many, the latest ones.
     std::vector<RecordedRoutes> to_record(TimePoint now) const;
     /// Returns the ids of records of routes that were not in force within
     /// StreamOrigins::lifetime.
     std::vector<std::string> to_unrecord(TimePoint now) const;
 
 private:
-    struct Routes {
-        std::shared_ptr<const ServiceMap> map;
+    struct Known {
         TimePoint used_at{}; ///< Last known in force, or found recorded.
         bool is_recorded = false;
     };
 
-    bool is_current(const std::string& id) const { return id == m_current; }
-    bool counts(const std::string& id, const Routes& routes,
-                TimePoint now) const;
-    void update(TimePoint now);
-    void note_moves(const ServiceMap& before, TimePoint until);
+    bool is_current(const std::string& id) const { return id == m_current.id; }
+    void note_moves(const ServiceMap& before, const ServiceMap& after,
+                    TimePoint now);
+    void add_unrecorded(const RecordedRoutes& routes);
+    void expire(TimePoint now);
 
-    std::map<std::string, Routes> m_routes; ///< By id.
-    std::string m_current;                  ///< Id of those in force.
-    Services m_split; ///< Of the routes in force that have several.
+    RecordedRoutes m_current; ///< Those in force; null before the first ones.
+    Services m_split;         ///< Of those that have several.
     /// Until when each service of a route that moved counts.
     std::map<std::string, TimePoint, std::less<>> m_moved_until;
+    std::map<std::string, Known> m_known; ///< By id.
+    /// In force now or lately; the oldest is dropped first.
+    std::deque<RecordedRoutes> m_unrecorded;
+    /// Recorded ones that came before any were in force.
+    std::vector<RecordedRoutes> m_uncompared;
 };
 
 } // namespace crosslink
