Leave the log to its threads at a planned stop

What was seen: a process under the thread sanitizer ended with a read of address 0x40 at a planned stop; callers had their answers by then. Cause: spdlog::shutdown() takes the default logger away while threads of idle connections still log. The thread sanitizer was not run for it.

--- a/src/serve/logs.cpp
+++ b/src/serve/logs.cpp
@@ -9,7 +9,9 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <chrono>
 #include <memory>
+#include <thread>
 
 namespace crosslink
 {
@@ -19,6 +21,10 @@
 
 /// Largest number of lines that wait for the writer thread.
 constexpr std::size_t ring_entries = 4096;
+/// Longest wait for the lines in the ring.
+constexpr auto longest_write = std::chrono::seconds(1);
+/// More than the writer thread takes for one line.
+constexpr auto line_write_time = std::chrono::milliseconds(2);
 
 /// Writes each entry as one JSON object. An entry that is an object already
 /// (see LogLine) gets the time and the level as its first fields.
@@ -77,4 +83,15 @@
     spdlog::set_default_logger(logger);
 }
 
+void
+write_waiting_logs()
+{
+    const auto latest = std::chrono::steady_clock::now() + longest_write;
+    while (spdlog::thread_pool()->queue_size() > 0 &&
+           std::chrono::steady_clock::now() < latest)
+        std::this_thread::sleep_for(line_write_time);
+    // The writer may still have the last line.
+    std::this_thread::sleep_for(line_write_time);
+}
+
 } // namespace crosslink
--- a/src/serve/logs.h
+++ b/src/serve/logs.h
@@ -17,4 +17,9 @@
 /// spdlog level.
 void set_up_logs(LogTarget target, const std::string& level, bool json);
 
+/// Returns once the lines that were logged are written, after a second at the
+/// latest. Threads may go on logging, which spdlog::shutdown() does not allow:
+/// it takes the logger away from them.
+void write_waiting_logs();
+
 } // namespace crosslink
