Find routes whose host has a port

What callers saw: since hosts are found without their port, a route that the configuration gives with one ("shop.example:8443") was never found. Change: a host is looked for as it came first, and without its port then. Evidence: a unit case has both kinds of route.

--- a/src/include/crosslink/forward/service_map.h
+++ b/src/include/crosslink/forward/service_map.h
@@ -120,7 +120,7 @@
 
     /// Returns the route of `host` with the longest prefix of `path`, or
     /// null where there is none. Hosts compare without their case, and a port
-    /// in `host` does not count (RFC 9110, 4.2.3 and 7.2).
+    /// in `host` counts only if routes have it (RFC 9110, 4.2.3 and 7.2).
     const ServiceRoute* find_route(std::string_view host,
                                    std::string_view path) const;
     /// Returns the account of `key`, or null.
--- a/src/libcrosslink/forward/service_map.cpp
+++ b/src/libcrosslink/forward/service_map.cpp
@@ -95,7 +95,10 @@
 const ServiceRoute*
 ServiceMap::find_route(std::string_view host, std::string_view path) const
 {
-    const auto prefixes = m_hosts.find(lower_case(without_port(host)));
+    const std::string name = lower_case(host);
+    auto prefixes = m_hosts.find(name);
+    if (prefixes == m_hosts.end())
+        prefixes = m_hosts.find(without_port(name));
     if (prefixes == m_hosts.end())
         return nullptr;
     // Prefixes end with a slash, so that only parts of the path that end with
--- a/src/libcrosslink/forward/service_map_test.cpp
+++ b/src/libcrosslink/forward/service_map_test.cpp
@@ -54,6 +54,8 @@
     ServiceMap map;
     map.add_route(route("shop", "Shop.example", "/"));
     map.add_route(route("address", "[::1]", "/"));
+    map.add_route(route("port", "Shop.example:8443", "/"));
+    CHECK(map.find_route("shop.Example:8443", "/")->name == "port");
     for (const char* host : {"shop.example", "SHOP.example", "shop.example:80",
                              "Shop.Example:", "shop.example:65535"}) {
         REQUIRE(map.find_route(host, "/"));
