Bound what frames chunks, and take none in HTTP/1.0

Change: 16 KB between the data of two chunks are the most, else the body is malformed; Transfer-Encoding in HTTP/1.0 is 400, or a broken answer. Evidence: unit cases of both.

--- a/src/adapters/chunk_decoder.cpp
+++ b/src/adapters/chunk_decoder.cpp
@@ -16,6 +16,10 @@
 /// that overflows.
 constexpr std::uint64_t size_limit = std::uint64_t{1} << 40U;
 constexpr unsigned bits_in_digit = 4;
+/// Maximum number of bytes between the data of two chunks, and after the last:
+/// sizes, extensions and trailer fields are passed over, and would be read
+/// without end.
+constexpr std::size_t max_line = 16'384;
 
 std::optional<unsigned>
 hex_value(char byte)
@@ -47,8 +51,11 @@
         if (m_state != State::Data) {
             take_byte(bytes.front());
             bytes.remove_prefix(1);
+            if (++m_line > max_line && !is_done())
+                m_state = State::Malformed;
             continue;
         }
+        m_line = 0;
         const std::size_t count = std::min(bytes.size(), wanted());
         data.append(bytes.substr(0, count));
         bytes.remove_prefix(count);
--- a/src/adapters/chunk_decoder.h
+++ b/src/adapters/chunk_decoder.h
@@ -52,6 +52,7 @@
 
     State m_state = State::FirstDigit;
     std::uint64_t m_left = 0; ///< Of the current chunk.
+    std::size_t m_line = 0;   ///< Bytes since the data of the last chunk.
 };
 
 } // namespace crosslink
--- a/src/adapters/chunk_decoder_test.cpp
+++ b/src/adapters/chunk_decoder_test.cpp
@@ -97,6 +97,19 @@
     }
 }
 
+TEST_CASE("framing without end is malformed")
+{
+    const std::string much(20'000, '0');
+    for (const std::string& body :
+         {much, "1;" + much, "1\r\na\r\n0\r\nX: " + much}) {
+        const Decoded found = decode(body);
+        CHECK(found.is_malformed);
+        CHECK_FALSE(found.rest.empty());
+    }
+    const std::string some(10'000, '0');
+    CHECK(decode("1;" + some + "\r\na\r\n0;" + some + "\r\n\r\n").is_done);
+}
+
 TEST_CASE("data comes out of chunks of any size as it went in")
 {
     CHECK(rc::check([](const std::vector<std::string>& drawn,
--- a/src/adapters/message_framing.cpp
+++ b/src/adapters/message_framing.cpp
@@ -5,7 +5,7 @@
 
 #include <crosslink/base/number.h>
 
-#include <Poco/Net/MessageHeader.h>
+#include <Poco/Net/HTTPMessage.h>
 #include <Poco/String.h>
 
 #include <string>
@@ -31,7 +31,7 @@
 } // namespace
 
 std::optional<MessageFraming>
-MessageFraming::of(const Poco::Net::MessageHeader& message)
+MessageFraming::of(const Poco::Net::HTTPMessage& message)
 {
     MessageFraming framing;
     int fields = 0;
@@ -43,7 +43,9 @@
                 return std::nullopt;
         } else if (Poco::icompare(name, "Transfer-Encoding") == 0) {
             ++fields;
-            framing.chunked = Poco::icompare(value, "chunked") == 0;
+            framing.chunked =
+                Poco::icompare(value, "chunked") == 0 &&
+                message.getVersion() != Poco::Net::HTTPMessage::HTTP_1_0;
             if (!framing.chunked)
                 return std::nullopt;
         }
--- a/src/adapters/message_framing.h
+++ b/src/adapters/message_framing.h
@@ -8,7 +8,7 @@
 
 namespace Poco::Net
 {
-class MessageHeader;
+class HTTPMessage;
 }
 
 namespace crosslink
@@ -21,9 +21,10 @@
 
     /// Returns the framing of `message`. Nothing where it can be read in two
     /// ways, by which one message could hide another: several fields of it, a
-    /// length that is no number, or a coding other than chunked.
+    /// length that is no number, a coding other than chunked, or one in a
+    /// version that has none.
     static std::optional<MessageFraming>
-    of(const Poco::Net::MessageHeader& message);
+    of(const Poco::Net::HTTPMessage& message);
 };
 
 } // namespace crosslink
--- a/src/adapters/message_framing_test.cpp
+++ b/src/adapters/message_framing_test.cpp
@@ -3,7 +3,7 @@
 
 #include "message_framing.h"
 
-#include <Poco/Net/MessageHeader.h>
+#include <Poco/Net/HTTPRequest.h>
 
 #include <catch2/catch.hpp>
 
@@ -18,9 +18,10 @@
 {
 
 std::optional<MessageFraming>
-framing(std::initializer_list<std::pair<std::string, std::string>> fields)
+framing(std::initializer_list<std::pair<std::string, std::string>> fields,
+        const std::string& version = "HTTP/1.1")
 {
-    Poco::Net::MessageHeader message;
+    Poco::Net::HTTPRequest message(version);
     for (const auto& [name, value] : fields)
         message.add(name, value);
     return MessageFraming::of(message);
@@ -48,6 +49,12 @@
         {{"Transfer-Encoding", "chunked"}, {"Transfer-Encoding", "chunked"}}));
 }
 
+TEST_CASE("HTTP/1.0 has lengths and no chunks")
+{
+    CHECK(framing({{"Content-Length", "7"}}, "HTTP/1.0")->length == 7);
+    CHECK_FALSE(framing({{"Transfer-Encoding", "chunked"}}, "HTTP/1.0"));
+}
+
 TEST_CASE("a length that is no number, and other codings, are refused")
 {
     for (const char* text :
