--- a/src/build-scripts/mutate.py
+++ b/src/build-scripts/mutate.py
@@ -291,7 +291,7 @@
      "if (fields > 1)", "if (false)", "framing-fuzz"),
     ("forget which services a route had",
      "src/libcrosslink/forward/route_history.cpp",
-     "m_moved_until[service] = now + StreamOrigins::lifetime;", "",
+     "if (from == to)", "if (true)",
      "unit.*route|platform.no_stream_.*service"),
 ]
 
--- a/src/include/crosslink/forward/route_history.h
+++ b/src/include/crosslink/forward/route_history.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace crosslink
@@ -59,6 +60,13 @@
     std::vector<std::string> to_unrecord(TimePoint now) const;
 
 private:
+    /// A host and a path prefix.
+    using Place = std::pair<std::string, std::string>;
+    /// The services of a route that went.
+    struct Gone {
+        Services services;
+        TimePoint until{}; ///< When they stop to count.
+    };
     struct Known {
         TimePoint used_at{}; ///< Last known in force, or found recorded.
         bool is_recorded = false;
@@ -67,6 +75,9 @@
     bool is_current(const std::string& id) const { return id == m_current.id; }
     void note_moves(const ServiceMap& before, const ServiceMap& after,
                     TimePoint now);
+    void note_move(const Services& from, const Services& to, TimePoint now);
+    void note_gone(const Place& place, const Services& services, TimePoint now);
+    void note_back(const Place& place, const Services& services, TimePoint now);
     void add_unrecorded(const RecordedRoutes& routes);
     void expire(TimePoint now);
 
@@ -74,6 +85,7 @@
     Services m_split;         ///< Of those that have several.
     /// Until when each service of a route that moved counts.
     std::map<std::string, TimePoint, std::less<>> m_moved_until;
+    std::map<Place, Gone> m_gone;
     std::map<std::string, Known> m_known; ///< By id.
     /// In force now or lately; the oldest is dropped first.
     std::deque<RecordedRoutes> m_unrecorded;
--- a/src/libcrosslink/forward/route_history.cpp
+++ b/src/libcrosslink/forward/route_history.cpp
@@ -132,6 +132,8 @@
     std::erase_if(m_unrecorded, [this](const RecordedRoutes& item) {
         return !m_known.contains(item.id);
     });
+    std::erase_if(m_gone,
+                  [now](const auto& item) { return item.second.until <= now; });
     std::erase_if(m_moved_until,
                   [now](const auto& item) { return item.second <= now; });
 }
@@ -142,16 +144,16 @@
 RouteHistory::note_moves(const ServiceMap& before, const ServiceMap& after,
                          TimePoint now)
 {
-    const auto compare = [&](const ServiceRoute& place) {
-        const ServiceRoute* from =
-            before.find_route(place.host, place.path_prefix);
-        const ServiceRoute* to =
-            after.find_route(place.host, place.path_prefix);
-        if (!from || !to || from->picked_services() == to->picked_services())
-            return;
-        for (const ServiceRoute* route : {from, to})
-            for (const std::string& service : route->picked_services())
-                m_moved_until[service] = now + StreamOrigins::lifetime;
+    const auto compare = [&](const ServiceRoute& one) {
+        const Place place{one.host, one.path_prefix};
+        const ServiceRoute* from = before.find_route(place.first, place.second);
+        const ServiceRoute* to = after.find_route(place.first, place.second);
+        if (from && to)
+            note_move(from->picked_services(), to->picked_services(), now);
+        else if (from)
+            note_gone(place, from->picked_services(), now);
+        else
+            note_back(place, to->picked_services(), now);
     };
     // A route that came takes calls of one with a shorter prefix, and one that
     // went leaves its calls to it.
@@ -159,6 +161,36 @@
     after.for_each_route(compare);
 }
 
+void
+RouteHistory::note_move(const Services& from, const Services& to, TimePoint now)
+{
+    if (from == to)
+        return;
+    for (const Services& services : {from, to})
+        for (const std::string& service : services)
+            m_moved_until[service] = now + StreamOrigins::lifetime;
+}
+
+/// Records that a route went: it may be back with other services.
+void
+RouteHistory::note_gone(const Place& place, const Services& services,
+                        TimePoint now)
+{
+    Gone& gone = m_gone[place];
+    gone.services.insert(services.begin(), services.end());
+    gone.until = now + StreamOrigins::lifetime;
+}
+
+/// Records that a route came, which may have been there before.
+void
+RouteHistory::note_back(const Place& place, const Services& services,
+                        TimePoint now)
+{
+    const auto gone = m_gone.find(place);
+    if (gone != m_gone.end() && now < gone->second.until)
+        note_move(gone->second.services, services, now);
+}
+
 bool
 RouteHistory::shared(std::string_view service, TimePoint now) const
 {
--- a/src/libcrosslink/forward/route_history_test.cpp
+++ b/src/libcrosslink/forward/route_history_test.cpp
@@ -179,3 +179,25 @@
     CHECK(routes.back().id == latest);
     CHECK(history.shared(start).size() == 100);
 }
+
+TEST_CASE("a route that was away for a moment counts as moved")
+{
+    const ServiceMap before = map_of({route("/a/", {{"one", 1}})});
+    const ServiceMap without = map_of({route("/b/", {{"three", 1}})});
+    const ServiceMap after = map_of({route("/a/", {{"two", 1}})});
+    RouteHistory saw;
+    saw.in_force(before, start);
+    saw.in_force(without, start);
+    saw.in_force(after, start);
+    CHECK(saw.shared(start) == Services{"one", "two"});
+    RouteHistory started;
+    started.recorded(resumable_routes(before), start);
+    started.in_force(without, start);
+    started.in_force(after, start);
+    CHECK(started.shared(start) == Services{"one", "two"});
+    RouteHistory late;
+    late.in_force(before, start);
+    late.in_force(without, start);
+    late.in_force(after, start + StreamOrigins::lifetime);
+    CHECK(late.shared(start + StreamOrigins::lifetime).empty());
+}
--- a/src/serve/coordinator/software_duty.cpp
+++ b/src/serve/coordinator/software_duty.cpp
@@ -73,21 +73,21 @@
 {
     std::vector<RecordedRoutes> used;
     std::vector<std::string> outdated;
-    m_state.fleet.with([&](const FleetView& view) {
-        used = view.routes.to_record(monotonic_now());
-        outdated = view.routes.to_unrecord(monotonic_now());
+    m_state.routes.with([&](const RouteHistory& history) {
+        used = history.to_record(monotonic_now());
+        outdated = history.to_unrecord(monotonic_now());
     });
     for (const RecordedRoutes& routes : used) {
         m_state.ports.software.record(routes);
-        m_state.fleet.with([&routes](FleetView& view) {
-            view.routes.recorded(routes, monotonic_now());
+        m_state.routes.with([&routes](RouteHistory& history) {
+            history.recorded(routes, monotonic_now());
         });
         LogLine("routes_recorded").field("record", routes.id);
     }
     for (const std::string& id : outdated) {
         m_state.ports.software.remove_routes(id);
-        m_state.fleet.with([&id](FleetView& view) {
-            view.routes.unrecorded(id, monotonic_now());
+        m_state.routes.with([&id](RouteHistory& history) {
+            history.unrecorded(id, monotonic_now());
         });
         LogLine("routes_record_removed").field("record", id);
     }
--- a/src/serve/fleet/change_applier.cpp
+++ b/src/serve/fleet/change_applier.cpp
@@ -24,10 +24,16 @@
 void
 ChangeApplier::operator()(const ServiceMapChanged& change)
 {
+    const auto known = m_state.map();
+    if (known && known->version >= change.map->version)
+        return;
+    // Before the first call that uses the map.
+    m_state.routes.with([&change](RouteHistory& history) {
+        history.in_force(*change.map, monotonic_now());
+    });
     const bool newer = m_state.fleet.with([&](FleetView& view) {
         if (view.map && view.map->version >= change.map->version)
             return false;
-        view.routes.in_force(*change.map, monotonic_now());
         view.map = change.map;
         return true;
     });
@@ -108,11 +114,11 @@
     const TimePoint now = monotonic_now();
     if (change.routes)
         m_routes.insert(change.id);
-    m_state.fleet.with([&](FleetView& view) {
+    m_state.routes.with([&](RouteHistory& history) {
         if (change.routes)
-            view.routes.recorded({change.id, change.routes}, now);
+            history.recorded({change.id, change.routes}, now);
         else
-            view.routes.unrecorded(change.id, now);
+            history.unrecorded(change.id, now);
     });
 }
 
@@ -306,9 +312,11 @@
     m_state.software.with([this](SoftwareHistory& history) {
         history.recorded_only(m_software);
     });
+    m_state.routes.with([this, now](RouteHistory& history) {
+        history.recorded_only(m_routes, now);
+    });
     m_state.fleet.with([this](FleetView& view) {
         view.runners_listed = true;
-        view.routes.recorded_only(m_routes, monotonic_now());
         view.holders.record_gap(monotonic_now());
         if (!m_holder_named) {
             view.coordinator.clear();
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -66,7 +66,6 @@
     explicit FleetView(Micros settle) : reach(settle) {}
 
     std::shared_ptr<const ServiceMap> map; ///< Null before the first one.
-    RouteHistory routes;                   ///< Of the maps that were in force.
     bool runners_listed = false; ///< The runners were read at least once.
     std::map<std::string, WeightsHistory, std::less<>> weights; ///< By model.
     /// The versions of weights that the platform has recorded, by model.
@@ -199,6 +198,7 @@
     /// Which instances have no share of a runner's capacity left to lend.
     Guarded<ShareLoans> loans;
     CallConnections connections;       ///< To runners.
+    Guarded<RouteHistory> routes;      ///< Of the maps that were in force.
     CallConnections relay_connections; ///< To instances that pass calls on.
     BodyBudget bodies; ///< Of requests and answers held in memory.
     /// Timeouts for the connections of callers, from the map in force.
@@ -288,6 +288,9 @@
     void note_software();
     /// Returns whether a runner of `service` with `software` is listed.
     bool serves(std::string_view service, std::string_view software);
+    /// Returns the software that all listed runners of `service` have; nothing
+    /// if there are none, or several.
+    std::optional<std::string> only_software(std::string_view service);
     /// Returns the other instances among the homes of `stream`; see
     /// crosslink::stream_homes().
     std::vector<InstanceInfo> stream_homes(std::string_view stream);
--- a/src/serve/forward/forward_state_streams.cpp
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -24,8 +24,8 @@
     const TimePoint now = monotonic_now();
     return software.with([&](const SoftwareHistory& history) {
         return history.several(service, now);
-    }) || fleet.with([&](const FleetView& view) {
-        return view.routes.shared(service, now);
+    }) || routes.with([&](const RouteHistory& history) {
+        return history.shared(service, now);
     });
 }
 
@@ -36,8 +36,8 @@
     const TimePoint now = monotonic_now();
     auto services = software.with(
         [now](const SoftwareHistory& history) { return history.mixed(now); });
-    services.merge(fleet.with(
-        [now](const FleetView& view) { return view.routes.shared(now); }));
+    services.merge(routes.with(
+        [now](const RouteHistory& history) { return history.shared(now); }));
     return services;
 }
 
@@ -70,6 +70,19 @@
     });
 }
 
+std::optional<std::string>
+ForwardState::only_software(std::string_view service)
+{
+    return runners.with(
+        [&](const RunnerTable& table) -> std::optional<std::string> {
+            const auto versions = table.software().find(service);
+            if (versions == table.software().end() ||
+                versions->second.size() != 1)
+                return std::nullopt;
+            return versions->second.begin()->first;
+        });
+}
+
 std::vector<StreamOrigin>
 ForwardState::streams_of(const std::string& name)
 {
--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -53,7 +53,7 @@
     if (!origin) {
         if (m_several || m_unread)
             refuse("the software that began the stream is not known");
-        return std::nullopt;
+        return only_software();
     }
     m_began_at = origin->software;
     if (!m_route.picked_services().contains(origin->service))
@@ -64,6 +64,18 @@
     return origin;
 }
 
+/// Returns the only software that the stream can have begun at. Another one may
+/// come while the call waits for a runner. Nothing if none is listed.
+std::optional<StreamOrigin>
+StreamResumption::only_software()
+{
+    const std::string service = *m_route.picked_services().begin();
+    const auto software = m_state.only_software(service);
+    if (!software)
+        return std::nullopt;
+    return StreamOrigin{m_stream, service, *software};
+}
+
 /// Returns the origin of the stream, as this instance, another one or the
 /// platform remembers it; nothing if none does.
 std::optional<StreamOrigin>
@@ -133,11 +145,12 @@
 std::optional<StreamOrigin>
 StreamResumption::ask_homes()
 {
+    // Where there are several, that is known here already.
+    const std::string service = *m_route.picked_services().begin();
     for (const InstanceInfo& home : m_state.stream_homes(m_stream)) {
         try {
             const StreamAnswer answer =
-                FleetClient(home.address)
-                    .find_stream(m_stream, m_route.services.front().service);
+                FleetClient(home.address).find_stream(m_stream, service);
             m_several = m_several || answer.several;
             if (!answer.origin)
                 continue;
--- a/src/serve/forward/stream_resumption.h
+++ b/src/serve/forward/stream_resumption.h
@@ -56,6 +56,7 @@
 private:
     bool may_be_taken_up() const;
     bool takes_up() const;
+    std::optional<StreamOrigin> only_software();
     std::optional<StreamOrigin> find();
     void observe_software();
     std::optional<StreamOrigin> find_here(std::string_view source);
