Fuzz of framing waits until rude answers are over

A runner may still have been sending bytes of no call, by which an unsafe call must fail. The check is as it was, and begins once no runner is answering.

--- a/testsuite/framing-fuzz/fuzz.py
+++ b/testsuite/framing-fuzz/fuzz.py
@@ -133,6 +133,9 @@
     """All is served again once runners are polite."""
     for runner in world.rude:
         runner.polite = True
+    # Bytes of no call that still come make unsafe calls fail, as they must.
+    f.wait_until(lambda: not any(runner.answering for runner in world.rude),
+                 "the rude answers are over", CALM_SECONDS)
 
     def served():
         return all(w.call(world, "POST", "/safe/", w.headers(), "a",
--- a/testsuite/framing-fuzz/rude_runner.py
+++ b/testsuite/framing-fuzz/rude_runner.py
@@ -55,6 +55,7 @@
         self.ended = False
         self.lock = threading.Lock()
         self.count = 0
+        self.answering = 0  # exchanges under way, with what follows an answer
         self.open = set()
         self.listener = socket.create_server((f.ADDRESS, f.free_port()),
                                              backlog=256)
@@ -114,11 +115,16 @@
         call = (wire.value(fields, "crosslink-attempt-id") or b"").decode()
         with self.lock:
             self.count += 1
+            self.answering += 1
             number = self.count
         run = Run(call, target, body, wire.value(fields, "x-nota") or b"",
                   (wire.value(fields, "crosslink-tenant") or b"").decode())
         streams = wire.value(fields, "crosslink-model") is not None
-        return Exchange(self, peer, run, number, streams).answer()
+        try:
+            return Exchange(self, peer, run, number, streams).answer()
+        finally:
+            with self.lock:
+                self.answering -= 1
 
     @staticmethod
     def read_body(reader, fields):
