--- a/src/serve/logs_test.cpp
+++ b/src/serve/logs_test.cpp
@@ -15,8 +15,10 @@
 {
     const auto before = spdlog::default_logger();
     set_up_logs(LogTarget::StandardError, "info", true);
+    constexpr int count = 4;
     std::vector<std::thread> threads;
-    for (int number = 0; number < 4; ++number)
+    threads.reserve(count);
+    for (int number = 0; number < count; ++number)
         threads.emplace_back([] {
             for (int line = 0; line < 50; ++line)
                 spdlog::info("a line");
