--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -92,6 +92,7 @@
     if (!restored)
         m_restored.written(page.entries);
     settle_restored(now);
+    m_state.note_confirmed(*m_confirmed);
     return true;
 }
 
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -286,6 +286,12 @@
     /// Records which software versions are listed. To be called before and
     /// after each change of the list.
     void note_software();
+    /// Records that all changes of the platform are known here that were made
+    /// until `at`, and applied.
+    void note_confirmed(TimePoint at);
+    /// Returns how long before `now` that was; a large time before the first
+    /// confirmation.
+    Micros changes_age(TimePoint now) const;
     /// Returns whether a runner of `service` with `software` is listed.
     bool serves(std::string_view service, std::string_view software);
     /// Returns the software that all listed runners of `service` have; nothing
@@ -416,6 +422,7 @@
                           const char* source);
 
     Guarded<CachedPosition> m_position;
+    std::atomic<TimePoint> m_confirmed_at{}; ///< See note_confirmed().
     std::timed_mutex m_reading_mutex; ///< One reads the records of streams.
     TimePoint m_read_at{};            ///< When the last reading began.
     TimePoint m_read_failed_at{};
--- a/src/serve/forward/forward_state_streams.cpp
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -60,6 +60,20 @@
     });
 }
 
+void
+ForwardState::note_confirmed(TimePoint at)
+{
+    // Only the receiver of changes calls this, one call after the other.
+    if (at > m_confirmed_at.load())
+        m_confirmed_at = at;
+}
+
+Micros
+ForwardState::changes_age(TimePoint now) const
+{
+    return std::chrono::duration_cast<Micros>(now - m_confirmed_at.load());
+}
+
 bool
 ForwardState::serves(std::string_view service, std::string_view version)
 {
