Take no silence for proof that only one software version served

What callers saw: a stream taken up at an instance that had missed a new version went on at once at another one: 200, whole, with text of two versions. Cause: where nobody remembered a stream and no home answered, the instance went on with the one version that it knew, as if all had said that there was no other. Its own list could be of any age. Why it works: an unknown stream goes on at the only known version just where that is shown. Either all of its homes have answered (whoever begins a stream at another version tells them) and list the same one, or the platform has confirmed this instance's list as of a moment after the caller asked (a version is listed before it begins a stream). For that it waits as long as changes take to be in time, 1.2 s, and refuses at once where it has lost the platform: 503, not run, with when to come back.

--- a/src/build-scripts/mutate.py
+++ b/src/build-scripts/mutate.py
@@ -215,7 +215,7 @@
      "if (rank < m_under_holder || true)",
      "unit.*zone|unit.*none"),
     ("go on with old news", "src/serve/fleet/change_receiver.cpp",
-     "now - m_peer_confirmed <= max_peer_age", "now >= m_peer_confirmed",
+     "now - m_peer_confirmed <= max_changes_age", "now >= m_peer_confirmed",
      "platform.changes_reach|platform.a_large_fleet"),
     ("take told prompts as unread",
      "src/libcrosslink/forward/runner_price.cpp",
--- a/src/include/crosslink/membership/change_page.h
+++ b/src/include/crosslink/membership/change_page.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <crosslink/base/time.h>
 #include <crosslink/membership/store_position.h>
 
 #include <cstdint>
@@ -14,6 +15,12 @@
 namespace crosslink
 {
 
+/// Largest age of changes that are in time: older ones come from an instance
+/// that has lost contact with the platform or its own parent. The coordinator
+/// gets an answer of the platform every 0.4 s, and each of up to three
+/// exchanges adds 0.15 s or less; a change must be in force within two seconds.
+constexpr Micros max_changes_age = std::chrono::milliseconds(1200);
+
 /// One key of the platform's store as it was written, in the platform's own
 /// format: instances pass it on without parsing it.
 struct KeyChange {
--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -20,11 +20,6 @@
 namespace
 {
 
-/// Largest age of changes that are in time: older ones come from an instance
-/// that has lost contact with the platform or its own parent. The coordinator
-/// gets an answer of the platform every 0.4 s, and each of up to three
-/// exchanges adds 0.15 s or less; a change must be in force within two seconds.
-constexpr Micros max_peer_age = std::chrono::milliseconds(1200);
 /// Without any confirmation for so long, the platform may have been unavailable
 /// to all instances. Waits for its answers take 1.8 s or less.
 constexpr Micros max_silence = std::chrono::milliseconds(2500);
@@ -287,7 +282,7 @@
 ChangeReceiver::peers_are_in_time(TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    return now - m_peer_confirmed <= max_peer_age;
+    return now - m_peer_confirmed <= max_changes_age;
 }
 
 } // namespace crosslink
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -86,6 +86,7 @@
             LogLine("platform_lost").field("error", failure.what());
         m_platform_lost = true;
         m_changes.note_platform_lost();
+        m_state.origin_noted.wake();
         if (!m_state.map())
             ask_seeds();
         return failure_pause();
@@ -187,6 +188,7 @@
     }
     if (!m_ask_platform_at) {
         m_ask_platform_at = now;
+        m_state.origin_noted.wake();
         LogLine("news_late")
             .field("age_ms",
                    static_cast<std::uint64_t>(m_changes.age(now) /
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -148,7 +148,9 @@
                               monotonic_now());
         });
         Json::Value result;
-        result["several"] = state.is_mixed(json_string(parameters, "service"));
+        const std::string service = json_string(parameters, "service");
+        result["several"] = state.is_mixed(service);
+        result["software"] = state.only_software(service).value_or("");
         if (origin)
             result["origin"] = stream_to_json(*origin);
         return result;
--- a/src/serve/fleet/fleet_rpc.h
+++ b/src/serve/fleet/fleet_rpc.h
@@ -38,6 +38,7 @@
 struct StreamAnswer {
     std::optional<StreamOrigin> origin; ///< Nothing if it does not know it.
     bool several = false; ///< Several versions of the service served lately.
+    std::string software; ///< The only one listed; empty if there is none.
 };
 
 /// Server for the other instances of the fleet: their JSON-RPC calls, and calls
--- a/src/serve/fleet/origin_duty.cpp
+++ b/src/serve/fleet/origin_duty.cpp
@@ -98,10 +98,11 @@
 OriginDuty::tell_untold()
 {
     const auto mixed = m_state.mixed_services();
-    const auto untold = m_state.origins.with([&mixed](StreamOrigins& origins) {
+    const bool all = m_state.is_out_of_step();
+    const auto untold = m_state.origins.with([&](StreamOrigins& origins) {
         return origins.take_untold(
-            [&mixed](std::string_view service) {
-                return mixed.contains(service);
+            [&](std::string_view service) {
+                return all || mixed.contains(service);
             },
             max_batch, monotonic_now());
     });
--- a/src/serve/fleet/origin_duty.h
+++ b/src/serve/fleet/origin_duty.h
@@ -15,10 +15,10 @@
 struct ForwardState;
 
 /// Tells the homes of streams which software began them, while several versions
-/// serve: a caller may take a stream up at any instance, and the one that began
-/// it may be gone. An instance that starts asks others for the streams whose
-/// home it is. Uses a thread of its own from the first time on that two
-/// versions serve.
+/// serve, or may do so unknown to this instance: a caller may take a stream up
+/// at any instance, and the one that began it may be gone. An instance that
+/// starts asks others for the streams whose home it is. Uses a thread of its
+/// own from the first time on that it is needed.
 class OriginDuty
 {
 public:
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -212,6 +212,8 @@
     Guarded<std::optional<std::vector<std::string>>> start_parents;
     /// Notified when the configuration and the runners have been read.
     LearnedSignal learned;
+    /// Notified when the platform's changes are confirmed to be complete.
+    LearnedSignal confirmed;
     const TimePoint started_at;
 
     /// Returns how long this process has been running.
@@ -292,6 +294,15 @@
     /// Returns how long before `now` that was; a large time before the first
     /// confirmation.
     Micros changes_age(TimePoint now) const;
+    /// Waits, until `latest` at most, for the changes that were made until `at`
+    /// to be known here. Returns whether they are.
+    bool knows_changes_until(TimePoint at, TimePoint latest);
+    /// Returns whether this instance may have missed changes that others know:
+    /// it hears too late or not at all of the platform's.
+    bool is_out_of_step();
+    /// Returns whether other instances are to be told of streams of `service`:
+    /// it is mixed, or would be so to the others.
+    bool tells_origins(std::string_view service);
     /// Returns whether a runner of `service` with `software` is listed.
     bool serves(std::string_view service, std::string_view software);
     /// Returns the software that all listed runners of `service` have; nothing
--- a/src/serve/forward/forward_state_streams.cpp
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -9,6 +9,8 @@
 #include <adapters/clock.h>
 
 #include <crosslink/base/error.h>
+#include <crosslink/forward/software_evidence.h>
+#include <crosslink/membership/change_page.h>
 #include <crosslink/ports/stream_registry.h>
 
 #include <algorithm>
@@ -64,8 +66,10 @@
 ForwardState::note_confirmed(TimePoint at)
 {
     // Only the receiver of changes calls this, one call after the other.
-    if (at > m_confirmed_at.load())
-        m_confirmed_at = at;
+    if (at <= m_confirmed_at.load())
+        return;
+    m_confirmed_at = at;
+    confirmed.notify();
 }
 
 Micros
@@ -74,6 +78,29 @@
     return std::chrono::duration_cast<Micros>(now - m_confirmed_at.load());
 }
 
+bool
+ForwardState::knows_changes_until(TimePoint at, TimePoint latest)
+{
+    const auto is_known = [this, at] {
+        return SoftwareEvidence::list_shows_it(m_confirmed_at, at);
+    };
+    confirmed.wait(latest - monotonic_now(), is_known);
+    return is_known();
+}
+
+bool
+ForwardState::is_out_of_step()
+{
+    return changes_age(monotonic_now()) > max_changes_age ||
+           !reaches_platform();
+}
+
+bool
+ForwardState::tells_origins(std::string_view service)
+{
+    return is_mixed(service) || is_out_of_step();
+}
+
 bool
 ForwardState::serves(std::string_view service, std::string_view version)
 {
--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -13,6 +13,7 @@
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/queue_limit.h>
 #include <crosslink/forward/service_map.h>
+#include <crosslink/membership/change_page.h>
 
 #include <algorithm>
 
@@ -25,7 +26,8 @@
                                    const AccountSettings* account,
                                    TimePoint deadline)
     : m_state(state), m_call(call), m_route(route),
-      m_account(account ? account->name : std::string()), m_deadline(deadline)
+      m_account(account ? account->name : std::string()), m_deadline(deadline),
+      m_asked(monotonic_now())
 {
 }
 
@@ -51,7 +53,7 @@
     m_known_by = "none";
     auto origin = find();
     if (!origin) {
-        if (m_several || m_unread)
+        if (m_several || m_unread || !is_only_one_shown())
             refuse("the software that began the stream is not known");
         return only_software();
     }
@@ -64,6 +66,24 @@
     return origin;
 }
 
+/// Returns whether it is shown that no other software than the only one that is
+/// known can have begun the stream. Waits a moment for the platform's changes
+/// where the homes don't show it.
+bool
+StreamResumption::is_only_one_shown()
+{
+    if (m_evidence.homes_show_it())
+        return true;
+    m_unanswered = true;
+    if (!m_state.reaches_platform())
+        return false;
+    const TimePoint latest =
+        std::min(m_deadline, monotonic_now() + max_changes_age);
+    const bool shown = m_state.knows_changes_until(m_asked, latest);
+    observe_software();
+    return shown && !m_several;
+}
+
 /// Returns the only software that the stream can have begun at. Another one may
 /// come while the call waits for a runner. Nothing if none is listed.
 std::optional<StreamOrigin>
@@ -151,13 +171,14 @@
         try {
             const StreamAnswer answer =
                 FleetClient(home.address).find_stream(m_stream, service);
-            m_several = m_several || answer.several;
-            if (!answer.origin)
-                continue;
-            m_known_by = "home";
-            return answer.origin;
+            if (answer.origin) {
+                m_known_by = "home";
+                return answer.origin;
+            }
+            note_answer(answer);
         } catch (const Error& failure) {
             m_unanswered = true;
+            m_evidence.home_silent();
             LogLine("stream_home_silent")
                 .field("request", m_call.id)
                 .field("instance", home.name)
@@ -167,6 +188,21 @@
     return std::nullopt;
 }
 
+/// Records what a home said that does not know the stream. Where it lists
+/// another version, one of the two missed that it took the other's place.
+void
+StreamResumption::note_answer(const StreamAnswer& answer)
+{
+    const std::string service = *m_route.picked_services().begin();
+    m_several = m_several || answer.several;
+    if (answer.software.empty()) {
+        m_evidence.home_silent();
+        return;
+    }
+    m_evidence.home_answered();
+    m_several = m_several || answer.software != m_state.only_software(service);
+}
+
 void
 StreamResumption::refuse(const char* why) const
 {
@@ -187,7 +223,7 @@
     m_state.origins.with([&origin](StreamOrigins& origins) {
         origins.note(origin, monotonic_now());
     });
-    if (m_state.is_mixed(service))
+    if (m_state.tells_origins(service))
         m_state.origin_noted.wake();
 }
 
@@ -205,10 +241,10 @@
     m_state.origins.with([&origin](StreamOrigins& origins) {
         origins.began(origin, monotonic_now());
     });
-    if (!m_state.is_mixed(origin.service))
-        return;
-    m_state.origin_noted.wake();
-    m_state.stream_began.wake();
+    if (m_state.tells_origins(origin.service))
+        m_state.origin_noted.wake();
+    if (m_state.is_mixed(origin.service))
+        m_state.stream_began.wake();
 }
 
 void
--- a/src/serve/forward/stream_resumption.h
+++ b/src/serve/forward/stream_resumption.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <crosslink/base/time.h>
+#include <crosslink/forward/software_evidence.h>
 #include <crosslink/forward/stream_origins.h>
 
 #include <cstdint>
@@ -18,6 +19,7 @@
 struct ForwardedCall;
 struct ForwardState;
 struct ServiceRoute;
+struct StreamAnswer;
 
 /// Finds out which software began a stream that a caller takes up, and
 /// remembers which one begins a stream of this call. Does nothing for calls
@@ -57,11 +59,13 @@
     bool may_be_taken_up() const;
     bool takes_up() const;
     std::optional<StreamOrigin> only_software();
+    bool is_only_one_shown();
     std::optional<StreamOrigin> find();
     void observe_software();
     std::optional<StreamOrigin> find_here(std::string_view source);
     std::optional<StreamOrigin> find_recorded();
     std::optional<StreamOrigin> ask_homes();
+    void note_answer(const StreamAnswer& answer);
     void note_began(const StreamOrigin& origin);
     [[noreturn]] void refuse(const char* why) const;
 
@@ -73,6 +77,8 @@
     std::string m_stream; ///< See stream_key(); empty where none is known.
     std::string_view m_known_by; ///< See known_by().
     std::string m_began_at;      ///< See began_at().
+    const TimePoint m_asked;     ///< When the call came.
+    SoftwareEvidence m_evidence; ///< That only one version served.
     bool m_several = false;      ///< Several versions served lately.
     bool m_unanswered = false;   ///< A home or the platform did not answer.
     bool m_unread = false;       ///< The platform's records were not read.
