Compare no route that no path finds

What callers saw: nothing served. All instances ended with a segmentation fault, and again at each start (own ends, LOST), once one record under crosslink/routes/ had a route whose prefix does not end with a slash. Cause: RouteHistory looks each route up by its own prefix, before and after a move. No path finds such a route in either map, and the code took one of the two for found. Why it works: what no call can reach has no streams to share.

--- a/src/libcrosslink/forward/route_history.cpp
+++ b/src/libcrosslink/forward/route_history.cpp
@@ -148,6 +148,9 @@
         const Place place{one.host, one.path_prefix};
         const ServiceRoute* from = before.find_route(place.first, place.second);
         const ServiceRoute* to = after.find_route(place.first, place.second);
+        // No call finds a route whose prefix does not end with a slash.
+        if (!from && !to)
+            return;
         if (from && to)
             note_move(from->picked_services(), to->picked_services(), now);
         else if (from)
--- a/src/libcrosslink/forward/route_history_test.cpp
+++ b/src/libcrosslink/forward/route_history_test.cpp
@@ -50,6 +50,14 @@
 
 } // namespace
 
+TEST_CASE("a route that no path finds shares no streams and ends no instance")
+{
+    const ServiceMap odd =
+        map_of({route("", {{"one", 1}}), route("/a", {{"two", 1}})});
+    CHECK(shared_after(odd, map_of({})).empty());
+    CHECK(shared_after(map_of({}), odd).empty());
+}
+
 TEST_CASE("the services of a split route share its streams")
 {
     RouteHistory history;
