Know whole answers at the client for the store, peers and own engines

What callers saw: at the own door, a plain service that stops within its answer's head, or within its chunks, and closes: 200 with an empty or short body, framed as whole. Calls to the platform's store, to other instances and to stores of KV went the same way; by reading, a part fails there as JSON, but an empty 200 to a write counted as done. Cause: HttpClient read with POCO's own session, which takes the lines that came for the whole head, and the end of the connection for that of the chunks. Why it works: the client uses the connection that calls to runners use, with its reading of heads, framing and chunks; there is one reading of answers now.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -3,19 +3,17 @@
 
 #include "http_client.h"
 
+#include "call_connection.h"
 #include "clock.h"
 
+#include <crosslink/ports/call_wire.h>
+
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
+#include <Poco/String.h>
 
+#include <algorithm>
 #include <chrono>
-#include <istream>
-#include <ostream>
 
 namespace crosslink
 {
@@ -27,18 +25,13 @@
 constexpr std::size_t most_idle = 32;
 /// A kept connection is used again only within this time; servers keep theirs
 /// longer.
-constexpr int keep_alive_seconds = 4;
+constexpr Micros keep_alive = std::chrono::seconds(3);
+constexpr int no_caller = -1;
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
 constexpr int first_server_error = 500;
 constexpr int unavailable = 503;
 
-Poco::Timespan
-timespan(Micros span)
-{
-    return Poco::Timespan(span.count());
-}
-
 [[noreturn]] void
 fail(const Poco::Exception& failure, RunState state)
 {
@@ -49,21 +42,69 @@
     throw Error(code, failure.displayText(), state);
 }
 
+/// Returns the value of the first header `name`; nothing if there is none.
+std::optional<std::string>
+header_of(const RawHead& head, std::string_view name)
+{
+    for (const HeaderField& field : head.headers)
+        if (Poco::icompare(field.name, std::string(name)) == 0)
+            return field.value;
+    return std::nullopt;
+}
+
 /// Returns the answer to `request` without its body.
 HttpAnswer
-head_of(const Poco::Net::HTTPResponse& response, const HttpRequest& request)
+answer_of(const RawHead& head, const HttpRequest& request)
 {
     HttpAnswer answer;
-    answer.status = response.getStatus();
-    answer.content_type = response.getContentType();
-    if (response.has("Retry-After"))
-        answer.retry_after = response.get("Retry-After");
-    const std::string wanted(request.wanted_header);
-    if (!wanted.empty() && response.has(wanted))
-        answer.wanted_header = response.get(wanted);
+    answer.status = head.status;
+    answer.content_type = header_of(head, "Content-Type").value_or("");
+    answer.retry_after = header_of(head, "Retry-After");
+    if (!request.wanted_header.empty())
+        answer.wanted_header = header_of(head, request.wanted_header);
     return answer;
 }
 
+/// Returns whether the connection carries another request after the answer.
+bool
+is_kept(const RawHead& head)
+{
+    return Poco::icompare(header_of(head, "Connection").value_or(""),
+                          "close") != 0;
+}
+
+/// Returns `request` as it goes out to `address`.
+OutgoingCall
+outgoing(const HttpRequest& request, const std::string& address)
+{
+    OutgoingCall call{request.method, request.path, request.headers};
+    const bool has_host = std::any_of(
+        call.headers.begin(), call.headers.end(), [](const HeaderField& field) {
+            return Poco::icompare(field.name, "Host") == 0;
+        });
+    if (!has_host)
+        call.headers.push_back({"Host", address});
+    return call;
+}
+
+/// Feeds `sink` with the lines that `text` begins with, and leaves the rest of
+/// it. Returns false once the sink does.
+bool
+take_lines(std::string& text, const HttpClient::LineSink& sink)
+{
+    std::size_t from = 0;
+    bool goes_on = true;
+    while (goes_on) {
+        const std::size_t end = text.find('\n', from);
+        if (end == std::string::npos)
+            break;
+        goes_on = sink(std::string_view(text).substr(from, end - from));
+        from = end + 1;
+    }
+    text.erase(0, from);
+    return goes_on;
+}
+
 bool
 is_success(int status)
 {
@@ -72,16 +113,62 @@
 
 } // namespace
 
-/// A client session that is connected in a step of its own, so that "no byte
-/// was sent" is known and not guessed.
-class HttpClient::Connection : public Poco::Net::HTTPClientSession
+/// One connection, whose peer may fall silent for `receive_time` at a time.
+class HttpClient::Connection
 {
 public:
-    using HTTPClientSession::HTTPClientSession;
+    Connection(const std::string& address, Micros connect_time)
+        : m_connection(address, connect_time)
+    {
+    }
 
-    void open(const Poco::Net::SocketAddress& address) { connect(address); }
+    void send(const OutgoingCall& call, std::string_view body,
+              Micros receive_time)
+    {
+        m_receive_time = receive_time;
+        wait_anew();
+        m_connection.send(call, body);
+    }
+    RawHead receive_head()
+    {
+        wait_anew();
+        return m_connection.receive_head();
+    }
+    /// Returns some bytes of the body; none at its end.
+    std::string read_some()
+    {
+        if (m_connection.ended())
+            return {};
+        wait_anew();
+        return m_connection.read_some();
+    }
+    /// Returns the body. Throws where it did not come whole.
+    std::string read_all()
+    {
+        std::string body;
+        for (std::string bytes = read_some(); !bytes.empty();
+             bytes = read_some())
+            body += bytes;
+        if (!is_whole())
+            throw Poco::Net::MessageException("the answer was cut short");
+        return body;
+    }
+    bool is_whole() const { return m_connection.whole(); }
+    bool can_be_used_again() const
+    {
+        return m_connection.ended() && m_connection.quiet();
+    }
 
     TimePoint idle_since{};
+
+private:
+    void wait_anew()
+    {
+        m_connection.watch(no_caller, monotonic_now() + m_receive_time);
+    }
+
+    CallConnection m_connection;
+    Micros m_receive_time{0};
 };
 
 HttpClient::HttpClient(std::string address, HttpTimeouts timeouts)
@@ -94,15 +181,7 @@
 HttpClient::Session
 HttpClient::connect()
 {
-    const Poco::Net::SocketAddress address(m_address);
-    auto session = std::make_unique<Connection>(address);
-    session->setKeepAlive(true);
-    session->setKeepAliveTimeout(Poco::Timespan(keep_alive_seconds, 0));
-    session->setTimeout(timespan(m_timeouts.connect),
-                        timespan(m_timeouts.receive),
-                        timespan(m_timeouts.receive));
-    session->open(address);
-    return session;
+    return std::make_unique<Connection>(m_address, m_timeouts.connect);
 }
 
 HttpClient::Session
@@ -114,8 +193,8 @@
         while (!m_idle.empty()) {
             Session session = std::move(m_idle.back());
             m_idle.pop_back();
-            const auto idle = now - session->idle_since;
-            if (idle < std::chrono::seconds(keep_alive_seconds - 1))
+            if (now - session->idle_since < keep_alive &&
+                session->can_be_used_again())
                 return session;
         }
     }
@@ -147,19 +226,8 @@
     Session session = fresh_connection ? connect() : take();
     // From the first byte on, anything may have happened over there.
     state = RunState::MayHaveRun;
-    const Micros receive = request.receive_timeout.value_or(m_timeouts.receive);
-    session->socket().setReceiveTimeout(timespan(receive));
-    Poco::Net::HTTPRequest head(request.method, request.path,
-                                Poco::Net::HTTPMessage::HTTP_1_1);
-    for (const HeaderField& field : request.headers)
-        head.set(field.name, field.value);
-    head.setContentLength(static_cast<std::streamsize>(request.body.size()));
-    std::ostream& out = session->sendRequest(head);
-    out.write(request.body.data(),
-              static_cast<std::streamsize>(request.body.size()));
-    out.flush();
-    if (!out)
-        throw Poco::Net::ConnectionResetException("the body was not sent");
+    session->send(outgoing(request, m_address), request.body,
+                  request.receive_timeout.value_or(m_timeouts.receive));
     m_bytes += request.body.size();
     return session;
 }
@@ -170,17 +238,11 @@
     RunState state = RunState::NotDispatched;
     try {
         Session session = begin(request, fresh_connection, state);
-        Poco::Net::HTTPResponse response;
-        std::istream& in = session->receiveResponse(response);
-        HttpAnswer answer = head_of(response, request);
-        Poco::StreamCopier::copyToString(in, answer.body);
-        const bool chunked = response.getChunkedTransferEncoding();
-        const auto length = response.getContentLength64();
-        if (!chunked && length >= 0 &&
-            answer.body.size() != static_cast<std::size_t>(length))
-            throw Poco::Net::MessageException("the answer was cut short");
+        const RawHead head = session->receive_head();
+        HttpAnswer answer = answer_of(head, request);
+        answer.body = session->read_all();
         m_bytes += answer.body.size();
-        if (!fresh_connection && response.getKeepAlive())
+        if (!fresh_connection && is_kept(head))
             put_back(std::move(session));
         return answer;
     } catch (const Poco::Exception& failure) {
@@ -215,22 +277,26 @@
     RunState state = RunState::NotDispatched;
     try {
         Session session = begin(request, false, state);
-        Poco::Net::HTTPResponse response;
-        std::istream& in = session->receiveResponse(response);
-        HttpAnswer answer = head_of(response, request);
+        const RawHead head = session->receive_head();
+        HttpAnswer answer = answer_of(head, request);
         if (!is_success(answer.status)) {
-            Poco::StreamCopier::copyToString(in, answer.body);
+            answer.body = session->read_all();
             return answer;
         }
-        std::string line;
-        while (std::getline(in, line)) {
-            m_bytes += line.size() + 1;
-            if (!on_line(line))
+        std::string rest;
+        for (std::string bytes = session->read_some(); !bytes.empty();
+             bytes = session->read_some()) {
+            m_bytes += bytes.size();
+            rest += bytes;
+            if (!take_lines(rest, on_line))
                 return answer;
         }
-        if (const auto* failure = session->networkException())
-            failure->rethrow();
-        if (response.getKeepAlive())
+        // The lines tell by themselves whether all have come.
+        if (!session->is_whole())
+            return answer;
+        if (!rest.empty() && !on_line(rest))
+            return answer;
+        if (is_kept(head))
             put_back(std::move(session));
         return answer;
     } catch (const Poco::Exception& failure) {
--- a/src/adapters/http_client_test.cpp
+++ b/src/adapters/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include "connection_times.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "testing/raw_peer.h"
 
 #include <catch2/catch.hpp>
 
@@ -96,8 +97,109 @@
     return request;
 }
 
+/// An answer as it stands on a connection, up to where a part of it may not be
+/// told from the whole.
+struct Sent {
+    std::string bytes;
+    std::size_t undecided; ///< From this byte on.
+};
+
+Sent
+sent(const std::string& fields, const std::string& body)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nStore-Era: 12\r\n" + fields +
+                             "Retry-After: 30\r\n\r\n";
+    return {head + body, head.size() + body.size()};
+}
+
+std::vector<Sent>
+answers_of_each_framing()
+{
+    const std::string lines = "{\"a\":1}\nsecond\n";
+    Sent unframed = sent("", lines);
+    // Its connection is all that ends it, once it has begun.
+    unframed.undecided -= lines.size() - 1;
+    return {
+        sent("Content-Length: 15\r\n", lines),
+        sent("Transfer-Encoding: chunked\r\n",
+             "8\r\n{\"a\":1}\n\r\n7;x=1\r\nsecond\n\r\n0\r\nX-Nota: a\r\n\r\n"),
+        unframed};
+}
+
+/// Calls `use` with a client whose peer says `bytes` and ends, with a reset
+/// where `resets`.
+template<typename Use>
+void
+with_peer_that_says(const std::string& bytes, bool resets, const Use& use)
+{
+    RawPeer peer;
+    HttpClient client(peer.address(), HttpTimeouts{far_off, far_off});
+    auto used = std::async(std::launch::async, [&] { use(client); });
+    peer.accept();
+    peer.say(bytes);
+    if (resets)
+        peer.reset();
+    else
+        peer.end();
+    used.get();
+}
+
 } // namespace
 
+TEST_CASE("an answer that is cut at any byte is none")
+{
+    for (const bool resets : {false, true})
+        for (const Sent& answer : answers_of_each_framing())
+            for (std::size_t cut = 0; cut < answer.undecided; ++cut) {
+                CAPTURE(resets, answer.bytes, cut);
+                with_peer_that_says(answer.bytes.substr(0, cut), resets,
+                                    [](HttpClient& client) {
+                                        CHECK_THROWS_AS(
+                                            client.exchange(question(far_off)),
+                                            Error);
+                                    });
+            }
+}
+
+TEST_CASE("a whole answer of each framing is read with its head")
+{
+    for (const Sent& answer : answers_of_each_framing())
+        with_peer_that_says(answer.bytes, false, [](HttpClient& client) {
+            HttpRequest request = question(far_off);
+            request.wanted_header = "store-era";
+            const HttpAnswer got = client.exchange(request);
+            CHECK(got.status == success);
+            CHECK(got.body == "{\"a\":1}\nsecond\n");
+            CHECK(got.wanted_header == "12");
+            CHECK(got.retry_after == "30");
+        });
+}
+
+TEST_CASE("a stream that is cut at any byte gives whole lines only")
+{
+    for (const bool resets : {false, true})
+        for (const Sent& answer : answers_of_each_framing())
+            for (std::size_t cut = 0; cut < answer.undecided; ++cut) {
+                CAPTURE(resets, answer.bytes, cut);
+                std::vector<std::string> lines;
+                with_peer_that_says(
+                    answer.bytes.substr(0, cut), resets,
+                    [&lines](HttpClient& client) {
+                        try {
+                            client.stream(question(far_off),
+                                          [&lines](std::string_view line) {
+                                              lines.emplace_back(line);
+                                              return true;
+                                          });
+                        } catch (const Error&) {
+                        }
+                    });
+                CHECK(lines.size() <= 2);
+                CHECK((lines.empty() || lines[0] == "{\"a\":1}"));
+                CHECK((lines.size() < 2 || lines[1] == "second"));
+            }
+}
+
 TEST_CASE("a kept connection that is silent stands for those kept with it")
 {
     FadingServer server;
--- a/src/adapters/testing/raw_peer.h
+++ b/src/adapters/testing/raw_peer.h
@@ -48,6 +48,12 @@
     }
     /// Ends what it says, as a runner that closes its connection does.
     void end() { m_connection->shutdownSend(); }
+    /// Ends its connection with a reset, once the other side has it all.
+    void reset()
+    {
+        m_connection->setLinger(true, 0);
+        m_connection->close();
+    }
     /// True where the other side has closed its connection.
     bool is_left()
     {
