Soak: streams taken up across software versions

Now runners that end come back with another version, callers leave their streams and take them up at any instance, up to three times, and one more fault has an instance miss what happens and then hear nobody: it stands still, then it is cut off from the store while all others stand still. Checked: one version a stream, ids in order, also of streams that go on within one answer.

--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -8,8 +8,9 @@
 
 The seed gives the plan of faults and what callers send; how threads meet is the
 machine's. Checks, from what callers and runners saw: own and whole answers, events
-in order, at most one run of what may run once, "not run" that is true, the right
-account, no configuration that goes back, few sends of a request, or of a part of
+in order and of one software version, also where a stream is taken up elsewhere, at most
+one run of what may run once, "not run" that is true, the right account, no
+configuration that goes back, few sends of a request, or of a part of
 prompts, under which runners end, runners with limits that are spared, and that all is
 served again afterwards. It ends only what it started.
 SEEDS.md keeps each seed that failed."""
@@ -19,6 +20,7 @@
 import http.client
 import os
 import random
+import re
 import signal
 import socket
 import sys
@@ -31,6 +33,7 @@
 sys.path.insert(0, os.path.join(ROOT, "platform", "testsuite"))
 import crash_cases as crash  # noqa: E402
 import limit_cases as limits  # noqa: E402
+import order_cases as order  # noqa: E402
 import part_crash_cases as parts  # noqa: E402
 import world as w  # noqa: E402
 from world import f  # noqa: E402
@@ -53,6 +56,12 @@
 CROWDED_PART = 0.85   # of the new connections go to one instance, at times
 LONGEST_CROWD = 4.0   # seconds
 TOKENS = 12
+TAKERS = 6            # callers that leave their streams and take them up
+MOST_TAKEN_UP = 3     # times, of one stream
+LONGEST_LEFT = 2.0    # seconds until a stream is taken up
+LONGEST_RELEASE = 5.0 # until runners come back with other software
+SOFTWARE = ("v1", "v1.1", "v1.2")
+EVENT_PAUSE = 0.01    # seconds
 NOT_RUN = (408, 421, 429, 503)
 KEYS = {w.KEY: "one", "key-alone": "alone"}
 
@@ -80,6 +89,16 @@
                 end.shutdown(socket.SHUT_RDWR)
 
 
+class ReplacedEndings(crash.Endings):
+    """Of runners that come back with the software that is released."""
+
+    released = SOFTWARE[0]
+
+    def start_again(self, runner):
+        runner.software = self.released
+        super().start_again(runner)
+
+
 class Scene:
     """The processes, and what the checks need to know of them."""
 
@@ -100,8 +119,12 @@
         self.version = 1  # of the configuration
         self.weights = 1
         self.lock = threading.Lock()
-        self.endings = {name: crash.Endings(self.world, name, own_id=own)
-                        for name, own in (("plain", True), ("llm", False))}
+        self.endings = {"plain": crash.Endings(self.world, "plain",
+                                               own_id=True),
+                        "llm": ReplacedEndings(self.world, "llm")}
+        for runner in self.world.llm:
+            runner.tells_software = True
+            runner.event_pause = EVENT_PAUSE
         self.failures = []
 
     def fail(self, what):
@@ -140,6 +163,28 @@
         process.send_signal(signal.SIGCONT)
 
 
+def leave_alone(scene, rng, span):
+    """One instance misses what happens, and then hears from nobody."""
+    one = rng.randrange(len(scene.lives))
+    with contextlib.ExitStack() as held:
+        for lock in scene.locks:
+            held.enter_context(lock)
+        signal_to(scene, [one], signal.SIGSTOP)
+        time.sleep(span / 2)
+        others = [n for n in range(len(scene.lives)) if n != one]
+        signal_to(scene, others, signal.SIGSTOP)
+        scene.proxies[one].cut()
+        signal_to(scene, [one], signal.SIGCONT)
+        time.sleep(span / 2)
+        scene.proxies[one].mend()
+        signal_to(scene, others, signal.SIGCONT)
+
+
+def signal_to(scene, numbers, sign):
+    for number in numbers:
+        scene.world.instances[number].process.send_signal(sign)
+
+
 def end_runner(scene, rng, _):
     rng.choice(scene.runners()).end()
 
@@ -197,8 +242,8 @@
                                                "version": scene.weights})
 
 
-FAULTS = [kill, kill, planned_stop, planned_stop, pause, pause, end_runner,
-          end_runner, silence_runner, spoil_runner, spoil_runner,
+FAULTS = [kill, kill, planned_stop, planned_stop, pause, pause, leave_alone,
+          end_runner, end_runner, silence_runner, spoil_runner, spoil_runner,
           platform_away, link_fault, link_fault, new_configuration,
           new_weights]
 
@@ -276,6 +321,14 @@
         time.sleep(rng.uniform(0.5, LONGEST_CROWD))
 
 
+def release_software(scene, rng, end):
+    """Runners that end come back with another version than they had."""
+    while time.monotonic() < end:
+        scene.endings["llm"].released = rng.choice(SOFTWARE)
+        rng.choice(scene.world.llm).end()
+        time.sleep(rng.uniform(0.5, LONGEST_RELEASE))
+
+
 def list_weights(scene, end):
     """Lets runners tell the platform which weights they have, as the wire's
     runners do with each heartbeat. Instances that start later know them from
@@ -357,6 +410,9 @@
                  if path in ("stream", "resume") else text == "body of " + call)
         if not whole:
             self.scene.fail("%s: not its whole answer: %r" % (call, text))
+        versions = set(re.findall(r"^: (\S+)$", text, re.MULTILINE))
+        if len(versions) > 1:
+            self.scene.fail("%s: joined %s" % (call, sorted(versions)))
 
     def check_version(self, version, status):
         seen = self.seen_version.get(self.life, 0)
@@ -367,6 +423,44 @@
             self.scene.fail("configuration went back from %d" % seen)
 
 
+class Taker:
+    """Leaves its streams and takes them up at any instance."""
+
+    def __init__(self, scene, seed):
+        self.scene = scene
+        self.rng = random.Random("taker %d" % seed)
+        self.taken_up = 0
+
+    def run(self, end):
+        while time.monotonic() < end:
+            stream = order.Stream(0)
+            self.read(stream, stream.begin,
+                      self.rng.randrange(1, order.EVENTS))
+            for _ in range(self.rng.randrange(1, MOST_TAKEN_UP + 1)):
+                if not stream.events or stream.is_whole():
+                    break
+                time.sleep(self.rng.uniform(0, LONGEST_LEFT))
+                self.read(stream, stream.take_up, self.rng.choice(
+                    [None, self.rng.randrange(1, order.EVENTS)]))
+            time.sleep(self.rng.uniform(0, 0.1))
+
+    def read(self, stream, use, stop_after):
+        before = len(stream.events)
+        with contextlib.suppress(OSError):
+            use(self.rng.choice(self.scene.world.instances).address,
+                stop_after)
+        self.check(stream)
+        if 0 < before < len(stream.events):
+            self.taken_up += 1
+
+    def check(self, stream):
+        if len(stream.versions()) > 1:
+            self.scene.fail("%s: joined %s" % (stream.name, stream.events))
+        numbers = [number for number, _ in stream.events]
+        if numbers != list(range(1, len(numbers) + 1)):
+            self.scene.fail("%s: out of order %s" % (stream.name, numbers))
+
+
 def send_ending_request(scene, rng, end):
     """A request under which runners end comes again and again, anywhere."""
     while time.monotonic() < end:
@@ -490,8 +584,9 @@
         threads = [threading.Thread(target=run_series,
                                     args=(scene, seed * 100 + n, end))
                    for n in range(SERIES)]
+        takers = [Taker(scene, seed * 1000 + n) for n in range(TAKERS)]
         threads += [threading.Thread(target=c.run, args=(end,))
-                    for c in callers]
+                    for c in callers + takers]
         threads.append(threading.Thread(
             target=list_weights, args=(scene, end + CALM_SECONDS)))
         threads.append(threading.Thread(
@@ -507,7 +602,8 @@
                                         args=(scene, copies, end)))
         for what, series in (("parts", send_ending_part),
                              ("unframed", answer_unframed),
-                             ("crowds", crowd_instances)):
+                             ("crowds", crowd_instances),
+                             ("software", release_software)):
             threads.append(threading.Thread(target=series, args=(
                 scene, random.Random("%s %d" % (what, seed)), end)))
         for thread in threads:
@@ -523,8 +619,10 @@
         check_runs(scene, callers)
     served = sum(c.served for c in callers)
     sent = sum(len(c.sent) for c in callers)
-    print("seed %d: %d calls, %d served, %d runners ended, %s" % (
-        seed, sent, served, sum(len(e.times) for e in scene.endings.values()),
+    print("seed %d: %d calls, %d served, %d streams taken up, "
+          "%d runners ended, %s" % (
+        seed, sent, served, sum(t.taken_up for t in takers),
+        sum(len(e.times) for e in scene.endings.values()),
         "; ".join(scene.failures[:5]) or "nothing broken"), flush=True)
     if served == 0:
         scene.fail("nothing was served")
