--- a/src/build-scripts/mutate.py
+++ b/src/build-scripts/mutate.py
@@ -272,6 +272,14 @@
      "                platform.read(configuration_head_key)\n"
      "                    .value_or(PlatformRecord{}).version",
      "unit|apply"),
+    ("take silent homes for homes that know of no other version",
+     "src/include/crosslink/forward/software_evidence.h",
+     "m_answered > 0 && m_silent == 0", "true",
+     "unit|as_one_joined"),
+    ("tell no home of streams while out of step",
+     "src/serve/fleet/origin_duty.cpp",
+     "const bool all = m_state.is_out_of_step();", "const bool all = false;",
+     "zone_go_on_while"),
     ("take an answer of no call for that of the call",
      "src/libcrosslink/forward/answer_match.cpp",
      "return head.not_run && only_call ? AnswerMatch::ThisCall\n"
