--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -69,8 +69,9 @@
 bool
 is_kept(const RawHead& head)
 {
-    return Poco::icompare(header_of(head, "Connection").value_or(""),
-                          "close") != 0;
+    const std::string options =
+        Poco::toLower(header_of(head, "Connection").value_or(""));
+    return options.find("close") == std::string::npos;
 }
 
 /// Returns `request` as it goes out to `address`.
@@ -131,7 +132,7 @@
     }
     RawHead receive_head()
     {
-        wait_anew();
+        wait_for_bytes();
         return m_connection.receive_head();
     }
     /// Returns some bytes of the body; none at its end.
@@ -139,7 +140,7 @@
     {
         if (m_connection.ended())
             return {};
-        wait_anew();
+        wait_for_bytes();
         return m_connection.read_some();
     }
     /// Returns the body. Throws where it did not come whole.
@@ -162,6 +163,14 @@
     TimePoint idle_since{};
 
 private:
+    /// A head, or a piece of a body, may take longer to begin than to come.
+    void wait_for_bytes()
+    {
+        wait_anew();
+        if (m_connection.wait(m_receive_time) == CallConnection::Wait::TimedOut)
+            throw Poco::TimeoutException("nothing came");
+        wait_anew();
+    }
     void wait_anew()
     {
         m_connection.watch(no_caller, monotonic_now() + m_receive_time);
--- a/src/adapters/watched_socket.cpp
+++ b/src/adapters/watched_socket.cpp
@@ -52,6 +52,9 @@
 WatchedSocket::Wait
 WatchedSocket::wait_for(short events, TimePoint end)
 {
+    // Closed after a failure: there is nothing to wait for.
+    if (!initialized())
+        return Wait::Ready;
     for (;;) {
         const int left = millis_until(std::min(end, m_deadline));
         if (left == 0)
--- a/src/include/crosslink/forward/software_history.h
+++ b/src/include/crosslink/forward/software_history.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -53,7 +54,11 @@
     /// may have begun at another version than a runner has: two were listed
     /// within StreamOrigins::lifetime, or are recorded.
     bool several(std::string_view service, TimePoint now) const;
-    /// Returns the services for which that holds.
+    /// Returns the only version that was listed within StreamOrigins::lifetime
+    /// or is recorded; nothing if there are none, or several.
+    std::optional<std::string> only(std::string_view service,
+                                    TimePoint now) const;
+    /// Returns the services for which several() holds.
     std::set<std::string, std::less<>> mixed(TimePoint now) const;
 
     /// Returns the versions that were listed lately and are not recorded, and
@@ -71,6 +76,8 @@
         bool is_lost = false; ///< See record_lost().
     };
 
+    std::set<std::string_view> versions(std::string_view service,
+                                        TimePoint now) const;
     bool was_listed(const ServedSoftware& served, TimePoint now) const;
 
     /// When each version was listed last, by service and version.
--- a/src/libcrosslink/forward/software_history.cpp
+++ b/src/libcrosslink/forward/software_history.cpp
@@ -74,8 +74,8 @@
     });
 }
 
-bool
-SoftwareHistory::several(std::string_view service, TimePoint now) const
+std::set<std::string_view>
+SoftwareHistory::versions(std::string_view service, TimePoint now) const
 {
     std::set<std::string_view> versions;
     for (const auto& [id, record] : m_records)
@@ -86,7 +86,22 @@
         for (const auto& [software, at] : found->second)
             if (is_recent(at, now))
                 versions.insert(software);
-    return versions.size() > 1;
+    return versions;
+}
+
+bool
+SoftwareHistory::several(std::string_view service, TimePoint now) const
+{
+    return versions(service, now).size() > 1;
+}
+
+std::optional<std::string>
+SoftwareHistory::only(std::string_view service, TimePoint now) const
+{
+    const std::set<std::string_view> known = versions(service, now);
+    if (known.size() != 1)
+        return std::nullopt;
+    return std::string(*known.begin());
 }
 
 std::set<std::string, std::less<>>
--- a/src/libcrosslink/forward/software_history_test.cpp
+++ b/src/libcrosslink/forward/software_history_test.cpp
@@ -162,3 +162,18 @@
     CHECK(table.choose(query(nullptr)));
     CHECK_FALSE(table.next_available(query(&gone)).at);
 }
+
+TEST_CASE("a version that replaced the only one is not the only one")
+{
+    SoftwareHistory history;
+    CHECK_FALSE(history.only("llm", start));
+    history.observe({{"llm", {{"v1", 4}}}}, start);
+    CHECK(history.only("llm", start) == "v1");
+    const TimePoint gap = start + StreamOrigins::lifetime / 2;
+    history.observe({}, gap);
+    CHECK(history.only("llm", gap) == "v1");
+    history.observe({{"llm", {{"v2", 4}}}}, gap);
+    CHECK_FALSE(history.only("llm", gap));
+    const TimePoint later = start + StreamOrigins::lifetime;
+    CHECK(history.only("llm", later) == "v2");
+}
--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -87,7 +87,9 @@
     if (!restored)
         m_restored.written(page.entries);
     settle_restored(now);
-    m_state.note_confirmed(*m_confirmed);
+    // Runners whose entries were lost are listed again within that time.
+    if (!m_restored.is_pending() && now >= m_lapsed_until)
+        m_state.note_confirmed(*m_confirmed);
     return true;
 }
 
@@ -268,14 +270,13 @@
 }
 
 Micros
-ChangeReceiver::age_of(const ChangePage& page, TimePoint now)
+ChangeReceiver::since_packed(const ChangePage& page, TimePoint now)
 {
-    Micros since_packed{0};
-    if (page.packed) {
-        const std::lock_guard packing(m_packing_mutex);
-        since_packed = std::chrono::duration_cast<Micros>(now - m_packed_at);
-    }
-    return age(now) + std::max(since_packed, Micros{0});
+    if (!page.packed)
+        return Micros{0};
+    const std::lock_guard packing(m_packing_mutex);
+    return std::max(std::chrono::duration_cast<Micros>(now - m_packed_at),
+                    Micros{0});
 }
 
 bool
--- a/src/serve/fleet/change_receiver.h
+++ b/src/serve/fleet/change_receiver.h
@@ -55,8 +55,9 @@
     /// Returns the time at `now` since the platform last confirmed that all
     /// changes are known here; a large time before the first confirmation.
     Micros age(TimePoint now);
-    /// Returns the same for a page of changes_since(), which may be older.
-    Micros age_of(const ChangePage& page, TimePoint now);
+    /// Returns how much older a page of changes_since() may be than age(), as
+    /// that was before.
+    Micros since_packed(const ChangePage& page, TimePoint now);
     /// Returns whether other instances deliver changes in time, so that this
     /// one need not ask the platform.
     bool peers_are_in_time(TimePoint now);
--- a/src/serve/fleet/exchange_handler.cpp
+++ b/src/serve/fleet/exchange_handler.cpp
@@ -52,8 +52,10 @@
     response.leaving = m_state.leaving_updates();
     response.fetches = fetches;
     response.holders = m_changes.former_holders(now);
+    // Asked first: changes may arrive in between, and the page then has more.
+    response.changes_age = m_changes.age(now);
     response.changes = m_changes.changes_since(request.known_position);
-    response.changes_age = m_changes.age_of(response.changes, now);
+    response.changes_age += m_changes.since_packed(response.changes, now);
     return response;
 }
 
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -176,10 +176,13 @@
     });
     m_rpc->add(store_snapshot_method, [&changes](const Json::Value&) {
         Json::Value result;
+        const TimePoint now = monotonic_now();
+        // Asked first: changes may arrive before the page is made.
+        const Micros age = changes.age(now);
         const ChangePage page = changes.changes_since(std::nullopt);
         result["page"] = to_json(page);
         result["age_us"] =
-            Json::Int64(changes.age_of(page, monotonic_now()).count());
+            Json::Int64((age + changes.since_packed(page, now)).count());
         return result;
     });
     HttpServerRules rules;
@@ -327,6 +330,7 @@
         call(find_stream_method, parameters, call_timeout);
     StreamAnswer result;
     result.several = json_bool(answer, "several");
+    result.software = json_string(answer, "software");
     if (answer.isMember("origin"))
         result.origin = stream_from_json(answer["origin"]);
     return result;
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -305,8 +305,8 @@
     bool tells_origins(std::string_view service);
     /// Returns whether a runner of `service` with `software` is listed.
     bool serves(std::string_view service, std::string_view software);
-    /// Returns the software that all listed runners of `service` have; nothing
-    /// if there are none, or several.
+    /// Returns the only software that runners of `service` have or had within
+    /// StreamOrigins::lifetime; nothing if there are none, or several.
     std::optional<std::string> only_software(std::string_view service);
     /// Returns the other instances among the homes of `stream`; see
     /// crosslink::stream_homes().
--- a/src/serve/forward/forward_state_streams.cpp
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -114,14 +114,10 @@
 std::optional<std::string>
 ForwardState::only_software(std::string_view service)
 {
-    return runners.with(
-        [&](const RunnerTable& table) -> std::optional<std::string> {
-            const auto versions = table.software().find(service);
-            if (versions == table.software().end() ||
-                versions->second.size() != 1)
-                return std::nullopt;
-            return versions->second.begin()->first;
-        });
+    observe_software();
+    return software.with([service](const SoftwareHistory& history) {
+        return history.only(service, monotonic_now());
+    });
 }
 
 std::vector<StreamOrigin>
--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -13,13 +13,21 @@
 #include <crosslink/forward/forwarded_call.h>
 #include <crosslink/forward/queue_limit.h>
 #include <crosslink/forward/service_map.h>
-#include <crosslink/membership/change_page.h>
 
 #include <algorithm>
 
 namespace crosslink
 {
 
+namespace
+{
+
+/// Longest wait for what the platform has at this moment. An instance that asks
+/// the platform itself waits 1.8 s for an answer, and pauses before.
+constexpr Micros confirmation_time = std::chrono::milliseconds(2500);
+
+} // namespace
+
 StreamResumption::StreamResumption(ForwardState& state,
                                    const ForwardedCall& call,
                                    const ServiceRoute& route,
@@ -55,7 +63,7 @@
     if (!origin) {
         if (m_several || m_unread || !is_only_one_shown())
             refuse("the software that began the stream is not known");
-        return only_software();
+        return only_origin();
     }
     m_began_at = origin->software;
     if (!m_route.picked_services().contains(origin->service))
@@ -78,21 +86,23 @@
     if (!m_state.reaches_platform())
         return false;
     const TimePoint latest =
-        std::min(m_deadline, monotonic_now() + max_changes_age);
+        std::min(m_deadline, monotonic_now() + confirmation_time);
     const bool shown = m_state.knows_changes_until(m_asked, latest);
     observe_software();
     return shown && !m_several;
 }
 
-/// Returns the only software that the stream can have begun at. Another one may
-/// come while the call waits for a runner. Nothing if none is listed.
-std::optional<StreamOrigin>
-StreamResumption::only_software()
+/// Returns the only software that the stream can have begun at, whether or not
+/// it serves now: another one may come while the call waits for a runner.
+StreamOrigin
+StreamResumption::only_origin()
 {
     const std::string service = *m_route.picked_services().begin();
     const auto software = m_state.only_software(service);
-    if (!software)
-        return std::nullopt;
+    // What was known before may have changed since.
+    observe_software();
+    if (!software || m_several)
+        refuse("the software that began the stream is not known");
     return StreamOrigin{m_stream, service, *software};
 }
 
@@ -102,8 +112,11 @@
 StreamResumption::find()
 {
     observe_software();
-    if (m_call.resumes.empty())
-        return std::nullopt;
+    if (m_call.resumes.empty()) {
+        // Nobody can know the stream, but whether several versions served.
+        m_stream = stream_key(m_account, m_call.id);
+        return ask_homes();
+    }
     m_stream = stream_key(m_account, m_call.resumes);
     auto known = find_here("instance");
     // One that has just started does not know which versions served before, and
--- a/src/serve/forward/stream_resumption.h
+++ b/src/serve/forward/stream_resumption.h
@@ -58,7 +58,7 @@
 private:
     bool may_be_taken_up() const;
     bool takes_up() const;
-    std::optional<StreamOrigin> only_software();
+    StreamOrigin only_origin();
     bool is_only_one_shown();
     std::optional<StreamOrigin> find();
     void observe_software();
