--- a/src/serve/forward/stream_resumption.h
+++ b/src/serve/forward/stream_resumption.h
@@ -37,7 +37,7 @@
     /// nothing if the choice is free. Asks other instances and the platform
     /// where this one does not know. Throws Error(StreamNotResumable), and
     /// nothing has run, if the stream can't go on: its software serves no more,
-    /// or is not known while several serve.
+    /// or is not known and it is not shown that only one served.
     std::optional<StreamOrigin> origin();
     /// Returns who knew the software that began the stream, for the log:
     /// "instance" for this one, "home", "record"; "none" where nobody did.
