Fault matrix: only the engine that runs the stream is killed

By the instance's log both engines ended, 2 ms apart: the case asked the engines in turn which of them runs, killed the first, and asked the second when that one had already taken the stream over, so that it was killed as well. It asks all of them first. The case of engines that end each time had the same loop.

--- a/testsuite/fault-matrix/cells.py
+++ b/testsuite/fault-matrix/cells.py
@@ -623,15 +623,20 @@
     return text == expected and whole, events
 
 
+def kill_those_that_run(s):
+    """Kills the engines that run something now, not those that go on with it."""
+    running = [e for e in s.engines if e.stats()["running"] > 0]
+    for engine in running:
+        engine.kill()
+        s.engines.remove(engine)
+
+
 @cell("relay", "engine-killed")
 @scene(engines=2, engine_words=("--token-ms", 20))
 def relay_engine_killed(s):
     def kill_running(count):
         if count == 5:
-            for engine in list(s.engines):
-                if engine.stats()["running"] > 0:
-                    engine.kill()
-                    s.engines.remove(engine)
+            kill_those_that_run(s)
     whole, _ = stream_with(s, s.entries[0], kill_running)
     assert whole
     assert s.entries[0].metric("continuations_total") == 1
@@ -644,15 +649,9 @@
     saw three ends sends it to no fourth one."""
     prompt = "under which engines end " * 50
 
-    def kill_running(_):
-        for engine in list(s.engines):
-            if engine.stats()["running"] > 0:
-                engine.kill()
-                s.engines.remove(engine)
-
     while len(s.engines) > 2:
         f.stream_events(s.entries[0], KEY, prompt, TOKENS,
-                        on_event=kill_running)
+                        on_event=lambda _: kill_those_that_run(s))
     answer = f.complete(s.entries[0], KEY, prompt, TOKENS)
     assert (answer.status, answer.error()) == (
         502, "request_ends_upstreams"), answer.text
