Fuzz of framing: relays, and instances that are killed, stopped and stand still

Rude clients and runners met the users' door only, with all instances well. Now half of the instances may reach runners through the others alone (--relayed), and instances are killed, stopped as planned and made to stand still meanwhile (--faults); a planned stop must end well, and each instance that is cut off must have relayed calls.

--- a/testsuite/framing-fuzz/fuzz.py
+++ b/testsuite/framing-fuzz/fuzz.py
@@ -3,7 +3,11 @@
 """A fuzz of framing: the real program between rude clients and rude runners.
 
     fuzz.py [--seed N] [--seeds COUNT] [--seconds S] [--instances P]
+            [--relayed] [--faults]
 
+With --relayed the first half of the instances loses the way to all runners, so that
+its calls go through the others. With --faults instances are killed, stopped and made
+to stand still meanwhile.
 The seed gives what clients and runners send; how threads meet is the machine's.
 Checks, from what both sides know that they sent and saw: no request runs that no
 client sent, none runs changed or in part, what may run once runs once, each answer
@@ -15,6 +19,7 @@
 import http.client
 import os
 import random
+import re
 import signal
 import sys
 import threading
@@ -23,6 +28,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
 sys.path.insert(0, os.path.join(ROOT, "platform", "testsuite"))
+import cut_world  # noqa: E402
 import rude_client  # noqa: E402
 import rude_runner  # noqa: E402
 import world as w  # noqa: E402
@@ -33,14 +39,16 @@
 MOST_MEMORY_MB = 200
 CALM_CALLS = 20
 CALM_SECONDS = 20
+LONGEST_BETWEEN_FAULTS = 2.0  # seconds
+LONGEST_PAUSE = 1.0           # of an instance
 
 
 class FuzzWorld(w.World):
-    """A store, three rude runners, and instances before them."""
+    """A store, rude runners, and instances before them."""
 
     def __init__(self, seed, instances):
-        super().__init__(instances=instances)
-        for runner in self.plain + self.llm:
+        super().__init__(instances=0, engines=0)
+        for runner in self.plain:
             self.store.remove("servers/" + runner.id)
         self.rude = []
         for service in ("plain", "llm"):
@@ -48,6 +56,10 @@
                 runner = rude_runner.RudeRunner(seed, len(self.rude))
                 self.list(runner, service)
                 self.rude.append(runner)
+        self.start_all(instances)
+
+    def start_all(self, instances):
+        self.instances = [w.Instance(self.store) for _ in range(instances)]
 
     def __exit__(self, *reason):
         super().__exit__(*reason)
@@ -55,6 +67,83 @@
             runner.end()
 
 
+    def check_relayed(self):
+        """Returns what is wrong with the ways through other instances."""
+        return []
+
+
+class RelayedWorld(FuzzWorld, cut_world.CutWorld):
+    """A world whose first half of instances reaches runners through the others
+    alone."""
+
+    def start_all(self, instances):
+        self.views = [cut_world.GatedStore(self.store)
+                      for _ in range(instances)]
+        self.instances = [self.start(view, "zone-a") for view in self.views]
+
+    def __enter__(self):
+        for runner in self.rude:
+            runner.polite = True
+        super().__enter__()
+        self.cut(range(self.count_cut()), "reset")
+        for runner in self.rude:
+            runner.polite = False
+            runner.runs.clear()
+        return self
+
+
+    def count_cut(self):
+        return len(self.instances) // 2
+
+    def check_relayed(self):
+        wrong = []
+        for instance in self.instances[:self.count_cut()]:
+            text = f.http_call(instance.metrics_address, "GET", "/").text
+            if re.search(r"^crosslink_calls_relayed_total 0$", text,
+                         re.MULTILINE):
+                wrong.append("no call was relayed")
+        return wrong
+
+
+class Faults(w.Background):
+    """Kills instances, stops them, or makes them stand still."""
+
+    def __init__(self, seed, instances):
+        super().__init__()
+        self.draw = random.Random("faults %d" % seed)
+        self.instances = instances
+        self.wrong = []
+
+    def run(self):
+        while not self.stopped.wait(
+                self.draw.uniform(0, LONGEST_BETWEEN_FAULTS)):
+            instance = self.draw.choice(self.instances)
+            self.draw.choice([self.kill, self.stop, self.pause])(instance)
+
+    def kill(self, instance):
+        self.wrong += check_processes([instance])
+        instance.end()
+        self.start_again(instance)
+
+    def stop(self, instance):
+        self.wrong += check_processes([instance])
+        instance.process.send_signal(signal.SIGTERM)
+        code = instance.process.wait()
+        if code != 0:
+            self.wrong.append("a planned stop ended with %d" % code)
+        self.start_again(instance)
+
+    def pause(self, instance):
+        instance.process.send_signal(signal.SIGSTOP)
+        time.sleep(self.draw.uniform(0, LONGEST_PAUSE))
+        instance.process.send_signal(signal.SIGCONT)
+
+    @staticmethod
+    def start_again(instance):
+        instance.start_again()
+        instance.wait_ready()
+
+
 def check_runs(sent, runners):
     """Returns what is wrong with the requests that runners got."""
     wrong = []
@@ -148,18 +237,21 @@
     return ["not served again: %r" % answers] if set(answers) != {200} else []
 
 
-def play(seed, seconds, instances):
+def play(seed, given):
     """Returns what broke, and how many requests and runs there were."""
-    with FuzzWorld(seed, instances) as world:
+    make = RelayedWorld if given.relayed else FuzzWorld
+    with make(seed, given.instances) as world:
         clients = [rude_client.RudeClient(seed, n, world.instances)
                    for n in range(CLIENTS)]
-        stop = time.monotonic() + seconds
+        stop = time.monotonic() + given.seconds
         threads = [threading.Thread(target=client.run, args=(stop,))
                    for client in clients]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
+        faults = Faults(seed, world.instances)
+        with faults if given.faults else contextlib.nullcontext():
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
         sent = {}
         got = []
         for client in clients:
@@ -170,7 +262,9 @@
                        for _, answer in got)
         wrong = check_runs(sent, world.rude) + check_answers(got, world.rude)
         wrong += [text for client in clients for text in client.wrong]
+        wrong += faults.wrong
         wrong += check_processes(world.instances) + check_served(world)
+        wrong += world.check_relayed()
         return wrong, len(sent), runs, answered
 
 
@@ -180,13 +274,14 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--instances", type=int, default=2)
+    parser.add_argument("--relayed", action="store_true")
+    parser.add_argument("--faults", action="store_true")
     given = parser.parse_args()
     # Ends what it started also where it is told to end.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed = []
     for seed in range(given.seed, given.seed + given.seeds):
-        wrong, sent, runs, answered = play(seed, given.seconds,
-                                           given.instances)
+        wrong, sent, runs, answered = play(seed, given)
         print("seed %d: %d requests, %d runs, %d whole answers, %s" % (
             seed, sent, runs, answered, "broken" if wrong else "held"),
             flush=True)
