Fuzz of framing: gates end with their world, and a fault that fails is told

A hundred seeds in one process ran out of descriptors at the 31st: the gates before rude runners stayed open, and the fault that couldn't start an instance ended its series unseen.

--- a/testsuite/framing-fuzz/fuzz.py
+++ b/testsuite/framing-fuzz/fuzz.py
@@ -92,6 +92,11 @@
         return self
 
 
+    def __exit__(self, *reason):
+        super().__exit__(*reason)
+        for view in self.views:
+            view.end()
+
     def count_cut(self):
         return len(self.instances) // 2
 
@@ -118,7 +123,11 @@
         while not self.stopped.wait(
                 self.draw.uniform(0, LONGEST_BETWEEN_FAULTS)):
             instance = self.draw.choice(self.instances)
-            self.draw.choice([self.kill, self.stop, self.pause])(instance)
+            fault = self.draw.choice([self.kill, self.stop, self.pause])
+            try:
+                fault(instance)
+            except (AssertionError, OSError) as failure:
+                self.wrong.append("%s: %r" % (fault.__name__, failure))
 
     def kill(self, instance):
         self.wrong += check_processes([instance])
