--- a/testsuite/framing-fuzz/fuzz.py
+++ b/testsuite/framing-fuzz/fuzz.py
@@ -95,11 +95,6 @@
             runner.runs.clear()
         return self
 
-    def __exit__(self, *reason):
-        super().__exit__(*reason)
-        for view in self.views:
-            view.end()
-
     def count_cut(self):
         return len(self.instances) // 2
 
