Refuse no stream for a version that is only not listed yet

Cause: what others tell an instance of streams, and what it lists, come to it on two ways. It took its own list for the present: a version that it did not list counted as one that serves no more, also where the list was older than the stream. The same where nobody remembered the stream and the homes were silent: it waited until the list was confirmed, learned of the second version, and refused without asking the homes again, which were back by then.

A stream whose version left is refused at once as before, as the list is newer than the stream. Homes are asked again once the list has shown a second version. Origins are found with their age for that.

--- a/src/include/crosslink/forward/stream_origins.h
+++ b/src/include/crosslink/forward/stream_origins.h
@@ -82,7 +82,8 @@
     void ended(const std::string& stream);
     /// Records an origin that another instance told.
     void merge(const StreamOrigin& origin, TimePoint now);
-    /// Returns the origin of a stream; nothing if it is not known.
+    /// Returns the origin of a stream, with its age at `now`; nothing if it is
+    /// not known.
     std::optional<StreamOrigin> find(std::string_view stream,
                                      TimePoint now) const;
     /// Returns the origins of this instance's streams of services for which
@@ -114,6 +115,7 @@
         TimePoint sent_at{};
     };
 
+    static StreamOrigin as_of(const Known& known, TimePoint now);
     bool put(const StreamOrigin& origin, TimePoint now);
     void expire(TimePoint now);
     void drop(const std::string& stream);
--- a/src/libcrosslink/forward/stream_origins.cpp
+++ b/src/libcrosslink/forward/stream_origins.cpp
@@ -164,6 +164,15 @@
         m_untold.pop_front();
 }
 
+/// Returns an origin with its age at `now`.
+StreamOrigin
+StreamOrigins::as_of(const Known& known, TimePoint now)
+{
+    StreamOrigin origin = known.origin;
+    origin.age = std::chrono::duration_cast<Micros>(now - known.sent_at);
+    return origin;
+}
+
 void
 StreamOrigins::drop(const std::string& stream)
 {
@@ -177,7 +186,7 @@
     const auto found = m_origins.find(stream);
     if (found == m_origins.end() || now >= found->second.sent_at + lifetime)
         return std::nullopt;
-    return found->second.origin;
+    return as_of(found->second, now);
 }
 
 std::vector<StreamOrigin>
@@ -196,9 +205,7 @@
             rest.push_back(std::move(stream));
             continue;
         }
-        taken.push_back(known.origin);
-        taken.back().age =
-            std::chrono::duration_cast<Micros>(now - known.sent_at);
+        taken.push_back(as_of(known, now));
     }
     m_untold = std::move(rest);
     return taken;
@@ -235,9 +242,7 @@
     for (const auto& [stream, known] : m_origins) {
         if (now >= known.sent_at + lifetime)
             continue;
-        result.push_back(known.origin);
-        result.back().age =
-            std::chrono::duration_cast<Micros>(now - known.sent_at);
+        result.push_back(as_of(known, now));
     }
     return result;
 }
--- a/src/libcrosslink/forward/stream_origins_test.cpp
+++ b/src/libcrosslink/forward/stream_origins_test.cpp
@@ -76,6 +76,16 @@
     CHECK(origins.size() == 1);
 }
 
+TEST_CASE("an origin is found with the time since it was sent")
+{
+    StreamOrigins origins;
+    StreamOrigin told = origin("s", "v1");
+    told.age = std::chrono::seconds(10);
+    origins.merge(told, start);
+    const Micros since = std::chrono::seconds(2);
+    CHECK(origins.find("s", start + since)->age == told.age + since);
+}
+
 TEST_CASE("the number of remembered origins is bounded")
 {
     StreamOrigins origins;
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -258,6 +258,7 @@
         runners.with([](RunnerTable& table) { return table.limited_count(); });
     if (kind == ChangesKind::Snapshot)
         learned.notify();
+    platform_changed.notify();
 }
 
 std::vector<std::string>
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -47,6 +47,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -212,8 +213,9 @@
     Guarded<std::optional<std::vector<std::string>>> start_parents;
     /// Notified when the configuration and the runners have been read.
     LearnedSignal learned;
-    /// Notified when the platform's changes are confirmed to be complete.
-    LearnedSignal confirmed;
+    /// Notified when changes of the platform have been applied, or are
+    /// confirmed to be complete.
+    LearnedSignal platform_changed;
     const TimePoint started_at;
 
     /// Returns how long this process has been running.
@@ -295,8 +297,10 @@
     /// confirmation.
     Micros changes_age(TimePoint now) const;
     /// Waits, until `latest` at most, for the changes that were made until `at`
-    /// to be known here. Returns whether they are.
-    bool knows_changes_until(TimePoint at, TimePoint latest);
+    /// to be known here, or for those that make `is_enough` true. Returns
+    /// whether all that were made until `at` are known.
+    bool knows_changes_until(TimePoint at, TimePoint latest,
+                             const std::function<bool()>& is_enough);
     /// Returns whether this instance may have missed changes that others know:
     /// it hears too late or not at all of the platform's.
     bool is_out_of_step();
--- a/src/serve/forward/forward_state_streams.cpp
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -69,7 +69,7 @@
     if (at <= m_confirmed_at.load())
         return;
     m_confirmed_at = at;
-    confirmed.notify();
+    platform_changed.notify();
 }
 
 Micros
@@ -79,12 +79,14 @@
 }
 
 bool
-ForwardState::knows_changes_until(TimePoint at, TimePoint latest)
+ForwardState::knows_changes_until(TimePoint at, TimePoint latest,
+                                  const std::function<bool()>& is_enough)
 {
     const auto is_known = [this, at] {
         return SoftwareEvidence::list_shows_it(m_confirmed_at, at);
     };
-    confirmed.wait(latest - monotonic_now(), is_known);
+    platform_changed.wait(latest - monotonic_now(),
+                          [&] { return is_known() || is_enough(); });
     return is_known();
 }
 
--- a/src/serve/forward/stream_resumption.cpp
+++ b/src/serve/forward/stream_resumption.cpp
@@ -60,16 +60,22 @@
         return std::nullopt;
     m_known_by = "none";
     auto origin = find();
-    if (!origin) {
-        if (m_several || m_unread || !is_only_one_shown())
-            refuse("the software that began the stream is not known");
-        return only_origin();
+    if (!origin && !m_several && !m_unread) {
+        if (is_only_one_shown())
+            return only_origin();
+        // Homes may be back that were silent before this instance waited.
+        if (m_several)
+            origin = find();
     }
+    if (!origin)
+        refuse("the software that began the stream is not known");
     m_began_at = origin->software;
     if (!m_route.picked_services().contains(origin->service))
         refuse("the service that began the stream is not the route's any more");
-    if (!m_state.serves(origin->service, origin->software))
+    if (!is_served(*origin))
         refuse("the software that began the stream serves no more");
+    // It is remembered for as long as if it began now.
+    origin->age = Micros{0};
     note_began(*origin);
     return origin;
 }
@@ -83,15 +89,44 @@
     if (m_evidence.homes_show_it())
         return true;
     m_unanswered = true;
-    if (!m_state.reaches_platform())
-        return false;
-    const TimePoint latest =
-        std::min(m_deadline, monotonic_now() + confirmation_time);
-    const bool shown = m_state.knows_changes_until(m_asked, latest);
+    const bool shown = knows_changes_until(m_asked, [this] {
+        observe_software();
+        return m_several;
+    });
     observe_software();
     return shown && !m_several;
 }
 
+/// Returns whether a runner is listed with the software that began the stream.
+/// Waits a moment for the platform's changes where this instance may have
+/// missed that it came: it was listed before it began the stream.
+bool
+StreamResumption::is_served(const StreamOrigin& origin)
+{
+    const auto is_listed = [&] {
+        return m_state.serves(origin.service, origin.software);
+    };
+    if (is_listed())
+        return true;
+    const TimePoint sent_at = monotonic_now() - origin.age;
+    if (!knows_changes_until(std::min(sent_at, m_asked), is_listed))
+        m_unanswered = true;
+    return is_listed();
+}
+
+/// Returns whether the platform's changes that were made until `at` are known
+/// here. Waits a moment for them, or for those that make `is_enough` true,
+/// where this instance reaches the platform.
+bool
+StreamResumption::knows_changes_until(TimePoint at,
+                                      const std::function<bool()>& is_enough)
+{
+    TimePoint latest = monotonic_now();
+    if (m_state.reaches_platform())
+        latest = std::min(m_deadline, latest + confirmation_time);
+    return m_state.knows_changes_until(at, latest, is_enough);
+}
+
 /// Returns the only software that the stream can have begun at, whether or not
 /// it serves now: another one may come while the call waits for a runner.
 StreamOrigin
--- a/src/serve/forward/stream_resumption.h
+++ b/src/serve/forward/stream_resumption.h
@@ -8,6 +8,7 @@
 #include <crosslink/forward/stream_origins.h>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,7 +36,8 @@
 
     /// Returns the service and the software that the stream must go on at;
     /// nothing if the choice is free. Asks other instances and the platform
-    /// where this one does not know. Throws Error(StreamNotResumable), and
+    /// where this one does not know, and waits a moment where it may have
+    /// missed changes of the list. Throws Error(StreamNotResumable), and
     /// nothing has run, if the stream can't go on: its software serves no more,
     /// or is not known and it is not shown that only one served.
     std::optional<StreamOrigin> origin();
@@ -60,6 +62,9 @@
     bool takes_up() const;
     StreamOrigin only_origin();
     bool is_only_one_shown();
+    bool is_served(const StreamOrigin& origin);
+    bool knows_changes_until(TimePoint at,
+                             const std::function<bool()>& is_enough);
     std::optional<StreamOrigin> find();
     void observe_software();
     std::optional<StreamOrigin> find_here(std::string_view source);
