Case of a version that is heard of late: the store's bytes are held, not cut

The instance was cut from the store until the others went on. Beside load it can note the loss of the platform before the callers come, and refuses then at once, which is right: the case would fail. The check is the same.

--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -411,6 +411,8 @@
     def __init__(self, target):
         self.target = target
         self.cut_now = False
+        self.passing = threading.Event()
+        self.passing.set()
         self.sockets = set()
         self.lock = threading.Lock()
         self.listener = socket.socket()
@@ -432,12 +434,17 @@
                 except OSError:
                     pass
 
+    def hold(self):
+        """Passes nothing on until it is mended; nothing is lost."""
+        self.passing.clear()
+
     def break_connections(self):
         """Breaks what is connected; new connections go through."""
         self._break()
 
     def mend(self):
         self.cut_now = False
+        self.passing.set()
 
     def _accept(self):
         while True:
@@ -461,6 +468,7 @@
         try:
             while True:
                 data = one.recv(65536)
+                self.passing.wait()
                 if not data:
                     break
                 other.sendall(data)
