Read heads by their own bytes, and refuse what can be read in two ways

What callers and runners saw: a second Crosslink-Attempt-Id in one head went on to the runner, both of them; an answer with two ids or two signatures was a whole 200; HTTP/2.0 in a request line was run and answered as HTTP/2.0; a caller of HTTP/1.0 got a stream in chunks, and one that was cut looked whole to it; a head with a line of 4,092 bytes was 400, or a broken answer; more than 100 fields, or one of more than 8,192 bytes, were 400 within maxHeaderBytes.

Cause: heads were still read by POCO and compared afterwards with their bytes. Its header stream takes "CR LF" for the head's end wherever a buffer of 4,092 bytes begins with it; nothing looked at the version, or at fields that may stand once. Its get() and peek() tell the byte 255 as the end of the connection where char is signed, so that single bytes of chunks and heads depended on the machine (by reading: char is unsigned on arm64, where all this was run).

Change: HeadDecoder takes a head byte by byte and knows its end from its state; RawSession reads heads and bodies for both directions, without get() and peek(). HeadFields and the start lines (RequestLine, StatusLine) are the only reading of a head; HeadRecord and its comparison with POCO's reading are gone. SingleFields is the table of names that stand once: those of HTTP, to which the platform's (CallWire::single_headers) and those of relays are added. It is looked at where heads are read: ServerConnection (both doors, relays, peers; 400) and CallConnection (runners, relays, stores, engines; a broken answer). Other versions than HTTP/1 are 505, longer heads than 256 KB 431. A Host that can't be one is 400, as it was where POCO read it otherwise. Interim answers of all kinds are passed over. A body in pieces goes to a caller of HTTP/1.0 without chunks, and is reset where it is cut.

Unit tests: heads of 4,000 to 4,199 bytes a line in both directions, answers and requests byte by byte and cut at each byte, all with the byte 255.

--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -6,6 +6,9 @@
 #include "clock.h"
 #include "head_fields.h"
 #include "message_framing.h"
+#include "raw_session.h"
+#include "single_fields.h"
+#include "start_line.h"
 
 #include <crosslink/ports/call_wire.h>
 
@@ -39,8 +42,6 @@
 constexpr int probe_after_s = 1;
 constexpr int probe_count = 2;
 
-/// What a head of an answer ends with.
-constexpr std::string_view head_end = "\r\n\r\n";
 /// Heads of runners are shorter; a longer one counts as arrived.
 constexpr std::size_t peeked_bytes = 16U << 10U;
 
@@ -56,17 +57,35 @@
            statuses.end();
 }
 
-/// Returns the last of `heads`: POCO passes over interim responses.
-std::string_view
-last_head(std::string_view heads)
+constexpr int switching_protocols = 101;
+constexpr int first_final_status = 200;
+
+/// Returns whether an answer follows one with `status` (RFC 9110, 15.2).
+bool
+is_interim(int status)
 {
-    if (!heads.ends_with(head_end))
-        return {};
-    const std::size_t before =
-        heads.substr(0, heads.size() - head_end.size()).rfind(head_end);
-    return before == std::string_view::npos
-               ? heads
-               : heads.substr(before + head_end.size());
+    return status < first_final_status && status != switching_protocols;
+}
+
+/// Returns whether no more is to be waited for after `bytes`, which an answer
+/// begins with, to read its head.
+bool
+has_final_head(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        HeadDecoder head;
+        for (const char byte : bytes)
+            head.take(byte);
+        if (!head.is_ended())
+            return false;
+        const auto fields = HeadFields::parse(head.bytes());
+        const auto line =
+            fields ? StatusLine::parse(fields->start_line()) : std::nullopt;
+        if (!line || !is_interim(line->status))
+            return true;
+        bytes.remove_prefix(head.bytes().size());
+    }
+    return false;
 }
 
 /// Throws where a part of the call's head would be read as something else.
@@ -93,12 +112,12 @@
 
 } // namespace
 
-class CallConnection::Session : public Poco::Net::HTTPClientSession
+class CallConnection::Session : public RawSession<Poco::Net::HTTPClientSession>
 {
 public:
-    explicit Session(WatchedSocket* watched)
-        : HTTPClientSession(Poco::Net::StreamSocket(watched)),
-          m_watched(watched)
+    Session(WatchedSocket* watched, const SingleFields& single_fields)
+        : RawSession(Poco::Net::StreamSocket(watched)), m_watched(watched),
+          m_single_fields(single_fields)
     {
     }
 
@@ -111,20 +130,6 @@
         setKeepAlive(true);
     }
 
-    bool has_bytes() const { return buffered() > 0; }
-    /// Returns up to `most` bytes of the body as they came in; none at the
-    /// connection's end.
-    std::string read_raw(std::size_t most)
-    {
-        // Single bytes come out of POCO's buffer, which this fills.
-        if (most == 1 && peek() == std::char_traits<char>::eof())
-            return {};
-        std::string bytes(most, '\0');
-        const int count =
-            read(bytes.data(), static_cast<std::streamsize>(most));
-        bytes.resize(static_cast<std::size_t>(std::max(count, 0)));
-        return bytes;
-    }
     int descriptor() { return static_cast<int>(socket().impl()->sockfd()); }
     /// While the object lives, waits end once bytes arrive on `rival`.
     class Race
@@ -152,38 +157,64 @@
             networkException()->rethrow();
     }
 
-    void begin_head()
+    /// Reads the head of an answer into `response`, and passes over interim
+    /// ones. Throws where one is cut off, is malformed or can be read in two
+    /// ways.
+    void read_answer_head(Poco::Net::HTTPResponse& response)
     {
-        watched().record().begin(static_cast<std::size_t>(buffered()));
+        do {
+            HeadDecoder head;
+            read_head(head);
+            if (!head.is_done())
+                throw Poco::Net::ConnectionResetException(
+                    "the head was cut off");
+            response.clear();
+            set_head(response, head.bytes());
+        } while (is_interim(response.getStatus()));
     }
-    /// Sets the fields of `response` to those of the head that it was read
-    /// from. Throws where that head is malformed, or was read in another way.
-    void end_head(Poco::Net::HTTPResponse& response)
+
+private:
+    void set_head(Poco::Net::HTTPResponse& response,
+                  const std::string& bytes) const
     {
-        const std::string heads =
-            watched().record().end(static_cast<std::size_t>(buffered()));
-        const auto fields = HeadFields::parse(last_head(heads));
-        if (!fields || !HeadRecord::restore(*fields, response))
+        const auto fields = HeadFields::parse(bytes);
+        const auto line =
+            fields ? StatusLine::parse(fields->start_line()) : std::nullopt;
+        if (!line || !line->version.is_supported() ||
+            line->status == switching_protocols ||
+            m_single_fields.repeated_in(fields->fields()))
             throw Poco::Net::MessageException("the head is malformed");
+        response.setVersion(line->version.read_as());
+        response.setStatusAndReason(
+            static_cast<Poco::Net::HTTPResponse::HTTPStatus>(line->status),
+            line->reason);
+        for (const HeaderField& field : fields->fields())
+            response.add(field.name, field.value);
     }
 
-    /// Throws where a head that was just read is cut off: POCO takes the lines
-    /// that came for all of it, and a body without its length for whole.
-    void check_head() const
+    WatchedSocket* m_watched; ///< Owned by the socket.
+    const SingleFields& m_single_fields;
+};
+
+/// An answer whose head the session reads by itself.
+class CallConnection::Answer : public Poco::Net::HTTPResponse
+{
+public:
+    explicit Answer(Session& session) : m_session(session) {}
+
+    void read(std::istream& /*unused*/) override
     {
-        if (networkException())
-            networkException()->rethrow();
-        if (m_watched->at_end())
-            throw Poco::Net::ConnectionResetException("the head was cut off");
+        m_session.read_answer_head(*this);
     }
 
 private:
-    WatchedSocket* m_watched; ///< Owned by the socket.
+    Session& m_session;
 };
 
 CallConnection::CallConnection(const std::string& address,
-                               Micros connect_timeout)
-    : m_session(std::make_unique<Session>(new WatchedSocket))
+                               Micros connect_timeout,
+                               const SingleFields& single_fields)
+    : m_session(std::make_unique<Session>(new WatchedSocket, single_fields))
 {
     m_session->open(address, connect_timeout);
 }
@@ -250,19 +281,15 @@
         return count == 0 || (errno != EAGAIN && errno != EINTR);
     const std::string_view arrived(bytes.data(),
                                    static_cast<std::size_t>(count));
-    return arrived.size() == bytes.size() ||
-           arrived.find(head_end) != std::string_view::npos;
+    return arrived.size() == bytes.size() || has_final_head(arrived);
 }
 
 RawHead
 CallConnection::receive_head()
 {
-    Poco::Net::HTTPResponse response;
+    Answer response(*m_session);
     m_session->watched().progressed();
-    m_session->begin_head();
     m_body = &m_session->receiveResponse(response);
-    m_session->check_head();
-    m_session->end_head(response);
     m_session->watched().progressed();
     const auto framing = MessageFraming::of(response);
     if (!framing)
--- a/src/adapters/call_connection.h
+++ b/src/adapters/call_connection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "chunk_decoder.h"
+#include "single_fields.h"
 #include "watched_socket.h"
 
 #include <crosslink/base/time.h>
@@ -32,8 +33,10 @@
 class CallConnection
 {
 public:
-    /// Connects to "ip:port".
-    CallConnection(const std::string& address, Micros connect_timeout);
+    /// Connects to "ip:port". An answer with several fields of one of the
+    /// names `single_fields`, which must outlive this object, is malformed.
+    CallConnection(const std::string& address, Micros connect_timeout,
+                   const SingleFields& single_fields = SingleFields::of_http());
     ~CallConnection();
     CallConnection(const CallConnection&) = delete;
     CallConnection& operator=(const CallConnection&) = delete;
@@ -82,6 +85,7 @@
 
 private:
     class Session;
+    class Answer;
 
     /// Largest body of an answer to an earlier call that is skipped.
     static constexpr long long max_skipped_bytes = 4LL << 20U;
--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -17,6 +17,7 @@
 #include <array>
 #include <atomic>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -424,6 +425,88 @@
     }
 }
 
+// Regression: an answer with two ids or two signatures counted as whole.
+TEST_CASE("an answer that may be read in two ways is none")
+{
+    SingleFields single_fields;
+    const std::array<std::string_view, 2> names{"X-Id", "X-Signed"};
+    single_fields.add(names);
+    for (const std::string lines :
+         {"X-Id: a\r\nX-Id: a\r\n", "X-Signed: a\r\nA: b\r\nx-signed: b\r\n",
+          "Content-Type: a\r\nContent-Type: b\r\n"}) {
+        RawPeer runner;
+        CallConnection connection(runner.address(), connect_time,
+                                  single_fields);
+        connection.watch(-1, monotonic_now() + far_off);
+        connection.send(get_call(), {});
+        runner.say("HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 0\r\n\r\n");
+        CHECK_THROWS_AS(connection.receive_head(), Poco::Exception);
+    }
+}
+
+TEST_CASE("an answer of another protocol is none")
+{
+    for (const std::string line :
+         {"HTTP/2.0 200 OK", "FOO/1.1 200 OK", "HTTP/1.1 101 Switching",
+          "HTTP/1.1 2000 OK", "HTTP/1.1  200 OK", "200 OK"}) {
+        SentCall call;
+        call.runner.say(line + "\r\nContent-Length: 0\r\n\r\n");
+        CHECK_THROWS_AS(call.connection.receive_head(), Poco::Exception);
+    }
+}
+
+// Regression: a head with a line of 4,092 bytes was a broken answer.
+TEST_CASE("a head of an answer of any length comes in whole")
+{
+    constexpr std::size_t most = 4200;
+    for (std::size_t length = 4000; length < most; ++length) {
+        SentCall call;
+        const std::string note(length, 'x');
+        call.runner.say("HTTP/1.1 200 OK\r\nX-Nota: " + note +
+                        "\r\nContent-Length: 1\r\n\r\na");
+        const RawHead head = call.connection.receive_head();
+        REQUIRE(head.headers.size() == 2);
+        REQUIRE(head.headers.front().value == note);
+        REQUIRE(call.connection.read_some() == "a");
+        REQUIRE(call.connection.whole());
+    }
+}
+
+// Regression: where char is signed, the byte 255 was the connection's end.
+TEST_CASE("an answer comes in whole byte by byte, and is none if it is cut")
+{
+    const std::string interim = "HTTP/1.1 103 Early\r\nX-Nota: b\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Nota: \xff\r\n";
+    for (const std::string rest :
+         {"Content-Length: 1\r\n\r\n\xff",
+          "Transfer-Encoding: chunked\r\n\r\n1\r\n\xff\r\n0\r\n\r\n"}) {
+        const std::string answer = interim + head + rest;
+        for (std::size_t cut = 1; cut <= answer.size(); ++cut) {
+            SentCall call;
+            for (const char byte : answer.substr(0, cut))
+                call.runner.say({&byte, 1});
+            call.runner.end();
+            REQUIRE(reads_whole_answer(call.connection) ==
+                    (cut == answer.size()));
+        }
+    }
+}
+
+TEST_CASE("the head of an interim answer is not the one that is waited for")
+{
+    RawPeer runner;
+    CallConnection connection(runner.address(), connect_time);
+    connection.watch(-1, monotonic_now() + far_off);
+    runner.say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n");
+    REQUIRE(connection.wait(far_off) == Wait::Ready);
+    CHECK_FALSE(connection.head_arrived());
+    runner.say("\r\n");
+    const TimePoint last = monotonic_now() + connect_time;
+    while (!connection.head_arrived() && monotonic_now() < last)
+        std::this_thread::yield();
+    CHECK(connection.head_arrived());
+}
+
 TEST_CASE("a call that would be read as something else is not sent")
 {
     using namespace std::string_literals;
--- a/src/adapters/head_fields.cpp
+++ b/src/adapters/head_fields.cpp
@@ -13,16 +13,31 @@
 
 constexpr std::string_view line_end = "\r\n";
 constexpr std::string_view token_marks = "!#$%&'*+-.^_`|~";
+/// In names of hosts, addresses and ports, beside letters and digits.
+constexpr std::string_view host_marks = "-._~%!$&'()*+,;=:[]";
 constexpr std::string_view white_space = " \t";
 
 bool
-is_token_byte(char byte)
+is_letter_or_digit(char byte)
 {
     return (byte >= '0' && byte <= '9') || (byte >= 'A' && byte <= 'Z') ||
-           (byte >= 'a' && byte <= 'z') ||
+           (byte >= 'a' && byte <= 'z');
+}
+
+bool
+is_token_byte(char byte)
+{
+    return is_letter_or_digit(byte) ||
            token_marks.find(byte) != std::string_view::npos;
 }
 
+bool
+is_host_byte(char byte)
+{
+    return is_letter_or_digit(byte) ||
+           host_marks.find(byte) != std::string_view::npos;
+}
+
 bool
 is_text_byte(char byte)
 {
@@ -103,6 +118,12 @@
     return std::all_of(value.begin(), value.end(), is_text_byte);
 }
 
+bool
+HeadFields::is_host(std::string_view value)
+{
+    return std::all_of(value.begin(), value.end(), is_host_byte);
+}
+
 bool
 HeadFields::is_valid(const HeaderField& field)
 {
--- a/src/adapters/head_fields.h
+++ b/src/adapters/head_fields.h
@@ -26,6 +26,8 @@
     static bool is_token(std::string_view name);
     /// Returns whether `value` holds no control byte but tabs.
     static bool is_text(std::string_view value);
+    /// Returns whether `value` can be that of Host (RFC 9110, 7.2).
+    static bool is_host(std::string_view value);
     /// Returns whether `field` can be part of a head.
     static bool is_valid(const HeaderField& field);
 
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -42,14 +42,20 @@
     throw Error(code, failure.displayText(), state);
 }
 
-/// Returns the value of the first header `name`; nothing if there is none.
+/// Returns the value of the header `name`, which stands once; nothing if there
+/// is none. Throws where there are several.
 std::optional<std::string>
 header_of(const RawHead& head, std::string_view name)
 {
-    for (const HeaderField& field : head.headers)
-        if (Poco::icompare(field.name, std::string(name)) == 0)
-            return field.value;
-    return std::nullopt;
+    std::optional<std::string> value;
+    for (const HeaderField& field : head.headers) {
+        if (Poco::icompare(field.name, std::string(name)) != 0)
+            continue;
+        if (value)
+            throw Poco::Net::MessageException("a header stands twice");
+        value = field.value;
+    }
+    return value;
 }
 
 /// Returns the answer to `request` without its body.
@@ -69,9 +75,12 @@
 bool
 is_kept(const RawHead& head)
 {
-    const std::string options =
-        Poco::toLower(header_of(head, "Connection").value_or(""));
-    return options.find("close") == std::string::npos;
+    return std::none_of(
+        head.headers.begin(), head.headers.end(), [](const HeaderField& field) {
+            return Poco::icompare(field.name, "Connection") == 0 &&
+                   Poco::toLower(field.value).find("close") !=
+                       std::string::npos;
+        });
 }
 
 /// Returns `request` as it goes out to `address`.
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -5,12 +5,13 @@
 
 #include "chunk_decoder.h"
 #include "server_connection.h"
+#include "server_request.h"
+#include "server_session.h"
 
 #include <crosslink/base/error.h>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/TCPServer.h>
@@ -105,9 +106,7 @@
     RequestBody(Poco::Net::HTTPServerRequest& request, std::uint64_t most_bytes,
                 const PieceObserver& observe)
         : m_request(request), m_most_bytes(most_bytes), m_observe(observe),
-          m_session(static_cast<ServerSession&>(
-              static_cast<Poco::Net::HTTPServerRequestImpl&>(request)
-                  .session()))
+          m_session(ServerRequest::from(request).session())
     {
     }
 
@@ -139,7 +138,8 @@
     std::string next(std::size_t most)
     {
         try {
-            std::string bytes = m_session.read_raw(std::min(most, piece_bytes));
+            std::string bytes =
+                m_session.read_body(std::min(most, piece_bytes));
             if (!bytes.empty())
                 return bytes;
         } catch (const Poco::TimeoutException&) {
@@ -189,6 +189,7 @@
     {
         shared.handler = std::move(handler);
         shared.times = rules.times;
+        shared.single_fields = rules.single_fields;
         shared.parameters = parameters(rules);
         shared.most_kept = static_cast<std::uint32_t>(rules.most_threads) *
                            kept_parts / all_parts;
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "connection_times.h"
+#include "single_fields.h"
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -29,6 +30,8 @@
     /// What callers may take; may change while the server runs.
     std::shared_ptr<ConnectionTimes> times =
         std::make_shared<ConnectionTimes>();
+    /// A request with several fields of one of these names is refused.
+    SingleFields single_fields;
 };
 
 /// An HTTP/1.1 server on one address; all requests go to one handler, which
--- a/src/adapters/server_connection.cpp
+++ b/src/adapters/server_connection.cpp
@@ -5,11 +5,11 @@
 
 #include "clock.h"
 #include "head_fields.h"
-#include "head_record.h"
 #include "message_framing.h"
+#include "server_request.h"
+#include "server_response.h"
+#include "start_line.h"
 
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/NetException.h>
 
 #include <poll.h>
@@ -17,8 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <optional>
-#include <string_view>
+#include <string>
 #include <system_error>
 
 namespace crosslink
@@ -62,18 +61,29 @@
     return polled[0].revents != 0 ? Woken::ByBytes : Woken::ByChange;
 }
 
-/// Sets the fields of `request` to those of the head that it was read from.
-/// Returns false where that head is malformed, was read in another way, or does
-/// not tell where the body ends: it could hide another request.
-bool
-restore(Poco::Net::HTTPServerRequest& request, std::string_view head)
+using Poco::Net::HTTPResponse;
+
+/// Sets the head of `request` to that of `bytes`. Returns the status to refuse
+/// it with where it is malformed, or can be read in two ways: it could hide
+/// another request. HTTP_OK where it is neither.
+HTTPResponse::HTTPStatus
+set_head(ServerRequest& request, const std::string& bytes,
+         const SingleFields& single_fields)
 {
-    const auto fields = HeadFields::parse(head);
-    return fields && HeadFields::is_token(request.getMethod()) &&
-           fields->start_line() == request.getMethod() + " " +
-                                       request.getURI() + " " +
-                                       request.getVersion() &&
-           HeadRecord::restore(*fields, request) && MessageFraming::of(request);
+    const auto fields = HeadFields::parse(bytes);
+    if (!fields)
+        return HTTPResponse::HTTP_BAD_REQUEST;
+    const auto line = RequestLine::parse(fields->start_line());
+    if (!line)
+        return HTTPResponse::HTTP_BAD_REQUEST;
+    if (!line->version.is_supported())
+        return HTTPResponse::HTTP_VERSION_NOT_SUPPORTED;
+    request.set_head(*line, *fields);
+    if (single_fields.repeated_in(fields->fields()) ||
+        !HeadFields::is_host(request.get("Host", "")) ||
+        !MessageFraming::of(request))
+        return HTTPResponse::HTTP_BAD_REQUEST;
+    return HTTPResponse::HTTP_OK;
 }
 
 } // namespace
@@ -128,33 +138,47 @@
     // count.
     if (m_shared.stopped)
         return false;
-    Poco::Net::HTTPServerResponseImpl answer(m_session);
+    ServerResponse answer(m_session);
+    ServerRequest request(m_session, answer, m_shared.parameters);
+    if (!read_head(request))
+        return false;
+    answer.setDate(Poco::Timestamp());
+    answer.set_request(request);
+    answer.setKeepAlive(request.getKeepAlive() &&
+                        m_shared.connections <= m_shared.most_kept);
+    if (request.getExpectContinue())
+        answer.sendContinue();
+    m_shared.handler(request, answer);
+    return !ended_failed() && answer.getKeepAlive();
+}
+
+/// Reads the head of the next request. Returns false where there is none, or
+/// was refused.
+bool
+ServerConnection::read_head(ServerRequest& request)
+{
     m_session.limit(monotonic_now() + m_shared.times->in_force().limits.head);
-    std::optional<Poco::Net::HTTPServerRequestImpl> request;
-    m_session.begin_head();
+    HeadDecoder head;
     try {
-        request.emplace(answer, m_session, m_shared.parameters);
-    } catch (const Poco::Net::NoMessageException&) {
-        return false; // The other side closed the connection.
+        m_session.read_head(head);
     } catch (const Poco::Exception&) {
-        refuse();
+        refuse(m_session.late() ? HTTPResponse::HTTP_REQUEST_TIMEOUT
+                                : HTTPResponse::HTTP_BAD_REQUEST);
         return false;
     }
-    // POCO takes a head that breaks off for a whole one. A head asks for no
-    // byte beyond its end: where a read brought nothing, it has not ended.
-    if (m_session.broken() || !restore(*request, m_session.end_head())) {
-        refuse();
+    if (head.bytes().empty())
+        return false; // The other side closed the connection.
+    auto status = HTTPResponse::HTTP_BAD_REQUEST;
+    if (head.is_too_long())
+        status = HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+    else if (head.is_done())
+        status = set_head(request, head.bytes(), m_shared.single_fields);
+    if (status != HTTPResponse::HTTP_OK) {
+        refuse(status);
         return false;
     }
     m_session.end_limit();
-    answer.setDate(Poco::Timestamp());
-    answer.setVersion(request->getVersion());
-    answer.setKeepAlive(request->getKeepAlive() &&
-                        m_shared.connections <= m_shared.most_kept);
-    if (request->getExpectContinue())
-        answer.sendContinue();
-    m_shared.handler(*request, answer);
-    return !ended_failed() && answer.getKeepAlive();
+    return true;
 }
 
 /// Ends the connection where a send failed; returns whether it did. POCO keeps
@@ -169,16 +193,13 @@
     return true;
 }
 
-/// Refuses a head that is malformed or late.
+/// Refuses a head.
 void
-ServerConnection::refuse()
+ServerConnection::refuse(HTTPResponse::HTTPStatus status)
 {
-    using Poco::Net::HTTPResponse;
-    Poco::Net::HTTPServerResponseImpl answer(m_session);
+    ServerResponse answer(m_session);
     answer.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-    answer.setStatusAndReason(m_session.late()
-                                  ? HTTPResponse::HTTP_REQUEST_TIMEOUT
-                                  : HTTPResponse::HTTP_BAD_REQUEST);
+    answer.setStatusAndReason(status);
     answer.setContentLength(0);
     answer.setKeepAlive(false);
     answer.send();
--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -5,6 +5,7 @@
 
 #include "connection_times.h"
 #include "server_session.h"
+#include "single_fields.h"
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -19,6 +20,8 @@
 namespace crosslink
 {
 
+class ServerRequest;
+
 /// What the connections of one server share. It outlives them.
 struct ServerShared {
     using Handler = std::function<void(Poco::Net::HTTPServerRequest& request,
@@ -26,6 +29,7 @@
 
     Handler handler;
     std::shared_ptr<ConnectionTimes> times;
+    SingleFields single_fields;
     Poco::Net::HTTPServerParams::Ptr parameters;
     /// With more connections than this none is kept after its answer.
     std::uint32_t most_kept = 0;
@@ -47,8 +51,9 @@
 private:
     bool rest();
     bool serve_next();
+    bool read_head(ServerRequest& request);
     bool ended_failed();
-    void refuse();
+    void refuse(Poco::Net::HTTPResponse::HTTPStatus status);
 
     ServerShared& m_shared;
     ServerSession m_session;
--- a/src/adapters/server_session.cpp
+++ b/src/adapters/server_session.cpp
@@ -4,7 +4,6 @@
 #include "server_session.h"
 
 #include "clock.h"
-#include "head_record.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocketImpl.h>
@@ -30,21 +29,13 @@
 
     int receiveBytes(void* buffer, int length, int flags) override
     {
-        m_broken = true;
         if (m_end)
             wait_until(*m_end);
-        const int count = StreamSocketImpl::receiveBytes(buffer, length, flags);
-        m_broken = count <= 0;
-        m_record.received({static_cast<const char*>(buffer),
-                           static_cast<std::size_t>(std::max(count, 0))},
-                          static_cast<std::size_t>(length));
-        return count;
+        return StreamSocketImpl::receiveBytes(buffer, length, flags);
     }
 
     void limit(std::optional<TimePoint> end) { m_end = end; }
     bool late() const { return m_late; }
-    bool broken() const { return m_broken; }
-    HeadRecord& record() { return m_record; }
 
 private:
     void wait_until(TimePoint end)
@@ -57,9 +48,7 @@
     }
 
     std::optional<TimePoint> m_end;
-    HeadRecord m_record;
     bool m_late = false;
-    bool m_broken = false; ///< The latest read brought nothing.
 };
 
 class ListenerImpl : public Poco::Net::ServerSocketImpl
@@ -105,7 +94,7 @@
 
 ServerSession::ServerSession(const Poco::Net::StreamSocket& socket,
                              const Poco::Net::HTTPServerParams::Ptr& parameters)
-    : HTTPServerSession(socket, parameters)
+    : RawSession(socket, parameters)
 {
 }
 
@@ -121,18 +110,6 @@
     timed(socket()).limit(end);
 }
 
-void
-ServerSession::begin_head()
-{
-    timed(socket()).record().begin(static_cast<std::size_t>(buffered()));
-}
-
-std::string
-ServerSession::end_head()
-{
-    return timed(socket()).record().end(static_cast<std::size_t>(buffered()));
-}
-
 void
 ServerSession::end_limit()
 {
@@ -146,17 +123,10 @@
 }
 
 std::string
-ServerSession::read_raw(std::size_t most)
+ServerSession::read_body(std::size_t most)
 {
     try {
-        // Single bytes come out of POCO's buffer, which this fills.
-        if (most == 1 && peek() == std::char_traits<char>::eof())
-            return {};
-        std::string bytes(most, '\0');
-        const int count =
-            read(bytes.data(), static_cast<std::streamsize>(most));
-        bytes.resize(static_cast<std::size_t>(std::max(count, 0)));
-        return bytes;
+        return read_raw(most);
     } catch (const Poco::Exception&) {
         // It is told here; an answer may still be sent.
         clearException();
@@ -164,10 +134,4 @@
     }
 }
 
-bool
-ServerSession::broken()
-{
-    return timed(socket()).broken();
-}
-
 } // namespace crosslink
--- a/src/adapters/watched_socket.cpp
+++ b/src/adapters/watched_socket.cpp
@@ -116,10 +116,6 @@
         await(POLLIN);
         count = StreamSocketImpl::receiveBytes(buffer, length, flags);
     }
-    m_at_end = count == 0;
-    m_record.received(
-        {static_cast<const char*>(buffer), static_cast<std::size_t>(count)},
-        static_cast<std::size_t>(length));
     m_unused_bytes += static_cast<std::size_t>(count);
     if (m_unused_bytes > max_unused_bytes)
         throw Poco::Net::MessageException("bytes that are no answer");
--- a/src/adapters/watched_socket.h
+++ b/src/adapters/watched_socket.h
@@ -3,8 +3,6 @@
 
 #pragma once
 
-#include "head_record.h"
-
 #include <crosslink/base/time.h>
 
 #include <Poco/Net/StreamSocketImpl.h>
@@ -55,10 +53,6 @@
     /// CallerGone, RivalReady, or TimedOut for the deadline; nothing where none
     /// of them did.
     std::optional<Wait> interrupted() const { return m_interrupted; }
-    /// True where the other side has said all and no more was there to read.
-    bool at_end() const { return m_at_end; }
-    /// Of the session that reads from the socket.
-    HeadRecord& record() { return m_record; }
 
 private:
     Wait wait_for(short events, TimePoint end);
@@ -69,8 +63,6 @@
     int m_rival = -1;  ///< See set_rival().
     TimePoint m_deadline = TimePoint::max();
     std::optional<Wait> m_interrupted;
-    bool m_at_end = false;
-    HeadRecord m_record;
     std::size_t m_unused_bytes = 0; ///< Received since progressed().
 };
 
--- a/src/include/crosslink/ports/call_wire.h
+++ b/src/include/crosslink/ports/call_wire.h
@@ -97,6 +97,9 @@
     /// Decodes the head of a runner's answer.
     virtual AnswerHead
     decode_answer(int status, std::span<const HeaderField> headers) const = 0;
+    /// Returns the names of headers that stand at most once in a call or an
+    /// answer, in addition to those of HTTP.
+    virtual std::span<const std::string_view> single_headers() const = 0;
 };
 
 } // namespace crosslink
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -5,11 +5,10 @@
 
 #include <adapters/clock.h>
 #include <adapters/random.h>
+#include <adapters/server_request.h>
 #include <crosslink/base/error.h>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/StreamSocket.h>
 
 #include <spdlog/spdlog.h>
 
@@ -33,11 +32,7 @@
 public:
     HttpReply(Poco::Net::HTTPServerRequest& request,
               Poco::Net::HTTPServerResponse& answer)
-        : m_answer(answer),
-          m_socket(static_cast<Poco::Net::HTTPServerRequestImpl&>(request)
-                       .socket()
-                       .impl()
-                       ->sockfd())
+        : m_answer(answer), m_socket(ServerRequest::from(request).descriptor())
     {
     }
 
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -188,6 +188,7 @@
     HttpServerRules rules;
     rules.most_threads = server_threads + static_cast<int>(relay.most_open());
     rules.most_queued = max_waiting;
+    rules.single_fields = state.single_fields;
     m_server = std::make_unique<HttpServer>(
         state.settings.peer_address(), rules,
         [this, &relay](auto& request, auto& answer) {
--- a/src/serve/forward/forward_server.cpp
+++ b/src/serve/forward/forward_server.cpp
@@ -14,7 +14,7 @@
 #include <crosslink/ports/call_wire.h>
 
 #include <Poco/Buffer.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerSession.h>
 
 #include <sys/socket.h>
@@ -55,6 +55,7 @@
     const ForwardSettings& settings = state.settings;
     HttpServerRules rules;
     rules.times = state.caller_times;
+    rules.single_fields = state.single_fields;
     rules.most_threads = static_cast<int>(std::min(
         {settings.memory_mb * connections_per_mb,
          settings.descriptors / caller_descriptor_divisor, most_threads}));
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -3,10 +3,14 @@
 
 #include "forward_state.h"
 
+#include "relay_wire.h"
+
 #include <adapters/clock.h>
 #include <serve/fleet/change_applier.h>
 #include <serve/log_line.h>
 
+#include <crosslink/ports/call_wire.h>
+
 #include <algorithm>
 #include <span>
 #include <sstream>
@@ -49,6 +53,17 @@
     return all.subspan(first);
 }
 
+/// Returns the names of the fields of calls and answers that stand at most once
+/// in a head, on their way between instances too.
+SingleFields
+single_fields_of(const CallWire& wire)
+{
+    SingleFields fields;
+    fields.add(wire.single_headers());
+    fields.add(relay_wire::names);
+    return fields;
+}
+
 /// Returns the tree of the listed instances.
 FleetTree
 tree_of(const FleetView& view)
@@ -65,6 +80,7 @@
 ForwardState::ForwardState(const ForwardSettings& settings_in,
                            ForwardPorts ports_in)
     : settings(settings_in), ports(ports_in),
+      single_fields(single_fields_of(ports_in.wire)),
       fleet(settings_in.order_spacing()), retries(settings_in.retry_rules()),
       hedge_policy(settings_in.hedge_rules()),
       coordinator_lease(DutyLease::takeover_delay(settings_in.order_spacing(),
--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -8,6 +8,7 @@
 
 #include <adapters/call_connections.h>
 #include <adapters/connection_times.h>
+#include <adapters/single_fields.h>
 #include <serve/duty_waker.h>
 #include <serve/fleet/exchange.h>
 #include <serve/guarded.h>
@@ -164,6 +165,8 @@
 
     const ForwardSettings settings;
     const ForwardPorts ports;
+    /// Of calls, relayed calls and their answers.
+    const SingleFields single_fields;
     Guarded<FleetView> fleet;
     Guarded<RunnerTable> runners;
     Guarded<RetryWindow> retries;
--- a/src/serve/forward/hedged_send.cpp
+++ b/src/serve/forward/hedged_send.cpp
@@ -65,7 +65,8 @@
     m_other.send.link.opened_at = monotonic_now();
     try {
         m_other.send.link.connection = std::make_unique<CallConnection>(
-            pick.address, std::min(connect_time, time_left));
+            pick.address, std::min(connect_time, time_left),
+            m_state.single_fields);
         return true;
     } catch (const Poco::Net::ConnectionRefusedException&) {
         const TimePoint now = monotonic_now();
--- a/src/serve/forward/http_caller_link.cpp
+++ b/src/serve/forward/http_caller_link.cpp
@@ -4,13 +4,12 @@
 #include "http_caller_link.h"
 
 #include <adapters/head_fields.h>
+#include <adapters/server_request.h>
 #include <serve/log_line.h>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
 
@@ -19,15 +18,14 @@
 
 HttpCallerLink::HttpCallerLink(Poco::Net::HTTPServerRequest& request,
                                Poco::Net::HTTPServerResponse& answer)
-    : m_request(static_cast<Poco::Net::HTTPServerRequestImpl&>(request)),
-      m_answer(answer)
+    : m_request(ServerRequest::from(request)), m_answer(answer)
 {
 }
 
 int
 HttpCallerLink::socket() const
 {
-    return static_cast<int>(m_request.socket().impl()->sockfd());
+    return m_request.descriptor();
 }
 
 void
@@ -92,7 +90,7 @@
     // caller does not get that end if the connection is shut down before.
     m_answer.setKeepAlive(false);
     try {
-        m_request.socket().shutdown();
+        m_request.abort();
     } catch (const Poco::Exception& failure) {
         LogLine("caller_gone").field("error", failure.displayText());
     }
--- a/src/serve/forward/http_caller_link.h
+++ b/src/serve/forward/http_caller_link.h
@@ -11,12 +11,14 @@
 {
 class HTTPServerRequest;
 class HTTPServerResponse;
-class HTTPServerRequestImpl;
+
 } // namespace Poco::Net
 
 namespace crosslink
 {
 
+class ServerRequest;
+
 /// Sends the answer over the HTTP connection of a caller.
 class HttpCallerLink : public CallerLink
 {
@@ -37,7 +39,7 @@
 private:
     void set_head(int status, std::span<const HeaderField> headers);
 
-    Poco::Net::HTTPServerRequestImpl& m_request;
+    ServerRequest& m_request;
     Poco::Net::HTTPServerResponse& m_answer;
     std::ostream* m_out = nullptr;
     bool m_begun = false;
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -255,8 +255,8 @@
     if (link.reused || path.relayed)
         return link;
     try {
-        link.connection =
-            std::make_unique<CallConnection>(runner.address, connect_time);
+        link.connection = std::make_unique<CallConnection>(
+            runner.address, connect_time, m_state.single_fields);
     } catch (const Poco::Exception& failure) {
         LogLine("not_connected")
             .field("runner", runner.id)
--- a/src/serve/forward/relay_wire.h
+++ b/src/serve/forward/relay_wire.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <array>
 #include <optional>
 #include <string_view>
 
@@ -26,6 +27,10 @@
 /// in ms.
 constexpr const char* free_ms = "Relay-Free-Ms";
 
+/// All of them; each stands at most once in a head.
+constexpr std::array<std::string_view, 5> names{runner, time_ms, share, failure,
+                                                free_ms};
+
 /// Values of `share`: whether the call's account is within its fair share of
 /// the runners with limits, or above it.
 constexpr const char* within_fair_share = "within";
--- a/src/serve/forward/runner_connector.cpp
+++ b/src/serve/forward/runner_connector.cpp
@@ -83,7 +83,8 @@
         return link;
     try {
         link.connection = std::make_unique<CallConnection>(
-            m_runner->address, std::min(connect_time, time_left));
+            m_runner->address, std::min(connect_time, time_left),
+            m_state.single_fields);
     } catch (const Poco::Exception& failure) {
         m_direct_failed = true;
         m_silent =
@@ -137,7 +138,8 @@
         return;
     try {
         link.connection = std::make_unique<CallConnection>(
-            address, std::min(relay_connect_time, time_left));
+            address, std::min(relay_connect_time, time_left),
+            m_state.single_fields);
     } catch (const Poco::Exception& failure) {
         m_state.relay_failed(address, {});
         m_failed_zones.insert(link.relay->zone);
--- a/src/serve/peer_server.cpp
+++ b/src/serve/peer_server.cpp
@@ -14,6 +14,9 @@
 
 #include <openssl/crypto.h>
 
+#include <array>
+#include <string_view>
+
 namespace crosslink
 {
 
@@ -29,6 +32,8 @@
 {
     HttpServerRules result;
     result.most_threads = most_threads;
+    result.single_fields.add(
+        std::array<std::string_view, 1>{wire::peer_proof_header});
     return result;
 }
 
