End an answer as complete only where it was ended

What callers could see: an answer that was begun and then left, by an exception that nobody had foreseen, ended as a complete one: POCO sends the last chunk when the answer is destroyed, so that each way out had to remember abort(). Answers at the callers' door had two dates, the runner's and the instance's. Cause: complete was the default. By reading: ForwardServer and CallerServer log such an exception and return. Change: HttpCallerLink and the reply of the own door end the connection unless finish(), or end_stream(), was called. The instance's own date goes out only where the runner gave none. Evidence: `unit.an answer that was not ended can't be taken for complete` and the two beside it.

--- a/src/serve/caller.h
+++ b/src/serve/caller.h
@@ -40,6 +40,8 @@
     /// Sends one event of the stream. Returns false where the caller has
     /// disconnected.
     virtual bool send_event(std::string_view data) = 0;
+    /// Ends the stream as complete; one that is not ended is aborted.
+    virtual void end_stream() = 0;
     /// True once begin_stream() was called.
     virtual bool streaming() const = 0;
     /// Returns the caller's socket, for CallerWatch; -1 where there is none.
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -32,9 +32,23 @@
 public:
     HttpReply(Poco::Net::HTTPServerRequest& request,
               Poco::Net::HTTPServerResponse& answer)
-        : m_answer(answer), m_socket(ServerRequest::from(request).descriptor())
+        : m_request(ServerRequest::from(request)), m_answer(answer)
     {
     }
+    ~HttpReply() override
+    {
+        if (m_out == nullptr || m_ended)
+            return;
+        m_answer.setKeepAlive(false);
+        try {
+            m_request.abort();
+        } catch (const Poco::Exception& failure) {
+            spdlog::debug("caller connection failed: {}",
+                          failure.displayText());
+        }
+    }
+    HttpReply(const HttpReply&) = delete;
+    HttpReply& operator=(const HttpReply&) = delete;
 
     void answer(const PlainAnswer& content,
                 const std::vector<HeaderField>& headers) override
@@ -71,16 +85,19 @@
         return m_out->good();
     }
 
+    void end_stream() override { m_ended = true; }
+
     bool streaming() const override
     {
         return m_out != nullptr || m_disconnected;
     }
-    int socket() const override { return m_socket; }
+    int socket() const override { return m_request.descriptor(); }
 
 private:
+    ServerRequest& m_request;
     Poco::Net::HTTPServerResponse& m_answer;
-    const int m_socket;
     std::ostream* m_out = nullptr;
+    bool m_ended = false;
     bool m_disconnected = false; ///< The caller's connection failed.
     std::string m_event;
 };
--- a/src/serve/forward/http_caller_link.cpp
+++ b/src/serve/forward/http_caller_link.cpp
@@ -10,18 +10,36 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/String.h>
 
 #include <algorithm>
 
 namespace crosslink
 {
 
+namespace
+{
+
+bool
+is_date(const HeaderField& field)
+{
+    return Poco::icompare(field.name, "Date") == 0;
+}
+
+} // namespace
+
 HttpCallerLink::HttpCallerLink(Poco::Net::HTTPServerRequest& request,
                                Poco::Net::HTTPServerResponse& answer)
     : m_request(ServerRequest::from(request)), m_answer(answer)
 {
 }
 
+HttpCallerLink::~HttpCallerLink()
+{
+    if (m_out)
+        end_connection();
+}
+
 int
 HttpCallerLink::socket() const
 {
@@ -35,6 +53,9 @@
         throw Poco::Net::MessageException("the head can't be sent");
     m_answer.setStatusAndReason(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    // The answer has one of its own, for the case that none comes.
+    if (std::any_of(headers.begin(), headers.end(), is_date))
+        m_answer.erase("Date");
     for (const HeaderField& field : headers)
         m_answer.add(field.name, field.value);
 }
@@ -81,13 +102,19 @@
 {
     if (m_out)
         m_out->flush();
+    m_out = nullptr;
 }
 
 void
 HttpCallerLink::abort()
 {
-    // POCO ends a chunked answer as complete when the answer is destroyed. The
-    // caller does not get that end if the connection is shut down before.
+    end_connection();
+}
+
+void
+HttpCallerLink::end_connection()
+{
+    m_out = nullptr;
     m_answer.setKeepAlive(false);
     try {
         m_request.abort();
--- a/src/serve/forward/http_caller_link.h
+++ b/src/serve/forward/http_caller_link.h
@@ -11,7 +11,6 @@
 {
 class HTTPServerRequest;
 class HTTPServerResponse;
-
 } // namespace Poco::Net
 
 namespace crosslink
@@ -26,6 +25,10 @@
     /// `request` and `answer` must outlive this object.
     HttpCallerLink(Poco::Net::HTTPServerRequest& request,
                    Poco::Net::HTTPServerResponse& answer);
+    /// Aborts an answer that has begun and did not finish().
+    ~HttpCallerLink() override;
+    HttpCallerLink(const HttpCallerLink&) = delete;
+    HttpCallerLink& operator=(const HttpCallerLink&) = delete;
 
     void answer(int status, std::span<const HeaderField> headers,
                 std::string_view body) override;
@@ -38,9 +41,11 @@
 
 private:
     void set_head(int status, std::span<const HeaderField> headers);
+    void end_connection();
 
     ServerRequest& m_request;
     Poco::Net::HTTPServerResponse& m_answer;
+    /// Of the answer's body, until finish() or abort().
     std::ostream* m_out = nullptr;
     bool m_begun = false;
 };
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -131,7 +131,6 @@
     const OpenRelay open(m_state.counters.relays_open);
     HeldBytes held(m_state.bodies);
     RelayedCall call;
-    answer.erase("Date"); // The runner's own is passed on.
     try {
         read_head(request, call);
         if (!read_call_body(request, call, held) || open.number() > most_open())
--- a/src/serve/request_path.cpp
+++ b/src/serve/request_path.cpp
@@ -170,8 +170,10 @@
     } catch (const Error& failure) {
         record_outcome(run, call, request);
         // A stream that has begun must end with a typed error, not silently.
-        if (reply.streaming())
+        if (reply.streaming()) {
             reply.send_event(error_event(failure));
+            reply.end_stream();
+        }
         throw;
     }
 }
@@ -191,6 +193,7 @@
         reply.send_event(formatter.last_event(
             relay.prompt_tokens(), relay.cached_tokens(), relay.next_index()));
         reply.send_event(done_event);
+        reply.end_stream();
     }
     return {http_ok, json_content_type,
             formatter.body(relay.text(), relay.prompt_tokens(),
