Hold connections of port looks to the same fields; fuzz of repeated fields

Cause: a look at a runner's port opens a connection that later carries calls, and took the table of HTTP's fields by default, not that of the calls. Change: the table is no default of CallConnection any more; each place names it, the looks at ports and the questions to runners too. Evidence: found by the framing fuzz, whose clients and runners now also repeat fields that may stand once, name other versions, send the byte 255, and fields that are as long as readers' buffers.

--- a/src/adapters/call_connection.h
+++ b/src/adapters/call_connection.h
@@ -36,7 +36,7 @@
     /// Connects to "ip:port". An answer with several fields of one of the
     /// names `single_fields`, which must outlive this object, is malformed.
     CallConnection(const std::string& address, Micros connect_timeout,
-                   const SingleFields& single_fields = SingleFields::of_http());
+                   const SingleFields& single_fields);
     ~CallConnection();
     CallConnection(const CallConnection&) = delete;
     CallConnection& operator=(const CallConnection&) = delete;
--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -75,7 +75,8 @@
 /// A connection to a peer that has got a call.
 struct SentCall {
     RawPeer runner;
-    CallConnection connection{runner.address(), connect_time};
+    CallConnection connection{runner.address(), connect_time,
+                              SingleFields::of_http()};
 
     SentCall()
     {
@@ -146,7 +147,8 @@
 TEST_CASE("a head that trickles in is waited for until the deadline")
 {
     RawPeer runner;
-    CallConnection connection(runner.address(), connect_time);
+    CallConnection connection(runner.address(), connect_time,
+                              SingleFields::of_http());
     runner.say("HTTP/1.1 200 OK\r\nX-Slow: a");
     connection.watch(-1, monotonic_now() + soon);
     CHECK_THROWS_AS(connection.receive_head(), Poco::Exception);
@@ -157,7 +159,8 @@
 {
     RawPeer runner;
     Caller caller;
-    CallConnection connection(runner.address(), connect_time);
+    CallConnection connection(runner.address(), connect_time,
+                              SingleFields::of_http());
     runner.say("HTTP/1.1 200 OK\r\nX-Slow: a");
     connection.watch(caller.socket(), monotonic_now() + far_off);
     caller.leave();
@@ -171,7 +174,8 @@
          {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nX-Signed: ab",
           "HTTP/1.1 200 OK\r\nX-Signed: ab\r\n"}) {
         RawPeer runner;
-        CallConnection connection(runner.address(), connect_time);
+        CallConnection connection(runner.address(), connect_time,
+                                  SingleFields::of_http());
         connection.watch(-1, monotonic_now() + far_off);
         connection.send(get_call(), {});
         runner.say(head);
@@ -216,7 +220,8 @@
         CHECK(call.connection.whole());
     }
     RawPeer runner;
-    CallConnection connection(runner.address(), connect_time);
+    CallConnection connection(runner.address(), connect_time,
+                              SingleFields::of_http());
     connection.watch(-1, monotonic_now() + far_off);
     OutgoingCall head = get_call();
     head.method = "HEAD";
@@ -287,7 +292,8 @@
 {
     RawPeer runner;
     Caller caller;
-    CallConnection connection(runner.address(), connect_time);
+    CallConnection connection(runner.address(), connect_time,
+                              SingleFields::of_http());
     connection.watch(caller.socket(), monotonic_now() + far_off);
     connection.send(get_call(), {});
     runner.say("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
@@ -307,7 +313,8 @@
 {
     RawPeer runner;
     Caller caller;
-    CallConnection connection(runner.address(), connect_time);
+    CallConnection connection(runner.address(), connect_time,
+                              SingleFields::of_http());
     connection.watch(caller.socket(), monotonic_now() + far_off);
     caller.leave();
     // More than the buffers of two sockets take.
@@ -320,7 +327,8 @@
 {
     RawPeer runner;
     Caller caller;
-    CallConnection connection(runner.address(), connect_time);
+    CallConnection connection(runner.address(), connect_time,
+                              SingleFields::of_http());
     for (int i = 0; i < 3; ++i) {
         connection.watch(caller.socket(), monotonic_now() + far_off);
         connection.send(get_call(), {});
@@ -340,8 +348,10 @@
     RawPeer first;
     RawPeer second;
     Caller caller;
-    CallConnection connection(first.address(), connect_time);
-    CallConnection rival(second.address(), connect_time);
+    CallConnection connection(first.address(), connect_time,
+                              SingleFields::of_http());
+    CallConnection rival(second.address(), connect_time,
+                         SingleFields::of_http());
     connection.watch(caller.socket(), monotonic_now() + far_off);
     connection.send(get_call(), {});
     CHECK(connection.wait(soon, &rival) == Wait::TimedOut);
@@ -357,8 +367,10 @@
     RawPeer first;
     RawPeer second;
     Caller caller;
-    CallConnection connection(first.address(), connect_time);
-    CallConnection rival(second.address(), connect_time);
+    CallConnection connection(first.address(), connect_time,
+                              SingleFields::of_http());
+    CallConnection rival(second.address(), connect_time,
+                         SingleFields::of_http());
     connection.watch(caller.socket(), monotonic_now() + far_off);
     second.say("H");
     // More than the buffers of two sockets take.
@@ -371,7 +383,8 @@
 {
     RawPeer runner;
     Caller caller;
-    CallConnection connection(runner.address(), connect_time);
+    CallConnection connection(runner.address(), connect_time,
+                              SingleFields::of_http());
     connection.watch(caller.socket(), monotonic_now() + far_off);
     CHECK_FALSE(connection.head_arrived());
     runner.say("HTTP/1.1 200 OK\r\n");
@@ -495,7 +508,8 @@
 TEST_CASE("the head of an interim answer is not the one that is waited for")
 {
     RawPeer runner;
-    CallConnection connection(runner.address(), connect_time);
+    CallConnection connection(runner.address(), connect_time,
+                              SingleFields::of_http());
     connection.watch(-1, monotonic_now() + far_off);
     runner.say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n");
     REQUIRE(connection.wait(far_off) == Wait::Ready);
@@ -511,7 +525,8 @@
 {
     using namespace std::string_literals;
     RawPeer runner;
-    CallConnection connection(runner.address(), connect_time);
+    CallConnection connection(runner.address(), connect_time,
+                              SingleFields::of_http());
     connection.watch(-1, monotonic_now() + far_off);
     for (const HeaderField& field :
          {HeaderField{"X-Nota", "a\r\nb: c"}, HeaderField{"X-Nota", "a\0b"s},
--- a/src/adapters/call_connections_test.cpp
+++ b/src/adapters/call_connections_test.cpp
@@ -28,8 +28,8 @@
 std::unique_ptr<CallConnection>
 connect(RawPeer& runner)
 {
-    auto connection =
-        std::make_unique<CallConnection>(runner.address(), connect_time);
+    auto connection = std::make_unique<CallConnection>(
+        runner.address(), connect_time, SingleFields::of_http());
     runner.accept();
     return connection;
 }
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -128,7 +128,7 @@
 {
 public:
     Connection(const std::string& address, Micros connect_time)
-        : m_connection(address, connect_time)
+        : m_connection(address, connect_time, SingleFields::of_http())
     {
     }
 
--- a/src/adapters/port_look.cpp
+++ b/src/adapters/port_look.cpp
@@ -19,11 +19,11 @@
 } // namespace
 
 PortLook
-look_at_port(const std::string& address)
+look_at_port(const std::string& address, const SingleFields& single_fields)
 {
     try {
-        return {ProcessFate::Alive,
-                std::make_unique<CallConnection>(address, look_time)};
+        return {ProcessFate::Alive, std::make_unique<CallConnection>(
+                                        address, look_time, single_fields)};
     } catch (const Poco::Net::ConnectionRefusedException&) {
         return {ProcessFate::Ended, nullptr};
     } catch (const Poco::Exception&) {
--- a/src/adapters/port_look.h
+++ b/src/adapters/port_look.h
@@ -14,6 +14,7 @@
 {
 
 class CallConnection;
+class SingleFields;
 
 /// What became of a process whose connection broke, by its port.
 enum class ProcessFate {
@@ -31,8 +32,10 @@
 
 /// Looks whether the process at "ip:port" still takes connections. A port on a
 /// machine that is there answers or refuses in one turn on the way; blocks for
-/// 100 ms at the most.
-PortLook look_at_port(const std::string& address);
+/// 100 ms at the most. `single_fields` is for the calls that the connection may
+/// carry later.
+PortLook look_at_port(const std::string& address,
+                      const SingleFields& single_fields);
 
 /// Returns the name of `fate` for the log.
 const char* fate_name(ProcessFate fate);
--- a/src/serve/completion_run.cpp
+++ b/src/serve/completion_run.cpp
@@ -395,7 +395,8 @@
 CompletionRun::probe_for_end(const std::string& address)
 {
     m_crashes.record_failure({address, 0, address}, true);
-    if (look_at_port(address).fate == ProcessFate::Ended)
+    if (look_at_port(address, SingleFields::of_http()).fate ==
+        ProcessFate::Ended)
         m_state.engine_ended(address);
     else
         m_state.unresolved_failure_added.wake();
--- a/src/serve/entry_instance.cpp
+++ b/src/serve/entry_instance.cpp
@@ -6,6 +6,7 @@
 #include <adapters/call_connection.h>
 #include <adapters/clock.h>
 #include <adapters/random.h>
+#include <adapters/single_fields.h>
 #include <crosslink/base/error.h>
 
 #include <spdlog/spdlog.h>
@@ -51,6 +52,7 @@
       m_peers(m_state, m_claim_handler, m_gossip, m_path.gate()),
       m_end_probe(
           m_state.unresolved_failures, m_state.unresolved_failure_added,
+          SingleFields::of_http(),
           [this](const ProbeTarget& port, const PortLook& look) {
               if (look.fate == ProcessFate::Ended)
                   m_state.engine_ended(port.address);
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -44,6 +44,7 @@
       m_exchange(m_state, m_coordinator, m_exchange_handler, m_changes),
       m_end_probe(
           m_state.unresolved_failures, m_state.unresolved_failure_added,
+          m_state.single_fields,
           [this](const ProbeTarget& port, PortLook look) {
               port_checked(port, std::move(look));
           },
--- a/src/serve/forward/runner_look.cpp
+++ b/src/serve/forward/runner_look.cpp
@@ -98,14 +98,15 @@
 reaches_runner(ForwardState& state, const ListedRunner& runner)
 {
     return keep_look(state, runner.place(), runner.address,
-                     look_at_port(runner.address));
+                     look_at_port(runner.address, state.single_fields));
 }
 
 RunnerLook
 look_at_runner(ForwardState& state, const RunnerPlace& place,
                const std::string& address)
 {
-    return confirm_look(state, place, address, look_at_port(address));
+    return confirm_look(state, place, address,
+                        look_at_port(address, state.single_fields));
 }
 
 RunnerLook
@@ -187,7 +188,7 @@
     const auto listed = state.listed_runner(runner);
     if (!listed)
         return std::nullopt;
-    PortLook look = look_at_port(listed->address);
+    PortLook look = look_at_port(listed->address, state.single_fields);
     const ProcessFate fate = look.fate;
     if (keep_look(state, listed->place(), listed->address, std::move(look)))
         return fate;
--- a/src/serve/process_end_probe.cpp
+++ b/src/serve/process_end_probe.cpp
@@ -23,9 +23,11 @@
 
 ProcessEndProbe::ProcessEndProbe(Guarded<UnresolvedFailures>& failures,
                                  DutyWaker& failure_added,
+                                 const SingleFields& single_fields,
                                  ProbeCallback on_probe, RoundCallback on_round)
     : m_failures(failures), m_failure_added(failure_added),
-      m_on_probe(std::move(on_probe)), m_on_round(std::move(on_round)),
+      m_single_fields(single_fields), m_on_probe(std::move(on_probe)),
+      m_on_round(std::move(on_round)),
       m_duty(
           "end_looks", [this] { return run_round(); }, Duty::Begin::OnWake)
 {
@@ -44,7 +46,7 @@
         return failures.take_due(monotonic_now());
     });
     for (const ProbeTarget& target : targets)
-        m_on_probe(target, look_at_port(target.address));
+        m_on_probe(target, look_at_port(target.address, m_single_fields));
     m_on_round();
     const auto next_due_time = m_failures.with(
         [](const UnresolvedFailures& failures) { return failures.next_due(); });
--- a/src/serve/process_end_probe.h
+++ b/src/serve/process_end_probe.h
@@ -15,6 +15,8 @@
 namespace crosslink
 {
 
+class SingleFields;
+
 /// Probes the ports of processes that interrupted calls, until it is known
 /// whether a process ended or the time for a verdict is over. Uses a thread of
 /// its own, so that no caller waits for a probe; it runs from the first failure
@@ -27,11 +29,12 @@
     /// Called in each round, for verdicts that depend on the time alone.
     using RoundCallback = std::function<void()>;
 
-    /// `failures` and `failure_added` must outlive this object, which registers
-    /// its duty with `failure_added` so that a new failure starts a round.
+    /// `failures`, `failure_added` and `single_fields` must outlive this
+    /// object, which registers its duty with `failure_added` so that a new
+    /// failure starts a round. For `single_fields` see look_at_port().
     ProcessEndProbe(Guarded<UnresolvedFailures>& failures,
-                    DutyWaker& failure_added, ProbeCallback on_probe,
-                    RoundCallback on_round);
+                    DutyWaker& failure_added, const SingleFields& single_fields,
+                    ProbeCallback on_probe, RoundCallback on_round);
     ~ProcessEndProbe();
     ProcessEndProbe(const ProcessEndProbe&) = delete;
     ProcessEndProbe& operator=(const ProcessEndProbe&) = delete;
@@ -41,6 +44,7 @@
 
     Guarded<UnresolvedFailures>& m_failures;
     DutyWaker& m_failure_added;
+    const SingleFields& m_single_fields;
     const ProbeCallback m_on_probe;
     const RoundCallback m_on_round;
     Duty m_duty;
--- a/testsuite/framing-fuzz/rude_client.py
+++ b/testsuite/framing-fuzz/rude_client.py
@@ -16,6 +16,10 @@
 SEND_SECONDS = 5
 MOST_PAUSE = 0.05
 TARGETS = ["/once/x", "/safe/x?q=%20", "/stream/x"]
+# Fields that may stand once.
+ONCE = [b"Host", b"Api-Key", b"Crosslink-Attempt-Id", b"Crosslink-Deadline-Ms",
+        b"Crosslink-Model", b"Crosslink-Token-Count",
+        b"Crosslink-Prompt-Prefix"]
 LARGE_HEAD = 5000  # over maxHeaderBytes of the world's configuration
 
 
@@ -124,13 +128,30 @@
             + b"\r\n" + request.body)
 
 
+def repeated(draw, request):
+    """A field that may stand once stands twice."""
+    request.must_not_run = True
+    head, _, body = proper(draw, request).partition(b"\r\n\r\n")
+    lines = wire.twice(draw, head.split(b"\r\n"), ONCE)
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def versions(draw, request):
+    """A version that is not spoken."""
+    request.must_not_run = True
+    version = draw.choice([b"HTTP/2.0", b"HTTP/0.9", b"HTTP/1", b"FOO/1.1",
+                           b"http/1.1", b"HTTP/1.1 "])
+    return proper(draw, request).replace(b"HTTP/1.1", version, 1)
+
+
 def surplus(draw, request):
     """A proper request with bytes of no request after it."""
     return proper(draw, request) + draw.choice(
         [b"\0\0\0", b"x" * 3000, b"GET\r\n\r\n", b"0\r\n\r\n"])
 
 
-RUDE = [in_part, in_part, ambiguous, bad_chunks, bad_head, surplus]
+RUDE = [in_part, in_part, ambiguous, bad_chunks, bad_head, repeated, versions,
+        surplus]
 
 
 class RudeClient:
--- a/testsuite/framing-fuzz/rude_runner.py
+++ b/testsuite/framing-fuzz/rude_runner.py
@@ -17,6 +17,9 @@
 SECONDS = 20  # in which a connection may rest
 MOST_PAUSE = 0.05
 ENDLESS_BYTES = 1 << 22
+# Fields that may stand once.
+ONCE = [b"Crosslink-Attempt-Id", b"Crosslink-Response-Signature",
+        b"Content-Length", b"Content-Type"]
 
 
 @dataclasses.dataclass
@@ -163,7 +166,7 @@
         if not self.runner.polite and self.draw.random() < 0.35:
             how = self.draw.choice([
                 self.cut, self.cut, self.cut, self.nameless, self.misnamed,
-                self.ambiguous, self.bad_head, self.bad_chunks, self.endless,
+                self.ambiguous, self.repeated, self.version, self.bad_head, self.bad_chunks, self.endless,
                 self.surplus, self.surplus, self.strange])
         if how == self.nameless and self.draw.random() < 0.5:
             return self.refuse()
@@ -202,7 +205,7 @@
         status = 200 if self.runner.polite else self.draw.choice(
             [200, 200, 200, 200, 404, 201])
         body = self.draw_body()
-        note = self.draw.choice(wire.NOTES)
+        note = self.draw.choice(wire.NOTES + wire.LONG_NOTES)
         self.note_made(status, body, whole, what, note)
         fields = [b"X-Nota: " + note]
         if self.streams:
@@ -218,7 +221,9 @@
     def draw_body(self):
         if self.streams:
             return wire.events_of(self.draw, self.call)
-        return wire.body_of(self.draw, self.call)
+        body = wire.body_of(self.draw, self.call)
+        # The callers of polite runners read texts.
+        return body.replace(b"\xff", b"y") if self.runner.polite else body
 
     def proper(self):
         kind = self.draw.random()
@@ -284,6 +289,21 @@
         ])) + body)
         return False
 
+    def repeated(self):
+        """A field that may stand once stands twice."""
+        head, body = self.draw_answer("repeated", whole=False)
+        lines = wire.twice(self.draw, head[:-4].split(b"\r\n"), ONCE)
+        self.send(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        return False
+
+    def version(self):
+        """A version that is not spoken."""
+        head, body = self.draw_answer("another version", whole=False)
+        line = self.draw.choice([b"HTTP/2.0", b"HTTP/0.9", b"FOO/1.1",
+                                 b"HTTP/1.1 "])
+        self.send(head.replace(b"HTTP/1.1", line, 1) + body)
+        return False
+
     def bad_head(self):
         body = wire.body_of(self.draw, self.call)
         self.note_made(200, body, False, "a malformed head")
--- a/testsuite/framing-fuzz/wire.py
+++ b/testsuite/framing-fuzz/wire.py
@@ -11,7 +11,22 @@
 NOTES = [b"plain", b"=?UTF-8?Q?caldo_de_res?=", b"=?UTF-8?Q?a=0D=0A=0D=0Ab?=", b"a\tb", b"",
          b"=?UTF-8?Q?a=0D=0AContent-Length:_0=0D=0A=0D=0APOST_/once/x?=",
          b"=?ISO-8859-1?B?YQ0KYjogYw==?=", "sin az\u00facar".encode(), b"a" * 900,
-         b"\"quoted, text\"; x=1"]
+         b"\"quoted, text\"; x=1", b"\xff", b"a\xff\xfe"]
+
+
+# Lines of a head that are as long as buffers of readers, or nearly.
+LONG_NOTES = [b"a" * (4096 - len(b"X-Nota: ") + extra)
+              for extra in range(-6, 3)]
+
+
+def twice(draw, fields, names):
+    """The lines of a head with one of the fields `names` once more, as it is or
+    with another value."""
+    line = next(l for l in draw.sample(fields, len(fields))
+                if l.partition(b":")[0] in names)
+    name, _, text = line.partition(b":")
+    again = draw.choice([name, name.lower()]) + b":" + draw.choice([text, b" 1"])
+    return fields[:1] + draw.sample(fields[1:] + [again], len(fields))
 
 
 class Ended(Exception):
@@ -119,7 +134,7 @@
     """A body that names its call, at times with bytes that look like framing."""
     text = b"body of " + call.encode() + b"\n"
     text += draw.choice([b"", b"0\r\n\r\n", b"a\r\n", b"HTTP/1.1 200 OK\r\n\r\n",
-                         b"caldo;40\r\n0\r\n\r\n"])
+                         b"caldo;40\r\n0\r\n\r\n", b"\xff", b"\xff0\r\n"])
     return text + b"x" * draw.choice([0, 0, 1, 7, 500, 5000, 70000])
 
 
