--- a/src/libcrosslink/forward/queue_limit.cpp
+++ b/src/libcrosslink/forward/queue_limit.cpp
@@ -12,12 +12,9 @@
 namespace
 {
 
-/// Part of the objective that a call may be expected to wait. On busy runners,
-/// answers come up to 0.9 s later than expected (90th percentile), so that a
-/// fifth of an objective of 1.2 s leaves room for that. A short queue for
-/// memory also leaves some of the memory to the KV that runners keep. Callers
-/// served within the objective at their first attempt, on five days with losses
-/// and three seeds each: 0.90 at 0.1, 0.91 at 0.2, 0.90 at 0.3.
+/// Part of the objective that a call may be expected to wait. Answers of busy
+/// runners come later than expected, and a short queue leaves memory to the KV
+/// that runners keep.
 constexpr double max_wait_part = 0.2;
 /// Part of that for calls with one more urgent priority before them, for each
 /// such priority. The queue that less urgent calls alone make then leaves the
--- a/src/libcrosslink/forward/runner_choosing.cpp
+++ b/src/libcrosslink/forward/runner_choosing.cpp
@@ -26,7 +26,7 @@
 
 /// Time for which the reported load of other instances is used.
 constexpr Micros load_lifetime = std::chrono::milliseconds(1200);
-/// Time that a process which ends in steps seldom exceeds.
+/// Time for which a process that broke a connection may still be ending.
 constexpr Micros shutdown_time = std::chrono::seconds(2);
 /// A call that waited for its time may be this much too early, since the
 /// previous one was sent as much too late.
