--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -493,7 +493,8 @@
     for (const std::string rest :
          {"Content-Length: 1\r\n\r\n\xff",
           "Transfer-Encoding: chunked\r\n\r\n1\r\n\xff\r\n0\r\n\r\n"}) {
-        const std::string answer = interim + head + rest;
+        std::string answer = interim;
+        answer.append(head).append(rest);
         for (std::size_t cut = 1; cut <= answer.size(); ++cut) {
             SentCall call;
             for (const char byte : answer.substr(0, cut))
