--- a/testsuite/caller-errors/run.py
+++ b/testsuite/caller-errors/run.py
@@ -85,6 +85,15 @@
                 b"\r\n\r\n0\r\n\r\n" + hidden))
             assert answer.startswith(b"HTTP/1.1 400"), (framing, answer)
             assert answer.count(b"HTTP/1.1") == 1, (framing, answer)
+        twice = b"Authorization: Bearer " + KEY.encode() + b"\r\n"
+        for status, line, fields in (
+                (b"400", b"GET /v1/models HTTP/1.1", twice + twice),
+                (b"400", b"GET /v1/models HTTP/1.1",
+                 b"Idempotency-Key: a\r\nidempotency-key: b\r\n"),
+                (b"505", b"GET /v1/models HTTP/2.0", twice)):
+            answer = send_raw(entry.address,
+                              line + b"\r\nHost: a\r\n" + fields + b"\r\n")
+            assert answer.startswith(b"HTTP/1.1 " + status), (fields, answer)
         # A body that ends early, and a caller that never goes on.
         send_raw(entry.address, b"nonsense\r\n\r\n")
         host, port = entry.address.split(":")
