Ask for no addresses of a connection; tell no length of our own to HEAD

Cause: a request asked for both addresses of its connection, before its head was read, so that a connection that was reset threw there; nobody uses them. An answer to HEAD told the length of the empty body that the runner's answer has here, where the runner may have told another one. Change: the accessors throw, as the body's stream does, which saves two system calls a request; an answer to HEAD that is passed on tells no length. Evidence: `unit.an answer to HEAD tells no length of its own`; adapters and serve units, and the cases of heads at both doors, pass.

--- a/src/adapters/raw_session.h
+++ b/src/adapters/raw_session.h
@@ -30,7 +30,7 @@
     /// connection.
     std::string read_raw(std::size_t most)
     {
-        // Few bytes come out of POCO's buffer, which this fills.
+        // Single bytes come out of POCO's buffer, which this fills.
         if (most == 1 && !has_bytes()) {
             this->refill();
             if (!has_bytes())
--- a/src/adapters/server_request.cpp
+++ b/src/adapters/server_request.cpp
@@ -19,8 +19,7 @@
                              Poco::Net::HTTPServerResponse& response,
                              Poco::Net::HTTPServerParams::Ptr parameters)
     : m_session(session), m_response(response),
-      m_parameters(std::move(parameters)), m_client(session.clientAddress()),
-      m_server(session.serverAddress())
+      m_parameters(std::move(parameters))
 {
 }
 
@@ -62,13 +61,13 @@
 const Poco::Net::SocketAddress&
 ServerRequest::clientAddress() const
 {
-    return m_client;
+    throw Poco::NotImplementedException("the address of a caller");
 }
 
 const Poco::Net::SocketAddress&
 ServerRequest::serverAddress() const
 {
-    return m_server;
+    throw Poco::NotImplementedException("the address of a server");
 }
 
 const Poco::Net::HTTPServerParams&
--- a/src/adapters/server_request.h
+++ b/src/adapters/server_request.h
@@ -5,7 +5,6 @@
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/SocketAddress.h>
 
 namespace crosslink
 {
@@ -14,7 +13,8 @@
 class ServerSession;
 struct RequestLine;
 
-/// A request of a ServerConnection. Its body is read by read_body().
+/// A request of a ServerConnection. Its body is read by read_body(), and nobody
+/// asks for the addresses of its connection: they throw.
 class ServerRequest : public Poco::Net::HTTPServerRequest
 {
 public:
@@ -33,7 +33,6 @@
     /// complete.
     void abort();
 
-    /// Not implemented.
     std::istream& stream() override;
     const Poco::Net::SocketAddress& clientAddress() const override;
     const Poco::Net::SocketAddress& serverAddress() const override;
@@ -48,8 +47,6 @@
     ServerSession& m_session;
     Poco::Net::HTTPServerResponse& m_response;
     Poco::Net::HTTPServerParams::Ptr m_parameters;
-    Poco::Net::SocketAddress m_client;
-    Poco::Net::SocketAddress m_server;
 };
 
 } // namespace crosslink
--- a/src/serve/forward/http_caller_link.cpp
+++ b/src/serve/forward/http_caller_link.cpp
@@ -67,7 +67,11 @@
     m_begun = true;
     try {
         set_head(status, headers);
-        m_answer.sendBuffer(body.data(), body.size());
+        // The length that an answer to HEAD tells is not that of its body.
+        if (m_request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD)
+            m_answer.send();
+        else
+            m_answer.sendBuffer(body.data(), body.size());
     } catch (const Poco::Exception& failure) {
         LogLine("caller_gone").field("error", failure.displayText());
         abort();
--- a/src/serve/forward/http_caller_link_test.cpp
+++ b/src/serve/forward/http_caller_link_test.cpp
@@ -84,6 +84,15 @@
                Catch::EndsWith("\r\n\r\npart"));
 }
 
+TEST_CASE("an answer to HEAD tells no length of its own")
+{
+    const std::string answer =
+        answer_to("HEAD / HTTP/1.1\r\nConnection: close\r\n\r\n",
+                  [](CallerLink& link) { link.answer(200, {}, ""); });
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
+    CHECK_THAT(answer, !Catch::Contains("Content-Length"));
+}
+
 TEST_CASE("an answer has one date")
 {
     const std::array headers{HeaderField{"date", "then"}};
