--- a/src/adapters/server_request.cpp
+++ b/src/adapters/server_request.cpp
@@ -61,13 +61,15 @@
 const Poco::Net::SocketAddress&
 ServerRequest::clientAddress() const
 {
-    throw Poco::NotImplementedException("the address of a caller");
+    m_client = m_session.clientAddress();
+    return m_client;
 }
 
 const Poco::Net::SocketAddress&
 ServerRequest::serverAddress() const
 {
-    throw Poco::NotImplementedException("the address of a server");
+    m_server = m_session.serverAddress();
+    return m_server;
 }
 
 const Poco::Net::HTTPServerParams&
--- a/src/adapters/server_request.h
+++ b/src/adapters/server_request.h
@@ -5,6 +5,7 @@
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/SocketAddress.h>
 
 namespace crosslink
 {
@@ -13,8 +14,7 @@
 class ServerSession;
 struct RequestLine;
 
-/// A request of a ServerConnection. Its body is read by read_body(), and nobody
-/// asks for the addresses of its connection: they throw.
+/// A request of a ServerConnection. Its body is read by read_body().
 class ServerRequest : public Poco::Net::HTTPServerRequest
 {
 public:
@@ -33,6 +33,7 @@
     /// complete.
     void abort();
 
+    /// Not implemented.
     std::istream& stream() override;
     const Poco::Net::SocketAddress& clientAddress() const override;
     const Poco::Net::SocketAddress& serverAddress() const override;
@@ -47,6 +48,9 @@
     ServerSession& m_session;
     Poco::Net::HTTPServerResponse& m_response;
     Poco::Net::HTTPServerParams::Ptr m_parameters;
+    /// Asked for once they are needed.
+    mutable Poco::Net::SocketAddress m_client;
+    mutable Poco::Net::SocketAddress m_server;
 };
 
 } // namespace crosslink
