Fuzz of framing: whose ways an instance has is asked before it is judged

An instance that starts again may get the whole list of one whose ways are cut, or give its own to others; where all have the ways of the cut ones, no call can be served, and none should be.

Change: where calls are not served after the rude part, the cut ways are healed, instances with others' ways start again, and the ways are cut once more; only if there was such an instance are calls judged anew. The check of the calls is as it was.

--- a/testsuite/framing-fuzz/fuzz.py
+++ b/testsuite/framing-fuzz/fuzz.py
@@ -69,6 +69,11 @@
     def note_end(self, instance):
         """To be called before a process ends."""
 
+    def give_own_ways(self):
+        """Returns the numbers of the instances that had others' ways to the
+        runners, and now have their own."""
+        return []
+
     def check_relayed(self):
         """Returns what is wrong with the ways through other instances."""
         return []
@@ -98,6 +103,16 @@
     def count_cut(self):
         return len(self.instances) // 2
 
+    def give_own_ways(self):
+        cut = range(self.count_cut())
+        self.heal(cut)
+        wait_served(self)
+        found = set()
+        while strangers := self.start_strangers_again():
+            found.update(strangers)
+        self.cut(cut, "reset")
+        return found
+
     def note_end(self, instance):
         text = f.http_call(instance.metrics_address, "GET", "/").text
         self.relayed += int(re.search(r"^crosslink_calls_relayed_total (\d+)$",
@@ -230,6 +245,17 @@
         return repr(failure)
 
 
+def wait_served(world):
+    """Returns whether each instance serves calls within some seconds."""
+    def served():
+        return all(w.call(world, "POST", "/safe/", w.headers(), "a",
+                          instance=n).status == 200
+                   for n in range(len(world.instances)))
+    with contextlib.suppress(AssertionError):
+        return f.wait_until(served, "calls are served again", CALM_SECONDS)
+    return False
+
+
 def check_served(world):
     """All is served again once runners are polite."""
     for runner in world.rude:
@@ -238,12 +264,10 @@
     f.wait_until(lambda: not any(runner.answering for runner in world.rude),
                  "the rude answers are over", CALM_SECONDS)
 
-    def served():
-        return all(w.call(world, "POST", "/safe/", w.headers(), "a",
-                          instance=n).status == 200
-                   for n in range(len(world.instances)))
-    with contextlib.suppress(AssertionError):
-        f.wait_until(served, "calls are served again", CALM_SECONDS)
+    # Where all that started again got the ways of those that are cut, none has
+    # any.
+    if not wait_served(world) and world.give_own_ways():
+        wait_served(world)
     answers = [status_of_call(world, n % len(world.instances))
                for n in range(CALM_CALLS)]
     return ["not served again: %r" % answers] if set(answers) != {200} else []
