--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -99,6 +99,31 @@
     return shlex.split(re.sub(r"\{\{([^}]*)\}\}", fill, run))
 
 
+class Store(standins.MetadataStore):
+    """The project's stand-in, which can cut the watches that wait."""
+
+    def __init__(self):
+        self.waiting = set()
+        super().__init__()
+
+    def _watch(self, request, query):
+        self.waiting.add(request.connection)
+        try:
+            return super()._watch(request, query)
+        finally:
+            self.waiting.discard(request.connection)
+
+    def cut_watches(self):
+        """Closes the connections of the watches that wait now."""
+        cut = list(self.waiting)
+        for connection in cut:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        return len(cut)
+
+
 class Front:
     """One process of the program at a loopback address of its own."""
 
@@ -170,11 +195,12 @@
         self.ports.append(fleet.free_port())
         self.zones = list(zones)
         self.bounds = dict(BOUNDS, **(bounds or {}))
-        self.store = standins.MetadataStore()
+        self.store = Store()
         self.store_address = store_address or self.store.address
         self.store.put("op/config", configuration(routes))
         self.store.put("op/version/m", {"model": "m", "version": 1})
         self.runners = list(runners)
+        self.left = []
         for runner in self.runners:
             self.store.put("servers/" + runner.id, runner.entry())
         self.stopped = threading.Event()
@@ -191,6 +217,21 @@
                 runner.sequence += 1
                 self.store.put("servers/" + runner.id, runner.entry())
 
+    def holder(self):
+        """The process that holds the duty, by the store; None for none."""
+        address = self.store.value("crosslink/duty/steward") or ""
+        for front in self.fronts:
+            if address.startswith(front.ip + ":"):
+                return front
+        return None
+
+    def leave(self, runner):
+        """The entry of a runner goes. Returns when the store had taken that."""
+        self.runners.remove(runner)
+        self.left.append(runner)
+        self.store.remove("servers/" + runner.id)
+        return time.monotonic()
+
     def __enter__(self):
         for front in self.fronts:
             front.start()
@@ -206,7 +247,7 @@
         self.stopped.set()
         for front in self.fronts:
             front.end()
-        for runner in self.runners:
+        for runner in self.runners + self.left:
             runner.close()
         self.store.server.close()
         self.folder.cleanup()
