Review: weights named while no process runs are served too long (case 8)

Processes that start after a loss of all machines count a version that was named meanwhile from their own start, and send requests to older weights later than versionMs after its acknowledgement.

--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -202,7 +202,8 @@
         self.runners = list(runners)
         self.left = []
         for runner in self.runners:
-            self.store.put("servers/" + runner.id, runner.entry())
+            self._put(runner)
+            runner.put = self._put
         self.stopped = threading.Event()
         self.beat = threading.Thread(target=self._beat, daemon=True)
         self.beat.start()
@@ -211,11 +212,21 @@
             self.fronts.append(Front(self, number,
                                      self.zones[number % len(self.zones)]))
 
+    def _put(self, runner):
+        runner.sequence += 1
+        self.store.put("servers/" + runner.id, runner.entry())
+
     def _beat(self):
         while not self.stopped.wait(HEARTBEAT_S):
             for runner in list(self.runners):
-                runner.sequence += 1
-                self.store.put("servers/" + runner.id, runner.entry())
+                self._put(runner)
+
+    def wait_ready(self):
+        end = time.monotonic() + START_S
+        while not all(front.ready() for front in self.fronts):
+            if time.monotonic() > end:
+                raise Held("the processes were not ready")
+            time.sleep(0.02)
 
     def holder(self):
         """The process that holds the duty, by the store; None for none."""
@@ -235,12 +246,11 @@
     def __enter__(self):
         for front in self.fronts:
             front.start()
-        end = time.monotonic() + START_S
-        while not all(front.ready() for front in self.fronts):
-            if time.monotonic() > end:
-                self.__exit__()
-                raise Held("the processes were not ready")
-            time.sleep(0.05)
+        try:
+            self.wait_ready()
+        except Held:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_):
@@ -372,13 +382,107 @@
                 pass
 
 
+class Engine(Runner):
+    """A runner of a model that takes orders for new weights. `loading` counts
+    the engines that load at the same time, with its lock."""
+
+    LOAD_S = 0.76  # new weights take a runner so long, longer beside others
+    AT_ONCE = 3
+
+    class Loading:
+        def __init__(self):
+            self.lock = threading.Lock()
+            self.count = 0
+
+    def __init__(self, run, loading, record, zone="zone-a"):
+        self.loading = loading
+        self.record = record
+        self.lock = threading.Lock()
+        self.running = 0
+        self.busy = False
+        self.put = lambda engine: None  # writes its entry
+        super().__init__("llm", run, zone)
+
+    def _answer(self, request, connection):
+        if request.target == "/report":
+            return self._report(connection)
+        if request.fields.get("crosslink-expect-instance") != self.id:
+            return super()._answer(request, connection)
+        if request.target == "/order":
+            return self._order(request, connection)
+        with self.lock:
+            expected = int(request.fields.get("expect-version", self.version))
+            refused = "421 M" if expected != self.version else (
+                "503 S" if self.busy else None)
+            if not refused:
+                self.running += 1
+        if refused:
+            connection.sendall((
+                "HTTP/1.1 %s\r\nCrosslink-Attempt-Id: %s\r\n"
+                "Crosslink-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                % (refused, request.id)).encode())
+            return True
+        try:
+            return self.run(self, request, connection)
+        finally:
+            with self.lock:
+                self.running -= 1
+
+    def _report(self, connection):
+        text = json.dumps({
+            "stage": "both", "busy": self.busy,
+            "sequence": len(self.orders), "queued": 0,
+            "running": self.running, "kvUsed": 0, "kvTotal": 41564,
+            "handles": 0, "models": [{"name": "m", "version": self.version,
+                                      "adapters": []}]}).encode()
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(text) + text)
+        return True
+
+    def _order(self, request, connection):
+        order = json.loads(request.body)
+        with self.lock:
+            if self.version == order["version"]:
+                status = "200 OK"
+            elif self.busy or order.get(
+                    "expected", len(self.orders)) != len(self.orders):
+                status = "409 C"
+            else:
+                status = "202 A"
+                self.busy = True
+                self.orders.append(order)
+        if status == "202 A":
+            threading.Thread(target=self._load, args=[order["version"]],
+                             daemon=True).start()
+        connection.sendall(("HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n"
+                            % status).encode())
+        return True
+
+    def _load(self, version):
+        while self.running:
+            time.sleep(0.01)
+        with self.loading.lock:
+            self.loading.count += 1
+            span = self.LOAD_S * max(1, self.loading.count / self.AT_ONCE)
+        time.sleep(span)
+        with self.loading.lock:
+            self.loading.count -= 1
+        with self.lock:
+            self.version = version
+            self.busy = False
+        self.record("runner %s has version %d" % (self.id, version))
+        self.put(self)
+
+
 class Call:
     """One attempt of a client on a connection of its own or on a kept one."""
 
     numbers = iter(range(1, 100_000))
 
     def __init__(self, address, path, method="POST", body=b"", tokens=None,
-                 deadline_ms=12000, connection=None, more=()):
+                 deadline_ms=12000, connection=None, more=(),
+                 part="5c1e07a2"):
         self.id = "%016x" % (0xa0000000 + next(Call.numbers))
         self.connection = connection or socket.create_connection(address, 1)
         fields = [("Host", HOST), ("Crosslink-Attempt-Id", self.id),
@@ -387,8 +491,8 @@
         if tokens:
             fields += [("Crosslink-Model", "m"),
                        ("Crosslink-Token-Count", "460,%d" % tokens),
-                       ("Crosslink-Prompt-Prefix", "5c1e07a2:360,%s:100"
-                        % self.id[-8:])]
+                       ("Crosslink-Prompt-Prefix", "%s:360,%s:100"
+                        % (part, self.id[-8:]))]
         fields += list(more)
         if body or method == "POST":
             fields.append(("Content-Length", str(len(body))))
