--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -5,6 +5,7 @@
 sockets, and processes of the program, started with the words of the deploy
 file."""
 
+import ctypes
 import json
 import os
 import re
@@ -35,6 +36,16 @@
           "retryBudgetRatio": 0.2, "retryBudgetSlack": 58}
 
 
+def end_with_parent():
+    """Lets a process end where this one is killed."""
+    pr_set_pdeathsig = 1
+    ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
+# The processes are ended where a run takes too long.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 class Held(Exception):
     """The case could not run."""
 
@@ -156,7 +167,8 @@
         self.log = open(os.path.join(d.folder.name, self.name + ".log"), "a",
                         encoding="utf-8")
         self.process = subprocess.Popen(
-            words_of(settings), cwd=ROOT, stdout=self.log, stderr=self.log)
+            words_of(settings), cwd=ROOT, stdout=self.log, stderr=self.log,
+            preexec_fn=end_with_parent)
 
     def ready(self):
         try:
