An entry's end is excused by an outage of the store only

Cause: one failed request, or 2.5 s without news from whomever, opened the window in which a gone entry counts as expired in an outage; a leaf asked again only a second after a cut watch.

After the first failure, and after silence of others, the store is asked at once, without a wait. Windows pass from parent to child.

--- a/src/serve/fleet/change_receiver.cpp
+++ b/src/serve/fleet/change_receiver.cpp
@@ -23,10 +23,6 @@
 /// Without any confirmation for so long, the platform may have been unavailable
 /// to all instances. Waits for its answers take 1.8 s or less.
 constexpr Micros max_silence = std::chrono::milliseconds(2500);
-/// Entries of runners that expired during an outage of the platform are listed
-/// again within two seconds of its return, as its operators state. This is that
-/// time, less the time in which a call reaches its runner.
-constexpr Micros relisting_time = std::chrono::milliseconds(1800);
 /// Number of keys from which a snapshot is sent packed.
 constexpr std::size_t min_packed = 1000;
 /// Time for which a packed snapshot is sent. Changes of that time come to the
@@ -38,7 +34,8 @@
 } // namespace
 
 ChangeReceiver::ChangeReceiver(ForwardState& state, Coordinator& coordinator)
-    : m_state(state), m_coordinator(coordinator)
+    : m_state(state), m_coordinator(coordinator),
+      m_lapses(state.settings.runner_heartbeat())
 {
 }
 
@@ -46,19 +43,21 @@
 ChangeReceiver::apply_from_platform(const ChangePage& page, TimePoint confirmed)
 {
     const std::lock_guard lock(m_mutex);
-    apply(page, confirmed);
+    apply(page, confirmed, Micros{0});
 }
 
 void
-ChangeReceiver::apply_from_peer(const ChangePage& page, TimePoint confirmed)
+ChangeReceiver::apply_from_peer(const ChangePage& page, TimePoint confirmed,
+                                Micros lapse_window)
 {
     const std::lock_guard lock(m_mutex);
-    if (apply(page, confirmed))
+    if (apply(page, confirmed, lapse_window))
         m_peer_confirmed = std::max(m_peer_confirmed, confirmed);
 }
 
 bool
-ChangeReceiver::apply(const ChangePage& page, TimePoint confirmed)
+ChangeReceiver::apply(const ChangePage& page, TimePoint confirmed,
+                      Micros lapse_window_of_sender)
 {
     const TimePoint now = monotonic_now();
     // An old state, which may be applied at a start, does not show that the
@@ -72,7 +71,9 @@
             log_refused(page);
         return false;
     }
-    const auto lapsed = fresh ? lapsed_until(now) : std::nullopt;
+    if (fresh)
+        m_lapses.answered(confirmed, now, lapse_window_of_sender);
+    const auto lapsed = fresh ? m_lapses.until(now) : std::nullopt;
     if (page.is_snapshot)
         m_snapshot_position = page.position;
     m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
@@ -88,7 +89,7 @@
         m_restored.written(page.entries);
     settle_restored(now);
     // Runners whose entries were lost are listed again within that time.
-    if (!m_restored.is_pending() && now >= m_lapsed_until)
+    if (!m_restored.is_pending() && !m_lapses.until(now))
         m_state.note_confirmed(*m_confirmed);
     return true;
 }
@@ -135,9 +136,9 @@
         .field("differences",
                static_cast<std::uint64_t>(differences.entries.size()));
     m_restored.begin(differences.entries, now);
-    m_lapsed_until = now + relisting_time;
+    m_lapses.restored(now);
     m_coordinator.store_restored();
-    apply_to_state(differences, ChangesKind::RestoredCopy, m_lapsed_until);
+    apply_to_state(differences, ChangesKind::RestoredCopy, m_lapses.until(now));
 }
 
 /// Lets the keys that nobody has written again hold as the store has them.
@@ -165,18 +166,6 @@
         .field("revision", page.position.revision);
 }
 
-/// Returns until when runners that are no longer listed may be healthy, since
-/// the platform was unavailable until a moment ago; nothing otherwise.
-std::optional<TimePoint>
-ChangeReceiver::lapsed_until(TimePoint now)
-{
-    if (m_platform_lost || (m_confirmed && now - *m_confirmed > max_silence))
-        m_lapsed_until = now + relisting_time;
-    if (now < m_lapsed_until)
-        return m_lapsed_until;
-    return std::nullopt;
-}
-
 void
 ChangeReceiver::merge_former_holders(const FormerHolders& seen)
 {
@@ -213,9 +202,10 @@
 ChangeReceiver::note_platform_lost()
 {
     const std::lock_guard lock(m_mutex);
+    const TimePoint now = monotonic_now();
     m_platform_lost = true;
-    m_state.fleet.with(
-        [](FleetView& view) { view.reach.lost(monotonic_now()); });
+    m_lapses.failed(now);
+    m_state.fleet.with([now](FleetView& view) { view.reach.lost(now); });
 }
 
 std::optional<StorePosition>
@@ -286,4 +276,11 @@
     return now - m_peer_confirmed <= max_changes_age;
 }
 
+Micros
+ChangeReceiver::lapse_window(TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lapses.remaining(now);
+}
+
 } // namespace crosslink
--- a/src/serve/fleet/change_receiver.h
+++ b/src/serve/fleet/change_receiver.h
@@ -10,6 +10,7 @@
 
 #include <crosslink/base/time.h>
 #include <crosslink/membership/change_log.h>
+#include <crosslink/membership/lapse_window.h>
 #include <crosslink/membership/restored_copy.h>
 
 #include <mutex>
@@ -32,8 +33,10 @@
     /// again.
     void apply_from_platform(const ChangePage& page, TimePoint confirmed);
     /// Applies changes from another instance, which were complete at
-    /// `confirmed`.
-    void apply_from_peer(const ChangePage& page, TimePoint confirmed);
+    /// `confirmed`. Entries may have expired in an outage of the platform as
+    /// that instance sees it, for `lapse_window` more.
+    void apply_from_peer(const ChangePage& page, TimePoint confirmed,
+                         Micros lapse_window);
     /// Takes over what another instance knows of former holders of the duty,
     /// where that instance is at least at the position of the last snapshot
     /// received here. Without this, a fresh instance that took the duty would
@@ -61,9 +64,13 @@
     /// Returns whether other instances deliver changes in time, so that this
     /// one need not ask the platform.
     bool peers_are_in_time(TimePoint now);
+    /// Returns how much longer entries that are gone may have expired in an
+    /// outage of the platform.
+    Micros lapse_window(TimePoint now);
 
 private:
-    bool apply(const ChangePage& page, TimePoint confirmed);
+    bool apply(const ChangePage& page, TimePoint confirmed,
+               Micros lapse_window_of_sender);
     bool comes_from_copy(const ChangePage& page) const;
     void apply_to_state(const ChangePage& page, ChangesKind kind,
                         std::optional<TimePoint> lapsed);
@@ -72,7 +79,6 @@
     void settle_restored(TimePoint now);
     void log_refused(const ChangePage& page) const;
     ChangePage packed_snapshot(std::optional<StorePosition> position);
-    std::optional<TimePoint> lapsed_until(TimePoint now);
 
     ForwardState& m_state;
     Coordinator& m_coordinator;
@@ -83,7 +89,7 @@
     std::optional<TimePoint> m_confirmed;
     TimePoint m_peer_confirmed{}; ///< The same, by other instances only.
     bool m_platform_lost = false; ///< The platform does not answer.
-    TimePoint m_lapsed_until{};   ///< Unlisted runners may be healthy.
+    LapseWindow m_lapses;         ///< Unlisted runners may be healthy.
     /// Held while a snapshot is packed, before m_mutex.
     std::mutex m_packing_mutex;
     ChangePage m_packed; ///< The last snapshot that was packed.
--- a/src/serve/fleet/exchange.h
+++ b/src/serve/fleet/exchange.h
@@ -107,6 +107,9 @@
     FormerHolders holders;
     ChangePage changes;    ///< After the position in the request.
     Micros changes_age{0}; ///< Since the platform confirmed `changes`.
+    /// How much longer entries that are gone may have expired in an outage of
+    /// the platform.
+    Micros lapse_window{0};
 };
 
 } // namespace crosslink
--- a/src/serve/fleet/exchange_duty.cpp
+++ b/src/serve/fleet/exchange_duty.cpp
@@ -151,7 +151,8 @@
     m_state.counters.load_age.add(now - asked + response.age);
     m_state.counters.news_age.add(now - asked + response.changes_age);
     m_changes.merge_former_holders(response.holders);
-    m_changes.apply_from_peer(response.changes, asked - response.changes_age);
+    m_changes.apply_from_peer(response.changes, asked - response.changes_age,
+                              response.lapse_window);
     m_state.runners.with([&](RunnerTable& table) {
         table.set_remote_load(
             response.others, asked - response.load_age - pause(),
--- a/src/serve/fleet/exchange_handler.cpp
+++ b/src/serve/fleet/exchange_handler.cpp
@@ -56,6 +56,7 @@
     response.changes_age = m_changes.age(now);
     response.changes = m_changes.changes_since(request.known_position);
     response.changes_age += m_changes.since_packed(response.changes, now);
+    response.lapse_window = m_changes.lapse_window(now);
     return response;
 }
 
--- a/src/serve/fleet/exchange_json.cpp
+++ b/src/serve/fleet/exchange_json.cpp
@@ -417,6 +417,7 @@
     value["holders"] = holders_to_json(response.holders);
     value["news"] = to_json(response.changes);
     value["news_age_us"] = Json::Int64(response.changes_age.count());
+    value["lapse_window_us"] = Json::Int64(response.lapse_window.count());
     return value;
 }
 
@@ -443,6 +444,7 @@
     response.holders = holders_from_json(value["holders"]);
     response.changes = change_page_from_json(value["news"]);
     response.changes_age = json_micros(value, "news_age_us");
+    response.lapse_window = json_micros(value, "lapse_window_us");
     return response;
 }
 
--- a/src/serve/fleet/feed_duty.cpp
+++ b/src/serve/fleet/feed_duty.cpp
@@ -31,6 +31,9 @@
 /// for cut off from the platform when it has had no answer for 1.2 s, and the
 /// transfer to the farthest takes 0.35 s.
 constexpr Micros max_wait_of_parent = std::chrono::milliseconds(400);
+/// The same for the first request after a failure, or after changes from other
+/// instances stopped: it shows whether the platform answers at all.
+constexpr Micros no_wait = std::chrono::milliseconds(1);
 /// Pause between two requests, so that changes in quick succession arrive
 /// together.
 constexpr Micros request_pause = std::chrono::milliseconds(60);
@@ -47,7 +50,10 @@
 constexpr Micros min_delay_span = std::chrono::milliseconds(300);
 constexpr Micros max_delay_span = std::chrono::milliseconds(1500);
 constexpr Micros delay_span_per_instance = std::chrono::milliseconds(2);
-/// Pause after a failed request to the platform's store.
+/// Pause after the first request that fails: the platform may cut a watch at
+/// any time, and answers the next request.
+constexpr Micros first_retry_pause = std::chrono::milliseconds(20);
+/// Pause after further requests that fail.
 constexpr Micros retry_pause = std::chrono::milliseconds(250);
 /// The same for instances that no other asks. During an outage they try less
 /// often: they learn from others when the platform is available again.
@@ -78,17 +84,22 @@
             return learn_first();
         ask_platform();
         m_platform_lost = false;
+        m_unconfirmed = false;
         if (m_reread.is_lost(*m_changes.position()))
             return request_pause;
         return m_state.has_duty() ? request_pause : request_pause_without_duty;
     } catch (const Error& failure) {
-        if (!m_platform_lost)
+        const bool is_first = !m_platform_lost;
+        if (is_first)
             LogLine("platform_lost").field("error", failure.what());
         m_platform_lost = true;
+        m_unconfirmed = true;
         m_changes.note_platform_lost();
         m_state.origin_noted.wake();
         if (!m_state.map())
             ask_seeds();
+        if (is_first && failure.code() != ErrorCode::PlatformThrottled)
+            return first_retry_pause;
         return failure_pause();
     }
 }
@@ -188,6 +199,7 @@
     }
     if (!m_ask_platform_at) {
         m_ask_platform_at = now;
+        m_unconfirmed = true;
         m_state.origin_noted.wake();
         LogLine("news_late")
             .field("age_ms",
@@ -218,9 +230,8 @@
 void
 FeedDuty::ask_platform()
 {
-    const bool asked_by_others = m_state.has_duty() || m_state.is_parent();
     const StorePosition position = *m_changes.position();
-    const Micros timeout = asked_by_others ? max_wait_of_parent : max_wait;
+    const Micros timeout = longest_wait();
     const TimePoint asked = monotonic_now();
     if (m_reread.is_due(position, m_state.has_duty(), asked)) {
         read_all();
@@ -247,6 +258,16 @@
                                   waited_in_full ? asked + timeout : asked);
 }
 
+/// Returns how long the next request may wait for changes.
+Micros
+FeedDuty::longest_wait() const
+{
+    if (m_unconfirmed)
+        return no_wait;
+    const bool asked_by_others = m_state.has_duty() || m_state.is_parent();
+    return asked_by_others ? max_wait_of_parent : max_wait;
+}
+
 RereadRole
 FeedDuty::reread_role()
 {
@@ -285,7 +306,8 @@
                 FleetClient(address).store_snapshot();
             if (!snapshot.page.is_snapshot)
                 continue;
-            m_changes.apply_from_peer(snapshot.page, asked - snapshot.age);
+            m_changes.apply_from_peer(snapshot.page, asked - snapshot.age,
+                                      Micros{0});
             LogLine("learned_from_instance").field("address", address);
             return;
         } catch (const Error& failure) {
--- a/src/serve/fleet/feed_duty.h
+++ b/src/serve/fleet/feed_duty.h
@@ -36,6 +36,7 @@
     std::optional<Micros> wait_for_peers();
     Micros random_delay();
     void ask_platform();
+    Micros longest_wait() const;
     RereadRole reread_role();
     Micros failure_pause();
     void ask_seeds();
@@ -49,6 +50,8 @@
     /// instances are late; empty while they are in time.
     std::optional<TimePoint> m_ask_platform_at;
     bool m_platform_lost = false; ///< The platform does not answer.
+    /// Whether the platform still answers is not known.
+    bool m_unconfirmed = false;
     Duty m_feed;
     Duty m_presence;
 };
--- a/src/serve/forward/forward_settings.cpp
+++ b/src/serve/forward/forward_settings.cpp
@@ -77,6 +77,10 @@
         "Time in which named weights reach all runners, ms")
         ->default_val(10'000)
         ->check(CLI::Range(1000, 3'600'000));
+    add(verb, "--runner-heartbeat-ms", settings.runner_heartbeat_ms,
+        "Pause between two heartbeats of a runner at the store, ms; 0: 1200")
+        ->default_val(0)
+        ->check(CLI::Range(0, 600'000));
     add(verb, "--platform-writes", settings.platform_writes,
         "Writing calls per second that the store takes; 0: no limit")
         ->default_val(400)
--- a/src/serve/forward/forward_settings.h
+++ b/src/serve/forward/forward_settings.h
@@ -27,6 +27,8 @@
 /// Calls are sent to replaced weights only until this long before these are
 /// forbidden, since a call may wait in its runner's queue before it begins.
 constexpr Micros begin_margin = std::chrono::milliseconds(2000);
+/// Pause between two heartbeats of a runner where the settings don't tell it.
+constexpr Micros usual_heartbeat = std::chrono::milliseconds(1200);
 
 /// Names of availability zones.
 using ZoneSet = std::set<std::string, std::less<>>;
@@ -55,6 +57,9 @@
     std::uint64_t order_spacing_ms = 0;
     /// Time after which all runners must have loaded weights that were named.
     std::uint64_t weights_ms = 0;
+    /// Pause between two heartbeats of a runner at the platform; 0 if it is not
+    /// told.
+    std::uint64_t runner_heartbeat_ms = 0;
     double retry_ratio = 0;
     double retry_allowance = 0;
     std::uint64_t retry_window_ms = 0;
@@ -73,6 +78,12 @@
     {
         return std::chrono::milliseconds(order_spacing_ms);
     }
+    Micros runner_heartbeat() const
+    {
+        if (runner_heartbeat_ms == 0)
+            return usual_heartbeat;
+        return std::chrono::milliseconds(runner_heartbeat_ms);
+    }
     Micros weights_bound() const
     {
         return std::chrono::milliseconds(weights_ms);
