Each reader of another process's answers has a limit

Callers saw (reported elsewhere, shown here): a runner whose answer doesn't end takes the memory of who asked, and all requests there end with it.

Change: AnswerBuffer holds what has come up to a limit that each reader names, and throws answer_too_large. Whole answers have 10 s from their head to their end.

--- a/src/adapters/engine_http.cpp
+++ b/src/adapters/engine_http.cpp
@@ -19,6 +19,10 @@
 constexpr int first_server_error = 500;
 constexpr int unavailable = 503;
 constexpr std::string_view data_prefix = "data: ";
+/// A line of a stream holds a few tokens.
+constexpr AnswerLimit line_limit{1U << 20U};
+/// The largest answers list all blocks that an engine keeps.
+constexpr AnswerLimit answer_limit{16U << 20U};
 
 /// Returns the error that an engine's refusal stands for, with the backoff that
 /// it asks for.
@@ -41,8 +45,9 @@
 
 EngineHttp::EngineHttp(const std::string& address, HttpTimeouts run_timeouts,
                        HttpTimeouts call_timeouts)
-    : m_runs(address, run_timeouts), m_calls(address, call_timeouts),
-      m_transfers(address, run_timeouts)
+    : m_runs(address, run_timeouts, line_limit),
+      m_calls(address, call_timeouts, answer_limit),
+      m_transfers(address, run_timeouts, answer_limit)
 {
 }
 
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -3,6 +3,7 @@
 
 #include "http_client.h"
 
+#include "answer_buffer.h"
 #include "call_connection.h"
 #include "clock.h"
 
@@ -26,6 +27,9 @@
 /// A kept connection is used again only within this time; servers keep theirs
 /// longer.
 constexpr Micros keep_alive = std::chrono::seconds(3);
+/// Longest time from the head of a whole answer to its end: one that comes byte
+/// by byte would hold its reader for ever.
+constexpr Micros max_body_time = std::chrono::seconds(10);
 constexpr int no_caller = -1;
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
@@ -97,22 +101,15 @@
     return call;
 }
 
-/// Feeds `sink` with the lines that `text` begins with, and leaves the rest of
-/// it. Returns false once the sink does.
+/// Feeds `sink` with the lines that `buffer` begins with. Returns false once
+/// the sink does.
 bool
-take_lines(std::string& text, const HttpClient::LineSink& sink)
+take_lines(AnswerBuffer& buffer, const HttpClient::LineSink& sink)
 {
-    std::size_t from = 0;
-    bool goes_on = true;
-    while (goes_on) {
-        const std::size_t end = text.find('\n', from);
-        if (end == std::string::npos)
-            break;
-        goes_on = sink(std::string_view(text).substr(from, end - from));
-        from = end + 1;
-    }
-    text.erase(0, from);
-    return goes_on;
+    for (std::string line; buffer.take_line(line);)
+        if (!sink(line))
+            return false;
+    return true;
 }
 
 bool
@@ -152,16 +149,21 @@
         wait_for_bytes();
         return m_connection.read_some();
     }
-    /// Returns the body. Throws where it did not come whole.
-    std::string read_all()
+    /// Returns the body. Throws where it did not come whole, or is larger than
+    /// `limit`.
+    std::string read_all(const AnswerLimit& limit)
     {
-        std::string body;
+        const TimePoint latest = monotonic_now() + max_body_time;
+        AnswerBuffer body(limit.max_bytes);
         for (std::string bytes = read_some(); !bytes.empty();
-             bytes = read_some())
-            body += bytes;
+             bytes = read_some()) {
+            body.add(bytes);
+            if (monotonic_now() >= latest)
+                throw Poco::TimeoutException("the answer does not end");
+        }
         if (!is_whole())
             throw Poco::Net::MessageException("the answer was cut short");
-        return body;
+        return body.take_all();
     }
     bool is_whole() const { return m_connection.whole(); }
     bool can_be_used_again() const
@@ -189,8 +191,9 @@
     Micros m_receive_time{0};
 };
 
-HttpClient::HttpClient(std::string address, HttpTimeouts timeouts)
-    : m_address(std::move(address)), m_timeouts(timeouts)
+HttpClient::HttpClient(std::string address, HttpTimeouts timeouts,
+                       AnswerLimit limit)
+    : m_address(std::move(address)), m_timeouts(timeouts), m_limit(limit)
 {
 }
 
@@ -258,7 +261,7 @@
         Session session = begin(request, fresh_connection, state);
         const RawHead head = session->receive_head();
         HttpAnswer answer = answer_of(head, request);
-        answer.body = session->read_all();
+        answer.body = session->read_all(m_limit);
         m_bytes += answer.body.size();
         if (!fresh_connection && is_kept(head))
             put_back(std::move(session));
@@ -298,21 +301,22 @@
         const RawHead head = session->receive_head();
         HttpAnswer answer = answer_of(head, request);
         if (!is_success(answer.status)) {
-            answer.body = session->read_all();
+            answer.body = session->read_all(m_limit);
             return answer;
         }
-        std::string rest;
+        AnswerBuffer rest(m_limit.max_bytes);
         for (std::string bytes = session->read_some(); !bytes.empty();
              bytes = session->read_some()) {
             m_bytes += bytes.size();
-            rest += bytes;
+            rest.add(bytes);
             if (!take_lines(rest, on_line))
                 return answer;
         }
         // The lines tell by themselves whether all have come.
         if (!session->is_whole())
             return answer;
-        if (!rest.empty() && !on_line(rest))
+        const std::string last = rest.take_all();
+        if (!last.empty() && !on_line(last))
             return answer;
         if (is_kept(head))
             put_back(std::move(session));
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -9,6 +9,7 @@
 #include <crosslink/ports/plain_service.h>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -27,6 +28,11 @@
     Micros receive = std::chrono::seconds(5);
 };
 
+/// Limits of one kind of upstream, by what its answers can be.
+struct AnswerLimit {
+    std::size_t max_bytes = 0; ///< Of a body, or of a line of a stream.
+};
+
 /// A request as it goes out.
 struct HttpRequest {
     std::string method = "POST";
@@ -50,13 +56,13 @@
 };
 
 /// HTTP/1.1 to one address, over kept connections. A failure is an Error with
-/// the codes of `failure_code`, and its run_state() tells how far the request
-/// came: NotDispatched only where no byte of it can have been read. Safe for
-/// many threads.
+/// UpstreamFailed, UpstreamTimeout or AnswerTooLarge, and its run_state() tells
+/// how far the request came: NotDispatched only where no byte of it can have
+/// been read. Safe for many threads.
 class HttpClient
 {
 public:
-    HttpClient(std::string address, HttpTimeouts timeouts);
+    HttpClient(std::string address, HttpTimeouts timeouts, AnswerLimit limit);
     ~HttpClient();
 
     const std::string& address() const { return m_address; }
@@ -94,6 +100,7 @@
 
     const std::string m_address;
     const HttpTimeouts m_timeouts;
+    const AnswerLimit m_limit;
     std::mutex m_mutex;
     std::vector<Session> m_idle;
     std::atomic<std::uint64_t> m_bytes{0};
--- a/src/adapters/http_client_test.cpp
+++ b/src/adapters/http_client_test.cpp
@@ -24,6 +24,7 @@
 
 constexpr int success = 200;
 constexpr std::size_t kept = 3;
+constexpr AnswerLimit small_answers{1000};
 /// Longer than a case may take, so that only silence ends a wait.
 constexpr Micros far_off = std::chrono::seconds(20);
 constexpr Micros soon = std::chrono::milliseconds(20);
@@ -133,7 +134,8 @@
 with_peer_that_says(const std::string& bytes, bool resets, const Use& use)
 {
     RawPeer peer;
-    HttpClient client(peer.address(), HttpTimeouts{far_off, far_off});
+    HttpClient client(peer.address(), HttpTimeouts{far_off, far_off},
+                      small_answers);
     auto used = std::async(std::launch::async, [&] { use(client); });
     peer.accept();
     peer.say(bytes);
@@ -200,10 +202,45 @@
             }
 }
 
+// Bodies and lines were held whole: a runner took the memory of its caller.
+TEST_CASE("an answer without end is given up at the limit")
+{
+    const std::string piece(100, 'x');
+    const std::vector<std::pair<std::string, std::string>> forms{
+        {"Content-Length: 1000000000\r\n", piece},
+        {"Transfer-Encoding: chunked\r\n", "64\r\n" + piece + "\r\n"},
+        {"", piece}};
+    for (const auto& [field, sent_piece] : forms)
+        for (const bool streams : {false, true}) {
+            CAPTURE(field, streams);
+            RawPeer peer;
+            HttpClient client(peer.address(), HttpTimeouts{far_off, far_off},
+                              small_answers);
+            auto code = std::async(std::launch::async, [&] {
+                try {
+                    if (streams)
+                        client.stream(question(far_off),
+                                      [](std::string_view) { return true; });
+                    else
+                        client.exchange(question(far_off));
+                } catch (const Error& failure) {
+                    return failure.code();
+                }
+                return ErrorCode::Internal;
+            });
+            peer.accept();
+            peer.say("HTTP/1.1 200 OK\r\n" + field + "\r\n");
+            while (peer.try_say(sent_piece)) {
+            }
+            CHECK(code.get() == ErrorCode::AnswerTooLarge);
+        }
+}
+
 TEST_CASE("a kept connection that is silent stands for those kept with it")
 {
     FadingServer server;
-    HttpClient client(server.address(), HttpTimeouts{far_off, far_off});
+    HttpClient client(server.address(), HttpTimeouts{far_off, far_off},
+                      small_answers);
     std::vector<std::future<int>> answers;
     for (std::size_t i = 0; i < kept; ++i)
         answers.push_back(std::async(std::launch::async, [&client] {
--- a/src/adapters/peer_rpc_client.cpp
+++ b/src/adapters/peer_rpc_client.cpp
@@ -17,6 +17,8 @@
 {
 
 constexpr int success = 200;
+/// The largest answers are whole configuration parts and answers of calls.
+constexpr AnswerLimit answer_limit{16U << 20U};
 
 } // namespace
 
@@ -28,7 +30,7 @@
 
 PeerRpcClient::PeerRpcClient(const std::string& address, std::string proof,
                              HttpTimeouts timeouts)
-    : m_client(address, timeouts), m_proof(std::move(proof))
+    : m_client(address, timeouts, answer_limit), m_proof(std::move(proof))
 {
 }
 
--- a/src/adapters/plain_http.cpp
+++ b/src/adapters/plain_http.cpp
@@ -13,11 +13,13 @@
 
 constexpr int too_many_requests = 429;
 constexpr int unavailable = 503;
+/// An answer is held whole until its caller has it.
+constexpr AnswerLimit answer_limit{16U << 20U};
 
 } // namespace
 
 PlainHttp::PlainHttp(const std::string& address, HttpTimeouts timeouts)
-    : m_client(address, timeouts)
+    : m_client(address, timeouts, answer_limit)
 {
 }
 
--- a/src/adapters/platform_http.cpp
+++ b/src/adapters/platform_http.cpp
@@ -14,6 +14,8 @@
 constexpr int throttled = 429;
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
+/// The largest values are parts of configurations and logs of claims.
+constexpr AnswerLimit answer_limit{16U << 20U};
 constexpr Micros come_back = std::chrono::seconds(1);
 
 std::optional<PlatformRecord>
@@ -42,7 +44,7 @@
 } // namespace
 
 PlatformHttp::PlatformHttp(const std::string& address, HttpTimeouts timeouts)
-    : m_client(address, timeouts)
+    : m_client(address, timeouts, answer_limit)
 {
 }
 
--- a/src/adapters/store_http.cpp
+++ b/src/adapters/store_http.cpp
@@ -8,8 +8,16 @@
 namespace crosslink
 {
 
+namespace
+{
+
+/// Some hundred bytes for each block that was asked about.
+constexpr AnswerLimit answer_limit{4U << 20U};
+
+} // namespace
+
 StoreHttp::StoreHttp(const std::string& address, HttpTimeouts timeouts)
-    : m_client(address, timeouts)
+    : m_client(address, timeouts, answer_limit)
 {
 }
 
--- a/src/bench/load_run.cpp
+++ b/src/bench/load_run.cpp
@@ -26,6 +26,7 @@
 constexpr std::string_view data_prefix = "data: ";
 constexpr std::string_view done_event = "[DONE]";
 constexpr int success = 200;
+constexpr AnswerLimit answer_limit{16U << 20U};
 
 /// What became of one request.
 struct Outcome {
@@ -62,7 +63,7 @@
         constexpr Micros receive = std::chrono::seconds(60);
         for (const std::string& address : targets.addresses)
             m_clients.push_back(std::make_unique<HttpClient>(
-                address, HttpTimeouts{connect, receive}));
+                address, HttpTimeouts{connect, receive}, answer_limit));
     }
 
     Json::Value run()
--- a/src/crosslink/operator_client.cpp
+++ b/src/crosslink/operator_client.cpp
@@ -20,6 +20,8 @@
 {
 
 constexpr int http_ok = 200;
+/// The largest answers are reports on a whole fleet.
+constexpr AnswerLimit answer_limit{64U << 20U};
 
 } // namespace
 
@@ -53,7 +55,7 @@
 fetch_from_instance(const std::string& address, const std::string& secret,
                     std::string_view path)
 {
-    HttpClient client(address, {});
+    HttpClient client(address, {}, answer_limit);
     HttpRequest request;
     request.method = "GET";
     request.path = path;
--- a/src/include/crosslink/base/error.h
+++ b/src/include/crosslink/base/error.h
@@ -36,6 +36,7 @@
     UpstreamRefused,
     UpstreamFailed,
     UpstreamTimeout,
+    AnswerTooLarge,
     RequestEndsUpstreams,
     StreamBroken,
     StreamNotResumable,
--- a/src/libcrosslink/base/error.cpp
+++ b/src/libcrosslink/base/error.cpp
@@ -31,6 +31,7 @@
     ErrorInfo{ErrorCode::UpstreamRefused, "upstream_refused", 503},
     ErrorInfo{ErrorCode::UpstreamFailed, "upstream_failed", 502},
     ErrorInfo{ErrorCode::UpstreamTimeout, "upstream_timeout", 504},
+    ErrorInfo{ErrorCode::AnswerTooLarge, "answer_too_large", 502},
     ErrorInfo{ErrorCode::RequestEndsUpstreams, "request_ends_upstreams", 502},
     ErrorInfo{ErrorCode::StreamBroken, "stream_broken", 502},
     ErrorInfo{ErrorCode::StreamNotResumable, "stream_not_resumable", 503},
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -55,6 +55,9 @@
 /// Timeout of reports of a few runners; no caller waits for it.
 constexpr Micros reach_timeout = std::chrono::milliseconds(1000);
 constexpr Micros connect_timeout = std::chrono::milliseconds(60);
+/// The largest answer is a copy of the platform's store: 3.4 MB for 985
+/// instances and 9,773 runners.
+constexpr AnswerLimit answer_limit{16U << 20U};
 
 /// [STREAM, SERVICE, SOFTWARE, SENDS, AGE], the age in microseconds.
 Json::Value
@@ -208,7 +211,8 @@
 FleetServer::~FleetServer() = default;
 
 FleetClient::FleetClient(const std::string& address)
-    : m_client(address, HttpTimeouts{connect_timeout, call_timeout})
+    : m_client(address, HttpTimeouts{connect_timeout, call_timeout},
+               answer_limit)
 {
 }
 
--- a/src/standins/engine_standin.cpp
+++ b/src/standins/engine_standin.cpp
@@ -31,6 +31,7 @@
 {
 
 constexpr std::uint64_t most_body_bytes = 64U << 20U;
+constexpr AnswerLimit answer_limit{most_body_bytes};
 
 class EngineState
 {
@@ -112,7 +113,8 @@
         ask["slots"] = Json::Value(Json::arrayValue);
         for (const SealedBlock& block : blocks)
             ask["slots"].append(Json::UInt64(block.handle.slot));
-        HttpClient store(json_string(body, "store"), transfer_timeouts());
+        HttpClient store(json_string(body, "store"), transfer_timeouts(),
+                         answer_limit);
         const Json::Value read =
             store.post_json("/blocks/read", ask, ErrorCode::BlockGone);
         Staged staged;
@@ -145,7 +147,8 @@
 
     Json::Value export_blocks(const Json::Value& body)
     {
-        HttpClient store(json_string(body, "store"), transfer_timeouts());
+        HttpClient store(json_string(body, "store"), transfer_timeouts(),
+                         answer_limit);
         std::vector<Digest> contents;
         for (const Json::Value& item : body["blocks"]) {
             const Digest key = Digest::from_hex(json_string(item, "key"));
--- a/src/standins/standin_server.cpp
+++ b/src/standins/standin_server.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr std::uint64_t most_body_bytes = 64U << 20U;
+constexpr AnswerLimit answer_limit{most_body_bytes};
 constexpr auto announce_period = std::chrono::milliseconds(500);
 constexpr auto announce_step = std::chrono::milliseconds(20);
 constexpr int unavailable = 503;
@@ -107,7 +108,7 @@
     instance["id"] = settings.id.empty() ? address() : settings.id;
     instance["zone"] = settings.zone;
     m_announcer = std::thread([this, settings, instance]() mutable {
-        HttpClient client(settings.platform, {});
+        HttpClient client(settings.platform, {}, answer_limit);
         while (!m_stop) {
             instance["leaving"] = m_leaving.load();
             try {
