The end of a chunk is no wait for the next one

Cause: a read that took the end of a chunk went on to the size of the next one and waited there for 5 s at most; that was taken for a broken body.

Change: read_next() returns what came, also nothing; the wait for more is that of the caller, who looks after deadline, client and weights.

--- a/src/adapters/call_connection.cpp
+++ b/src/adapters/call_connection.cpp
@@ -298,6 +298,7 @@
     m_chunks = ChunkDecoder();
     m_length = framing->length ? static_cast<long long>(*framing->length) : -1;
     m_read = 0;
+    m_over = false;
     RawHead head;
     head.status = response.getStatus();
     m_bodiless = m_bodiless || has_no_body(head.status);
@@ -309,8 +310,19 @@
 std::string
 CallConnection::read_some()
 {
-    if (!m_body || m_bodiless)
+    std::string bytes = read_next();
+    while (bytes.empty() && !is_over())
+        bytes = read_next();
+    return bytes;
+}
+
+std::string
+CallConnection::read_next()
+{
+    if (!m_body || ended()) {
+        m_over = true;
         return {};
+    }
     return m_chunked ? read_chunked() : read_unchunked();
 }
 
@@ -321,15 +333,15 @@
 {
     std::string data;
     try {
-        while (m_chunks.wanted() > 0 && data.size() < piece_bytes &&
-               (data.empty() || m_session->has_bytes())) {
+        do {
             const std::string bytes =
                 m_session->read_raw(std::min(m_chunks.wanted(), piece_bytes));
-            if (bytes.empty())
-                break;
+            m_over = bytes.empty();
             m_chunks.take(bytes, data);
-        }
+        } while (!is_over() && data.size() < piece_bytes &&
+                 m_session->has_bytes());
     } catch (const Poco::Exception&) {
+        m_over = true;
         m_session->check_interrupted();
     }
     m_read += static_cast<long long>(data.size());
@@ -349,9 +361,12 @@
         bytes.resize(static_cast<std::size_t>(m_body->gcount()));
         m_read += static_cast<long long>(bytes.size());
         m_session->watched().progressed();
-    } else if (m_session->networkException()) {
-        m_session->check_interrupted();
-        m_broken = true;
+    } else {
+        m_over = true;
+        if (m_session->networkException()) {
+            m_session->check_interrupted();
+            m_broken = true;
+        }
     }
     return bytes;
 }
--- a/src/adapters/call_connection.h
+++ b/src/adapters/call_connection.h
@@ -63,6 +63,13 @@
     RawHead receive_head();
     /// Returns some bytes of the body; none at its end.
     std::string read_some();
+    /// Returns what the next bytes to come bring of the body, which may be
+    /// nothing, as the end of a chunk. Never waits for what follows them: a
+    /// runner may pause there for longer than within a piece.
+    std::string read_next();
+    /// Returns whether nothing more of the body can come: it has ended, or its
+    /// connection has.
+    bool is_over() const { return ended() || m_over; }
     /// True where no more of the body is to be waited for.
     bool ended() const
     {
@@ -100,6 +107,7 @@
     long long m_length = -1; ///< Told bytes of the body; -1: not told.
     long long m_read = 0;    ///< Bytes of the body.
     bool m_broken = false;   ///< The connection failed within the body.
+    bool m_over = false;     ///< The connection gives no more of the body.
     bool m_bodiless = false; ///< An answer of its kind has no body.
 };
 
--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -262,6 +262,32 @@
     CHECK(call.connection.quiet());
 }
 
+// A read that took the end of a chunk waited there for the next chunk, for 5 s:
+// a stream whose runner paused was cut, or sent to a second runner.
+TEST_CASE("the end of a chunk that comes apart is no wait for the next one")
+{
+    const std::string large(6000, 'x');
+    for (const std::string& data : {std::string("a"), large}) {
+        SentCall call;
+        const std::string size = data.size() == 1 ? "1" : "1770";
+        call.runner.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                        "\r\n" +
+                        size + "\r\n" + data);
+        call.connection.receive_head();
+        std::string read;
+        while (read.size() < data.size())
+            read += call.connection.read_next();
+        CHECK(read == data);
+        call.runner.say("\r\n");
+        CHECK(call.connection.read_next().empty());
+        CHECK_FALSE(call.connection.is_over());
+        call.runner.say("1\r\nb\r\n0\r\n\r\n");
+        CHECK(call.connection.read_some() == "b");
+        CHECK(call.connection.read_some().empty());
+        CHECK(call.connection.whole());
+    }
+}
+
 TEST_CASE("bytes without end that are no answer end a call before its deadline")
 {
     const std::vector<EndlessAnswer> answers{
--- a/src/serve/forward/forward_answer.cpp
+++ b/src/serve/forward/forward_answer.cpp
@@ -379,8 +379,8 @@
     while (!m_send.link.connection->ended()) {
         if (const auto ended = await_answer())
             return *ended;
-        const std::string bytes = m_send.link.connection->read_some();
-        if (bytes.empty())
+        const std::string bytes = m_send.link.connection->read_next();
+        if (bytes.empty() && m_send.link.connection->is_over())
             break;
         body += bytes;
         const bool fits =
@@ -412,15 +412,13 @@
     m_relays_pieces = true;
     link.begin(head.status, head.headers);
     for (;;) {
-        if (!link.send(piece))
+        if (!piece.empty() && !link.send(piece))
             return Outcome::CallerGone;
-        if (m_send.link.connection->ended())
+        if (m_send.link.connection->is_over())
             break;
         if (const auto ended = await_answer())
             return *ended;
-        piece = m_send.link.connection->read_some();
-        if (piece.empty())
-            break;
+        piece = m_send.link.connection->read_next();
     }
     if (!m_send.link.connection->whole())
         return Outcome::Broken;
@@ -448,8 +446,8 @@
     while (!m_send.link.connection->ended()) {
         if (const auto ended = await_answer())
             return *ended;
-        const std::string bytes = m_send.link.connection->read_some();
-        if (bytes.empty())
+        const std::string bytes = m_send.link.connection->read_next();
+        if (bytes.empty() && m_send.link.connection->is_over())
             break;
         const std::string events = m_events.take(bytes);
         if (m_events.gap())
--- a/src/serve/forward/relay_handler.cpp
+++ b/src/serve/forward/relay_handler.cpp
@@ -343,10 +343,10 @@
     while (!connection.ended()) {
         if (!wait_for_more(connection, call.deadline))
             return false;
-        const std::string bytes = connection.read_some();
-        if (bytes.empty())
+        const std::string bytes = connection.read_next();
+        if (bytes.empty() && connection.is_over())
             break;
-        if (!link.send(bytes))
+        if (!bytes.empty() && !link.send(bytes))
             return false;
     }
     return !connection.interrupted() && connection.whole();
