Weights that nobody saw named count as named long ago

Cause: an instance that found a version at its start, without a record, counted its bound from that moment.

Change: such a version is undated; older weights get no calls until another instance or the record tells that time is left.

--- a/src/include/crosslink/weights/weights_history.h
+++ b/src/include/crosslink/weights/weights_history.h
@@ -23,6 +23,9 @@
     /// True where calls may no longer be sent to older weights according to the
     /// record of rollouts.
     bool is_lapsed = false;
+    /// True where nobody that runs now tells when the version was named: it was
+    /// before this instance started.
+    bool is_undated = false;
 };
 
 /// The versions of one model that were named as the newest, with the times that
@@ -40,6 +43,13 @@
     /// Records that `version` was already named when this instance found it at
     /// `now`. It counts as named at that time until an earlier one is known.
     void found(std::uint64_t version, TimePoint now);
+    /// As found(), for what an instance finds as it starts: the version may
+    /// have been named at any time before, while no instance ran. Older weights
+    /// count as out of time until another instance, or the record of rollouts,
+    /// tells more.
+    void found_at_start(std::uint64_t version, TimePoint now);
+    /// As found(), for a version that the record of rollouts has.
+    void found_recorded(std::uint64_t version, TimePoint now);
     /// Records that the mark of `version` in the record of rollouts has
     /// expired, so that the version was named no later than `at`. This applies
     /// only to a version added by found(): an instance that learned of it in
--- a/src/libcrosslink/weights/rollout_record.cpp
+++ b/src/libcrosslink/weights/rollout_record.cpp
@@ -28,7 +28,7 @@
                         TimePoint now) const
 {
     for (const std::uint64_t version : m_recorded) {
-        history.found(version, now);
+        history.found_recorded(version, now);
         // The version and its mark were written together: the mark has expired,
         // or there was no time left for one.
         if (!m_marked.contains(version))
--- a/src/libcrosslink/weights/weights_history.cpp
+++ b/src/libcrosslink/weights/weights_history.cpp
@@ -8,6 +8,14 @@
 namespace crosslink
 {
 
+namespace
+{
+
+/// Age of a version that was named at an unknown time: longer than any bound.
+constexpr Micros undated_age = std::chrono::hours(1);
+
+} // namespace
+
 void
 WeightsHistory::named(std::uint64_t version, TimePoint now)
 {
@@ -21,10 +29,12 @@
     const auto position = position_of(version);
     if (position == m_versions.end())
         return;
-    if (position->version == version)
-        position->at = std::min(position->at, at);
-    else
+    if (position->version != version) {
         m_versions.insert(position, {version, at});
+        return;
+    }
+    position->at = position->is_undated ? at : std::min(position->at, at);
+    position->is_undated = false;
 }
 
 void
@@ -41,6 +51,29 @@
                           {version, std::min(now, position->at), true});
 }
 
+void
+WeightsHistory::found_at_start(std::uint64_t version, TimePoint now)
+{
+    const auto position = position_of(version);
+    if (position != m_versions.end() && position->version == version)
+        return;
+    m_versions.insert(position,
+                      {version, now - undated_age, true, false, true});
+}
+
+void
+WeightsHistory::found_recorded(std::uint64_t version, TimePoint now)
+{
+    const auto position = position_of(version);
+    if (position == m_versions.end() || position->version != version ||
+        !position->is_undated) {
+        found(version, now);
+        return;
+    }
+    position->at = now;
+    position->is_undated = false;
+}
+
 void
 WeightsHistory::lapsed(std::uint64_t version, TimePoint at)
 {
--- a/src/serve/fleet/change_applier.cpp
+++ b/src/serve/fleet/change_applier.cpp
@@ -54,6 +54,8 @@
         // Outside of updates, weights may be named that are long in use.
         if (m_kind == ChangesKind::Update)
             history.named(change.version, monotonic_now());
+        else if (!view.runners_listed)
+            history.found_at_start(change.version, monotonic_now());
         else
             history.found(change.version, monotonic_now());
     });
--- a/src/serve/forward/forward_state.cpp
+++ b/src/serve/forward/forward_state.cpp
@@ -145,7 +145,8 @@
         for (const auto& [model, history] : view.weights)
             for (const NamedWeights& named :
                  versions_to_report(history, now - settings.weights_bound()))
-                ages.push_back({model, named.version, now - named.at});
+                if (!named.is_undated)
+                    ages.push_back({model, named.version, now - named.at});
     });
     return ages;
 }
