A process goes on with its predecessor's duty at once

Cause: the process that follows waited for 3.4 s before its first order, for the sake of an earlier process of the same machine, which is the same holder.

Change: a holder that may act records that under its lease; who takes over from an own process that could act waits 0.4 s, for what is still under way.

--- a/src/include/crosslink/membership/duty_lease.h
+++ b/src/include/crosslink/membership/duty_lease.h
@@ -55,9 +55,11 @@
     std::uint64_t token() const { return m_token.value_or(0); }
 
 private:
+    Micros delay(LeaseOrigin origin, Micros span) const;
+
     const Micros m_settle;
     std::optional<std::uint64_t> m_token;
-    TimePoint m_since{};
+    TimePoint m_acts_from{};
     TimePoint m_until{};
 };
 
--- a/src/include/crosslink/membership/lease_origin.h
+++ b/src/include/crosslink/membership/lease_origin.h
@@ -12,6 +12,9 @@
     Free, ///< It had expired, or was released.
     /// An earlier process of this instance held it until a moment ago.
     OwnEarlierProcess,
+    /// The same, and that process could act: no other holder had to be waited
+    /// for any more. Both are one holder.
+    OwnActingProcess,
     /// The platform's store came back from a copy: an earlier holder, whose
     /// lease is gone with what was written since, may still act.
     StoreRestored,
--- a/src/include/crosslink/ports/duty_registry.h
+++ b/src/include/crosslink/ports/duty_registry.h
@@ -43,6 +43,10 @@
     /// the store came back from a copy, can act any more. Until then, leases
     /// are granted as StoreRestored.
     virtual void record_settled(std::string_view duty) = 0;
+    /// Records, for as long as the lease lasts, that this instance may act
+    /// under `duty`. A later process at its address that takes the lease over
+    /// gets it as OwnActingProcess.
+    virtual void record_acting(std::string_view duty) = 0;
     /// Registers this instance, `own`, as present for `span`, or extends its
     /// registration.
     virtual void present(const InstanceInfo& own, Micros span) = 0;
--- a/src/libcrosslink/membership/duty_lease.cpp
+++ b/src/libcrosslink/membership/duty_lease.cpp
@@ -34,6 +34,7 @@
     case LeaseOrigin::StoreRestored:
         return span;
     case LeaseOrigin::Free:
+    case LeaseOrigin::OwnActingProcess:
     case LeaseOrigin::Continued:
         break;
     }
@@ -55,12 +56,23 @@
     return spacing - safety_margin(span) + max_action_flight_time;
 }
 
+/// Returns the delay between the grant of a lease of `span` and the first
+/// action.
+Micros
+DutyLease::delay(LeaseOrigin origin, Micros span) const
+{
+    // What the earlier process has sent may still arrive.
+    if (origin == LeaseOrigin::OwnActingProcess)
+        return std::min(max_action_flight_time, m_settle);
+    return earlier_use(origin, span) + m_settle;
+}
+
 void
 DutyLease::granted(std::uint64_t token, TimePoint requested_at, Micros span,
                    LeaseOrigin origin)
 {
     if (m_token != token && origin != LeaseOrigin::Continued)
-        m_since = requested_at + earlier_use(origin, span);
+        m_acts_from = requested_at + delay(origin, span);
     m_token = token;
     m_until = std::max(m_until, requested_at + used_part(span));
 }
@@ -80,7 +92,7 @@
 bool
 DutyLease::may_act(TimePoint now) const
 {
-    return held(now) && now >= m_since + m_settle;
+    return held(now) && now >= m_acts_from;
 }
 
 Micros
--- a/src/libcrosslink/membership/duty_lease_test.cpp
+++ b/src/libcrosslink/membership/duty_lease_test.cpp
@@ -101,6 +101,17 @@
     CHECK(lease.may_act(at(1701)));
 }
 
+TEST_CASE(
+    "a process whose predecessor could act waits for its last action only")
+{
+    DutyLease lease(std::chrono::seconds(1));
+    lease.granted(7, at(0), span, LeaseOrigin::OwnActingProcess);
+    CHECK_FALSE(lease.may_act(at(390)));
+    CHECK(lease.may_act(at(400)));
+    lease.granted(7, at(1000), span);
+    CHECK(lease.may_act(at(1010)));
+}
+
 TEST_CASE("actions of two holders are never closer than the spacing")
 {
     CHECK(rc::check("spacing", [] {
--- a/src/serve/coordinator/coordinator.cpp
+++ b/src/serve/coordinator/coordinator.cpp
@@ -200,6 +200,7 @@
         m_software.wake();
     }
     record_settled(lease->origin);
+    record_acting();
     return true;
 }
 
@@ -218,6 +219,17 @@
     LogLine("duty_settled").field("duty", duty_name);
 }
 
+/// Records, once it may act, that a later process of this instance need not
+/// wait for earlier holders.
+void
+Coordinator::record_acting()
+{
+    if (m_acting_token == m_last_token || !m_state.may_act())
+        return;
+    m_state.ports.duties.record_acting(duty_name);
+    m_acting_token = m_last_token;
+}
+
 /// Returns whether this instance should try to take the duty. It does not try
 /// while another instance holds it. Instances try one after the other, so that
 /// the platform gets few calls; this function waits until it is the turn of
--- a/src/serve/coordinator/coordinator.h
+++ b/src/serve/coordinator/coordinator.h
@@ -78,6 +78,7 @@
     Micros lease_round();
     bool hold_duty(Micros span);
     void record_settled(LeaseOrigin origin);
+    void record_acting();
     void schedule_release();
     void release_when_due();
     bool may_take_duty();
@@ -95,8 +96,9 @@
 
     ForwardState& m_state;
     std::uint64_t m_last_token = 0;
-    bool m_settle_due = false;  ///< See record_settled().
-    bool m_threads_run = false; ///< Those of the work under the duty.
+    bool m_settle_due = false;        ///< See record_settled().
+    std::uint64_t m_acting_token = 0; ///< Of the last record_acting().
+    bool m_threads_run = false;       ///< Those of the work under the duty.
     /// When the lease is released, once a planned stop has begun.
     Guarded<std::optional<TimePoint>> m_release_at;
     /// The instance that is to have the duty next, if this one passes it on.
