The last answers of a planned stop close their connections

Callers saw: a call that came before the signal was answered with Keep-Alive while the instance stopped, and the next one on that connection met the close.

Cause: whether a connection is kept was decided as the head of a request came.

Change: the server decides as the head of the answer goes out, at both doors and between instances.

--- a/src/adapters/http_client_test.cpp
+++ b/src/adapters/http_client_test.cpp
@@ -202,6 +202,20 @@
             }
 }
 
+// The readers of engines, stores and other instances.
+TEST_CASE("an answer whose status is none is no answer")
+{
+    for (const std::string status :
+         {"000", "099", "600", "999", "101", "20", "2000", "2x0", ""}) {
+        CAPTURE(status);
+        with_peer_that_says(
+            "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok", false,
+            [](HttpClient& client) {
+                CHECK_THROWS_AS(client.exchange(question(far_off)), Error);
+            });
+    }
+}
+
 // Bodies and lines were held whole: a runner took the memory of its caller.
 TEST_CASE("an answer without end is given up at the limit")
 {
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -221,6 +221,12 @@
     return m_impl->socket.address().toString();
 }
 
+void
+HttpServer::close_after_answers()
+{
+    m_impl->shared.closing = true;
+}
+
 void
 HttpServer::stop_listening()
 {
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -52,6 +52,9 @@
 
     /// Returns the address bound, with its port.
     std::string address() const;
+    /// Ends each connection with its next answer, also with that to a request
+    /// that is being served.
+    void close_after_answers();
     /// Takes no new connections; those that run go on.
     void stop_listening();
     /// Reads no further request, and closes connections that rest.
--- a/src/adapters/server_connection.cpp
+++ b/src/adapters/server_connection.cpp
@@ -138,7 +138,7 @@
     // count.
     if (m_shared.stopped)
         return false;
-    ServerResponse answer(m_session);
+    ServerResponse answer(m_session, m_shared.closing);
     ServerRequest request(m_session, answer, m_shared.parameters);
     if (!read_head(request))
         return false;
@@ -197,7 +197,7 @@
 void
 ServerConnection::refuse(HTTPResponse::HTTPStatus status)
 {
-    ServerResponse answer(m_session);
+    ServerResponse answer(m_session, m_shared.closing);
     answer.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
     answer.setStatusAndReason(status);
     answer.setContentLength(0);
--- a/src/adapters/server_connection.h
+++ b/src/adapters/server_connection.h
@@ -36,6 +36,7 @@
     std::atomic<std::uint32_t> connections{0};
     /// Requests from their first byte to the last byte of their answer.
     std::atomic<std::uint32_t> requests{0};
+    std::atomic<bool> closing{false}; ///< Answers end their connections.
     std::atomic<bool> stopped{false}; ///< No further request is read.
 };
 
--- a/src/adapters/server_response.cpp
+++ b/src/adapters/server_response.cpp
@@ -13,8 +13,9 @@
 namespace crosslink
 {
 
-ServerResponse::ServerResponse(ServerSession& session)
-    : HTTPServerResponseImpl(session), m_session(session)
+ServerResponse::ServerResponse(ServerSession& session,
+                               const std::atomic<bool>& closing)
+    : HTTPServerResponseImpl(session), m_session(session), m_closing(closing)
 {
 }
 
@@ -30,6 +31,8 @@
 std::ostream&
 ServerResponse::send()
 {
+    if (m_closing)
+        setKeepAlive(false);
     const bool is_unframed =
         getVersion() == HTTP_1_0 && getChunkedTransferEncoding();
     if (!is_unframed && !m_head_only)
--- a/src/adapters/server_response.h
+++ b/src/adapters/server_response.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/NullStream.h>
 
+#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <ostream>
@@ -27,7 +28,9 @@
 class ServerResponse : public Poco::Net::HTTPServerResponseImpl
 {
 public:
-    explicit ServerResponse(ServerSession& session);
+    /// Ends the connection if `closing` is true when its head is sent. Both
+    /// must outlive this object.
+    ServerResponse(ServerSession& session, const std::atomic<bool>& closing);
     ~ServerResponse() override;
     ServerResponse(const ServerResponse&) = delete;
     ServerResponse& operator=(const ServerResponse&) = delete;
@@ -41,6 +44,7 @@
 
 private:
     ServerSession& m_session;
+    const std::atomic<bool>& m_closing;
     bool m_head_only = false;
     /// Of a body without a length or chunks. POCO's own stream for those would
     /// end the connection in order also where the answer is to be aborted.
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -207,10 +207,6 @@
 {
     const RunningCount running(m_running);
     try {
-        // Closes the connection, so that a load balancer notices the planned
-        // stop at its next request.
-        if (m_state.stopping)
-            answer.setKeepAlive(false);
         if (!handle_health(request.getURI(), answer))
             handle_caller(request, answer);
     } catch (const std::exception& failure) {
--- a/src/serve/caller_server.h
+++ b/src/serve/caller_server.h
@@ -22,6 +22,9 @@
     CallerServer(InstanceState& state, RequestPath& path);
 
     std::string address() const { return m_server->address(); }
+    /// Ends each connection with its next answer, so that a load balancer
+    /// notices a planned stop.
+    void close_after_answers() { m_server->close_after_answers(); }
     /// Stops accepting new connections.
     void stop_listening() { m_server->stop_listening(); }
     /// Returns the number of requests that are being answered.
--- a/src/serve/entry_instance.cpp
+++ b/src/serve/entry_instance.cpp
@@ -95,6 +95,7 @@
 {
     spdlog::info("planned stop begins");
     m_state.stopping = true;
+    m_callers.close_after_answers();
     m_gossip.announce_leaving();
     try {
         UpstreamDuties::announce(m_state, true);
--- a/src/serve/fleet/fleet_rpc.cpp
+++ b/src/serve/fleet/fleet_rpc.cpp
@@ -210,6 +210,12 @@
 
 FleetServer::~FleetServer() = default;
 
+void
+FleetServer::close_after_answers()
+{
+    m_server->close_after_answers();
+}
+
 FleetClient::FleetClient(const std::string& address)
     : m_client(address, HttpTimeouts{connect_timeout, call_timeout},
                answer_limit)
--- a/src/serve/fleet/fleet_rpc.h
+++ b/src/serve/fleet/fleet_rpc.h
@@ -51,6 +51,9 @@
                 RelayHandler& relay);
     ~FleetServer();
 
+    /// Ends each connection of another instance with its next answer.
+    void close_after_answers();
+
 private:
     std::unique_ptr<RpcServer> m_rpc;
     std::unique_ptr<HttpServer> m_server;
--- a/src/serve/forward/forward_instance.cpp
+++ b/src/serve/forward/forward_instance.cpp
@@ -91,6 +91,8 @@
 {
     LogLine("stop_began").field("open", open_calls());
     m_state.stopping = true;
+    m_server.close_after_answers();
+    m_fleet.close_after_answers();
     m_coordinator.resign();
     const TimePoint began = monotonic_now();
     const TimePoint last =
--- a/src/serve/forward/forward_server.cpp
+++ b/src/serve/forward/forward_server.cpp
@@ -120,6 +120,12 @@
 
 ForwardServer::~ForwardServer() = default;
 
+void
+ForwardServer::close_after_answers()
+{
+    m_callers->close_after_answers();
+}
+
 void
 ForwardServer::stop_listening()
 {
@@ -153,8 +159,6 @@
     m_latest = monotonic_now();
     HttpCallerLink link(request, answer);
     HeldBytes held(m_state.bodies);
-    if (m_state.stopping)
-        answer.setKeepAlive(false);
     try {
         const auto map = m_state.map();
         const CallerLimits limits = map ? map->limits : CallerLimits{};
--- a/src/serve/forward/forward_server.h
+++ b/src/serve/forward/forward_server.h
@@ -23,6 +23,8 @@
     ForwardServer(ForwardState& state, ForwardPath& path);
     ~ForwardServer();
 
+    /// Ends each connection of a caller with its next answer.
+    void close_after_answers();
     /// Stops accepting connections from callers.
     void stop_listening();
     /// Stops reading calls on the open connections.
