Soak: what reviews found is drawn, and judged

Draws: watches that are cut in a row, runners whose entries go unannounced, holders killed in turn, weights named while no process runs, pauses amid answers, answers without a status and without end, planned stops. Checks: late requests to runners that left (where nothing excuses them), the memory of instances, and the statuses that callers get.

--- a/src/adapters/call_connection_test.cpp
+++ b/src/adapters/call_connection_test.cpp
@@ -270,9 +270,11 @@
     for (const std::string& data : {std::string("a"), large}) {
         SentCall call;
         const std::string size = data.size() == 1 ? "1" : "1770";
-        call.runner.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-                        "\r\n" +
-                        size + "\r\n" + data);
+        call.runner.say(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        call.runner.say(size);
+        call.runner.say("\r\n");
+        call.runner.say(data);
         call.connection.receive_head();
         std::string read;
         while (read.size() < data.size())
--- a/src/libcrosslink/weights/rollout_record_test.cpp
+++ b/src/libcrosslink/weights/rollout_record_test.cpp
@@ -152,16 +152,15 @@
     "weights that were named at an unknown time replace the older at once")
 {
     const PlatformAvailability reach{Micros{0}};
-    constexpr Micros bound = std::chrono::seconds(8);
     WeightsHistory history;
     history.found_at_start(2, at(5000));
-    CHECK(history.minimum_version(bound, at(5000), reach) == 2);
-    CHECK(history.left(2, bound, at(5000), reach) == Micros{0});
+    CHECK(history.minimum_version(limit, at(5000), reach) == 2);
+    CHECK(history.left(2, limit, at(5000), reach) == Micros{0});
     SECTION("until another instance tells when")
     {
         history.named_earlier(2, at(1000));
-        CHECK(history.minimum_version(bound, at(5000), reach) == 0);
-        CHECK(history.minimum_version(bound, at(9000), reach) == 2);
+        CHECK(history.minimum_version(limit, at(5000), reach) == 0);
+        CHECK(history.minimum_version(limit, at(9000), reach) == 2);
     }
     SECTION("until the record shows that time is left")
     {
@@ -169,25 +168,25 @@
         RolloutRecord record;
         record.recorded(versions);
         record.marked(2, true);
-        record.apply_to(history, bound, at(6000));
-        CHECK(history.minimum_version(bound, at(6000), reach) == 0);
+        record.apply_to(history, limit, at(6000));
+        CHECK(history.minimum_version(limit, at(6000), reach) == 0);
         record.marked(2, false);
-        record.apply_to(history, bound, at(7000));
-        CHECK(history.minimum_version(bound, at(7000), reach) == 2);
+        record.apply_to(history, limit, at(7000));
+        CHECK(history.minimum_version(limit, at(7000), reach) == 2);
     }
     SECTION("and also where the record shows that none is left")
     {
         const std::vector<std::uint64_t> versions{2};
         RolloutRecord record;
         record.recorded(versions);
-        record.apply_to(history, bound, at(6000));
-        CHECK(history.minimum_version(bound, at(6000), reach) == 2);
+        record.apply_to(history, limit, at(6000));
+        CHECK(history.minimum_version(limit, at(6000), reach) == 2);
     }
     SECTION("and weights named later have their own time")
     {
         history.named(3, at(6000));
-        CHECK(history.minimum_version(bound, at(6000), reach) == 2);
-        CHECK(history.minimum_version(bound, at(14'000), reach) == 3);
+        CHECK(history.minimum_version(limit, at(6000), reach) == 2);
+        CHECK(history.minimum_version(limit, at(14'000), reach) == 3);
     }
 }
 
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -4,7 +4,10 @@
 series of faults that overlap, and callers that use their connections until the
 process is gone.
 
-    soak.py [--seed N] [--minutes M] [--processes P] [--seeds COUNT]
+    soak.py [--seed N] [--minutes M] [--processes P] [--seeds COUNT] [--reviewed]
+
+With --reviewed, the faults are those that reviews found: what else ends runners or the
+store is left out, so that runners that leave can be judged.
 
 The seed gives the plan of faults and what callers send; how threads meet is the
 machine's. Checks, from what callers and runners saw: own and whole answers, events
@@ -32,9 +35,11 @@
 ROOT = os.path.dirname(os.path.dirname(HERE))
 sys.path.insert(0, os.path.join(ROOT, "platform", "testsuite"))
 import crash_cases as crash  # noqa: E402
+import endless_cases as endless  # noqa: E402
 import limit_cases as limits  # noqa: E402
 import order_cases as order  # noqa: E402
 import part_crash_cases as parts  # noqa: E402
+import status_cases as status_words  # noqa: E402
 import world as w  # noqa: E402
 from world import f  # noqa: E402
 
@@ -63,6 +68,12 @@
 SOFTWARE = ("v1", "v1.1", "v1.2")
 EVENT_PAUSE = 0.01    # seconds
 NOT_RUN = (408, 421, 429, 503)
+STATUSES = (200, 404, 429, 500, 502, 503, 504)  # that callers may get
+DRAIN_SECONDS = 2.0   # from the end of an entry, a runner may get requests
+SERVES_ON_SECONDS = 2.6
+CONTACT_SECONDS = 3.0 # without a disturbance, before one is judged
+LONGEST_PAUSE_WITHIN = 6.0  # of a runner, amid an answer
+MOST_MB = 120         # of an instance
 KEYS = {w.KEY: "one", "key-alone": "alone"}
 
 
@@ -126,6 +137,9 @@
             runner.tells_software = True
             runner.event_pause = EVENT_PAUSE
         self.failures = []
+        self.disturbed = []  # (from, until) of what excuses late requests
+        self.away = set()  # runners whose entries are gone
+        self.left = []  # (runner, when, how long after it got its last request)
 
     def fail(self, what):
         self.failures.append(what)
@@ -248,11 +262,11 @@
           new_weights]
 
 
-def run_series(scene, seed, end):
+def run_series(scene, seed, end, faults):
     rng = random.Random(seed)
     while time.monotonic() < end:
         time.sleep(rng.uniform(0, LONGEST_PAUSE))
-        fault, span = rng.choice(FAULTS), rng.uniform(0.2, LONGEST_FAULT)
+        fault, span = rng.choice(faults), rng.uniform(0.2, LONGEST_FAULT)
         try:
             fault(scene, rng, span)
         except Exception as failure:  # noqa: BLE001: told, never passed over
@@ -339,9 +353,123 @@
         time.sleep(HEARTBEAT_SECONDS)
         for runner in scene.world.llm:
             state = (runner.id, runner.version)
-            if not runner.is_down and listed.get(runner) != state:
-                listed[runner] = state
-                endings.list(runner)
+            with scene.lock:
+                if (runner not in scene.away and not runner.is_down and
+                        listed.get(runner) != state):
+                    listed[runner] = state
+                    endings.list(runner)
+
+
+# --- what reviews found -------------------------------------------------------
+
+def note_disturbed(scene, since):
+    """Runners that leave in such a time are not judged."""
+    scene.disturbed.append((since, time.monotonic()))
+
+
+def cut_watches(scene, rng, _):
+    for _ in range(rng.randrange(1, 6)):
+        scene.world.store.cut_watches()
+        time.sleep(rng.uniform(0, 0.4))
+
+
+def leave_unannounced(scene, rng, _):
+    """The entry of a runner goes, and it serves on; later it is listed again."""
+    service = rng.choice(["plain", "llm"])
+    runners = getattr(scene.world, service)
+    with scene.lock:
+        here = [r for r in runners if r not in scene.away and not r.is_down]
+        if len(here) < 2:
+            return
+        runner = rng.choice(here)
+        scene.away.add(runner)
+        scene.world.store.remove("servers/" + runner.id)
+    gone_at = time.monotonic()
+    time.sleep(SERVES_ON_SECONDS)
+    came = [when - gone_at for _, when in runner.came if when > gone_at]
+    scene.left.append((runner.id, gone_at, max(came, default=0)))
+    with scene.lock:
+        scene.away.discard(runner)
+        scene.endings[service].list(runner)
+
+
+def kill_holder(scene, rng, _):
+    """Kills the holder of the duty some times, each time the one there is."""
+    for _ in range(rng.randrange(1, 4)):
+        address = scene.world.store.value("crosslink/duty/steward") or ":0"
+        port = int(address.rsplit(":", 1)[1])
+        for number, instance in enumerate(scene.world.instances):
+            if instance.ports["peer"] == port:
+                restart(scene, number, signal.SIGKILL)
+        time.sleep(rng.uniform(1, 4))
+
+
+def name_weights_while_none_runs(scene, rng, _):
+    """All are killed at once, and weights are named before they start."""
+    since = time.monotonic()
+    with contextlib.ExitStack() as held:
+        for lock in scene.locks:
+            held.enter_context(lock)
+        for number, instance in enumerate(scene.world.instances):
+            scene.lives[number] += 1
+            instance.process.kill()
+            instance.process.wait()
+        new_weights(scene, rng, 0)
+        time.sleep(rng.uniform(0, 2))
+        for instance in scene.world.instances:
+            instance.start_again()
+        for instance in scene.world.instances:
+            instance.wait_ready()
+    note_disturbed(scene, since)
+
+
+def pause_in_answers(scene, rng, _):
+    runner = rng.choice(scene.runners())
+    runner.script["*"] = "pause:%.1f" % rng.uniform(0.1, LONGEST_PAUSE_WITHIN)
+    time.sleep(rng.uniform(0.5, LONGEST_FAULT))
+    runner.script.pop("*", None)
+
+
+def answer_without_status(scene, rng, span):
+    runner = rng.choice(scene.runners())
+    runner.cut_answer = status_words.answers_with(
+        rng.choice(status_words.NO_STATUSES))
+    time.sleep(span)
+    runner.cut_answer = None
+
+
+def answer_without_end(scene, rng, span):
+    server, path = rng.choice(
+        [(r.server, p) for r in scene.runners() for p in ("/report", "/order")]
+        + [(scene.world.store.server, "/kv-range")] +
+        [(k.server, p) for k in scene.world.kept
+         for p in ("/kv-list", "/kv-events")])
+    server.endless[path] = rng.choice(endless.FORMS)
+    time.sleep(span)
+    server.endless.pop(path)
+
+
+REVIEWED = [cut_watches, cut_watches, leave_unannounced, leave_unannounced,
+            kill_holder, name_weights_while_none_runs, pause_in_answers,
+            answer_without_status, answer_without_end, planned_stop]
+
+
+def check_left(scene):
+    """Runners that left got no requests for longer than they may."""
+    for name, gone_at, last in scene.left:
+        around = (gone_at - CONTACT_SECONDS, gone_at + SERVES_ON_SECONDS)
+        disturbed = any(since < around[1] and until > around[0]
+                        for since, until in scene.disturbed)
+        if not disturbed and last > DRAIN_SECONDS:
+            scene.fail("%s got requests %.2f s after its entry was gone"
+                       % (name, last))
+
+
+def check_memory(scene):
+    for instance in scene.world.instances:
+        peak = endless.peak_mb(instance)
+        if peak > MOST_MB:
+            scene.fail("an instance took %d MB" % peak)
 
 
 # --- callers ------------------------------------------------------------------
@@ -403,6 +531,8 @@
     def check(self, call, path, version, status, text):
         if path.startswith("v"):
             self.check_version(version, status)
+        if status not in STATUSES:
+            self.scene.fail("%s: answered %s" % (call, status))
         if status != 200:
             return
         self.served += 1
@@ -576,36 +706,22 @@
         scene.fail("%d calls refused beside a runner in need" % refused)
 
 
-def soak(seed, seconds, processes):
+def soak(seed, seconds, processes, reviewed):
     scene = Scene(processes)
     with scene.world:
         end = time.monotonic() + seconds
         callers = [Caller(scene, seed * 1000 + n) for n in range(CALLERS)]
-        threads = [threading.Thread(target=run_series,
-                                    args=(scene, seed * 100 + n, end))
+        threads = [threading.Thread(
+            target=run_series, args=(scene, seed * 100 + n, end,
+                                     REVIEWED if reviewed else FAULTS))
                    for n in range(SERIES)]
         takers = [Taker(scene, seed * 1000 + n) for n in range(TAKERS)]
         threads += [threading.Thread(target=c.run, args=(end,))
                     for c in callers + takers]
         threads.append(threading.Thread(
             target=list_weights, args=(scene, end + CALM_SECONDS)))
-        threads.append(threading.Thread(
-            target=send_ending_request, args=(scene, random.Random(seed), end)))
-        needs = random.Random("limits %d" % seed)
-        threads.append(threading.Thread(target=name_limits,
-                                        args=(scene, needs, end)))
-        words = random.Random("words %d" % seed)
-        threads.append(threading.Thread(target=ask_for_backoff,
-                                        args=(scene, words, end)))
-        copies = random.Random("copies %d" % seed)
-        threads.append(threading.Thread(target=restore_store,
-                                        args=(scene, copies, end)))
-        for what, series in (("parts", send_ending_part),
-                             ("unframed", answer_unframed),
-                             ("crowds", crowd_instances),
-                             ("software", release_software)):
-            threads.append(threading.Thread(target=series, args=(
-                scene, random.Random("%s %d" % (what, seed)), end)))
+        if not reviewed:
+            threads += other_series(scene, seed, end)
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -613,31 +729,51 @@
         check_served_again(scene)
         time.sleep(CALM_SECONDS)
         check_in_force(scene)
-        check_blocked(scene)
-        check_part_blocked(scene)
-        check_limit(scene)
+        if not reviewed:
+            check_blocked(scene)
+            check_part_blocked(scene)
+            check_limit(scene)
+        check_left(scene)
+        check_memory(scene)
         check_runs(scene, callers)
     served = sum(c.served for c in callers)
     sent = sum(len(c.sent) for c in callers)
     print("seed %d: %d calls, %d served, %d streams taken up, "
-          "%d runners ended, %s" % (
+          "%d runners ended, %d left, %s" % (
         seed, sent, served, sum(t.taken_up for t in takers),
-        sum(len(e.times) for e in scene.endings.values()),
+        sum(len(e.times) for e in scene.endings.values()), len(scene.left),
         "; ".join(scene.failures[:5]) or "nothing broken"), flush=True)
     if served == 0:
         scene.fail("nothing was served")
     return not scene.failures
 
 
+def other_series(scene, seed, end):
+    """Series beside the faults: whoever ends runners, turns calls away, brings
+    the store back from a copy or sends most to one instance."""
+    threads = [threading.Thread(
+        target=send_ending_request, args=(scene, random.Random(seed), end))]
+    for what, series in (("limits", name_limits), ("words", ask_for_backoff),
+                         ("copies", restore_store), ("parts", send_ending_part),
+                         ("unframed", answer_unframed),
+                         ("crowds", crowd_instances),
+                         ("software", release_software)):
+        threads.append(threading.Thread(target=series, args=(
+            scene, random.Random("%s %d" % (what, seed)), end)))
+    return threads
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--minutes", type=float, default=0.5)
     parser.add_argument("--processes", type=int, default=5)
+    parser.add_argument("--reviewed", action="store_true")
     words = parser.parse_args()
     failed = [seed for seed in range(words.seed, words.seed + words.seeds)
-              if not soak(seed, words.minutes * 60, words.processes)]
+              if not soak(seed, words.minutes * 60, words.processes,
+                          words.reviewed)]
     if failed:
         sys.exit("failed: seeds %s" % failed)
 
