Forward state: what an instance sees, counts and reads have files of their own

FleetView and ForwardCounters move to headers of their own, and the reading of recorded streams becomes the class StreamRecords, with its lock and its times.

--- a/src/serve/forward/forward_state.h
+++ b/src/serve/forward/forward_state.h
@@ -3,8 +3,11 @@
 
 #pragma once
 
+#include "fleet_view.h"
+#include "forward_counters.h"
 #include "forward_ports.h"
 #include "forward_settings.h"
+#include "stream_records.h"
 
 #include <adapters/call_connections.h>
 #include <adapters/connection_times.h>
@@ -61,37 +64,6 @@
 namespace crosslink
 {
 
-/// The state of the fleet as read from the platform.
-struct FleetView {
-    /// Runners are ordered to load weights again `settle` after the platform
-    /// has become reachable.
-    explicit FleetView(Micros settle) : reach(settle) {}
-
-    std::shared_ptr<const ServiceMap> map; ///< Null before the first one.
-    bool runners_listed = false; ///< The runners were read at least once.
-    std::map<std::string, WeightsHistory, std::less<>> weights; ///< By model.
-    /// The versions of weights that the platform has recorded, by model.
-    std::map<std::string, RolloutRecord, std::less<>> rollouts;
-    std::map<std::string, InstanceInfo, std::less<>> instances; ///< By name.
-    std::uint64_t instances_version = 0; ///< Grows when `instances` changes.
-    /// Peer address of the instance that holds the coordinator duty, as the
-    /// platform names it; empty for none.
-    std::string coordinator;
-    HolderHistory holders; ///< Of the coordinator duty.
-    PlatformAvailability reach;
-    /// Peer address of the holder that another instance reported after the
-    /// platform's last report; empty for none.
-    std::string peer_reported_coordinator;
-
-    /// Returns the address for requests to the holder of the coordinator duty;
-    /// empty if no holder is known.
-    const std::string& coordinator_address() const
-    {
-        return peer_reported_coordinator.empty() ? coordinator
-                                                 : peer_reported_coordinator;
-    }
-};
-
 /// The position of an instance in the fleet's tree.
 struct TreePosition {
     /// Other instances ask this one, although it does not hold the coordinator
@@ -106,58 +78,6 @@
     std::uint64_t least = 0;  ///< Older versions are forbidden.
 };
 
-/// Counters of forwarded calls.
-struct ForwardCounters {
-    using Counter = std::atomic<std::uint64_t>;
-
-    Counter calls{0};
-    Counter answered{0};
-    Counter refused{0};
-    Counter failed{0};
-    Counter callers_gone{0};
-    Counter sends{0};
-    Counter hedges{0};     ///< Second copies that were sent to runners.
-    Counter hedges_won{0}; ///< Of them, those whose answers were delivered.
-    /// Late calls that were not hedged, by HedgeDenial. Without observations,
-    /// no call counts as late: FewObservations counts sends.
-    std::array<Counter, static_cast<std::size_t>(HedgeDenial::Count_)>
-        hedges_denied{};
-    Counter repeats{0};
-    Counter runner_ends{0}; ///< Calls in progress at runners that exited.
-    Counter requests_blocked{0};
-    Counter calls_blocked{0};
-    Counter limits_changed{0};  ///< Changes of runners' limits seen here.
-    Counter runners_leaving{0}; ///< Runners that reported that they will exit.
-    Counter runner_backoffs{0}; ///< Backoffs that runners asked for.
-    Counter calls_limited{0};   ///< Refused because of runners' limits.
-    Counter queue_too_long{0};  ///< Refused for the wait, whoever calls.
-    Counter less_urgent{0};     ///< Refused for more urgent calls.
-    Counter above_share{0};     ///< Refused for accounts within their share.
-    Counter parts_fetched{0};   ///< Prompt parts fetched from a store.
-    Counter parts_saved{0};     ///< Prompt parts read and saved to a store.
-    Counter parts_read{0};      ///< Prompt parts read and not saved.
-    Counter polls_refused{0};   ///< Polls of too many other instances.
-    Counter paths_cut{0};       ///< Runners that only other instances reach.
-    Counter calls_relayed{0};   ///< Sent to runners by other instances.
-    Counter relays_vain{0};     ///< Instances that did not send a call on.
-    Counter relays_served{0};   ///< Calls sent to runners for others.
-    Counter relays_refused{0};  ///< Calls not sent on for others.
-    Counter shares_borrowed{0}; ///< Calls sent on the shares of others.
-    Counter shares_lent{0};     ///< Calls of others sent on an own share.
-    Counter shares_denied{0};   ///< Calls of others for which none was left.
-    Counter streams_refused{0}; ///< Taken up, and can't go on.
-    Counter relays_open{0};     ///< Gauge: calls in progress for others.
-    Counter runners_limited{0}; ///< Gauge: runners with a limit in force.
-    TimeSummary first_event;
-    TimeSummary whole_answer;
-    TimeSummary kept_question; ///< Time of a lookup of prompt parts.
-    TimeSummary load_age;      ///< Age of other instances' load on arrival.
-    TimeSummary news_age;      ///< Age of the platform's changes on arrival.
-
-    /// Returns all counters in the Prometheus text format.
-    std::string text() const;
-};
-
 /// The state that the threads of one instance share. It is held in memory
 /// only and may be lost at any time.
 struct ForwardState {
@@ -433,7 +353,6 @@
     };
 
     void observe_software();
-    void learn_streams(const std::vector<StreamOrigin>& origins_read);
     void count_ends(const std::vector<InterruptedCall>& calls,
                     const char* evidence);
     void log_limit_change(std::string_view runner, double per_second,
@@ -441,12 +360,7 @@
 
     Guarded<CachedPosition> m_position;
     std::atomic<TimePoint> m_confirmed_at{}; ///< See note_confirmed().
-    std::timed_mutex m_reading_mutex; ///< One reads the records of streams.
-    TimePoint m_read_at{};            ///< When the last reading began.
-    TimePoint m_read_failed_at{};
-    /// Of all instances, by stream; as the last reading brought them.
-    Guarded<std::map<std::string, StreamOrigin, std::less<>>>
-        m_recorded_streams;
+    StreamRecords m_stream_records;
     Guarded<StarterTree> m_starter_tree;
 };
 
--- a/src/serve/forward/forward_state_streams.cpp
+++ b/src/serve/forward/forward_state_streams.cpp
@@ -11,10 +11,8 @@
 #include <crosslink/base/error.h>
 #include <crosslink/forward/software_evidence.h>
 #include <crosslink/membership/change_page.h>
-#include <crosslink/ports/stream_registry.h>
 
 #include <algorithm>
-#include <thread>
 
 namespace crosslink
 {
@@ -153,60 +151,21 @@
 void
 ForwardState::read_stream_records(TimePoint asked, TimePoint latest)
 {
-    const std::unique_lock lock(m_reading_mutex, latest - monotonic_now());
-    if (!lock)
-        throw Error(ErrorCode::PlatformUnavailable,
-                    "the records of streams are not read in time");
-    if (m_read_at > asked)
-        return;
-    // Those that waited meanwhile do not wait for another failure each.
-    if (m_read_failed_at > asked)
-        throw Error(ErrorCode::PlatformUnavailable,
-                    "the records of streams were not read");
-    const TimePoint next =
-        std::max(m_read_at, m_read_failed_at) +
+    const Micros pause =
         stream_reading_pause(instance_count(), settings.platform_reads);
-    if (next > latest)
-        throw Error(ErrorCode::PlatformUnavailable,
-                    "the records of streams are not to be read in time");
-    std::this_thread::sleep_for(std::max(next - monotonic_now(), Micros{0}));
-    const TimePoint began = monotonic_now();
-    try {
-        learn_streams(ports.streams.read());
-        m_read_at = began;
-    } catch (const Error&) {
-        m_read_failed_at = monotonic_now();
-        throw;
-    }
-}
-
-void
-ForwardState::learn_streams(const std::vector<StreamOrigin>& origins_read)
-{
-    const TimePoint now = monotonic_now();
-    SoftwareCounts served;
-    for (const StreamOrigin& origin : origins_read)
-        ++served[origin.service][origin.software];
-    software.with(
-        [&](SoftwareHistory& history) { history.observe(served, now); });
-    // Apart from those of this instance, which they would crowd out.
-    m_recorded_streams.with([&](auto& recorded) {
-        recorded.clear();
-        for (const StreamOrigin& origin : origins_read)
-            recorded.emplace(origin.stream, origin);
-    });
+    m_stream_records.read(ports.streams, asked, latest, pause,
+                          [this](const SoftwareCounts& served) {
+                              software.with(
+                                  [&served](SoftwareHistory& history) {
+                                      history.observe(served, monotonic_now());
+                                  });
+                          });
 }
 
 std::optional<StreamOrigin>
 ForwardState::recorded_stream(std::string_view stream)
 {
-    return m_recorded_streams.with(
-        [stream](const auto& recorded) -> std::optional<StreamOrigin> {
-            const auto found = recorded.find(stream);
-            if (found == recorded.end())
-                return std::nullopt;
-            return found->second;
-        });
+    return m_stream_records.find(stream);
 }
 
 } // namespace crosslink
