News from before an outage do not end it; bodies of plain services may take minutes

By reading: pages that other instances go on telling from before an outage ended the count of failed requests, so that the end of a short outage excused no entry; time between two confirmations counts now, not the time of arrival. Whole answers of plain services at the own door had 10 s from their head to their end, without a reason.

--- a/src/adapters/answer_buffer.h
+++ b/src/adapters/answer_buffer.h
@@ -29,6 +29,7 @@
 private:
     const std::size_t m_max_bytes;
     std::string m_bytes;
+    std::size_t m_taken = 0; ///< Bytes at the front that were taken.
 };
 
 } // namespace crosslink
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -27,9 +27,6 @@
 /// A kept connection is used again only within this time; servers keep theirs
 /// longer.
 constexpr Micros keep_alive = std::chrono::seconds(3);
-/// Longest time from the head of a whole answer to its end: one that comes byte
-/// by byte would hold its reader for ever.
-constexpr Micros max_body_time = std::chrono::seconds(10);
 constexpr int no_caller = -1;
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
@@ -153,7 +150,7 @@
     /// `limit`.
     std::string read_all(const AnswerLimit& limit)
     {
-        const TimePoint latest = monotonic_now() + max_body_time;
+        const TimePoint latest = monotonic_now() + limit.max_body_time;
         AnswerBuffer body(limit.max_bytes);
         for (std::string bytes = read_some(); !bytes.empty();
              bytes = read_some()) {
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -31,6 +31,9 @@
 /// Limits of one kind of upstream, by what its answers can be.
 struct AnswerLimit {
     std::size_t max_bytes = 0; ///< Of a body, or of a line of a stream.
+    /// Longest time from the head of a whole answer to its end: one that comes
+    /// byte by byte would hold its reader for ever.
+    Micros max_body_time = std::chrono::seconds(10);
 };
 
 /// A request as it goes out.
--- a/src/adapters/plain_http.cpp
+++ b/src/adapters/plain_http.cpp
@@ -13,8 +13,9 @@
 
 constexpr int too_many_requests = 429;
 constexpr int unavailable = 503;
-/// An answer is held whole until its caller has it.
-constexpr AnswerLimit answer_limit{16U << 20U};
+/// An answer is held whole until its caller has it. Services may write theirs
+/// as they work.
+constexpr AnswerLimit answer_limit{16U << 20U, std::chrono::minutes(5)};
 
 } // namespace
 
--- a/src/include/crosslink/membership/lapse_window.h
+++ b/src/include/crosslink/membership/lapse_window.h
@@ -25,10 +25,10 @@
 
     /// Records that the store did not answer a request of this instance.
     void failed(TimePoint now);
-    /// Records that the store answered this instance, or another one that told
-    /// it, and was known as of `confirmed`. The other one's window is open for
-    /// `window_of_sender` more; it counts only where this instance, too, was
-    /// without an answer for as long as an outage.
+    /// Records that the store is known as of `confirmed`: it answered this
+    /// instance, or another one that told it. The other one's window is open
+    /// for `window_of_sender` more; it counts only where this instance, too,
+    /// knew nothing of the store for as long as an outage.
     void answered(TimePoint confirmed, TimePoint now,
                   Micros window_of_sender = Micros{0});
     /// Records that the store was restored from a copy, which may lack entries
--- a/src/libcrosslink/membership/lapse_window.cpp
+++ b/src/libcrosslink/membership/lapse_window.cpp
@@ -40,16 +40,20 @@
 LapseWindow::answered(TimePoint confirmed, TimePoint now,
                       Micros window_of_sender)
 {
+    // What is known already says nothing of the store as it is now.
+    if (m_confirmed && confirmed <= *m_confirmed)
+        return;
     const bool was_long =
-        !m_confirmed || now - *m_confirmed >= m_shortest_outage;
+        !m_confirmed || confirmed - *m_confirmed >= m_shortest_outage;
     const bool failed_for_long =
-        m_failing_since && now - *m_failing_since >= shortest_failure;
+        m_failing_since && confirmed - *m_failing_since >= shortest_failure;
     if (was_long && failed_for_long)
         open(now + relisting_time);
     if (was_long && window_of_sender > Micros{0})
         open(now + std::min(window_of_sender, relisting_time));
-    m_failing_since.reset();
-    m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
+    if (m_failing_since && confirmed > *m_failing_since)
+        m_failing_since.reset();
+    m_confirmed = confirmed;
 }
 
 void
--- a/src/libcrosslink/membership/lapse_window_test.cpp
+++ b/src/libcrosslink/membership/lapse_window_test.cpp
@@ -79,6 +79,21 @@
     CHECK(window.remaining(at(15'000)) == Micros{0});
 }
 
+// Parents go on telling what they knew before the outage.
+TEST_CASE("news from before an outage do not end it")
+{
+    LapseWindow window(heartbeat);
+    window.answered(at(10'000), at(10'000));
+    for (int millis = 10'400; millis < 13'000; millis += 200) {
+        window.failed(at(millis));
+        window.answered(at(10'000), at(millis + 10));
+        window.answered(at(10'050), at(millis + 20));
+        CHECK_FALSE(window.until(at(millis + 20)));
+    }
+    window.answered(at(13'000), at(13'010));
+    CHECK(window.until(at(13'010)) == at(14'810));
+}
+
 TEST_CASE("an outage is too short for an entry to expire in it")
 {
     LapseWindow window(heartbeat);
