--- a/src/libcrosslink/weights/weights_history.cpp
+++ b/src/libcrosslink/weights/weights_history.cpp
@@ -57,8 +57,10 @@
     const auto position = position_of(version);
     if (position != m_versions.end() && position->version == version)
         return;
-    m_versions.insert(position,
-                      {version, now - undated_age, true, false, true});
+    m_versions.insert(position, NamedWeights{.version = version,
+                                             .at = now - undated_age,
+                                             .is_found = true,
+                                             .is_undated = true});
 }
 
 void
