Duty lease: one switch tells the delay of each origin

The new origin stood as a special case before the one for the others, which still named it. One function tells all of them now; no behaviour changes.

--- a/src/build-scripts/mutate.py
+++ b/src/build-scripts/mutate.py
@@ -229,7 +229,8 @@
      "platform.weights_named_while"),
     ("wait for an own earlier process",
      "src/libcrosslink/membership/duty_lease.cpp",
-     "if (origin == LeaseOrigin::OwnActingProcess)", "if (false)",
+     "return std::min(max_action_flight_time, m_settle);",
+     "return m_settle + safety_margin(span);",
      "unit.*predecessor"),
     ("wait for the next chunk within a read", "src/adapters/call_connection.cpp",
      "} while (!is_over() && data.size() < piece_bytes &&\n"
--- a/src/libcrosslink/membership/duty_lease.cpp
+++ b/src/libcrosslink/membership/duty_lease.cpp
@@ -22,25 +22,6 @@
     return span - DutyLease::safety_margin(span);
 }
 
-/// Returns how long after the grant of a lease of `span` the part of an earlier
-/// lease ends in which its holder may have acted, beyond what is usual: a
-/// holder whose lease expires stopped acting a safety margin before.
-Micros
-earlier_use(LeaseOrigin origin, Micros span)
-{
-    switch (origin) {
-    case LeaseOrigin::OwnEarlierProcess:
-        return DutyLease::safety_margin(span);
-    case LeaseOrigin::StoreRestored:
-        return span;
-    case LeaseOrigin::Free:
-    case LeaseOrigin::OwnActingProcess:
-    case LeaseOrigin::Continued:
-        break;
-    }
-    return Micros{0};
-}
-
 } // namespace
 
 Micros
@@ -57,14 +38,24 @@
 }
 
 /// Returns the delay between the grant of a lease of `span` and the first
-/// action.
+/// action. The usual one counts on an earlier holder whose lease expired: it
+/// stopped acting a safety margin before.
 Micros
 DutyLease::delay(LeaseOrigin origin, Micros span) const
 {
-    // What the earlier process has sent may still arrive.
-    if (origin == LeaseOrigin::OwnActingProcess)
+    switch (origin) {
+    case LeaseOrigin::OwnEarlierProcess:
+        return m_settle + safety_margin(span);
+    case LeaseOrigin::OwnActingProcess:
+        // What that process has sent may still arrive.
         return std::min(max_action_flight_time, m_settle);
-    return earlier_use(origin, span) + m_settle;
+    case LeaseOrigin::StoreRestored:
+        return m_settle + span;
+    case LeaseOrigin::Free:
+    case LeaseOrigin::Continued:
+        break;
+    }
+    return m_settle;
 }
 
 void
